--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,8 +43,6 @@
 	downFirst    = 0.25 // pause after a failed connect, doubled up to downMost
 	downMost     = 2.0
 	coldMargin   = 0.8 // of what the fall rule allows: capacity, hints and the split among mixers are rough
-	peakOver     = 2.0 // seconds over which the work that a searcher takes is summed
-	peakFor      = 60.0
 	sweepEvery   = 0.02
 	listFirst    = 0.5 // wait after a failed ask for the list, doubled up to listMost
 	listMost     = 2.0
@@ -187,7 +185,7 @@
 			if s.latency > 0 {
 				m.renew(s)
 			}
-			s.started = r.StartedAt
+			m.starts(s, r.StartedAt)
 		}
 	}
 	for _, p := range m.heldParts() {
@@ -644,8 +642,6 @@
 		if c.idle >= idleLeast {
 			m.doubt = max(0, m.doubt-idleTrust)
 		}
-		s.rate.add(m.workOf(k)/peakOver, m.now, peakOver)
-		s.peak = fading{max(s.rate.value, s.peak.now(m.now, peakFor)), m.now}
 		m.heard(s, sample)
 	case what.fault:
 		s.fault[k].toward(1, failSmooth, m.now, forgetAfter*m.longSoft)
@@ -698,7 +694,7 @@
 		m.away(s)
 	} else if s.downWait > 0 {
 		if s.dead {
-			s.started = max(s.started, m.now)
+			m.starts(s, m.now)
 		}
 		m.renew(s)
 	}
@@ -713,16 +709,20 @@
 }
 
 // coldAllows keeps what this mixer sends a cold searcher under its share of what the fall rule surely allows.
-// No capacity is told: it is taken as one unit of work a second, or the most that warm ones took of us.
+// No capacity is told: it is taken as one unit of work a second. Where the share is less than a part, a first
+// part from each mixer at once would push the searcher over: each waits for its turn, by number, so that all
+// mixers together send evenly as it warms.
 func (m *Mixer) coldAllows(s *searcher, work float64) bool {
 	r := &m.set.Rules
-	if m.now-s.started >= r.ColdS || r.FallMultiple <= 0 {
+	age := m.now - s.started
+	if age >= r.ColdS || r.FallMultiple <= 0 {
 		return true
 	}
-	takes := m.mean(0, func(o *searcher) (float64, bool) {
-		return o.peak.now(m.now, peakFor), o.latency > 0 && m.warmth(o) == 1
-	})
-	rate := coldMargin * r.FallMultiple * m.warmth(s) * max(1/float64(m.set.Mixers), takes)
+	rate := coldMargin * r.FallMultiple / float64(m.set.Mixers)
 	sum, lastAt := s.sentSince(m.now - r.FallS)
-	return sum+work <= rate*r.FallS || m.now-lastAt > max(r.FallS, work/rate)
+	if share := rate * m.warmth(s) * r.FallS; work <= share {
+		return sum+work <= share
+	}
+	warmed := max(0, age) * (r.ColdShare + (1-r.ColdShare)*max(0, age)/(2*r.ColdS))
+	return rate*warmed/work >= float64(len(s.sent))+s.turn && m.now-lastAt > r.FallS
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -149,8 +149,8 @@
 	downWait   float64
 	probing    bool
 	dead       bool      // a connect or a probe failed in this pause
-	rate, peak fading    // own work it answered, a second
 	sent       []sending // while cold
+	turn       float64   // where among the mixers this one stands in feeding it while cold
 }
 
 // fading is a figure that fades with time.
@@ -164,9 +164,7 @@
 	until float64
 }
 
-// add puts more on top; toward moves it towards a sample.
-func (f *fading) add(more, now, over float64) { *f = fading{f.now(now, over) + more, now} }
-
+// toward moves it towards a sample.
 func (f *fading) toward(sample, weight, now, over float64) {
 	was := f.now(now, over)
 	*f = fading{was + weight*(sample-was), now}
@@ -269,6 +267,12 @@
 	return slices.Clone(m.open)
 }
 
+// starts notes a start of s, which empties the books of what it was sent while cold.
+func (m *Mixer) starts(s *searcher, at float64) {
+	_, turn := math.Modf(float64(m.set.Self)/float64(m.set.Mixers) + float64(s.id)*math.Phi)
+	s.started, s.sent, s.turn = max(s.started, at), s.sent[:0], turn
+}
+
 // sentSince sums the work sent since a time, and tells when the last was sent.
 func (s *searcher) sentSince(from float64) (work, lastAt float64) {
 	lastAt = math.Inf(-1)
