--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	downFirst    = 0.25 // pause after a failed connect, doubled up to downMost
 	downMost     = 2.0
 	coldMargin   = 0.8 // of what the fall rule allows: capacity, hints and the split among mixers are rough
+	coldLoad     = 1.5 // of its full capacity that may be meant for a cold searcher, its sibling being lost
 	sweepEvery   = 0.02
 	listFirst    = 0.5 // wait after a failed ask for the list, doubled up to listMost
 	listMost     = 2.0
@@ -464,7 +465,7 @@
 	if !usable(s) && (s.probing || m.now < s.downUntil || s.units > 0) {
 		return false
 	}
-	return (m.riding(s) || float64(s.units) < math.Floor(s.window)) && m.coldAllows(s, m.workOf(p.lk.k))
+	return (m.riding(s) || float64(s.units) < math.Floor(s.window)) && m.coldAllows(p, s)
 }
 
 func (m *Mixer) bind(p *part) {
@@ -710,19 +711,17 @@
 
 // coldAllows keeps what this mixer sends a cold searcher under its share of what the fall rule surely allows.
 // No capacity is told: it is taken as one unit of work a second. Where the share is less than a part, a first
-// part from each mixer at once would push the searcher over: each waits for its turn, by number, so that all
-// mixers together send evenly as it warms.
-func (m *Mixer) coldAllows(s *searcher, work float64) bool {
-	r := &m.set.Rules
-	age := m.now - s.started
-	if age >= r.ColdS || r.FallMultiple <= 0 {
+// part from each mixer at once would push the searcher over, and a share saved up is of no use to a mixer that
+// has nothing to send: there all mixers thin what they would send by the same chance, which rises as it warms.
+func (m *Mixer) coldAllows(p *part, s *searcher) bool {
+	r, work := &m.set.Rules, m.workOf(p.lk.k)
+	if m.now-s.started >= r.ColdS || r.FallMultiple <= 0 {
 		return true
 	}
-	rate := coldMargin * r.FallMultiple / float64(m.set.Mixers)
-	sum, lastAt := s.sentSince(m.now - r.FallS)
-	if share := rate * m.warmth(s) * r.FallS; work <= share {
+	sum, most := s.sentSince(m.now-r.FallS), coldMargin*r.FallMultiple*m.warmth(s)
+	if share := most * r.FallS / float64(m.set.Mixers); work <= share {
 		return sum+work <= share
 	}
-	warmed := max(0, age) * (r.ColdShare + (1-r.ColdShare)*max(0, age)/(2*r.ColdS))
-	return rate*warmed/work >= float64(len(s.sent))+s.turn && m.now-lastAt > r.FallS
+	_, lot := math.Modf(p.lot + s.lot)
+	return sum == 0 && lot < most/coldLoad
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -96,6 +96,7 @@
 	first  float64 // time of the first call
 	ran    bool    // some call of it may have run
 	owed   bool    // a further call is promised to it
+	lot    float64
 }
 
 // maybe tells whether some call of p may have run or may yet.
@@ -150,7 +151,7 @@
 	probing    bool
 	dead       bool      // a connect or a probe failed in this pause
 	sent       []sending // while cold
-	turn       float64   // where among the mixers this one stands in feeding it while cold
+	lot        float64   // with that of a part, decides whether it may go there while cold
 }
 
 // fading is a figure that fades with time.
@@ -228,7 +229,7 @@
 }
 
 func (m *Mixer) added(lk *lookup, e *Event) *part {
-	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1}
+	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit()}
 	lk.parts = append(lk.parts, p)
 	lk.pending++
 	m.parts[p.id] = p
@@ -269,19 +270,17 @@
 
 // starts notes a start of s, which empties the books of what it was sent while cold.
 func (m *Mixer) starts(s *searcher, at float64) {
-	_, turn := math.Modf(float64(m.set.Self)/float64(m.set.Mixers) + float64(s.id)*math.Phi)
-	s.started, s.sent, s.turn = max(s.started, at), s.sent[:0], turn
+	s.started, s.sent, s.lot = max(s.started, at), s.sent[:0], m.chance.unit()
 }
 
-// sentSince sums the work sent since a time, and tells when the last was sent.
-func (s *searcher) sentSince(from float64) (work, lastAt float64) {
-	lastAt = math.Inf(-1)
+// sentSince sums the work sent since a time.
+func (s *searcher) sentSince(from float64) (work float64) {
 	for _, w := range s.sent {
-		if lastAt = w.at; w.at > from {
+		if w.at > from {
 			work += w.work
 		}
 	}
-	return work, lastAt
+	return work
 }
 
 // spend takes one token of a bucket that fills at a rate up to most, if there is one.
