Look before sending in troubled times; windows below one; silence against the average

False evidence removed: idle lines were closed by the thousand where searchers were slow (a call lost counts only if the searcher answered since); an unanswered probe in a long queue counted as death and made sound searchers cold; probes turned away counted as silence. May hurt: a probe's wait before each part, and its price, while the share of ill calls stays high.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,7 @@
 // The decisions of one mixer. New starts an instance from its settings; Step takes the clock and all that
-// happened since the last call, in order, and appends what to do to the actions. Between two calls nothing
-// moves: no I/O, no clock of its own, no goroutine, nothing shared with another instance. The interface
-// stands in types.go, what is remembered in state.go. The ordinary path is SWAG: parts are bound to replicas,
-// held in makespan order, released under a window; docs/design.md says when each exception to it acts.
+// happened since the last call, in order, and appends what to do. Between two calls nothing moves: no I/O, no
+// clock, no goroutine, nothing shared. The interface stands in types.go, what is remembered in state.go. The
+// ordinary path is SWAG; docs/design.md says when each exception to it acts.
 package logic
 
 import (
@@ -15,38 +14,41 @@
 const (
 	windowStart  = 4.0   // design: calls that one searcher may have of ours
 	windowNarrow = 0.8   // narrowing at a slow answer: gentle, as one slow part may just be a pause
-	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens
-	slowFrom     = 2.5   // one beyond this multiple narrows
+	windowMost   = 0.5   // narrowing at one that is far too slow
+	windowWiden  = 0.5   // of a window below one, at a usual answer
+	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens, one beyond
+	slowFrom     = 2.5   // this multiple narrows, and is ill
 	usualStep    = 0.015 // how fast the usual latency follows the median, which a few sick searchers cannot move
 	usualMost    = 0.17  // of the shortest soft deadline
 	smoothing    = 0.2   // weight of a new latency: about the last ten answers count
 	forgetAfter  = 4.0   // soft deadlines in which an estimate not renewed goes back to the average
 	failSmooth   = 0.25  // weight of a new outcome in the share of faults
-	faultCost    = 6.0   // how much slower a failing searcher counts, where a part may be sent again
-	faultFinal   = 30.0  // and where it may not: a fault then loses the whole lookup
-	avoidCost    = 2.0   // for the searcher where the part's last call came to nothing
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
 	creditStart  = 3.0   // further part calls a searcher never heard may get
 	creditMost   = 10.0
 	creditEarn   = 0.2  // credit for an answer: bounds further calls to this share where all goes wrong
-	overtakenBy  = 1    // answers to later calls of the same searcher that make a call look lost
-	lostFrom     = 4.0  // then it is taken back already at this multiple
 	overdueFrom  = 4.0  // a call out for this multiple of what a sibling would take is taken back
+	aliveMore    = 2.0  // and this times as long where its searcher has shown since that it lives
+	askFrom      = 0.5  // of that time, after which its searcher is asked whether it lives
 	silentFrom   = 4.0  // usual latencies without any answer after which a searcher counts as silent
 	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
+	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
+	lookMemory   = 2.0  // soft deadlines over which that share is counted
+	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted, that none is ill
+	lookFresh    = 0.25 // for so long a sign of life serves
+	lookCost     = 4.0  // what a searcher counts that has given none
 	ghostFor     = 0.5  // latencies for which work called off still counts as out
 	idleLeast    = 0.2  // pauses of a line that are looked at
 	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
 	idleTrust    = 0.05 // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8  // of the pause after which a call was lost: from there lines are closed before use
-	downFirst    = 0.25 // pause after a failed connect, doubled up to downMost
-	downMost     = 2.0
+	downFirst    = 0.25 // pause after a failed connect, doubled up to waitMost
+	waitMost     = 2.0
 	coldMargin   = 0.8 // of what the fall rule allows: capacity, hints and the split among mixers are rough
 	coldLoad     = 1.5 // of its full capacity that may be meant for a cold searcher, its sibling being lost
 	sweepEvery   = 0.02
-	listFirst    = 0.5 // wait after a failed ask for the list, doubled up to listMost
-	listMost     = 2.0
+	listFirst    = 0.5  // wait after a failed ask for the list, doubled too
 	lowGain      = 0.35 // of a soft deadline: so much earlier the least gain is turned away
 	overShare    = 0.5  // and so much more what is past its customer's share
 	burstS       = 2.0  // a customer may run ahead of its share by so many seconds of it
@@ -55,6 +57,9 @@
 	sweepTimer   = TimerID(1)
 )
 
+// faultCost is how much slower a failing searcher counts: a fault of a once-only part loses the whole lookup.
+var faultCost = [...]float64{Idempotent: 6, Fingerprinted: 6, OnceOnly: 30}
+
 // indexRow is what differs by index.
 type indexRow struct {
 	soft, gain, late   float64 // soft deadline, gain, and its share after it
@@ -93,13 +98,6 @@
 	}
 }
 
-func (m *Mixer) part(p *part, on input) { act(m, partTable, p, &p.state, on) }
-
-func (m *Mixer) lookup(lk *lookup, on input) {
-	lk.short = lk.short || on == short
-	act(m, lookupTable, lk, &lk.state, on)
-}
-
 // eventTable says who takes an event; the timer's turn comes after all others.
 var eventTable = [MessageArrived + 1]func(*Mixer, *Event){
 	ListChanged: (*Mixer).listed,
@@ -128,15 +126,7 @@
 	set.Layout.Cells, set.Layout.Width = max(1, set.Layout.Cells), max(1, set.Layout.Width)
 	m := blank(set, now)
 	for _, x := range set.Indexes {
-		r := indexRow{soft: x.Soft, gain: x.Gain, late: x.LateGain, need: cmp.Or(x.Need, 1), short: x.ShortGain,
-			effect: x.Effect, fault: faultCost, repeat: x.RepeatS, second: x.SecondStep}
-		r.floor = min(r.need, cmp.Or(x.Floor, r.need))
-		if r.effect == OnceOnly {
-			r.fault = faultFinal
-		}
-		m.longSoft, m.shortSoft = max(m.longSoft, x.Soft), min(m.shortSoft, x.Soft)
-		m.topGain = max(m.topGain, x.Gain)
-		m.index = append(m.index, r)
+		m.enter(&x, faultCost[x.Effect])
 	}
 	return m
 }
@@ -145,9 +135,6 @@
 func (m *Mixer) Step(now float64, events []Event, actions []Action) []Action {
 	m.now, m.todo, m.step = now, actions, m.step+1
 	due := m.step == 1
-	if due && m.set.AskList {
-		m.do(Action{Kind: Subscribe, On: true})
-	}
 	for i := range events {
 		e := &events[i]
 		due = due || e.Kind == TimerDue
@@ -166,16 +153,12 @@
 func (m *Mixer) listed(e *Event) {
 	if e.List == ListFailed {
 		// Wait by chance: mixers that lost the list together must not ask together.
-		m.listWait = min(listMost, max(listFirst, 2*m.listWait))
+		m.listWait = min(waitMost, max(listFirst, 2*m.listWait))
 		m.listAt = m.now + m.listWait*(0.5+m.chance.unit())
 		return
 	}
 	m.listWait = 0
-	if e.List != ListPatch {
-		for _, s := range m.fleet {
-			s.ready = false
-		}
-	}
+	m.unname(e.List != ListPatch)
 	for i := range e.Entries {
 		r := &e.Entries[i]
 		s, fresh := m.entered(r)
@@ -183,9 +166,7 @@
 			s.window, s.credit = windowStart, creditStart
 		}
 		if r.StartedAt > 0 && r.StartedAt > s.started {
-			if s.latency > 0 {
-				m.renew(s)
-			}
+			m.renew(s)
 			m.starts(s, r.StartedAt)
 		}
 	}
@@ -202,15 +183,13 @@
 	clear(s.fault)
 }
 
-func (m *Mixer) sweepWait() float64 { return max(sweepEvery, m.set.Step) }
-
 // margin is how long before a deadline an answer must be on its way: a sweep may come a step late.
-func (m *Mixer) margin() float64 { return m.sweepWait() + 2*m.set.Step }
+func (m *Mixer) margin() float64 { return max(sweepEvery, m.set.Step) + 2*m.set.Step }
 
 func (m *Mixer) sweep() {
-	m.do(Action{Kind: SetTimer, Timer: sweepTimer, Wait: m.sweepWait()})
-	if m.listAt > 0 && m.now >= m.listAt {
-		m.listAt = 0
+	m.do(Action{Kind: SetTimer, Timer: sweepTimer, Wait: max(sweepEvery, m.set.Step)})
+	if m.now >= m.listAt {
+		m.listAt = math.Inf(1)
 		m.do(Action{Kind: Subscribe, On: true})
 	}
 	for _, s := range m.fleet {
@@ -223,45 +202,67 @@
 }
 
 // listen guards against a searcher that takes calls and answers nothing, dead behind a cut line, stuck or
-// crawling: it counts as out of reach until it answers. A probe finds out, and risks no lookup.
+// crawling: it counts as out of reach until it answers. A probe finds out, and risks no lookup. Under
+// overload all answer late, probes too: then the average latency says how long to wait.
 func (m *Mixer) listen(s *searcher) {
-	if len(s.out) > 1 && s.ready && m.now >= s.downUntil && m.usual > 0 {
-		since := max(s.answeredAt, s.out[0].sent)
-		if m.now-since > max(silentFrom*max(m.usual, s.latency), silentLeast*m.longSoft) {
-			m.away(s)
-		}
+	if !s.ready || m.now < s.downUntil {
+		return
 	}
-	if m.set.Limits.Probe && s.ready && s.downWait > 0 && m.now >= s.downUntil && !s.probing {
-		s.probing = true
-		m.do(Action{Kind: Probe, Searcher: s.id})
+	patience := max(silentFrom*max(m.usual, m.average), silentLeast*m.longSoft)
+	silent := s.quietFrom > 0 && m.now-s.quietFrom > patience
+	if silent && (len(s.out) > 1 || s.unheard) {
+		m.away(s)
+	} else if silent || s.downWait > 0 {
+		m.ask(s)
 	}
 }
 
-func (m *Mixer) take(e *Event) {
-	m.taken = append(m.taken, m.now)
-	x := &m.index[e.Index]
-	x.longest = max(x.longest, e.Left)
-	lk := m.opened(e, m.now+x.soft-(x.longest-e.Left))
-	lk.need, lk.state = x.need, last
-	if x.second > 0 {
-		lk.state = first
+// ask: probes at a searcher are few, one by each mixer in a while, or they crowd each other out.
+func (m *Mixer) ask(s *searcher) {
+	if m.set.Limits.Probe && !s.probing && m.now-s.askedAt >= lookFresh {
+		s.probing, s.askedAt = true, m.now
+		s.asked(m.now)
+		m.do(Action{Kind: Probe, Searcher: s.id})
 	}
-	if c := int(e.Customer); c < len(m.customers) {
-		quota := m.set.Customers[c].QuotaPerS / float64(m.set.Mixers)
-		lk.over = !m.customers[c].spend(m.now, quota, max(1, quota*burstS))
+}
+
+// looks tells whether a mixer must see a sign of life before it sends: where it calls a searcher every few
+// seconds, its own evidence comes too late against searchers that fail by turns or hide a long queue.
+func (m *Mixer) looks() bool {
+	return m.set.Limits.Probe && m.ill.mean(0, lookLeast, m.now, lookMemory*m.longSoft) > lookFrom
+}
+
+func (m *Mixer) fresh(s *searcher) bool { return m.now-s.alive < lookFresh }
+
+// look asks the holders of a held part, and tells whether to wait for the first that answers.
+func (m *Mixer) look(p *part) bool {
+	wait := false
+	for _, s := range m.holdersOf(p) {
+		switch {
+		case !usable(s):
+		case m.fresh(s):
+			return false
+		default:
+			m.ask(s)
+			wait = wait || s.probing
+		}
 	}
+	return wait
+}
+
+func (m *Mixer) take(e *Event) {
+	m.opened(e).over = m.overspends(e.Customer, burstS)
 }
 
 func (m *Mixer) takePart(e *Event) {
-	m.taken = append(m.taken, m.now)
 	lk := m.lookups[e.No]
 	if lk == nil {
 		return
 	}
 	p := m.added(lk, e)
-	if x := &m.index[lk.k]; e.Hint > 0 {
+	if e.Hint > 0 {
 		smooth(&m.meanHint, e.Hint, hintSmooth)
-		smooth(&x.work, e.Hint, hintSmooth)
+		smooth(&m.index[lk.k].work, e.Hint, hintSmooth)
 		p.size = (1 + e.Hint/m.meanHint) / 2 // half of a latency is the wait for others' parts
 	}
 	m.bind(p)
@@ -308,8 +309,7 @@
 		case out:
 			m.overdue(p)
 		case held:
-			// Others wait for the same replica: a part that misses the soft deadline takes more from them
-			// than the little gain that is left.
+			// One that misses the soft deadline takes more from others than the little gain that is left.
 			if waiting > x.late && p.at != nil && m.now+m.latency(p.at, lk.k) > lk.soft {
 				m.part(p, tooLate)
 			}
@@ -328,17 +328,24 @@
 	if s == nil {
 		return
 	}
-	patience := overdueFrom * m.latency(s, p.lk.k)
-	if c.overtaken >= overtakenBy {
-		patience = lostFrom * max(c.at.latency, m.latency(s, p.lk.k))
+	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
+	if c.at.alive < c.sent && age > askFrom*patience && c.asked == 0 {
+		c.asked = m.now
+		m.ask(c.at)
 	}
-	if m.now-c.sent < patience*p.size {
+	if c.at.alive > c.sent {
+		patience *= aliveMore
+	}
+	if age < patience && usable(c.at) {
 		return
 	}
-	// Against lines that died while idle, unseen by either end: calls on them never end, busy lines do well.
-	// Calls lost after a pause tell which pause is too long; a line idle for that long is closed before use.
-	if c.at.answeredAt < c.sent && c.idle >= idleLeast {
-		if m.doubt++; m.doubt > idleDoubt {
+	// Against lines that died while idle, unseen by either end: calls on them never end, though the searcher
+	// has shown since that it lives. They tell which pause is too long; a line idle for that long is closed
+	// before use. Calls lost as much on busy or new lines show that lines are not to blame.
+	if c.at.alive > c.sent && c.at.answeredAt < c.sent {
+		if c.idle < idleLeast {
+			m.doubt, m.idle = max(0, m.doubt-1), math.Inf(1)
+		} else if m.doubt++; m.doubt > idleDoubt {
 			m.idle = min(m.idle, idleShare*c.idle)
 		}
 	}
@@ -380,12 +387,8 @@
 }
 
 func (m *Mixer) answerFirst(lk *lookup) {
-	n, _ := lk.inState(in)
 	m.do(Action{Kind: Answer, Lookup: lk.id, Whole: !lk.short})
-	m.dropParts(lk)
-	// All of the second step makes it whole; parts of the first have run.
-	lk.stepped = true
-	lk.need, lk.expect, lk.in, lk.lost, lk.pending = 1, min(n, m.index[lk.k].second), 0, 0, 0
+	m.nextStep(lk, m.index[lk.k].second)
 }
 
 func (m *Mixer) answer(lk *lookup) {
@@ -428,30 +431,34 @@
 	}
 	c := m.latency(s, lk.k) * float64(max(1, units)) / m.warmth(s)
 	c *= 1 + m.index[lk.k].fault*s.fault[lk.k].now(m.now, forgetAfter*m.longSoft)
-	if s == p.avoid {
-		c *= avoidCost
-	}
 	if s.location != m.set.Location {
 		c = c*(1+crossCost*m.set.Prices.CrossLocation) + crossIdle*m.set.Prices.CrossLocation*m.usual
 	}
 	return c
 }
 
-// choose finds the replica of least cost but one among those that may be used; with room, of those under
-// their window. A silent one is better than none: the last holder is never shunned altogether.
-func (m *Mixer) choose(p *part, not *searcher, withRoom bool) *searcher {
-	var best *searcher
+// rank is that cost, raised for those that may not or should not be used. A silent one is better than none:
+// the last holder is never shunned altogether.
+func (m *Mixer) rank(p *part, s *searcher) float64 {
+	switch c := m.cost(p, s); {
+	case !usable(s) || !m.coldAllows(p, s):
+		return 1e6 * (1 + s.downWait)
+	case m.looks() && !m.fresh(s):
+		return c * lookCost
+	default:
+		return c
+	}
+}
+
+// choose finds the replica that ranks least but one; with room, among those under their window. Mixers that
+// start alike must not all pick alike: near ties fall by chance.
+func (m *Mixer) choose(p *part, not *searcher, withRoom bool) (best *searcher) {
 	least := math.Inf(1)
 	for _, s := range m.holdersOf(p) {
 		if s == not || !s.ready || withRoom && !m.room(p, s) || p.made > 0 && s.credit < 1 {
 			continue
 		}
-		// Mixers that start alike must not all pick alike: near ties fall by chance.
-		c := m.cost(p, s) * (1 + 0.01*m.chance.unit())
-		if !usable(s) {
-			c = 1e6 * (1 + s.downWait)
-		}
-		if c < least {
+		if c := m.rank(p, s) * (1 + 0.01*m.chance.unit()); c < least {
 			best, least = s, c
 		}
 	}
@@ -465,7 +472,9 @@
 	if !usable(s) && (s.probing || m.now < s.downUntil || s.units > 0) {
 		return false
 	}
-	return (m.riding(s) || float64(s.units) < math.Floor(s.window)) && m.coldAllows(p, s)
+	// Below one, a call waits its turn.
+	paced := s.units == 0 && m.now-s.usedAt >= s.latency*(1/s.window-1)
+	return (m.riding(s) || float64(s.units) < math.Floor(s.window) || paced) && m.coldAllows(p, s)
 }
 
 func (m *Mixer) bind(p *part) {
@@ -506,9 +515,7 @@
 }
 
 func (m *Mixer) releaseAll() {
-	m.average = m.mean(m.average, func(s *searcher) (float64, bool) {
-		return s.latency, s.latency > 0 && usable(s)
-	})
+	m.average = m.meanLatency(usable)
 	if m.dirty {
 		m.reorder()
 	}
@@ -533,30 +540,26 @@
 func (m *Mixer) late(p *part, s *searcher) bool { return p.lk.deadline-m.now < m.latency(s, p.lk.k) }
 
 func (m *Mixer) tryRelease(p *part) {
-	if s := p.at; s == nil || !usable(s) || m.late(p, s) {
-		alt := m.choose(p, s, false)
-		switch {
-		case alt != nil && usable(alt) && !m.late(p, alt):
-			m.hold(p, alt)
-		case m.late(p, s):
-			m.part(p, tooLate)
-			return
-		case s == nil:
-			return
-		}
+	s, looks := p.at, m.looks()
+	if looks && m.look(p) {
+		return
 	}
-	if !m.room(p, p.at) {
-		alt := m.choose(p, p.at, true)
-		if alt == nil || m.cost(p, alt) >= m.cost(p, p.at) && usable(p.at) || m.late(p, alt) {
-			return
+	sound := s != nil && usable(s) && !m.late(p, s)
+	if !sound || !m.room(p, s) || looks && !m.fresh(s) {
+		alt := m.choose(p, s, sound)
+		if alt != nil && !m.late(p, alt) && (!sound && usable(alt) || sound && (m.cost(p, alt) < m.cost(p, s) ||
+			!m.coldAllows(p, s) || looks && m.fresh(alt) && !m.fresh(s))) {
+			m.hold(p, alt)
+			s = alt
 		}
-		m.hold(p, alt)
 	}
-	on := releases
-	if p.made > 0 && !m.mayAgain(p) {
-		on = tooLate
+	switch {
+	case s == nil || !m.late(p, s) && !m.room(p, s):
+	case m.late(p, s) || p.made > 0 && !m.mayAgain(p):
+		m.part(p, tooLate)
+	default:
+		m.part(p, releases)
 	}
-	m.part(p, on)
 }
 
 func (m *Mixer) send(p *part) {
@@ -565,19 +568,15 @@
 		m.tally(p.lk, s, -1)
 	}
 	p.at = nil
-	if p.made == 0 {
-		p.first = m.now
-	} else {
+	if p.made > 0 {
 		s.credit--
-		m.owe(p, false)
-		m.further = append(m.further, m.now)
 	}
 	idle := m.now - s.usedAt
 	if len(s.out) == 0 && idle > m.idle {
 		m.do(Action{Kind: CloseIdle, Searcher: s.id})
+		idle = 0
 	}
 	m.begin(p, s).idle = idle
-	s.usedAt = m.now
 	if m.warmth(s) < 1 {
 		s.sent = append(s.sent, sending{m.now, m.workOf(p.lk.k)})
 	}
@@ -593,15 +592,10 @@
 		x.effect == Fingerprinted && p.maybe() && m.now > p.first+x.repeat-m.set.Step:
 		return false
 	case !r.Budget:
-		m.taken, m.further = m.taken[:0], m.further[:0]
 		return true
 	}
-	m.taken, m.further = since(m.taken, m.now-r.BudgetS+m.set.Step), since(m.further, m.now-r.BudgetS-m.set.Step)
-	n := len(m.further) + m.owed
-	if !p.owed {
-		n++
-	}
-	return float64(n) <= r.BudgetFree+r.BudgetPer*float64(len(m.taken))
+	further, taken := m.spent(p, m.now-r.BudgetS)
+	return float64(further) <= r.BudgetFree+r.BudgetPer*float64(taken)
 }
 
 func (m *Mixer) callEnded(e *Event) {
@@ -610,11 +604,8 @@
 		return
 	}
 	p := c.part
-	if e.Outcome == Withdrawn { // work called off may go on: a searcher that holds it is not free yet
-		m.haunt(c, m.now+ghostFor*m.latency(c.at, p.lk.k))
-	} else {
-		m.leave(c.at, c.trip)
-	}
+	// Work called off may go on: a searcher that holds it is not free yet.
+	m.letGo(c, e.Outcome == Withdrawn, m.now+ghostFor*m.latency(c.at, p.lk.k))
 	p.ran = p.ran || !outcomeTable[e.Outcome].never
 	m.learn(c, e)
 	switch {
@@ -622,7 +613,6 @@
 		m.part(p, answered)
 	case p.state != out || len(p.live) > 0:
 	case m.mayAgain(p):
-		p.avoid = c.at
 		m.part(p, again)
 	default:
 		m.part(p, hopeless)
@@ -633,23 +623,27 @@
 // a searcher that fails look quick and draw parts.
 func (m *Mixer) learn(c *call, e *Event) {
 	s, k, what := c.at, c.part.lk.k, outcomeTable[e.Outcome]
-	sample := e.Elapsed / c.part.size
+	sample, bad := e.Elapsed/c.part.size, 0.0
+	if what.fault || what.away || what.slow && c.part.state == out || m.usual > 0 && sample > slowFrom*m.usual {
+		bad = 1
+	}
+	m.ill.add(bad, m.now, lookMemory*m.longSoft)
 	switch {
 	case e.Outcome == Answered:
 		s.downWait, s.downUntil, s.answeredAt, s.usedAt = 0, 0, m.now, m.now
+		s.lives(m.now)
 		s.credit = min(creditMost, s.credit+creditEarn)
 		s.fault[k].toward(0, failSmooth, m.now, forgetAfter*m.longSoft)
-		s.overtake(c)
 		if c.idle >= idleLeast {
 			m.doubt = max(0, m.doubt-idleTrust)
 		}
 		m.heard(s, sample)
 	case what.fault:
 		s.fault[k].toward(1, failSmooth, m.now, forgetAfter*m.longSoft)
-	case what.slow && c.overtaken < overtakenBy && sample > m.latency(s, k):
+	case what.slow && s.alive < c.sent && sample > m.latency(s, k):
 		m.heard(s, sample)
 	case what.full:
-		s.window = max(1, s.window/2)
+		m.narrow(s, windowMost)
 	}
 	if what.away {
 		s.dead = true
@@ -665,9 +659,10 @@
 	s.heardAt = m.now
 	switch {
 	case sample <= usualUpTo*m.usual && float64(s.units)+1 >= math.Floor(s.window):
-		s.window += 1 / s.window
+		s.window += min(1/s.window, windowWiden*s.window)
 	case sample > slowFrom*m.usual && m.now-s.narrowedAt > sample:
-		s.window, s.narrowedAt = max(1, s.window*windowNarrow), m.now
+		m.narrow(s, min(windowNarrow, max(windowMost, slowFrom*m.usual/sample)))
+		s.narrowedAt = m.now
 	}
 	if sample > m.usual {
 		m.usual = min(m.usual*(1+usualStep), usualMost*m.shortSoft)
@@ -676,28 +671,38 @@
 	}
 }
 
+// narrow goes down to one call over all mixers: many with a window of one each still make a long queue.
+func (m *Mixer) narrow(s *searcher, by float64) { s.window = max(1/float64(m.set.Mixers), s.window*by) }
+
 func (m *Mixer) away(s *searcher) {
 	if m.now >= s.downUntil {
-		s.downWait = min(downMost, max(downFirst, 2*s.downWait))
+		s.downWait = min(waitMost, max(downFirst, 2*s.downWait))
 		s.downUntil = m.now + s.downWait
 	}
 }
 
-// probed: heard again after a failed connect or probe, it may be a new process that no list told of yet.
+// probed: heard again after a failed connect or probe, it may be a new process that no list told of yet. One
+// that turns probes away lives, but how long a call would wait is not told.
 func (m *Mixer) probed(e *Event) {
 	s := m.searchers[e.Searcher]
 	if s == nil {
 		return
 	}
 	s.probing = false
-	if e.Outcome != Answered {
-		s.dead = true
-		m.away(s)
-	} else if s.downWait > 0 {
-		if s.dead {
-			m.starts(s, m.now)
+	switch {
+	case e.Outcome == Answered:
+		s.lives(m.now)
+		if s.downWait > 0 {
+			if s.dead {
+				m.starts(s, m.now)
+			}
+			m.renew(s)
+		}
+	case e.Outcome != TurnedAway:
+		s.unheard, s.dead = true, s.dead || e.Outcome == NotConnected
+		if s.dead || s.downWait > 0 {
+			m.away(s)
 		}
-		m.renew(s)
 	}
 }
 
@@ -711,8 +716,8 @@
 
 // coldAllows keeps what this mixer sends a cold searcher under its share of what the fall rule surely allows.
 // No capacity is told: it is taken as one unit of work a second. Where the share is less than a part, a first
-// part from each mixer at once would push the searcher over, and a share saved up is of no use to a mixer that
-// has nothing to send: there all mixers thin what they would send by the same chance, which rises as it warms.
+// part from each at once would push the searcher over, and a share saved up is of no use to a mixer that has
+// nothing to send: there all thin what they would send by the same chance, which rises as it warms.
 func (m *Mixer) coldAllows(p *part, s *searcher) bool {
 	r, work := &m.set.Rules, m.workOf(p.lk.k)
 	if m.now-s.started >= r.ColdS || r.FallMultiple <= 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -142,7 +142,7 @@
 	s := newScene(t, func(set *Settings) { set.Layout.Cells = 2 }, Entry{Searcher: 1}, Entry{Searcher: 2, Cell: 1})
 	m := s.m
 	lk := func(no LookupNo, at ...int) *lookup {
-		l := m.opened(&Event{Lookup: LookupID(no), No: no, Parts: len(at), Left: 6}, 2)
+		l := m.opened(&Event{Lookup: LookupID(no), No: no, Parts: len(at), Left: 6})
 		for i, n := range at {
 			for range n {
 				p := m.added(l, &Event{Part: PartID(100*int(no) + len(l.parts)), Shard: ShardID(i)})
@@ -270,21 +270,46 @@
 
 // Lines that die when idle: calls after a pause are lost, so such a line is closed before it is used.
 func TestLineIdleTooLongIsClosed(t *testing.T) {
-	s := newScene(t, nil, Entry{Searcher: 1}, Entry{Searcher: 2})
-	warm(s)
-	for range 12 {
-		s.now++
-		_, done := s.take(6, 1)
-		for _, a := range only(Send, done) {
-			if len(only(CloseIdle, done)) > 0 {
-				return
-			}
-			for range 30 {
-				if len(only(Withdraw, s.tick(0.05))) > 0 {
-					s.end(0.005, a.Part, a.Searcher, Withdrawn, 1)
+	for _, alive := range []bool{true, false} { // no probe answered: the searcher, not its line, is to blame
+		s := newScene(t, func(set *Settings) { set.Limits.Probe = true }, Entry{Searcher: 1}, Entry{Searcher: 2})
+		warm(s)
+		closed := false
+		for range 12 {
+			s.now++
+			_, done := s.take(6, 1)
+			closed = closed || len(only(CloseIdle, done)) > 0
+			for range 60 {
+				done = append(done, s.tick(0.05)...)
+				for _, a := range only(Probe, done) {
+					outcome := map[bool]Outcome{true: Answered, false: TimedOut}[alive]
+					s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: outcome})
+				}
+				for _, a := range only(Withdraw, done) {
+					s.end(0.005, a.Part, 0, Withdrawn, 1)
 				}
+				done = nil
 			}
 		}
+		if closed != alive {
+			t.Errorf("probes answered %v, line closed %v", alive, closed)
+		}
+	}
+}
+
+// Scores of mixers that each send a cold searcher one part at once push it over: together they send a share that
+// grows as it warms, though each takes a lookup only now and then.
+func TestManyMixersThinWhatGoesToColdSearcher(t *testing.T) {
+	const mixers = 50
+	sent := 0
+	for i := range mixers {
+		s := newScene(t, func(set *Settings) {
+			set.Seed, set.Mixers = uint64(i), mixers
+			set.Rules = Rules{ColdShare: 0.16, ColdS: 18, FallMultiple: 2, FallS: 1.5}
+		}, Entry{Searcher: 1, StartedAt: 0.01})
+		_, done := s.take(6, 0.2)
+		sent += len(only(Send, done))
+	}
+	if sent == 0 || sent > mixers/3 {
+		t.Errorf("%d of %d mixers sent a part at the start", sent, mixers)
 	}
-	t.Error("no line was closed")
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -55,6 +56,13 @@
 	}
 }
 
+func (m *Mixer) part(p *part, on input) { act(m, partTable, p, &p.state, on) }
+
+func (m *Mixer) lookup(lk *lookup, on input) {
+	lk.short = lk.short || on == short
+	act(m, lookupTable, lk, &lk.state, on)
+}
+
 // pcg is a permuted congruential generator (XSH RR 64/32).
 type pcg uint64
 
@@ -67,15 +75,14 @@
 
 // call lives as long as one part call.
 type call struct {
-	part *part
-	no   CallNo
-	at   *searcher
-	sent float64
-	trip *trip
-	back bool    // taken back already
-	idle float64 // how long nothing had gone to or come from its searcher
-	// answers that came to later calls of the same searcher
-	overtaken int
+	part  *part
+	no    CallNo
+	at    *searcher
+	sent  float64
+	trip  *trip
+	back  bool    // taken back already
+	idle  float64 // how long nothing had gone to or come from its searcher
+	asked float64 // when its searcher was asked whether it lives
 }
 
 // trip is what travels to one searcher in one step; where parts share calls it is what is counted.
@@ -90,7 +97,6 @@
 	size   float64
 	state  state
 	at     *searcher // where it is bound
-	avoid  *searcher // where its last call came to nothing
 	live   []*call
 	made   int
 	first  float64 // time of the first call
@@ -135,6 +141,10 @@
 	latency    float64 // smoothed; 0 while unheard
 	heardAt    float64 // its last change
 	answeredAt float64
+	alive      float64 // last answer to a call or a probe
+	quietFrom  float64 // when it was first asked or called since; 0 if it was not
+	askedAt    float64 // last probe
+	unheard    bool    // a probe has failed since
 	usedAt     float64
 	window     float64
 	narrowedAt float64
@@ -159,6 +169,20 @@
 
 func (f fading) now(now, over float64) float64 { return f.value * math.Exp((f.at-now)/over) }
 
+// gauge is a mean of samples that fade with time.
+type gauge struct{ sum, n, at float64 }
+
+func (g *gauge) add(sample, now, over float64) {
+	f := math.Exp((g.at - now) / over)
+	*g = gauge{g.sum*f + sample, g.n*f + 1, now}
+}
+
+// mean takes a prior for as much as weight samples.
+func (g gauge) mean(prior, weight, now, over float64) float64 {
+	f := math.Exp((g.at - now) / over)
+	return (g.sum*f + weight*prior) / (g.n*f + weight)
+}
+
 // ghost is a call that was called off and may go on.
 type ghost struct {
 	trip  *trip
@@ -200,35 +224,58 @@
 	longSoft  float64
 	shortSoft float64
 	topGain   float64
+	ill       gauge     // share of calls that fail or crawl
 	doubt     float64   // calls lost after a pause, less those answered
 	idle      float64   // a line idle for longer may be dead
 	taken     []float64 // times of what the budget counts as taken
 	further   []float64 // and as further calls
 	owed      int
 	listWait  float64
-	listAt    float64 // when to ask again; 0 for not
+	listAt    float64 // when to ask next
 }
 
 func blank(set Settings, now float64) *Mixer {
+	listAt := math.Inf(1)
+	if set.AskList {
+		listAt = now
+	}
 	return &Mixer{
-		set: set, now: now, chance: pcg(set.Seed), shortSoft: math.Inf(1), idle: math.Inf(1),
+		listAt: listAt, set: set, now: now, chance: pcg(set.Seed), shortSoft: math.Inf(1), idle: math.Inf(1),
 		searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
 		lookups: map[LookupNo]*lookup{}, numbers: map[LookupID]LookupNo{}, parts: map[PartID]*part{},
 		customers: make([]customer, len(set.Customers)),
 	}
 }
 
+// enter adds a row to the table of indexes.
+func (m *Mixer) enter(x *IndexSettings, fault float64) {
+	need := cmp.Or(x.Need, 1)
+	m.index = append(m.index, indexRow{soft: x.Soft, gain: x.Gain, late: x.LateGain, need: need, short: x.ShortGain,
+		floor: min(need, cmp.Or(x.Floor, need)), effect: x.Effect, fault: fault, repeat: x.RepeatS,
+		second: x.SecondStep})
+	m.longSoft, m.shortSoft = max(m.longSoft, x.Soft), min(m.shortSoft, x.Soft)
+	m.topGain = max(m.topGain, x.Gain)
+}
+
 func (m *Mixer) do(a Action) { m.todo = append(m.todo, a) }
 
 // opened enters a lookup that was taken; added enters a part of it.
-func (m *Mixer) opened(e *Event, soft float64) *lookup {
-	lk := &lookup{id: e.Lookup, no: e.No, k: e.Index, expect: e.Parts, deadline: m.now + e.Left, soft: soft}
+func (m *Mixer) opened(e *Event) *lookup {
+	x := &m.index[e.Index]
+	x.longest = max(x.longest, e.Left)
+	m.books(&m.taken)
+	lk := &lookup{id: e.Lookup, no: e.No, k: e.Index, expect: e.Parts, deadline: m.now + e.Left,
+		soft: m.now + x.soft - (x.longest - e.Left), need: x.need, state: last}
+	if x.second > 0 {
+		lk.state = first
+	}
 	m.lookups[e.No], m.numbers[e.Lookup] = lk, e.No
 	m.open = append(m.open, lk)
 	return lk
 }
 
 func (m *Mixer) added(lk *lookup, e *Event) *part {
+	m.books(&m.taken)
 	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit()}
 	lk.parts = append(lk.parts, p)
 	lk.pending++
@@ -283,14 +330,26 @@
 	return work
 }
 
-// spend takes one token of a bucket that fills at a rate up to most, if there is one.
-func (c *customer) spend(now, rate, most float64) bool {
-	c.tokens, c.at = min(most, c.tokens+(now-c.at)*rate), now
-	if c.tokens < 1 {
+// overspends takes one token of a customer's bucket, which fills at this mixer's part of its quota, up to so
+// many seconds of it; it tells whether there was none.
+func (m *Mixer) overspends(id CustomerID, seconds float64) bool {
+	if int(id) >= len(m.customers) {
 		return false
 	}
+	c, rate := &m.customers[id], m.set.Customers[id].QuotaPerS/float64(m.set.Mixers)
+	c.tokens, c.at = min(max(1, rate*seconds), c.tokens+(m.now-c.at)*rate), m.now
+	if c.tokens < 1 {
+		return true
+	}
 	c.tokens--
-	return true
+	return false
+}
+
+// unname takes all searchers as gone, before a whole list names those that are not.
+func (m *Mixer) unname(all bool) {
+	for _, s := range m.fleet {
+		s.ready = s.ready && !all
+	}
 }
 
 // entered notes what the list says of a searcher, and whether it says so for the first time.
@@ -302,6 +361,14 @@
 	return s, fresh
 }
 
+func (s *searcher) asked(now float64) {
+	if s.quietFrom == 0 {
+		s.quietFrom = now
+	}
+}
+
+func (s *searcher) lives(now float64) { s.alive, s.quietFrom, s.unheard = now, 0, false }
+
 func (m *Mixer) place(r *Entry) *searcher {
 	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]fading, len(m.index))}
 	m.searchers[s.id] = s
@@ -314,16 +381,16 @@
 	return s
 }
 
-// mean is that of a figure over the searchers that have it, or else what is given.
-func (m *Mixer) mean(otherwise float64, of func(*searcher) (float64, bool)) float64 {
+// meanLatency is that of the searchers heard that count, or else what it last was.
+func (m *Mixer) meanLatency(counts func(*searcher) bool) float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range m.fleet {
-		if v, has := of(s); has {
-			sum, n = sum+v, n+1
+		if s.latency > 0 && counts(s) {
+			sum, n = sum+s.latency, n+1
 		}
 	}
 	if n == 0 {
-		return otherwise
+		return m.average
 	}
 	return sum / n
 }
@@ -381,6 +448,13 @@
 	p.at = nil
 }
 
+// books notes the time of what the budget counts, where there is one.
+func (m *Mixer) books(times *[]float64) {
+	if m.set.Rules.Budget {
+		*times = append(*times, m.now)
+	}
+}
+
 // begin books a call of p to s, on the trip of this step if that has a place.
 func (m *Mixer) begin(p *part, s *searcher) *call {
 	if !m.riding(s) {
@@ -389,6 +463,14 @@
 	}
 	s.trip.parts++
 	s.trip.live++
+	if p.made == 0 {
+		p.first = m.now
+	} else {
+		m.books(&m.further)
+		m.owe(p, false)
+	}
+	s.usedAt = m.now
+	s.asked(m.now)
 	c := &call{part: p, no: CallNo(p.made), at: s, sent: m.now, trip: s.trip}
 	p.made++
 	p.live = append(p.live, c)
@@ -417,20 +499,15 @@
 	return c
 }
 
-// overtake notes at the calls sent before c that c was answered first.
-func (s *searcher) overtake(c *call) {
-	for _, o := range s.out {
-		if o.sent < c.sent {
-			o.overtaken++
-		}
+// letGo takes a call off the trip it was on, or keeps it counted as out for a while.
+func (m *Mixer) letGo(c *call, haunts bool, until float64) {
+	if haunts {
+		c.at.ghosts = append(c.at.ghosts, ghost{c.trip, until})
+	} else {
+		m.leave(c.at, c.trip)
 	}
 }
 
-// haunt keeps a call that is off the books counted as out for a while.
-func (m *Mixer) haunt(c *call, until float64) {
-	c.at.ghosts = append(c.at.ghosts, ghost{c.trip, until})
-}
-
 // workOf is the work that a part of an index brings a searcher, its call included.
 func (m *Mixer) workOf(k IndexID) float64 { return m.index[k].work + m.set.Layout.CallCost }
 
@@ -470,6 +547,14 @@
 	lk.parts, lk.held, m.dirty = nil, nil, true
 }
 
+// nextStep begins the second step, of which all makes it whole; parts of the first have run.
+func (m *Mixer) nextStep(lk *lookup, most int) {
+	n, _ := lk.inState(in)
+	m.dropParts(lk)
+	lk.stepped = true
+	lk.need, lk.expect, lk.in, lk.lost, lk.pending = 1, min(n, most), 0, 0, 0
+}
+
 func (m *Mixer) forget(lk *lookup) {
 	m.dropParts(lk)
 	delete(m.lookups, lk.no)
@@ -493,6 +578,17 @@
 	*mean += weight * (sample - *mean)
 }
 
+// spent counts the further calls made or promised since a time, one of p included, and what was taken; of what
+// fell on the edge, the worse is supposed.
+func (m *Mixer) spent(p *part, from float64) (further, taken int) {
+	m.taken, m.further = since(m.taken, from+m.set.Step), since(m.further, from-m.set.Step)
+	further = len(m.further) + m.owed
+	if !p.owed {
+		further++
+	}
+	return further, len(m.taken)
+}
+
 // since drops the times before from.
 func since(times []float64, from float64) []float64 {
 	i, _ := slices.BinarySearch(times, from)
