--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	lookMemory   = 2.0  // soft deadlines over which that share is counted
 	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted, that none is ill
 	lookFresh    = 0.25 // for so long a sign of life serves
-	lookCost     = 4.0  // what a searcher counts that has given none
+	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
 	ghostFor     = 0.5  // latencies for which work called off still counts as out
 	idleLeast    = 0.2  // pauses of a line that are looked at
 	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
@@ -57,8 +57,7 @@
 	sweepTimer   = TimerID(1)
 )
 
-// faultCost is how much slower a failing searcher counts: a fault of a once-only part loses the whole lookup.
-var faultCost = [...]float64{Idempotent: 6, Fingerprinted: 6, OnceOnly: 30}
+var faultCost = [...]float64{Idempotent: 6, Fingerprinted: 6, OnceOnly: 30} // a once-only fault ends a lookup
 
 // indexRow is what differs by index.
 type indexRow struct {
@@ -443,7 +442,7 @@
 	switch c := m.cost(p, s); {
 	case !usable(s) || !m.coldAllows(p, s):
 		return 1e6 * (1 + s.downWait)
-	case m.looks() && !m.fresh(s):
+	case m.looks() && !m.fresh(s), s == p.avoid:
 		return c * lookCost
 	default:
 		return c
@@ -613,6 +612,7 @@
 		m.part(p, answered)
 	case p.state != out || len(p.live) > 0:
 	case m.mayAgain(p):
+		p.avoid = c.at
 		m.part(p, again)
 	default:
 		m.part(p, hopeless)
--- a/logic/state.go
+++ b/logic/state.go
@@ -97,6 +97,7 @@
 	size   float64
 	state  state
 	at     *searcher // where it is bound
+	avoid  *searcher // where its last call came to nothing
 	live   []*call
 	made   int
 	first  float64 // time of the first call
