Turn away by the tail of recent latencies; take back only towards a sibling that lives; ask again after silence

Windows of one call over all mixers made parts wait for tens of seconds: now 0.3 of a call at least.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,6 +15,7 @@
 	windowStart  = 4.0   // design: calls that one searcher may have of ours
 	windowNarrow = 0.8   // narrowing at a slow answer: gentle, as one slow part may just be a pause
 	windowMost   = 0.5   // narrowing at one that is far too slow
+	windowLeast  = 0.3   // of a call: a part that has to wait for more is better turned away
 	windowWiden  = 0.5   // of a window below one, at a usual answer
 	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens, one beyond
 	slowFrom     = 2.5   // this multiple narrows, and is ill
@@ -29,8 +30,6 @@
 	creditMost   = 10.0
 	creditEarn   = 0.2  // credit for an answer: bounds further calls to this share where all goes wrong
 	overdueFrom  = 4.0  // a call out for this multiple of what a sibling would take is taken back
-	aliveMore    = 2.0  // and this times as long where its searcher has shown since that it lives
-	askFrom      = 0.5  // of that time, after which its searcher is asked whether it lives
 	silentFrom   = 4.0  // usual latencies without any answer after which a searcher counts as silent
 	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
 	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
@@ -209,7 +208,7 @@
 	}
 	patience := max(silentFrom*max(m.usual, m.average), silentLeast*m.longSoft)
 	silent := s.quietFrom > 0 && m.now-s.quietFrom > patience
-	if silent && (len(s.out) > 1 || s.unheard) {
+	if silent && s.downWait == 0 && (len(s.out) > 1 || s.unheard) {
 		m.away(s)
 	} else if silent || s.downWait > 0 {
 		m.ask(s)
@@ -276,7 +275,10 @@
 // turnAway tells whether a lookup just taken could not be answered in time. While others wait, what is worth
 // less for its work, by its index or past its customer's share, has to come out earlier.
 func (m *Mixer) turnAway(lk *lookup) bool {
-	est, crowded := 0.0, false
+	// Of many parts some meet the long queues, which lie at the searchers where many mixers share them: what was
+	// heard of late, from any searcher, tells how long the last of so many takes.
+	recent := m.recent.mean(m.usual, lookLeast, m.now, m.shortSoft)
+	est, crowded := m.usual+(recent-m.usual)*(1+math.Log(float64(len(lk.parts)))), recent > usualUpTo*m.usual
 	for _, p := range lk.parts {
 		if p.at != nil {
 			ahead := float64(p.at.heldUnits - m.units(lk, p.at))
@@ -328,16 +330,14 @@
 		return
 	}
 	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
-	if c.at.alive < c.sent && age > askFrom*patience && c.asked == 0 {
-		c.asked = m.now
-		m.ask(c.at)
-	}
-	if c.at.alive > c.sent {
-		patience *= aliveMore
-	}
 	if age < patience && usable(c.at) {
 		return
 	}
+	// Where the sibling has the same long queue a further call only adds to both.
+	if m.set.Limits.Probe && !m.fresh(s) {
+		m.ask(s)
+		return
+	}
 	// Against lines that died while idle, unseen by either end: calls on them never end, though the searcher
 	// has shown since that it lives. They tell which pause is too long; a line idle for that long is closed
 	// before use. Calls lost as much on busy or new lines show that lines are not to blame.
@@ -655,6 +655,7 @@
 // move. It stays well under the soft deadlines: else overload becomes usual, and searchers' queues take all.
 func (m *Mixer) heard(s *searcher, sample float64) {
 	m.usual = cmp.Or(m.usual, min(sample, usualMost*m.shortSoft))
+	m.recent.add(sample, m.now, m.shortSoft)
 	smooth(&s.latency, sample, smoothing)
 	s.heardAt = m.now
 	switch {
@@ -671,8 +672,8 @@
 	}
 }
 
-// narrow goes down to one call over all mixers: many with a window of one each still make a long queue.
-func (m *Mixer) narrow(s *searcher, by float64) { s.window = max(1/float64(m.set.Mixers), s.window*by) }
+// narrow goes below one call, as many mixers with a window of one each still make a long queue.
+func (m *Mixer) narrow(s *searcher, by float64) { s.window = max(windowLeast, s.window*by) }
 
 func (m *Mixer) away(s *searcher) {
 	if m.now >= s.downUntil {
@@ -692,12 +693,11 @@
 	switch {
 	case e.Outcome == Answered:
 		s.lives(m.now)
-		if s.downWait > 0 {
-			if s.dead {
-				m.starts(s, m.now)
-			}
+		if s.downWait > 0 && s.dead {
 			m.renew(s)
+			m.starts(s, m.now)
 		}
+		s.downWait, s.downUntil = 0, 0
 	case e.Outcome != TurnedAway:
 		s.unheard, s.dead = true, s.dead || e.Outcome == NotConnected
 		if s.dead || s.downWait > 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -226,6 +226,7 @@
 	shortSoft float64
 	topGain   float64
 	ill       gauge     // share of calls that fail or crawl
+	recent    gauge     // latency of late, over all searchers
 	doubt     float64   // calls lost after a pause, less those answered
 	idle      float64   // a line idle for longer may be dead
 	taken     []float64 // times of what the budget counts as taken
