--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,12 +32,13 @@
 	overdueFrom  = 4.0  // a call out for this multiple of what a sibling would take is taken back
 	silentFrom   = 4.0  // usual latencies without any answer after which a searcher counts as silent
 	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
+	shallowMore  = 2.0  // and this times as long where probes do not wait in queues, and so tell less
+	deepFrom     = 0.25 // of a usual latency: a probe that takes longer has waited
 	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
 	lookMemory   = 2.0  // soft deadlines over which that share is counted
 	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted, that none is ill
 	lookFresh    = 0.25 // for so long a sign of life serves
 	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
-	ghostFor     = 0.5  // latencies for which work called off still counts as out
 	idleLeast    = 0.2  // pauses of a line that are looked at
 	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
 	idleTrust    = 0.05 // of a lost call, made good by one that was answered after a pause
@@ -191,7 +192,6 @@
 		m.do(Action{Kind: Subscribe, On: true})
 	}
 	for _, s := range m.fleet {
-		m.lay(s)
 		m.listen(s)
 	}
 	for _, lk := range slices.Clone(m.open) {
@@ -199,9 +199,8 @@
 	}
 }
 
-// listen guards against a searcher that takes calls and answers nothing, dead behind a cut line, stuck or
-// crawling: it counts as out of reach until it answers. A probe finds out, and risks no lookup. Under
-// overload all answer late, probes too: then the average latency says how long to wait.
+// listen guards against a searcher that takes calls and answers nothing, dead, cut off or stuck: it is out of
+// reach until it answers a probe. Under overload all answer late: the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || m.now < s.downUntil {
 		return
@@ -273,12 +272,12 @@
 }
 
 // turnAway tells whether a lookup just taken could not be answered in time. While others wait, what is worth
-// less for its work, by its index or past its customer's share, has to come out earlier.
+// less, by its index or past its customer's share, must come out earlier. Where many mixers share searchers,
+// the queues lie there: what was heard of late from any tells how long the last of the needed parts takes.
 func (m *Mixer) turnAway(lk *lookup) bool {
-	// Of many parts some meet the long queues, which lie at the searchers where many mixers share them: what was
-	// heard of late, from any searcher, tells how long the last of so many takes.
-	recent := m.recent.mean(m.usual, lookLeast, m.now, m.shortSoft)
-	est, crowded := m.usual+(recent-m.usual)*(1+math.Log(float64(len(lk.parts)))), recent > usualUpTo*m.usual
+	x, n, recent := &m.index[lk.k], float64(len(lk.parts)), m.recent.mean(m.usual, lookLeast, m.now, m.shortSoft)
+	est := m.usual + (recent-m.usual)*(1+math.Log(n/(1+n*(1-x.floor))))
+	crowded := recent > usualUpTo*m.usual
 	for _, p := range lk.parts {
 		if p.at != nil {
 			ahead := float64(p.at.heldUnits - m.units(lk, p.at))
@@ -286,7 +285,6 @@
 			est = max(est, m.latency(p.at, lk.k)*(1+ahead/p.at.window)+max(0, p.at.downUntil-m.now))
 		}
 	}
-	x := &m.index[lk.k]
 	est += lowGain * (1 - x.gain/m.topGain) * x.soft
 	if lk.over {
 		est += overShare * x.soft
@@ -318,8 +316,7 @@
 	}
 }
 
-// overdue takes back a call that a sibling would long have answered: against a searcher that crawls or lost
-// the call. A cause shared by all searchers slows the sibling's figure too and moves nothing.
+// overdue takes back a call that a sibling would long have answered, against searchers that crawl or lose it.
 func (m *Mixer) overdue(p *part) {
 	if len(p.live) != 1 || p.live[0].back || !m.mayAgain(p) {
 		return
@@ -330,21 +327,25 @@
 		return
 	}
 	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
+	if !m.deep {
+		patience *= shallowMore
+	}
 	if age < patience && usable(c.at) {
 		return
 	}
-	// Where the sibling has the same long queue a further call only adds to both.
+	// Where the sibling's queue is as long, a further call only adds to both.
 	if m.set.Limits.Probe && !m.fresh(s) {
 		m.ask(s)
 		return
 	}
-	// Against lines that died while idle, unseen by either end: calls on them never end, though the searcher
-	// has shown since that it lives. They tell which pause is too long; a line idle for that long is closed
-	// before use. Calls lost as much on busy or new lines show that lines are not to blame.
-	if c.at.alive > c.sent && c.at.answeredAt < c.sent {
-		if c.idle < idleLeast {
-			m.doubt, m.idle = max(0, m.doubt-1), math.Inf(1)
-		} else if m.doubt++; m.doubt > idleDoubt {
+	// Against lines that died while idle, unseen: calls on them never end, though the searcher lives. They tell
+	// which pause is too long; a line idle for that long is closed before use. As many lost on others clear it.
+	if lost := c.at.alive > c.sent && c.at.answeredAt < c.sent; lost && c.idle < idleLeast {
+		if m.doubt--; m.doubt < 0 {
+			m.doubt, m.idle = 0, math.Inf(1)
+		}
+	} else if lost {
+		if m.doubt++; m.doubt > idleDoubt {
 			m.idle = min(m.idle, idleShare*c.idle)
 		}
 	}
@@ -603,8 +604,7 @@
 		return
 	}
 	p := c.part
-	// Work called off may go on: a searcher that holds it is not free yet.
-	m.letGo(c, e.Outcome == Withdrawn, m.now+ghostFor*m.latency(c.at, p.lk.k))
+	m.leave(c.at, c.trip)
 	p.ran = p.ran || !outcomeTable[e.Outcome].never
 	m.learn(c, e)
 	switch {
@@ -638,6 +638,7 @@
 			m.doubt = max(0, m.doubt-idleTrust)
 		}
 		m.heard(s, sample)
+		m.recent.add(sample, m.now, m.shortSoft)
 	case what.fault:
 		s.fault[k].toward(1, failSmooth, m.now, forgetAfter*m.longSoft)
 	case what.slow && s.alive < c.sent && sample > m.latency(s, k):
@@ -655,7 +656,6 @@
 // move. It stays well under the soft deadlines: else overload becomes usual, and searchers' queues take all.
 func (m *Mixer) heard(s *searcher, sample float64) {
 	m.usual = cmp.Or(m.usual, min(sample, usualMost*m.shortSoft))
-	m.recent.add(sample, m.now, m.shortSoft)
 	smooth(&s.latency, sample, smoothing)
 	s.heardAt = m.now
 	switch {
@@ -693,6 +693,7 @@
 	switch {
 	case e.Outcome == Answered:
 		s.lives(m.now)
+		m.deep = m.deep || e.Elapsed > deepFrom*m.usual
 		if s.downWait > 0 && s.dead {
 			m.renew(s)
 			m.starts(s, m.now)
@@ -714,10 +715,9 @@
 	return 1
 }
 
-// coldAllows keeps what this mixer sends a cold searcher under its share of what the fall rule surely allows.
-// No capacity is told: it is taken as one unit of work a second. Where the share is less than a part, a first
-// part from each at once would push the searcher over, and a share saved up is of no use to a mixer that has
-// nothing to send: there all thin what they would send by the same chance, which rises as it warms.
+// coldAllows keeps what this mixer sends a cold searcher under its share of what the fall rule surely allows,
+// its capacity, which is not told, taken as one unit of work a second. Where the share is less than a part, a
+// part from each at once would push it over: all thin what they would send by one chance, rising as it warms.
 func (m *Mixer) coldAllows(p *part, s *searcher) bool {
 	r, work := &m.set.Rules, m.workOf(p.lk.k)
 	if m.now-s.started >= r.ColdS || r.FallMultiple <= 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -313,3 +313,56 @@
 		t.Errorf("%d of %d mixers sent a part at the start", sent, mixers)
 	}
 }
+
+// A searcher silent for a while was once shunned for good, and then taken for new: it is asked after each pause,
+// and one that answers keeps its figures and is not cold. One that turns probes away is not silent.
+func TestSearcherIsAskedAgainAfterSilence(t *testing.T) {
+	s := newScene(t, func(set *Settings) {
+		set.Limits.Probe = true
+		set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
+	}, Entry{Searcher: 1})
+	warm(s)
+	s.take(60, 1)
+	answer, x := TimedOut, s.m.searchers[1]
+	for i := range 400 {
+		if answer = TimedOut; i > 300 {
+			answer = Answered
+		}
+		for _, a := range only(Probe, s.tick(0.05)) {
+			s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: answer})
+		}
+		if i == 300 && usable(x) {
+			t.Fatal("a silent searcher counts as usable")
+		}
+	}
+	if !usable(x) || x.latency == 0 || s.m.warmth(x) < 1 {
+		t.Errorf("usable %v, latency %v, warmth %v after it answered", usable(x), x.latency, s.m.warmth(x))
+	}
+	quiet := x.quietFrom
+	s.step(0.001, Event{Kind: ProbeEnded, Searcher: 1, Outcome: TurnedAway})
+	if x.unheard || x.quietFrom != quiet {
+		t.Error("a probe turned away counts as silence")
+	}
+}
+
+// At a few hot cells calls were taken back towards siblings with the same long queue, over and over.
+func TestCallIsTakenBackOnlyTowardsSiblingThatLives(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		s := newScene(t, func(set *Settings) { set.Limits.Probe = true })
+		warm(s)
+		s.take(30, 1)
+		backs := 0
+		for range 100 {
+			done := s.tick(0.05)
+			backs += len(only(Withdraw, done))
+			for _, a := range only(Probe, done) {
+				if alive {
+					s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: Answered, Elapsed: 0.2})
+				}
+			}
+		}
+		if (backs > 0) != alive {
+			t.Errorf("sibling alive %v: %d calls taken back", alive, backs)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -153,7 +153,6 @@
 	heldUnits  int
 	queue      float64 // scratch of the order
 	out        []*call
-	ghosts     []ghost
 	trip       *trip
 	fault      []fading // by index
 	credit     float64
@@ -184,12 +183,6 @@
 	return (g.sum*f + weight*prior) / (g.n*f + weight)
 }
 
-// ghost is a call that was called off and may go on.
-type ghost struct {
-	trip  *trip
-	until float64
-}
-
 // toward moves it towards a sample.
 func (f *fading) toward(sample, weight, now, over float64) {
 	was := f.now(now, over)
@@ -227,6 +220,7 @@
 	topGain   float64
 	ill       gauge     // share of calls that fail or crawl
 	recent    gauge     // latency of late, over all searchers
+	deep      bool      // probes wait in the searchers' queues
 	doubt     float64   // calls lost after a pause, less those answered
 	idle      float64   // a line idle for longer may be dead
 	taken     []float64 // times of what the budget counts as taken
@@ -397,17 +391,6 @@
 	return sum / n
 }
 
-// lay takes the ghosts off the books whose time is up.
-func (m *Mixer) lay(s *searcher) {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool {
-		if m.now < g.until {
-			return false
-		}
-		m.leave(s, g.trip)
-		return true
-	})
-}
-
 func (m *Mixer) holdersOf(p *part) []*searcher { return m.holders[int(p.shard)%len(m.holders)] }
 
 func (lk *lookup) heldAt(s *searcher) int {
@@ -501,15 +484,6 @@
 	return c
 }
 
-// letGo takes a call off the trip it was on, or keeps it counted as out for a while.
-func (m *Mixer) letGo(c *call, haunts bool, until float64) {
-	if haunts {
-		c.at.ghosts = append(c.at.ghosts, ghost{c.trip, until})
-	} else {
-		m.leave(c.at, c.trip)
-	}
-}
-
 // workOf is the work that a part of an index brings a searcher, its call included.
 func (m *Mixer) workOf(k IndexID) float64 { return m.index[k].work + m.set.Layout.CallCost }
 
