--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,9 +14,8 @@
 const (
 	windowStart  = 4.0   // design: calls that one searcher may have of ours
 	windowNarrow = 0.8   // narrowing at a slow answer: gentle, as one slow part may just be a pause
-	windowMost   = 0.5   // narrowing at one that is far too slow
+	windowMost   = 0.5   // narrowing at one that is far too slow, and widening of a window below one
 	windowLeast  = 0.3   // of a call: a part that has to wait for more is better turned away
-	windowWiden  = 0.5   // of a window below one, at a usual answer
 	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens, one beyond
 	slowFrom     = 2.5   // this multiple narrows, and is ill
 	usualStep    = 0.015 // how fast the usual latency follows the median, which a few sick searchers cannot move
@@ -41,14 +40,14 @@
 	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
 	idleLeast    = 0.2  // pauses of a line that are looked at
 	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
+	doubtMemory  = 16.0 // soft deadlines in which such doubt fades
 	idleTrust    = 0.05 // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8  // of the pause after which a call was lost: from there lines are closed before use
-	downFirst    = 0.25 // pause after a failed connect, doubled up to waitMost
+	waitFirst    = 0.25 // pause after a failed connect or a failed ask for the list, doubled up to waitMost
 	waitMost     = 2.0
 	coldMargin   = 0.8 // of what the fall rule allows: capacity, hints and the split among mixers are rough
 	coldLoad     = 1.5 // of its full capacity that may be meant for a cold searcher, its sibling being lost
 	sweepEvery   = 0.02
-	listFirst    = 0.5  // wait after a failed ask for the list, doubled too
 	lowGain      = 0.35 // of a soft deadline: so much earlier the least gain is turned away
 	overShare    = 0.5  // and so much more what is past its customer's share
 	burstS       = 2.0  // a customer may run ahead of its share by so many seconds of it
@@ -121,8 +120,6 @@
 
 // New starts an instance.
 func New(set Settings, now float64) *Mixer {
-	set.Mixers, set.Layout.CallParts = max(1, set.Mixers), max(1, set.Layout.CallParts)
-	set.Layout.Cells, set.Layout.Width = max(1, set.Layout.Cells), max(1, set.Layout.Width)
 	m := blank(set, now)
 	for _, x := range set.Indexes {
 		m.enter(&x, faultCost[x.Effect])
@@ -152,7 +149,7 @@
 func (m *Mixer) listed(e *Event) {
 	if e.List == ListFailed {
 		// Wait by chance: mixers that lost the list together must not ask together.
-		m.listWait = min(waitMost, max(listFirst, 2*m.listWait))
+		m.listWait = min(waitMost, max(waitFirst, 2*m.listWait))
 		m.listAt = m.now + m.listWait*(0.5+m.chance.unit())
 		return
 	}
@@ -279,10 +276,10 @@
 	est := m.usual + (recent-m.usual)*(1+math.Log(n/(1+n*(1-x.floor))))
 	crowded := recent > usualUpTo*m.usual
 	for _, p := range lk.parts {
-		if p.at != nil {
-			ahead := float64(p.at.heldUnits - m.units(lk, p.at))
-			crowded = crowded || ahead > 0
-			est = max(est, m.latency(p.at, lk.k)*(1+ahead/p.at.window)+max(0, p.at.downUntil-m.now))
+		if s := p.at; s != nil {
+			ahead := float64(s.heldUnits - m.units(lk, s))
+			crowded = crowded || ahead > 0 || s.window < 1
+			est = max(est, m.latency(s, lk.k)*(1+ahead/s.window)+max(0, s.downUntil-m.now))
 		}
 	}
 	est += lowGain * (1 - x.gain/m.topGain) * x.soft
@@ -323,14 +320,11 @@
 	}
 	c := p.live[0]
 	s := m.choose(p, c.at, true)
-	if s == nil {
-		return
-	}
 	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
 	if !m.deep {
 		patience *= shallowMore
 	}
-	if age < patience && usable(c.at) {
+	if s == nil || age < patience && usable(c.at) {
 		return
 	}
 	// Where the sibling's queue is as long, a further call only adds to both.
@@ -338,16 +332,8 @@
 		m.ask(s)
 		return
 	}
-	// Against lines that died while idle, unseen: calls on them never end, though the searcher lives. They tell
-	// which pause is too long; a line idle for that long is closed before use. As many lost on others clear it.
-	if lost := c.at.alive > c.sent && c.at.answeredAt < c.sent; lost && c.idle < idleLeast {
-		if m.doubt--; m.doubt < 0 {
-			m.doubt, m.idle = 0, math.Inf(1)
-		}
-	} else if lost {
-		if m.doubt++; m.doubt > idleDoubt {
-			m.idle = min(m.idle, idleShare*c.idle)
-		}
+	if c.at.alive > c.sent && c.at.answeredAt < c.sent {
+		m.lineLost(c)
 	}
 	if m.set.Limits.SecondCopy {
 		p.at = s
@@ -358,9 +344,21 @@
 	}
 }
 
+// lineLost guards against lines that died while idle: calls on them never end or break at once. They tell what
+// pause is too long; a line idle for that long is closed before use. Calls lost on other lines clear it.
+func (m *Mixer) lineLost(c *call) {
+	was := m.doubt.now(m.now, doubtMemory*m.longSoft)
+	if m.doubt = (fading{max(0, was-1), m.now}); c.idle >= idleLeast {
+		m.doubt.value = was + 1
+		if was <= idleDoubt {
+			m.idle = math.Inf(1)
+		}
+		m.idle = min(m.idle, idleShare*c.idle)
+	}
+}
+
 func (m *Mixer) count(p *part) {
 	p.lk.in += p.weight
-	p.lk.pending--
 	m.takeBack(p)
 	m.settle(p.lk)
 }
@@ -369,12 +367,12 @@
 	m.owe(p, false)
 	m.unhold(p)
 	p.lk.lost += p.weight
-	p.lk.pending--
 	m.settle(p.lk)
 }
 
 // settle ends a lookup as soon as what is in, or lost, decides it.
 func (m *Mixer) settle(lk *lookup) {
+	lk.pending--
 	switch {
 	case len(lk.parts) < lk.expect:
 	case lk.in >= lk.need-sumSlack:
@@ -523,8 +521,8 @@
 		if len(lk.parts) < lk.expect {
 			continue
 		}
-		// While a part has no holder that can be reached, work on the others would likely be for nothing.
-		blocked := slices.ContainsFunc(lk.parts, m.blocked)
+		// While parts that it needs have no holder in reach, work on the others is likely for nothing.
+		blocked := lk.lost+lk.weigh(m.blocked) > 1-m.index[lk.k].floor+sumSlack
 		for _, p := range lk.parts {
 			if p.state == held && (!blocked || m.blocked(p)) {
 				m.tryRelease(p)
@@ -572,7 +570,7 @@
 		s.credit--
 	}
 	idle := m.now - s.usedAt
-	if len(s.out) == 0 && idle > m.idle {
+	if len(s.out) == 0 && idle > m.idle && m.doubt.now(m.now, doubtMemory*m.longSoft) > idleDoubt {
 		m.do(Action{Kind: CloseIdle, Searcher: s.id})
 		idle = 0
 	}
@@ -624,18 +622,22 @@
 func (m *Mixer) learn(c *call, e *Event) {
 	s, k, what := c.at, c.part.lk.k, outcomeTable[e.Outcome]
 	sample, bad := e.Elapsed/c.part.size, 0.0
+	if e.Outcome == Broken && c.idle >= idleLeast && e.Elapsed < deepFrom*m.usual {
+		m.lineLost(c) // it tells nothing of the searcher
+		return
+	}
 	if what.fault || what.away || what.slow && c.part.state == out || m.usual > 0 && sample > slowFrom*m.usual {
 		bad = 1
 	}
 	m.ill.add(bad, m.now, lookMemory*m.longSoft)
 	switch {
 	case e.Outcome == Answered:
-		s.downWait, s.downUntil, s.answeredAt, s.usedAt = 0, 0, m.now, m.now
+		s.answeredAt, s.usedAt = m.now, m.now
 		s.lives(m.now)
 		s.credit = min(creditMost, s.credit+creditEarn)
 		s.fault[k].toward(0, failSmooth, m.now, forgetAfter*m.longSoft)
 		if c.idle >= idleLeast {
-			m.doubt = max(0, m.doubt-idleTrust)
+			m.doubt = fading{max(0, m.doubt.now(m.now, doubtMemory*m.longSoft)-idleTrust), m.now}
 		}
 		m.heard(s, sample)
 		m.recent.add(sample, m.now, m.shortSoft)
@@ -660,7 +662,7 @@
 	s.heardAt = m.now
 	switch {
 	case sample <= usualUpTo*m.usual && float64(s.units)+1 >= math.Floor(s.window):
-		s.window += min(1/s.window, windowWiden*s.window)
+		s.window += min(1/s.window, windowMost*s.window)
 	case sample > slowFrom*m.usual && m.now-s.narrowedAt > sample:
 		m.narrow(s, min(windowNarrow, max(windowMost, slowFrom*m.usual/sample)))
 		s.narrowedAt = m.now
@@ -677,7 +679,7 @@
 
 func (m *Mixer) away(s *searcher) {
 	if m.now >= s.downUntil {
-		s.downWait = min(waitMost, max(downFirst, 2*s.downWait))
+		s.downWait = min(waitMost, max(waitFirst, 2*s.downWait))
 		s.downUntil = m.now + s.downWait
 	}
 }
@@ -692,13 +694,12 @@
 	s.probing = false
 	switch {
 	case e.Outcome == Answered:
-		s.lives(m.now)
 		m.deep = m.deep || e.Elapsed > deepFrom*m.usual
 		if s.downWait > 0 && s.dead {
 			m.renew(s)
 			m.starts(s, m.now)
 		}
-		s.downWait, s.downUntil = 0, 0
+		s.lives(m.now)
 	case e.Outcome != TurnedAway:
 		s.unheard, s.dead = true, s.dead || e.Outcome == NotConnected
 		if s.dead || s.downWait > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -366,3 +366,32 @@
 		}
 	}
 }
+
+// Lines that break at once after a pause: once that was taken for a fault of every searcher.
+func TestLineThatBreaksAfterPauseIsClosed(t *testing.T) {
+	s := newScene(t, nil, Entry{Searcher: 1})
+	warm(s)
+	closed := 0
+	for range 20 {
+		s.now++
+		p, done := s.take(6, 1)
+		outcome := Broken
+		if len(only(CloseIdle, done)) > 0 {
+			closed, outcome = closed+1, Answered
+		}
+		s.serve(s.end(0.005, p[0], 1, outcome, 0.005), 0.1, 0.1) // the further call, at once, finds a new line
+	}
+	if f := s.m.searchers[1].fault[0].value; closed < 15 || f > 0.1 {
+		t.Errorf("closed %d times of 20, fault %.2f", closed, f)
+	}
+}
+
+// A quarter of the searchers gone: what a lookup can do without must not hold its other parts.
+func TestPartsGoWhereEnoughCanBeReached(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Layout.Cells, set.Indexes[0].Floor = 2, 0.4 },
+		Entry{Searcher: 1}, Entry{Searcher: 2, Cell: 1})
+	s.m.away(s.m.searchers[2])
+	if _, done := s.take(6, 1, 1); len(only(Send, done)) != 1 {
+		t.Errorf("got %v", done)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -221,7 +221,7 @@
 	ill       gauge     // share of calls that fail or crawl
 	recent    gauge     // latency of late, over all searchers
 	deep      bool      // probes wait in the searchers' queues
-	doubt     float64   // calls lost after a pause, less those answered
+	doubt     fading    // calls lost after a pause, less those answered
 	idle      float64   // a line idle for longer may be dead
 	taken     []float64 // times of what the budget counts as taken
 	further   []float64 // and as further calls
@@ -231,6 +231,8 @@
 }
 
 func blank(set Settings, now float64) *Mixer {
+	set.Mixers, set.Layout.CallParts = max(1, set.Mixers), max(1, set.Layout.CallParts)
+	set.Layout.Cells, set.Layout.Width = max(1, set.Layout.Cells), max(1, set.Layout.Width)
 	listAt := math.Inf(1)
 	if set.AskList {
 		listAt = now
@@ -249,8 +251,8 @@
 	m.index = append(m.index, indexRow{soft: x.Soft, gain: x.Gain, late: x.LateGain, need: need, short: x.ShortGain,
 		floor: min(need, cmp.Or(x.Floor, need)), effect: x.Effect, fault: fault, repeat: x.RepeatS,
 		second: x.SecondStep})
-	m.longSoft, m.shortSoft = max(m.longSoft, x.Soft), min(m.shortSoft, x.Soft)
 	m.topGain = max(m.topGain, x.Gain)
+	m.longSoft, m.shortSoft = max(m.longSoft, x.Soft), min(m.shortSoft, x.Soft)
 }
 
 func (m *Mixer) do(a Action) { m.todo = append(m.todo, a) }
@@ -300,6 +302,16 @@
 	return list
 }
 
+// weigh sums the weights of lk's parts that are so.
+func (lk *lookup) weigh(so func(*part) bool) (weight float64) {
+	for _, p := range lk.parts {
+		if so(p) {
+			weight += p.weight
+		}
+	}
+	return weight
+}
+
 // sized lists the open lookups with the sizes of what they hold.
 func (m *Mixer) sized() []*lookup {
 	for _, lk := range m.open {
@@ -363,7 +375,10 @@
 	}
 }
 
-func (s *searcher) lives(now float64) { s.alive, s.quietFrom, s.unheard = now, 0, false }
+// lives notes a sign of life.
+func (s *searcher) lives(now float64) {
+	s.alive, s.quietFrom, s.unheard, s.downWait, s.downUntil = now, 0, false, 0, 0
+}
 
 func (m *Mixer) place(r *Entry) *searcher {
 	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]fading, len(m.index))}
