Pool faults by location, with a searcher's own calls outweighing them

It holds against any cause that a location shares; it hurts sound searchers beside sick ones until each has answered, and loads their siblings. Table states and inputs are masks now, so a row may serve several.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,11 +18,13 @@
 	windowLeast  = 0.3   // of a call: a part that has to wait for more is better turned away
 	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens, one beyond
 	slowFrom     = 2.5   // this multiple narrows, and is ill
-	usualStep    = 0.015 // how fast the usual latency follows the median, which a few sick searchers cannot move
+	usualStep    = 0.015 // how fast the usual latency follows the median, which sick ones cannot move; hints too
 	usualMost    = 0.17  // of the shortest soft deadline
 	smoothing    = 0.2   // weight of a new latency: about the last ten answers count
 	forgetAfter  = 4.0   // soft deadlines in which an estimate not renewed goes back to the average
-	failSmooth   = 0.25  // weight of a new outcome in the share of faults
+	longMemory   = 16.0  // soft deadlines in which faults fade, and doubt in idle lines
+	faultMost    = 4.0   // calls of one searcher that weigh in its share of faults
+	faultPrior   = 1.0   // and as how many that of its location does
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
 	creditStart  = 3.0   // further part calls a searcher never heard may get
@@ -40,7 +42,6 @@
 	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
 	idleLeast    = 0.2  // pauses of a line that are looked at
 	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
-	doubtMemory  = 16.0 // soft deadlines in which such doubt fades
 	idleTrust    = 0.05 // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8  // of the pause after which a call was lost: from there lines are closed before use
 	waitFirst    = 0.25 // pause after a failed connect or a failed ask for the list, doubled up to waitMost
@@ -51,7 +52,6 @@
 	lowGain      = 0.35 // of a soft deadline: so much earlier the least gain is turned away
 	overShare    = 0.5  // and so much more what is past its customer's share
 	burstS       = 2.0  // a customer may run ahead of its share by so many seconds of it
-	hintSmooth   = 0.01
 	sumSlack     = 5e-5 // weights are rounded
 	sweepTimer   = TimerID(1)
 )
@@ -75,24 +75,18 @@
 
 func init() {
 	partTable = []rule[*part]{
-		{held, releases, out, (*Mixer).send},
-		{held, tooLate, lost, (*Mixer).lose},
+		{held | out, releases, out, (*Mixer).send}, // out already: a second copy
+		{held | out, tooLate, lost, (*Mixer).lose},
 		{held, closed, over, (*Mixer).unhold},
-		{out, releases, out, (*Mixer).send}, // a second copy
 		{out, answered, in, (*Mixer).count},
 		{out, again, held, (*Mixer).bind},
-		{out, hopeless, lost, (*Mixer).lose},
 		{out, closed, over, (*Mixer).takeBack},
 	}
 	lookupTable = []rule[*lookup]{
-		{first, whole, last, (*Mixer).answerFirst},
-		{first, short, last, (*Mixer).answerFirst},
-		{first, giveUp, done, (*Mixer).decline},
-		{first, left, done, (*Mixer).forget},
-		{last, whole, done, (*Mixer).answer},
-		{last, short, done, (*Mixer).answer},
-		{last, giveUp, done, (*Mixer).decline},
-		{last, left, done, (*Mixer).forget},
+		{first, whole | short, last, (*Mixer).answerFirst},
+		{last, whole | short, done, (*Mixer).answer},
+		{first | last, giveUp, done, (*Mixer).decline},
+		{first | last, left, done, (*Mixer).forget},
 	}
 }
 
@@ -255,8 +249,8 @@
 	}
 	p := m.added(lk, e)
 	if e.Hint > 0 {
-		smooth(&m.meanHint, e.Hint, hintSmooth)
-		smooth(&m.index[lk.k].work, e.Hint, hintSmooth)
+		smooth(&m.meanHint, e.Hint, usualStep)
+		smooth(&m.index[lk.k].work, e.Hint, usualStep)
 		p.size = (1 + e.Hint/m.meanHint) / 2 // half of a latency is the wait for others' parts
 	}
 	m.bind(p)
@@ -344,10 +338,10 @@
 	}
 }
 
-// lineLost guards against lines that died while idle: calls on them never end or break at once. They tell what
+// lineLost guards against lines that die idle: calls on them never end or break at once. They tell which
 // pause is too long; a line idle for that long is closed before use. Calls lost on other lines clear it.
 func (m *Mixer) lineLost(c *call) {
-	was := m.doubt.now(m.now, doubtMemory*m.longSoft)
+	was := m.doubt.now(m.now, longMemory*m.longSoft)
 	if m.doubt = (fading{max(0, was-1), m.now}); c.idle >= idleLeast {
 		m.doubt.value = was + 1
 		if was <= idleDoubt {
@@ -428,7 +422,7 @@
 		units++
 	}
 	c := m.latency(s, lk.k) * float64(max(1, units)) / m.warmth(s)
-	c *= 1 + m.index[lk.k].fault*s.fault[lk.k].now(m.now, forgetAfter*m.longSoft)
+	c *= 1 + m.index[lk.k].fault*m.faulty(s, lk.k)
 	if s.location != m.set.Location {
 		c = c*(1+crossCost*m.set.Prices.CrossLocation) + crossIdle*m.set.Prices.CrossLocation*m.usual
 	}
@@ -448,6 +442,19 @@
 	}
 }
 
+// faulty is the share of s's calls of an index that were faults: while s is little known, that of all at its
+// location, as those of one location may fail by turns; its own calls outweigh that as they come in.
+func (m *Mixer) faulty(s *searcher, k IndexID) float64 {
+	pool := m.poolOf(s, k).mean(0, lookLeast, m.now, forgetAfter*m.longSoft)
+	return s.fault[k].mean(pool, faultPrior, m.now, longMemory*m.longSoft)
+}
+
+func (m *Mixer) blame(s *searcher, k IndexID, fault float64) {
+	m.poolOf(s, k).add(fault, m.now, forgetAfter*m.longSoft)
+	s.fault[k].keep(faultMost)
+	s.fault[k].add(fault, m.now, longMemory*m.longSoft)
+}
+
 // choose finds the replica that ranks least but one; with room, among those under their window. Mixers that
 // start alike must not all pick alike: near ties fall by chance.
 func (m *Mixer) choose(p *part, not *searcher, withRoom bool) (best *searcher) {
@@ -470,8 +477,7 @@
 	if !usable(s) && (s.probing || m.now < s.downUntil || s.units > 0) {
 		return false
 	}
-	// Below one, a call waits its turn.
-	paced := s.units == 0 && m.now-s.usedAt >= s.latency*(1/s.window-1)
+	paced := s.units == 0 && m.now-s.usedAt >= s.latency*(1/s.window-1) // below one call
 	return (m.riding(s) || float64(s.units) < math.Floor(s.window) || paced) && m.coldAllows(p, s)
 }
 
@@ -566,11 +572,8 @@
 		m.tally(p.lk, s, -1)
 	}
 	p.at = nil
-	if p.made > 0 {
-		s.credit--
-	}
 	idle := m.now - s.usedAt
-	if len(s.out) == 0 && idle > m.idle && m.doubt.now(m.now, doubtMemory*m.longSoft) > idleDoubt {
+	if len(s.out) == 0 && idle > m.idle && m.doubt.now(m.now, longMemory*m.longSoft) > idleDoubt {
 		m.do(Action{Kind: CloseIdle, Searcher: s.id})
 		idle = 0
 	}
@@ -613,7 +616,7 @@
 		p.avoid = c.at
 		m.part(p, again)
 	default:
-		m.part(p, hopeless)
+		m.part(p, tooLate)
 	}
 }
 
@@ -621,28 +624,27 @@
 // a searcher that fails look quick and draw parts.
 func (m *Mixer) learn(c *call, e *Event) {
 	s, k, what := c.at, c.part.lk.k, outcomeTable[e.Outcome]
-	sample, bad := e.Elapsed/c.part.size, 0.0
+	sample := e.Elapsed / c.part.size
 	if e.Outcome == Broken && c.idle >= idleLeast && e.Elapsed < deepFrom*m.usual {
 		m.lineLost(c) // it tells nothing of the searcher
 		return
 	}
-	if what.fault || what.away || what.slow && c.part.state == out || m.usual > 0 && sample > slowFrom*m.usual {
-		bad = 1
+	failed := what.fault || what.away || what.slow && s.alive < c.sent && c.part.state == out
+	if failed {
+		m.blame(s, k, 1)
 	}
-	m.ill.add(bad, m.now, lookMemory*m.longSoft)
+	m.ill.add(share(failed || m.usual > 0 && sample > slowFrom*m.usual), m.now, lookMemory*m.longSoft)
 	switch {
 	case e.Outcome == Answered:
 		s.answeredAt, s.usedAt = m.now, m.now
 		s.lives(m.now)
 		s.credit = min(creditMost, s.credit+creditEarn)
-		s.fault[k].toward(0, failSmooth, m.now, forgetAfter*m.longSoft)
+		m.blame(s, k, 0)
 		if c.idle >= idleLeast {
-			m.doubt = fading{max(0, m.doubt.now(m.now, doubtMemory*m.longSoft)-idleTrust), m.now}
+			m.doubt = fading{max(0, m.doubt.now(m.now, longMemory*m.longSoft)-idleTrust), m.now}
 		}
 		m.heard(s, sample)
 		m.recent.add(sample, m.now, m.shortSoft)
-	case what.fault:
-		s.fault[k].toward(1, failSmooth, m.now, forgetAfter*m.longSoft)
 	case what.slow && s.alive < c.sent && sample > m.latency(s, k):
 		m.heard(s, sample)
 	case what.full:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -381,7 +381,7 @@
 		}
 		s.serve(s.end(0.005, p[0], 1, outcome, 0.005), 0.1, 0.1) // the further call, at once, finds a new line
 	}
-	if f := s.m.searchers[1].fault[0].value; closed < 15 || f > 0.1 {
+	if f := s.m.searchers[1].fault[0].sum; closed < 15 || f > 0.1 {
 		t.Errorf("closed %d times of 20, fault %.2f", closed, f)
 	}
 }
@@ -395,3 +395,23 @@
 		t.Errorf("got %v", done)
 	}
 }
+
+// Searchers of one location fail by turns, each called seldom: what others there did counts for one not yet known,
+// and its own answers outweigh that.
+func TestFaultsOfALocationCountUntilASearcherIsKnown(t *testing.T) {
+	s := newScene(t, nil, Entry{Searcher: 1, Location: 1}, Entry{Searcher: 2, Location: 1}, Entry{Searcher: 3})
+	m := s.m
+	for range 20 {
+		m.blame(m.searchers[1], 0, 1)
+		m.blame(m.searchers[3], 0, 0)
+	}
+	if a, b := m.faulty(m.searchers[2], 0), m.faulty(m.searchers[3], 0); a < 0.5 || b > 0.05 {
+		t.Errorf("unknown one beside faulty ones %.2f, sound one elsewhere %.2f", a, b)
+	}
+	for range 4 {
+		m.blame(m.searchers[2], 0, 0)
+	}
+	if a := m.faulty(m.searchers[2], 0); a > 0.2 {
+		t.Errorf("%.2f after its own answers", a)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -10,10 +10,10 @@
 // decides anything: every rule and every tuned value stands in logic.go.
 
 // state and input are those of the two tables of logic.go; a part and a lookup have states of their own.
-type state uint8
+type state uint16
 
 const (
-	held state = iota
+	held state = 1 << iota
 	out
 	in
 	lost
@@ -23,14 +23,13 @@
 	done
 )
 
-type input uint8
+type input uint16
 
 const (
-	releases input = iota
+	releases input = 1 << iota
 	tooLate
 	answered
 	again
-	hopeless
 	closed
 	whole
 	short
@@ -38,7 +37,7 @@
 	left
 )
 
-// rule is a row of a table: in this state, on this input, go to the next state and do this.
+// rule is a row of a table: in one of these states, on one of these inputs, go to the next state and do this.
 type rule[T any] struct {
 	state state
 	on    input
@@ -48,7 +47,7 @@
 
 func act[T any](m *Mixer, table []rule[T], it T, at *state, on input) {
 	for i := range table {
-		if r := &table[i]; r.state == *at && r.on == on {
+		if r := &table[i]; r.state&*at != 0 && r.on&on != 0 {
 			*at = r.next
 			r.do(m, it)
 			return
@@ -154,7 +153,7 @@
 	queue      float64 // scratch of the order
 	out        []*call
 	trip       *trip
-	fault      []fading // by index
+	fault      []gauge // by index
 	credit     float64
 	downUntil  float64
 	downWait   float64
@@ -169,6 +168,13 @@
 
 func (f fading) now(now, over float64) float64 { return f.value * math.Exp((f.at-now)/over) }
 
+func share(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // gauge is a mean of samples that fade with time.
 type gauge struct{ sum, n, at float64 }
 
@@ -177,23 +183,30 @@
 	*g = gauge{g.sum*f + sample, g.n*f + 1, now}
 }
 
+// keep lets no more than so many samples weigh, so that new ones count.
+func (g *gauge) keep(most float64) {
+	if g.n > most {
+		*g = gauge{g.sum * most / g.n, most, g.at}
+	}
+}
+
 // mean takes a prior for as much as weight samples.
 func (g gauge) mean(prior, weight, now, over float64) float64 {
 	f := math.Exp((g.at - now) / over)
 	return (g.sum*f + weight*prior) / (g.n*f + weight)
 }
 
-// toward moves it towards a sample.
-func (f *fading) toward(sample, weight, now, over float64) {
-	was := f.now(now, over)
-	*f = fading{was + weight*(sample-was), now}
-}
-
 type sending struct{ at, work float64 }
 
 // customer and what follows live as long as the instance.
 type customer struct{ tokens, at float64 }
 
+// place is where searchers may fail together.
+type place struct {
+	location LocationID
+	k        IndexID
+}
+
 // Mixer is one instance.
 type Mixer struct {
 	set       Settings
@@ -218,13 +231,14 @@
 	longSoft  float64
 	shortSoft float64
 	topGain   float64
-	ill       gauge     // share of calls that fail or crawl
-	recent    gauge     // latency of late, over all searchers
-	deep      bool      // probes wait in the searchers' queues
-	doubt     fading    // calls lost after a pause, less those answered
-	idle      float64   // a line idle for longer may be dead
-	taken     []float64 // times of what the budget counts as taken
-	further   []float64 // and as further calls
+	pool      map[place]*gauge // share of faults
+	ill       gauge            // share of calls that fail or crawl
+	recent    gauge            // latency of late, over all searchers
+	deep      bool             // probes wait in the searchers' queues
+	doubt     fading           // calls lost after a pause, less those answered
+	idle      float64          // a line idle for longer may be dead
+	taken     []float64        // times of what the budget counts as taken
+	further   []float64        // and as further calls
 	owed      int
 	listWait  float64
 	listAt    float64 // when to ask next
@@ -239,7 +253,7 @@
 	}
 	return &Mixer{
 		listAt: listAt, set: set, now: now, chance: pcg(set.Seed), shortSoft: math.Inf(1), idle: math.Inf(1),
-		searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
+		pool: map[place]*gauge{}, searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
 		lookups: map[LookupNo]*lookup{}, numbers: map[LookupID]LookupNo{}, parts: map[PartID]*part{},
 		customers: make([]customer, len(set.Customers)),
 	}
@@ -274,7 +288,7 @@
 
 func (m *Mixer) added(lk *lookup, e *Event) *part {
 	m.books(&m.taken)
-	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit()}
+	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit(), state: held}
 	lk.parts = append(lk.parts, p)
 	lk.pending++
 	m.parts[p.id] = p
@@ -312,6 +326,15 @@
 	return weight
 }
 
+// poolOf is the share of faults of an index at s's location.
+func (m *Mixer) poolOf(s *searcher, k IndexID) *gauge {
+	at := place{s.location, k}
+	if m.pool[at] == nil {
+		m.pool[at] = &gauge{}
+	}
+	return m.pool[at]
+}
+
 // sized lists the open lookups with the sizes of what they hold.
 func (m *Mixer) sized() []*lookup {
 	for _, lk := range m.open {
@@ -381,7 +404,7 @@
 }
 
 func (m *Mixer) place(r *Entry) *searcher {
-	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]fading, len(m.index))}
+	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]gauge, len(m.index))}
 	m.searchers[s.id] = s
 	m.fleet = append(m.fleet, s)
 	cells := m.set.Layout.Cells
@@ -468,6 +491,7 @@
 	} else {
 		m.books(&m.further)
 		m.owe(p, false)
+		s.credit--
 	}
 	s.usedAt = m.now
 	s.asked(m.now)
