--- a/logic/logic.go
+++ b/logic/logic.go
@@ -222,15 +222,14 @@
 
 func (m *Mixer) fresh(s *searcher) bool { return m.now-s.alive < lookFresh }
 
-// look asks the holders of a held part, and tells whether to wait for the first that answers.
-func (m *Mixer) look(p *part) bool {
-	wait := false
-	for _, s := range m.holdersOf(p) {
-		switch {
-		case !usable(s):
-		case m.fresh(s):
-			return false
-		default:
+// look asks the two likeliest holders of a held part, and tells whether to wait for the first that answers.
+func (m *Mixer) look(p *part) (wait bool) {
+	if slices.ContainsFunc(m.holdersOf(p), func(s *searcher) bool { return usable(s) && m.fresh(s) }) {
+		return false
+	}
+	one := m.choose(p, nil, false)
+	for _, s := range []*searcher{one, m.choose(p, one, false)} {
+		if s != nil && usable(s) {
 			m.ask(s)
 			wait = wait || s.probing
 		}
