--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -415,3 +415,38 @@
 		t.Errorf("%.2f after its own answers", a)
 	}
 }
+
+// In troubled times a part goes to the holder that first gives a sign of life, not to one that may be dead.
+func TestLooksBeforeSendingInTroubledTimes(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Limits.Probe = true })
+	warm(s)
+	s.now += 3
+	for range 30 {
+		s.m.ill.add(1, s.now, lookMemory*s.m.longSoft)
+	}
+	p, done := s.take(6, 1)
+	if len(only(Send, done)) != 0 || len(only(Probe, done)) != 2 {
+		t.Fatalf("expected both holders asked and nothing sent, got %v", done)
+	}
+	done = only(Send, s.step(0.01, Event{Kind: ProbeEnded, Searcher: 2, Outcome: Answered}))
+	if len(done) != 1 || done[0].Part != p[0] || done[0].Searcher != 2 {
+		t.Errorf("got %v", done)
+	}
+}
+
+// Scores of mixers with a window of one each make a long queue: windows go below one, what would come late by the
+// latencies of late is turned away at once, and the rest waits its turn.
+func TestLongQueuesOfOthersNarrowAndTurnAway(t *testing.T) {
+	s := newScene(t, nil, Entry{Searcher: 1})
+	warm(s)
+	for range 12 {
+		p, _ := s.take(6, 1)
+		s.end(1.5, p[0], 1, Answered, 1.5)
+	}
+	if w := s.m.searchers[1].window; w >= 1 {
+		t.Errorf("window %.2f", w)
+	}
+	if _, done := s.take(6, 1, 1, 1, 1, 1, 1); len(only(Nack, done)) != 1 || len(only(Send, done)) != 0 {
+		t.Errorf("expected a nack at once, got %v", done)
+	}
+}
