--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -446,6 +446,9 @@
 	if w := s.m.searchers[1].window; w >= 1 {
 		t.Errorf("window %.2f", w)
 	}
+	for range 30 {
+		s.m.recent.add(1.5, s.now, s.m.shortSoft)
+	}
 	if _, done := s.take(6, 1, 1, 1, 1, 1, 1); len(only(Nack, done)) != 1 || len(only(Send, done)) != 0 {
 		t.Errorf("expected a nack at once, got %v", done)
 	}
