--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,7 @@
 	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
 	shallowMore  = 2.0  // and this times as long where probes do not wait in queues, and so tell less
 	deepFrom     = 0.25 // of a usual latency: a probe that takes longer has waited
-	lookFrom     = 0.1  // share of calls that fail or crawl from which a mixer looks before it sends,
-	lookAlone    = 0.3  // and more, over the number of mixers: one of few sees enough by itself
+	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
 	lookMemory   = 2.0  // soft deadlines over which that share is counted
 	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted, that none is ill
 	lookFresh    = 0.25 // for so long a sign of life serves
@@ -215,10 +214,10 @@
 	}
 }
 
-// looks tells whether to see a sign of life first: at size own evidence is too old for what fails by turns.
+// looks tells whether a mixer must see a sign of life before it sends: where it calls a searcher every few
+// seconds, its own evidence comes too late against searchers that fail by turns or hide a long queue.
 func (m *Mixer) looks() bool {
-	ill := m.ill.mean(0, lookLeast, m.now, lookMemory*m.longSoft)
-	return m.set.Limits.Probe && ill > lookFrom+lookAlone/float64(m.set.Mixers)
+	return m.set.Limits.Probe && m.ill.mean(0, lookLeast, m.now, lookMemory*m.longSoft) > lookFrom
 }
 
 func (m *Mixer) fresh(s *searcher) bool { return m.now-s.alive < lookFresh }
