--- a/logic/state.go
+++ b/logic/state.go
@@ -74,14 +74,13 @@
 
 // call lives as long as one part call.
 type call struct {
-	part  *part
-	no    CallNo
-	at    *searcher
-	sent  float64
-	trip  *trip
-	back  bool    // taken back already
-	idle  float64 // how long nothing had gone to or come from its searcher
-	asked float64 // when its searcher was asked whether it lives
+	part *part
+	no   CallNo
+	at   *searcher
+	sent float64
+	trip *trip
+	back bool    // taken back already
+	idle float64 // how long nothing had gone to or come from its searcher
 }
 
 // trip is what travels to one searcher in one step; where parts share calls it is what is counted.
