Fold twins: one loop for weights, one decay, the pool of faults held by the searcher

The pool of faults was looked up in a map for each candidate; the doubt in lines was decayed by hand in three places; inState did what weigh does. Two comments are in step with the code again.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,13 +31,13 @@
 	creditMost   = 10.0
 	creditEarn   = 0.2  // credit for an answer: bounds further calls to this share where all goes wrong
 	overdueFrom  = 4.0  // a call out for this multiple of what a sibling would take is taken back
+	shallowMore  = 2.0  // and this times as long where probes do not wait in queues, and so tell less
 	silentFrom   = 4.0  // usual latencies without any answer after which a searcher counts as silent
 	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
-	shallowMore  = 2.0  // and this times as long where probes do not wait in queues, and so tell less
 	deepFrom     = 0.25 // of a usual latency: a probe that takes longer has waited
 	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
 	lookMemory   = 2.0  // soft deadlines over which that share is counted
-	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted, that none is ill
+	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted without them
 	lookFresh    = 0.25 // for so long a sign of life serves
 	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
 	idleLeast    = 0.2  // pauses of a line that are looked at
@@ -292,7 +292,7 @@
 	case m.now >= lk.deadline-m.margin(), enough && m.now >= lk.soft-m.margin() && x.short*lk.in > x.late:
 		m.lookup(lk, short)
 	}
-	_, waiting := lk.inState(held)
+	waiting := lk.weigh(func(p *part) bool { return p.state == held })
 	for _, p := range lk.parts {
 		switch p.state {
 		case out:
@@ -340,14 +340,14 @@
 // lineLost guards against lines that die idle: calls on them never end or break at once. They tell which
 // pause is too long; a line idle for that long is closed before use. Calls lost on other lines clear it.
 func (m *Mixer) lineLost(c *call) {
-	was := m.doubt.now(m.now, longMemory*m.longSoft)
-	if m.doubt = (fading{max(0, was-1), m.now}); c.idle >= idleLeast {
-		m.doubt.value = was + 1
-		if was <= idleDoubt {
-			m.idle = math.Inf(1)
-		}
-		m.idle = min(m.idle, idleShare*c.idle)
+	if c.idle < idleLeast {
+		m.doubt.shift(-1, m.now, longMemory*m.longSoft)
+		return
+	}
+	if m.doubt.shift(1, m.now, longMemory*m.longSoft) <= idleDoubt {
+		m.idle = math.Inf(1)
 	}
+	m.idle = min(m.idle, idleShare*c.idle)
 }
 
 func (m *Mixer) count(p *part) {
@@ -444,12 +444,12 @@
 // faulty is the share of s's calls of an index that were faults: while s is little known, that of all at its
 // location, as those of one location may fail by turns; its own calls outweigh that as they come in.
 func (m *Mixer) faulty(s *searcher, k IndexID) float64 {
-	pool := m.poolOf(s, k).mean(0, lookLeast, m.now, forgetAfter*m.longSoft)
+	pool := s.pool[k].mean(0, lookLeast, m.now, forgetAfter*m.longSoft)
 	return s.fault[k].mean(pool, faultPrior, m.now, longMemory*m.longSoft)
 }
 
 func (m *Mixer) blame(s *searcher, k IndexID, fault float64) {
-	m.poolOf(s, k).add(fault, m.now, forgetAfter*m.longSoft)
+	s.pool[k].add(fault, m.now, forgetAfter*m.longSoft)
 	s.fault[k].keep(faultMost)
 	s.fault[k].add(fault, m.now, longMemory*m.longSoft)
 }
@@ -640,7 +640,7 @@
 		s.credit = min(creditMost, s.credit+creditEarn)
 		m.blame(s, k, 0)
 		if c.idle >= idleLeast {
-			m.doubt = fading{max(0, m.doubt.now(m.now, longMemory*m.longSoft)-idleTrust), m.now}
+			m.doubt.shift(-idleTrust, m.now, longMemory*m.longSoft)
 		}
 		m.heard(s, sample)
 		m.recent.add(sample, m.now, m.shortSoft)
--- a/logic/state.go
+++ b/logic/state.go
@@ -153,11 +153,12 @@
 	out        []*call
 	trip       *trip
 	fault      []gauge // by index
+	pool       []gauge // the same of all at its location
 	credit     float64
 	downUntil  float64
 	downWait   float64
 	probing    bool
-	dead       bool      // a connect or a probe failed in this pause
+	dead       bool      // no connection was made since it was last new
 	sent       []sending // while cold
 	lot        float64   // with that of a part, decides whether it may go there while cold
 }
@@ -165,7 +166,17 @@
 // fading is a figure that fades with time.
 type fading struct{ value, at float64 }
 
-func (f fading) now(now, over float64) float64 { return f.value * math.Exp((f.at-now)/over) }
+func (f fading) now(now, over float64) float64 { return f.value * faded(f.at, now, over) }
+
+// shift moves it, not below 0, and tells what it was.
+func (f *fading) shift(by, now, over float64) (was float64) {
+	was = f.now(now, over)
+	*f = fading{max(0, was+by), now}
+	return was
+}
+
+// faded is what is left of a figure by now.
+func faded(at, now, over float64) float64 { return math.Exp((at - now) / over) }
 
 func share(is bool) float64 {
 	if is {
@@ -178,7 +189,7 @@
 type gauge struct{ sum, n, at float64 }
 
 func (g *gauge) add(sample, now, over float64) {
-	f := math.Exp((g.at - now) / over)
+	f := faded(g.at, now, over)
 	*g = gauge{g.sum*f + sample, g.n*f + 1, now}
 }
 
@@ -191,7 +202,7 @@
 
 // mean takes a prior for as much as weight samples.
 func (g gauge) mean(prior, weight, now, over float64) float64 {
-	f := math.Exp((g.at - now) / over)
+	f := faded(g.at, now, over)
 	return (g.sum*f + weight*prior) / (g.n*f + weight)
 }
 
@@ -200,12 +211,6 @@
 // customer and what follows live as long as the instance.
 type customer struct{ tokens, at float64 }
 
-// place is where searchers may fail together.
-type place struct {
-	location LocationID
-	k        IndexID
-}
-
 // Mixer is one instance.
 type Mixer struct {
 	set       Settings
@@ -230,14 +235,14 @@
 	longSoft  float64
 	shortSoft float64
 	topGain   float64
-	pool      map[place]*gauge // share of faults
-	ill       gauge            // share of calls that fail or crawl
-	recent    gauge            // latency of late, over all searchers
-	deep      bool             // probes wait in the searchers' queues
-	doubt     fading           // calls lost after a pause, less those answered
-	idle      float64          // a line idle for longer may be dead
-	taken     []float64        // times of what the budget counts as taken
-	further   []float64        // and as further calls
+	pool      map[LocationID][]gauge // share of faults by index
+	ill       gauge                  // share of calls that fail or crawl
+	recent    gauge                  // latency of late, over all searchers
+	deep      bool                   // probes wait in the searchers' queues
+	doubt     fading                 // calls lost after a pause, less those answered
+	idle      float64                // a line idle for longer may be dead
+	taken     []float64              // times of what the budget counts as taken
+	further   []float64              // and as further calls
 	owed      int
 	listWait  float64
 	listAt    float64 // when to ask next
@@ -252,7 +257,7 @@
 	}
 	return &Mixer{
 		listAt: listAt, set: set, now: now, chance: pcg(set.Seed), shortSoft: math.Inf(1), idle: math.Inf(1),
-		pool: map[place]*gauge{}, searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
+		pool: map[LocationID][]gauge{}, searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
 		lookups: map[LookupNo]*lookup{}, numbers: map[LookupID]LookupNo{}, parts: map[PartID]*part{},
 		customers: make([]customer, len(set.Customers)),
 	}
@@ -294,16 +299,6 @@
 	return p
 }
 
-// inState counts lk's parts in a state and sums their weights.
-func (lk *lookup) inState(st state) (n int, weight float64) {
-	for _, p := range lk.parts {
-		if p.state == st {
-			n, weight = n+1, weight+p.weight
-		}
-	}
-	return n, weight
-}
-
 func (m *Mixer) heldParts() (list []*part) {
 	for _, lk := range m.open {
 		for _, p := range lk.parts {
@@ -325,15 +320,6 @@
 	return weight
 }
 
-// poolOf is the share of faults of an index at s's location.
-func (m *Mixer) poolOf(s *searcher, k IndexID) *gauge {
-	at := place{s.location, k}
-	if m.pool[at] == nil {
-		m.pool[at] = &gauge{}
-	}
-	return m.pool[at]
-}
-
 // sized lists the open lookups with the sizes of what they hold.
 func (m *Mixer) sized() []*lookup {
 	for _, lk := range m.open {
@@ -403,7 +389,11 @@
 }
 
 func (m *Mixer) place(r *Entry) *searcher {
-	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]gauge, len(m.index))}
+	if m.pool[r.Location] == nil {
+		m.pool[r.Location] = make([]gauge, len(m.index))
+	}
+	s := &searcher{id: r.Searcher, location: r.Location, started: math.Inf(-1), fault: make([]gauge, len(m.index)),
+		pool: m.pool[r.Location]}
 	m.searchers[s.id] = s
 	m.fleet = append(m.fleet, s)
 	cells := m.set.Layout.Cells
@@ -563,7 +553,12 @@
 
 // nextStep begins the second step, of which all makes it whole; parts of the first have run.
 func (m *Mixer) nextStep(lk *lookup, most int) {
-	n, _ := lk.inState(in)
+	n := 0
+	for _, p := range lk.parts {
+		if p.state == in {
+			n++
+		}
+	}
 	m.dropParts(lk)
 	lk.stepped = true
 	lk.need, lk.expect, lk.in, lk.lost, lk.pending = 1, min(n, most), 0, 0, 0
