--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -184,11 +185,11 @@
 		if f.err != nil {
 			return f.err
 		}
-		set, err := settings(seed, f.rest)
+		set, err := settings.Read(seed, f.rest)
 		if err != nil {
 			return err
 		}
-		h.mixer, h.events = logic.New(set, now), h.events[:0]
+		h.mixer, h.events = logic.New(set.Settings, now), h.events[:0]
 		return nil
 	case "HALT":
 		h.mixer, h.events = nil, h.events[:0]
--- /dev/null
+++ b/internal/mailbox/mailbox.go
@@ -0,0 +1,39 @@
+// Package mailbox is how actors hear of one another.
+package mailbox
+
+import "sync"
+
+// Box holds what waits for one actor. Put never blocks: how much can wait is bounded by what its senders may
+// have in flight, not here.
+type Box[T any] struct {
+	mu    sync.Mutex
+	items []T
+	ready chan struct{}
+}
+
+func New[T any]() *Box[T] { return &Box[T]{ready: make(chan struct{}, 1)} }
+
+// Put adds an item behind all that wait.
+func (b *Box[T]) Put(item T) {
+	b.mu.Lock()
+	b.items = append(b.items, item)
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default: // one signal is enough, as Take brings everything
+	}
+}
+
+// Ready signals that something may wait; now and then nothing does, after a Take that came in between.
+func (b *Box[T]) Ready() <-chan struct{} { return b.ready }
+
+// Take brings all that waits, in the order of Put. The caller hands back the last slice it got, to be filled
+// again; it must have let go of that.
+func (b *Box[T]) Take(spare []T) []T {
+	clear(spare)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	taken := b.items
+	b.items = spare[:0]
+	return taken
+}
--- a/internal/drill/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package drill
+// Package settings reads and checks the object that every instance is handed at its start, once for both the
+// bench's adapter and the mixer. It decides nothing.
+package settings
 
 import (
 	"encoding/json"
@@ -7,31 +9,50 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// wireSettings holds the keys of the first message that the interface has a place for; others are ignored.
-type wireSettings struct {
+// Settings are what the module is told, with what only sockets need.
+type Settings struct {
+	logic.Settings
+	Net Net
+}
+
+// Net is what sockets need beside the module: names, which the module does not know, and limits of lines.
+type Net struct {
+	Indexes, Customers, Locations, Kinds []string // each in the order of its ids
+	Shards                               int
+	Streams                              int     // calls that one line carries at once
+	Idle                                 float64 // a line idle for so long is closed by its searcher
+	Connect                              float64 // a connect that takes longer has failed; a probe too, of which no other figure is told
+	Loads                                bool    // probes may ask for a load report
+}
+
+// wire holds the keys that either has a place for; others are ignored.
+type wire struct {
 	GranularityS   float64
 	Ordinal        int
 	Siblings       int
 	Zone           int
+	Azs, Models    []string
+	Stats          struct{ How string }
 	MembershipMode string
 	OverShareWorth float64
 	RequestClasses []struct {
 		PromiseS, GiveUpS, Worth, LateWorth, RepeatWindowS float64
-		Effect                                             string
+		Effect, Name                                       string
 	}
 	Tenants []struct {
+		Name               string
 		Portion, QuotaPerS float64
 	}
 	Specifics struct {
-		Places, Width, PerCall              int
+		Places, Width, PerCall, Slices      int
 		CallCostS                           float64
 		ClassNeed, FloorByClass, ShortWorth []float64
 		SecondStep                          []int
 	}
 	Limits struct {
 		Cancel, Probing, MayTell, MayDuplicate, RetryAfter bool
-		MostTries, MostHeld                                int
-		MaxRetryAfterS, ConnectTimeoutS                    float64
+		MostTries, MostHeld, Multiplex                     int
+		MaxRetryAfterS, ConnectTimeoutS, IdleCloseS        float64
 	}
 	Invariants struct {
 		AnswerSlackS, AskEveryS, ColdS, ColdShare, DrainGraceS, FallMultiple, FallS float64
@@ -47,15 +68,17 @@
 	"repeatable": logic.Idempotent, "by_key": logic.Fingerprinted, "once": logic.OnceOnly,
 }
 
-// settings reads the first message. Every figure that is stated is checked, so that a slip in a site's files
+// Read takes the object as text. Every figure that is stated is checked, so that a slip in a site's files
 // shows at the start and not as an odd decision later.
-func settings(seed uint64, text []byte) (logic.Settings, error) {
-	var w wireSettings
+func Read(seed uint64, text []byte) (Settings, error) {
+	var w wire
 	if err := json.Unmarshal(text, &w); err != nil {
-		return logic.Settings{}, fmt.Errorf("settings: expected a JSON object: %v", err)
+		return Settings{}, fmt.Errorf("settings: expected a JSON object: %v", err)
 	}
 	sp, li, in, pr := &w.Specifics, &w.Limits, &w.Invariants, &w.Prices
-	s := logic.Settings{
+	s := Settings{Net: Net{Locations: w.Azs, Kinds: w.Models, Shards: sp.Slices, Streams: li.Multiplex,
+		Idle: li.IdleCloseS, Connect: li.ConnectTimeoutS, Loads: w.Stats.How == "answers" || w.Stats.How == "probe"}}
+	s.Settings = logic.Settings{
 		Seed: seed, Self: logic.MixerNo(w.Ordinal), Mixers: w.Siblings, Location: logic.LocationID(w.Zone),
 		Step: w.GranularityS, OverShare: w.OverShareWorth, AskList: w.MembershipMode == "subscribe",
 		Layout: logic.Layout{Cells: sp.Places, Width: sp.Width, CallParts: sp.PerCall, CallCost: sp.CallCostS},
@@ -83,9 +106,11 @@
 			x.SecondStep = sp.SecondStep[i]
 		}
 		s.Indexes = append(s.Indexes, x)
+		s.Net.Indexes = append(s.Net.Indexes, c.Name)
 	}
 	for _, c := range w.Tenants {
 		s.Customers = append(s.Customers, logic.CustomerSettings{Share: c.Portion, QuotaPerS: c.QuotaPerS})
+		s.Net.Customers = append(s.Net.Customers, c.Name)
 	}
 	return s, check(&w)
 }
@@ -97,7 +122,7 @@
 	return 0
 }
 
-func check(w *wireSettings) error {
+func check(w *wire) error {
 	sp, in := &w.Specifics, &w.Invariants
 	type figure struct {
 		name  string
@@ -107,7 +132,8 @@
 		{"specifics.places", float64(sp.Places)}, {"specifics.width", float64(sp.Width)},
 		{"specifics.perCall", float64(sp.PerCall)}, {"specifics.callCostS", sp.CallCostS},
 		{"limits.mostTries", float64(w.Limits.MostTries)}, {"limits.mostHeld", float64(w.Limits.MostHeld)},
-		{"limits.maxRetryAfterS", w.Limits.MaxRetryAfterS}, {"limits.connectTimeoutS", w.Limits.ConnectTimeoutS},
+		{"specifics.slices", float64(sp.Slices)}, {"limits.multiplex", float64(w.Limits.Multiplex)},
+		{"limits.idleCloseS", w.Limits.IdleCloseS}, {"limits.maxRetryAfterS", w.Limits.MaxRetryAfterS}, {"limits.connectTimeoutS", w.Limits.ConnectTimeoutS},
 		{"invariants.answerSlackS", in.AnswerSlackS}, {"invariants.askEveryS", in.AskEveryS},
 		{"invariants.coldS", in.ColdS}, {"invariants.drainGraceS", in.DrainGraceS},
 		{"invariants.fallMultiple", in.FallMultiple}, {"invariants.fallS", in.FallS},
