--- /dev/null
+++ b/cmd/puffinlink/main.go
@@ -0,0 +1,156 @@
+// Command puffinlink is a mixer.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/clients"
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/list"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/searchers"
+	"puffinlink.example/puffinlink/internal/settings"
+)
+
+const (
+	// heapShare of the memory limit is the soft limit of Go's heap: stacks, the kernel's part and files come on top.
+	heapShare = 0.6
+	// growth lets the heap grow to so many percent beyond what lives, as what lives is small: fewer collections.
+	growth = 400
+	// clientShare of the descriptors may be clients' lines; the rest is for searchers, the register and surplus lines.
+	clientShare = 0.7
+)
+
+// config is what a mixer is told.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "puffinlink:", err)
+		os.Exit(1)
+	}
+}
+
+// read takes the config file and, over it, what the environment says by itself.
+func read() (c config, set settings.Settings, err error) {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return c, set, errors.New("LB_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, set, err
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return c, set, fmt.Errorf("config: %w", err)
+	}
+	for name, field := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*field = v
+		}
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	switch {
+	case err != nil:
+		return c, set, fmt.Errorf("config: seed %q is not hex", c.Seed)
+	case c.Listen == "" || c.Discovery == "":
+		return c, set, errors.New("config: listen and discovery must be stated")
+	case len(c.Known) == 0:
+		return c, set, errors.New("config: known must be stated")
+	case c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0:
+		return c, set, errors.New("config: limits must be 0 or more")
+	}
+	if set, err = settings.Read(seed, c.Settings); err != nil {
+		return c, set, fmt.Errorf("config: %w", err)
+	}
+	for i, x := range set.Indexes {
+		if x.SecondStep > 0 {
+			return c, set, fmt.Errorf("config: index %q has a second step, which this protocol has no form for", set.Net.Indexes[i])
+		}
+	}
+	return c, set, nil
+}
+
+// limit keeps Go within the machine's share, and tells how many lines clients may have.
+func limit(c config) (clientLines int) {
+	if c.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Floor(c.Limits.Cores))))
+	}
+	if c.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * c.Limits.MemoryMB * (1 << 20)))
+		debug.SetGCPercent(growth)
+	}
+	if c.Limits.Sockets > 0 {
+		return max(1, int(clientShare*float64(c.Limits.Sockets)))
+	}
+	return math.MaxInt32
+}
+
+func run() error {
+	c, set, err := read()
+	if err != nil {
+		return err
+	}
+	clientLines := limit(c)
+	log := zerolog.New(os.Stdout).With().Timestamp().Str("mixer", c.Name).Logger()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	count := counters.New()
+
+	m := mixer.New(set, log, count)
+	register, err := list.New(c.Discovery, c.Known, set, m.In, log, count)
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	address, err := net.ResolveTCPAddr("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("config: listen: %w", err)
+	}
+	listener, err := net.ListenTCP("tcp", address)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	fleet := searchers.New(set.Net, m.In, log, count)
+	server := clients.New(set, clientLines, m.In, log, count)
+	go m.Run(fleet, register)
+	go register.Run()
+	go server.Serve(listener)
+	log.Info().Str("listen", c.Listen).Msg("started")
+	for s := range signals {
+		if s != syscall.SIGUSR1 {
+			break
+		}
+		log.Info().EmbedObject(count).Msg("counters")
+	}
+	server.Drain()
+	register.Stop()
+	m.Stop()
+	fleet.Stop()
+	log.Info().EmbedObject(count).Msg("counters")
+	return nil
+}
--- /dev/null
+++ b/internal/clients/body.go
@@ -0,0 +1,182 @@
+package clients
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// book knows the settings' names by number.
+type book struct {
+	indexes   map[string]logic.IndexID
+	customers map[string]logic.CustomerID
+	shards    int
+}
+
+func newBook(set settings.Net) book {
+	b := book{map[string]logic.IndexID{}, map[string]logic.CustomerID{}, set.Shards}
+	for i, name := range set.Indexes {
+		b.indexes[name] = logic.IndexID(i)
+	}
+	for i, name := range set.Customers {
+		b.customers[name] = logic.CustomerID(i)
+	}
+	return b
+}
+
+// target is a part as a client words it.
+type target struct {
+	Partition *int     `json:"partition"`
+	Share     *float64 `json:"share"`
+	EstUs     float64  `json:"est_us"`
+	Route     string   `json:"route"`
+}
+
+type body struct {
+	Targets []target        `json:"targets"`
+	Query   json.RawMessage `json:"query"`
+}
+
+// readHead reads what a lookup's headers and address say; the error is for the client.
+func (b *book) readHead(r *http.Request, lk *mixer.Lookup) error {
+	path := strings.TrimPrefix(r.URL.Path, "/")
+	index, known := b.indexes[path]
+	if kind := r.Header.Get("Req-Kind"); !known || kind != path {
+		return fmt.Errorf("Req-Kind %q does not name the index of the path", kind)
+	}
+	lk.Index = index
+	lk.ID = r.Header.Get("Req-Id")
+	if lk.ID == "" || len(lk.ID) > 64 || strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return errors.New("Req-Id is not an id")
+	}
+	if owner := r.Header.Get("Req-Owner"); len(b.customers) > 0 {
+		if lk.Customer, known = b.customers[owner]; !known {
+			return fmt.Errorf("Req-Owner %q is not known", owner)
+		}
+	}
+	wait, err := strconv.ParseFloat(r.Header.Get("Req-Deadline"), 64)
+	if err != nil || !(wait > 0) || wait > mostWaitS {
+		return errors.New("Req-Deadline is not a time in seconds")
+	}
+	lk.Wait, lk.Resent = wait, r.Header.Get("Req-Retry") == "1"
+	if key := r.URL.Query().Get("key"); key != "" {
+		if lk.Key, err = strconv.ParseUint(key, 16, 64); err != nil {
+			return errors.New("key is not 16 hex digits")
+		}
+		lk.HasKey = true
+	}
+	return nil
+}
+
+// readBody reads the parts; the query's text keeps its bytes.
+func (b *book) readBody(text []byte, lk *mixer.Lookup) error {
+	var in body
+	if err := json.Unmarshal(text, &in); err != nil {
+		return fmt.Errorf("the body is not as expected: %v", err)
+	}
+	var err error
+	if lk.Query, err = plain(in.Query); err != nil {
+		return err
+	}
+	if len(in.Targets) == 0 {
+		return errors.New("targets names no part")
+	}
+	lk.Parts = make([]mixer.Part, len(in.Targets))
+	seen := make(map[int]bool, len(in.Targets))
+	for i, t := range in.Targets {
+		switch {
+		case t.Partition == nil || *t.Partition < 0 || *t.Partition >= b.shards:
+			return fmt.Errorf("targets[%d].partition is not a shard", i)
+		case seen[*t.Partition]:
+			return fmt.Errorf("targets[%d].partition stands there twice", i)
+		case t.Share == nil || *t.Share < 0 || *t.Share > 1:
+			return fmt.Errorf("targets[%d].share is not a share", i)
+		case t.EstUs < 0 || t.EstUs > mostWaitS*1e6:
+			return fmt.Errorf("targets[%d].est_us is not a time", i)
+		}
+		seen[*t.Partition] = true
+		p := mixer.Part{Shard: logic.ShardID(*t.Partition), Weight: *t.Share, Hint: t.EstUs / 1e6}
+		if t.Route != "" {
+			if p.Key, err = strconv.ParseUint(t.Route, 16, 64); err != nil {
+				return fmt.Errorf("targets[%d].route is not 16 hex digits", i)
+			}
+			p.HasKey = true
+		}
+		lk.Parts[i] = p
+	}
+	return nil
+}
+
+// mostWaitS is the longest wait that is taken for one: a day, so that no sum of times overflows.
+const mostWaitS = 86400
+
+// plain is the text of a JSON string. Where nothing in it is escaped those are the bytes that came.
+func plain(raw []byte) ([]byte, error) {
+	if len(raw) < 2 || raw[0] != '"' {
+		return nil, errors.New("query is not a text")
+	}
+	if text := raw[1 : len(raw)-1]; bytes.IndexByte(text, '\\') < 0 {
+		return text, nil
+	}
+	var text string
+	err := json.Unmarshal(raw, &text)
+	return []byte(text), err
+}
+
+// appendResults writes the answer's body from the values that are in.
+func appendResults(b []byte, lk *mixer.Lookup, whole bool) []byte {
+	b = append(b, `{"whole":`...)
+	b = strconv.AppendBool(b, whole)
+	b = append(b, `,"results":[`...)
+	first := true
+	for i := range lk.Parts {
+		p := &lk.Parts[i]
+		if !p.In {
+			continue
+		}
+		if !first {
+			b = append(b, ',')
+		}
+		first = false
+		b = append(b, `{"partition":`...)
+		b = strconv.AppendInt(b, int64(p.Shard), 10)
+		b = append(b, `,"value":`...)
+		b = append(appendText(b, p.Value), '}')
+	}
+	return append(b, `]}`...)
+}
+
+// appendText writes a JSON string and escapes only what JSON needs escaped; what is not UTF-8 JSON can't carry.
+func appendText(b, text []byte) []byte {
+	b = append(b, '"')
+	if !utf8.Valid(text) {
+		text = bytes.ToValidUTF8(text, []byte("\uFFFD"))
+	}
+	for _, c := range text {
+		switch {
+		case c == '"' || c == '\\':
+			b = append(b, '\\', c)
+		case c < ' ':
+			b = append(b, `\u00`...)
+			b = append(b, "0123456789abcdef"[c>>4], "0123456789abcdef"[c&15])
+		default:
+			b = append(b, c)
+		}
+	}
+	return append(b, '"')
+}
+
+// retryAfter words advice in seconds; to the millisecond, rounded up.
+func retryAfter(s float64) string {
+	return strconv.FormatFloat(math.Ceil(s*1000)/1000, 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,162 @@
+// Package clients is the side of clients: net/http's server reads lookups, the module's actor decides, and the
+// answer is written whole.
+package clients
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+const (
+	mostBody = 64 << 10 // what the protocol lets a body hold
+	// A client that stops in the middle of a head or a body, or of reading an answer, holds its line no longer.
+	slowRequest = 10 * time.Second
+	slowAnswer  = 10 * time.Second
+	// acceptOn is how long a stopping mixer goes on accepting: a front takes that long to notice.
+	acceptOn = 500 * time.Millisecond
+	// emptying is how long after that the listener's queue is emptied before it is closed.
+	emptying = 20 * time.Millisecond
+)
+
+// Server serves clients.
+type Server struct {
+	http    *http.Server
+	lines   *lines
+	tell    *mailbox.Box[mixer.Event]
+	log     zerolog.Logger
+	count   *counters.Set
+	book    book
+	retry   bool
+	stopped chan error
+}
+
+// New makes a server that keeps no more than so many lines.
+func New(set settings.Settings, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
+	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter,
+		lines: newLines(most, log, count), stopped: make(chan error, 1)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /up", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, http.StatusOK, nil) })
+	for _, index := range set.Net.Indexes {
+		mux.HandleFunc("POST /"+index, s.lookup)
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, r, http.StatusNotFound, "there is nothing under this path")
+	})
+	s.http = &http.Server{Handler: mux, ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
+		ConnState:   s.lines.changed, ErrorLog: stdlog.New(httpLog{log}, "", 0)}
+	return s
+}
+
+// httpLog takes what net/http itself has to say, a handler's panic above all.
+type httpLog struct{ log zerolog.Logger }
+
+func (l httpLog) Write(text []byte) (int, error) {
+	l.log.Warn().Str("text", string(text)).Msg("http")
+	return len(text), nil
+}
+
+// Serve accepts until Drain.
+func (s *Server) Serve(l *net.TCPListener) {
+	s.lines.listener = l
+	s.stopped <- s.http.Serve(s.lines)
+}
+
+// Drain goes on accepting for a while, then closes the listener once its queue is empty, and the idle lines;
+// it returns when all that was taken is answered. Answers close their lines meanwhile.
+func (s *Server) Drain() {
+	s.lines.drain()
+	time.Sleep(acceptOn)
+	s.lines.listener.SetDeadline(time.Now().Add(emptying))
+	<-s.stopped
+	s.lines.closeIdle(whyShutdown)
+	s.lines.wait()
+	s.http.Close()
+}
+
+// lookup reads one, hands it to the module's actor and writes what that says.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	l := r.Context().Value(lineKey{}).(*line)
+	if l.surplus {
+		s.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
+		return
+	}
+	lk := &mixer.Lookup{Arrived: l.arrived(), Done: make(chan mixer.Reply, 1)}
+	if err := s.book.readHead(r, lk); err != nil {
+		s.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
+		s.refuse(w, r, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body holds at most %d bytes", mostBody))
+		return
+	} else if err != nil {
+		l.end(whyHalfBody)
+		s.refuse(w, r, http.StatusBadRequest, "the body ends too early")
+		return
+	}
+	if err := s.book.readBody(text, lk); err != nil {
+		s.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	l.SetReadDeadline(time.Time{}) // that of reading; from here net/http only watches for the client's leaving
+	s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.LookupTaken}})
+	select {
+	case reply := <-lk.Done:
+		s.answer(w, r, lk, reply)
+	case <-r.Context().Done():
+		s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.ClientGone}})
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, lk *mixer.Lookup, reply mixer.Reply) {
+	switch reply.End {
+	case mixer.Satisfied:
+		w.Header().Set("Content-Type", "application/json")
+		s.write(w, r, http.StatusOK, appendResults(nil, lk, reply.Whole))
+	case mixer.Nacked:
+		if reply.Wait > 0 && s.retry {
+			w.Header().Set("Retry-After", retryAfter(reply.Wait))
+		}
+		s.write(w, r, http.StatusTooManyRequests, nil)
+	case mixer.Full:
+		s.write(w, r, http.StatusServiceUnavailable, nil)
+	case mixer.Twice:
+		s.refuse(w, r, http.StatusConflict, "a lookup of this id is already held")
+	default:
+		s.write(w, r, http.StatusInternalServerError, nil)
+	}
+}
+
+// refuse answers what never reaches the module with one plain sentence.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, sentence string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.write(w, r, status, []byte(sentence+".\n"))
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, status int, body []byte) {
+	l := r.Context().Value(lineKey{}).(*line)
+	s.count.Add("answers", strconv.Itoa(status), 1)
+	l.SetWriteDeadline(time.Now().Add(slowAnswer))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if l.surplus || s.lines.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+	w.Write(body)
+}
--- /dev/null
+++ b/internal/clients/lines.go
@@ -0,0 +1,238 @@
+package clients
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+)
+
+// surplusLines is how many lines beyond the cap are taken only to be told 503; any further are closed at once.
+const surplusLines = 32
+
+var errDrained = errors.New("no longer accepting")
+
+type lineKey struct{}
+
+// reason is the code of why a client's line ended, as docs/oncall.md lists them.
+type reason string
+
+const (
+	whyClient    reason = "closed_by_client"
+	whyReset     reason = "reset"
+	whySlow      reason = "request_too_slow"
+	whySilent    reason = "nothing_asked"
+	whyHalfBody  reason = "half_body"
+	whyUnwritten reason = "answer_unwritten"
+	whyAnswered  reason = "closed_after_answer"
+	whyEvicted   reason = "idle_evicted"
+	whyFull      reason = "too_many_lines"
+	whyShutdown  reason = "shutdown"
+)
+
+// line is a client's connection. It notes when a request's first byte came: the client's wait runs from its
+// sending, so the byte's time is the nearest and safe side, however late the request's turn comes.
+type line struct {
+	net.Conn
+	of       *lines
+	surplus  bool
+	opened   time.Time
+	came     atomic.Int64 // when, in ns after opened; 0 until the first byte after an answer
+	answered atomic.Bool
+	why      atomic.Value // reason
+	once     sync.Once
+
+	idle time.Time // since when; zero while a request is in hand; guarded by of.mu
+}
+
+func (l *line) Read(b []byte) (int, error) {
+	n, err := l.Conn.Read(b)
+	if n > 0 {
+		l.came.CompareAndSwap(0, max(1, int64(time.Since(l.opened))))
+	}
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		l.end(whyClient)
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		l.end(whyReset)
+	case l.came.Load() != 0:
+		l.end(whySlow)
+	case !l.answered.Load():
+		l.end(whySilent)
+		// Else net/http stopped its own read, to go on to the next request.
+	}
+	return n, err
+}
+
+func (l *line) Write(b []byte) (int, error) {
+	l.came.Store(0)
+	l.answered.Store(true)
+	n, err := l.Conn.Write(b)
+	if err != nil {
+		l.end(whyUnwritten)
+	}
+	return n, err
+}
+
+// arrived is when the request in hand began to come in.
+func (l *line) arrived() time.Time {
+	if came := l.came.Load(); came != 0 {
+		return l.opened.Add(time.Duration(came))
+	}
+	return time.Now() // it came along with the request before
+}
+
+// between tells that no part of a request is here; of.mu is held.
+func (l *line) between() bool { return !l.idle.IsZero() && l.came.Load() == 0 }
+
+// end notes why the line ends; the first reason stands.
+func (l *line) end(why reason) { l.why.CompareAndSwap(nil, why) }
+
+// CloseWrite lets net/http end a line so that its answer is not lost with it.
+func (l *line) CloseWrite() error { return l.Conn.(*net.TCPConn).CloseWrite() }
+
+func (l *line) Close() error {
+	err := l.Conn.Close()
+	l.once.Do(func() { l.of.ended(l) })
+	return err
+}
+
+// lines is the listener that net/http accepts from, and the book of its lines. It never stalls: at the cap it
+// closes the line that is idle longest, and a newcomer is told that there are too many.
+type lines struct {
+	listener *net.TCPListener
+	most     int
+	log      zerolog.Logger
+	count    *counters.Set
+
+	mu     sync.Mutex
+	open   map[*line]bool
+	empty  *sync.Cond
+	drains bool
+}
+
+func newLines(most int, log zerolog.Logger, count *counters.Set) *lines {
+	s := &lines{most: most, log: log, count: count, open: map[*line]bool{}}
+	s.empty = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *lines) Addr() net.Addr { return s.listener.Addr() }
+
+func (s *lines) Close() error { return s.listener.Close() }
+
+func (s *lines) Accept() (net.Conn, error) {
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, errDrained // which net/http does not take for a passing trouble
+		} else if err != nil {
+			return nil, err
+		}
+		l := &line{Conn: c, of: s, opened: time.Now()}
+		s.mu.Lock()
+		var evicted *line
+		if len(s.open) >= s.most {
+			if evicted = s.longestIdle(); evicted == nil {
+				l.surplus = true
+			}
+		}
+		refused := len(s.open) >= s.most+surplusLines
+		s.open[l] = true
+		s.mu.Unlock()
+		s.count.Add("client_lines", "accepted", 1)
+		if evicted != nil {
+			evicted.end(whyEvicted)
+			evicted.Close()
+		}
+		if !refused {
+			return l, nil
+		}
+		l.end(whyFull)
+		l.Close()
+	}
+}
+
+// longestIdle is the line that has waited longest for its client's next request; the lock is held.
+func (s *lines) longestIdle() (found *line) {
+	for l := range s.open {
+		if l.between() && (found == nil || l.idle.Before(found.idle)) {
+			found = l
+		}
+	}
+	if found != nil {
+		found.idle = time.Time{}
+	}
+	return found
+}
+
+// changed hears from net/http what a line does.
+func (s *lines) changed(c net.Conn, state http.ConnState) {
+	l := c.(*line)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.idle = (time.Time{}); state == http.StateIdle || state == http.StateNew {
+		l.idle = time.Now()
+	}
+}
+
+func (s *lines) ended(l *line) {
+	s.mu.Lock()
+	delete(s.open, l)
+	none := len(s.open) == 0
+	s.mu.Unlock()
+	if none {
+		s.empty.Broadcast()
+	}
+	l.end(whyAnswered)
+	why := string(l.why.Load().(reason))
+	s.count.Add("client_lines", why, 1)
+	s.log.Info().Str("peer", "client").Str("reason", why).Stringer("address", l.RemoteAddr()).
+		Float64("lived_s", time.Since(l.opened).Seconds()).Msg("connection ended")
+}
+
+func (s *lines) drain() {
+	s.mu.Lock()
+	s.drains = true
+	s.mu.Unlock()
+}
+
+func (s *lines) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains
+}
+
+// closeIdle closes lines between two requests.
+func (s *lines) closeIdle(why reason) {
+	s.mu.Lock()
+	var idle []*line
+	for l := range s.open {
+		if l.between() {
+			idle = append(idle, l)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range idle {
+		l.end(why)
+		l.Close()
+	}
+}
+
+// wait returns when no line is open.
+func (s *lines) wait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.open) > 0 {
+		s.empty.Wait()
+	}
+}
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,343 @@
+// Package list is the actor of the register: the list as it was known at the start, the watch on its changes,
+// the whole list where it is asked for, and reconnects.
+package list
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+const (
+	// beat is how often the protocol sends an empty line while nothing changes; a watch that misses silentBeats
+	// of them is dead or its register out of reach, and only a new one can tell.
+	beat        = 2 * time.Second
+	silentBeats = 4
+	// Waits between watches grow, so that mixers that lost the register together leave it room.
+	firstWait = 100 * time.Millisecond
+	mostWait  = 5 * time.Second
+	// mostLine bounds what one line can make us hold: some 10,000 searchers.
+	mostLine = 4 << 20
+)
+
+// entry and page are the register's form.
+type entry struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs float64 `json:"startedAtMs"`
+}
+
+type page struct {
+	Version   *int64  `json:"generation"`
+	Whole     bool    `json:"reset"`
+	Instances []entry `json:"instances"`
+}
+
+var phases = map[string]logic.Phase{"SERVING": logic.Ready, "DRAINING": logic.Draining, "DELETED": logic.Gone}
+
+type noteKind uint8
+
+const (
+	subscribe noteKind = iota // on
+	askWhole
+	lineCame   // watch, line
+	watchEnded // watch, err
+	wholeCame  // line or err
+	stop
+)
+
+type note struct {
+	kind  noteKind
+	on    bool
+	watch int
+	line  []byte
+	err   error
+}
+
+// Register is the actor.
+type Register struct {
+	in       *mailbox.Box[note]
+	tell     *mailbox.Box[mixer.Event]
+	log      zerolog.Logger
+	count    *counters.Set
+	url      string
+	asked    bool // the module asks for the list; else it comes unasked
+	client   *http.Client
+	places   map[string]int
+	kinds    map[string]int
+	ids      map[string]logic.SearcherID
+	version  int64
+	on       bool
+	watch    int // number of the watch that counts
+	cancel   context.CancelFunc
+	heard    time.Time
+	since    time.Time // of the watch in hand
+	wait     time.Duration
+	again    time.Time // when to watch again; zero while one runs
+	finished chan struct{}
+}
+
+// New makes the actor and tells the module what was known at the start.
+func New(address string, known []byte, set settings.Settings, tell *mailbox.Box[mixer.Event], log zerolog.Logger,
+	count *counters.Set) (*Register, error) {
+	r := &Register{in: mailbox.New[note](), tell: tell, log: log, count: count,
+		url: "http://" + address + "/discovery/hosts", asked: set.AskList, on: !set.AskList,
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
+		places: numbered(set.Net.Locations), kinds: numbered(set.Net.Kinds), ids: map[string]logic.SearcherID{},
+		finished: make(chan struct{})}
+	if err := r.take(known, true); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return r, nil
+}
+
+func numbered(names []string) map[string]int {
+	m := map[string]int{}
+	for i, name := range names {
+		m[name] = i
+	}
+	return m
+}
+
+// Subscribe and AskWhole are what the module may ask.
+func (r *Register) Subscribe(on bool) { r.in.Put(note{kind: subscribe, on: on}) }
+func (r *Register) AskWhole()         { r.in.Put(note{kind: askWhole}) }
+
+// Stop ends the actor.
+func (r *Register) Stop() {
+	r.in.Put(note{kind: stop})
+	<-r.finished
+}
+
+// Run is the actor's goroutine.
+func (r *Register) Run() {
+	defer close(r.finished)
+	var notes []note
+	timer := time.NewTimer(0)
+	for {
+		select {
+		case <-r.in.Ready():
+		case <-timer.C:
+		}
+		notes = r.in.Take(notes)
+		for i := range notes {
+			if notes[i].kind == stop {
+				r.drop()
+				return
+			}
+			r.hear(&notes[i])
+		}
+		timer.Reset(time.Until(r.look(time.Now())))
+	}
+}
+
+func (r *Register) hear(n *note) {
+	switch n.kind {
+	case subscribe:
+		r.on = n.on
+		r.drop()
+		r.again = time.Time{}
+	case askWhole:
+		go r.fetch()
+	case lineCame:
+		if n.watch != r.watch {
+			return
+		}
+		r.heard = time.Now()
+		if len(n.line) == 0 {
+			return
+		}
+		if err := r.take(n.line, false); err != nil {
+			r.ended("bad_line", err)
+			return
+		}
+		r.wait = 0
+	case watchEnded:
+		if n.watch == r.watch && r.cancel != nil {
+			r.ended("watch_ended", n.err)
+		}
+	case wholeCame:
+		err := n.err
+		if err == nil {
+			err = r.take(n.line, false)
+		}
+		if err != nil {
+			r.log.Info().Str("peer", "register").Str("reason", "whole_list_failed").Str("text", err.Error()).Msg("connection ended")
+			r.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListFailed}})
+		}
+	}
+}
+
+// look begins a watch where one is due, ends one that is silent, and tells when to look again.
+func (r *Register) look(now time.Time) time.Time {
+	silent := r.heard.Add(silentBeats * beat)
+	if r.cancel != nil && !now.Before(silent) {
+		r.ended("silent", errors.New("no line and no beat"))
+	}
+	if r.on && r.cancel == nil && !now.Before(r.again) {
+		r.begin(now)
+		silent = r.heard.Add(silentBeats * beat)
+	}
+	switch {
+	case r.cancel != nil:
+		return silent
+	case r.on:
+		return r.again
+	}
+	return now.Add(time.Hour)
+}
+
+func (r *Register) begin(now time.Time) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.watch++
+	r.cancel, r.heard, r.since = cancel, now, now
+	r.count.Add("watches", "begun", 1)
+	go func(no int, url string) {
+		r.in.Put(note{kind: watchEnded, watch: no, err: r.follow(ctx, no, url)})
+	}(r.watch, r.url+"?stream=1&index="+strconv.FormatInt(r.version, 10))
+}
+
+// drop lets go of the watch in hand; what it may still say counts no more.
+func (r *Register) drop() {
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+	r.watch++
+}
+
+// ended lets go of a watch that came to nothing, and sets when to try again. Mixers that lost the register
+// together must not come back together.
+func (r *Register) ended(why string, err error) {
+	r.count.Add("watches", why, 1)
+	r.log.Info().Str("peer", "register").Str("reason", why).Float64("lived_s", time.Since(r.since).Seconds()).
+		Str("text", fmt.Sprint(err)).Msg("connection ended")
+	r.drop()
+	r.wait = min(mostWait, max(firstWait, 2*r.wait))
+	r.again = time.Now().Add(time.Duration((0.5 + rand.Float64()) * float64(r.wait)))
+	if r.asked { // the module says when to ask again
+		r.on = false
+		r.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListFailed}})
+	}
+}
+
+func (r *Register) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := r.client.Do(req)
+	if err == nil && res.StatusCode != http.StatusOK {
+		res.Body.Close()
+		return nil, fmt.Errorf("status %d", res.StatusCode)
+	}
+	return res, err
+}
+
+// follow reads a watch until it ends.
+func (r *Register) follow(ctx context.Context, no int, url string) error {
+	res, err := r.get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(nil, mostLine)
+	for lines.Scan() {
+		r.in.Put(note{kind: lineCame, watch: no, line: append([]byte(nil), lines.Bytes()...)})
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// fetch asks for the whole list once.
+func (r *Register) fetch() {
+	ctx, cancel := context.WithTimeout(context.Background(), silentBeats*beat)
+	defer cancel()
+	n := note{kind: wholeCame}
+	var res *http.Response
+	if res, n.err = r.get(ctx, r.url); n.err == nil {
+		n.line, n.err = io.ReadAll(io.LimitReader(res.Body, mostLine))
+		res.Body.Close()
+	}
+	r.in.Put(n)
+}
+
+// take reads a line of the register's and tells the module, unless anything in it can't be read: half a list
+// would be worse than an old one.
+func (r *Register) take(line []byte, known bool) error {
+	var p page
+	if err := json.Unmarshal(line, &p); err != nil {
+		return err
+	}
+	if p.Version == nil {
+		return errors.New("no generation")
+	}
+	e := mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListPatch}}
+	switch {
+	case known:
+		e.List = logic.ListStale
+	case p.Whole:
+		e.List = logic.ListWhole
+	}
+	for i := range p.Instances {
+		in := &p.Instances[i]
+		phase, is := phases[in.State]
+		switch {
+		case !is:
+			return fmt.Errorf("searcher %q: unknown state %q", in.ID, in.State)
+		case in.ID == "":
+			return errors.New("searcher without an id")
+		case phase != logic.Gone && in.Address == "":
+			return fmt.Errorf("searcher %q without an address", in.ID)
+		case in.Cell < 0:
+			return fmt.Errorf("searcher %q: cell %d", in.ID, in.Cell)
+		}
+		id, seen := r.ids[in.ID]
+		if !seen {
+			id = logic.SearcherID(len(r.ids) + 1)
+			r.ids[in.ID] = id
+		}
+		e.Entries = append(e.Entries, logic.Entry{Searcher: id, Location: logic.LocationID(number(r.places, in.Zone)),
+			Kind: number(r.kinds, in.Kind), Cell: logic.CellID(in.Cell), Phase: phase, Share: in.Weight,
+			StartedAt: in.StartedMs / 1000})
+		e.Addresses = append(e.Addresses, in.Address)
+	}
+	r.version = *p.Version
+	r.tell.Put(e)
+	return nil
+}
+
+// number gives names that the settings leave out numbers of their own, beyond those.
+func number(names map[string]int, name string) int {
+	no, known := names[name]
+	if !known {
+		no = len(names)
+		names[name] = no
+	}
+	return no
+}
--- /dev/null
+++ b/internal/mixer/mixer.go
@@ -0,0 +1,413 @@
+// Package mixer is the actor of the decision module: it alone calls Step. It owns the clock, the timers and the
+// map of ids, and decides nothing.
+package mixer
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// Lookup is one that a client asked for. Until its Done has an answer it is the mixer's.
+type Lookup struct {
+	ID       string // the client's; it is part of the names of part calls
+	Index    logic.IndexID
+	Customer logic.CustomerID
+	Key      uint64
+	HasKey   bool
+	Resent   bool
+	Arrived  time.Time
+	Wait     float64 // how long from then the client waits
+	Query    []byte  // what each part carries
+	Parts    []Part
+	Done     chan Reply // holds one
+
+	id   logic.LookupID
+	held bool // taken, and no final answer given
+}
+
+// Part is one of a lookup's; its Value is there once it is In.
+type Part struct {
+	Shard        logic.ShardID
+	Weight, Hint float64
+	Key          uint64
+	HasKey       bool
+	In           bool
+	Value        []byte
+
+	made logic.CallNo // part calls so far
+}
+
+// End is how a lookup ended for its client.
+type End uint8
+
+const (
+	Satisfied End = iota
+	Nacked
+	Aborted
+	Full // the most that may be held is held; the module never saw it
+	Twice
+)
+
+// Reply is the final answer of a lookup.
+type Reply struct {
+	End   End
+	Whole bool
+	Wait  float64 // advice when to come back, 0 for none
+}
+
+// Event is what an actor tells the module's: one of the module's own events with what it has no place for. A
+// lookup comes as one event, which brings its parts.
+type Event struct {
+	logic.Event
+	Taken     *Lookup  // LookupTaken, and ClientGone
+	Value     []byte   // CallEnded
+	Addresses []string // ListChanged: one for each entry
+}
+
+// Call is one part call on its way to a searcher.
+type Call struct {
+	Part   logic.PartID
+	No     logic.CallNo
+	Lookup *Lookup // of which only what never changes may be read
+	Shard  logic.ShardID
+	Sent   time.Time
+	Stop   time.Time // when to stop waiting
+}
+
+// Searchers takes what goes to searchers. None of its methods may block.
+type Searchers interface {
+	Named(entry logic.Entry, address string)
+	Unnamed(keep map[logic.SearcherID]bool)
+	Send(to logic.SearcherID, calls []Call)
+	Withdraw(at logic.SearcherID, part logic.PartID, no logic.CallNo)
+	Probe(at logic.SearcherID)
+	CloseIdle(at logic.SearcherID)
+}
+
+// Register takes what is asked of the list. None of its methods may block.
+type Register interface {
+	Subscribe(on bool)
+	AskWhole()
+}
+
+type partRef struct {
+	lookup *Lookup
+	no     int
+}
+
+type callKey struct {
+	part logic.PartID
+	no   logic.CallNo
+}
+
+// timer is one that the module set.
+type timer struct {
+	due time.Time
+	id  logic.TimerID
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due.Before(t[j].due) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// Mixer is the actor.
+type Mixer struct {
+	In *mailbox.Box[Event]
+
+	set       settings.Settings
+	log       zerolog.Logger
+	count     *counters.Set
+	searchers Searchers
+	register  Register
+	module    *logic.Mixer
+
+	start    time.Time // with its monotonic reading
+	unix     float64   // the same in Unix seconds
+	stepped  time.Time // last step
+	timers   timers
+	due      map[logic.TimerID]time.Time // when timers of this step were due
+	lastID   uint64
+	held     int // lookups and parts
+	lookups  map[logic.LookupID]*Lookup
+	names    map[string]*Lookup // held, by the client's id
+	parts    map[logic.PartID]partRef
+	out      map[callKey]logic.SearcherID
+	waiting  []Event
+	events   []logic.Event
+	actions  []logic.Action
+	trips    map[logic.SearcherID][]Call // calls of this step that share one
+	tripTo   []logic.SearcherID
+	stopping chan struct{}
+	stopped  chan struct{}
+}
+
+// New makes the actor; Run starts it.
+func New(set settings.Settings, log zerolog.Logger, count *counters.Set) *Mixer {
+	now := time.Now()
+	m := &Mixer{In: mailbox.New[Event](), set: set, log: log, count: count, start: now,
+		unix: float64(now.UnixNano()) / 1e9, due: map[logic.TimerID]time.Time{},
+		lookups: map[logic.LookupID]*Lookup{}, names: map[string]*Lookup{}, parts: map[logic.PartID]partRef{},
+		out: map[callKey]logic.SearcherID{}, trips: map[logic.SearcherID][]Call{},
+		stopping: make(chan struct{}), stopped: make(chan struct{})}
+	m.module = logic.New(set.Settings, m.unix)
+	return m
+}
+
+// seconds is the module's clock: Unix time at the start and monotonic time since, so that it fits the starts of
+// searchers and never jumps.
+func (m *Mixer) seconds(t time.Time) float64 { return m.unix + t.Sub(m.start).Seconds() }
+
+func (m *Mixer) clock(seconds float64) time.Time {
+	return m.start.Add(time.Duration((seconds - m.unix) * float64(time.Second)))
+}
+
+// Run is the actor's goroutine, until Stop.
+func (m *Mixer) Run(searchers Searchers, register Register) {
+	defer close(m.stopped)
+	m.searchers, m.register = searchers, register
+	wake := time.NewTimer(time.Hour)
+	for {
+		m.step(time.Now())
+		// Steps come no closer than the settings say, as on the bench.
+		next := m.stepped.Add(time.Duration(m.set.Step * float64(time.Second)))
+		wake.Reset(time.Until(next))
+		select {
+		case <-wake.C:
+		case <-m.stopping:
+			return
+		}
+		if len(m.timers) > 0 {
+			wake.Reset(time.Until(m.timers[0].due))
+		} else {
+			wake.Reset(time.Hour)
+		}
+		select {
+		case <-m.In.Ready():
+		case <-wake.C:
+		case <-m.stopping:
+			return
+		}
+	}
+}
+
+// Stop ends the actor; what is held then gets no answer.
+func (m *Mixer) Stop() {
+	close(m.stopping)
+	<-m.stopped
+}
+
+// step hands the module all that waits, and hands out what it says.
+func (m *Mixer) step(now time.Time) {
+	m.stepped = now
+	m.waiting = m.In.Take(m.waiting)
+	m.events = m.events[:0]
+	for i := range m.waiting {
+		m.take(&m.waiting[i], now)
+	}
+	clear(m.due)
+	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
+		t := heap.Pop(&m.timers).(timer)
+		m.due[t.id] = t.due
+		m.events = append(m.events, logic.Event{Kind: logic.TimerDue, Timer: t.id})
+	}
+	if len(m.events) == 0 {
+		return
+	}
+	m.actions = m.module.Step(m.seconds(now), m.events, m.actions[:0])
+	for i := range m.actions {
+		m.act(&m.actions[i], now)
+	}
+	for _, to := range m.tripTo {
+		m.flush(to)
+	}
+	m.tripTo = m.tripTo[:0]
+	clear(m.events)
+	clear(m.actions)
+}
+
+// take turns what an actor told into the module's events, in the order of telling.
+func (m *Mixer) take(e *Event, now time.Time) {
+	switch e.Kind {
+	case logic.LookupTaken:
+		m.open(e.Taken, now)
+		return
+	case logic.ClientGone:
+		if !e.Taken.held {
+			return // answered while it left
+		}
+		e.Lookup = e.Taken.id
+		m.close(e.Taken)
+		m.count.Add("lookups", "gone", 1)
+	case logic.CallEnded:
+		delete(m.out, callKey{e.Part, e.Call})
+		if ref, held := m.parts[e.Part]; held && e.Outcome == logic.Answered {
+			if p := &ref.lookup.Parts[ref.no]; !p.In {
+				p.In, p.Value = true, e.Value
+			}
+		}
+	case logic.ListChanged:
+		if e.List == logic.ListFailed {
+			break
+		}
+		keep := map[logic.SearcherID]bool{}
+		for i := range e.Entries {
+			m.searchers.Named(e.Entries[i], e.Addresses[i])
+			keep[e.Entries[i].Searcher] = true
+		}
+		if e.List != logic.ListPatch {
+			m.searchers.Unnamed(keep)
+		}
+	}
+	m.events = append(m.events, e.Event)
+}
+
+// open takes a lookup in, its parts right behind it, unless the most that may be held is held.
+func (m *Mixer) open(lk *Lookup, now time.Time) {
+	m.count.Add("lookups", "taken", 1)
+	switch {
+	case m.set.Limits.MaxHeld > 0 && m.held >= m.set.Limits.MaxHeld:
+		m.count.Add("lookups", "full", 1)
+		lk.Done <- Reply{End: Full}
+		return
+	case m.names[lk.ID] != nil: // its part calls could not be told from those of the other
+		m.count.Add("lookups", "twice", 1)
+		lk.Done <- Reply{End: Twice}
+		return
+	}
+	m.lastID++
+	lk.id, lk.held = logic.LookupID(m.lastID), true
+	m.lookups[lk.id], m.names[lk.ID] = lk, lk
+	m.held += 1 + len(lk.Parts)
+	left := lk.Wait - now.Sub(lk.Arrived).Seconds()
+	e := logic.Event{Kind: logic.LookupTaken, Lookup: lk.id, No: logic.LookupNo(lk.id), Index: lk.Index,
+		Customer: lk.Customer, Key: lk.Key, HasKey: lk.HasKey, Left: left, Parts: len(lk.Parts), Resent: lk.Resent}
+	for i := range lk.Parts {
+		e.Hint += lk.Parts[i].Hint
+	}
+	m.events = append(m.events, e)
+	e.Kind, e.Parts = logic.PartTaken, 0
+	for i := range lk.Parts {
+		p := &lk.Parts[i]
+		m.lastID++
+		e.Part, e.Shard, e.Weight, e.Hint, e.Key, e.HasKey = logic.PartID(m.lastID), p.Shard, p.Weight, p.Hint, p.Key, p.HasKey
+		m.parts[e.Part] = partRef{lk, i}
+		m.events = append(m.events, e)
+	}
+}
+
+// close lets go of a lookup that has its final answer, or no client.
+func (m *Mixer) close(lk *Lookup) {
+	lk.held = false
+	delete(m.lookups, lk.id)
+	delete(m.names, lk.ID)
+	for i := range lk.Parts {
+		delete(m.parts, logic.PartID(uint64(lk.id)+1+uint64(i)))
+	}
+	m.held -= 1 + len(lk.Parts)
+}
+
+func (m *Mixer) finish(id logic.LookupID, reason string, reply Reply) {
+	lk := m.lookups[id]
+	if lk == nil {
+		m.log.Warn().Uint64("lookup", uint64(id)).Str("end", reason).Msg("answer for a lookup that is not held")
+		return
+	}
+	m.close(lk)
+	m.count.Add("lookups", reason, 1)
+	lk.Done <- reply
+}
+
+func (m *Mixer) act(a *logic.Action, now time.Time) {
+	switch a.Kind {
+	case logic.Send:
+		m.send(a, now)
+	case logic.Withdraw:
+		if to, out := m.out[callKey{a.Part, a.Call}]; out {
+			m.flush(to)
+			m.searchers.Withdraw(to, a.Part, a.Call)
+		}
+	case logic.Answer:
+		m.finish(a.Lookup, "satisfied", Reply{End: Satisfied, Whole: a.Whole})
+	case logic.Nack:
+		m.finish(a.Lookup, "nacked", Reply{End: Nacked, Wait: a.Wait})
+	case logic.Abort:
+		m.finish(a.Lookup, "aborted", Reply{End: Aborted})
+	case logic.SetTimer:
+		m.setTimer(a, now)
+	case logic.Probe:
+		m.flush(a.Searcher)
+		m.count.Add("probes", "sent", 1)
+		m.searchers.Probe(a.Searcher)
+	case logic.CloseIdle:
+		m.flush(a.Searcher)
+		m.searchers.CloseIdle(a.Searcher)
+	case logic.Subscribe:
+		m.register.Subscribe(a.On)
+	case logic.AskWhole:
+		m.register.AskWhole()
+	case logic.Tell:
+		m.count.Add("messages", "no_way_to_mixers", 1)
+	case logic.Note:
+		m.log.Info().Str("note", a.Text).Msg("module")
+	}
+}
+
+// setTimer sets a timer. One that comes again and again counts from when it was due, not from when its step came,
+// or each step's lateness would add up.
+func (m *Mixer) setTimer(a *logic.Action, now time.Time) {
+	from := now
+	wait := time.Duration(math.Ceil(a.Wait * float64(time.Second)))
+	if due, again := m.due[a.Timer]; again && due.Add(wait).After(now) {
+		from = due
+	}
+	heap.Push(&m.timers, timer{from.Add(wait), a.Timer})
+}
+
+// send puts a call on the trip to its searcher; what one step sends there shares calls, up to the number set.
+func (m *Mixer) send(a *logic.Action, now time.Time) {
+	ref, held := m.parts[a.Part]
+	if !held {
+		m.log.Warn().Uint64("part", uint64(a.Part)).Msg("send of a part that is not held")
+		return
+	}
+	lk, p := ref.lookup, &ref.lookup.Parts[ref.no]
+	stop := lk.Arrived.Add(time.Duration(lk.Wait * float64(time.Second)))
+	if at := m.clock(a.StopAt); a.StopAt > 0 && at.Before(stop) {
+		stop = at
+	}
+	key := callKey{a.Part, p.made}
+	p.made++
+	m.out[key] = a.Searcher
+	m.count.Add("calls", "sent", 1)
+	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop})
+	if len(trip) == 1 {
+		m.tripTo = append(m.tripTo, a.Searcher)
+	}
+	m.trips[a.Searcher] = trip
+	if len(trip) >= max(1, m.set.Layout.CallParts) {
+		m.flush(a.Searcher)
+	}
+}
+
+func (m *Mixer) flush(to logic.SearcherID) {
+	if trip := m.trips[to]; len(trip) > 0 {
+		delete(m.trips, to)
+		m.searchers.Send(to, trip)
+	}
+}
--- /dev/null
+++ b/internal/searchers/frames.go
@@ -0,0 +1,134 @@
+package searchers
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// mostFrame bounds what a searcher's length can make us allocate: far above any answer, far below our memory.
+const mostFrame = 1 << 20
+
+// The letters of frames.
+const (
+	letterCall   = 'S'
+	letterCancel = 'C'
+	letterAlive  = 'H'
+	letterLoad   = 'M'
+	letterAnswer = 'R'
+	letterRefuse = 'F'
+)
+
+// answer is what frame R says of a part call.
+type answer struct {
+	name    string
+	outcome logic.Outcome
+	load    logic.Load
+	value   []byte
+}
+
+var (
+	ends        = map[string]logic.Outcome{"done": logic.Answered, "failed": logic.Errored, "full": logic.TurnedAway}
+	errNoLetter = errors.New("frame without a letter")
+)
+
+// readFrame reads one frame; what it returns is the caller's.
+func readFrame(r *bufio.Reader) (letter byte, rest []byte, err error) {
+	var head [5]byte
+	if _, err = io.ReadFull(r, head[:4]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:4])
+	switch {
+	case n == 0:
+		return 0, nil, errNoLetter
+	case n > mostFrame:
+		return 0, nil, fmt.Errorf("frame of %d bytes, %d at most", n, mostFrame)
+	}
+	rest = make([]byte, n)
+	if _, err = io.ReadFull(r, rest); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, nil, err
+	}
+	return rest[0], rest[1:], nil
+}
+
+func appendFrame(b []byte, letter byte, rest ...byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
+	return append(append(b, letter), rest...)
+}
+
+// partName names a part call on the wire.
+func partName(c *mixer.Call) string {
+	return c.Lookup.ID + "." + strconv.Itoa(int(c.Shard))
+}
+
+// appendCall writes the parts of one call; the time left is rounded down, never to say more than the client waits.
+func appendCall(b []byte, calls []*call, now time.Time) []byte {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, letterCall)
+	for _, c := range calls {
+		b = append(append(b, c.name...), ' ')
+		b = strconv.AppendInt(b, int64(c.Shard), 10)
+		b = append(b, " d="...)
+		b = strconv.AppendInt(b, max(0, c.Stop.Sub(now).Milliseconds()), 10)
+		b = append(b, ' ')
+		b = strconv.AppendInt(b, int64(len(c.Lookup.Query)), 10)
+		b = append(append(b, '\n'), c.Lookup.Query...)
+	}
+	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-4))
+	return b
+}
+
+// parseAnswer reads the rest of an R frame; the value keeps its bytes.
+func parseAnswer(rest []byte) (a answer, err error) {
+	line, value, found := bytes.Cut(rest, []byte{'\n'})
+	fields := bytes.Split(line, []byte{' '})
+	if !found || len(fields) != 4 {
+		return a, fmt.Errorf("answer %.80q: expected ID END SCORE REPORT and a line end", line)
+	}
+	known := false
+	if a.outcome, known = ends[string(fields[1])]; !known {
+		return a, fmt.Errorf("answer %.80q: unknown end", line)
+	}
+	a.name, a.load, a.value = string(fields[0]), parseLoad(fields[3]), value
+	return a, nil
+}
+
+// parseLoad reads a load report. A name that is not known and a figure that can't be read are left out: the
+// answer beside them stands.
+func parseLoad(report []byte) (l logic.Load) {
+	for pair := range bytes.SplitSeq(report, []byte{','}) {
+		name, value, _ := bytes.Cut(pair, []byte{'='})
+		v, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		switch string(name) {
+		case "inflight":
+			l.Has, l.InHand = l.Has|logic.HasInHand, v
+		case "queue":
+			l.Has, l.Waiting = l.Has|logic.HasWaiting, v
+		case "util":
+			l.Has, l.Util = l.Has|logic.HasUtil, v
+		case "latency_ms":
+			l.Has, l.ServiceS = l.Has|logic.HasService, v/1000
+		case "qps":
+			l.Has, l.ServedPS = l.Has|logic.HasServed, v
+		case "eps":
+			l.Has, l.FailPS = l.Has|logic.HasFail, v
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/searchers/searchers.go
@@ -0,0 +1,526 @@
+// Package searchers speaks with searchers: an actor for each, with its lines, calls, probes and time-outs. What
+// is sent where is the module's to decide; here is only how.
+package searchers
+
+import (
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// Fleet hands each searcher's actor what concerns it. It belongs to the module's actor.
+type Fleet struct {
+	set    settings.Net
+	tell   *mailbox.Box[mixer.Event]
+	log    zerolog.Logger
+	count  *counters.Set
+	actors map[logic.SearcherID]*actor
+	all    sync.WaitGroup
+}
+
+func New(set settings.Net, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Fleet {
+	return &Fleet{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{}}
+}
+
+// Named takes what the list says of a searcher, and starts its actor at the first naming.
+func (f *Fleet) Named(entry logic.Entry, address string) {
+	a := f.actors[entry.Searcher]
+	if a == nil {
+		a = &actor{fleet: f, id: entry.Searcher, in: mailbox.New[note](), calls: map[string]*call{}}
+		f.actors[entry.Searcher] = a
+		f.all.Go(a.run)
+	}
+	a.in.Put(note{kind: named, entry: entry, address: address})
+}
+
+// Unnamed tells those that a whole list leaves out.
+func (f *Fleet) Unnamed(keep map[logic.SearcherID]bool) {
+	for id, a := range f.actors {
+		if !keep[id] {
+			a.in.Put(note{kind: named, entry: logic.Entry{Phase: logic.Gone}})
+		}
+	}
+}
+
+func (f *Fleet) put(to logic.SearcherID, n note) {
+	if a := f.actors[to]; a != nil {
+		a.in.Put(n)
+	}
+}
+
+// Send sends calls that share one place on a line.
+func (f *Fleet) Send(to logic.SearcherID, calls []mixer.Call) {
+	f.put(to, note{kind: send, new: calls})
+}
+
+func (f *Fleet) Withdraw(at logic.SearcherID, part logic.PartID, no logic.CallNo) {
+	f.put(at, note{kind: withdraw, part: part, no: no})
+}
+
+func (f *Fleet) Probe(at logic.SearcherID) { f.put(at, note{kind: probe, at: time.Now()}) }
+
+func (f *Fleet) CloseIdle(at logic.SearcherID) { f.put(at, note{kind: closeIdle}) }
+
+// Stop ends all actors and their lines; the module's actor has ended before.
+func (f *Fleet) Stop() {
+	for _, a := range f.actors {
+		a.in.Put(note{kind: stop})
+	}
+	f.all.Wait()
+}
+
+type noteKind uint8
+
+const (
+	named noteKind = iota
+	send
+	withdraw
+	probe
+	closeIdle
+	stop
+	dialled   // line, or why and text
+	wentOut   // line, letter, calls: written to the last byte
+	cameIn    // line, letter, answer or text, at
+	lineEnded // line, why, text
+)
+
+// note is what an actor hears, from the module's or from its own lines.
+type note struct {
+	kind    noteKind
+	letter  byte
+	entry   logic.Entry
+	address string
+	new     []mixer.Call
+	calls   []*call
+	part    logic.PartID
+	no      logic.CallNo
+	line    *line
+	answer  answer
+	why     reason
+	text    string
+	at      time.Time
+}
+
+// call is one part call that is out. name, the Call and its trip never change.
+type call struct {
+	mixer.Call
+	name    string
+	trip    *trip
+	line    *line // nil while it waits for one
+	written bool
+}
+
+// trip is the calls that share one place on a line.
+type trip struct {
+	calls []*call
+	live  int
+}
+
+// asking is the probe that is out; the module has one at a time.
+type asking struct {
+	since   time.Time
+	line    *line
+	written bool
+}
+
+// actor speaks with one searcher.
+type actor struct {
+	fleet   *Fleet
+	id      logic.SearcherID
+	in      *mailbox.Box[note]
+	address string
+	stopped bool
+	lines   []*line
+	dials   int
+	waiting []*trip // for a line with room
+	calls   map[string]*call
+	asking  *asking
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (a *actor) run() {
+	var notes []note
+	timer := time.NewTimer(0)
+	for !a.stopped || a.dials > 0 || len(a.lines) > 0 {
+		select {
+		case <-a.in.Ready():
+		case <-timer.C:
+		}
+		notes = a.in.Take(notes)
+		for i := range notes {
+			a.hear(&notes[i])
+		}
+		timer.Reset(time.Until(a.watch(time.Now())))
+	}
+}
+
+func (a *actor) hear(n *note) {
+	switch n.kind {
+	case named:
+		a.named(n)
+	case send:
+		a.send(n.new)
+	case withdraw:
+		for _, c := range a.calls {
+			if c.Part == n.part && c.No == n.no {
+				a.giveUp(c, logic.Withdrawn)
+				break
+			}
+		}
+	case probe:
+		a.probe(n.at)
+	case closeIdle:
+		for _, l := range a.lines {
+			if a.idle(l) {
+				a.close(l, whyAsked)
+			}
+		}
+	case stop:
+		a.stopped = true
+		for _, l := range a.lines {
+			a.close(l, whyShutdown)
+		}
+	case dialled:
+		a.dialled(n)
+	case wentOut:
+		n.line.used = time.Now()
+		for _, c := range n.calls {
+			c.written = true
+		}
+		if n.letter != letterCall && a.asking != nil && a.asking.line == n.line {
+			a.asking.written = true
+		}
+	case cameIn:
+		n.line.used = n.at
+		if n.letter == letterAnswer {
+			a.answered(n)
+		} else {
+			a.alive(n)
+		}
+	case lineEnded:
+		a.lineEnded(n)
+	}
+}
+
+// named takes what the list says. Lines to another address, or older than the searcher's last start, lead to a
+// process that is no more.
+func (a *actor) named(n *note) {
+	if n.entry.Phase == logic.Gone {
+		for _, l := range a.lines {
+			if a.idle(l) {
+				a.close(l, whyUnnamed)
+			}
+		}
+		return
+	}
+	a.address = n.address
+	for _, l := range a.lines {
+		switch {
+		case l.address != a.address:
+			a.close(l, whyMoved)
+		case float64(l.opened.UnixNano())/1e9 < n.entry.StartedAt:
+			a.close(l, whyRestarted)
+		}
+	}
+}
+
+func (a *actor) idle(l *line) bool {
+	return l.trips == 0 && (a.asking == nil || a.asking.line != l)
+}
+
+// close ends a line; what is out on it is told when its goroutines have said all they know.
+func (a *actor) close(l *line, why reason) {
+	if l.closing == "" {
+		l.closing = why
+		l.conn.Close()
+	}
+}
+
+func (a *actor) send(calls []mixer.Call) {
+	t := &trip{}
+	for _, c := range calls {
+		t.calls = append(t.calls, &call{Call: c, name: partName(&c), trip: t})
+	}
+	t.live = len(t.calls)
+	for _, c := range slices.Clone(t.calls) {
+		if a.calls[c.name] != nil { // its answer could not be told from the other's
+			a.end(c, logic.NotSent, time.Now(), answer{})
+			continue
+		}
+		a.calls[c.name] = c
+	}
+	if t.live == 0 {
+		return
+	}
+	a.waiting = append(a.waiting, t)
+	a.assign()
+}
+
+// room finds a line for a trip. One on which a call of the same name was given up is no use: its late answer
+// could not be told from the new one's.
+func (a *actor) room(t *trip) *line {
+	for _, l := range a.lines {
+		if l.closing != "" || a.fleet.set.Streams > 0 && l.trips >= a.fleet.set.Streams || a.stale(l) {
+			continue
+		}
+		if !slices.ContainsFunc(t.calls, func(c *call) bool { return !l.ghosts[c.name].IsZero() }) {
+			return l
+		}
+	}
+	return nil
+}
+
+// stale tells of a line that its searcher may close for being idle before a frame gets there: a frame is given
+// as long as a connect.
+func (a *actor) stale(l *line) bool {
+	idle := a.fleet.set.Idle
+	return idle > 0 && a.idle(l) && time.Since(l.used) >= seconds(idle-a.fleet.set.Connect)
+}
+
+// assign puts what waits on the first line that can take it, and opens more lines where there are too few.
+func (a *actor) assign() {
+	var rest []*trip
+	for _, t := range a.waiting {
+		l := a.room(t)
+		if l == nil {
+			rest = append(rest, t)
+			continue
+		}
+		l.trips++
+		for _, c := range t.calls {
+			c.line = l
+		}
+		l.out.Put(packet{letter: letterCall, calls: t.calls})
+	}
+	a.waiting = rest
+	if p := a.asking; p != nil && p.line == nil {
+		for _, l := range a.lines {
+			if l.closing == "" && !a.stale(l) {
+				a.ask(l)
+				break
+			}
+		}
+	}
+	for need := a.dialsNeeded(); a.dials < need; {
+		a.dial()
+	}
+}
+
+func (a *actor) dialsNeeded() int {
+	need, per := len(a.waiting), a.fleet.set.Streams
+	if need > 0 && per > 0 {
+		need = (need + per - 1) / per
+	} else if need > 0 {
+		need = 1
+	}
+	if a.asking != nil && a.asking.line == nil {
+		need = max(need, 1)
+	}
+	return need
+}
+
+func (a *actor) dial() {
+	a.dials++
+	a.fleet.count.Add("lines", "dialled", 1)
+	address, connect := a.address, seconds(a.fleet.set.Connect)
+	go func() {
+		conn, err := net.DialTimeout("tcp", address, connect)
+		if err != nil {
+			why := whyNoConnect
+			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+				why = whyLateDial
+			}
+			a.in.Put(note{kind: dialled, address: address, why: why, text: err.Error()})
+			return
+		}
+		l := &line{conn: conn, out: mailbox.New[packet](), address: address, opened: time.Now(),
+			used: time.Now(), ghosts: map[string]time.Time{}}
+		a.in.Put(note{kind: dialled, line: l})
+		l.run(a.in.Put)
+	}()
+}
+
+func (a *actor) dialled(n *note) {
+	a.dials--
+	if n.line != nil {
+		a.lines = append(a.lines, n.line)
+		switch {
+		case a.stopped:
+			a.close(n.line, whyShutdown)
+		case n.line.address != a.address:
+			a.close(n.line, whyMoved)
+		}
+		a.assign()
+		return
+	}
+	a.logEnd(n.why, n.text, n.address, 0)
+	if a.dials > 0 {
+		return // another may come up
+	}
+	for _, t := range slices.Clone(a.waiting) {
+		for _, c := range slices.Clone(t.calls) {
+			a.end(c, logic.NotConnected, time.Now(), answer{})
+		}
+	}
+	if p := a.asking; p != nil && p.line == nil {
+		a.probed(logic.NotConnected, time.Now(), logic.Load{})
+	}
+}
+
+// end takes a call off the books and tells the module how it ended.
+func (a *actor) end(c *call, how logic.Outcome, at time.Time, with answer) {
+	if a.calls[c.name] == c {
+		delete(a.calls, c.name)
+	}
+	t := c.trip
+	t.live--
+	switch {
+	case c.line == nil: // not handed to a line yet
+		t.calls = slices.DeleteFunc(t.calls, func(o *call) bool { return o == c })
+		if t.live == 0 {
+			a.waiting = slices.DeleteFunc(a.waiting, func(o *trip) bool { return o == t })
+		}
+	case t.live == 0:
+		c.line.trips--
+	}
+	a.fleet.count.Add("calls", outcomeNames[how], 1)
+	a.fleet.tell.Put(mixer.Event{Value: with.value, Event: logic.Event{Kind: logic.CallEnded, Part: c.Part, Call: c.No,
+		Searcher: a.id, Outcome: how, Elapsed: max(0, at.Sub(c.Sent).Seconds()), Load: with.load}})
+}
+
+var outcomeNames = [...]string{logic.Answered: "answered", logic.Errored: "errored", logic.TurnedAway: "turned_away",
+	logic.TimedOut: "timed_out", logic.NotConnected: "not_connected", logic.Broken: "broken",
+	logic.Withdrawn: "withdrawn", logic.NotSent: "not_sent"}
+
+// giveUp ends a call that nobody waits for any more. Its searcher is told, and what it may still say is dropped.
+func (a *actor) giveUp(c *call, how logic.Outcome) {
+	if l := c.line; l != nil && l.closing == "" {
+		now := time.Now()
+		maps.DeleteFunc(l.ghosts, func(_ string, until time.Time) bool { return until.Before(now) })
+		l.ghosts[c.name] = c.Stop
+		l.out.Put(packet{letter: letterCancel, name: c.name})
+	}
+	a.end(c, how, time.Now(), answer{})
+}
+
+func (a *actor) answered(n *note) {
+	c := a.calls[n.answer.name]
+	if c == nil || c.line != n.line {
+		delete(n.line.ghosts, n.answer.name)
+		a.fleet.count.Add("answers", "late", 1)
+		return
+	}
+	a.end(c, n.answer.outcome, n.at, n.answer)
+}
+
+func (a *actor) probe(at time.Time) {
+	if a.asking != nil {
+		return
+	}
+	a.asking = &asking{since: at}
+	a.assign()
+}
+
+func (a *actor) ask(l *line) {
+	a.asking.line = l
+	letter := byte(letterAlive)
+	if a.fleet.set.Loads {
+		letter = letterLoad
+	}
+	l.out.Put(packet{letter: letter})
+}
+
+// alive takes the answer of a probe. One that comes after its time-out may be taken for the next one's: a sign
+// of life it is all the same.
+func (a *actor) alive(n *note) {
+	if p := a.asking; p == nil || p.line != n.line {
+		a.fleet.count.Add("probes", "late", 1)
+	} else if n.text == "failed" {
+		a.probed(logic.Errored, n.at, logic.Load{})
+	} else {
+		a.probed(logic.Answered, n.at, parseLoad([]byte(n.text)))
+	}
+}
+
+func (a *actor) probed(how logic.Outcome, at time.Time, load logic.Load) {
+	elapsed := max(0, at.Sub(a.asking.since).Seconds())
+	a.asking = nil
+	a.fleet.count.Add("probes", outcomeNames[how], 1)
+	a.fleet.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.ProbeEnded, Searcher: a.id, Outcome: how,
+		Elapsed: elapsed, Load: load}})
+}
+
+// lineEnded tells once what was out on a line: what was never wholly written never ran.
+func (a *actor) lineEnded(n *note) {
+	l, now := n.line, time.Now()
+	a.lines = slices.DeleteFunc(a.lines, func(o *line) bool { return o == l })
+	why := n.why
+	if l.closing != "" {
+		why = l.closing
+	}
+	a.logEnd(why, n.text, l.address, now.Sub(l.opened))
+	how := func(written bool) logic.Outcome {
+		if written {
+			return logic.Broken
+		}
+		return logic.NotConnected
+	}
+	for _, c := range a.calls {
+		if c.line == l {
+			a.end(c, how(c.written), now, answer{})
+		}
+	}
+	if p := a.asking; p != nil && p.line == l {
+		a.probed(how(p.written), now, logic.Load{})
+	}
+	if !a.stopped {
+		a.assign()
+	}
+}
+
+func (a *actor) logEnd(why reason, text, address string, lived time.Duration) {
+	a.fleet.count.Add("lines", string(why), 1)
+	a.fleet.log.Info().Str("peer", "searcher").Str("reason", string(why)).Str("address", address).
+		Uint32("searcher", uint32(a.id)).Float64("lived_s", lived.Seconds()).Str("text", text).Msg("connection ended")
+}
+
+// watch ends what has waited its time, and tells when to look again.
+func (a *actor) watch(now time.Time) time.Time {
+	next := now.Add(time.Hour)
+	due := func(at time.Time) bool {
+		if at.After(now) {
+			if at.Before(next) {
+				next = at
+			}
+			return false
+		}
+		return true
+	}
+	for _, c := range a.calls {
+		if due(c.Stop) {
+			a.giveUp(c, logic.TimedOut)
+		}
+	}
+	if p := a.asking; p != nil && due(p.since.Add(seconds(a.fleet.set.Connect))) {
+		a.probed(logic.TimedOut, now, logic.Load{})
+	}
+	for _, l := range a.lines {
+		if l.closing == "" && a.idle(l) && a.fleet.set.Idle > 0 &&
+			due(l.used.Add(seconds(a.fleet.set.Idle-a.fleet.set.Connect))) {
+			a.close(l, whyIdle)
+		}
+	}
+	return next
+}
