--- a/internal/clients/body.go
+++ b/internal/clients/body.go
@@ -34,6 +34,13 @@
 	return b
 }
 
+// index is the one that the first part of a path names.
+func (b *book) index(path string) (logic.IndexID, bool) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	id, known := b.indexes[name]
+	return id, known
+}
+
 // target is a part as a client words it.
 type target struct {
 	Partition *int     `json:"partition"`
@@ -49,17 +56,17 @@
 
 // readHead reads what a lookup's headers and address say; the error is for the client.
 func (b *book) readHead(r *http.Request, lk *mixer.Lookup) error {
-	path := strings.TrimPrefix(r.URL.Path, "/")
-	index, known := b.indexes[path]
-	if kind := r.Header.Get("Req-Kind"); !known || kind != path {
-		return fmt.Errorf("Req-Kind %q does not name the index of the path", kind)
+	if kind := r.Header.Get("Req-Kind"); kind != "" {
+		if index, known := b.indexes[kind]; !known || index != lk.Index {
+			return fmt.Errorf("Req-Kind %q does not name the index of the path", kind)
+		}
 	}
-	lk.Index = index
 	lk.ID = r.Header.Get("Req-Id")
 	if lk.ID == "" || len(lk.ID) > 64 || strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c > '~' }) {
 		return errors.New("Req-Id is not an id")
 	}
 	if owner := r.Header.Get("Req-Owner"); len(b.customers) > 0 {
+		var known bool
 		if lk.Customer, known = b.customers[owner]; !known {
 			return fmt.Errorf("Req-Owner %q is not known", owner)
 		}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -49,15 +49,7 @@
 func New(set settings.Settings, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter,
 		lines: newLines(most, log, count), stopped: make(chan error, 1)}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, http.StatusOK, nil) })
-	for _, index := range set.Net.Indexes {
-		mux.HandleFunc("POST /"+index, s.lookup)
-	}
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		s.refuse(w, r, http.StatusNotFound, "there is nothing under this path")
-	})
-	s.http = &http.Server{Handler: mux, ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
 		ConnState:   s.lines.changed, ErrorLog: stdlog.New(httpLog{log}, "", 0)}
 	return s
@@ -89,14 +81,26 @@
 	s.http.Close()
 }
 
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	index, known := s.book.index(r.URL.Path)
+	switch {
+	case r.URL.Path == "/up" && r.Method == http.MethodGet:
+		s.write(w, r, http.StatusOK, nil)
+	case known && r.Method == http.MethodPost:
+		s.lookup(w, r, index)
+	default:
+		s.refuse(w, r, http.StatusNotFound, "there is nothing under this path")
+	}
+}
+
 // lookup reads one, hands it to the module's actor and writes what that says.
-func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request, index logic.IndexID) {
 	l := r.Context().Value(lineKey{}).(*line)
 	if l.surplus {
 		s.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
 		return
 	}
-	lk := &mixer.Lookup{Arrived: l.arrived(), Done: make(chan mixer.Reply, 1)}
+	lk := &mixer.Lookup{Index: index, Arrived: l.arrived(), Done: make(chan mixer.Reply, 1)}
 	if err := s.book.readHead(r, lk); err != nil {
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
@@ -106,7 +110,6 @@
 		s.refuse(w, r, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body holds at most %d bytes", mostBody))
 		return
 	} else if err != nil {
-		l.end(whyHalfBody)
 		s.refuse(w, r, http.StatusBadRequest, "the body ends too early")
 		return
 	}
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -30,7 +30,6 @@
 	whyReset     reason = "reset"
 	whySlow      reason = "request_too_slow"
 	whySilent    reason = "nothing_asked"
-	whyHalfBody  reason = "half_body"
 	whyUnwritten reason = "answer_unwritten"
 	whyAnswered  reason = "closed_after_answer"
 	whyEvicted   reason = "idle_evicted"
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -82,7 +82,8 @@
 	log      zerolog.Logger
 	count    *counters.Set
 	url      string
-	asked    bool // the module asks for the list; else it comes unasked
+	silence  time.Duration // of a watch, after which it is renewed
+	asked    bool          // the module asks for the list; else it comes unasked
 	client   *http.Client
 	places   map[string]int
 	kinds    map[string]int
@@ -102,7 +103,7 @@
 func New(address string, known []byte, set settings.Settings, tell *mailbox.Box[mixer.Event], log zerolog.Logger,
 	count *counters.Set) (*Register, error) {
 	r := &Register{in: mailbox.New[note](), tell: tell, log: log, count: count,
-		url: "http://" + address + "/discovery/hosts", asked: set.AskList, on: !set.AskList,
+		url: "http://" + address + "/discovery/hosts", silence: silentBeats * beat, asked: set.AskList, on: !set.AskList,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
 		places: numbered(set.Net.Locations), kinds: numbered(set.Net.Kinds), ids: map[string]logic.SearcherID{},
@@ -192,13 +193,13 @@
 
 // look begins a watch where one is due, ends one that is silent, and tells when to look again.
 func (r *Register) look(now time.Time) time.Time {
-	silent := r.heard.Add(silentBeats * beat)
+	silent := r.heard.Add(r.silence)
 	if r.cancel != nil && !now.Before(silent) {
 		r.ended("silent", errors.New("no line and no beat"))
 	}
 	if r.on && r.cancel == nil && !now.Before(r.again) {
 		r.begin(now)
-		silent = r.heard.Add(silentBeats * beat)
+		silent = r.heard.Add(r.silence)
 	}
 	switch {
 	case r.cancel != nil:
@@ -276,7 +277,7 @@
 
 // fetch asks for the whole list once.
 func (r *Register) fetch() {
-	ctx, cancel := context.WithTimeout(context.Background(), silentBeats*beat)
+	ctx, cancel := context.WithTimeout(context.Background(), r.silence)
 	defer cancel()
 	n := note{kind: wholeCame}
 	var res *http.Response
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -214,7 +214,6 @@
 
 // step hands the module all that waits, and hands out what it says.
 func (m *Mixer) step(now time.Time) {
-	m.stepped = now
 	m.waiting = m.In.Take(m.waiting)
 	m.events = m.events[:0]
 	for i := range m.waiting {
@@ -229,6 +228,7 @@
 	if len(m.events) == 0 {
 		return
 	}
+	m.stepped = now
 	m.actions = m.module.Step(m.seconds(now), m.events, m.actions[:0])
 	for i := range m.actions {
 		m.act(&m.actions[i], now)
@@ -279,7 +279,6 @@
 
 // open takes a lookup in, its parts right behind it, unless the most that may be held is held.
 func (m *Mixer) open(lk *Lookup, now time.Time) {
-	m.count.Add("lookups", "taken", 1)
 	switch {
 	case m.set.Limits.MaxHeld > 0 && m.held >= m.set.Limits.MaxHeld:
 		m.count.Add("lookups", "full", 1)
@@ -290,6 +289,8 @@
 		lk.Done <- Reply{End: Twice}
 		return
 	}
+	m.count.Add("lookups", "taken", 1)
+	m.count.Add("lookups", "held", 1)
 	m.lastID++
 	lk.id, lk.held = logic.LookupID(m.lastID), true
 	m.lookups[lk.id], m.names[lk.ID] = lk, lk
@@ -314,6 +315,7 @@
 // close lets go of a lookup that has its final answer, or no client.
 func (m *Mixer) close(lk *Lookup) {
 	lk.held = false
+	m.count.Add("lookups", "held", -1)
 	delete(m.lookups, lk.id)
 	delete(m.names, lk.ID)
 	for i := range lk.Parts {
--- /dev/null
+++ b/internal/searchers/searchers_test.go
@@ -0,0 +1,369 @@
+package searchers
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// patience bounds what a test waits for, which comes at once unless something is broken.
+const patience = 5 * time.Second
+
+// rig is a fleet with one searcher, whose part the test plays.
+type rig struct {
+	*testing.T
+	fleet  *Fleet
+	box    *mailbox.Box[mixer.Event]
+	events []mixer.Event
+	peer   net.Listener
+	next   logic.PartID
+}
+
+func newRig(t *testing.T, change func(*settings.Net)) *rig {
+	set := settings.Net{Streams: 100, Idle: 60, Connect: 2, Loads: true}
+	if change != nil {
+		change(&set)
+	}
+	r := &rig{T: t, box: mailbox.New[mixer.Event]()}
+	r.fleet = New(set, r.box, zerolog.Nop(), counters.New())
+	t.Cleanup(r.fleet.Stop)
+	r.peer = r.listen()
+	r.named(r.peer.Addr().String(), logic.Ready, 0)
+	return r
+}
+
+func (r *rig) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { l.Close() })
+	return l
+}
+
+func (r *rig) named(address string, phase logic.Phase, started float64) {
+	r.fleet.Named(logic.Entry{Searcher: 1, Phase: phase, StartedAt: started}, address)
+}
+
+// send sends parts of a lookup in one call; each part's shard is its place.
+func (r *rig) send(id, query string, wait time.Duration, parts int) (calls []mixer.Call) {
+	now := time.Now()
+	lk := &mixer.Lookup{ID: id, Query: []byte(query)}
+	for i := range parts {
+		r.next++
+		calls = append(calls, mixer.Call{Part: r.next, Lookup: lk, Shard: logic.ShardID(i), Sent: now, Stop: now.Add(wait)})
+	}
+	r.fleet.Send(1, slices.Clone(calls))
+	return calls
+}
+
+// accept takes a line as a searcher would.
+func (r *rig) accept(l net.Listener) *peerLine {
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	c, err := l.Accept()
+	if err != nil {
+		r.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	r.Cleanup(func() { c.Close() })
+	return &peerLine{c, bufio.NewReader(c), r}
+}
+
+type peerLine struct {
+	net.Conn
+	in *bufio.Reader
+	r  *rig
+}
+
+func (p *peerLine) expect(letter byte, start string) string {
+	p.r.Helper()
+	got, rest, err := readFrame(p.in)
+	if err != nil || got != letter || !strings.HasPrefix(string(rest), start) {
+		p.r.Fatalf("got frame %c %q, %v; expected %c %q", got, rest, err, letter, start)
+	}
+	return string(rest)
+}
+
+func (p *peerLine) say(letter byte, rest string) { p.Write(appendFrame(nil, letter, []byte(rest)...)) }
+
+// event waits for the next thing told.
+func (r *rig) event() mixer.Event {
+	r.Helper()
+	for late := time.After(patience); len(r.events) == 0; {
+		select {
+		case <-r.box.Ready():
+			r.events = r.box.Take(nil)
+		case <-late:
+			r.Fatal("nothing was told")
+		}
+	}
+	e := r.events[0]
+	r.events = r.events[1:]
+	return e
+}
+
+func (r *rig) ended(part logic.PartID, how logic.Outcome) mixer.Event {
+	r.Helper()
+	e := r.event()
+	if e.Kind != logic.CallEnded || e.Part != part || e.Outcome != how {
+		r.Fatalf("got %+v, expected part %d to end as %s", e.Event, part, outcomeNames[how])
+	}
+	return e
+}
+
+func TestAnswersInAnyOrderOnOneLine(t *testing.T) {
+	r := newRig(t, nil)
+	a, b := r.send("aa", "x\"\\y", 2*time.Second, 1), r.send("bb", "", time.Second, 1)
+	p := r.accept(r.peer)
+	if got := p.expect('S', "aa.0 0 d="); !strings.HasSuffix(got, " 4\nx\"\\y") {
+		t.Fatalf("got %q", got)
+	}
+	var left int
+	if fmt.Sscanf(p.expect('S', "bb.0 0 d="), "bb.0 0 d=%d 0", &left); left <= 0 || left > 1000 {
+		t.Fatalf("says that the mixer waits %d ms", left)
+	}
+	p.say('R', "cc.0 done 1 -\nnobody asked")
+	p.say('R', "bb.0 full 0 -\n")
+	p.say('R', "aa.0 done 17 queue=3,util=x,new=1,latency_ms=20\nva\nlue")
+	r.ended(b[0].Part, logic.TurnedAway)
+	e := r.ended(a[0].Part, logic.Answered)
+	if string(e.Value) != "va\nlue" || e.Load.Has != logic.HasWaiting|logic.HasService || e.Load.Waiting != 3 || e.Load.ServiceS != 0.02 {
+		t.Fatalf("got %q, %+v", e.Value, e.Load)
+	}
+}
+
+func TestPartsShareACall(t *testing.T) {
+	r := newRig(t, nil)
+	calls := r.send("aa", "q", time.Second, 2)
+	p := r.accept(r.peer)
+	if got := p.expect('S', "aa.0 0 d="); !strings.Contains(got, " 1\nqaa.1 1 d=") {
+		t.Fatalf("got %q", got)
+	}
+	p.say('R', "aa.1 failed 0 -\n")
+	r.ended(calls[1].Part, logic.Errored)
+	p.say('R', "aa.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+}
+
+func TestRefusedConnectNeverRan(t *testing.T) {
+	r := newRig(t, nil)
+	r.peer.Close()
+	calls := r.send("aa", "q", time.Second, 2)
+	for _, c := range calls {
+		r.ended(c.Part, logic.NotConnected)
+	}
+	r.fleet.Probe(1)
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
+		t.Fatalf("got %+v", e.Event)
+	}
+}
+
+func TestLineLostAfterTheFrameMayHaveRun(t *testing.T) {
+	r := newRig(t, nil)
+	calls := r.send("aa", "q", time.Second, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	p.Close()
+	r.ended(calls[0].Part, logic.Broken)
+	again := r.send("ab", "q", time.Second, 1) // on a new line
+	p = r.accept(r.peer)
+	p.expect('S', "ab.0")
+	p.say('F', "no more")
+	r.ended(again[0].Part, logic.Broken)
+}
+
+func TestHalfWrittenFrameNeverRan(t *testing.T) {
+	r := newRig(t, nil)
+	large := r.send("aa", strings.Repeat("q", 16<<20), time.Minute, 1) // more than sockets hold unread
+	behind := r.send("bb", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	io.ReadFull(p.in, make([]byte, 5))
+	p.Close()
+	ended := map[logic.PartID]logic.Outcome{}
+	for range 2 {
+		e := r.event()
+		ended[e.Part] = e.Outcome
+	}
+	if ended[large[0].Part] != logic.NotConnected || ended[behind[0].Part] != logic.NotConnected {
+		t.Fatalf("got %v", ended)
+	}
+}
+
+func TestTimeOutAndWithdrawalAreToldAndLateAnswersDropped(t *testing.T) {
+	r := newRig(t, nil)
+	slow, kept := r.send("aa", "q", 60*time.Millisecond, 1), r.send("bb", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	p.expect('S', "bb.0")
+	p.expect('C', "aa.0")
+	r.ended(slow[0].Part, logic.TimedOut)
+	r.fleet.Withdraw(1, kept[0].Part, kept[0].No)
+	r.ended(kept[0].Part, logic.Withdrawn)
+	p.expect('C', "bb.0")
+	// Sent again, it goes on another line: there no answer to the first can be taken for its own.
+	kept[0].No++
+	r.fleet.Send(1, kept)
+	other := r.accept(r.peer)
+	other.expect('S', "bb.0")
+	p.say('R', "bb.0 full 0 -\n")
+	p.say('R', "aa.0 done 0 -\nlate")
+	other.say('R', "bb.0 done 0 -\nown")
+	if e := r.ended(kept[0].Part, logic.Answered); e.Call != 1 || string(e.Value) != "own" {
+		t.Fatalf("got %+v", e)
+	}
+}
+
+func TestWithdrawnBeforeALineIsNeverSent(t *testing.T) {
+	r := newRig(t, nil)
+	calls := r.send("aa", "q", time.Minute, 2)
+	r.fleet.Withdraw(1, calls[0].Part, 0)
+	r.ended(calls[0].Part, logic.Withdrawn)
+	p := r.accept(r.peer)
+	if got := p.expect('S', ""); strings.Contains(got, "aa.0") {
+		p.expect('C', "aa.0") // the line came first
+	}
+}
+
+func TestLineCarriesTheStatedNumberOfCalls(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Streams = 2 })
+	var calls []mixer.Call
+	for i := range 3 {
+		calls = append(calls, r.send(fmt.Sprint("a", i), "q", time.Minute, 1)...)
+	}
+	p, o := r.accept(r.peer), r.accept(r.peer)
+	if first, _, _ := readFrame(p.in); first != 'S' {
+		t.Fatalf("got %c", first)
+	}
+	o.expect('S', "")
+	for _, c := range calls {
+		r.fleet.Withdraw(1, c.Part, 0)
+		r.ended(c.Part, logic.Withdrawn)
+	}
+	r.send("b0", "q", time.Minute, 1) // on a line that is there: no third is accepted
+	r.peer.(*net.TCPListener).SetDeadline(time.Now().Add(50 * time.Millisecond))
+	if c, err := r.peer.Accept(); err == nil {
+		t.Fatalf("a third line from %v", c.RemoteAddr())
+	}
+}
+
+func TestProbes(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 0.2 })
+	p := (*peerLine)(nil)
+	for _, c := range []struct {
+		say  string
+		want logic.Outcome
+	}{{"queue=2", logic.Answered}, {"-", logic.Answered}, {"failed", logic.Errored}, {"", logic.TimedOut}} {
+		r.fleet.Probe(1)
+		if p == nil {
+			p = r.accept(r.peer)
+		}
+		p.expect('M', "") // always on the line that is open
+		if c.say != "" {
+			p.say('M', c.say)
+		}
+		if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != c.want {
+			t.Fatalf("%q: got %+v", c.say, e.Event)
+		}
+	}
+	p.Close()
+	for e := (mixer.Event{}); ; {
+		r.fleet.Probe(1)
+		p = r.accept(r.peer)
+		p.Close()
+		if e = r.event(); e.Outcome != logic.NotConnected && e.Outcome != logic.Broken {
+			t.Fatalf("got %+v", e.Event)
+		}
+		break
+	}
+}
+
+func TestOldLinesEndAndTellOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		started float64
+		moves   bool
+	}{"another address": {0, true}, "a later start": {float64(time.Now().Unix()) + 3600, false}} {
+		r := newRig(t, nil)
+		calls := r.send("aa", "q", time.Minute, 1)
+		r.accept(r.peer).expect('S', "aa.0")
+		to := r.peer
+		if c.moves {
+			to = r.listen()
+		}
+		r.named(to.Addr().String(), logic.Ready, c.started)
+		r.ended(calls[0].Part, logic.Broken)
+		next := r.send("ab", "q", time.Minute, 1)
+		p := r.accept(to)
+		p.expect('S', "ab.0")
+		r.named("", logic.Gone, 0) // completes what it has
+		p.say('R', "ab.0 done 0 -\n")
+		if e := r.ended(next[0].Part, logic.Answered); len(r.box.Take(nil)) > 0 || len(r.events) > 0 {
+			t.Fatalf("%s: more than %+v was told", name, e)
+		}
+	}
+}
+
+// A line goes before its searcher would end a call on it, and on request, but not while anything is out on it.
+func TestIdleLinesAreClosed(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 0.3, 0.2 })
+	calls := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	r.fleet.CloseIdle(1)
+	time.Sleep(150 * time.Millisecond) // longer than it may be idle
+	p.say('R', "aa.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+	if _, _, err := readFrame(p.in); err != io.EOF {
+		t.Fatalf("got %v", err)
+	}
+	calls = r.send("ab", "q", time.Minute, 1)
+	p = r.accept(r.peer)
+	p.expect('S', "ab.0")
+	p.say('R', "ab.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+	r.fleet.CloseIdle(1)
+	if _, _, err := readFrame(p.in); err != io.EOF {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x10Raa.0 done 7 -\nvalu"))
+	f.Add([]byte("\x00\x00\x00\x03Ra \x00\x00\x00\x00"))
+	f.Add([]byte("\x7f\xff\xff\xffR"))
+	f.Add([]byte("\x00\x00\x00\x22Raa.0 failed 0 queue=1,util=1e999,=\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bufio.NewReader(bytes.NewReader(in))
+		var again []byte
+		for {
+			letter, rest, err := readFrame(r)
+			if err != nil {
+				break
+			}
+			again = appendFrame(again, letter, rest...)
+			a, err := parseAnswer(rest)
+			if err != nil {
+				continue
+			}
+			if !bytes.HasSuffix(rest, a.value) || !strings.HasPrefix(string(rest), a.name+" ") || strings.Contains(a.name, "\n") {
+				t.Fatalf("%q read as %+v", rest, a)
+			}
+		}
+		if !bytes.HasPrefix(in, again) {
+			t.Fatalf("%q came back as %q", in, again)
+		}
+	})
+}
