--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -279,15 +279,11 @@
 			t.Fatalf("%q: got %+v", c.say, e.Event)
 		}
 	}
+	r.fleet.Probe(1)
+	p.expect('M', "")
 	p.Close()
-	for e := (mixer.Event{}); ; {
-		r.fleet.Probe(1)
-		p = r.accept(r.peer)
-		p.Close()
-		if e = r.event(); e.Outcome != logic.NotConnected && e.Outcome != logic.Broken {
-			t.Fatalf("got %+v", e.Event)
-		}
-		break
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Broken {
+		t.Fatalf("got %+v", e.Event)
 	}
 }
 
