--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"puffinlink.example/puffinlink/internal/clients"
 	"puffinlink.example/puffinlink/internal/counters"
@@ -31,6 +32,8 @@
 	growth = 400
 	// clientShare of the descriptors may be clients' lines; the rest is for searchers, the register and surplus lines.
 	clientShare = 0.7
+	// logLines may wait for whoever reads the log: those of all lines that a mixer may have, ending at once.
+	logLines = 1024
 )
 
 // config is what a mixer is told.
@@ -116,9 +119,12 @@
 		return err
 	}
 	clientLines := limit(c)
-	log := zerolog.New(os.Stdout).With().Timestamp().Str("mixer", c.Name).Logger()
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	// Whoever reads the log must not hold up the mixer: lines that find no room are dropped and counted.
 	count := counters.New()
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) { count.Add("log", "dropped", int64(missed)) })
+	defer out.Close()
+	log := zerolog.New(out).With().Timestamp().Str("mixer", c.Name).Logger()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 
 	m := mixer.New(set, log, count)
 	register, err := list.New(c.Discovery, c.Known, set, m.In, log, count)
--- /dev/null
+++ b/cmd/puffinlink/main_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const goodSettings = `{"granularityS":0.005,"azs":["a"],"models":["m"],"stats":{"how":"answers"},
+	"requestClasses":[{"name":"reads","effect":"repeatable","promiseS":1,"giveUpS":4,"worth":1,"lateWorth":0.1}],
+	"specifics":{"places":1,"width":1,"slices":4,"classNeed":[1]},
+	"limits":{"mostTries":2,"multiplex":100,"idleCloseS":15,"connectTimeoutS":1}}`
+
+func configured(t *testing.T, listen, discovery, searcher, settings string) {
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"generation":4,"reset":true,"instances":[
+		{"instanceId":"s-1","hostPort":%q,"zone":"a","machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]},
+		"settings":%s}`, listen, discovery, searcher, settings)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"LB_NAME", "LB_LISTEN", "LB_DISCOVERY"} {
+		t.Setenv(name, "")
+	}
+	t.Setenv("LB_CONFIG", path)
+}
+
+func TestBadConfigIsOnePlainLine(t *testing.T) {
+	for want, c := range map[string][3]string{
+		"listen":                        {"", "x:1", goodSettings},
+		"expected a JSON object":        {"x:1", "x:1", `7`},
+		"second step":                   {"x:1", "x:1", strings.Replace(goodSettings, `"places"`, `"secondStep":[2],"places"`, 1)},
+		"coldS is -1":                   {"x:1", "x:1", strings.Replace(goodSettings, `"granularityS"`, `"invariants":{"coldS":-1},"granularityS"`, 1)},
+		"address x: missing port":       {"x", "x:1", goodSettings},
+		`requestClasses[0].effect is "`: {"x:1", "x:1", strings.Replace(goodSettings, "repeatable", "often", 1)},
+	} {
+		configured(t, c[0], c[1], "y:1", c[2])
+		if err := run(); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, expected %q", err, want)
+		}
+	}
+	t.Setenv("LB_CONFIG", "")
+	if err := run(); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestServesAndStops runs the whole program against stand-ins: it serves from what was known, with the register
+// out of reach, and on SIGTERM answers what it holds before it ends.
+func TestServesAndStops(t *testing.T) {
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	asked, answer := make(chan string, 10), make(chan bool)
+	go func() {
+		c, err := peer.Accept()
+		if err != nil {
+			return
+		}
+		for in := bufio.NewReader(c); ; {
+			var head [4]byte
+			if _, err := io.ReadFull(in, head[:]); err != nil {
+				return
+			}
+			frame := make([]byte, binary.BigEndian.Uint32(head[:]))
+			io.ReadFull(in, frame)
+			id, _, _ := strings.Cut(string(frame[1:]), " ")
+			asked <- string(frame)
+			<-answer
+			rest := "R" + id + " done 7 -\nv1"
+			c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(rest))), rest...))
+		}
+	}()
+	register := httptest.NewServer(http.NotFoundHandler())
+	defer register.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := free.Addr().String()
+	free.Close()
+	configured(t, listen, register.Listener.Addr().String(), peer.Addr().String(), goodSettings)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		res, err := http.Get("http://" + listen + "/up")
+		if err == nil {
+			res.Body.Close()
+			if res.StatusCode == 200 {
+				break
+			}
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("never up: %v", err)
+		}
+	}
+	ask := func(id string) chan string {
+		got := make(chan string, 1)
+		go func() {
+			req, _ := http.NewRequest("POST", "http://"+listen+"/reads", strings.NewReader(`{"targets":[{"partition":2,"share":1}],"query":"q1"}`))
+			req.Header = http.Header{"Req-Id": {id}, "Req-Kind": {"reads"}, "Req-Deadline": {"4"}}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				got <- err.Error()
+				return
+			}
+			defer res.Body.Close()
+			text, err := io.ReadAll(res.Body)
+			got <- fmt.Sprint(res.StatusCode, res.Close, string(text), err)
+		}()
+		return got
+	}
+	expect := func(got chan string, want string) {
+		t.Helper()
+		select {
+		case text := <-got:
+			if !strings.HasPrefix(text, want) {
+				t.Fatalf("got %q, expected %q", text, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no answer")
+		}
+	}
+	first := ask("aa")
+	expect(asked, "Saa.2 2 d=")
+	answer <- true
+	expect(first, `200 false{"whole":true,"results":[{"partition":2,"value":"v1"}]}`)
+	held := ask("bb")
+	expect(asked, "Sbb.2 2 d=")
+	self := os.Getpid()
+	syscall.Kill(self, syscall.SIGUSR1)
+	syscall.Kill(self, syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a lookup held: %v", err)
+	case <-time.After(time.Second):
+	}
+	answer <- true
+	expect(held, `200 true{"whole":true`)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("did not end")
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -24,6 +24,7 @@
 
 const (
 	mostBody = 64 << 10 // what the protocol lets a body hold
+	mostHead = 8 << 10  // many times a lookup's: at net/http's own 1 MB the lines at the cap would not fit in memory
 	// A client that stops in the middle of a head or a body, or of reading an answer, holds its line no longer.
 	slowRequest = 10 * time.Second
 	slowAnswer  = 10 * time.Second
@@ -49,7 +50,7 @@
 func New(set settings.Settings, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter,
 		lines: newLines(most, log, count), stopped: make(chan error, 1)}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: mostHead, ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
 		ConnState:   s.lines.changed, ErrorLog: stdlog.New(httpLog{log}, "", 0)}
 	return s
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,352 @@
+package clients
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+const patience = 5 * time.Second
+
+// rig is a server whose module's actor the test plays.
+type rig struct {
+	*testing.T
+	*Server
+	box     *mailbox.Box[mixer.Event]
+	events  []mixer.Event
+	address string
+}
+
+func newRig(t *testing.T, most int, change func(*Server)) *rig {
+	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
+	set.Limits.RetryAfter = true
+	r := &rig{T: t, box: mailbox.New[mixer.Event]()}
+	r.Server = New(set, most, r.box, zerolog.Nop(), counters.New())
+	if change != nil {
+		change(r.Server)
+	}
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.address = l.Addr().String()
+	go r.Serve(l)
+	t.Cleanup(func() { r.http.Close() })
+	return r
+}
+
+func (r *rig) event(kind logic.EventKind) *mixer.Lookup {
+	r.Helper()
+	for late := time.After(patience); len(r.events) == 0; {
+		select {
+		case <-r.box.Ready():
+			r.events = r.box.Take(nil)
+		case <-late:
+			r.Fatal("nothing was told")
+		}
+	}
+	e := r.events[0]
+	r.events = r.events[1:]
+	if e.Kind != kind {
+		r.Fatalf("got %+v", e)
+	}
+	return e.Taken
+}
+
+// client is one line of a client's.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+	r  *rig
+}
+
+func (r *rig) dial() *client {
+	c, err := net.Dial("tcp", r.address)
+	if err != nil {
+		r.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	r.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c), r}
+}
+
+const goodBody = `{"targets":[{"partition":3,"share":0.5,"est_us":9000,"route":"00000000000000ff"},{"partition":5,"share":0.5}],"query":"c4\u0031"}`
+
+func request(path, head, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
+}
+
+const goodHead = "Req-Id: ab12\r\nReq-Kind: reads\r\nReq-Owner: acme\r\nReq-Deadline: 0.480\r\n"
+
+func (c *client) ask() { io.WriteString(c, request("/reads?key=7f3a9c21e0b4d655", goodHead, goodBody)) }
+
+// answer reads a whole answer; no status means that the line ended without one.
+func (c *client) answer() (status int, head http.Header, body string) {
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, nil, ""
+	}
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		c.r.Fatal(err)
+	}
+	if res.Close {
+		res.Header.Set("Connection", "close")
+	}
+	return res.StatusCode, res.Header, string(text)
+}
+
+func (c *client) expect(want int) (http.Header, string) {
+	c.r.Helper()
+	status, head, body := c.answer()
+	if status != want {
+		c.r.Fatalf("got status %d %q, expected %d", status, body, want)
+	}
+	return head, body
+}
+
+func TestLookupAndEachAnswer(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c := r.dial()
+	for _, a := range []struct {
+		reply mixer.Reply
+		want  int
+		after string
+		body  string
+	}{
+		{mixer.Reply{End: mixer.Satisfied, Whole: true}, 200, "", `{"whole":true,"results":[{"partition":5,"value":"a\"\\\u0009é"}]}`},
+		{mixer.Reply{End: mixer.Nacked, Wait: 0.0501}, 429, "0.051", ""},
+		{mixer.Reply{End: mixer.Nacked}, 429, "", ""},
+		{mixer.Reply{End: mixer.Full}, 503, "", ""},
+		{mixer.Reply{End: mixer.Aborted}, 500, "", ""},
+		{mixer.Reply{End: mixer.Twice}, 409, "", "a lookup of this id is already held.\n"},
+	} {
+		before := time.Now()
+		c.ask()
+		lk := r.event(logic.LookupTaken)
+		if lk.Arrived.Before(before) || lk.Arrived.After(time.Now()) {
+			t.Fatalf("arrived %v after it was sent", lk.Arrived.Sub(before))
+		}
+		if lk.ID != "ab12" || lk.Index != 0 || lk.Wait != 0.48 || lk.Key != 0x7f3a9c21e0b4d655 || string(lk.Query) != "c41" ||
+			len(lk.Parts) != 2 || lk.Parts[0].Hint != 0.009 || lk.Parts[0].Key != 255 || lk.Parts[1].Shard != 5 {
+			t.Fatalf("got %+v", lk)
+		}
+		lk.Parts[1].In, lk.Parts[1].Value = true, []byte("a\"\\\té")
+		lk.Done <- a.reply
+		head, body := c.expect(a.want)
+		if head.Get("Retry-After") != a.after || body != a.body || head.Get("Content-Length") != fmt.Sprint(len(body)) {
+			t.Fatalf("got %v %q", head, body)
+		}
+	}
+}
+
+func TestWhatCannotBeReadNeverReachesTheModule(t *testing.T) {
+	r := newRig(t, 100, nil)
+	for _, c := range []struct {
+		path, head, body string
+		want             int
+		says             string
+	}{
+		{"/writes", goodHead, goodBody, 404, "nothing under this path"},
+		{"/reads", strings.Replace(goodHead, "reads", "orders", 1), goodBody, 400, "Req-Kind"},
+		{"/reads", strings.Replace(goodHead, "ab12", "", 1), goodBody, 400, "Req-Id"},
+		{"/reads", strings.Replace(goodHead, "ab12", "a b", 1), goodBody, 400, "Req-Id"},
+		{"/reads", strings.Replace(goodHead, "acme", "emca", 1), goodBody, 400, "Req-Owner"},
+		{"/reads", strings.Replace(goodHead, "0.480", "NaN", 1), goodBody, 400, "Req-Deadline"},
+		{"/reads", strings.Replace(goodHead, "0.480", "-1", 1), goodBody, 400, "Req-Deadline"},
+		{"/reads?key=xyz", goodHead, goodBody, 400, "key"},
+		{"/reads", goodHead, `{"targets":[]`, 400, "body"},
+		{"/reads", goodHead, `{"targets":[],"query":"x"}`, 400, "no part"},
+		{"/reads", goodHead, `{"targets":[{"partition":3,"share":1}],"query":7}`, 400, "query"},
+		{"/reads", goodHead, `{"targets":[{"partition":8,"share":1}],"query":"x"}`, 400, "shard"},
+		{"/reads", goodHead, `{"targets":[{"partition":3.5,"share":1}],"query":"x"}`, 400, "body"},
+		{"/reads", goodHead, `{"targets":[{"partition":3}],"query":"x"}`, 400, "share"},
+		{"/reads", goodHead, `{"targets":[{"partition":3,"share":1.5}],"query":"x"}`, 400, "share"},
+		{"/reads", goodHead, `{"targets":[{"partition":3,"share":0.5},{"partition":3,"share":0.5}],"query":"x"}`, 400, "twice"},
+		{"/reads", goodHead, `{"targets":[{"partition":3,"share":1,"est_us":-1}],"query":"x"}`, 400, "est_us"},
+		{"/reads", goodHead, `{"targets":[{"partition":3,"share":1,"route":"q"}],"query":"x"}`, 400, "route"},
+		{"/reads", goodHead, strings.Repeat("x", mostBody+1), 413, "at most"},
+	} {
+		l := r.dial()
+		io.WriteString(l, request(c.path, c.head, c.body))
+		if _, body := l.expect(c.want); !strings.Contains(body, c.says) || strings.Count(body, "\n") != 1 {
+			t.Errorf("%s %.60q: got %q", c.path, c.body, body)
+		}
+	}
+	if told := r.box.Take(nil); len(told) > 0 {
+		t.Fatalf("told %+v", told)
+	}
+	l := r.dial()
+	io.WriteString(l, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+	l.expect(200)
+}
+
+func TestTimeCountsFromTheFirstByte(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c := r.dial()
+	text := request("/reads", goodHead, goodBody)
+	for range 2 {
+		time.Sleep(20 * time.Millisecond)
+		before := time.Now()
+		io.WriteString(c, text[:1])
+		time.Sleep(20 * time.Millisecond)
+		after := time.Now()
+		io.WriteString(c, text[1:])
+		lk := r.event(logic.LookupTaken)
+		if lk.Arrived.Before(before) || lk.Arrived.After(after) {
+			t.Fatalf("arrived %v after the first byte was sent, the rest %v after", lk.Arrived.Sub(before), after.Sub(before))
+		}
+		lk.Done <- mixer.Reply{End: mixer.Aborted}
+		c.expect(500)
+	}
+}
+
+func TestAClientThatLeavesIsToldOnce(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c := r.dial()
+	c.ask()
+	lk := r.event(logic.LookupTaken)
+	c.Close()
+	if r.event(logic.ClientGone) != lk {
+		t.Fatal("another lookup's client is told to have gone")
+	}
+}
+
+func TestARequestThatStopsHalfWayEndsAlone(t *testing.T) {
+	r := newRig(t, 100, func(s *Server) { s.http.ReadTimeout = 50 * time.Millisecond })
+	text := request("/reads", goodHead, goodBody)
+	for _, stops := range []int{10, len(text) - 10} {
+		c, other := r.dial(), r.dial()
+		io.WriteString(c, text[:stops])
+		other.ask()
+		r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+		other.expect(500)
+		if status, _, _ := c.answer(); status != 0 && status != 400 {
+			t.Fatalf("got status %d", status)
+		}
+		if n := r.count.Get("client_lines", string(whySlow)); n == 0 && stops == 10 {
+			t.Fatal("the reason was not counted")
+		}
+	}
+	c := r.dial() // one that is held for longer than reading may take is not taken to have left
+	c.ask()
+	lk := r.event(logic.LookupTaken)
+	time.Sleep(100 * time.Millisecond)
+	lk.Done <- mixer.Reply{End: mixer.Nacked}
+	c.expect(429)
+}
+
+func TestAtTheCapIdleLinesGoAndNewcomersAreTold(t *testing.T) {
+	r := newRig(t, 2, nil)
+	busy, idle := r.dial(), r.dial()
+	idle.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+	idle.expect(500)
+	busy.ask()
+	held := r.event(logic.LookupTaken)
+	third := r.dial()
+	third.ask()
+	r.event(logic.LookupTaken)
+	if status, _, _ := idle.answer(); status != 0 {
+		t.Fatalf("the idle line got status %d", status)
+	}
+	fourth := r.dial() // both others are busy
+	fourth.ask()
+	if head, _ := fourth.expect(503); head.Get("Connection") != "close" {
+		t.Fatalf("got %v", head)
+	}
+	held.Done <- mixer.Reply{End: mixer.Aborted}
+	busy.expect(500)
+}
+
+func TestDrainAnswersAllThatIsHeld(t *testing.T) {
+	r := newRig(t, 100, nil)
+	busy, idle := r.dial(), r.dial()
+	idle.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+	idle.expect(500)
+	busy.ask()
+	held := r.event(logic.LookupTaken)
+	drained := make(chan struct{})
+	go func() { r.Drain(); close(drained) }()
+	time.Sleep(acceptOn / 2)
+	late := r.dial()
+	late.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
+	if head, _ := late.expect(429); head.Get("Connection") != "close" {
+		t.Fatalf("got %v", head)
+	}
+	if status, _, _ := idle.answer(); status != 0 {
+		t.Fatalf("the idle line got status %d", status)
+	}
+	if _, err := net.Dial("tcp", r.address); err == nil {
+		t.Fatal("still accepting")
+	}
+	select {
+	case <-drained:
+		t.Fatal("stopped with a lookup held")
+	default:
+	}
+	held.Done <- mixer.Reply{End: mixer.Satisfied}
+	busy.expect(200)
+	select {
+	case <-drained:
+	case <-time.After(patience):
+		t.Fatal("did not stop")
+	}
+}
+
+func FuzzBodies(f *testing.F) {
+	for _, s := range []string{goodBody, `{"targets":[{"partition":1,"share":1e-9,"est_us":1e300}],"query":"\ud800"}`,
+		`{"targets":[{"partition":1,"share":0}],"query":"\u0000\"\\"}`, `{"query":null,"targets":null}`, `[]`, ``} {
+		f.Add([]byte(s))
+	}
+	b := newBook(settings.Net{Shards: 8})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var lk mixer.Lookup
+		if b.readBody(text, &lk) != nil {
+			return
+		}
+		var in struct{ Query string }
+		if err := json.Unmarshal(text, &in); err != nil || utf8.Valid(text) && in.Query != string(lk.Query) {
+			t.Fatalf("%q: query is %q, %v; read as %q", text, in.Query, err, lk.Query)
+		}
+		for i := range lk.Parts {
+			p := &lk.Parts[i]
+			if p.Shard < 0 || p.Shard > 7 || !(p.Weight >= 0 && p.Weight <= 1) || !(p.Hint >= 0) {
+				t.Fatalf("%q: part %+v", text, p)
+			}
+			p.In, p.Value = i%2 == 0, lk.Query
+		}
+		var out struct {
+			Whole   bool
+			Results []struct {
+				Partition int
+				Value     string
+			}
+		}
+		answer := appendResults(nil, &lk, true)
+		if err := json.Unmarshal(answer, &out); err != nil || !out.Whole || len(out.Results) != (len(lk.Parts)+1)/2 {
+			t.Fatalf("answer %q: %v", answer, err)
+		}
+		if want := string(bytes.ToValidUTF8(lk.Query, []byte("\uFFFD"))); out.Results[0].Value != want {
+			t.Fatalf("value %q became %q", want, out.Results[0].Value)
+		}
+	})
+}
--- /dev/null
+++ b/internal/list/list_test.go
@@ -0,0 +1,213 @@
+package list
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+const patience = 5 * time.Second
+
+// rig is a register's actor and the register it speaks with, which the test plays: each request comes as a
+// function that writes a line to it.
+type rig struct {
+	*testing.T
+	*Register
+	box    *mailbox.Box[mixer.Event]
+	events []mixer.Event
+	asks   chan ask
+}
+
+type ask struct {
+	query string
+	write func(text string)
+	end   context.CancelFunc
+	gone  <-chan struct{}
+}
+
+func line(version int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`+"\n", version, whole, strings.Join(entries, ","))
+}
+
+func searcher(id, state string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":"h-%s:1","zone":"b","machineType":"m","cell":3,"lifecycle":%q,"weight":2,"startedAtMs":1500}`,
+		id, id, state)
+}
+
+func newRig(t *testing.T, asked bool, change func(*Register)) *rig {
+	r := &rig{T: t, box: mailbox.New[mixer.Event](), asks: make(chan ask, 100)}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		ctx, end := context.WithCancel(q.Context())
+		out := make(chan string, 10)
+		r.asks <- ask{q.URL.String(), func(text string) { out <- text }, end, q.Context().Done()}
+		for {
+			select {
+			case text := <-out:
+				fmt.Fprint(w, text)
+				w.(http.Flusher).Flush()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}))
+	set := settings.Settings{Net: settings.Net{Locations: []string{"a", "b"}}}
+	set.AskList = asked
+	var err error
+	r.Register, err = New(strings.TrimPrefix(server.URL, "http://"), []byte(line(41, true, searcher("s1", "SERVING"))), set,
+		r.box, zerolog.Nop(), counters.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(r.Register)
+	}
+	go r.Register.Run()
+	t.Cleanup(func() { r.Stop(); server.CloseClientConnections(); server.Close() })
+	r.expect(logic.ListStale, "s1:0")
+	return r
+}
+
+func (r *rig) ask(query string) ask {
+	r.Helper()
+	select {
+	case a := <-r.asks:
+		if a.query != query {
+			r.Fatalf("asked %q, expected %q", a.query, query)
+		}
+		return a
+	case <-time.After(patience):
+		r.Fatal("nothing was asked")
+	}
+	return ask{}
+}
+
+// expect waits for a list event with these searchers and phases.
+func (r *rig) expect(kind logic.ListKind, entries ...string) mixer.Event {
+	r.Helper()
+	for late := time.After(patience); len(r.events) == 0; {
+		select {
+		case <-r.box.Ready():
+			r.events = r.box.Take(nil)
+		case <-late:
+			r.Fatal("nothing was told")
+		}
+	}
+	e := r.events[0]
+	r.events = r.events[1:]
+	var got []string
+	for i, x := range e.Entries {
+		name := strings.TrimSuffix(strings.TrimPrefix(e.Addresses[i], "h-"), ":1")
+		got = append(got, fmt.Sprintf("%s:%d", name, x.Phase))
+	}
+	if e.Kind != logic.ListChanged || e.List != kind || fmt.Sprint(got) != fmt.Sprint(entries) {
+		r.Fatalf("told kind %d of %v, expected %d of %v", e.List, got, kind, entries)
+	}
+	return e
+}
+
+func TestChangesComeInOrderAndTheWatchGoesOnWhereItStopped(t *testing.T) {
+	r := newRig(t, false, nil)
+	w := r.ask("/discovery/hosts?stream=1&index=41")
+	w.write("\n" + line(43, false, searcher("s2", "DRAINING")) + line(44, false, searcher("s2", "DELETED")))
+	e := r.expect(logic.ListPatch, "s2:1")
+	if x := e.Entries[0]; x.Searcher != 2 || x.Location != 1 || x.Cell != 3 || x.Share != 2 || x.StartedAt != 1.5 {
+		t.Fatalf("got %+v", x)
+	}
+	r.expect(logic.ListPatch, "s2:2")
+	w.end()
+	w = r.ask("/discovery/hosts?stream=1&index=44")
+	w.write(line(50, true, searcher("s3", "SERVING"), searcher("s1", "SERVING")))
+	if e = r.expect(logic.ListWhole, "s3:0", "s1:0"); e.Entries[1].Searcher != 1 {
+		t.Fatalf("s1 became %d", e.Entries[1].Searcher)
+	}
+}
+
+func TestAnUnknownStateEndsTheWatchAndTellsNothingOfIt(t *testing.T) {
+	r := newRig(t, false, nil)
+	w := r.ask("/discovery/hosts?stream=1&index=41")
+	w.write(line(42, false, searcher("s2", "SERVING"), searcher("s4", "ASLEEP")) + line(43, false, searcher("s5", "SERVING")))
+	r.ask("/discovery/hosts?stream=1&index=41").write(line(43, false, searcher("s6", "SERVING")))
+	r.expect(logic.ListPatch, "s6:0")
+	select {
+	case <-w.gone:
+	case <-time.After(patience):
+		t.Fatal("the broken watch stays open")
+	}
+}
+
+func TestASilentWatchIsRenewed(t *testing.T) {
+	r := newRig(t, false, func(r *Register) { r.silence = 100 * time.Millisecond })
+	w := r.ask("/discovery/hosts?stream=1&index=41")
+	for range 4 { // beats keep it
+		time.Sleep(50 * time.Millisecond)
+		w.write("\n")
+	}
+	if len(r.asks) > 0 {
+		t.Fatal("a watch with beats was given up")
+	}
+	r.ask("/discovery/hosts?stream=1&index=41").write(line(42, false, searcher("s2", "SERVING")))
+	r.expect(logic.ListPatch, "s2:0")
+	w.write(line(42, false, searcher("s9", "SERVING"))) // the old one is heard no more
+	r.ask("/discovery/hosts?stream=1&index=42")
+	if r.events = append(r.events, r.box.Take(nil)...); len(r.events) > 0 {
+		t.Fatalf("told %+v", r.events)
+	}
+}
+
+func TestWhereTheListIsAskedForTheModuleSaysWhen(t *testing.T) {
+	r := newRig(t, true, nil)
+	r.Subscribe(true)
+	w := r.ask("/discovery/hosts?stream=1&index=41")
+	w.end()
+	r.expect(logic.ListFailed)
+	r.AskWhole()
+	w = r.ask("/discovery/hosts")
+	w.write(line(60, true, searcher("s8", "SERVING")))
+	w.end()
+	r.expect(logic.ListWhole, "s8:0")
+	r.AskWhole()
+	r.ask("/discovery/hosts").end()
+	r.expect(logic.ListFailed)
+	r.Subscribe(true)
+	r.ask("/discovery/hosts?stream=1&index=60")
+}
+
+func FuzzLines(f *testing.F) {
+	for _, s := range []string{line(1, true, searcher("a", "SERVING"), searcher("b", "DELETED")), `{"generation":1}`,
+		`{"generation":2,"instances":[{"lifecycle":"SERVING"}]}`, `{"instances":[]}`, `null`, "{",
+		`{"generation":3,"instances":[{"instanceId":"x","hostPort":"y","lifecycle":"DRAINING","cell":-1}]}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := &Register{tell: mailbox.New[mixer.Event](), places: map[string]int{}, kinds: map[string]int{},
+			ids: map[string]logic.SearcherID{}, version: -7}
+		err := r.take(text, false)
+		told := r.tell.Take(nil)
+		if err != nil {
+			if len(told) > 0 || r.version != -7 {
+				t.Fatalf("%q: %v, but %+v was told", text, err, told)
+			}
+			return
+		}
+		if len(told) != 1 || len(told[0].Entries) != len(told[0].Addresses) {
+			t.Fatalf("%q: told %+v", text, told)
+		}
+		for i, e := range told[0].Entries {
+			if e.Searcher == 0 || e.Cell < 0 || e.Phase != logic.Gone && told[0].Addresses[i] == "" {
+				t.Fatalf("%q: told %+v", text, e)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/mixer/mixer_test.go
@@ -0,0 +1,316 @@
+package mixer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// rig is a module's actor that the test steps itself, and both of its peers.
+type rig struct {
+	*Mixer
+	now    time.Time
+	sent   []sentCall
+	trips  []int // calls that went at once
+	back   []logic.PartID
+	probes []logic.SearcherID
+	subs   int
+}
+
+type sentCall struct {
+	to logic.SearcherID
+	Call
+}
+
+func (r *rig) Named(logic.Entry, string)         {}
+func (r *rig) Unnamed(map[logic.SearcherID]bool) {}
+func (r *rig) Probe(at logic.SearcherID)         { r.probes = append(r.probes, at) }
+func (r *rig) CloseIdle(logic.SearcherID)        {}
+func (r *rig) Subscribe(bool)                    { r.subs++ }
+func (r *rig) AskWhole()                         {}
+func (r *rig) Send(to logic.SearcherID, cs []Call) {
+	r.trips = append(r.trips, len(cs))
+	for _, c := range cs {
+		r.sent = append(r.sent, sentCall{to, c})
+	}
+}
+func (r *rig) Withdraw(_ logic.SearcherID, part logic.PartID, _ logic.CallNo) {
+	r.back = append(r.back, part)
+}
+
+func newRig(change func(*settings.Settings)) *rig {
+	set := settings.Settings{Settings: logic.Settings{Seed: 5, Mixers: 2, Step: 0.005,
+		Indexes: []logic.IndexSettings{{Soft: 1, Hard: 4, Gain: 1, LateGain: 0.1}, {Soft: 1, Hard: 4, Gain: 3, Effect: logic.OnceOnly}},
+		Layout:  logic.Layout{Cells: 4, Width: 2, CallParts: 1},
+		Limits:  logic.Limits{Cancel: true, Probe: true, SecondCopy: true, RetryAfter: true, MaxTries: 3, MaxRetryAfter: 1},
+		Rules:   logic.Rules{ColdShare: 0.2, ColdS: 8, DrainGrace: 0.25, FallMultiple: 2, FallS: 1}}}
+	if change != nil {
+		change(&set)
+	}
+	r := &rig{Mixer: New(set, zerolog.Nop(), counters.New())}
+	r.searchers, r.register, r.now = r, r, r.start
+	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListStale}, Addresses: make([]string, 8)}
+	for i := range 8 {
+		list.Entries = append(list.Entries, logic.Entry{Searcher: logic.SearcherID(i + 1), Cell: logic.CellID(i % 4)})
+	}
+	r.put(list)
+	return r
+}
+
+// put lets events come and the actor step a moment later.
+func (r *rig) put(events ...Event) {
+	for _, e := range events {
+		r.In.Put(e)
+	}
+	r.now = r.now.Add(5 * time.Millisecond)
+	r.step(r.now)
+}
+
+func (r *rig) lookup(id string, index logic.IndexID, parts int) Event {
+	lk := &Lookup{ID: id, Index: index, Arrived: r.now, Wait: 2, Done: make(chan Reply, 1)}
+	for i := range parts {
+		lk.Parts = append(lk.Parts, Part{Shard: logic.ShardID(i), Weight: 1 / float64(parts)})
+	}
+	return Event{Event: logic.Event{Kind: logic.LookupTaken}, Taken: lk}
+}
+
+func (c sentCall) ends(how logic.Outcome, value string) Event {
+	return Event{Value: []byte(value), Event: logic.Event{Kind: logic.CallEnded, Part: c.Part, Call: c.No, Searcher: c.to,
+		Outcome: how, Elapsed: 0.1}}
+}
+
+func (lk *Lookup) reply(t *testing.T) Reply {
+	t.Helper()
+	select {
+	case reply := <-lk.Done:
+		return reply
+	default:
+		t.Fatalf("lookup %s has no answer", lk.ID)
+		return Reply{}
+	}
+}
+
+func TestALookupFromEndToEnd(t *testing.T) {
+	r := newRig(nil)
+	e := r.lookup("aa", 0, 2)
+	lk := e.Taken
+	lk.Arrived = r.now.Add(-time.Second / 4) // it waited for its turn
+	r.put(e)
+	if len(r.sent) != 2 {
+		t.Fatalf("sent %+v", r.sent)
+	}
+	for _, c := range r.sent {
+		if c.Lookup != lk || c.Stop.Sub(lk.Arrived) > 2*time.Second || c.Stop.Sub(lk.Arrived) < 1999*time.Millisecond {
+			t.Fatalf("stops %v after the arrival", c.Stop.Sub(lk.Arrived))
+		}
+	}
+	r.put(r.sent[1].ends(logic.Answered, "one"), r.sent[1].ends(logic.Answered, "again"))
+	r.put(r.sent[0].ends(logic.Answered, "zero"))
+	if reply := lk.reply(t); reply.End != Satisfied || !reply.Whole {
+		t.Fatalf("got %+v", reply)
+	}
+	if got := string(lk.Parts[0].Value) + string(lk.Parts[1].Value); got != "zeroone" && got != "onezero" {
+		t.Fatalf("values %q", got)
+	}
+	r.put(Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: lk}) // it left as the answer was on its way
+	r.books(t, map[string]int64{"taken": 1, "satisfied": 1, "gone": 0, "held": 0})
+}
+
+// books checks counters, and that they add up.
+func (r *rig) books(t *testing.T, want map[string]int64) {
+	t.Helper()
+	get := func(reason string) int64 { return r.count.Get("lookups", reason) }
+	for reason, n := range want {
+		if get(reason) != n {
+			t.Fatalf("%s is %d, expected %d", reason, get(reason), n)
+		}
+	}
+	if got := get("satisfied") + get("nacked") + get("aborted") + get("gone") + get("held"); got != get("taken") {
+		t.Fatalf("taken %d, the rest %d", get("taken"), got)
+	}
+	if int(get("held")) != len(r.lookups) || len(r.lookups) != len(r.names) {
+		t.Fatalf("held %d, booked %d and %d", get("held"), len(r.lookups), len(r.names))
+	}
+}
+
+func TestTheMostHeldAndTwins(t *testing.T) {
+	r := newRig(func(s *settings.Settings) { s.Limits.MaxHeld = 4 })
+	first, twin, second, third := r.lookup("aa", 0, 2), r.lookup("aa", 0, 2), r.lookup("bb", 0, 1), r.lookup("cc", 0, 1)
+	r.put(first, twin, second, third)
+	if reply := twin.Taken.reply(t); reply.End != Twice {
+		t.Fatalf("got %+v", reply)
+	}
+	if reply := third.Taken.reply(t); reply.End != Full {
+		t.Fatalf("got %+v", reply)
+	}
+	r.put(Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: first.Taken})
+	if len(r.back) != 2 {
+		t.Fatalf("withdrawn %v", r.back)
+	}
+	last := r.lookup("aa", 0, 1)
+	r.put(last)
+	if len(r.sent) != 4 {
+		t.Fatalf("sent %d", len(r.sent))
+	}
+	r.books(t, map[string]int64{"taken": 3, "gone": 1, "held": 2, "full": 1, "twice": 1})
+}
+
+func TestPartsOfAStepShareCalls(t *testing.T) {
+	r := newRig(func(s *settings.Settings) {
+		s.Layout = logic.Layout{Cells: 1, Width: 1, CallParts: 2}
+	})
+	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}, Addresses: []string{""}}
+	list.Entries = []logic.Entry{{Searcher: 1}}
+	r.put(list)
+	r.put(r.lookup("aa", 0, 5))
+	if fmt.Sprint(r.trips) != "[2 2 1]" {
+		t.Fatalf("calls of %v parts", r.trips)
+	}
+}
+
+// A timer set again in its own step keeps its beat, however late steps come; one that is far too late starts anew.
+func TestTimersDoNotDrift(t *testing.T) {
+	r := newRig(nil)
+	begin := r.timers[0].due
+	for i := 1; i <= 50; i++ {
+		r.now = r.timers[0].due.Add(time.Duration(i%3) * time.Millisecond)
+		r.step(r.now)
+		if got, want := r.timers[0].due.Sub(begin), time.Duration(i)*20*time.Millisecond; got != want {
+			t.Fatalf("beat %d comes at %v, expected %v", i, got, want)
+		}
+	}
+	r.now = r.timers[0].due.Add(time.Second)
+	r.step(r.now)
+	if got := r.timers[0].due.Sub(r.now); len(r.timers) != 1 || got != 20*time.Millisecond {
+		t.Fatalf("%d timers, the next in %v", len(r.timers), got)
+	}
+}
+
+func TestTheClockIsUnixTimeAndTakesBackWhatItGives(t *testing.T) {
+	r := newRig(nil)
+	at := time.Now()
+	if s := r.seconds(at); s < float64(at.UnixNano())/1e9-1 || s > float64(at.UnixNano())/1e9+1 {
+		t.Fatalf("%v is %f", at, s)
+	}
+	if off := r.clock(r.seconds(at)).Sub(at); off > time.Microsecond || off < -time.Microsecond {
+		t.Fatalf("off by %v", off)
+	}
+}
+
+func TestStepsKeepTheirDistance(t *testing.T) {
+	r := newRig(nil)
+	go r.Run(r, r)
+	begin := time.Now()
+	for i := range 40 {
+		e := r.lookup(fmt.Sprint(i), 0, 1)
+		e.Taken.Arrived = time.Now()
+		r.In.Put(e)
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond)
+	took := time.Since(begin)
+	r.Stop()
+	r.books(t, map[string]int64{"taken": 40})
+	last, steps := time.Time{}, 0
+	for _, c := range r.sent { // calls of one step were sent at one time
+		if c.Sent.Equal(last) {
+			continue
+		}
+		if gap := c.Sent.Sub(last); gap < 5*time.Millisecond {
+			t.Fatalf("two steps %v apart", gap)
+		}
+		last = c.Sent
+		steps++
+	}
+	if steps == 0 || time.Duration(steps-1)*5*time.Millisecond > took {
+		t.Fatalf("%d steps in %v", steps, took)
+	}
+}
+
+// FuzzRules plays lookups through the actor and checks what clients and searchers see of the rules.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(12) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		r := newRig(func(s *settings.Settings) {
+			s.Seed, s.Limits.MaxHeld, s.Layout.CallParts = seed, 60, 1+rng.IntN(3)
+			s.Limits.SecondCopy = rng.IntN(2) == 0
+		})
+		open := map[*Lookup]bool{}
+		never := map[logic.PartID]bool{} // once-only parts all of whose calls surely never ran
+		seen, pending := 0, []sentCall(nil)
+		for i := range 1500 {
+			var events []Event
+			if rng.IntN(8) == 0 && i < 900 {
+				e := r.lookup(fmt.Sprint(i), logic.IndexID(rng.IntN(2)), 1+rng.IntN(4))
+				events = append(events, e)
+				open[e.Taken] = true
+			}
+			for lk := range open {
+				if rng.IntN(800) == 0 {
+					events = append(events, Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: lk})
+					delete(open, lk)
+				}
+			}
+			var rest []sentCall
+			for _, c := range pending {
+				if rng.IntN(30) > 0 && r.now.Before(c.Stop) {
+					rest = append(rest, c)
+					continue
+				}
+				how := []logic.Outcome{logic.Answered, logic.Answered, logic.Answered, logic.Errored, logic.TurnedAway,
+					logic.NotConnected, logic.Broken}[rng.IntN(7)]
+				if !r.now.Before(c.Stop) {
+					how = logic.TimedOut
+				}
+				never[c.Part] = never[c.Part] && (how == logic.TurnedAway || how == logic.NotConnected)
+				events = append(events, c.ends(how, c.Lookup.ID))
+			}
+			pending = rest
+			for _, at := range r.probes {
+				events = append(events, Event{Event: logic.Event{Kind: logic.ProbeEnded, Searcher: at, Outcome: logic.Answered, Elapsed: 0.01}})
+			}
+			r.probes = nil
+			r.put(events...)
+			for ; seen < len(r.sent); seen++ {
+				c := r.sent[seen]
+				if ran, again := never[c.Part]; c.Lookup.Index == 1 && again && !ran {
+					t.Fatalf("a once-only part of %s was sent again", c.Lookup.ID)
+				}
+				if !c.Lookup.held && !open[c.Lookup] {
+					t.Fatalf("a part of %s was sent after its end", c.Lookup.ID)
+				}
+				never[c.Part] = true
+				pending = append(pending, c)
+			}
+			for lk := range open {
+				select {
+				case reply := <-lk.Done:
+					delete(open, lk)
+					for _, p := range lk.Parts {
+						if reply.End == Satisfied && (!reply.Whole || !p.In || string(p.Value) != lk.ID) {
+							t.Fatalf("lookup %s: %+v with part %+v", lk.ID, reply, p)
+						}
+					}
+				default:
+					if r.now.Sub(lk.Arrived).Seconds() > lk.Wait {
+						t.Fatalf("lookup %s has no answer in time", lk.ID)
+					}
+				}
+			}
+			r.books(t, nil)
+		}
+		if len(open) > 0 || r.held != 0 || len(r.parts) > 0 || len(r.out) != len(pending) {
+			t.Fatalf("%d lookups open, %d held, %d parts, %d calls booked of %d", len(open), r.held, len(r.parts), len(r.out), len(pending))
+		}
+	})
+}
