--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# CONFIG is what LB_CONFIG names: a mixer's config file.
+CONFIG ?= config.json
+
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+lint:
+	test -z "$$(gofmt -l .)" && go vet ./...
+
+run: build
+	LB_CONFIG=$(CONFIG) bin/puffinlink
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -419,7 +419,7 @@
 	c := a.calls[n.answer.name]
 	if c == nil || c.line != n.line {
 		delete(n.line.ghosts, n.answer.name)
-		a.fleet.count.Add("answers", "late", 1)
+		a.fleet.count.Add("late", "answers", 1)
 		return
 	}
 	a.end(c, n.answer.outcome, n.at, n.answer)
@@ -446,7 +446,7 @@
 // of life it is all the same.
 func (a *actor) alive(n *note) {
 	if p := a.asking; p == nil || p.line != n.line {
-		a.fleet.count.Add("probes", "late", 1)
+		a.fleet.count.Add("late", "probes", 1)
 	} else if n.text == "failed" {
 		a.probed(logic.Errored, n.at, logic.Load{})
 	} else {
