--- a/internal/clients/body.go
+++ b/internal/clients/body.go
@@ -76,12 +76,9 @@
 		return errors.New("Req-Deadline is not a time in seconds")
 	}
 	lk.Wait, lk.Resent = wait, r.Header.Get("Req-Retry") == "1"
-	if key := r.URL.Query().Get("key"); key != "" {
-		if lk.Key, err = strconv.ParseUint(key, 16, 64); err != nil {
-			return errors.New("key is not 16 hex digits")
-		}
-		lk.HasKey = true
-	}
+	// A key that is none of ours is no reason to turn a lookup away: it only says what goes together.
+	lk.Key, err = strconv.ParseUint(r.URL.Query().Get("key"), 16, 64)
+	lk.HasKey = err == nil
 	return nil
 }
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -77,8 +77,9 @@
 	time.Sleep(acceptOn)
 	s.lines.listener.SetDeadline(time.Now().Add(emptying))
 	<-s.stopped
-	s.lines.closeIdle(whyShutdown)
-	s.lines.wait()
+	for s.lines.closeIdle(whyShutdown) > 0 {
+		time.Sleep(emptying)
+	}
 	s.http.Close()
 }
 
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -15,6 +15,9 @@
 	"puffinlink.example/puffinlink/internal/counters"
 )
 
+// unread is how long a new line may have had a request that nobody has read yet; only after that is it known to be idle.
+const unread = 300 * time.Millisecond
+
 // surplusLines is how many lines beyond the cap are taken only to be told 503; any further are closed at once.
 const surplusLines = 32
 
@@ -90,8 +93,11 @@
 	return time.Now() // it came along with the request before
 }
 
-// between tells that no part of a request is here; of.mu is held.
-func (l *line) between() bool { return !l.idle.IsZero() && l.came.Load() == 0 }
+// between tells that the line may be closed without loss: no part of a request is here, and a client that sends
+// one right now sends it again, as it had an answer on this line or nothing to say; of.mu is held.
+func (l *line) between() bool {
+	return !l.idle.IsZero() && l.came.Load() == 0 && (l.answered.Load() || time.Since(l.opened) > unread)
+}
 
 // end notes why the line ends; the first reason stands.
 func (l *line) end(why reason) { l.why.CompareAndSwap(nil, why) }
@@ -115,14 +121,11 @@
 
 	mu     sync.Mutex
 	open   map[*line]bool
-	empty  *sync.Cond
 	drains bool
 }
 
 func newLines(most int, log zerolog.Logger, count *counters.Set) *lines {
-	s := &lines{most: most, log: log, count: count, open: map[*line]bool{}}
-	s.empty = sync.NewCond(&s.mu)
-	return s
+	return &lines{most: most, log: log, count: count, open: map[*line]bool{}}
 }
 
 func (s *lines) Addr() net.Addr { return s.listener.Addr() }
@@ -187,11 +190,7 @@
 func (s *lines) ended(l *line) {
 	s.mu.Lock()
 	delete(s.open, l)
-	none := len(s.open) == 0
 	s.mu.Unlock()
-	if none {
-		s.empty.Broadcast()
-	}
 	l.end(whyAnswered)
 	why := string(l.why.Load().(reason))
 	s.count.Add("client_lines", why, 1)
@@ -211,13 +210,15 @@
 	return s.drains
 }
 
-// closeIdle closes lines between two requests.
-func (s *lines) closeIdle(why reason) {
+// closeIdle closes lines between two requests, and tells how many others there are.
+func (s *lines) closeIdle(why reason) (others int) {
 	s.mu.Lock()
 	var idle []*line
 	for l := range s.open {
 		if l.between() {
 			idle = append(idle, l)
+		} else {
+			others++
 		}
 	}
 	s.mu.Unlock()
@@ -225,13 +226,5 @@
 		l.end(why)
 		l.Close()
 	}
-}
-
-// wait returns when no line is open.
-func (s *lines) wait() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for len(s.open) > 0 {
-		s.empty.Wait()
-	}
+	return others
 }
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -514,7 +514,11 @@
 		}
 	}
 	if p := a.asking; p != nil && due(p.since.Add(seconds(a.fleet.set.Connect))) {
-		a.probed(logic.TimedOut, now, logic.Load{})
+		how := logic.TimedOut
+		if p.line == nil { // the connect that it waits for has as long, and may be told a moment later
+			how = logic.NotConnected
+		}
+		a.probed(how, now, logic.Load{})
 	}
 	for _, l := range a.lines {
 		if l.closing == "" && a.idle(l) && a.fleet.set.Idle > 0 &&
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,6 +173,37 @@
 	}
 }
 
+// A connect that never comes up proves that nothing ran; for a probe too, however close its own time-out is.
+func TestConnectThatNeverComesUp(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 0.1 })
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	syscall.Listen(fd, 0)
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for { // fill its queue, after which the kernel answers no connect
+		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	r.named(address, logic.Ready, 0)
+	calls := r.send("aa", "q", time.Minute, 1)
+	r.ended(calls[0].Part, logic.NotConnected)
+	r.fleet.Probe(1)
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
+		t.Fatalf("got %+v", e.Event)
+	}
+}
+
 func TestLineLostAfterTheFrameMayHaveRun(t *testing.T) {
 	r := newRig(t, nil)
 	calls := r.send("aa", "q", time.Second, 1)
