Lose no request of a crowd; renew a silent watch before what it missed counts as told

A watch was renewed after 8 s and after waits up to 7.5 s, but what it missed counts as told after 6 s; now 5 s and 1.5 s. A restart that meets its address still in use waits for the process before it.

--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -32,6 +33,8 @@
 	growth = 400
 	// clientShare of the descriptors may be clients' lines; the rest is for searchers, the register and surplus lines.
 	clientShare = 0.7
+	// overlap is how long the process before may still hold the address: the longest that a stopping mixer takes.
+	overlap = 10 * time.Second
 	// logLines may wait for whoever reads the log: those of all lines that a mixer may have, ending at once.
 	logLines = 1024
 )
@@ -113,6 +116,16 @@
 	return math.MaxInt32
 }
 
+// listen waits a while for an address in use: a restart may overlap with the end of the process before it.
+func listen(address *net.TCPAddr) (l *net.TCPListener, err error) {
+	for until := time.Now().Add(overlap); ; time.Sleep(overlap / 100) {
+		l, err = net.ListenTCP("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return l, err
+		}
+	}
+}
+
 func run() error {
 	c, set, err := read()
 	if err != nil {
@@ -135,7 +148,7 @@
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
-	listener, err := net.ListenTCP("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -98,10 +98,6 @@
 // lookup reads one, hands it to the module's actor and writes what that says.
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request, index logic.IndexID) {
 	l := r.Context().Value(lineKey{}).(*line)
-	if l.surplus {
-		s.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
-		return
-	}
 	lk := &mixer.Lookup{Index: index, Arrived: l.arrived(), Done: make(chan mixer.Reply, 1)}
 	if err := s.book.readHead(r, lk); err != nil {
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
@@ -119,6 +115,11 @@
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
+	if l.surplus {
+		s.refuse(w, r, http.StatusServiceUnavailable, "too many connections")
+		return
+	}
+	l.asked.Store(true)
 	l.SetReadDeadline(time.Time{}) // that of reading; from here net/http only watches for the client's leaving
 	s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.LookupTaken}})
 	select {
@@ -156,6 +157,7 @@
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, status int, body []byte) {
 	l := r.Context().Value(lineKey{}).(*line)
+	l.asked.Store(true)
 	s.count.Add("answers", strconv.Itoa(status), 1)
 	l.SetWriteDeadline(time.Now().Add(slowAnswer))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -274,19 +274,56 @@
 	busy.expect(500)
 }
 
-// A new line may hold a request that nobody has read yet: it is not taken for idle at once.
-func TestANewLineIsNotEvictedAtOnce(t *testing.T) {
-	r := newRig(t, 1, nil)
-	silent, second := r.dial(), r.dial()
+// A new line, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
+func TestLinesThatStopHalfWayMakeRoomAfterAWhile(t *testing.T) {
+	r := newRig(t, 2, nil)
+	silent, half, second := r.dial(), r.dial(), r.dial()
+	io.WriteString(half, "POST /reads")
 	second.ask()
 	second.expect(503)
 	time.Sleep(unread + 50*time.Millisecond)
-	third := r.dial()
-	third.ask()
-	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
-	third.expect(500)
-	if status, _, _ := silent.answer(); status != 0 {
-		t.Fatalf("the silent line got status %d", status)
+	third, fourth := r.dial(), r.dial()
+	for _, c := range []*client{third, fourth} {
+		c.ask()
+		r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+		c.expect(500)
+	}
+	for _, c := range []*client{silent, half} {
+		if status, _, _ := c.answer(); status != 0 {
+			t.Fatalf("a line that asked nothing got status %d", status)
+		}
+	}
+}
+
+// Far more clients than lines at once: each gets an answer, and none finds its line closed without one.
+func TestACrowdIsAnsweredToTheLast(t *testing.T) {
+	r := newRig(t, 8, nil)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-r.box.Ready():
+				for _, e := range r.box.Take(nil) {
+					if e.Kind == logic.LookupTaken {
+						e.Taken.Done <- mixer.Reply{End: mixer.Nacked}
+					}
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	defer close(done)
+	var crowd []*client
+	for range 400 {
+		c := r.dial()
+		c.ask()
+		crowd = append(crowd, c)
+	}
+	for i, c := range crowd {
+		if status, _, _ := c.answer(); status != 429 && status != 503 {
+			t.Fatalf("client %d got status %d", i, status)
+		}
 	}
 }
 
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -15,11 +15,15 @@
 	"puffinlink.example/puffinlink/internal/counters"
 )
 
-// unread is how long a new line may have had a request that nobody has read yet; only after that is it known to be idle.
-const unread = 300 * time.Millisecond
-
-// surplusLines is how many lines beyond the cap are taken only to be told 503; any further are closed at once.
-const surplusLines = 32
+const (
+	// unread is how long the rest of a request may have been here without being read; only after that is it
+	// known that the client has stopped half way.
+	unread = 300 * time.Millisecond
+	// surplusLines is how many lines beyond the cap are taken only to be told 503; any further wait in the
+	// kernel's queue, where their requests are not lost, until one of these is done.
+	surplusLines = 128
+	fullPoll     = 5 * time.Millisecond
+)
 
 var errDrained = errors.New("no longer accepting")
 
@@ -36,7 +40,6 @@
 	whyUnwritten reason = "answer_unwritten"
 	whyAnswered  reason = "closed_after_answer"
 	whyEvicted   reason = "idle_evicted"
-	whyFull      reason = "too_many_lines"
 	whyShutdown  reason = "shutdown"
 )
 
@@ -48,17 +51,21 @@
 	surplus  bool
 	opened   time.Time
 	came     atomic.Int64 // when, in ns after opened; 0 until the first byte after an answer
-	answered atomic.Bool
+	last     atomic.Int64 // the same of the last byte
+	asked    atomic.Bool  // the request is whole, and its answer is not
+	answered atomic.Bool  // some answer was given
 	why      atomic.Value // reason
 	once     sync.Once
 
-	idle time.Time // since when; zero while a request is in hand; guarded by of.mu
+	idle time.Time // since when, after an answer; zero else; guarded by of.mu
 }
 
 func (l *line) Read(b []byte) (int, error) {
 	n, err := l.Conn.Read(b)
 	if n > 0 {
-		l.came.CompareAndSwap(0, max(1, int64(time.Since(l.opened))))
+		at := max(1, int64(time.Since(l.opened)))
+		l.came.CompareAndSwap(0, at)
+		l.last.Store(at)
 	}
 	switch {
 	case err == nil:
@@ -93,10 +100,16 @@
 	return time.Now() // it came along with the request before
 }
 
-// between tells that the line may be closed without loss: no part of a request is here, and a client that sends
-// one right now sends it again, as it had an answer on this line or nothing to say; of.mu is held.
+// between tells that the line may be closed without loss: its client has had its answers, and sends a request that
+// crosses with the closing again; or it has stopped half way, and nothing whole can be lost. of.mu is held.
 func (l *line) between() bool {
-	return !l.idle.IsZero() && l.came.Load() == 0 && (l.answered.Load() || time.Since(l.opened) > unread)
+	switch {
+	case l.asked.Load():
+		return false
+	case !l.idle.IsZero() && l.came.Load() == 0:
+		return true
+	}
+	return time.Since(l.opened)-time.Duration(l.last.Load()) > unread
 }
 
 // end notes why the line ends; the first reason stands.
@@ -133,46 +146,50 @@
 func (s *lines) Close() error { return s.listener.Close() }
 
 func (s *lines) Accept() (net.Conn, error) {
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, errDrained // which net/http does not take for a passing trouble
-		} else if err != nil {
-			return nil, err
-		}
-		l := &line{Conn: c, of: s, opened: time.Now()}
-		s.mu.Lock()
-		var evicted *line
-		if len(s.open) >= s.most {
-			if evicted = s.longestIdle(); evicted == nil {
-				l.surplus = true
-			}
-		}
-		refused := len(s.open) >= s.most+surplusLines
+	c, err := s.listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errDrained // which net/http does not take for a passing trouble
+	} else if err != nil {
+		return nil, err
+	}
+	s.count.Add("client_lines", "accepted", 1)
+	l := &line{Conn: c, of: s, opened: time.Now()}
+	for !s.enter(l) {
+		time.Sleep(fullPoll)
+	}
+	return l, nil
+}
+
+// enter books a new line, at the cap in place of one that may be closed, or else as surplus where there is room.
+func (s *lines) enter(l *line) bool {
+	s.mu.Lock()
+	var evicted *line
+	if len(s.open) >= s.most {
+		evicted = s.longestIdle()
+		l.surplus = evicted == nil
+	}
+	room := !l.surplus || len(s.open) < s.most+surplusLines
+	if room {
 		s.open[l] = true
-		s.mu.Unlock()
-		s.count.Add("client_lines", "accepted", 1)
-		if evicted != nil {
-			evicted.end(whyEvicted)
-			evicted.Close()
-		}
-		if !refused {
-			return l, nil
-		}
-		l.end(whyFull)
-		l.Close()
 	}
+	s.mu.Unlock()
+	if evicted != nil {
+		evicted.end(whyEvicted)
+		evicted.Close()
+	}
+	return room
 }
 
-// longestIdle is the line that has waited longest for its client's next request; the lock is held.
+// longestIdle is the line that may be closed and has heard nothing longest; the lock is held.
 func (s *lines) longestIdle() (found *line) {
+	heard := func(l *line) time.Time { return l.opened.Add(time.Duration(l.last.Load())) }
 	for l := range s.open {
-		if l.between() && (found == nil || l.idle.Before(found.idle)) {
+		if l.between() && (found == nil || heard(l).Before(heard(found))) {
 			found = l
 		}
 	}
 	if found != nil {
-		found.idle = time.Time{}
+		delete(s.open, found)
 	}
 	return found
 }
@@ -182,8 +199,9 @@
 	l := c.(*line)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.idle = (time.Time{}); state == http.StateIdle || state == http.StateNew {
+	if l.idle = (time.Time{}); state == http.StateIdle {
 		l.idle = time.Now()
+		l.asked.Store(false)
 	}
 }
 
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -25,13 +25,15 @@
 )
 
 const (
-	// beat is how often the protocol sends an empty line while nothing changes; a watch that misses silentBeats
-	// of them is dead or its register out of reach, and only a new one can tell.
+	// beat is how often the protocol sends an empty line while nothing changes; a watch silent for so many of them
+	// is dead or its register out of reach, and only a new one can tell. What the register has to say counts as
+	// told 6 s later at the latest: a new watch must stand before.
 	beat        = 2 * time.Second
-	silentBeats = 4
-	// Waits between watches grow, so that mixers that lost the register together leave it room.
-	firstWait = 100 * time.Millisecond
-	mostWait  = 5 * time.Second
+	silentBeats = 2.5
+	// Waits between watches grow, so that mixers that lost the register together leave it room, but not far, for
+	// the same reason.
+	firstWait = 50 * time.Millisecond
+	mostWait  = time.Second
 	// mostLine bounds what one line can make us hold: some 10,000 searchers.
 	mostLine = 4 << 20
 )
@@ -103,7 +105,7 @@
 func New(address string, known []byte, set settings.Settings, tell *mailbox.Box[mixer.Event], log zerolog.Logger,
 	count *counters.Set) (*Register, error) {
 	r := &Register{in: mailbox.New[note](), tell: tell, log: log, count: count,
-		url: "http://" + address + "/discovery/hosts", silence: silentBeats * beat, asked: set.AskList, on: !set.AskList,
+		url: "http://" + address + "/discovery/hosts", silence: time.Duration(silentBeats * float64(beat)), asked: set.AskList, on: !set.AskList,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
 		places: numbered(set.Net.Locations), kinds: numbered(set.Net.Kinds), ids: map[string]logic.SearcherID{},
