Never let net/http answer 200 for a client that left; dial anew when an address changes

What waited for a connect to an address that the list took back failed with it. An idle time shorter than the connect time-out made every line stale and the actor dial without end; half of the idle time is kept at least.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -84,6 +84,7 @@
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	r.Context().Value(lineKey{}).(*line).SetWriteDeadline(time.Time{}) // that of the answer before
 	index, known := s.book.index(r.URL.Path)
 	switch {
 	case r.URL.Path == "/up" && r.Method == http.MethodGet:
@@ -127,6 +128,8 @@
 		s.answer(w, r, lk, reply)
 	case <-r.Context().Done():
 		s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.ClientGone}})
+		// Should it still listen, having closed one direction only, net/http's own answer would be an empty 200.
+		s.write(w, r, http.StatusInternalServerError, nil)
 	}
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -225,6 +225,14 @@
 	if r.event(logic.ClientGone) != lk {
 		t.Fatal("another lookup's client is told to have gone")
 	}
+	c = r.dial() // one that closes its own direction only is never told that it was served
+	c.ask()
+	r.event(logic.LookupTaken)
+	c.Conn.(*net.TCPConn).CloseWrite()
+	r.event(logic.ClientGone)
+	if status, _, _ := c.answer(); status == 200 {
+		t.Fatal("told that it was served")
+	}
 }
 
 func TestARequestThatStopsHalfWayEndsAlone(t *testing.T) {
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -89,7 +89,7 @@
 	probe
 	closeIdle
 	stop
-	dialled   // line, or why and text
+	dialled   // era, line, or why and text
 	wentOut   // line, letter, calls: written to the last byte
 	cameIn    // line, letter, answer or text, at
 	lineEnded // line, why, text
@@ -101,6 +101,7 @@
 	letter  byte
 	entry   logic.Entry
 	address string
+	era     int
 	new     []mixer.Call
 	calls   []*call
 	part    logic.PartID
@@ -136,16 +137,18 @@
 
 // actor speaks with one searcher.
 type actor struct {
-	fleet   *Fleet
-	id      logic.SearcherID
-	in      *mailbox.Box[note]
-	address string
-	stopped bool
-	lines   []*line
-	dials   int
-	waiting []*trip // for a line with room
-	calls   map[string]*call
-	asking  *asking
+	fleet    *Fleet
+	id       logic.SearcherID
+	in       *mailbox.Box[note]
+	address  string
+	stopped  bool
+	era      int // of the address
+	lines    []*line
+	dials    int     // connects to this address
+	dialling int     // connects to any
+	waiting  []*trip // for a line with room
+	calls    map[string]*call
+	asking   *asking
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -153,7 +156,7 @@
 func (a *actor) run() {
 	var notes []note
 	timer := time.NewTimer(0)
-	for !a.stopped || a.dials > 0 || len(a.lines) > 0 {
+	for !a.stopped || a.dialling > 0 || len(a.lines) > 0 {
 		select {
 		case <-a.in.Ready():
 		case <-timer.C:
@@ -225,7 +228,11 @@
 		}
 		return
 	}
-	a.address = n.address
+	if n.address != a.address { // connects to the old one are no use
+		a.address, a.dials = n.address, 0
+		a.era++
+		defer a.assign()
+	}
 	for _, l := range a.lines {
 		switch {
 		case l.address != a.address:
@@ -286,7 +293,12 @@
 // as long as a connect.
 func (a *actor) stale(l *line) bool {
 	idle := a.fleet.set.Idle
-	return idle > 0 && a.idle(l) && time.Since(l.used) >= seconds(idle-a.fleet.set.Connect)
+	return idle > 0 && a.idle(l) && time.Since(l.used) >= a.keep()
+}
+
+// keep is how long an idle line is kept; where a connect may take nearly all of the idle time, half of that.
+func (a *actor) keep() time.Duration {
+	return seconds(max(a.fleet.set.Idle-a.fleet.set.Connect, a.fleet.set.Idle/2))
 }
 
 // assign puts what waits on the first line that can take it, and opens more lines where there are too few.
@@ -333,8 +345,9 @@
 
 func (a *actor) dial() {
 	a.dials++
+	a.dialling++
 	a.fleet.count.Add("lines", "dialled", 1)
-	address, connect := a.address, seconds(a.fleet.set.Connect)
+	address, era, connect := a.address, a.era, seconds(a.fleet.set.Connect)
 	go func() {
 		conn, err := net.DialTimeout("tcp", address, connect)
 		if err != nil {
@@ -342,31 +355,35 @@
 			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
 				why = whyLateDial
 			}
-			a.in.Put(note{kind: dialled, address: address, why: why, text: err.Error()})
+			a.in.Put(note{kind: dialled, era: era, address: address, why: why, text: err.Error()})
 			return
 		}
 		l := &line{conn: conn, out: mailbox.New[packet](), address: address, opened: time.Now(),
 			used: time.Now(), ghosts: map[string]time.Time{}}
-		a.in.Put(note{kind: dialled, line: l})
+		a.in.Put(note{kind: dialled, era: era, line: l})
 		l.run(a.in.Put)
 	}()
 }
 
 func (a *actor) dialled(n *note) {
-	a.dials--
+	a.dialling--
+	old := n.era != a.era
+	if !old {
+		a.dials--
+	}
 	if n.line != nil {
 		a.lines = append(a.lines, n.line)
 		switch {
 		case a.stopped:
 			a.close(n.line, whyShutdown)
-		case n.line.address != a.address:
+		case old:
 			a.close(n.line, whyMoved)
 		}
 		a.assign()
 		return
 	}
 	a.logEnd(n.why, n.text, n.address, 0)
-	if a.dials > 0 {
+	if old || a.dials > 0 {
 		return // another may come up
 	}
 	for _, t := range slices.Clone(a.waiting) {
@@ -522,7 +539,7 @@
 	}
 	for _, l := range a.lines {
 		if l.closing == "" && a.idle(l) && a.fleet.set.Idle > 0 &&
-			due(l.used.Add(seconds(a.fleet.set.Idle-a.fleet.set.Connect))) {
+			due(l.used.Add(a.keep())) {
 			a.close(l, whyIdle)
 		}
 	}
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -176,31 +176,58 @@
 // A connect that never comes up proves that nothing ran; for a probe too, however close its own time-out is.
 func TestConnectThatNeverComesUp(t *testing.T) {
 	r := newRig(t, func(n *settings.Net) { n.Connect = 0.1 })
+	r.named(r.deaf(), logic.Ready, 0)
+	calls := r.send("aa", "q", time.Minute, 1)
+	r.ended(calls[0].Part, logic.NotConnected)
+	r.fleet.Probe(1)
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
+		t.Fatalf("got %+v", e.Event)
+	}
+}
+
+// What waits for a connect to an address that the list takes back goes to the new one.
+func TestAddressChangesWhileConnecting(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 0.5 })
+	r.named(r.deaf(), logic.Ready, 0)
+	calls := r.send("aa", "q", time.Minute, 1)
+	r.named(r.peer.Addr().String(), logic.Ready, 0)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	time.Sleep(600 * time.Millisecond) // the old connect fails meanwhile
+	p.say('R', "aa.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+}
+
+// Where a connect may take all of the idle time, lines are still used.
+func TestIdleTimeShorterThanAConnect(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 2, 5 })
+	calls := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	p.say('R', "aa.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+}
+
+// deaf is an address where no connect is ever answered.
+func (r *rig) deaf() string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
-		t.Fatal(err)
+		r.Fatal(err)
 	}
-	defer syscall.Close(fd)
+	r.Cleanup(func() { syscall.Close(fd) })
 	syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
 	syscall.Listen(fd, 0)
 	at, err := syscall.Getsockname(fd)
 	if err != nil {
-		t.Fatal(err)
+		r.Fatal(err)
 	}
 	address := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
-	for { // fill its queue, after which the kernel answers no connect
+	for { // its queue once full, the kernel is silent
 		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err != nil {
-			break
+			return address
 		}
-		defer c.Close()
-	}
-	r.named(address, logic.Ready, 0)
-	calls := r.send("aa", "q", time.Minute, 1)
-	r.ended(calls[0].Part, logic.NotConnected)
-	r.fleet.Probe(1)
-	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
-		t.Fatalf("got %+v", e.Event)
+		r.Cleanup(func() { c.Close() })
 	}
 }
 
