Count the soft deadline by what most tries give, not by the longest

First tries gave 3.76 s, the retry of the first one nacked 5.99 s: a client's last try gives all that is left. opened() (state.go) took the longest time seen for a first try's, so from then on each first try of that index counted as begun 2.2 s ago, past its soft deadline, and was nacked wherever it was crowded.

Now the time that most tries give counts as a first try's; one that gives another has spent what it lacks to the hard deadline.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,8 +16,6 @@
 	windowNarrow = 0.8   // narrowing at a slow answer: gentle, as one slow part may just be a pause
 	windowMost   = 0.5   // narrowing at one that is far too slow, and widening of a window below one
 	windowLeast  = 0.3   // of a call: a part that has to wait for more is better turned away
-	usualUpTo    = 2.0   // an answer within this multiple of the usual latency widens, one beyond
-	slowFrom     = 2.5   // this multiple narrows, and is ill
 	usualStep    = 0.015 // how fast the usual latency follows the median, which sick ones cannot move; hints too
 	usualMost    = 0.17  // of the shortest soft deadline
 	smoothing    = 0.2   // weight of a new latency: about the last ten answers count
@@ -27,47 +25,45 @@
 	faultPrior   = 1.0   // and as how many that of its location does
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
-	creditStart  = 3.0   // further part calls a searcher never heard may get
-	creditMost   = 10.0
-	creditEarn   = 0.2  // credit for an answer: bounds further calls to this share where all goes wrong
-	overdueFrom  = 4.0  // a call out for this multiple of what a sibling would take is taken back
-	shallowMore  = 2.0  // and this times as long where probes do not wait in queues, and so tell less
-	silentFrom   = 4.0  // usual latencies without any answer after which a searcher counts as silent
-	silentLeast  = 0.25 // of a soft deadline, at least so long: every searcher pauses now and then
-	deepFrom     = 0.25 // of a usual latency: a probe that takes longer has waited
-	lookFrom     = 0.15 // share of calls that fail or crawl from which a mixer looks before it sends
-	lookMemory   = 2.0  // soft deadlines over which that share is counted
-	lookLeast    = 10.0 // calls that weigh as much as what is taken for granted without them
-	lookFresh    = 0.25 // for so long a sign of life serves
-	lookCost     = 4.0  // what a searcher counts that has given none, or where the part's last call failed
-	idleLeast    = 0.2  // pauses of a line that are looked at
-	idleDoubt    = 1.0  // calls lost after such pauses, before lines are thought to die
-	idleTrust    = 0.05 // of a lost call, made good by one that was answered after a pause
-	idleShare    = 0.8  // of the pause after which a call was lost: from there lines are closed before use
-	waitFirst    = 0.25 // pause after a failed connect or a failed ask for the list, doubled up to waitMost
-	waitMost     = 2.0
-	coldMargin   = 0.8 // of what the fall rule allows: capacity, hints and the split among mixers are rough
-	coldLoad     = 1.5 // of its full capacity that may be meant for a cold searcher, its sibling being lost
+	creditEarn   = 0.2   // credit for an answer: bounds further calls to this share where all goes wrong
+	deepFrom     = 0.25  // of a usual latency: a probe that takes longer has waited
+	lookFrom     = 0.15  // share of calls that fail or crawl from which a mixer looks before it sends
+	lookMemory   = 2.0   // soft deadlines over which that share is counted
+	lookLeast    = 10.0  // calls that weigh as much as what is taken for granted without them
+	lookFresh    = 0.25  // for so long a sign of life serves
+	lookCost     = 4.0   // what a searcher counts that has given none, or where the part's last call failed
+	idleLeast    = 0.2   // pauses of a line that are looked at
+	idleDoubt    = 1.0   // calls lost after such pauses, before lines are thought to die
+	idleTrust    = 0.05  // of a lost call, made good by one that was answered after a pause
+	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
+	coldMargin   = 0.8   // of what the fall rule allows: capacity, hints and the split among mixers are rough
+	coldLoad     = 1.5   // of its full capacity that may be meant for a cold searcher, its sibling being lost
 	sweepEvery   = 0.02
-	lowGain      = 0.35 // of a soft deadline: so much earlier the least gain is turned away
-	overShare    = 0.5  // and so much more what is past its customer's share
 	burstS       = 2.0  // a customer may run ahead of its share by so many seconds of it
 	sumSlack     = 5e-5 // weights are rounded
 	sweepTimer   = TimerID(1)
+
+	usualUpTo, slowFrom      = 2.0, 2.5    // times usual: an answer within widens, one beyond narrows and is ill
+	creditStart, creditMost  = 3.0, 10.0   // further part calls of a searcher never heard, and of any at most
+	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
+	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
+	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
+	lowGain, overShare       = 0.35, 0.5   // of a soft deadline: how much earlier least gain goes; over share
+	tryApart, tryMost        = 0.02, 100.0 // of a hard deadline: tries alike; votes for the time that most give
 )
 
 var faultCost = [...]float64{Idempotent: 6, Fingerprinted: 6, OnceOnly: 30} // a once-only fault ends a lookup
 
 // indexRow is what differs by index.
 type indexRow struct {
-	soft, gain, late   float64 // soft deadline, gain, and its share after it
-	need, floor, short float64
-	effect             Effect
-	fault              float64 // what a fault of a searcher adds to its cost
-	repeat             float64
-	second             int
-	longest            float64 // longest time a client gave: a shorter one tells of an earlier try
-	work               float64 // mean hint of a part
+	soft, hard, gain, late float64 // deadlines, gain, and its share after the soft one
+	need, floor, short     float64
+	effect                 Effect
+	fault                  float64 // what a fault of a searcher adds to its cost
+	repeat                 float64
+	second                 int
+	first, votes           float64 // the time that most tries give, and how many more than others
+	work                   float64 // mean hint of a part
 }
 
 // Filled at init, as effects lead back to the tables. An input that a state does not list changes nothing.
@@ -238,7 +234,13 @@
 }
 
 func (m *Mixer) take(e *Event) {
-	m.opened(e).over = m.overspends(e.Customer, burstS)
+	lk, x := m.opened(e), &m.index[e.Index]
+	lk.over = m.overspends(e.Customer, burstS)
+	// Against counting the soft deadline from a retry: a client's last try gives all that is left, be it more or
+	// less than its first ones gave, which are most.
+	if x.tried(e.Left, tryApart*x.hard, tryMost); math.Abs(e.Left-x.first) > tryApart*x.hard {
+		lk.soft -= max(0, x.hard-e.Left)
+	}
 }
 
 func (m *Mixer) takePart(e *Event) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -453,3 +454,21 @@
 		t.Errorf("expected a nack at once, got %v", done)
 	}
 }
+
+// A client's last try gives all that is left, often more than its first ones gave: once such a one was seen, first
+// tries were taken for late ones and nacked on arrival.
+func TestSoftDeadlineCountsFromTheFirstTry(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Limits.MaxTries = 1 })
+	for i, c := range []struct{ left, spent float64 }{
+		{3.74, 0}, {3.75, 0}, {5.99, 0.01}, {3.75, 0}, {5, 1}, {5, 1}, {3.73, 0}, {2.2, 3.8}, {3.76, 0},
+	} {
+		s.take(c.left, 0.1)
+		lk := s.m.lookups[LookupNo(s.next)]
+		if lk == nil {
+			t.Fatalf("try %d was nacked on arrival", i)
+		}
+		if got := s.now + 2 - lk.soft; math.Abs(got-c.spent) > 1e-9 {
+			t.Fatalf("try %d, which gives %g s: %g s are taken for spent, expected %g", i, c.left, got, c.spent)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -266,8 +266,8 @@
 // enter adds a row to the table of indexes.
 func (m *Mixer) enter(x *IndexSettings, fault float64) {
 	need := cmp.Or(x.Need, 1)
-	m.index = append(m.index, indexRow{soft: x.Soft, gain: x.Gain, late: x.LateGain, need: need, short: x.ShortGain,
-		floor: min(need, cmp.Or(x.Floor, need)), effect: x.Effect, fault: fault, repeat: x.RepeatS,
+	m.index = append(m.index, indexRow{soft: x.Soft, hard: x.Hard, gain: x.Gain, late: x.LateGain, need: need,
+		short: x.ShortGain, floor: min(need, cmp.Or(x.Floor, need)), effect: x.Effect, fault: fault, repeat: x.RepeatS,
 		second: x.SecondStep})
 	m.topGain = max(m.topGain, x.Gain)
 	m.longSoft, m.shortSoft = max(m.longSoft, x.Soft), min(m.shortSoft, x.Soft)
@@ -278,10 +278,9 @@
 // opened enters a lookup that was taken; added enters a part of it.
 func (m *Mixer) opened(e *Event) *lookup {
 	x := &m.index[e.Index]
-	x.longest = max(x.longest, e.Left)
 	m.books(&m.taken)
 	lk := &lookup{id: e.Lookup, no: e.No, k: e.Index, expect: e.Parts, deadline: m.now + e.Left,
-		soft: m.now + x.soft - (x.longest - e.Left), need: x.need, state: last}
+		soft: m.now + x.soft, need: x.need, state: last}
 	if x.second > 0 {
 		lk.state = first
 	}
@@ -290,6 +289,18 @@
 	return lk
 }
 
+// tried is a vote of the tries on the time that most of them give, as far apart and with as many votes at most.
+func (x *indexRow) tried(left, apart, most float64) {
+	switch {
+	case math.Abs(left-x.first) <= apart:
+		x.votes = min(x.votes+1, most)
+	case x.votes > 0:
+		x.votes--
+	default:
+		x.first, x.votes = left, 1
+	}
+}
+
 func (m *Mixer) added(lk *lookup, e *Event) *part {
 	m.books(&m.taken)
 	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit(), state: held}
