--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -43,12 +43,13 @@
 	count   *counters.Set
 	book    book
 	retry   bool
+	slow    time.Duration // that an answer may take to be written
 	stopped chan error
 }
 
 // New makes a server that keeps no more than so many lines.
 func New(set settings.Settings, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
-	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter,
+	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
 		lines: newLines(most, log, count), stopped: make(chan error, 1)}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: mostHead, ReadTimeout: slowRequest, IdleTimeout: 24 * time.Hour,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
@@ -162,7 +163,7 @@
 	l := r.Context().Value(lineKey{}).(*line)
 	l.asked.Store(true)
 	s.count.Add("answers", strconv.Itoa(status), 1)
-	l.SetWriteDeadline(time.Now().Add(slowAnswer))
+	l.SetWriteDeadline(time.Now().Add(s.slow))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if l.surplus || s.lines.draining() {
 		w.Header().Set("Connection", "close")
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -285,6 +285,23 @@
 	busy.expect(500)
 }
 
+func TestAClientThatDoesNotReadHoldsUpNobody(t *testing.T) {
+	r := newRig(t, 100, func(s *Server) { s.slow = 100 * time.Millisecond })
+	c, other := r.dial(), r.dial()
+	c.ask()
+	lk := r.event(logic.LookupTaken)
+	lk.Parts[0].In, lk.Parts[0].Value = true, bytes.Repeat([]byte("v"), 32<<20) // more than sockets hold unread
+	lk.Done <- mixer.Reply{End: mixer.Satisfied}
+	other.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+	other.expect(500)
+	for late := time.Now().Add(patience); r.count.Get("client_lines", string(whyUnwritten)) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("its line does not end")
+		}
+	}
+}
+
 // A new line, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
 func TestLinesThatStopHalfWayMakeRoomAfterAWhile(t *testing.T) {
 	r := newRig(t, 2, nil)
