Derive what the mixer holds, number names in one place, join no strings to count

On a last read of the change, behaviour as it was: the count of lookups and parts held and a lookup's held flag follow from the maps; three loops that number names are one; counters are keyed by name and reason instead of a string made anew at each addition, several a lookup; the draining flag needs no lock; the ids that a whole list names are collected only for a whole list; a test's two waits for an ended line are one.

--- a/internal/clients/body.go
+++ b/internal/clients/body.go
@@ -24,14 +24,7 @@
 }
 
 func newBook(set settings.Net) book {
-	b := book{map[string]logic.IndexID{}, map[string]logic.CustomerID{}, set.Shards}
-	for i, name := range set.Indexes {
-		b.indexes[name] = logic.IndexID(i)
-	}
-	for i, name := range set.Customers {
-		b.customers[name] = logic.CustomerID(i)
-	}
-	return b
+	return book{settings.Numbered[logic.IndexID](set.Indexes), settings.Numbered[logic.CustomerID](set.Customers), set.Shards}
 }
 
 // index is the one that the first part of a path names.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -74,7 +74,7 @@
 // Drain goes on accepting for a while, then closes the listener once its queue is empty, and the idle lines;
 // it returns when all that was taken is answered. Answers close their lines meanwhile.
 func (s *Server) Drain() {
-	s.lines.drain()
+	s.lines.drains.Store(true)
 	time.Sleep(acceptOn)
 	s.lines.listener.SetDeadline(time.Now().Add(emptying))
 	<-s.stopped
@@ -165,7 +165,7 @@
 	s.count.Add("answers", strconv.Itoa(status), 1)
 	l.SetWriteDeadline(time.Now().Add(s.slow))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if l.surplus || s.lines.draining() {
+	if l.surplus || s.lines.drains.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(status)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -69,6 +69,16 @@
 	return e.Taken
 }
 
+// ended waits until a line has ended for a reason.
+func (r *rig) ended(why reason) {
+	r.Helper()
+	for late := time.Now().Add(patience); r.count.Get("client_lines", string(why)) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			r.Fatalf("no line ended by %s", why)
+		}
+	}
+}
+
 // client is one line of a client's.
 type client struct {
 	net.Conn
@@ -248,11 +258,7 @@
 			t.Fatalf("got status %d", status)
 		}
 		c.Close()
-		for late := time.Now().Add(patience); r.count.Get("client_lines", string(whySlow)) == 0; time.Sleep(time.Millisecond) {
-			if time.Now().After(late) {
-				t.Fatal("the reason was not counted")
-			}
-		}
+		r.ended(whySlow)
 	}
 	c := r.dial() // one that is held for longer than reading may take is not taken to have left
 	c.ask()
@@ -295,11 +301,7 @@
 	other.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
 	other.expect(500)
-	for late := time.Now().Add(patience); r.count.Get("client_lines", string(whyUnwritten)) == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(late) {
-			t.Fatal("its line does not end")
-		}
-	}
+	r.ended(whyUnwritten)
 }
 
 // A new line, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -57,7 +57,7 @@
 	why      atomic.Value // reason
 	once     sync.Once
 
-	idle time.Time // since when, after an answer; zero else; guarded by of.mu
+	idle bool // an answer is written and no request read since; guarded by of.mu
 }
 
 func (l *line) Read(b []byte) (int, error) {
@@ -106,7 +106,7 @@
 	switch {
 	case l.asked.Load():
 		return false
-	case !l.idle.IsZero() && l.came.Load() == 0:
+	case l.idle && l.came.Load() == 0:
 		return true
 	}
 	return time.Since(l.opened)-time.Duration(l.last.Load()) > unread
@@ -132,9 +132,10 @@
 	log      zerolog.Logger
 	count    *counters.Set
 
-	mu     sync.Mutex
-	open   map[*line]bool
-	drains bool
+	drains atomic.Bool // answers close their lines
+
+	mu   sync.Mutex
+	open map[*line]bool
 }
 
 func newLines(most int, log zerolog.Logger, count *counters.Set) *lines {
@@ -199,8 +200,7 @@
 	l := c.(*line)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.idle = (time.Time{}); state == http.StateIdle {
-		l.idle = time.Now()
+	if l.idle = state == http.StateIdle; l.idle {
 		l.asked.Store(false)
 	}
 }
@@ -216,18 +216,6 @@
 		Float64("lived_s", time.Since(l.opened).Seconds()).Msg("connection ended")
 }
 
-func (s *lines) drain() {
-	s.mu.Lock()
-	s.drains = true
-	s.mu.Unlock()
-}
-
-func (s *lines) draining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.drains
-}
-
 // closeIdle closes lines between two requests, and tells how many others there are.
 func (s *lines) closeIdle(why reason) (others int) {
 	s.mu.Lock()
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -7,26 +7,26 @@
 	"github.com/rs/zerolog"
 )
 
-// Set is a set of counters by name; every actor may add to it.
+// Set is a set of counters by name and reason; every actor may add to it.
 type Set struct {
 	mu    sync.Mutex
-	count map[string]int64
+	count map[[2]string]int64
 }
 
-func New() *Set { return &Set{count: map[string]int64{}} }
+func New() *Set { return &Set{count: map[[2]string]int64{}} }
 
 // Add adds to the counter of a name and a reason.
 func (s *Set) Add(name, reason string, by int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count[name+"."+reason] += by
+	s.count[[2]string{name, reason}] += by
 }
 
 // Get tells a counter.
 func (s *Set) Get(name, reason string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.count[name+"."+reason]
+	return s.count[[2]string{name, reason}]
 }
 
 // MarshalZerologObject puts all counters into one log line.
@@ -34,8 +34,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fields := make(map[string]any, len(s.count))
-	for name, n := range s.count {
-		fields[name] = n
+	for key, n := range s.count {
+		fields[key[0]+"."+key[1]] = n
 	}
 	e.Fields(fields) // sorted by name
 }
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -108,7 +108,7 @@
 		url: "http://" + address + "/discovery/hosts", silence: time.Duration(silentBeats * float64(beat)), asked: set.AskList, on: !set.AskList,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
-		places: numbered(set.Net.Locations), kinds: numbered(set.Net.Kinds), ids: map[string]logic.SearcherID{},
+		places: settings.Numbered[int](set.Net.Locations), kinds: settings.Numbered[int](set.Net.Kinds), ids: map[string]logic.SearcherID{},
 		finished: make(chan struct{})}
 	if err := r.take(known, true); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
@@ -116,14 +116,6 @@
 	return r, nil
 }
 
-func numbered(names []string) map[string]int {
-	m := map[string]int{}
-	for i, name := range names {
-		m[name] = i
-	}
-	return m
-}
-
 // Subscribe and AskWhole are what the module may ask.
 func (r *Register) Subscribe(on bool) { r.in.Put(note{kind: subscribe, on: on}) }
 func (r *Register) AskWhole()         { r.in.Put(note{kind: askWhole}) }
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -29,8 +29,7 @@
 	Parts    []Part
 	Done     chan Reply // holds one
 
-	id   logic.LookupID
-	held bool // taken, and no final answer given
+	id logic.LookupID
 }
 
 // Part is one of a lookup's; its Value is there once it is In.
@@ -143,7 +142,6 @@
 	timers   timers
 	due      map[logic.TimerID]time.Time // when timers of this step were due
 	lastID   uint64
-	held     int // lookups and parts
 	lookups  map[logic.LookupID]*Lookup
 	names    map[string]*Lookup // held, by the client's id
 	parts    map[logic.PartID]partRef
@@ -248,7 +246,7 @@
 		m.open(e.Taken, now)
 		return
 	case logic.ClientGone:
-		if !e.Taken.held {
+		if !m.holds(e.Taken) {
 			return // answered while it left
 		}
 		e.Lookup = e.Taken.id
@@ -265,12 +263,14 @@
 		if e.List == logic.ListFailed {
 			break
 		}
-		keep := map[logic.SearcherID]bool{}
 		for i := range e.Entries {
 			m.searchers.Named(e.Entries[i], e.Addresses[i])
-			keep[e.Entries[i].Searcher] = true
 		}
 		if e.List != logic.ListPatch {
+			keep := make(map[logic.SearcherID]bool, len(e.Entries))
+			for i := range e.Entries {
+				keep[e.Entries[i].Searcher] = true
+			}
 			m.searchers.Unnamed(keep)
 		}
 	}
@@ -280,7 +280,7 @@
 // open takes a lookup in, its parts right behind it, unless the most that may be held is held.
 func (m *Mixer) open(lk *Lookup, now time.Time) {
 	switch {
-	case m.set.Limits.MaxHeld > 0 && m.held >= m.set.Limits.MaxHeld:
+	case m.set.Limits.MaxHeld > 0 && len(m.lookups)+len(m.parts) >= m.set.Limits.MaxHeld:
 		m.count.Add("lookups", "full", 1)
 		lk.Done <- Reply{End: Full}
 		return
@@ -292,9 +292,8 @@
 	m.count.Add("lookups", "taken", 1)
 	m.count.Add("lookups", "held", 1)
 	m.lastID++
-	lk.id, lk.held = logic.LookupID(m.lastID), true
+	lk.id = logic.LookupID(m.lastID)
 	m.lookups[lk.id], m.names[lk.ID] = lk, lk
-	m.held += 1 + len(lk.Parts)
 	left := lk.Wait - now.Sub(lk.Arrived).Seconds()
 	e := logic.Event{Kind: logic.LookupTaken, Lookup: lk.id, No: logic.LookupNo(lk.id), Index: lk.Index,
 		Customer: lk.Customer, Key: lk.Key, HasKey: lk.HasKey, Left: left, Parts: len(lk.Parts), Resent: lk.Resent}
@@ -312,16 +311,17 @@
 	}
 }
 
+// holds tells whether a lookup was taken and has no final answer yet.
+func (m *Mixer) holds(lk *Lookup) bool { return m.lookups[lk.id] == lk }
+
 // close lets go of a lookup that has its final answer, or no client.
 func (m *Mixer) close(lk *Lookup) {
-	lk.held = false
 	m.count.Add("lookups", "held", -1)
 	delete(m.lookups, lk.id)
 	delete(m.names, lk.ID)
 	for i := range lk.Parts {
 		delete(m.parts, logic.PartID(uint64(lk.id)+1+uint64(i)))
 	}
-	m.held -= 1 + len(lk.Parts)
 }
 
 func (m *Mixer) finish(id logic.LookupID, reason string, reply Reply) {
--- a/internal/mixer/mixer_test.go
+++ b/internal/mixer/mixer_test.go
@@ -286,7 +286,7 @@
 				if ran, again := never[c.Part]; c.Lookup.Index == 1 && again && !ran {
 					t.Fatalf("a once-only part of %s was sent again", c.Lookup.ID)
 				}
-				if !c.Lookup.held && !open[c.Lookup] {
+				if !r.holds(c.Lookup) && !open[c.Lookup] {
 					t.Fatalf("a part of %s was sent after its end", c.Lookup.ID)
 				}
 				never[c.Part] = true
@@ -309,8 +309,8 @@
 			}
 			r.books(t, nil)
 		}
-		if len(open) > 0 || r.held != 0 || len(r.parts) > 0 || len(r.out) != len(pending) {
-			t.Fatalf("%d lookups open, %d held, %d parts, %d calls booked of %d", len(open), r.held, len(r.parts), len(r.out), len(pending))
+		if len(open) > 0 || len(r.lookups) != 0 || len(r.parts) > 0 || len(r.out) != len(pending) {
+			t.Fatalf("%d lookups open, %d held, %d parts, %d calls booked of %d", len(open), len(r.lookups), len(r.parts), len(r.out), len(pending))
 		}
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,15 @@
 	return s, check(&w)
 }
 
+// Numbered gives names their ids, which are their places.
+func Numbered[ID ~int](names []string) map[string]ID {
+	m := make(map[string]ID, len(names))
+	for i, name := range names {
+		m[name] = ID(i)
+	}
+	return m
+}
+
 func at(list []float64, i int) float64 {
 	if i < len(list) {
 		return list[i]
