--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -205,7 +205,7 @@
 		return nil, err
 	}
 	s.count.Add("client_lines", "accepted", 1)
-	l := &line{Conn: c, of: s, opened: time.Now()}
+	l := &line{Conn: c, of: s}
 	for !s.enter(l) {
 		time.Sleep(fullPoll)
 	}
@@ -221,6 +221,7 @@
 	}
 	room := len(s.open) < s.most
 	if room {
+		l.opened = time.Now() // not when it was accepted: nobody has read from it yet
 		s.open[l] = true
 	}
 	s.mu.Unlock()
