Give up lines that fall silent, not their searchers

Now a line that leaves a probe unanswered, or a call for as long, with nothing heard since, takes nothing new; it is closed once nothing is out on it, and is as good as before should it speak again.

--- a/internal/searchers/line.go
+++ b/internal/searchers/line.go
@@ -37,6 +37,8 @@
 	trips   int                  // calls that it carries
 	ghosts  map[string]time.Time // names of calls given up on it, which may still be answered, and until when
 	last    string               // name of the last answer on it, which may come twice
+	heard   time.Time            // last frame that came
+	mute    bool                 // what was asked on it had no answer in its time, and nothing has come since
 	half    bool                 // a frame has begun to come; what never ends must not take a call with it
 	closing reason               // why we closed it; "" if we did not
 }
@@ -47,6 +49,7 @@
 const (
 	whyIdle       reason = "idle"
 	whyAsked      reason = "closed_on_request"
+	whyMute       reason = "no_answer"
 	whyMoved      reason = "address_changed"
 	whyRestarted  reason = "searcher_restarted"
 	whyUnnamed    reason = "searcher_gone"
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -247,7 +247,7 @@
 	case cameHalf:
 		n.line.half = true
 	case cameIn:
-		n.line.used, n.line.half = n.at, false
+		n.line.used, n.line.heard, n.line.half, n.line.mute = n.at, n.at, false, false
 		if n.letter == letterAnswer {
 			a.answered(n)
 		} else {
@@ -325,7 +325,7 @@
 // could not be told from the new one's.
 func (a *actor) room(t *trip) *line {
 	for _, l := range a.lines {
-		if l.closing != "" || l.half || a.fleet.set.Streams > 0 && l.trips >= a.fleet.set.Streams || a.stale(l) {
+		if !a.takes(l) || a.fleet.set.Streams > 0 && l.trips >= a.fleet.set.Streams {
 			continue
 		}
 		if !slices.ContainsFunc(t.calls, func(c *call) bool { return !l.ghosts[c.name].IsZero() }) {
@@ -335,6 +335,16 @@
 	return nil
 }
 
+// takes tells whether anything new may be asked on a line. One that has fallen silent looks like a searcher that is
+// silent: only another line tells them apart, and a searcher that lives must not be lost with its line.
+func (a *actor) takes(l *line) bool { return l.closing == "" && !l.half && !l.mute && !a.stale(l) }
+
+// unanswered notes that a line had no answer in its time to what was asked on it then. That time is a probe's at
+// least: what a client gives a call may be next to nothing.
+func (a *actor) unanswered(l *line, asked, now time.Time) {
+	l.mute = l.mute || l.heard.Before(asked) && now.Sub(asked) >= seconds(a.fleet.set.Connect)
+}
+
 // stale tells of a line that its searcher may close for being idle before a frame gets there: a frame is given
 // as long as a connect.
 func (a *actor) stale(l *line) bool {
@@ -365,7 +375,7 @@
 	a.waiting = rest
 	if p := a.asking; p != nil && p.line == nil {
 		for _, l := range a.lines {
-			if l.closing == "" && !l.half && !a.stale(l) {
+			if a.takes(l) {
 				a.ask(l)
 				break
 			}
@@ -480,6 +490,9 @@
 func (a *actor) giveUp(c *call, how logic.Outcome) {
 	if l := c.line; l != nil && l.closing == "" {
 		now := time.Now()
+		if c.written && how == logic.TimedOut {
+			a.unanswered(l, c.Sent, now)
+		}
 		maps.DeleteFunc(l.ghosts, func(_ string, until time.Time) bool { return until.Before(now) })
 		l.ghosts[c.name] = now.Add(lateAnswer)
 		l.out.Put(packet{letter: letterCancel, name: c.name})
@@ -619,12 +632,17 @@
 		how := logic.TimedOut
 		if p.line == nil { // the connect that it waits for has as long, and may be told a moment later
 			how = logic.NotConnected
+		} else if p.written {
+			a.unanswered(p.line, p.since, now)
 		}
 		a.probed(how, now, logic.Load{})
 	}
 	for _, l := range a.lines {
-		if l.closing == "" && a.idle(l) && a.fleet.set.Idle > 0 &&
-			due(l.used.Add(a.keep())) {
+		switch {
+		case l.closing != "" || !a.idle(l):
+		case l.mute:
+			a.close(l, whyMute)
+		case a.fleet.set.Idle > 0 && due(l.used.Add(a.keep())):
 			a.close(l, whyIdle)
 		}
 	}
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -316,6 +316,31 @@
 	}
 }
 
+// A line that has fallen silent takes nothing new, and its searcher is heard again on another; what is out on it may
+// still be answered, and then it is as good as before.
+func TestASilentLineIsNoSilentSearcher(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 0.1 })
+	out := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	for _, want := range []logic.Outcome{logic.TimedOut, logic.Answered} {
+		r.fleet.Probe(1)
+		if want == logic.Answered {
+			other := r.accept(r.peer)
+			other.expect('M', "")
+			other.say('M', "-")
+		}
+		if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != want {
+			t.Fatalf("got %+v", e.Event)
+		}
+	}
+	p.expect('M', "")
+	p.say('R', "aa.0 done 1 -\nvalue")
+	r.ended(out[0].Part, logic.Answered)
+	r.send("cc", "q", time.Minute, 1)
+	p.expect('S', "cc.0")
+}
+
 // Once the list no longer names a searcher, its actor ends with its last call, and its lines with it.
 func TestGoneSearchersAreForgotten(t *testing.T) {
 	r := newRig(t, nil)
@@ -438,7 +463,7 @@
 		if p == nil {
 			p = r.accept(r.peer)
 		}
-		p.expect('M', "") // always on the line that is open
+		p.expect('M', "") // on the line that is open
 		if c.say != "" {
 			p.say('M', c.say)
 		}
@@ -447,6 +472,7 @@
 		}
 	}
 	r.fleet.Probe(1)
+	p = r.accept(r.peer) // the other had no answer
 	p.expect('M', "")
 	p.Close()
 	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Broken {
