Ask a silent searcher apart and at once, and end calls on lines that died

A trace of the module (windows, calls out, what was held and why it was dropped, four times a second) showed two things. A searcher that fell silent was paused 0.25 s before it was asked, then asked on the line that was silent: out of reach for about 1 s, with 1.4 such lines a second. And once back, its window was full of calls on the dead line, mostly once-only ones that only their deadline ended: 'u4 o4' of a window of 4 with 46 parts held beside an idle searcher, softdrop and settle-lost from there. Ruled out: lookups past their share, short deadlines (away-deadline near 0), latencies (2 to 6 ms). listen() now asks at the moment it takes a searcher out of reach, and says that the probe must go apart; the searcher's actor then knows which lines are dead, and ends their calls a connect time-out later as timed out.

--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -87,7 +87,7 @@
 	Unnamed(keep map[logic.SearcherID]bool)
 	Send(to logic.SearcherID, calls []Call)
 	Withdraw(at logic.SearcherID, part logic.PartID, no logic.CallNo)
-	Probe(at logic.SearcherID)
+	Probe(at logic.SearcherID, apart bool)
 	CloseIdle(at logic.SearcherID)
 }
 
@@ -355,7 +355,7 @@
 	case logic.Probe:
 		m.flush(a.Searcher)
 		m.count.Add("probes", "sent", 1)
-		m.searchers.Probe(a.Searcher)
+		m.searchers.Probe(a.Searcher, a.Apart)
 	case logic.CloseIdle:
 		m.flush(a.Searcher)
 		m.searchers.CloseIdle(a.Searcher)
--- a/internal/mixer/mixer_test.go
+++ b/internal/mixer/mixer_test.go
@@ -31,7 +31,7 @@
 
 func (r *rig) Named(logic.Entry, string)         {}
 func (r *rig) Unnamed(map[logic.SearcherID]bool) {}
-func (r *rig) Probe(at logic.SearcherID)         { r.probes = append(r.probes, at) }
+func (r *rig) Probe(at logic.SearcherID, _ bool) { r.probes = append(r.probes, at) }
 func (r *rig) CloseIdle(logic.SearcherID)        {}
 func (r *rig) Subscribe(bool)                    { r.subs++ }
 func (r *rig) AskWhole()                         {}
--- a/internal/searchers/line.go
+++ b/internal/searchers/line.go
@@ -38,7 +38,8 @@
 	ghosts  map[string]time.Time // names of calls given up on it, which may still be answered, and until when
 	last    string               // name of the last answer on it, which may come twice
 	heard   time.Time            // last frame that came
-	mute    bool                 // what was asked on it had no answer in its time, and nothing has come since
+	asked   time.Time            // first frame that went out since; zero if none did
+	muteAt  time.Time            // when what was asked on it had had its time; zero if something has come since
 	half    bool                 // a frame has begun to come; what never ends must not take a call with it
 	closing reason               // why we closed it; "" if we did not
 }
@@ -174,7 +175,7 @@
 		n, err := l.conn.Write(buf)
 		for i, p := range waiting {
 			if n >= upTo[i] && p.letter != letterCancel {
-				tell(note{kind: wentOut, line: l, letter: p.letter, calls: p.calls})
+				tell(note{kind: wentOut, line: l, letter: p.letter, calls: p.calls, at: now})
 			}
 		}
 		if err != nil {
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -102,7 +102,10 @@
 	f.put(at, note{kind: withdraw, part: part, no: no})
 }
 
-func (f *Fleet) Probe(at logic.SearcherID) { f.put(at, note{kind: probe, at: time.Now()}) }
+// Probe asks a searcher whether it lives, apart from all that is out there if so wanted.
+func (f *Fleet) Probe(at logic.SearcherID, apart bool) {
+	f.put(at, note{kind: probe, apart: apart, at: time.Now()})
+}
 
 func (f *Fleet) CloseIdle(at logic.SearcherID) { f.put(at, note{kind: closeIdle}) }
 
@@ -124,7 +127,7 @@
 	closeIdle
 	stop
 	dialled   // era, line, or why and text
-	wentOut   // line, letter, calls: written to the last byte
+	wentOut   // line, letter, calls: written to the last byte; at: when that began
 	cameHalf  // line: a frame that is not here to its end
 	cameIn    // line, letter, answer or text, at
 	spoilt    // line, name of the call it may mean, at: nothing after it is read
@@ -137,6 +140,7 @@
 	letter  byte
 	entry   logic.Entry
 	address string
+	apart   bool
 	era     int
 	new     []mixer.Call
 	calls   []*call
@@ -168,6 +172,7 @@
 // asking is the probe that is out; the module has one at a time.
 type asking struct {
 	since   time.Time
+	apart   bool // on a line with nothing else out
 	line    *line
 	written bool
 }
@@ -188,6 +193,7 @@
 	waiting  []*trip // for a line with room
 	calls    map[string]*call
 	asking   *asking
+	heard    time.Time // last frame that came on any line
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -226,7 +232,7 @@
 			}
 		}
 	case probe:
-		a.probe(n.at)
+		a.probe(n.at, n.apart)
 	case closeIdle:
 		a.closeIdle(whyAsked)
 	case stop:
@@ -237,7 +243,10 @@
 	case dialled:
 		a.dialled(n)
 	case wentOut:
-		n.line.used = time.Now()
+		n.line.used = n.at
+		if n.line.asked.IsZero() && n.at.After(n.line.heard) {
+			n.line.asked = n.at
+		}
 		for _, c := range n.calls {
 			c.written = true
 		}
@@ -247,7 +256,8 @@
 	case cameHalf:
 		n.line.half = true
 	case cameIn:
-		n.line.used, n.line.heard, n.line.half, n.line.mute = n.at, n.at, false, false
+		n.line.used, n.line.heard, n.line.half = n.at, n.at, false
+		n.line.asked, n.line.muteAt, a.heard = time.Time{}, time.Time{}, n.at
 		if n.letter == letterAnswer {
 			a.answered(n)
 		} else {
@@ -337,12 +347,22 @@
 
 // takes tells whether anything new may be asked on a line. One that has fallen silent looks like a searcher that is
 // silent: only another line tells them apart, and a searcher that lives must not be lost with its line.
-func (a *actor) takes(l *line) bool { return l.closing == "" && !l.half && !l.mute && !a.stale(l) }
+func (a *actor) takes(l *line) bool {
+	return l.closing == "" && !l.half && l.muteAt.IsZero() && !a.stale(l)
+}
 
 // unanswered notes that a line had no answer in its time to what was asked on it then. That time is a probe's at
 // least: what a client gives a call may be next to nothing.
 func (a *actor) unanswered(l *line, asked, now time.Time) {
-	l.mute = l.mute || l.heard.Before(asked) && now.Sub(asked) >= seconds(a.fleet.set.Connect)
+	if l.heard.Before(asked) && now.Sub(asked) >= seconds(a.fleet.set.Connect) {
+		l.mute(now)
+	}
+}
+
+func (l *line) mute(now time.Time) {
+	if l.muteAt.IsZero() {
+		l.muteAt = now
+	}
 }
 
 // stale tells of a line that its searcher may close for being idle before a frame gets there: a frame is given
@@ -375,7 +395,7 @@
 	a.waiting = rest
 	if p := a.asking; p != nil && p.line == nil {
 		for _, l := range a.lines {
-			if a.takes(l) {
+			if a.takes(l) && (!p.apart || a.idle(l) && l.asked.IsZero()) {
 				a.ask(l)
 				break
 			}
@@ -540,11 +560,11 @@
 	a.close(l, why)
 }
 
-func (a *actor) probe(at time.Time) {
+func (a *actor) probe(at time.Time, apart bool) {
 	if a.asking != nil {
 		return
 	}
-	a.asking = &asking{since: at}
+	a.asking = &asking{since: at, apart: apart}
 	a.assign()
 }
 
@@ -562,7 +582,15 @@
 func (a *actor) alive(n *note) {
 	if p := a.asking; p == nil || p.line != n.line {
 		a.fleet.count.Add("late", "probes", 1)
-	} else if n.text == probeFailed {
+		return
+	} else if p.apart { // the searcher lives, and lines that were asked before and said nothing since do not
+		for _, l := range a.lines {
+			if !l.asked.IsZero() && l.asked.Before(p.since) {
+				l.mute(n.at)
+			}
+		}
+	}
+	if n.text == probeFailed {
 		a.probed(logic.Errored, n.at, logic.Load{})
 	} else {
 		a.probed(logic.Answered, n.at, parseLoad([]byte(n.text)))
@@ -639,9 +667,18 @@
 	}
 	for _, l := range a.lines {
 		switch {
-		case l.closing != "" || !a.idle(l):
-		case l.mute:
-			a.close(l, whyMute)
+		case l.closing != "":
+		case !l.muteAt.IsZero():
+			// Its searcher lives, and has had as long again as a probe to say something here: nobody waits any more.
+			if a.idle(l) || !a.heard.Before(l.muteAt) && due(l.muteAt.Add(seconds(a.fleet.set.Connect))) {
+				for _, c := range a.calls {
+					if c.line == l {
+						a.end(c, logic.TimedOut, now, answer{})
+					}
+				}
+				a.close(l, whyMute)
+			}
+		case !a.idle(l):
 		case a.fleet.set.Idle > 0 && due(l.used.Add(a.keep())):
 			a.close(l, whyIdle)
 		}
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -168,7 +168,7 @@
 	for _, c := range calls {
 		r.ended(c.Part, logic.NotConnected)
 	}
-	r.fleet.Probe(1)
+	r.fleet.Probe(1, false)
 	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
 		t.Fatalf("got %+v", e.Event)
 	}
@@ -180,7 +180,7 @@
 	r.named(r.deaf(), logic.Ready, 0)
 	calls := r.send("aa", "q", time.Minute, 1)
 	r.ended(calls[0].Part, logic.NotConnected)
-	r.fleet.Probe(1)
+	r.fleet.Probe(1, false)
 	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.NotConnected {
 		t.Fatalf("got %+v", e.Event)
 	}
@@ -324,7 +324,7 @@
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
 	for _, want := range []logic.Outcome{logic.TimedOut, logic.Answered} {
-		r.fleet.Probe(1)
+		r.fleet.Probe(1, false)
 		if want == logic.Answered {
 			other := r.accept(r.peer)
 			other.expect('M', "")
@@ -341,6 +341,38 @@
 	p.expect('S', "cc.0")
 }
 
+// Asked apart, a searcher is heard at once on a line of its own, and the one that has said nothing takes nothing new.
+func TestAProbeApartFindsASilentLine(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 0.3 })
+	out := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	r.fleet.Probe(1, true)
+	other := r.accept(r.peer)
+	other.expect('M', "")
+	other.say('M', "-")
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Answered {
+		t.Fatalf("got %+v", e.Event)
+	}
+	r.send("bb", "q", time.Minute, 1)
+	other.expect('S', "bb.0")
+	p.say('R', "aa.0 done 1 -\nvalue") // it was only slow
+	r.ended(out[0].Part, logic.Answered)
+	lost := r.send("cc", "q", time.Minute, 1)
+	p.expect('S', "cc.0")
+	r.fleet.Probe(1, true) // neither line is idle
+	last := r.accept(r.peer)
+	last.expect('M', "")
+	last.say('M', "-")
+	r.event()
+	other.say('R', "bb.0 done 1 -\nvalue")
+	r.event()
+	r.ended(lost[0].Part, logic.TimedOut) // long before its deadline
+	if _, _, err := readFrame(p.in); err != io.EOF {
+		t.Fatalf("the silent line goes on: %v", err)
+	}
+}
+
 // Once the list no longer names a searcher, its actor ends with its last call, and its lines with it.
 func TestGoneSearchersAreForgotten(t *testing.T) {
 	r := newRig(t, nil)
@@ -459,7 +491,7 @@
 		say  string
 		want logic.Outcome
 	}{{"queue=2", logic.Answered}, {"-", logic.Answered}, {"failed", logic.Errored}, {"", logic.TimedOut}} {
-		r.fleet.Probe(1)
+		r.fleet.Probe(1, false)
 		if p == nil {
 			p = r.accept(r.peer)
 		}
@@ -471,7 +503,7 @@
 			t.Fatalf("%q: got %+v", c.say, e.Event)
 		}
 	}
-	r.fleet.Probe(1)
+	r.fleet.Probe(1, false)
 	p = r.accept(r.peer) // the other had no answer
 	p.expect('M', "")
 	p.Close()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// listen guards against a searcher that takes calls and answers nothing, dead, cut off or stuck: it is out of
-// reach until it answers a probe. Under overload all answer late: the average says how long to wait.
+// listen guards against a searcher that answers nothing, dead, cut off or stuck: it is out of reach until it answers
+// a probe, asked at once and apart, as it may be a line that died. Under overload the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || m.now < s.downUntil {
 		return
@@ -196,17 +196,18 @@
 	silent := s.quietFrom > 0 && m.now-s.quietFrom > patience
 	if silent && s.downWait == 0 && (len(s.out) > 1 || s.unheard) {
 		m.away(s)
-	} else if silent || s.downWait > 0 {
-		m.ask(s)
+	}
+	if silent || s.downWait > 0 {
+		m.ask(s, true)
 	}
 }
 
 // ask: probes at a searcher are few, one by each mixer in a while, or they crowd each other out.
-func (m *Mixer) ask(s *searcher) {
+func (m *Mixer) ask(s *searcher, apart bool) {
 	if m.set.Limits.Probe && !s.probing && m.now-s.askedAt >= lookFresh {
 		s.probing, s.askedAt = true, m.now
 		s.asked(m.now)
-		m.do(Action{Kind: Probe, Searcher: s.id})
+		m.do(Action{Kind: Probe, Searcher: s.id, Apart: apart})
 	}
 }
 
@@ -226,7 +227,7 @@
 	one := m.choose(p, nil, false)
 	for _, s := range []*searcher{one, m.choose(p, one, false)} {
 		if s != nil && usable(s) {
-			m.ask(s)
+			m.ask(s, false)
 			wait = wait || s.probing
 		}
 	}
@@ -313,8 +314,7 @@
 	if len(p.live) != 1 || p.live[0].back || !m.mayAgain(p) {
 		return
 	}
-	c := p.live[0]
-	s := m.choose(p, c.at, true)
+	c, s := p.live[0], m.choose(p, p.live[0].at, true)
 	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
 	if !m.deep {
 		patience *= shallowMore
@@ -324,7 +324,7 @@
 	}
 	// Where the sibling's queue is as long, a further call only adds to both.
 	if m.set.Limits.Probe && !m.fresh(s) {
-		m.ask(s)
+		m.ask(s, false)
 		return
 	}
 	if c.at.alive > c.sent && c.at.answeredAt < c.sent {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -255,6 +255,31 @@
 	t.Error("the lost call was never taken back")
 }
 
+// One that says nothing is asked at once, apart from the calls it may have lost with their line; should it answer, it
+// is in reach at once.
+func TestSilentSearcherIsAskedApart(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Limits.Probe = true }, Entry{Searcher: 1})
+	warm(s)
+	s.take(6, 1)
+	s.take(6, 1)
+	for range 100 {
+		if asked := only(Probe, s.tick(0.02)); len(asked) > 0 {
+			x := s.m.searchers[1]
+			if !asked[0].Apart || usable(x) {
+				t.Fatalf("got %+v with the searcher in reach: %v", asked[0], usable(x))
+			}
+			if _, done := s.take(6, 1); len(only(Send, done)) > 0 {
+				t.Fatal("sent to one that says nothing")
+			}
+			if done := s.step(0.005, Event{Kind: ProbeEnded, Searcher: 1, Outcome: Answered}); len(only(Send, done)) != 1 {
+				t.Fatalf("not sent to one that answered: %+v", done)
+			}
+			return
+		}
+	}
+	t.Fatal("never asked")
+}
+
 func warm(s *scene) {
 	for range 20 {
 		_, done := s.take(6, 1)
--- a/logic/types.go
+++ b/logic/types.go
@@ -204,7 +204,7 @@
 	Nack                        // Lookup, Wait
 	Abort                       // Lookup
 	SetTimer                    // Timer, Wait
-	Probe                       // Searcher
+	Probe                       // Searcher, Apart
 	CloseIdle                   // Searcher
 	Tell                        // Peer (AllPeers for every one), Message
 	Subscribe                   // On
@@ -220,6 +220,7 @@
 	Kind     ActionKind
 	Whole    bool
 	On       bool
+	Apart    bool // where nothing else is out: whether the searcher lives, and not a line to it
 	Lookup   LookupID
 	Part     PartID
 	Searcher SearcherID
