Serve on while a stopping mixer surely lives, with its clients' lines open

Counters four times a second with the rolling restart beside them: the second mixer got SIGTERM 0.1 s after the first had started again, closed each line with its next answer, its listener after 0.5 s, and exited; the first was asked its first lookup 0.8 s after /up answered 200. For half a second nobody was there. Ruled out: lookups lost in a queue (taken = satisfied + nacked on both), a slow start (/up answered 0.03 s after the start). Lines at fault: Drain() closed lines from the first moment on. Kept open, clients go on asking: now until half a second before the earliest kill that the protocol allows, and no lookup taken then may wait beyond that.

--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -181,7 +181,7 @@
 	server := clients.New(set, clientLines, memory, m.In, log, count)
 	go m.Run(fleet, register)
 	go register.Run()
-	go server.Serve(listener)
+	server.Serve(listener)
 	log.Info().Str("listen", c.Listen).Msg("started")
 	drained := make(chan struct{})
 	drain := sync.OnceFunc(func() { go func() { server.Drain(); close(drained) }() })
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,8 +39,16 @@
 	smallBody  = 4 << 10
 	largeTakes = 4 * mostBody
 	bodyShare  = 0.2
-	// acceptOn is how long a stopping mixer goes on accepting: a front takes that long to notice.
-	acceptOn = 500 * time.Millisecond
+	// noticed is how long a front goes on handing out connections to a mixer that was told to stop.
+	noticed = 500 * time.Millisecond
+	// A stopping mixer is killed no sooner than a lookup's longest time, of which countedTime at most, and killAfter more
+	// after it was told to stop.
+	countedTime = 3 * time.Second
+	killAfter   = 700 * time.Millisecond
+	// Of that it serves on, as others may not be there yet, but for lastAnswers: by then all that it took is answered
+	// and its clients' lines are closed, each with an answer where they ask on.
+	lastAnswers = 500 * time.Millisecond
+	lastSecond  = 200 * time.Millisecond // of those, for what no lookup may take any more
 	// emptying is how long after that the listener's queue is emptied before it is closed.
 	emptying = 20 * time.Millisecond
 )
@@ -54,6 +63,8 @@
 	book    book
 	retry   bool
 	slow    time.Duration // that an answer may take to be written
+	serveOn time.Duration // how long a stopping mixer takes lookups
+	ends    atomic.Int64  // when each must have its answer once it stops, in Unix ns; 0 before
 	large   chan struct{} // a place for each large body in hand
 	stopped chan error
 }
@@ -62,6 +73,11 @@
 func New(set settings.Settings, most, memory int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
 		lines: newLines(most, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
+	longest := 0.0
+	for _, x := range set.Indexes {
+		longest = max(longest, x.Hard)
+	}
+	s.serveOn = killAfter + min(countedTime, time.Duration(longest*float64(time.Second))) - lastAnswers
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: mostHead, ReadTimeout: slowRequest, IdleTimeout: idleTime,
 		DisableGeneralOptionsHandler: true, // which answers 200
 		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
@@ -77,17 +93,21 @@
 	return len(text), nil
 }
 
-// Serve accepts until Drain.
+// Serve begins to accept, until Drain.
 func (s *Server) Serve(l *net.TCPListener) {
 	s.lines.listener = l
-	s.stopped <- s.http.Serve(s.lines)
+	go func() { s.stopped <- s.http.Serve(s.lines) }()
 }
 
-// Drain goes on accepting for a while, then closes the listener once its queue is empty, and the idle lines;
-// it returns when all that was taken is answered. Answers close their lines meanwhile.
+// Drain serves on for as long as a stopping mixer surely lives, but for the time that the last answers take: a front may
+// not have another mixer yet, and clients ask on on the lines they have. Then answers close their lines, the listener
+// closes once its queue is empty, and the idle lines close; it returns when all that was taken is answered.
 func (s *Server) Drain() {
+	s.ends.Store(time.Now().Add(s.serveOn + lastAnswers - lastSecond).UnixNano())
+	for began := time.Now(); time.Since(began) < s.serveOn && (time.Since(began) < noticed || s.lines.any()); {
+		time.Sleep(emptying)
+	}
 	s.lines.drains.Store(true)
-	time.Sleep(acceptOn)
 	s.lines.listener.SetDeadline(time.Now().Add(emptying))
 	<-s.stopped
 	for s.lines.closeIdle(whyShutdown) > 0 {
@@ -166,6 +186,9 @@
 		s.refuse(w, r, http.StatusServiceUnavailable, "too many lookups at once")
 		return
 	}
+	if ends := s.ends.Load(); ends > 0 { // a stopping mixer can't be waited for longer than it lives
+		lk.Wait = min(lk.Wait, max(0, time.Unix(0, ends).Sub(lk.Arrived).Seconds()))
+	}
 	l.SetReadDeadline(time.Time{}) // that of reading; from here net/http only watches for the client's leaving
 	s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.LookupTaken}})
 	select {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	r.address = l.Addr().String()
-	go r.Serve(l)
+	r.Serve(l)
 	t.Cleanup(func() { r.http.Close() })
 	return r
 }
@@ -441,22 +441,26 @@
 	}
 }
 
-func TestDrainAnswersAllThatIsHeld(t *testing.T) {
-	r := newRig(t, 100, nil)
+// A stopping mixer serves on while it surely lives: lines stay open, lookups that come then get their answers in that
+// time, and only after it do answers close their lines.
+func TestDrainServesOnAndAnswersAllThatIsHeld(t *testing.T) {
+	r := newRig(t, 100, func(s *Server) { s.serveOn = 600 * time.Millisecond })
 	busy, idle := r.dial(), r.dial()
-	idle.ask()
-	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
-	idle.expect(500)
 	busy.ask()
 	held := r.event(logic.LookupTaken)
 	drained := make(chan struct{})
 	go func() { r.Drain(); close(drained) }()
-	time.Sleep(acceptOn / 2)
-	late := r.dial()
-	late.ask()
-	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
-	if head, _ := late.expect(429); head.Get("Connection") != "close" {
-		t.Fatalf("got %v", head)
+	for _, c := range []*client{idle, r.dial(), idle} { // beyond the time that a front takes to notice
+		time.Sleep(180 * time.Millisecond)
+		io.WriteString(c, request("/reads", strings.Replace(goodHead, "0.480", "9", 1), goodBody))
+		lk := r.event(logic.LookupTaken)
+		if lk.Wait > 0.95 {
+			t.Fatalf("may wait %g s, longer than the mixer lives", lk.Wait)
+		}
+		lk.Done <- mixer.Reply{End: mixer.Nacked}
+		if head, _ := c.expect(429); head.Get("Connection") == "close" {
+			t.Fatal("the line closes with others perhaps not there yet")
+		}
 	}
 	if status, _, _ := idle.answer(); status != 0 {
 		t.Fatalf("the idle line got status %d", status)
@@ -470,12 +474,16 @@
 	default:
 	}
 	held.Done <- mixer.Reply{End: mixer.Satisfied}
-	busy.expect(200)
+	if head, _ := busy.expect(200); head.Get("Connection") != "close" {
+		t.Fatalf("got %v", head)
+	}
 	select {
 	case <-drained:
 	case <-time.After(patience):
 		t.Fatal("did not stop")
 	}
+	r = newRig(t, 100, func(s *Server) { s.serveOn = time.Hour })
+	r.Drain() // nobody is there
 }
 
 func FuzzBodies(f *testing.F) {
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -302,6 +302,13 @@
 		Float64("lived_s", time.Since(l.opened).Seconds()).Msg("connection ended")
 }
 
+// any tells whether a client has a line.
+func (s *lines) any() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open) > 0
+}
+
 // closeIdle closes lines between two requests, and tells how many others there are.
 func (s *lines) closeIdle(why reason) (others int) {
 	s.mu.Lock()
