Keep few idle lines of clients, so that one-time askers do not use up theirs

Clients that ask once and keep the line filled their third of the descriptors, as idle lines stayed for 5 s; what was refused never reached a mixer. Idle lines end after 2 s, and lines.changed closes the longest idle one where more than two fifths of the clients' lines had a lookup.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -31,9 +31,9 @@
 	slowRequest = 2 * time.Second
 	// One that stops in the middle of reading an answer holds its line no longer.
 	slowAnswer = 10 * time.Second
-	// idleTime is how long a line without a request is kept: longer than usual clients pause, and not for good, as
-	// some never come back.
-	idleTime = 5 * time.Second
+	// idleTime is how long a line without a request is kept at the least by agreement, and not for good, as some clients
+	// never come back on one.
+	idleTime = 2 * time.Second
 	// smallBody is what the body of a usual lookup takes. Of larger ones only so many are in hand at once that they,
 	// their copies while they grow and what they unfold into stay within bodyShare of the memory.
 	smallBody  = 4 << 10
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -328,6 +328,34 @@
 	}
 }
 
+// Clients that ask once and keep their lines do not use up those that clients may have: the longest idle ones close.
+func TestFewLinesAreKeptIdle(t *testing.T) {
+	r := newRig(t, 10, nil)
+	held := r.dial()
+	held.ask()
+	reply := r.event(logic.LookupTaken).Done
+	var once []*client
+	for range 5 {
+		c := r.dial()
+		once = append(once, c)
+		c.ask()
+		r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+		c.expect(500)
+	}
+	for _, c := range once[:2] {
+		if status, _, _ := c.answer(); status != 0 {
+			t.Fatalf("got status %d", status)
+		}
+	}
+	for _, c := range once[2:] {
+		c.ask()
+		r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
+		c.expect(500)
+	}
+	reply <- mixer.Reply{End: mixer.Aborted}
+	held.expect(500)
+}
+
 // A line that is idle for long is closed, and one that says nothing, or that stops half way, gets its end in time.
 func TestLinesThatAskNothingEnd(t *testing.T) {
 	r := newRig(t, 100, func(s *Server) { s.http.ReadTimeout, s.http.IdleTimeout = 100*time.Millisecond, 50*time.Millisecond })
@@ -382,13 +410,18 @@
 // A new line, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
 // Then they go before any line that served a lookup.
 func TestLinesThatStopHalfWayMakeRoomAfterAWhile(t *testing.T) {
-	r := newRig(t, 3, nil)
+	r := newRig(t, 8, nil)
 	served := r.dial()
 	served.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
 	served.expect(500)
-	silent, half := r.dial(), r.dial()
+	half := r.dial()
 	io.WriteString(half, "POST /reads")
+	time.Sleep(20 * time.Millisecond) // it is heard before the others come
+	silent := r.dial()
+	for range 5 {
+		r.dial()
+	}
 	began := time.Now()
 	third, fourth := r.dial(), r.dial()
 	for _, c := range []*client{third, fourth} {
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -23,7 +23,10 @@
 	// askShare of the lines may have a lookup held at once: far above what usual clients need. The others are for
 	// those that come and go, so that a newcomer never waits for a held lookup.
 	askShare = 0.8
-	fullPoll = 5 * time.Millisecond
+	// keepShare of the lines may stand idle or held after a lookup. Clients have few descriptors for us themselves, and
+	// those that never ask again on a line they keep would use them up: closed, it costs one that does a new line.
+	keepShare = 0.4
+	fullPoll  = 5 * time.Millisecond
 )
 
 var errDrained = errors.New("no longer accepting")
@@ -225,23 +228,30 @@
 		s.open[l] = true
 	}
 	s.mu.Unlock()
-	if evicted != nil {
-		evicted.end(whyEvicted)
-		evicted.Close()
-	}
+	evicted.evict()
 	return room
 }
 
+// evict closes a line that was taken off the book, if there is one.
+func (l *line) evict() {
+	if l != nil {
+		l.end(whyEvicted)
+		l.Close()
+	}
+}
+
+// heard is when its last byte came.
+func (l *line) heard() time.Time { return l.opened.Add(time.Duration(l.last.Load())) }
+
 // leastMissed takes the line off the book that may be closed and has heard nothing longest; the lock is held. Lines
 // on which a lookup was served go only when there are no others: a crowd that says nothing must not cost them theirs.
 func (s *lines) leastMissed() (found *line) {
-	heard := func(l *line) time.Time { return l.opened.Add(time.Duration(l.last.Load())) }
 	strangers := false
 	for l := range s.open {
 		if !l.served && !strangers {
 			strangers, found = true, nil
 		}
-		if l.served != strangers && l.between() && (found == nil || heard(l).Before(heard(found))) {
+		if l.served != strangers && l.between() && (found == nil || l.heard().Before(found.heard())) {
 			found = l
 		}
 	}
@@ -283,11 +293,35 @@
 func (s *lines) changed(c net.Conn, state http.ConnState) {
 	l := c.(*line)
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	var surplus *line
 	if l.idle = state == http.StateIdle; l.idle {
 		l.asked.Store(false)
 		s.release(l)
+		if l.served {
+			surplus = s.surplus()
+		}
+	}
+	s.mu.Unlock()
+	surplus.evict()
+}
+
+// surplus takes the line off the book that is idle longest, where more are kept than may be; the lock is held.
+func (s *lines) surplus() (found *line) {
+	kept := 0
+	for l := range s.open {
+		if !l.served {
+			continue
+		}
+		kept++
+		if l.between() && (found == nil || l.heard().Before(found.heard())) {
+			found = l
+		}
 	}
+	if float64(kept) <= keepShare*float64(s.most) {
+		return nil
+	}
+	delete(s.open, found)
+	return found
 }
 
 func (s *lines) ended(l *line) {
