--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -415,6 +415,7 @@
 	served.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
 	served.expect(500)
+	began := time.Now()
 	half := r.dial()
 	io.WriteString(half, "POST /reads")
 	time.Sleep(20 * time.Millisecond) // it is heard before the others come
@@ -422,7 +423,6 @@
 	for range 5 {
 		r.dial()
 	}
-	began := time.Now()
 	third, fourth := r.dial(), r.dial()
 	for _, c := range []*client{third, fourth} {
 		c.ask()
