--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,7 @@
 	faultPrior   = 1.0   // and as how many that of its location does
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
+	crossFault   = 20.0  // of that, times fault cost and share squared: no crossing saved is worth a fault
 	creditEarn   = 0.2   // credit for an answer: bounds further calls to this share where all goes wrong
 	deepFrom     = 0.25  // of a usual latency: a probe that takes longer has waited
 	lookFrom     = 0.15  // share of calls that fail or crawl from which a mixer looks before it sends
@@ -38,15 +39,14 @@
 	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
 	coldMargin   = 0.8   // of what the fall rule allows: capacity, hints and the split among mixers are rough
 	coldLoad     = 1.5   // of its full capacity that may be meant for a cold searcher, its sibling being lost
-	sweepEvery   = 0.02
-	burstS       = 2.0  // a customer may run ahead of its share by so many seconds of it
-	sumSlack     = 5e-5 // weights are rounded
+	sumSlack     = 5e-5  // weights are rounded
 	sweepTimer   = TimerID(1)
 
 	usualUpTo, slowFrom      = 2.0, 2.5    // times usual: an answer within widens, one beyond narrows and is ill
 	creditStart, creditMost  = 3.0, 10.0   // further part calls of a searcher never heard, and of any at most
 	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
+	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
 	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
 	lowGain, overShare       = 0.35, 0.5   // of a soft deadline: how much earlier least gain goes; over share
 	tryApart, tryMost        = 0.02, 100.0 // of a hard deadline: tries alike; votes for the time that most give
@@ -186,8 +186,8 @@
 	}
 }
 
-// listen guards against a searcher that answers nothing, dead, cut off or stuck: it is out of reach until it answers
-// a probe, asked at once and apart, as it may be a line that died. Under overload the average says how long to wait.
+// listen guards against a searcher that answers nothing, dead, cut off or stuck: out of reach until it answers a
+// probe, asked at once, and apart: a line may have died. Under overload the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || m.now < s.downUntil {
 		return
@@ -417,13 +417,13 @@
 // cost is what binding goes by: latency x (1 + own calls out and held), raised where the searcher fails the
 // index (a fast failure must not look like a short queue), is cold, or stands in another location.
 func (m *Mixer) cost(p *part, s *searcher) float64 {
-	lk := p.lk
-	units := s.units + s.heldUnits
+	lk, units := p.lk, s.units+s.heldUnits
 	if (p.at != s || p.state != held) && lk.heldAt(s)%m.set.Layout.CallParts == 0 {
 		units++
 	}
 	c := m.latency(s, lk.k) * float64(max(1, units)) / m.warmth(s)
-	c *= 1 + m.index[lk.k].fault*m.faulty(s, lk.k)
+	f := m.faulty(s, lk.k)
+	c += m.index[lk.k].fault * f * (c + f*crossFault*m.set.Prices.CrossLocation*m.usual)
 	if s.location != m.set.Location {
 		c = c*(1+crossCost*m.set.Prices.CrossLocation) + crossIdle*m.set.Prices.CrossLocation*m.usual
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -486,6 +486,25 @@
 }
 
 // In troubled times a part goes to the holder that first gives a sign of life, not to one that may be dead.
+// A searcher at home that fails most calls, and quickly, must not look cheaper than crossing to its sibling.
+func TestCrossingIsCheaperThanFaultsAtHome(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Prices.CrossLocation = 0.05 }, Entry{Searcher: 1}, Entry{Searcher: 2, Location: 1})
+	warm(s)
+	home, away := s.m.searchers[1], s.m.searchers[2]
+	home.latency, away.latency, home.heardAt, away.heardAt = s.m.usual/4, s.m.usual, s.now, s.now
+	parts, _ := s.take(6, 1)
+	p := s.m.parts[parts[0]]
+	if s.m.cost(p, home) > s.m.cost(p, away) {
+		t.Fatal("crosses from a sound searcher")
+	}
+	for i := range 40 {
+		s.m.blame(home, 0, share(i%5 > 0))
+	}
+	if s.m.cost(p, home) < s.m.cost(p, away) {
+		t.Fatalf("stays where %.0f%% of the calls fail", 100*s.m.faulty(home, 0))
+	}
+}
+
 func TestLooksBeforeSendingInTroubledTimes(t *testing.T) {
 	s := newScene(t, func(set *Settings) { set.Limits.Probe = true })
 	warm(s)
