--- a/logic/types.go
+++ b/logic/types.go
@@ -198,7 +198,7 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota // Part, Searcher, StopAt
+	Send      ActionKind = iota // Part, Searcher, StopAt, Apart
 	Withdraw                    // Part, Call
 	Answer                      // Lookup, Whole
 	Nack                        // Lookup, Wait
@@ -220,7 +220,7 @@
 	Kind     ActionKind
 	Whole    bool
 	On       bool
-	Apart    bool // where nothing else is out: whether the searcher lives, and not a line to it
+	Apart    bool // on a line with nothing else out, and nothing else beside it
 	Lookup   LookupID
 	Part     PartID
 	Searcher SearcherID
