--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -79,7 +79,6 @@
 	Shard  logic.ShardID
 	Sent   time.Time
 	Stop   time.Time // when to stop waiting
-	Apart  bool      // on a line with nothing else
 }
 
 // Searchers takes what goes to searchers. None of its methods may block.
@@ -398,7 +397,7 @@
 	p.made++
 	m.out[key] = a.Searcher
 	m.count.Add("calls", "sent", 1)
-	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop, a.Apart})
+	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop})
 	if len(trip) == 1 {
 		m.tripTo = append(m.tripTo, a.Searcher)
 	}
--- a/internal/searchers/line.go
+++ b/internal/searchers/line.go
@@ -35,7 +35,6 @@
 	opened  time.Time
 	used    time.Time            // last frame either way
 	trips   int                  // calls that it carries
-	apart   bool                 // what it carries is to be alone on it
 	ghosts  map[string]time.Time // names of calls given up on it, which may still be answered, and until when
 	last    string               // name of the last answer on it, which may come twice
 	heard   time.Time            // last frame that came
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -167,7 +167,6 @@
 type trip struct {
 	calls []*call
 	live  int
-	apart bool // with nothing else on its line
 }
 
 // asking is the probe that is out; the module has one at a time.
@@ -316,7 +315,6 @@
 	t := &trip{}
 	for _, c := range calls {
 		t.calls = append(t.calls, &call{Call: c, name: partName(&c), trip: t})
-		t.apart = t.apart || c.Apart
 	}
 	t.live = len(t.calls)
 	for _, c := range slices.Clone(t.calls) {
@@ -335,19 +333,16 @@
 
 // room finds a line for a trip. One on which a call of the same name was given up is no use: its late answer
 // could not be told from the new one's.
-func (a *actor) room(t *trip) (best *line) {
+func (a *actor) room(t *trip) *line {
 	for _, l := range a.lines {
-		switch busy := !a.idle(l); {
-		case !a.takes(l), a.fleet.set.Streams > 0 && l.trips >= a.fleet.set.Streams, busy && (t.apart || l.apart):
+		if !a.takes(l) || a.fleet.set.Streams > 0 && l.trips >= a.fleet.set.Streams {
 			continue
 		}
 		if !slices.ContainsFunc(t.calls, func(c *call) bool { return !l.ghosts[c.name].IsZero() }) {
-			if best == nil || l.used.After(best.used) { // what stood idle for long may be dead at the far end
-				best = l
-			}
+			return l
 		}
 	}
-	return best
+	return nil
 }
 
 // takes tells whether anything new may be asked on a line. One that has fallen silent looks like a searcher that is
@@ -384,22 +379,6 @@
 
 // assign puts what waits on the first line that can take it, and opens more lines where there are too few.
 func (a *actor) assign() {
-	a.place()
-	if p := a.asking; p != nil && p.line == nil {
-		for _, l := range a.lines {
-			if a.takes(l) && !(l.apart && !a.idle(l)) && (!p.apart || a.idle(l) && l.asked.IsZero()) {
-				a.ask(l)
-				break
-			}
-		}
-	}
-	for need := a.dialsNeeded(); a.dials < need; {
-		a.dial()
-	}
-}
-
-// place puts calls that wait on lines that can take them.
-func (a *actor) place() {
 	var rest []*trip
 	for _, t := range a.waiting {
 		l := a.room(t)
@@ -408,29 +387,32 @@
 			continue
 		}
 		l.trips++
-		l.apart = t.apart
 		for _, c := range t.calls {
 			c.line = l
 		}
 		l.out.Put(packet{letter: letterCall, calls: t.calls})
 	}
 	a.waiting = rest
+	if p := a.asking; p != nil && p.line == nil {
+		for _, l := range a.lines {
+			if a.takes(l) && (!p.apart || a.idle(l) && l.asked.IsZero()) {
+				a.ask(l)
+				break
+			}
+		}
+	}
+	for need := a.dialsNeeded(); a.dials < need; {
+		a.dial()
+	}
 }
 
 func (a *actor) dialsNeeded() int {
-	apart, per := 0, a.fleet.set.Streams
-	for _, t := range a.waiting {
-		if t.apart {
-			apart++
-		}
-	}
-	need := len(a.waiting) - apart
+	need, per := len(a.waiting), a.fleet.set.Streams
 	if need > 0 && per > 0 {
 		need = (need + per - 1) / per
 	} else if need > 0 {
 		need = 1
 	}
-	need += apart
 	if a.asking != nil && a.asking.line == nil {
 		need = max(need, 1)
 	}
@@ -491,13 +473,6 @@
 	if n.why == whyNoRoom { // no fault of the searcher
 		how = logic.NotSent
 	}
-	for _, t := range a.waiting { // beside others is better than not at all
-		t.apart = false
-	}
-	for _, l := range a.lines {
-		l.apart = false
-	}
-	a.place()
 	for _, t := range slices.Clone(a.waiting) {
 		for _, c := range slices.Clone(t.calls) {
 			a.end(c, how, time.Now(), answer{})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,8 @@
 	lookLeast    = 10.0  // calls that weigh as much as what is taken for granted without them
 	lookFresh    = 0.25  // for so long a sign of life serves
 	lookCost     = 4.0   // what a searcher counts that has given none, or where the part's last call failed
+	idleLeast    = 0.2   // pauses of a line that are looked at
+	idleDoubt    = 1.0   // calls lost after such pauses, before lines are thought to die
 	idleTrust    = 0.05  // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
 	coldMargin   = 0.8   // of what the fall rule allows: capacity, hints and the split among mixers are rough
@@ -45,7 +47,6 @@
 	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
 	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
-	idleLeast, idleDoubt     = 0.2, 1.0    // pauses of a line that count; calls lost after such until doubt
 	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
 	lowGain, overShare       = 0.35, 0.5   // of a soft deadline: how much earlier least gain goes; over share
 	tryApart, tryMost        = 0.02, 100.0 // of a hard deadline: tries alike; votes for the time that most give
@@ -185,7 +186,7 @@
 	}
 }
 
-// listen guards against a searcher that answers nothing, dead, cut off, stuck: out of reach until it answers
+// listen guards against a searcher that answers nothing, dead, cut off or stuck: out of reach until it answers
 // a probe, asked at once, and apart: a line may have died. Under overload the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || m.now < s.downUntil {
@@ -581,8 +582,7 @@
 	if m.warmth(s) < 1 {
 		s.sent = append(s.sent, sending{m.now, m.workOf(p.lk.k)})
 	}
-	once := m.index[p.lk.k].effect == OnceOnly // what befalls others on its line would end its lookup
-	m.do(Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: p.lk.deadline, Apart: once})
+	m.do(Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: p.lk.deadline})
 }
 
 // mayAgain tells whether a further call of p is allowed by its index, its tries and the budget.
--- a/logic/types.go
+++ b/logic/types.go
@@ -198,7 +198,7 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota // Part, Searcher, StopAt, Apart
+	Send      ActionKind = iota // Part, Searcher, StopAt
 	Withdraw                    // Part, Call
 	Answer                      // Lookup, Whole
 	Nack                        // Lookup, Wait
@@ -220,7 +220,7 @@
 	Kind     ActionKind
 	Whole    bool
 	On       bool
-	Apart    bool // on a line with nothing else out, and nothing else beside it
+	Apart    bool // where nothing else is out: whether the searcher lives, and not a line to it
 	Lookup   LookupID
 	Part     PartID
 	Searcher SearcherID
