--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// listen guards against a searcher that answers nothing, dead, cut off or stuck: out of reach until it answers
+// listen guards against a searcher that answers nothing, dead, cut off, stuck: out of reach until it answers
 // a probe, asked at once, and apart: a line may have died. Under overload the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || m.now < s.downUntil {
