Say when to come back also before any searcher was heard

Seen by hand on the built program: its first lookup, with no searcher to connect to, was nacked without Retry-After, as decline() took twice the average latency, which is 0 until somebody answers. It takes the index's soft deadline until then.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -395,7 +395,7 @@
 	if m.index[lk.k].effect != Idempotent && (lk.stepped || slices.ContainsFunc(lk.parts, (*part).maybe)) {
 		a.Kind = Abort
 	} else if m.set.Limits.RetryAfter {
-		a.Wait = min(m.set.Limits.MaxRetryAfter, 2*m.average)
+		a.Wait = min(m.set.Limits.MaxRetryAfter, 2*m.latency(nil, lk.k)) // also while nobody was heard
 	}
 	m.do(a)
 	m.forget(lk)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -169,6 +169,17 @@
 }
 
 // A list change that ends a lookup once tripped over the list of open lookups.
+// Also a mixer that has heard nobody yet says when to come back.
+func TestNackSaysWhenToComeBack(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Limits.RetryAfter, set.Limits.MaxRetryAfter = true, 1 }, Entry{Searcher: 1})
+	p, done := s.take(6, 1)
+	done = append(done, s.end(0.1, p[0], 1, NotConnected, 0.1)...)
+	nacks := only(Nack, append(done, s.tick(5.9)...))
+	if len(nacks) != 1 || nacks[0].Wait != 1 {
+		t.Fatalf("got %+v", nacks)
+	}
+}
+
 func TestListChangeMayEndLookups(t *testing.T) {
 	s := newScene(t, func(set *Settings) { set.Limits.MaxTries = 9 })
 	for range 8 {
