Take a list line's names only once all of it is read; say each thing once

A line of the register's that names a searcher gone and then holds what can't be read forgot that searcher's number although nothing of the line was told: the module would have kept it for good beside a second one. The line is checked whole first now, and a whole list makes its names anew, where it compared each with each. The two searches for the longest idle line of clients are one; the names of LB_ variables stand once.

--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -66,7 +66,7 @@
 }
 
 // read takes the config file and, over it, what the environment says by itself.
-func read(over map[string]string) (c config, set settings.Settings, err error) {
+func read(env func(string) string) (c config, set settings.Settings, err error) {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return c, set, errors.New("LB_CONFIG names no file")
@@ -79,7 +79,7 @@
 		return c, set, fmt.Errorf("config: %w", err)
 	}
 	for name, field := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
-		if v := over[name]; v != "" {
+		if v := env(name); v != "" {
 			*field = v
 		}
 	}
@@ -135,8 +135,14 @@
 }
 
 // reload reads the config file anew. All of it has to be valid, but only discovery changes under a running mixer.
-func reload(over map[string]string, register *list.Register) error {
-	c, _, err := read(over)
+// LB_DISCOVERY stands over the file at the start alone: a new file is meant to change it.
+func reload(register *list.Register) error {
+	c, _, err := read(func(name string) string {
+		if name == "LB_DISCOVERY" {
+			return ""
+		}
+		return os.Getenv(name)
+	})
 	if err != nil {
 		return err
 	}
@@ -149,11 +155,7 @@
 func run() error {
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	over := map[string]string{}
-	for _, name := range []string{"LB_NAME", "LB_LISTEN", "LB_DISCOVERY"} {
-		over[name] = os.Getenv(name)
-	}
-	c, set, err := read(over)
+	c, set, err := read(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -194,8 +196,7 @@
 			case syscall.SIGUSR1:
 				log.Info().EmbedObject(count).Msg("counters")
 			case syscall.SIGHUP:
-				delete(over, "LB_DISCOVERY") // at the start it stands over the file; a new file is meant to change it
-				if err := reload(over, register); err != nil {
+				if err := reload(register); err != nil {
 					log.Error().Str("text", err.Error()).Msg("config not taken, all stays as it is")
 				} else {
 					log.Info().Msg("config taken")
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -245,20 +245,28 @@
 
 // leastMissed takes the line off the book that may be closed and has heard nothing longest; the lock is held. Lines
 // on which a lookup was served go only when there are no others: a crowd that says nothing must not cost them theirs.
-func (s *lines) leastMissed() (found *line) {
-	strangers := false
+func (s *lines) leastMissed() *line {
+	found, strangers := s.longestIdle(false)
+	if strangers == 0 {
+		found, _ = s.longestIdle(true)
+	}
+	delete(s.open, found)
+	return found
+}
+
+// longestIdle finds the line that may be closed and has heard nothing longest, among those that had a lookup or those
+// that had none, and tells how many these are; the lock is held.
+func (s *lines) longestIdle(served bool) (found *line, all int) {
 	for l := range s.open {
-		if !l.served && !strangers {
-			strangers, found = true, nil
+		if l.served != served {
+			continue
 		}
-		if l.served != strangers && l.between() && (found == nil || l.heard().Before(found.heard())) {
+		all++
+		if l.between() && (found == nil || l.heard().Before(found.heard())) {
 			found = l
 		}
 	}
-	if found != nil {
-		delete(s.open, found)
-	}
-	return found
+	return found, all
 }
 
 // ask tells whether another lookup may be held, and books it.
@@ -306,17 +314,8 @@
 }
 
 // surplus takes the line off the book that is idle longest, where more are kept than may be; the lock is held.
-func (s *lines) surplus() (found *line) {
-	kept := 0
-	for l := range s.open {
-		if !l.served {
-			continue
-		}
-		kept++
-		if l.between() && (found == nil || l.heard().Before(found.heard())) {
-			found = l
-		}
-	}
+func (s *lines) surplus() *line {
+	found, kept := s.longestIdle(true)
 	if float64(kept) <= keepShare*float64(s.most) {
 		return nil
 	}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -9,11 +9,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -344,7 +342,7 @@
 	case p.Whole:
 		e.List = logic.ListWhole
 	}
-	for i := range p.Instances {
+	for i := range p.Instances { // all of them, before the first one counts
 		in := &p.Instances[i]
 		phase, is := phases[in.State]
 		switch {
@@ -357,7 +355,18 @@
 		case in.Cell < 0:
 			return fmt.Errorf("searcher %q: cell %d", in.ID, in.Cell)
 		}
+	}
+	before := r.ids
+	if e.List != logic.ListPatch { // those that it leaves out are gone
+		r.ids = make(map[string]logic.SearcherID, len(p.Instances))
+	}
+	for i := range p.Instances {
+		in := &p.Instances[i]
+		phase := phases[in.State]
 		id, seen := r.ids[in.ID]
+		if !seen {
+			id, seen = before[in.ID]
+		}
 		switch {
 		case !seen && phase == logic.Gone:
 			continue
@@ -375,11 +384,6 @@
 			StartedAt: in.StartedMs / 1000})
 		e.Addresses = append(e.Addresses, in.Address)
 	}
-	if e.List != logic.ListPatch {
-		maps.DeleteFunc(r.ids, func(_ string, id logic.SearcherID) bool {
-			return !slices.ContainsFunc(e.Entries, func(n logic.Entry) bool { return n.Searcher == id })
-		})
-	}
 	r.version = *p.Version
 	r.tell.Put(e)
 	return nil
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -187,9 +187,13 @@
 func TestAnUnknownStateEndsTheWatchAndTellsNothingOfIt(t *testing.T) {
 	r := newRig(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
-	w.write(line(42, false, searcher("s2", "SERVING"), searcher("s4", "ASLEEP")) + line(43, false, searcher("s5", "SERVING")))
-	r.ask("/discovery/hosts?stream=1&index=41").write(line(43, false, searcher("s6", "SERVING")))
+	w.write(line(42, false, searcher("s1", "DELETED"), searcher("s4", "ASLEEP")) + line(43, false, searcher("s5", "SERVING")))
+	w2 := r.ask("/discovery/hosts?stream=1&index=41")
+	w2.write(line(43, false, searcher("s6", "SERVING")) + line(44, false, searcher("s1", "DRAINING")))
 	r.expect(logic.ListPatch, "s6:0")
+	if e := r.expect(logic.ListPatch, "s1:1"); e.Entries[0].Searcher != 1 { // it was never told to be gone
+		t.Fatalf("s1 became %d", e.Entries[0].Searcher)
+	}
 	select {
 	case <-w.gone:
 	case <-time.After(patience):
