Overrides reach the decision module as one event: weights, out, pins

Operators want to lower a searcher's share, take it out or pin a shard while they look into it. The module takes a patch; out and pin narrow the holders for first calls, further ones, second copies, looks and turning away, a weight keeps a share of parts away by lot and counts other calls for as many as there would be without it.

Without overrides 40 seeded worlds give the same actions to the last (a hash from before).

--- a/logic/env_test.go
+++ b/logic/env_test.go
@@ -25,6 +25,8 @@
 	log            []Action
 	answered       int
 	sabotage       func(e *env, actions []Action) []Action
+	extra          func(e *env) []Event // told before all else in each step
+	renamed        func(SearcherID)     // what was known by this number is forgotten
 	err            error
 }
 
@@ -106,6 +108,9 @@
 	for end := e.now + seconds; e.now < end && e.err == nil; {
 		e.now += e.set.Step
 		var events []Event
+		if e.extra != nil {
+			events = e.extra(e)
+		}
 		e.due = slices.DeleteFunc(e.due, func(d dueEvent) bool {
 			if d.at > e.now {
 				return false
@@ -154,6 +159,9 @@
 			continue
 		case i < 0 || ev.Entries[i].Phase != Ready:
 			h.toldAt = cmp.Or(h.toldAt, e.now)
+			if e.renamed != nil && (i < 0 || ev.Entries[i].Phase == Gone) {
+				e.renamed(h.entry.Searcher)
+			}
 		default:
 			h.toldAt = 0
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,7 @@
 	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
 	coldMargin   = 0.8   // of what the fall rule allows: capacity, hints and the split among mixers are rough
 	coldLoad     = 1.5   // of its full capacity that may be meant for a cold searcher, its sibling being lost
+	overrideCost = 1e3   // what a searcher counts for the parts that a weight keeps from it
 	sumSlack     = 5e-5  // weights are rounded
 	sweepTimer   = TimerID(1)
 
@@ -87,13 +88,15 @@
 }
 
 // eventTable says who takes an event; the timer's turn comes after all others.
-var eventTable = [MessageArrived + 1]func(*Mixer, *Event){
+var eventTable = [OverridesChanged + 1]func(*Mixer, *Event){
 	ListChanged: (*Mixer).listed,
 	LookupTaken: (*Mixer).take,
 	PartTaken:   (*Mixer).takePart,
 	CallEnded:   (*Mixer).callEnded,
 	ClientGone:  (*Mixer).clientGone,
 	ProbeEnded:  (*Mixer).probed,
+
+	OverridesChanged: (*Mixer).overridden,
 }
 
 // outcomeTable sorts outcomes by what they prove of the part and say of the searcher.
@@ -163,6 +166,46 @@
 	}
 }
 
+// overridden takes what operators override. What is held where it may no longer go is bound anew; calls out
+// end well. One that comes back after it was out starts as a new one would: what was known of it is old.
+func (m *Mixer) overridden(e *Event) {
+	for _, s := range m.noted(e.Override) {
+		s.window = min(s.window, windowStart)
+		if len(s.out) == 0 {
+			s.quietFrom = 0
+		}
+	}
+	for _, p := range m.heldParts() {
+		if p.state == held && (p.at == nil || !m.may(p, p.at)) {
+			m.bind(p)
+		}
+	}
+}
+
+// may tells whether operators let a part go to a replica. A drain stands over out, out over a pin, a pin over
+// a weight. A pin that its searcher can't serve leaves the part to the siblings, or, if strict, to nobody.
+func (m *Mixer) may(p *part, s *searcher) bool {
+	pin, is := m.pin(p)
+	if s.scope(p.lk.k).out || !is {
+		return !s.scope(p.lk.k).out
+	}
+	at := m.searchers[pin.Searcher]
+	switch dead := at == nil || at.gone || m.now < at.downUntil; {
+	case s == at:
+		return !pin.Strict || !dead
+	case at != nil && !at.gone && (!at.ready || at.scope(p.lk.k).out):
+		return true
+	default:
+		return !pin.Strict && (dead || !usable(at) || !m.coldAllows(p, at))
+	}
+}
+
+// thinned tells whether a part is among those that a weight keeps from s, wherever a sibling takes them.
+func (m *Mixer) thinned(p *part, s *searcher) bool {
+	_, lot := math.Modf(p.lot + s.lot)
+	return lot >= s.scope(p.lk.k).weight
+}
+
 // renew forgets what was learned of a process that is no more.
 func (m *Mixer) renew(s *searcher) {
 	s.latency, s.window, s.downUntil, s.downWait, s.dead = 0, windowStart, 0, 0, false
@@ -189,7 +232,7 @@
 // listen guards against a searcher that answers nothing, dead, cut off, stuck: out of reach until it answers
 // a probe, asked at once, and apart: a line may have died. Under overload the average says how long to wait.
 func (m *Mixer) listen(s *searcher) {
-	if !s.ready || m.now < s.downUntil {
+	if !s.ready || s.shut || m.now < s.downUntil {
 		return
 	}
 	patience := max(silentFrom*max(m.usual, m.average), silentLeast*m.longSoft)
@@ -221,7 +264,8 @@
 
 // look asks the two likeliest holders of a held part, and tells whether to wait for the first that answers.
 func (m *Mixer) look(p *part) (wait bool) {
-	if slices.ContainsFunc(m.holdersOf(p), func(s *searcher) bool { return usable(s) && m.fresh(s) }) {
+	heard := func(s *searcher) bool { return usable(s) && m.fresh(s) && m.may(p, s) }
+	if slices.ContainsFunc(m.holdersOf(p), heard) {
 		return false
 	}
 	one := m.choose(p, nil, false)
@@ -421,7 +465,11 @@
 	if (p.at != s || p.state != held) && lk.heldAt(s)%m.set.Layout.CallParts == 0 {
 		units++
 	}
-	c := m.latency(s, lk.k) * float64(max(1, units)) / m.warmth(s)
+	w := s.scope(lk.k).weight // other calls count for as many as there would be unweighed: this binds as usual
+	c := m.latency(s, lk.k) * max(1, 1+float64(units-1)/w) / m.warmth(s)
+	if m.thinned(p, s) {
+		c /= w
+	}
 	f := m.faulty(s, lk.k)
 	c += m.index[lk.k].fault * f * (c + f*crossFault*m.set.Prices.CrossLocation*m.usual)
 	if s.location != m.set.Location {
@@ -436,6 +484,8 @@
 	switch c := m.cost(p, s); {
 	case !usable(s) || !m.coldAllows(p, s):
 		return 1e6 * (1 + s.downWait)
+	case p.made == 0 && m.thinned(p, s):
+		return c * overrideCost
 	case m.looks() && !m.fresh(s), s == p.avoid:
 		return c * lookCost
 	default:
@@ -461,7 +511,7 @@
 func (m *Mixer) choose(p *part, not *searcher, withRoom bool) (best *searcher) {
 	least := math.Inf(1)
 	for _, s := range m.holdersOf(p) {
-		if s == not || !s.ready || withRoom && !m.room(p, s) || p.made > 0 && s.credit < 1 {
+		if s == not || !s.ready || !m.may(p, s) || withRoom && !m.room(p, s) || p.made > 0 && s.credit < 1 {
 			continue
 		}
 		if c := m.rank(p, s) * (1 + 0.01*m.chance.unit()); c < least {
@@ -485,7 +535,8 @@
 func (m *Mixer) bind(p *part) {
 	m.dirty = true
 	m.hold(p, m.choose(p, nil, false))
-	if p.at == nil && p.made > 0 {
+	kept := func(s *searcher) bool { return !m.may(p, s) } // nobody may have it: it is given up at once
+	if p.at == nil && (p.made > 0 || slices.ContainsFunc(m.holdersOf(p), kept)) {
 		m.part(p, tooLate)
 	}
 }
@@ -520,7 +571,7 @@
 }
 
 func (m *Mixer) releaseAll() {
-	m.average = m.meanLatency(usable)
+	m.average = m.meanLatency(func(s *searcher) bool { return usable(s) && !s.shut })
 	if m.dirty {
 		m.reorder()
 	}
@@ -539,12 +590,19 @@
 }
 
 func (m *Mixer) blocked(p *part) bool {
-	return p.state == held && !slices.ContainsFunc(m.holdersOf(p), usable)
+	reach := func(s *searcher) bool { return usable(s) && m.may(p, s) }
+	return p.state == held && !slices.ContainsFunc(m.holdersOf(p), reach)
 }
 
 func (m *Mixer) late(p *part, s *searcher) bool { return p.lk.deadline-m.now < m.latency(s, p.lk.k) }
 
 func (m *Mixer) tryRelease(p *part) {
+	if p.at != nil && !m.may(p, p.at) { // the pinned one serves again, or no longer
+		m.bind(p)
+	}
+	if p.state != held {
+		return
+	}
 	s, looks := p.at, m.looks()
 	if looks && m.look(p) {
 		return
--- /dev/null
+++ b/logic/override_test.go
@@ -0,0 +1,269 @@
+package logic
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+)
+
+// trace is a hash over all that the instances of some seeds do.
+func trace(seeds uint64) uint64 {
+	h := fnv.New64a()
+	for seed := range seeds {
+		for _, a := range newEnv(seed).run(25).log {
+			fmt.Fprintln(h, a.Kind, a.Whole, a.On, a.Apart, a.Lookup, a.Part, a.Searcher, a.Call, a.StopAt, a.Wait, a.Timer)
+		}
+	}
+	return h.Sum64()
+}
+
+// Where nobody overrides anything, the same events give the same actions as before there were overrides.
+func TestWithoutOverridesNothingChanges(t *testing.T) {
+	if runtime.GOARCH != "amd64" {
+		t.Skip("other processors round sums of products otherwise")
+	}
+	const before = 0x55d7f16d4ed6436b
+	if got := trace(40); got != before {
+		t.Fatalf("the trace has hash %#x, expected %#x", got, uint64(before))
+	}
+}
+
+// overrides keeps a test's own books of what it told an instance, and checks what goes out against them.
+type overrides struct {
+	out  map[SearcherID]map[IndexID]bool
+	pins map[pinned]PinOverride
+}
+
+// draw makes a patch at random.
+func (o *overrides) draw(e *env) *Overrides {
+	patch := &Overrides{}
+	h, k := e.fleet[e.rng.IntN(len(e.fleet))], IndexID(e.rng.IntN(len(e.set.Indexes)))
+	if s := e.mixer.searchers[h.entry.Searcher]; s == nil || s.gone {
+		return patch // what is told of a number that the list does not name is told in vain
+	}
+	if e.rng.IntN(2) == 0 {
+		w := SearcherOverride{Searcher: h.entry.Searcher, Index: k, Out: e.rng.IntN(3) == 0, Weight: 1 - 0.9*e.rng.Float64()}
+		if o.out[w.Searcher] == nil {
+			o.out[w.Searcher] = map[IndexID]bool{}
+		}
+		o.out[w.Searcher][k] = w.Out
+		patch.Searchers = append(patch.Searchers, w)
+	} else {
+		shard := ShardID(e.rng.IntN(40))
+		p := PinOverride{Shard: shard, Index: k, Searcher: h.entry.Searcher, Strict: e.rng.IntN(2) == 0, Share: 1}
+		if e.rng.IntN(3) == 0 {
+			p.Searcher = 0
+		}
+		o.pins[pinned{shard, k}] = p
+		patch.Pins = append(patch.Pins, p)
+	}
+	return patch
+}
+
+// check fails on a part call that an override forbids, whatever has happened to the searchers.
+func (o *overrides) check(e *env, a Action) {
+	if a.Kind != Send {
+		return
+	}
+	ev := e.pieces[a.Part].event
+	if o.out[a.Searcher][ev.Index] {
+		e.fail("out: part %d goes to %d", a.Part, a.Searcher)
+	}
+	pin := o.pins[pinned{ev.Shard, ev.Index}]
+	if pin.Searcher == 0 || !pin.Strict || pin.Searcher == a.Searcher || o.out[pin.Searcher][ev.Index] {
+		return
+	}
+	if h := e.host(pin.Searcher); h.entry.Phase != Draining {
+		e.fail("strict pin: part %d goes to %d and not to %d", a.Part, a.Searcher, pin.Searcher)
+	}
+}
+
+// Under any overrides the six rules hold, nothing goes to a searcher taken out from the next step on, and a strict
+// pin lets nothing go elsewhere but for a drain.
+func FuzzOverrides(f *testing.F) {
+	for seed := range uint64(60) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		e := newEnv(seed)
+		o := &overrides{out: map[SearcherID]map[IndexID]bool{}, pins: map[pinned]PinOverride{}}
+		e.extra = func(e *env) (events []Event) {
+			if e.rng.IntN(20) == 0 {
+				events = append(events, Event{Kind: OverridesChanged, Override: o.draw(e)})
+			}
+			return events
+		}
+		e.renamed = func(id SearcherID) { delete(o.out, id) }
+		e.sabotage = func(e *env, actions []Action) []Action {
+			for _, a := range actions {
+				o.check(e, a)
+			}
+			return actions
+		}
+		if e.run(25); e.err != nil {
+			t.Fatal(e.err)
+		}
+	})
+}
+
+// shares plays a steady load on 8 searchers, two a shard, that answer within a while, and tells each one's part calls.
+func shares(t *testing.T, seed uint64, gap float64, patch *Overrides) (sent map[SearcherID]float64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	sent = map[SearcherID]float64{}
+	var entries []Entry
+	for i := range 8 {
+		entries = append(entries, Entry{Searcher: SearcherID(i + 1), Cell: CellID(i), Location: LocationID(i % 2)})
+	}
+	s := newScene(t, func(set *Settings) {
+		set.Seed, set.Layout, set.Prices.CrossLocation = seed, Layout{Cells: 8, Width: 2}, 0.04
+	}, entries...)
+	if patch != nil {
+		s.step(0.005, Event{Kind: OverridesChanged, Override: patch})
+	}
+	type end struct {
+		at    float64
+		event Event
+	}
+	var due []end
+	for next := s.now; s.now < 60; {
+		s.now += 0.005
+		var events []Event
+		rest := due[:0]
+		for _, d := range due {
+			if d.at <= s.now {
+				events = append(events, d.event)
+			} else {
+				rest = append(rest, d)
+			}
+		}
+		due = rest
+		for ; next < s.now; next += gap * rng.ExpFloat64() {
+			s.next++
+			no := LookupNo(s.next)
+			events = append(events, Event{Kind: LookupTaken, Lookup: LookupID(s.next), No: no, Parts: 4, Left: 6})
+			for j := range 4 {
+				events = append(events, Event{Kind: PartTaken, Part: PartID(10*s.next) + PartID(j), No: no,
+					Shard: ShardID(rng.IntN(8)), Weight: 0.25})
+			}
+		}
+		for _, a := range s.m.Step(s.now, append(events, Event{Kind: TimerDue, Timer: sweepTimer}), nil) {
+			switch a.Kind {
+			case Send:
+				sent[a.Searcher]++
+				took := 0.01 + 0.01*rng.Float64()
+				due = append(due, end{s.now + took, Event{Kind: CallEnded, Part: a.Part, Searcher: a.Searcher, Elapsed: took}})
+			case Nack, Abort:
+				t.Fatalf("at %g: %+v", s.now, a)
+			}
+		}
+	}
+	return sent
+}
+
+// A weight gives its share of a searcher's usual part calls, at any load at which its siblings have room.
+func TestAWeightGivesItsShareOfUsualPartCalls(t *testing.T) {
+	for gap, seeds := range map[float64]uint64{0.2: 6, 0.02: 1, 0.01: 1} {
+		usual := 0.0
+		for seed := range seeds {
+			usual += shares(t, seed, gap, nil)[3]
+		}
+		for _, w := range []float64{0.1, 0.25, 0.5} {
+			weighed := 0.0
+			for seed := range seeds {
+				weighed += shares(t, seed, gap, &Overrides{Searchers: []SearcherOverride{{Searcher: 3, Weight: w}}})[3]
+			}
+			t.Logf("gap %g: %g of %g part calls, asked for %g, got %.3f", gap, weighed, usual, w, weighed/usual)
+			if got := weighed / usual; math.Abs(got-w) > 0.15*w {
+				t.Errorf("gap %g: a weight of %g gives %.3f of the usual part calls", gap, w, got)
+			}
+		}
+	}
+}
+
+func TestOutAndPinTakeAll(t *testing.T) {
+	sent := shares(t, 1, 0.01, &Overrides{Searchers: []SearcherOverride{{Searcher: 3, Out: true, Weight: 1}},
+		Pins: []PinOverride{{Shard: 5, Searcher: 7, Share: 1}, {Shard: 6, Searcher: 7, Share: 1}}})
+	usual := shares(t, 1, 0.01, nil)
+	all := 0.0
+	for _, n := range usual {
+		all += n
+	}
+	if sent[3] != 0 {
+		t.Fatalf("%g part calls went to a searcher that is out", sent[3])
+	}
+	if got := sent[7] / all; got < 2.0/8-0.01 { // all of two shards in eight
+		t.Fatalf("a share of %.3f of all part calls went to where two of eight shards are pinned", got)
+	}
+}
+
+// What a pin does while its searcher drains, dies, is out of reach or cold.
+func TestPinsThatCannotBeServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase   Phase
+		strict  bool
+		out     bool
+		started float64
+		to      SearcherID // 0: refused at once
+		waits   bool
+	}{
+		"serves":             {to: 1},
+		"drains":             {phase: Draining, to: 2},
+		"drains, strict":     {phase: Draining, strict: true, to: 2},
+		"is gone":            {phase: Gone, to: 2},
+		"is gone, strict":    {phase: Gone, strict: true},
+		"is out":             {out: true, to: 2},
+		"is out, strict":     {out: true, strict: true, to: 2},
+		"is cold":            {started: 0.01, to: 2},
+		"is cold and strict": {started: 0.01, strict: true, waits: true},
+	} {
+		s := newScene(t, func(set *Settings) {
+			set.Rules = Rules{ColdShare: 0.1, ColdS: 100, FallMultiple: 2, FallS: 1}
+		})
+		patch := &Overrides{Pins: []PinOverride{{Shard: 0, Searcher: 1, Strict: c.strict, Share: 1}}}
+		if c.out {
+			patch.Searchers = []SearcherOverride{{Searcher: 1, Out: true, Weight: 1}}
+		}
+		s.step(0.01, Event{Kind: OverridesChanged, Override: patch},
+			Event{Kind: ListChanged, Entries: []Entry{{Searcher: 1, Phase: c.phase, StartedAt: c.started}}})
+		_, done := s.take(6, 3) // more work than a cold one's share
+		sent, nacks := only(Send, done), only(Nack, done)
+		switch {
+		case c.waits:
+			if len(sent)+len(nacks) > 0 {
+				t.Errorf("%s: got %+v", name, done)
+			}
+		case c.to == 0:
+			if len(sent) > 0 || len(nacks) != 1 {
+				t.Errorf("%s: got %+v, expected a nack at once", name, done)
+			}
+		case len(sent) != 1 || sent[0].Searcher != c.to:
+			t.Errorf("%s: got %+v, expected a call to %d", name, done, c.to)
+		}
+	}
+}
+
+// What is held for a searcher that is taken out goes elsewhere in the same step; calls out there end well.
+func TestHeldPartsLeaveASearcherTakenOut(t *testing.T) {
+	s := newScene(t, nil)
+	hints := make([]float64, 24) // more than two windows take
+	parts, done := s.take(6, hints...)
+	s.step(0.005, Event{Kind: OverridesChanged, Override: &Overrides{Searchers: []SearcherOverride{{Searcher: 1, Out: true, Weight: 1}}}})
+	for len(done) > 0 {
+		a := done[0]
+		done = append(done[1:], only(Send, s.end(0.001, a.Part, a.Searcher, Answered, 0.01))...)
+		if a.Kind != Send {
+			continue
+		}
+		for _, b := range done[max(0, len(done)-1):] {
+			if b.Searcher == 1 && s.now > 0.03 {
+				t.Fatalf("at %g a part still went to the one that is out", s.now)
+			}
+		}
+	}
+	if p := s.m.parts[parts[len(parts)-1]]; p != nil {
+		t.Fatalf("the last part is %+v", p)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -161,7 +161,21 @@
 	probing    bool
 	dead       bool      // no connection was made since it was last new
 	sent       []sending // while cold
-	lot        float64   // with that of a part, decides whether it may go there while cold
+	lot        float64   // with that of a part, decides whether it may go there while cold, or weighed
+	scopes     []scope   // by index, what operators override; nil where they do not
+	shut       bool      // out of every index
+}
+
+// scope is what operators override of a searcher for one index.
+type scope struct {
+	out    bool
+	weight float64
+}
+
+// pinned is where a shard of an index is pinned to.
+type pinned struct {
+	shard ShardID
+	k     IndexID
 }
 
 // fading is a figure that fades with time.
@@ -245,6 +259,7 @@
 	taken     []float64              // times of what the budget counts as taken
 	further   []float64              // and as further calls
 	owed      int
+	pins      map[pinned]PinOverride
 	listWait  float64
 	listAt    float64 // when to ask next
 }
@@ -260,8 +275,55 @@
 		listAt: listAt, set: set, now: now, chance: pcg(set.Seed), shortSoft: math.Inf(1), idle: math.Inf(1),
 		pool: map[LocationID][]gauge{}, searchers: map[SearcherID]*searcher{}, holders: make([][]*searcher, set.Layout.Cells),
 		lookups: map[LookupNo]*lookup{}, numbers: map[LookupID]LookupNo{}, parts: map[PartID]*part{},
-		customers: make([]customer, len(set.Customers)),
+		customers: make([]customer, len(set.Customers)), pins: map[pinned]PinOverride{},
+	}
+}
+
+// noted takes a patch of overrides, and lists the searchers that come back into use by it.
+func (m *Mixer) noted(o *Overrides) (back []*searcher) {
+	for _, p := range o.Pins {
+		if p.Searcher == 0 {
+			delete(m.pins, pinned{p.Shard, p.Index})
+		} else {
+			m.pins[pinned{p.Shard, p.Index}] = p
+		}
+	}
+	for _, w := range o.Searchers {
+		s := m.searchers[w.Searcher]
+		if s == nil || int(w.Index) >= len(m.index) {
+			continue
+		}
+		if s.scopes == nil {
+			s.scopes = slices.Repeat([]scope{{weight: 1}}, len(m.index))
+		}
+		s.scopes[w.Index] = scope{w.Out, w.Weight}
+		was := s.shut
+		s.shut = !slices.ContainsFunc(s.scopes, func(x scope) bool { return !x.out })
+		if !slices.ContainsFunc(s.scopes, func(x scope) bool { return x != scope{weight: 1} }) {
+			s.scopes = nil
+		}
+		if was && !s.shut {
+			back = append(back, s)
+		}
+	}
+	return back
+}
+
+// scope tells what operators override of s for an index.
+func (s *searcher) scope(k IndexID) scope {
+	if s.scopes == nil {
+		return scope{weight: 1}
+	}
+	return s.scopes[k]
+}
+
+// pin tells where operators pin p, if they do and it is not among those that a waning pin leaves.
+func (m *Mixer) pin(p *part) (pin PinOverride, is bool) {
+	if len(m.pins) == 0 {
+		return pin, false
 	}
+	pin, is = m.pins[pinned{p.shard, p.lk.k}]
+	return pin, is && p.lot < pin.Share
 }
 
 // enter adds a row to the table of indexes.
--- a/logic/types.go
+++ b/logic/types.go
@@ -93,15 +93,16 @@
 type EventKind uint8
 
 const (
-	ListChanged    EventKind = iota // List, Searchers
-	LookupTaken                     // Lookup, No, Index, Customer, Left, Hint, Parts, Resent
-	PartTaken                       // Part, No, Index, Left, Hint, Shard, Weight
-	CallBegan                       // Part, Call, Searcher: a streamed answer has begun
-	CallEnded                       // Part, Call, Searcher, Outcome, Elapsed, Load
-	ClientGone                      // Lookup
-	TimerDue                        // Timer
-	ProbeEnded                      // Searcher, Outcome, Elapsed, Load
-	MessageArrived                  // Peer, Message
+	ListChanged      EventKind = iota // List, Searchers
+	LookupTaken                       // Lookup, No, Index, Customer, Left, Hint, Parts, Resent
+	PartTaken                         // Part, No, Index, Left, Hint, Shard, Weight
+	CallBegan                         // Part, Call, Searcher: a streamed answer has begun
+	CallEnded                         // Part, Call, Searcher, Outcome, Elapsed, Load
+	ClientGone                        // Lookup
+	TimerDue                          // Timer
+	ProbeEnded                        // Searcher, Outcome, Elapsed, Load
+	MessageArrived                    // Peer, Message
+	OverridesChanged                  // Override
 )
 
 // Outcome is how a part call or a probe ended.
@@ -166,6 +167,31 @@
 	HasFail
 )
 
+// Overrides are what operators changed of their overrides, as a patch: what it does not name stays. Drains and
+// searchers that are gone stand above them, and so do the six rules.
+type Overrides struct {
+	Searchers []SearcherOverride
+	Pins      []PinOverride
+}
+
+// SearcherOverride is all that holds for one searcher and index from now on. It ends with the searcher's number: one
+// that the list names anew is told of anew.
+type SearcherOverride struct {
+	Searcher SearcherID
+	Index    IndexID
+	Out      bool    // no new part call goes there; calls out end well
+	Weight   float64 // share of its usual part calls, over 0 and up to 1
+}
+
+// PinOverride is all that pins one shard of one index from now on.
+type PinOverride struct {
+	Shard    ShardID
+	Index    IndexID
+	Searcher SearcherID // to which; 0 for none any more
+	Strict   bool       // if that can't be reached, the parts are refused, else its siblings take them
+	Share    float64    // of the parts that are bound by it, 1 but for a pin that wanes
+}
+
 // Event is one thing that happened; its kind says which fields count.
 type Event struct {
 	Kind     EventKind
@@ -189,6 +215,7 @@
 	Elapsed  float64
 	Load     Load
 	Entries  []Entry
+	Override *Overrides
 	Timer    TimerID
 	Peer     MixerNo
 	Message  []byte
