Demo, stand-ins, and overrides held through lists, drains and restarts under load

One command shows a deployment on a fresh machine, and the same stand-ins let tests cause what overrides must survive: whole lists, patches, a register out of reach, a searcher that drains, leaves, dies, returns and restarts, and a mixer that restarts.

--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -22,6 +22,7 @@
 	Check    checkCmd    `cmd:"" help:"Check an operator's file. Example: puffinlink check deploy/operator.json5"`
 	Override overrideCmd `cmd:"" help:"List, set, clear, watch and explain overrides of a running mixer."`
 	Token    tokenCmd    `cmd:"" help:"Make an operator's token. Example: puffinlink token --key-file /etc/puffinlink/key"`
+	Demo     demoCmd     `cmd:"" help:"Run stand-ins, mixers and a small load on this machine. Example: puffinlink demo --for 10s"`
 	Version  versionCmd  `cmd:"" help:"Print the version. Example: puffinlink version --json"`
 }
 
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,233 @@
+// Package demo runs a small deployment on one machine: stand-ins for register, searchers and clients, one or more real
+// mixers between them, and a table of what happens. It decides nothing.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/node"
+	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/standin"
+)
+
+// Options are what a demo is made of.
+type Options struct {
+	For       time.Duration // 0 for until it is ended
+	Mixers    int
+	Searchers int
+	PerS      float64       // lookups
+	Service   time.Duration // mean time of a part
+	Directory string        // where overrides are kept; "" for memory
+	JSON      bool          // the summary as JSON, and no table
+	Live      bool          // the table is drawn over itself
+	Every     time.Duration // between two tables
+	Out       io.Writer
+	Log       io.Writer // the mixers' log; nil for none
+}
+
+// Summary is what came of a demo.
+type Summary struct {
+	Seconds   float64          `json:"seconds"`
+	Asked     int64            `json:"asked"`
+	Satisfied int64            `json:"satisfied"`
+	Nacked    int64            `json:"nacked"`
+	Aborted   int64            `json:"aborted"`
+	Lost      int64            `json:"lost"`
+	PartCalls map[string]int64 `json:"part_calls"`
+}
+
+// width of a shard's holders, and shards a cell.
+const width, shardsACell = 2, 2
+
+// site is the demo's deployment.
+func site(o Options) standin.Site {
+	return standin.Site{Zones: []string{"north", "south"}, Cells: o.Searchers, Width: min(width, o.Searchers), Shards: shardsACell * o.Searchers,
+		Mixers: o.Mixers, Indexes: []standin.Index{{Name: "reads", Effect: "repeatable", Soft: 0.5, Hard: 2, Gain: 1},
+			{Name: "orders", Effect: "once", Soft: 0.5, Hard: 2, Gain: 3}}}
+}
+
+type demo struct {
+	Options
+	site     standin.Site
+	register *standin.Register
+	fleet    []*standin.Searcher
+	nodes    []*node.Node
+	sockets  []string
+	load     *standin.Load
+	dir      string
+	sum      Summary
+	last     map[string]int64
+}
+
+// Run runs a demo until its time is over or ctx ends. Its error says what could not be started, or that a lookup was lost.
+func Run(ctx context.Context, o Options) (sum Summary, err error) {
+	if o.Mixers < 1 || o.Searchers < 2 || o.Searchers > 512 || !(o.PerS > 0) || o.Service <= 0 {
+		return sum, fmt.Errorf("got %d mixers, %d searchers, %g lookups a second and a service time of %s; expected at least 1, 2 to 512, and more than none",
+			o.Mixers, o.Searchers, o.PerS, o.Service)
+	}
+	d := &demo{Options: o, site: site(o), last: map[string]int64{}, sum: Summary{PartCalls: map[string]int64{}}}
+	defer d.close()
+	if err := d.start(); err != nil {
+		return sum, err
+	}
+	d.hello()
+	if o.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, o.For)
+		defer cancel()
+	}
+	began := time.Now()
+	d.load.Run()
+	for tick := time.NewTicker(o.Every); ctx.Err() == nil; {
+		select {
+		case <-tick.C:
+			d.show()
+		case <-ctx.Done():
+			tick.Stop()
+		}
+	}
+	d.load.Stop()
+	d.sum.Seconds = time.Since(began).Seconds()
+	d.take()
+	for _, s := range d.fleet {
+		d.sum.PartCalls[s.Name] = s.Calls()
+	}
+	if d.sum.Lost > 0 {
+		err = fmt.Errorf("%d lookups had no final answer", d.sum.Lost)
+	}
+	return d.sum, err
+}
+
+func (d *demo) start() (err error) {
+	if d.dir, err = os.MkdirTemp("", "puffinlink-demo-"); err != nil {
+		return err
+	}
+	if d.register, err = standin.NewRegister(); err != nil {
+		return err
+	}
+	for i := range d.Searchers {
+		s, err := standin.NewSearcher(fmt.Sprintf("s-%d", i+1), d.site.Zones[i%len(d.site.Zones)], i, 8, d.Service)
+		if err != nil {
+			return err
+		}
+		d.fleet = append(d.fleet, s)
+		d.register.Set(s.Entry("SERVING", true))
+	}
+	log := zerolog.Nop()
+	if d.Log != nil {
+		log = zerolog.New(zerolog.SyncWriter(d.Log)).With().Timestamp().Logger()
+	}
+	d.load = &standin.Load{Site: d.site, PerS: d.PerS, Mixes: []standin.Mix{{Index: "reads", Share: 0.9, Parts: 4, Deadline: 2 * time.Second},
+		{Index: "orders", Share: 0.1, Parts: 2, Deadline: 2 * time.Second}}}
+	for i := range d.Mixers {
+		n, address, err := d.mixer(i, log)
+		if err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, n)
+		d.load.Mixers = append(d.load.Mixers, address)
+	}
+	return nil
+}
+
+// mixer starts one as it would be started alone, on a port that was free a moment ago.
+func (d *demo) mixer(i int, log zerolog.Logger) (*node.Node, string, error) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	address, name := free.Addr().String(), fmt.Sprintf("n%d", i+1)
+	free.Close()
+	var c node.Config
+	if err := json.Unmarshal(d.site.Config(name, address, d.register, i), &c); err != nil {
+		return nil, "", err
+	}
+	set, err := c.Check()
+	if err != nil {
+		return nil, "", err
+	}
+	file := opfile.Defaults()
+	file.Overrides.On = true
+	if d.Directory != "" {
+		file.Overrides.Directory = filepath.Join(d.Directory, name)
+	}
+	file.Operators.Listen = "unix:" + filepath.Join(d.dir, name+".sock")
+	d.sockets = append(d.sockets, file.Operators.Listen)
+	n, err := node.Start(c, set, file, log.With().Str("mixer", name).Logger(), counters.New())
+	return n, address, err
+}
+
+func (d *demo) hello() {
+	if d.JSON {
+		return
+	}
+	fmt.Fprintf(d.Out, "%d mixers, %d searchers that hold %d shards, each at %d of them; %g lookups a second.\nFrom a second terminal:\n",
+		d.Mixers, d.Searchers, d.site.Shards, d.site.Width, d.PerS)
+	for _, s := range d.sockets {
+		fmt.Fprintf(d.Out, "  bin/puffinlink override set weight s-1 --weight 0.25 --for 1m --reason 'a try' --at %s\n", s)
+	}
+	fmt.Fprintln(d.Out)
+}
+
+// take adds what came of lookups since the last time.
+func (d *demo) take() standin.Tally {
+	t := d.load.Take()
+	d.sum.Asked += t.Asked
+	d.sum.Satisfied += t.Satisfied
+	d.sum.Nacked += t.Nacked
+	d.sum.Aborted += t.Aborted
+	d.sum.Lost += t.Lost
+	return t
+}
+
+func (d *demo) show() {
+	t := d.take()
+	if d.JSON {
+		return
+	}
+	if d.Live {
+		fmt.Fprint(d.Out, "\x1b[H\x1b[2J")
+		d.hello()
+	}
+	per := d.Every.Seconds()
+	fmt.Fprintf(d.Out, "%s  satisfied %.0f/s  nacked %.0f/s  aborted %.0f/s  lost %d  p50 %s  p99 %s\n", time.Now().Format(time.TimeOnly),
+		float64(t.Satisfied)/per, float64(t.Nacked)/per, float64(t.Aborted)/per, t.Lost, t.P50.Round(100*time.Microsecond), t.P99.Round(100*time.Microsecond))
+	w := tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "SEARCHER\tLOCATION\tPART CALLS/S\tOUT AT MOST\t")
+	for _, s := range d.fleet {
+		calls := s.Calls()
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%d\t\n", s.Name, s.Zone, float64(calls-d.last[s.Name])/per, s.MostOut())
+		d.last[s.Name] = calls
+	}
+	w.Flush()
+	fmt.Fprintln(d.Out)
+}
+
+func (d *demo) close() {
+	for _, n := range d.nodes {
+		n.Stop()
+	}
+	for _, s := range d.fleet {
+		s.Kill()
+	}
+	if d.register != nil {
+		d.register.Close()
+	}
+	os.RemoveAll(d.dir)
+}
+
+// Print shows a summary to people.
+func (s Summary) Print(out io.Writer) {
+	fmt.Fprintf(out, "%.0f s: %d lookups, %d satisfied, %d nacked, %d aborted, %d lost\n", s.Seconds, s.Asked, s.Satisfied, s.Nacked, s.Aborted, s.Lost)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,8 +224,9 @@
 // Count is what the mixer counts.
 func (n *Node) Count() *counters.Set { return n.count }
 
-// Stop ends all actors; what is still held gets no answer.
+// Stop drains where that was not begun, and then ends all actors.
 func (n *Node) Stop() {
+	<-n.Drain()
 	if n.operators != nil {
 		n.operators.Stop()
 	}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,390 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/operators"
+	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/standin"
+)
+
+// patience bounds what a test waits for, which comes soon unless something is broken.
+const patience = time.Minute
+
+// measure makes tests hold figures to their aims, for a machine that does nothing else; without it they check rules.
+var measure = os.Getenv("PUFFINLINK_MEASURE") != ""
+
+// world is a site on loopback: a register, searchers, one mixer with overrides, and a load on it.
+type world struct {
+	*testing.T
+	site     standin.Site
+	register *standin.Register
+	fleet    []*standin.Searcher
+	file     opfile.File
+	listen   string
+	node     *Node
+	client   *operators.Client
+	load     *standin.Load
+	asked    standin.Tally
+}
+
+func newWorld(t *testing.T, perS float64, service time.Duration) *world {
+	w := &world{T: t, site: standin.Site{Zones: []string{"a", "b"}, Cells: 8, Width: 2, Shards: 16, Mixers: 1,
+		Indexes: []standin.Index{{Name: "reads", Effect: "repeatable", Soft: 2, Hard: 8, Gain: 1}, {Name: "orders", Effect: "once", Soft: 2, Hard: 8, Gain: 3}}}}
+	var err error
+	if w.register, err = standin.NewRegister(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.register.Close)
+	for i := range 8 {
+		s, err := standin.NewSearcher(fmt.Sprintf("s-%d", i), w.site.Zones[i/2%2], i, 8, service)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Kill)
+		w.fleet = append(w.fleet, s)
+		w.register.Set(s.Entry("SERVING", true))
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.listen = free.Addr().String()
+	free.Close()
+	w.file = opfile.Defaults()
+	w.file.Overrides.On, w.file.Overrides.Directory = true, t.TempDir()
+	w.file.Overrides.Limits.Ramp = 2
+	dir, err := os.MkdirTemp("", "pl") // a socket's path is short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	w.file.Operators.Listen = "unix:" + filepath.Join(dir, "s")
+	w.start()
+	t.Cleanup(func() { w.node.Stop() })
+	if w.client, err = operators.NewClient(w.file.Operators.Listen, ""); err != nil {
+		t.Fatal(err)
+	}
+	w.load = &standin.Load{Mixers: []string{w.listen}, Site: w.site, PerS: perS, Mixes: []standin.Mix{
+		{Index: "reads", Share: 0.9, Parts: 4, Deadline: 8 * time.Second}, {Index: "orders", Share: 0.1, Parts: 2, Deadline: 8 * time.Second}}}
+	if perS > 0 {
+		w.load.Run()
+	}
+	return w
+}
+
+func (w *world) start() {
+	w.Helper()
+	var c Config
+	if err := json.Unmarshal(w.site.Config("n1", w.listen, w.register, 0), &c); err != nil {
+		w.Fatal(err)
+	}
+	set, err := c.Check()
+	if err != nil {
+		w.Fatal(err)
+	}
+	n, err := Start(c, set, w.file, zerolog.Nop(), counters.New())
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.node = n
+}
+
+// take adds what came of the load.
+func (w *world) take() standin.Tally {
+	t := w.load.Take()
+	w.asked.Asked += t.Asked
+	w.asked.Satisfied += t.Satisfied
+	w.asked.Nacked += t.Nacked
+	w.asked.Aborted += t.Aborted
+	w.asked.Lost += t.Lost
+	return t
+}
+
+// until waits for something that is to come.
+func (w *world) until(what string, is func() bool) {
+	w.Helper()
+	for late := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(late) {
+			w.Fatalf("never: %s; %+v", what, w.take())
+		}
+	}
+}
+
+// calls sums the part calls of all searchers.
+func (w *world) calls() (n int64) {
+	for _, s := range w.fleet {
+		n += s.Calls()
+	}
+	return n
+}
+
+// goesOn waits until so many more part calls have been made.
+func (w *world) goesOn(more int64) {
+	w.Helper()
+	from := w.calls()
+	w.until("more part calls", func() bool { return w.calls() >= from+more })
+}
+
+func (w *world) view() (v operators.View) {
+	w.Helper()
+	for {
+		err := w.client.Get(context.Background(), "/v1/overrides", &v)
+		if e := (*operators.Error)(nil); errors.As(err, &e) && e.Code == "rate" {
+			time.Sleep(200 * time.Millisecond) // asked more often than operators may
+			continue
+		}
+		if err != nil {
+			w.Fatal(err)
+		}
+		return v
+	}
+}
+
+func (w *world) set(c operators.Command) operators.Change {
+	w.Helper()
+	v := w.view()
+	c.Revision, c.Author, c.Reason = &v.Revision, "ann", "slow"
+	if c.For == 0 && c.Clear == 0 {
+		c.For = 3600
+	}
+	made, err := w.client.Send(context.Background(), c)
+	if err != nil {
+		w.Fatal(err)
+	}
+	return made
+}
+
+func (w *world) clear(id uint64) { w.set(operators.Command{Clear: id}) }
+
+// ends stops the load, and checks that each lookup had exactly one final answer and no once-only part ran twice.
+func (w *world) ends() {
+	w.Helper()
+	w.load.Stop()
+	w.take()
+	if a := w.asked; a.Lost > 0 || a.Asked != a.Satisfied+a.Nacked+a.Aborted || a.Satisfied == 0 {
+		w.Fatalf("not each lookup had its answer: %+v", a)
+	}
+	ran := map[string]int64{}
+	for _, s := range w.fleet {
+		s.Executed(func(id string, times int64) {
+			if strings.HasPrefix(id, "orders-") {
+				ran[id] += times
+			}
+		})
+	}
+	for id, n := range ran {
+		if n > 1 {
+			w.Errorf("%s ran %d times", id, n)
+		}
+	}
+	w.Logf("%+v; %d once-only parts ran", w.asked, len(ran))
+}
+
+// restartMixer starts the mixer anew in the same place, as a release does. What it then held is the clients' to ask again.
+func (w *world) restartMixer() {
+	w.Helper()
+	w.load.Stop()
+	w.take()
+	w.node.Stop()
+	w.start()
+	w.load.Run()
+}
+
+// Out gives a searcher no part call, whatever becomes of the list, the register, the searcher and the mixer.
+func TestOutHoldsThroughEverything(t *testing.T) {
+	w := newWorld(t, 150, 2*time.Millisecond)
+	s := w.fleet[3]
+	w.until("calls of the searcher", func() bool { return s.Calls() > 50 })
+	w.set(operators.Command{Kind: "out", Searcher: s.Name})
+	w.goesOn(100) // what was on its way has come
+	was := s.Calls()
+	for _, step := range []struct {
+		name string
+		do   func()
+	}{
+		{"whole list", w.register.Whole},
+		{"patch", func() { w.register.Set(w.fleet[0].Entry("SERVING", true)) }},
+		{"register out of reach", func() { w.register.Down(true) }},
+		{"register back", func() { w.register.Down(false) }},
+		{"it drains", func() { w.register.SetState(s.Name, "DRAINING") }},
+		{"it leaves", func() { w.register.SetState(s.Name, "DELETED") }},
+		{"it dies", s.Kill},
+		{"it returns", func() {
+			if err := s.Start(); err != nil {
+				t.Fatal(err)
+			}
+			w.register.Set(s.Entry("SERVING", true))
+		}},
+		{"it restarts", func() { w.register.Set(s.Entry("SERVING", false)) }},
+		{"the mixer restarts", w.restartMixer},
+	} {
+		step.do()
+		w.goesOn(300)
+		if got := s.Calls(); got != was {
+			t.Fatalf("%s: %d part calls went to a searcher that is out", step.name, got-was)
+		}
+	}
+	v := w.view()
+	if len(v.Overrides) != 1 || v.Overrides[0].State != "acts" || v.Kept == "memory" {
+		t.Fatalf("got %+v", v)
+	}
+	w.clear(v.Overrides[0].ID)
+	w.until("it takes part calls again", func() bool { return s.Calls() > was+50 })
+	w.ends()
+}
+
+// A pin takes all of its shard through the same; a drain wins over it within 2 s, and it comes back after.
+func TestPinTakesItsShardAndYieldsToADrain(t *testing.T) {
+	w := newWorld(t, 150, 2*time.Millisecond)
+	s, sibling := w.fleet[5], w.fleet[6] // shard 5 is held by cells 5 and 6
+	w.set(operators.Command{Kind: "pin", Searcher: s.Name, From: 5, To: 5})
+	w.goesOn(100)
+	settled := func(name string) {
+		t.Helper()
+		w.goesOn(100)
+		was, own := sibling.CallsOf(5), s.CallsOf(5)
+		w.until("parts of the pinned shard", func() bool { return s.CallsOf(5) > own+20 })
+		if got := sibling.CallsOf(5); got != was {
+			t.Fatalf("%s: %d part calls of the pinned shard went to its sibling", name, got-was)
+		}
+	}
+	settled("set")
+	w.register.Whole()
+	settled("whole list")
+	w.register.Down(true)
+	settled("register out of reach")
+	w.register.Down(false)
+	w.register.SetState(s.Name, "DRAINING")
+	told := time.Now()
+	w.until("the pin is suspended", func() bool { return strings.HasPrefix(w.view().Overrides[0].State, "suspended: its searcher drains") })
+	w.goesOn(100)
+	was, before := s.CallsOf(5), sibling.CallsOf(5)
+	w.until("the sibling serves the shard", func() bool { return sibling.CallsOf(5) > before+20 })
+	if got := s.CallsOf(5); got != was {
+		t.Fatalf("%d part calls went to one that drains", got-was)
+	}
+	t.Logf("the drain had won %s after the list told of it, with 20 part calls of the shard served", time.Since(told).Round(time.Millisecond))
+	if measure && time.Since(told) > 2*time.Second {
+		t.Fatal("later than 2 s")
+	}
+	w.register.SetState(s.Name, "SERVING")
+	w.until("the pin acts", func() bool { v := w.view(); return v.Overrides[0].State == "acts" && len(v.Returning) == 0 })
+	settled("back")
+	w.restartMixer()
+	settled("the mixer restarted")
+	s.Kill() // not strict: its siblings take the shard
+	before = sibling.CallsOf(5)
+	w.until("the sibling serves the shard of the dead one", func() bool { return sibling.CallsOf(5) > before+20 })
+	w.ends()
+}
+
+// A strict pin to a searcher that died is refused at once, not held to the deadline.
+func TestStrictPinIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 100, 2*time.Millisecond)
+	s := w.fleet[5]
+	w.set(operators.Command{Kind: "pin", Searcher: s.Name, From: 0, To: 15, Strict: true, Force: true})
+	w.goesOn(50)
+	s.Kill()
+	w.register.SetState(s.Name, "DELETED")
+	w.take()
+	w.until("nacks", func() bool { w.take(); return w.asked.Nacked > 20 })
+	w.load.Stop()
+	if w.take(); w.asked.Aborted+w.asked.Lost > 0 {
+		t.Fatalf("got %+v", w.asked)
+	}
+}
+
+// A weight of a quarter gives a quarter of the usual part calls.
+func TestWeightUnderLoad(t *testing.T) {
+	perS, parts := 150.0, int64(2000)
+	if measure {
+		perS, parts = 400, 16000
+	}
+	w := newWorld(t, perS, 2*time.Millisecond)
+	s := w.fleet[3]
+	share := func() float64 {
+		all, own := w.calls(), s.Calls()
+		w.goesOn(parts)
+		return float64(s.Calls()-own) / float64(w.calls()-all)
+	}
+	w.goesOn(parts / 4)
+	usual := share()
+	made := w.set(operators.Command{Kind: "weight", Searcher: s.Name, Weight: 0.25})
+	w.goesOn(parts / 4)
+	weighed := share()
+	got := weighed / usual
+	t.Logf("share of part calls %.4f, weighed by 0.25 %.4f: %.3f of the usual", usual, weighed, got)
+	if got > 0.6 || measure && math.Abs(got-0.25) > 0.15*0.25 {
+		t.Errorf("a weight of 0.25 gives %.3f of the usual part calls", got)
+	}
+	w.clear(made.Override.ID)
+	w.until("it is back", func() bool { return len(w.view().Returning) == 0 })
+	w.goesOn(parts / 4)
+	if back := share() / usual; back < 0.6 || measure && math.Abs(back-1) > 0.15 {
+		t.Errorf("back at %.3f of the usual part calls", back)
+	}
+	w.ends()
+}
+
+// At the end of an out the searcher comes back by steps, and the tail of latencies stays.
+func TestReturnIsNoBlow(t *testing.T) {
+	if !measure {
+		t.Skip("holds latencies to their aims: run alone, with PUFFINLINK_MEASURE=1")
+	}
+	w := newWorld(t, 300, 4*time.Millisecond)
+	s := w.fleet[3]
+	time.Sleep(3 * time.Second)
+	w.set(operators.Command{Kind: "out", Searcher: s.Name, For: 10})
+	time.Sleep(4900 * time.Millisecond)
+	w.take()
+	time.Sleep(5 * time.Second)
+	before := w.take()
+	time.Sleep(5 * time.Second)
+	after := w.take()
+	t.Logf("p99 %s before, %s after; p50 %s and %s", before.P99, after.P99, before.P50, after.P50)
+	if float64(after.P99) > 1.5*float64(before.P99) {
+		t.Errorf("the p99 of the 5 s after is %.2f times that of the 5 s before", float64(after.P99)/float64(before.P99))
+	}
+	w.ends()
+}
+
+// Without a directory overrides end with the process, and the answer says so. Of a directory that can't be used commands
+// are refused and lookups are served.
+func TestWhereOverridesAreKept(t *testing.T) {
+	w := newWorld(t, 0, time.Millisecond)
+	w.node.Stop()
+	w.file.Overrides.Directory = ""
+	w.start()
+	w.set(operators.Command{Kind: "out", Searcher: "s-1"})
+	if v := w.view(); v.Kept != "memory" || len(v.Overrides) != 1 {
+		t.Fatalf("got %+v", v)
+	}
+	w.node.Stop()
+	blocked := filepath.Join(t.TempDir(), "file")
+	os.WriteFile(blocked, nil, 0o600)
+	w.file.Overrides.Directory = blocked
+	w.start()
+	v := w.view()
+	_, err := w.client.Send(context.Background(), operators.Command{Revision: &v.Revision, Kind: "out", Searcher: "s-1", Author: "ann", Reason: "slow", For: 9})
+	if e := (*operators.Error)(nil); !errors.As(err, &e) || e.Code != "not_kept" || len(v.Overrides) > 0 {
+		t.Fatalf("got %v, %+v", err, v)
+	}
+	w.load.Mixers, w.load.PerS = []string{w.listen}, 100
+	w.load.Run()
+	w.goesOn(50)
+	w.ends()
+}
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Mix is what a load asks for of one index.
+type Mix struct {
+	Index    string
+	Share    float64 // of all lookups
+	Parts    int
+	Deadline time.Duration
+}
+
+// Load asks mixers for lookups at a steady mean rate, by itself: a slow answer holds up no arrival.
+type Load struct {
+	Mixers []string // addresses
+	Site   Site
+	Mixes  []Mix
+	PerS   float64
+
+	client *http.Client
+	wg     sync.WaitGroup
+	stop   context.CancelFunc
+	asked  atomic.Int64
+	nextID atomic.Int64
+
+	mu      sync.Mutex
+	ends    map[string]int64 // satisfied, nacked, aborted, lost
+	latency *hdrhistogram.Histogram
+}
+
+// Run starts asking, until Stop.
+func (l *Load) Run() {
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop, l.ends, l.latency = stop, map[string]int64{}, newHistogram()
+	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	l.wg.Go(func() {
+		rng := rand.New(rand.NewPCG(7, 11))
+		next := time.Now()
+		for {
+			next = next.Add(time.Duration(rng.ExpFloat64() / l.PerS * float64(time.Second)))
+			select {
+			case <-time.After(time.Until(next)):
+			case <-ctx.Done():
+				return
+			}
+			mix, mixer := l.Mixes[len(l.Mixes)-1], l.Mixers[rng.IntN(len(l.Mixers))]
+			for u, i := rng.Float64(), 0; i < len(l.Mixes); i++ {
+				if u -= l.Mixes[i].Share; u < 0 {
+					mix = l.Mixes[i]
+					break
+				}
+			}
+			shards := rng.Perm(l.Site.Shards)[:min(mix.Parts, l.Site.Shards)]
+			l.wg.Go(func() { l.ask(mixer, mix, shards) })
+		}
+	})
+}
+
+// newHistogram holds microseconds up to a minute, to three digits.
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+// Stop asks no more and waits for the answers that are due.
+func (l *Load) Stop() {
+	l.stop()
+	l.wg.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// ask sends one lookup. The query names it, so that a part that runs twice is seen.
+func (l *Load) ask(mixer string, mix Mix, shards []int) {
+	l.asked.Add(1)
+	id := fmt.Sprintf("%016x", l.nextID.Add(1))
+	body := []byte(`{"targets":[`)
+	for i, s := range shards {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = fmt.Appendf(body, `{"partition":%d,"share":%.6f}`, s, 1/float64(len(shards)))
+	}
+	body = fmt.Appendf(body, `],"query":"%s-%s"}`, mix.Index, id)
+	ctx, cancel := context.WithTimeout(context.Background(), mix.Deadline+2*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+mixer+"/"+mix.Index, bytes.NewReader(body))
+	req.Header = http.Header{"Req-Id": {id}, "Req-Kind": {mix.Index}, "Req-Deadline": {strconv.FormatFloat(mix.Deadline.Seconds(), 'f', 3, 64)}}
+	began := time.Now()
+	res, err := l.client.Do(req)
+	end := "lost"
+	if err == nil {
+		_, err = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+	}
+	took := time.Since(began)
+	switch {
+	case err != nil:
+	case res.StatusCode == http.StatusOK:
+		end = "satisfied"
+	case res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusServiceUnavailable:
+		end = "nacked"
+	default:
+		end = "aborted"
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[end]++
+	if end == "satisfied" {
+		l.latency.RecordValue(max(1, took.Microseconds()))
+	}
+}
+
+// Tally is what came of some lookups.
+type Tally struct {
+	Asked, Satisfied, Nacked, Aborted, Lost int64
+	P50, P99                                time.Duration // of the satisfied
+}
+
+// Take tells what came since the last time that it was asked. A lookup that is still due counts where it ends.
+func (l *Load) Take() Tally {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := Tally{Asked: l.asked.Swap(0), Satisfied: l.ends["satisfied"], Nacked: l.ends["nacked"], Aborted: l.ends["aborted"], Lost: l.ends["lost"],
+		P50: time.Duration(l.latency.ValueAtQuantile(50)) * time.Microsecond, P99: time.Duration(l.latency.ValueAtQuantile(99)) * time.Microsecond}
+	clear(l.ends)
+	l.latency.Reset()
+	return t
+}
--- /dev/null
+++ b/internal/standin/register.go
@@ -0,0 +1,233 @@
+// Package standin is a register, searchers and clients on loopback, for the demo and for tests. They speak the operators'
+// protocol from its pages and share no code with the mixer, so that a mistake there is not made on both sides.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Entry is a searcher as the register lists it.
+type Entry struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"lifecycle"` // SERVING, DRAINING, DELETED
+	Weight    float64 `json:"weight"`
+	StartedMs float64 `json:"startedAtMs"`
+}
+
+type page struct {
+	Version   int64   `json:"generation"`
+	Whole     bool    `json:"reset"`
+	Instances []Entry `json:"instances"`
+}
+
+// Register lists searchers and tells its watches of changes.
+type Register struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	version int64
+	entries []Entry // in the order of first naming
+	down    bool
+	watches map[*watch]bool
+}
+
+type watch struct {
+	lines chan []byte
+	end   chan struct{}
+}
+
+// beat is how often an empty line comes while nothing changes.
+const beat = 2 * time.Second
+
+// NewRegister listens on loopback.
+func NewRegister() (*Register, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Register{listener: l, version: 1, watches: map[*watch]bool{}}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go r.server.Serve(l)
+	return r, nil
+}
+
+// Address is host and port.
+func (r *Register) Address() string { return r.listener.Addr().String() }
+
+// Close ends it and all its watches.
+func (r *Register) Close() { r.server.Close() }
+
+// Known is the whole list as a mixer's config holds it.
+func (r *Register) Known() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line(true, r.entries)
+}
+
+func (r *Register) line(whole bool, entries []Entry) []byte {
+	text, _ := json.Marshal(page{r.version, whole, slices.Clone(entries)})
+	return append(text, '\n')
+}
+
+// Set adds or changes a searcher, and tells of it as a patch.
+func (r *Register) Set(e Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	i := slices.IndexFunc(r.entries, func(o Entry) bool { return o.ID == e.ID })
+	switch {
+	case i >= 0 && e.State == "DELETED":
+		r.entries = slices.Delete(r.entries, i, i+1)
+	case i >= 0:
+		r.entries[i] = e
+	case e.State != "DELETED":
+		r.entries = append(r.entries, e)
+	}
+	r.tell(r.line(false, []Entry{e}))
+}
+
+// SetState changes what a searcher is listed as.
+func (r *Register) SetState(id, state string) {
+	r.mu.Lock()
+	i := slices.IndexFunc(r.entries, func(o Entry) bool { return o.ID == id })
+	if i < 0 {
+		r.mu.Unlock()
+		return
+	}
+	e := r.entries[i]
+	r.mu.Unlock()
+	e.State = state
+	r.Set(e)
+}
+
+// Whole tells the whole list anew.
+func (r *Register) Whole() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.tell(r.line(true, r.entries))
+}
+
+// Down ends all watches and refuses new ones, until it is up again.
+func (r *Register) Down(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+	for w := range r.watches {
+		if down {
+			close(w.end)
+			delete(r.watches, w)
+		}
+	}
+}
+
+// tell puts a line into each watch; one that takes none is ended.
+func (r *Register) tell(line []byte) {
+	for w := range r.watches {
+		select {
+		case w.lines <- line:
+		default:
+			close(w.end)
+			delete(r.watches, w)
+		}
+	}
+}
+
+func (r *Register) serve(out http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	if r.down || q.URL.Path != "/discovery/hosts" {
+		r.mu.Unlock()
+		http.Error(out, "not here, or down", http.StatusServiceUnavailable)
+		return
+	}
+	if q.FormValue("stream") == "" {
+		line := r.line(true, r.entries)
+		r.mu.Unlock()
+		out.Write(line)
+		return
+	}
+	w := &watch{make(chan []byte, 1000), make(chan struct{})}
+	if had, _ := strconv.ParseInt(q.FormValue("index"), 10, 64); had != r.version {
+		w.lines <- r.line(true, r.entries)
+	}
+	r.watches[w] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.watches, w)
+		r.mu.Unlock()
+	}()
+	flush := out.(http.Flusher)
+	flush.Flush()
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case line := <-w.lines:
+			out.Write(line)
+		case <-tick.C:
+			out.Write([]byte("\n"))
+		case <-w.end:
+			return
+		case <-q.Context().Done():
+			return
+		}
+		flush.Flush()
+	}
+}
+
+// Index is one index of a site.
+type Index struct {
+	Name       string
+	Effect     string  // repeatable, by_key, once
+	Soft, Hard float64 // seconds
+	Gain       float64
+}
+
+// Site is a small deployment: so many cells, each shard held by Width of them.
+type Site struct {
+	Zones   []string
+	Indexes []Index
+	Cells   int
+	Width   int
+	Shards  int
+	Mixers  int
+	ColdS   float64 // how long a searcher is cold; 0 for never
+}
+
+// Settings is the object that a mixer of the site starts from.
+func (s Site) Settings(ordinal int) []byte {
+	var classes, ones []string
+	for _, x := range s.Indexes {
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"effect":%q,"promiseS":%g,"giveUpS":%g,"worth":%g,"lateWorth":0.1,"repeatWindowS":5}`,
+			x.Name, x.Effect, x.Soft, x.Hard, x.Gain))
+		ones = append(ones, "1")
+	}
+	zones, _ := json.Marshal(s.Zones)
+	return fmt.Appendf(nil, `{"granularityS":0.005,"azs":%s,"models":["m"],"ordinal":%d,"siblings":%d,"zone":%d,"stats":{"how":"none"},
+		"requestClasses":[%s],"specifics":{"places":%d,"width":%d,"slices":%d,"perCall":1,"classNeed":[%s],"floorByClass":[%[9]s]},
+		"limits":{"cancel":true,"probing":true,"mayDuplicate":true,"retryAfter":true,"mostTries":3,"multiplex":100,"idleCloseS":15,
+		"connectTimeoutS":0.25,"maxRetryAfterS":1,"mostHeld":20000},
+		"invariants":{"answerSlackS":0.02,"coldS":%g,"coldShare":0.25,"drainGraceS":2,"fallMultiple":2,"fallS":1},"prices":{"crossZone":0.02}}`,
+		zones, ordinal, max(1, s.Mixers), ordinal%max(1, len(s.Zones)), strings.Join(classes, ","), s.Cells, s.Width, s.Shards,
+		strings.Join(ones, ","), s.ColdS)
+}
+
+// Config is a mixer's config file.
+func (s Site) Config(name, listen string, r *Register, ordinal int) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{},"known":%s,"settings":%s}`,
+		name, listen, r.Address(), 0x9e3779b97f4a7c15*uint64(ordinal+1), r.Known(), s.Settings(ordinal))
+}
--- /dev/null
+++ b/internal/standin/searcher.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Searcher answers part calls, so many at once and the others behind them, each after a service time.
+type Searcher struct {
+	Name string
+	Cell int
+	Zone string
+
+	listener net.Listener
+	started  time.Time
+	slots    chan struct{}
+	service  atomic.Int64 // mean, ns
+	failing  atomic.Bool
+	silent   atomic.Bool
+
+	mu     sync.Mutex
+	lines  map[net.Conn]bool
+	closed bool
+
+	calls    atomic.Int64
+	out      atomic.Int64
+	mostOut  atomic.Int64
+	byShard  [1024]atomic.Int64
+	executed sync.Map // part id -> *atomic.Int64
+}
+
+// NewSearcher listens on loopback, with so many slots.
+func NewSearcher(name, zone string, cell, slots int, service time.Duration) (*Searcher, error) {
+	s := &Searcher{Name: name, Cell: cell, Zone: zone, slots: make(chan struct{}, slots), lines: map[net.Conn]bool{}}
+	s.service.Store(int64(service))
+	return s, s.Start()
+}
+
+// Start listens, on a new port after a Kill.
+func (s *Searcher) Start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.listener, s.closed, s.started = l, false, time.Now()
+	s.mu.Unlock()
+	go s.accept(l)
+	return nil
+}
+
+// Entry is how the register lists it; long past says that it started long ago.
+func (s *Searcher) Entry(state string, longPast bool) Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := Entry{ID: s.Name, Address: s.listener.Addr().String(), Zone: s.Zone, Kind: "m", Cell: s.Cell, State: state, Weight: 1}
+	if !longPast {
+		e.StartedMs = float64(s.started.UnixMilli())
+	}
+	return e
+}
+
+// Kill ends its lines and listens no more, as a process that dies.
+func (s *Searcher) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.listener.Close()
+	for c := range s.lines {
+		c.Close()
+	}
+	clear(s.lines)
+}
+
+// SetService changes the mean service time, SetFailing lets it fail each call, SetSilent lets it answer nothing.
+func (s *Searcher) SetService(d time.Duration) { s.service.Store(int64(d)) }
+func (s *Searcher) SetFailing(on bool)         { s.failing.Store(on) }
+func (s *Searcher) SetSilent(on bool)          { s.silent.Store(on) }
+
+// Calls is how many part calls it has taken, of one shard CallsOf; Out how many are in it, and MostOut their peak since
+// the last time that it was asked.
+func (s *Searcher) Calls() int64            { return s.calls.Load() }
+func (s *Searcher) CallsOf(shard int) int64 { return s.byShard[shard].Load() }
+func (s *Searcher) Out() int64              { return s.out.Load() }
+func (s *Searcher) MostOut() int64          { return s.mostOut.Swap(s.out.Load()) }
+func (s *Searcher) Executed(f func(id string, times int64)) {
+	s.executed.Range(func(id, n any) bool { f(id.(string), n.(*atomic.Int64).Load()); return true })
+}
+
+func (s *Searcher) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.closed {
+			c.Close()
+		} else {
+			s.lines[c] = true
+		}
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// line is one connection; answers of many calls share its writing side.
+type line struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+func (l *line) say(letter byte, rest []byte) {
+	frame := binary.BigEndian.AppendUint32(nil, uint32(1+len(rest)))
+	frame = append(append(frame, letter), rest...)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.SetWriteDeadline(time.Now().Add(time.Second))
+	l.Write(frame)
+}
+
+func (s *Searcher) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.lines, c)
+		s.mu.Unlock()
+	}()
+	l := &line{Conn: c}
+	given := sync.Map{} // ids given up
+	in := bufio.NewReader(c)
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			return
+		}
+		frame := make([]byte, binary.BigEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(in, frame); err != nil || len(frame) == 0 {
+			return
+		}
+		switch rest := frame[1:]; frame[0] {
+		case 'S':
+			if !s.call(l, rest, &given) {
+				l.say('F', []byte("can't be read"))
+				return
+			}
+		case 'C':
+			given.Store(string(rest), true)
+		case 'H', 'M':
+			if s.silent.Load() {
+				continue
+			}
+			answer := "done"
+			if frame[0] == 'M' {
+				answer = "-"
+			}
+			l.say(frame[0], []byte(answer))
+		default:
+			l.say('F', []byte("unknown letter"))
+			return
+		}
+	}
+}
+
+// call takes the parts of one frame.
+func (s *Searcher) call(l *line, rest []byte, given *sync.Map) bool {
+	for len(rest) > 0 {
+		head, after, found := bytes.Cut(rest, []byte{'\n'})
+		fields := bytes.Fields(head)
+		if !found || len(fields) != 4 {
+			return false
+		}
+		shard, err := strconv.Atoi(string(fields[1]))
+		n, err2 := strconv.Atoi(string(fields[3]))
+		if err != nil || err2 != nil || n > len(after) || shard < 0 || shard >= len(s.byShard) {
+			return false
+		}
+		s.calls.Add(1)
+		s.byShard[shard].Add(1)
+		if out := s.out.Add(1); out > s.mostOut.Load() {
+			s.mostOut.Store(out)
+		}
+		go s.work(l, string(fields[0]), string(after[:n]), given)
+		rest = after[n:]
+	}
+	return true
+}
+
+func (s *Searcher) work(l *line, id, query string, given *sync.Map) {
+	defer s.out.Add(-1)
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	if _, gone := given.Load(id); gone {
+		return
+	}
+	times, _ := s.executed.LoadOrStore(query+" "+id[bytes.IndexByte([]byte(id), '.')+1:], new(atomic.Int64))
+	times.(*atomic.Int64).Add(1)
+	mean := float64(s.service.Load())
+	time.Sleep(time.Duration(mean * (0.5 + rand.Float64())))
+	end := "done"
+	switch {
+	case s.silent.Load():
+		return
+	case s.failing.Load():
+		end = "failed"
+	}
+	l.say('R', fmt.Appendf(nil, "%s %s 1 -\nv-%s", id, end, s.Name))
+}
