--- a/cmd/puffinlink/demo.go
+++ b/cmd/puffinlink/demo.go
@@ -28,7 +28,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	o := demo.Options{For: c.For, Mixers: c.Mixers, Searchers: c.Searchers, PerS: c.PerS, Service: c.Service, Directory: c.Directory,
-		JSON: c.JSON, Every: max(c.Every, 100*time.Millisecond), Out: os.Stdout}
+		JSON: c.JSON, Every: max(c.Every, 100*time.Millisecond), Out: stdout}
 	if info, err := os.Stdout.Stat(); err == nil {
 		o.Live = info.Mode()&os.ModeCharDevice != 0
 	}
@@ -45,8 +45,8 @@
 		return err
 	}
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(sum)
+		return json.NewEncoder(stdout).Encode(sum)
 	}
-	sum.Print(os.Stdout)
+	sum.Print(stdout)
 	return nil
 }
--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -17,10 +18,13 @@
 	exitUnreachable = 5
 )
 
+// What commands print goes here; a mixer that serves writes its log to standard output itself.
+var stdout, stderr io.Writer = os.Stdout, os.Stderr
+
 type commands struct {
 	Serve    serveCmd    `cmd:"" default:"1" help:"Serve lookups, as LB_CONFIG says. Example: LB_CONFIG=config.json puffinlink"`
 	Check    checkCmd    `cmd:"" help:"Check an operator's file. Example: puffinlink check deploy/operator.json5"`
-	Override overrideCmd `cmd:"" help:"List, set, clear, watch and explain overrides of a running mixer."`
+	Override overrideCmd `cmd:"" help:"List, set, clear, watch and explain overrides of a running mixer. Example: puffinlink override list --at unix:/run/p.sock"`
 	Token    tokenCmd    `cmd:"" help:"Make an operator's token. Example: puffinlink token --key-file /etc/puffinlink/key"`
 	Demo     demoCmd     `cmd:"" help:"Run stand-ins, mixers and a small load on this machine. Example: puffinlink demo --for 10s"`
 	Version  versionCmd  `cmd:"" help:"Print the version. Example: puffinlink version --json"`
@@ -31,7 +35,7 @@
 // command runs a command line and tells its exit code.
 func command(args []string) (code int) {
 	var c commands
-	parser, err := kong.New(&c, kong.Name("puffinlink"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	parser, err := kong.New(&c, kong.Name("puffinlink"), kong.Writers(stdout, stderr), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Description("A mixer: it reads many shards for one lookup."), kong.Exit(func(status int) { panic(exit(status)) }))
 	if err != nil {
 		panic(err) // a mistake in the tags above
@@ -43,11 +47,11 @@
 	}()
 	ctx, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "puffinlink:", err)
+		fmt.Fprintln(stderr, "puffinlink:", err)
 		return exitUsage
 	}
 	if err := ctx.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "puffinlink:", err)
+		fmt.Fprintln(stderr, "puffinlink:", err)
 		return coded(err)
 	}
 	return 0
--- a/cmd/puffinlink/override.go
+++ b/cmd/puffinlink/override.go
@@ -77,7 +77,7 @@
 }
 
 func asJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
+	enc := json.NewEncoder(stdout)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
@@ -129,14 +129,14 @@
 	if c.JSON {
 		return asJSON(v)
 	}
-	fmt.Printf("mixer %s, revision %d, kept in %s\n", v.Mixer, v.Revision, v.Kept)
+	fmt.Fprintf(stdout, "mixer %s, revision %d, kept in %s\n", v.Mixer, v.Revision, v.Kept)
 	rows := [][]string{}
 	for i := range v.Overrides {
 		o := &v.Overrides[i]
 		target, does := what(o)
 		rows = append(rows, []string{strconv.FormatUint(o.ID, 10), target, does, left(o.EndsIn), o.Author, o.Reason, o.State})
 	}
-	table(os.Stdout, "ID TARGET DOES ENDS-IN AUTHOR REASON STATE", rows)
+	table(stdout, "ID TARGET DOES ENDS-IN AUTHOR REASON STATE", rows)
 	if len(v.Returning) > 0 {
 		rows = rows[:0]
 		for _, r := range v.Returning {
@@ -146,8 +146,8 @@
 			}
 			rows = append(rows, []string{r.Searcher, shard, r.Index, fmt.Sprintf("%.0f%%", 100*r.Level), fmt.Sprintf("%.0f%%", 100*r.Want)})
 		}
-		fmt.Println()
-		table(os.Stdout, "RETURNING SHARD INDEX NOW UP-TO", rows)
+		fmt.Fprintln(stdout)
+		table(stdout, "RETURNING SHARD INDEX NOW UP-TO", rows)
 	}
 	return nil
 }
@@ -237,7 +237,7 @@
 	if d.JSON {
 		return asJSON(made)
 	}
-	printChange(os.Stdout, &made)
+	printChange(stdout, &made)
 	return nil
 }
 
@@ -284,9 +284,9 @@
 	defer stop()
 	err = client.Watch(ctx, c.From, func(change operators.Change) error {
 		if c.JSON {
-			return json.NewEncoder(os.Stdout).Encode(change)
+			return json.NewEncoder(stdout).Encode(change)
 		}
-		printChange(os.Stdout, &change)
+		printChange(stdout, &change)
 		return nil
 	})
 	if ctx.Err() != nil {
@@ -309,7 +309,7 @@
 		return asJSON(list)
 	}
 	for i := range list {
-		printChange(os.Stdout, &list[i])
+		printChange(stdout, &list[i])
 	}
 	return nil
 }
@@ -334,7 +334,7 @@
 	if w.Goes {
 		verdict = fmt.Sprintf("goes, at %.0f%% of its usual part calls,", 100*w.Share)
 	}
-	fmt.Printf("shard %d of %s %s to %s\n", c.Shard, c.Index, verdict, c.Searcher)
+	fmt.Fprintf(stdout, "shard %d of %s %s to %s\n", c.Shard, c.Index, verdict, c.Searcher)
 	rows := [][]string{}
 	for _, r := range w.Rules {
 		by, acts := "-", "suspended"
@@ -346,7 +346,7 @@
 		}
 		rows = append(rows, []string{r.Rule, acts, by, r.Text})
 	}
-	table(os.Stdout, "RULE STATE OVERRIDE WHY", rows)
+	table(stdout, "RULE STATE OVERRIDE WHY", rows)
 	return nil
 }
 
@@ -372,7 +372,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("token, for its holder alone: %s\nfor operators.tokens: %s\n", token, func() string {
+	fmt.Fprintf(stdout, "token, for its holder alone: %s\nfor operators.tokens: %s\n", token, func() string {
 		text, _ := json.Marshal(opfileToken{c.Name, c.Role, hash})
 		return string(text)
 	}())
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -125,7 +125,7 @@
 		for i := range f.Operators.Tokens {
 			f.Operators.Tokens[i].Hash = "(kept)"
 		}
-		return json.NewEncoder(os.Stdout).Encode(f)
+		return json.NewEncoder(stdout).Encode(f)
 	}
 	on := func(is bool) string {
 		if is {
@@ -133,7 +133,7 @@
 		}
 		return "off"
 	}
-	fmt.Printf("%s: good; overrides %s, operators' listener %s\n", c.File, on(f.Overrides.On), on(f.Operators.Listen != ""))
+	fmt.Fprintf(stdout, "%s: good; overrides %s, operators' listener %s\n", c.File, on(f.Overrides.On), on(f.Operators.Listen != ""))
 	return nil
 }
 
@@ -152,8 +152,8 @@
 		}
 	}
 	if v.JSON {
-		return json.NewEncoder(os.Stdout).Encode(map[string]string{"version": version, "revision": revision, "go": runtime.Version()})
+		return json.NewEncoder(stdout).Encode(map[string]string{"version": version, "revision": revision, "go": runtime.Version()})
 	}
-	fmt.Println("puffinlink", version, revision, runtime.Version())
+	fmt.Fprintln(stdout, "puffinlink", version, revision, runtime.Version())
 	return nil
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -264,7 +264,7 @@
 	further   []float64              // and as further calls
 	owed      int
 	pins      map[pinned]*PinOverride
-	pinsAt    int // counts their changes
+	pinsAt    int  // counts their changes
 	asUsual   bool // costs are those without weights
 	listWait  float64
 	listAt    float64 // when to ask next
