--- /dev/null
+++ b/cmd/puffinlink/capture.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"puffinlink.example/puffinlink/internal/capture"
+)
+
+type captureCmd struct {
+	Show  captureShowCmd  `cmd:"" help:"What a capture holds. Example: puffinlink capture show /var/lib/puffinlink/capture"`
+	Merge captureMergeCmd `cmd:"" help:"Several mixers' captures as one. Example: puffinlink capture merge --out all.capture n1 n2 n3"`
+	Cut   captureCutCmd   `cmd:"" help:"A part of a capture. Example: puffinlink capture cut all.capture --from 2026-11-30T08:00:00Z --for 1h --out morning.capture"`
+	Synth captureSynthCmd `cmd:"" help:"A capture of a load that is stated. Example: puffinlink capture synth load.json5 --out load.capture"`
+}
+
+// opened reads a capture, and tells where it is cut off.
+func opened(path string) (capture.Capture, error) {
+	c, cuts, err := capture.Open(path)
+	for _, cut := range cuts {
+		fmt.Fprintln(stderr, "puffinlink:", cut)
+	}
+	if err == nil && len(c.Intervals) == 0 {
+		err = fmt.Errorf("%s: no interval of it can be read", path)
+	}
+	return c, err
+}
+
+func when(at float64) string { return time.UnixMilli(int64(1000 * at)).UTC().Format(time.RFC3339) }
+
+type captureShowCmd struct {
+	Path string `arg:"" help:"A file, or a directory of them."`
+	JSON bool   `name:"json" help:"The sum, as JSON."`
+}
+
+func (s *captureShowCmd) Run() error {
+	c, err := opened(s.Path)
+	if err != nil {
+		return err
+	}
+	sum := c.Sum()
+	if s.JSON {
+		return asJSON(sum)
+	}
+	fmt.Fprintf(stdout, "%d intervals from %s to %s, of mixers %s\n", len(c.Intervals), when(sum.At), when(sum.At+sum.Span), strings.Join(sum.Mixers, ", "))
+	for _, h := range c.Holes() {
+		fmt.Fprintf(stdout, "hole: nothing from %s to %s\n", when(h.From), when(h.To))
+	}
+	fmt.Fprintf(stdout, "held %.1f in the mean, %d at most; part calls out %.1f, %d at most\n\n", sum.Held.Mean, sum.Held.Most, sum.Out.Mean, sum.Out.Most)
+	rows := [][]string{}
+	n := func(v int64) string { return strconv.FormatInt(v, 10) }
+	for _, l := range sum.Loads {
+		rows = append(rows, []string{l.Index, l.Customer, n(l.Lookups), fmt.Sprintf("%.1f", float64(l.Lookups)/sum.Span), fmt.Sprintf("%.1f", float64(l.Parts)/max(1, float64(l.Lookups))),
+			n(l.Resent), n(l.Ends.Satisfied), n(l.Ends.Late), n(l.Ends.Nacked), n(l.Ends.Aborted), n(l.Ends.Gone), n(l.Ends.Full)})
+	}
+	table(stdout, "INDEX CUSTOMER LOOKUPS A-SECOND PARTS RESENT SATISFIED LATE NACKED ABORTED GONE FULL", rows)
+	rows = rows[:0]
+	for _, x := range sum.Indexes {
+		rows = append(rows, []string{x.Index, n(x.Latency.Count()), ms(x.Latency.Quantile(0.5)), ms(x.Latency.Quantile(0.99)), ms(x.Latency.Quantile(1))})
+	}
+	fmt.Fprintln(stdout)
+	table(stdout, "INDEX ANSWERED P50 P99 MOST", rows)
+	rows = rows[:0]
+	for _, x := range sum.Searchers {
+		rows = append(rows, []string{x.Searcher, x.Location, x.Index, n(x.Calls), n(x.Failed), n(x.TurnedAway), ms(x.Latency.Quantile(0.5)), ms(x.Latency.Quantile(0.99)), ms(x.Alone.Mean())})
+	}
+	fmt.Fprintln(stdout)
+	table(stdout, "SEARCHER LOCATION INDEX CALLS FAILED TURNED-AWAY P50 P99 ALONE", rows)
+	return nil
+}
+
+func ms(s float64) string { return fmt.Sprintf("%.1f ms", 1000*s) }
+
+type captureMergeCmd struct {
+	Paths []string      `arg:"" help:"Files, or directories of them."`
+	Span  time.Duration `default:"10s" help:"Of an interval."`
+	Out   string        `required:"" help:"The file to write."`
+}
+
+func (m *captureMergeCmd) Run() error {
+	var all []capture.Capture
+	for _, p := range m.Paths {
+		c, err := opened(p)
+		if err != nil {
+			return err
+		}
+		all = append(all, c)
+	}
+	merged, err := capture.Merge(m.Span.Seconds(), all...)
+	if err != nil {
+		return err
+	}
+	return capture.Save(m.Out, merged)
+}
+
+type captureCutCmd struct {
+	Path string        `arg:"" help:"A file, or a directory of them."`
+	From time.Time     `required:"" help:"As 2026-11-30T08:00:00Z."`
+	For  time.Duration `required:"" help:"As 1h."`
+	Out  string        `required:"" help:"The file to write."`
+}
+
+func (m *captureCutCmd) Run() error {
+	c, err := opened(m.Path)
+	if err != nil {
+		return err
+	}
+	from := float64(m.From.UnixMilli()) / 1000
+	if c, err = c.Cut(from, from+m.For.Seconds()); err != nil {
+		return err
+	}
+	return capture.Save(m.Out, c)
+}
+
+type captureSynthCmd struct {
+	File string `arg:"" help:"The load, as docs/operators/planning.md shows it."`
+	Out  string `required:"" help:"The file to write."`
+}
+
+// synthFile is the form of a stated load.
+type synthFile struct {
+	Begins         time.Time `json:"begins"`
+	LastsS         float64   `json:"lasts_s"`
+	IntervalS      float64   `json:"interval_s"`
+	LookupsPerS    float64   `json:"lookups_per_s"`
+	Shards         int       `json:"shards"`
+	Skew           float64   `json:"skew"`
+	Day            []float64 `json:"day"`
+	MonthEndFactor float64   `json:"month_end_factor"`
+	Seed           uint64    `json:"seed"`
+	Indexes        []struct {
+		Index    string  `json:"index"`
+		Customer string  `json:"customer"`
+		Share    float64 `json:"share"`
+		Parts    int     `json:"parts"`
+		HintS    float64 `json:"hint_s"`
+	} `json:"indexes"`
+	Bursts []struct {
+		FromS  float64 `json:"from_s"`
+		ForS   float64 `json:"for_s"`
+		Factor float64 `json:"factor"`
+	} `json:"bursts"`
+}
+
+func (m *captureSynthCmd) Run() error {
+	text, err := os.ReadFile(m.File)
+	if err != nil {
+		return err
+	}
+	if text, err = hujson.Standardize(text); err != nil {
+		return fmt.Errorf("%s: %w", m.File, err)
+	}
+	f := synthFile{IntervalS: 10}
+	in := json.NewDecoder(strings.NewReader(string(text)))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&f); err != nil {
+		return fmt.Errorf("%s: %w", m.File, err)
+	}
+	s := capture.Synth{For: f.LastsS, Span: f.IntervalS, PerS: f.LookupsPerS, Shards: f.Shards, Skew: f.Skew, Day: f.Day, MonthEnd: f.MonthEndFactor, Seed: f.Seed}
+	if !f.Begins.IsZero() {
+		s.At = float64(f.Begins.UnixMilli()) / 1000
+	}
+	for _, x := range f.Indexes {
+		s.Indexes = append(s.Indexes, capture.SynthIndex{Index: x.Index, Customer: x.Customer, Share: x.Share, Parts: x.Parts, Hint: x.HintS})
+	}
+	for _, b := range f.Bursts {
+		s.Bursts = append(s.Bursts, capture.Burst{From: b.FromS, For: b.ForS, Factor: b.Factor})
+	}
+	var c capture.Capture
+	if err := s.Make(func(i *capture.Interval) error { c.Intervals = append(c.Intervals, *i); return nil }); err != nil {
+		return fmt.Errorf("%s: %w", m.File, err)
+	}
+	return capture.Save(m.Out, c)
+}
--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -25,6 +25,7 @@
 	Serve    serveCmd    `cmd:"" default:"1" help:"Serve lookups, as LB_CONFIG says. Example: LB_CONFIG=config.json puffinlink"`
 	Check    checkCmd    `cmd:"" help:"Check an operator's file. Example: puffinlink check deploy/operator.json5"`
 	Override overrideCmd `cmd:"" help:"List, set, clear, watch and explain overrides of a running mixer. Example: puffinlink override list --at unix:/run/p.sock"`
+	Capture  captureCmd  `cmd:"" help:"Show, merge, cut and make captures of load. Example: puffinlink capture show all.capture"`
 	Token    tokenCmd    `cmd:"" help:"Make an operator's token. Example: puffinlink token --key-file /etc/puffinlink/key"`
 	Demo     demoCmd     `cmd:"" help:"Run stand-ins, mixers and a small load on this machine. Example: puffinlink demo --for 10s"`
 	Version  versionCmd  `cmd:"" help:"Print the version. Example: puffinlink version --json"`
--- /dev/null
+++ b/internal/capture/capture.go
@@ -0,0 +1,442 @@
+// Package capture records what load a mixer had, by intervals, so that the planner can say what would become of it on
+// another fleet. The book takes what the module's actor sees and counts; it does no I/O, has no clock and no goroutine.
+// Blocks and files are in block.go and files.go, merging and cutting in merge.go, made-up loads in synth.go.
+package capture
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"puffinlink.example/puffinlink/logic"
+)
+
+// unit is what histograms count in, seconds. A part that is faster waits mostly for the mixer's steps.
+const unit = 1e-4
+
+// longest is the longest time that a histogram tells apart, seconds; above any hard deadline.
+const longest = 60
+
+// Hist is a histogram of times. The zero value is empty.
+type Hist struct{ of *hdrhistogram.Histogram }
+
+// newHist makes one with so many significant digits: 2 for an index (14 KiB), 1 for a searcher, of which there may be
+// a thousand (2 KiB).
+func newHist(digits int) Hist {
+	return Hist{hdrhistogram.New(1, int64(longest/unit), digits)}
+}
+
+func (h *Hist) record(seconds float64, n int64) {
+	if h.of == nil {
+		*h = newHist(2)
+	}
+	h.of.RecordValues(min(max(1, int64(seconds/unit+0.5)), int64(longest/unit)), n)
+}
+
+// Add records a time in seconds, n times.
+func (h *Hist) Add(seconds float64, n int64) { h.record(seconds, n) }
+
+// Count is how many times it holds.
+func (h Hist) Count() int64 {
+	if h.of == nil {
+		return 0
+	}
+	return h.of.TotalCount()
+}
+
+// Quantile is a time in seconds that the share q of all do not exceed; 0 of none.
+func (h Hist) Quantile(q float64) float64 {
+	if h.Count() == 0 {
+		return 0
+	}
+	return float64(h.of.ValueAtQuantile(100*q)) * unit
+}
+
+// Mean is in seconds; 0 of none.
+func (h Hist) Mean() float64 {
+	if h.Count() == 0 {
+		return 0
+	}
+	return h.of.Mean() * unit
+}
+
+// Moments are the mean and the squared coefficient of variation.
+func (h Hist) Moments() (mean, scv float64) {
+	if mean = h.Mean(); mean == 0 {
+		return 0, 0
+	}
+	sd := h.of.StdDev() * unit
+	return mean, sd * sd / (mean * mean)
+}
+
+func (h *Hist) merge(o Hist) {
+	for _, b := range o.bars() {
+		h.record(float64(b[0])*unit, b[1])
+	}
+}
+
+// bars are the values that occur, in units, and how often.
+func (h Hist) bars() (list [][2]int64) {
+	if h.of == nil {
+		return nil
+	}
+	for _, b := range h.of.Distribution() {
+		if b.Count > 0 {
+			list = append(list, [2]int64{b.To, b.Count})
+		}
+	}
+	return list
+}
+
+// MarshalJSON writes the bars.
+func (h Hist) MarshalJSON() ([]byte, error) { return json.Marshal(h.bars()) }
+
+// UnmarshalJSON reads bars; a value or a count that no histogram can hold is an error.
+func (h *Hist) UnmarshalJSON(text []byte) error {
+	var list [][2]int64
+	if err := json.Unmarshal(text, &list); err != nil {
+		return err
+	}
+	*h = Hist{}
+	for _, b := range list {
+		if b[0] < 1 || b[0] > 2*longest/unit || b[1] < 1 {
+			return fmt.Errorf("histogram bar %v, expected a time of %g s at most and a count", b, float64(longest))
+		}
+		h.record(float64(b[0])*unit, b[1])
+	}
+	return nil
+}
+
+// Ends counts how lookups ended.
+type Ends struct {
+	Satisfied int64 // within the soft deadline
+	Late      int64 // answered after it
+	Nacked    int64
+	Aborted   int64
+	Gone      int64 // the client left
+	Full      int64 // the most held was held
+}
+
+func (e *Ends) add(o Ends) {
+	e.Satisfied += o.Satisfied
+	e.Late += o.Late
+	e.Nacked += o.Nacked
+	e.Aborted += o.Aborted
+	e.Gone += o.Gone
+	e.Full += o.Full
+}
+
+// Load is what one customer asked of one index.
+type Load struct {
+	Index, Customer string
+	Lookups         int64
+	Resent          int64 // marked as tries again by their clients
+	Parts           int64
+	Hint            float64 // work hinted at, seconds in all
+	Ends            Ends
+}
+
+// IndexLoad is what came of an index.
+type IndexLoad struct {
+	Index   string
+	Parts   map[int]int64 // lookups by their number of parts
+	Latency Hist          // of answered lookups
+}
+
+// ShardLoad is how often a shard was asked for.
+type ShardLoad struct {
+	Index string
+	Shard int
+	Parts int64
+}
+
+// SearcherLoad is what came of the part calls of one index to one searcher.
+type SearcherLoad struct {
+	Searcher, Location, Index string
+	Calls                     int64
+	Failed                    int64 // errors, broken and lost calls
+	TurnedAway                int64
+	Latency                   Hist
+	Alone                     Hist    // of calls that found nothing else of this mixer there: near the work of a part
+	Reports                   int64   // load reports heard
+	Service                   float64 // sum of the service times that they told, seconds
+	Util                      float64 // sum of the use that they told
+}
+
+// Level is a figure over time.
+type Level struct {
+	Mean float64
+	Most int64
+}
+
+// Interval is what one or several mixers saw in a span of time.
+type Interval struct {
+	At, Span  float64 // Unix seconds, seconds
+	Mixers    []string
+	Loads     []Load
+	Indexes   []IndexLoad
+	Shards    []ShardLoad
+	Searchers []SearcherLoad
+	Held, Out Level // lookups and part calls
+}
+
+// Caps of what one interval holds, each with its reason.
+const (
+	// mostRows is of searchers by index: 1,000 searchers of four indexes take 10 MB. Those beyond it are counted as others.
+	mostRows = 4096
+	// others is their name.
+	others = "(others)"
+)
+
+// Names are what the module has numbers for.
+type Names struct {
+	Indexes, Customers []string
+	Soft               []float64 // soft deadlines by index, seconds
+	Shards             int
+}
+
+type row struct {
+	load SearcherLoad
+	out  int
+}
+
+// Book counts one mixer's load. One goroutine alone uses it.
+type Book struct {
+	mixer    string
+	names    Names
+	span     float64
+	begun    bool
+	from     float64
+	loads    [][]Load // by index and customer
+	parts    []map[int]int64
+	latency  []Hist
+	shards   [][]int64
+	rows     map[logic.SearcherID][]*row // by index
+	kept     int                         // rows
+	searcher map[logic.SearcherID][2]string
+	outAt    map[logic.SearcherID]int
+	held     meter
+	out      meter
+}
+
+// meter is the integral of a count over time.
+type meter struct {
+	now, most int64
+	at, sum   float64
+}
+
+func (m *meter) move(now float64, by int64) {
+	m.sum += float64(m.now) * max(0, now-m.at)
+	m.at = now
+	m.now = max(0, m.now+by)
+	m.most = max(m.most, m.now)
+}
+
+// cut ends an interval and begins the next.
+func (m *meter) cut(now, span float64) Level {
+	m.move(now, 0)
+	l := Level{m.sum / span, m.most}
+	m.sum, m.most = 0, m.now
+	return l
+}
+
+// New makes a book of a mixer with intervals of span seconds.
+func New(mixer string, names Names, span float64) *Book {
+	b := &Book{mixer: mixer, names: names, span: span, searcher: map[logic.SearcherID][2]string{}, outAt: map[logic.SearcherID]int{}}
+	b.clear()
+	return b
+}
+
+func (b *Book) clear() {
+	n := len(b.names.Indexes)
+	b.loads, b.parts, b.latency, b.shards = make([][]Load, n), make([]map[int]int64, n), make([]Hist, n), make([][]int64, n)
+	for k := range n {
+		b.loads[k] = make([]Load, len(b.names.Customers)+1)
+		b.parts[k], b.shards[k] = map[int]int64{}, make([]int64, b.names.Shards)
+	}
+	b.rows, b.kept = map[logic.SearcherID][]*row{}, 0
+}
+
+// Named notes a searcher's name and location; a number comes once.
+func (b *Book) Named(id logic.SearcherID, name, location string) {
+	b.searcher[id] = [2]string{name, location}
+}
+
+// Unnamed forgets a searcher that the list no longer names.
+func (b *Book) Unnamed(id logic.SearcherID) { delete(b.searcher, id) }
+
+func (b *Book) load(k logic.IndexID, c logic.CustomerID) *Load {
+	list := b.loads[k]
+	if int(c) < 0 || int(c) >= len(list) {
+		c = logic.CustomerID(len(list) - 1)
+	}
+	return &list[c]
+}
+
+// Taken counts a lookup with its parts; the hint is of all of them, seconds.
+func (b *Book) Taken(now float64, k logic.IndexID, c logic.CustomerID, resent bool, hint float64, shards func(yield func(logic.ShardID) bool)) {
+	l := b.load(k, c)
+	l.Lookups++
+	l.Hint += hint
+	if resent {
+		l.Resent++
+	}
+	n := 0
+	for s := range shards {
+		n++
+		if int(s) < len(b.shards[k]) {
+			b.shards[k][s]++
+		}
+	}
+	l.Parts += int64(n)
+	b.parts[k][n]++
+	b.held.move(now, 1)
+}
+
+// End is how a lookup ended.
+type End uint8
+
+const (
+	Answered End = iota
+	Nacked
+	Aborted
+	Gone
+	Full // it was never taken
+)
+
+// Ended counts the end of a lookup, so many seconds after it came.
+func (b *Book) Ended(now float64, k logic.IndexID, c logic.CustomerID, how End, took float64) {
+	e := &b.load(k, c).Ends
+	switch how {
+	case Answered:
+		if took <= b.names.Soft[k] {
+			e.Satisfied++
+		} else {
+			e.Late++
+		}
+		b.latency[k].record(took, 1)
+	case Nacked:
+		e.Nacked++
+	case Aborted:
+		e.Aborted++
+	case Gone:
+		e.Gone++
+	case Full:
+		e.Full++
+		return
+	}
+	b.held.move(now, -1)
+}
+
+// Sent counts a part call that goes out, and tells whether it found nothing else of this mixer at its searcher.
+func (b *Book) Sent(now float64, s logic.SearcherID) (alone bool) {
+	b.out.move(now, 1)
+	b.outAt[s]++
+	return b.outAt[s] == 1
+}
+
+func (b *Book) row(s logic.SearcherID, k logic.IndexID) *row {
+	rows := b.rows[s]
+	if rows == nil {
+		rows = make([]*row, len(b.names.Indexes))
+		b.rows[s] = rows
+	}
+	if rows[k] == nil {
+		name := b.searcher[s]
+		if b.kept >= mostRows {
+			name = [2]string{others, ""}
+		}
+		b.kept++
+		rows[k] = &row{load: SearcherLoad{Searcher: name[0], Location: name[1], Index: b.names.Indexes[k]}}
+	}
+	return rows[k]
+}
+
+// Called counts the end of a part call: its outcome, how long it took, and whether it was alone there when it went.
+func (b *Book) Called(now float64, s logic.SearcherID, k logic.IndexID, outcome logic.Outcome, elapsed float64, alone bool, load logic.Load) {
+	b.out.move(now, -1)
+	if b.outAt[s]--; b.outAt[s] <= 0 {
+		delete(b.outAt, s)
+	}
+	r := &b.row(s, k).load
+	r.Calls++
+	switch outcome {
+	case logic.Answered:
+		if r.Latency.of == nil {
+			r.Latency, r.Alone = newHist(1), newHist(1)
+		}
+		r.Latency.record(elapsed, 1)
+		if alone {
+			r.Alone.record(elapsed, 1)
+		}
+	case logic.TurnedAway:
+		r.TurnedAway++
+	case logic.Withdrawn, logic.NotSent: // ours
+	default:
+		r.Failed++
+	}
+	if load.Has&(logic.HasService|logic.HasUtil) != 0 {
+		r.Reports++
+		r.Service += load.ServiceS
+		r.Util += load.Util
+	}
+}
+
+// Due tells whether the interval in hand is over.
+func (b *Book) Due(now float64) bool {
+	if !b.begun {
+		b.begun, b.from = true, now
+		b.held.at, b.out.at = now, now
+	}
+	return now >= b.from+b.span
+}
+
+// Cut ends the interval in hand.
+func (b *Book) Cut(now float64) Interval {
+	span := max(now-b.from, 1e-3)
+	i := Interval{At: b.from, Span: span, Mixers: []string{b.mixer}, Held: b.held.cut(now, span), Out: b.out.cut(now, span)}
+	for k, index := range b.names.Indexes {
+		for c, l := range b.loads[k] {
+			if l.Lookups == 0 && l.Ends == (Ends{}) {
+				continue
+			}
+			if l.Index = index; c < len(b.names.Customers) {
+				l.Customer = b.names.Customers[c]
+			}
+			i.Loads = append(i.Loads, l)
+		}
+		if len(b.parts[k]) > 0 || b.latency[k].Count() > 0 {
+			i.Indexes = append(i.Indexes, IndexLoad{index, b.parts[k], b.latency[k]})
+		}
+		for s, n := range b.shards[k] {
+			if n > 0 {
+				i.Shards = append(i.Shards, ShardLoad{index, s, n})
+			}
+		}
+	}
+	for _, rows := range b.rows {
+		for _, r := range rows {
+			if r != nil {
+				i.Searchers = append(i.Searchers, r.load)
+			}
+		}
+	}
+	i.sort()
+	b.clear()
+	b.from = now
+	return i
+}
+
+func (i *Interval) sort() {
+	slices.SortFunc(i.Loads, func(x, y Load) int {
+		return cmp.Or(cmp.Compare(x.Index, y.Index), cmp.Compare(x.Customer, y.Customer))
+	})
+	slices.SortFunc(i.Indexes, func(x, y IndexLoad) int { return cmp.Compare(x.Index, y.Index) })
+	slices.SortFunc(i.Shards, func(x, y ShardLoad) int { return cmp.Or(cmp.Compare(x.Index, y.Index), cmp.Compare(x.Shard, y.Shard)) })
+	slices.SortFunc(i.Searchers, func(x, y SearcherLoad) int {
+		return cmp.Or(cmp.Compare(x.Searcher, y.Searcher), cmp.Compare(x.Index, y.Index))
+	})
+}
--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,259 @@
+package capture
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/logic"
+)
+
+var names = Names{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Soft: []float64{1, 1}, Shards: 8}
+
+// played is a book's intervals of a random load, and what was asked and answered in all.
+func played(t *testing.T, mixer string, seed uint64, seconds float64) (list []Interval, lookups, parts, calls int64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	b := New(mixer, names, 1)
+	for s := range 4 {
+		b.Named(logic.SearcherID(s+1), fmt.Sprint("s-", s), "north")
+	}
+	type out struct {
+		s     logic.SearcherID
+		alone bool
+	}
+	var open []out
+	for now := 1000.0; now < 1000+seconds; now += 0.01 {
+		if b.Due(now) {
+			list = append(list, b.Cut(now))
+		}
+		k, n := logic.IndexID(rng.IntN(2)), 1+rng.IntN(3)
+		b.Taken(now, k, logic.CustomerID(rng.IntN(2)), rng.IntN(9) == 0, 0.01*float64(n), func(yield func(logic.ShardID) bool) {
+			for s := range n {
+				yield(logic.ShardID(s))
+			}
+		})
+		lookups, parts = lookups+1, parts+int64(n)
+		b.Ended(now, k, 0, End(rng.IntN(4)), 2*rng.Float64())
+		s := logic.SearcherID(1 + rng.IntN(4))
+		open = append(open, out{s, b.Sent(now, s)})
+		if len(open) > 5 {
+			b.Called(now, open[0].s, k, logic.Outcome(rng.IntN(8)), 0.02, open[0].alone, logic.Load{})
+			open, calls = open[1:], calls+1
+		}
+	}
+	return append(list, b.Cut(1000+seconds)), lookups, parts, calls
+}
+
+func total(list []Interval) (lookups, parts, calls, ends int64) {
+	for _, i := range list {
+		for _, l := range i.Loads {
+			lookups, parts = lookups+l.Lookups, parts+l.Parts
+			e := l.Ends
+			ends += e.Satisfied + e.Late + e.Nacked + e.Aborted + e.Gone
+		}
+		for _, s := range i.Searchers {
+			calls += s.Calls
+		}
+	}
+	return lookups, parts, calls, ends
+}
+
+func TestABookCountsAllOnce(t *testing.T) {
+	list, lookups, parts, calls := played(t, "n1", 1, 10)
+	gotLookups, gotParts, gotCalls, ends := total(list)
+	if gotLookups != lookups || gotParts != parts || gotCalls != calls || ends != lookups {
+		t.Fatalf("counted %d lookups, %d parts, %d calls, %d ends; there were %d, %d, %d, %d", gotLookups, gotParts, gotCalls, ends, lookups, parts, calls, lookups)
+	}
+	if n := len(list); n < 10 || n > 11 {
+		t.Fatalf("%d intervals in 10 s", n)
+	}
+	var b Book
+	b = *New("n1", names, 1)
+	b.Due(0)
+	b.Taken(0, 0, 0, false, 0, func(func(logic.ShardID) bool) {})
+	b.Ended(0.5, 0, 0, Answered, 0.5)
+	if got := b.Cut(1).Held; math.Abs(got.Mean-0.5) > 1e-9 || got.Most != 1 {
+		t.Fatalf("held %+v", got)
+	}
+}
+
+func encoded(t *testing.T, list []Interval) []byte {
+	var out bytes.Buffer
+	if err := (Capture{list}).write(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+func decoded(text []byte) (list []Interval, err error) {
+	err = Read(bytes.NewReader(text), func(i *Interval) error { list = append(list, *i); return nil })
+	return list, err
+}
+
+// A capture that is cut off anywhere reads up to the cut, and says so; one with a spoilt byte too, and gives nothing spoilt.
+func TestCutAnywhere(t *testing.T) {
+	list, _, _, _ := played(t, "n1", 2, 4)
+	text := encoded(t, list)
+	whole, err := decoded(text)
+	if err != nil || len(whole) != len(list) {
+		t.Fatalf("%d of %d intervals, %v", len(whole), len(list), err)
+	}
+	if again := encoded(t, whole); !bytes.Equal(again, text) {
+		t.Fatal("what was read is not what was written")
+	}
+	ends := map[int]bool{}
+	at := len(head)
+	for i := range list {
+		ends[at] = true
+		block, _ := AppendBlock(nil, &list[i])
+		at += len(block)
+	}
+	ends[at] = true
+	for n := range len(text) {
+		got, err := decoded(text[:n])
+		cut := (*CutError)(nil)
+		if isCut := errors.As(err, &cut); isCut == ends[n] || isCut && cut.Blocks != len(got) || len(got) > len(list) {
+			t.Fatalf("cut at %d: %d intervals, %v", n, len(got), err)
+		}
+	}
+	rng := rand.New(rand.NewPCG(4, 4))
+	for range 300 {
+		spoilt := bytes.Clone(text)
+		spoilt[rng.IntN(len(spoilt))] ^= 1 << rng.IntN(8)
+		got, err := decoded(spoilt)
+		if err == nil || !reflect.DeepEqual(encoded(t, got), text[:len(encoded(t, got))]) {
+			t.Fatalf("%d intervals of a spoilt capture, %v", len(got), err)
+		}
+	}
+	for in, want := range map[string]string{"x": "is no capture", "puffinlink capture 2\n": "of another version", "": "in its head"} {
+		if _, err := decoded([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", in, err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(head))
+	f.Add([]byte(head + "\x00\x00\x00\x01aaaaaaaab"))
+	f.Fuzz(func(t *testing.T, in []byte) { decoded(in) })
+}
+
+func TestMergeAndCut(t *testing.T) {
+	one, l1, p1, c1 := played(t, "n1", 5, 6)
+	two, l2, p2, c2 := played(t, "n2", 6, 6)
+	both, err := Merge(2, Capture{one}, Capture{two})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, p, c, _ := total(both.Intervals); l != l1+l2 || p != p1+p2 || c != c1+c2 {
+		t.Fatalf("merged %d, %d, %d of %d, %d, %d", l, p, c, l1+l2, p1+p2, c1+c2)
+	}
+	if len(both.Intervals) < 3 || len(both.Intervals) > 4 || len(both.Intervals[0].Mixers) != 2 {
+		t.Fatalf("got %d intervals of %v", len(both.Intervals), both.Intervals[0].Mixers)
+	}
+	sum := both.Sum()
+	if l, p, _, _ := total([]Interval{sum}); l != l1+l2 || p != p1+p2 {
+		t.Fatalf("summed %d, %d", l, p)
+	}
+	if _, err := Merge(2, Capture{one}, Capture{one}); err == nil || !strings.Contains(err.Error(), "given twice") {
+		t.Fatalf("got %v", err)
+	}
+	part, err := Capture{one}.Cut(1002, 1004)
+	if err != nil || len(part.Intervals) != 2 {
+		t.Fatalf("got %d, %v", len(part.Intervals), err)
+	}
+	if _, err := (Capture{one}).Cut(1, 2); err == nil {
+		t.Fatal("nothing was cut out and nobody said so")
+	}
+	if holes := (Capture{append(one[:2:2], one[4:]...)}).Holes(); len(holes) != 1 || math.Abs(holes[0].To-holes[0].From-2) > 0.1 {
+		t.Fatalf("got %v", holes)
+	}
+}
+
+func TestSynth(t *testing.T) {
+	s := Synth{For: 86400, Span: 60, PerS: 10, Shards: 20, Skew: 0.8, Day: []float64{0.5, 1.5}, Seed: 3,
+		Indexes: []SynthIndex{{"reads", "acme", 0.8, 4, 0.01}, {"orders", "acme", 0.2, 1, 0.02}}, Bursts: []Burst{{3600, 600, 3}}}
+	var c Capture
+	if err := s.Make(func(i *Interval) error { c.Intervals = append(c.Intervals, *i); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	lookups, parts, _, _ := total(c.Intervals)
+	want := 86400 * 10.0
+	want += 2 * 600 * 10 * (0.5 + 3900.0/43200) // the burst, on the day's rising line
+	if got := float64(lookups); math.Abs(got-want) > 0.01*want || math.Abs(float64(parts)-3.4*got) > 0.02*3.4*got {
+		t.Fatalf("%d lookups of %d parts, expected about %.0f", lookups, parts, want)
+	}
+	sum := c.Sum()
+	by := map[int]int64{}
+	for _, x := range sum.Shards {
+		by[x.Shard] += x.Parts
+	}
+	popular := Popularity(20, 0.8)
+	for shard, share := range popular {
+		if got := float64(by[shard]) / float64(parts); math.Abs(got-share) > 0.02*share {
+			t.Fatalf("shard %d has a share of %.4f, expected %.4f", shard, got, share)
+		}
+	}
+	s.Indexes[0].Share = 0.9
+	if err := s.Make(nil); err == nil || !strings.Contains(err.Error(), "sum to 1.1") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestFilesKeepToTheirBounds(t *testing.T) {
+	dir := t.TempDir()
+	count := counters.New()
+	w, err := NewWriter(Store{dir, 64 << 10, time.Hour}, zerolog.Nop(), count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, _, _, _ := played(t, "n1", 7, 1)
+	for n := range 400 {
+		i := one[0]
+		i.At = 1000 + float64(n)
+		for count.Get("capture", "written")+count.Get("capture", "dropped")+mostWaiting/2 < int64(n) {
+			time.Sleep(time.Millisecond)
+		}
+		w.Put(i)
+	}
+	w.Stop()
+	files, _ := list(dir)
+	size := int64(0)
+	for _, f := range files {
+		size += f.size
+	}
+	if size > 64<<10 || count.Get("capture", "removed") == 0 || count.Get("capture", "written") != 400 {
+		t.Fatalf("%d bytes in %d files, %d removed, %d written", size, len(files), count.Get("capture", "removed"), count.Get("capture", "written"))
+	}
+	last := files[len(files)-1].path
+	text, _ := os.ReadFile(last)
+	os.WriteFile(last, text[:len(text)-3], 0o600)
+	c, cuts, err := Open(dir)
+	if err != nil || len(cuts) != 1 || len(c.Intervals) == 0 {
+		t.Fatalf("%d intervals, %v, %v", len(c.Intervals), cuts, err)
+	}
+	if got := c.Intervals[len(c.Intervals)-1].At; got != 1398 {
+		t.Fatalf("the last one that is whole is of %g", got)
+	}
+	at := filepath.Join(dir, "all"+ending)
+	if err := Save(at, c); err != nil {
+		t.Fatal(err)
+	}
+	if again, cuts, err := Open(at); err != nil || len(cuts) > 0 || len(again.Intervals) != len(c.Intervals) {
+		t.Fatalf("saved %d of %d, %v, %v", len(again.Intervals), len(c.Intervals), cuts, err)
+	}
+	if _, _, err := Open(t.TempDir()); err == nil {
+		t.Fatal("an empty directory is no capture")
+	}
+}
--- /dev/null
+++ b/internal/capture/files.go
@@ -0,0 +1,247 @@
+package capture
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+)
+
+const (
+	ending = ".capture"
+	// files are as many as a directory's share is split into, so that the oldest eighth goes and not all.
+	files = 8
+	// waiting intervals beyond these are dropped: a disk that takes none for a minute must not cost memory.
+	mostWaiting = 60
+)
+
+// Store is where a mixer's captures go.
+type Store struct {
+	Directory string
+	MostBytes int64         // of all files there
+	MostAge   time.Duration // of a file's last interval
+}
+
+// Writer writes intervals in a goroutine of its own. A disk that is full or gone costs intervals, and nothing else.
+type Writer struct {
+	store Store
+	in    *mailbox.Box[*Interval] // nil to end
+	wait  chan struct{}
+	log   zerolog.Logger
+	count *counters.Set
+	ended chan struct{}
+	file  *os.File
+	size  int64
+}
+
+// NewWriter makes the directory and begins a file at the first interval.
+func NewWriter(store Store, log zerolog.Logger, count *counters.Set) (*Writer, error) {
+	if err := os.MkdirAll(store.Directory, 0o700); err != nil {
+		return nil, err
+	}
+	w := &Writer{store: store, in: mailbox.New[*Interval](), wait: make(chan struct{}, mostWaiting), log: log, count: count, ended: make(chan struct{})}
+	go w.run()
+	return w, nil
+}
+
+// Put hands over an interval and never blocks.
+func (w *Writer) Put(i Interval) {
+	select {
+	case w.wait <- struct{}{}:
+		w.in.Put(&i)
+	default:
+		w.count.Add("capture", "dropped", 1)
+	}
+}
+
+// Stop ends the writer after all that waits is written.
+func (w *Writer) Stop() {
+	w.in.Put(nil)
+	<-w.ended
+}
+
+func (w *Writer) run() {
+	defer close(w.ended)
+	var list []*Interval
+	bad := false
+	for range w.in.Ready() {
+		list = w.in.Take(list)
+		for _, i := range list {
+			if i == nil {
+				if w.file != nil {
+					w.file.Close()
+				}
+				return
+			}
+			<-w.wait
+			err := w.write(i)
+			if err == nil {
+				w.count.Add("capture", "written", 1)
+			} else if w.count.Add("capture", "failed", 1); !bad {
+				w.log.Error().Str("text", err.Error()).Msg("capture not written; further ones are only counted")
+			}
+			bad = err != nil
+		}
+	}
+}
+
+func (w *Writer) write(i *Interval) error {
+	block, err := AppendBlock(nil, i)
+	if err != nil {
+		return err
+	}
+	if w.file != nil && w.size+int64(len(block)) > w.store.MostBytes/files {
+		w.file.Close()
+		w.file = nil
+	}
+	if w.file == nil {
+		if err := w.begin(i.At); err != nil {
+			return err
+		}
+	}
+	n, err := w.file.Write(block)
+	if w.size += int64(n); err != nil { // what stands there in part is where the file ends for whoever reads it
+		w.file.Close()
+		w.file = nil
+	}
+	return err
+}
+
+// begin opens a new file, after the oldest ones have gone.
+func (w *Writer) begin(at float64) error {
+	if err := w.sweep(); err != nil {
+		return err
+	}
+	path := filepath.Join(w.store.Directory, fmt.Sprintf("%017.3f%s", at, ending))
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(Head()); err != nil {
+		f.Close()
+		os.Remove(path)
+		return err
+	}
+	w.file, w.size = f, int64(len(head))
+	return nil
+}
+
+// sweep removes files that are too old, and the oldest ones until there is room for one more.
+func (w *Writer) sweep() error {
+	list, err := list(w.store.Directory)
+	if err != nil {
+		return err
+	}
+	total := int64(0)
+	for _, f := range slices.Backward(list) {
+		total += f.size
+		if total > w.store.MostBytes*(files-1)/files || time.Since(f.changed) > w.store.MostAge {
+			if err := os.Remove(f.path); err != nil {
+				return err
+			}
+			w.count.Add("capture", "removed", 1)
+		}
+	}
+	return nil
+}
+
+type found struct {
+	path    string
+	size    int64
+	changed time.Time
+}
+
+// list is the captures of a directory, oldest first.
+func list(dir string) (out []found, err error) {
+	entries, err := os.ReadDir(dir) // by name, which is by time
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil && info.Mode().IsRegular() && strings.HasSuffix(e.Name(), ending) {
+			out = append(out, found{filepath.Join(dir, e.Name()), info.Size(), info.ModTime()})
+		}
+	}
+	return out, nil
+}
+
+// Open reads a capture: a file, or all of a directory. A file that is cut off is read up to the cut, which is told; the
+// error is of what can't be read at all.
+func Open(path string) (c Capture, cuts []string, err error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return c, nil, err
+	}
+	paths := []string{path}
+	if info.IsDir() {
+		all, err := list(path)
+		if err != nil {
+			return c, nil, err
+		}
+		if paths = nil; len(all) == 0 {
+			return c, nil, fmt.Errorf("%s: no captures (*%s) there", path, ending)
+		}
+		for _, f := range all {
+			paths = append(paths, f.path)
+		}
+	}
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			return c, cuts, err
+		}
+		err = Read(f, func(i *Interval) error { c.Intervals = append(c.Intervals, *i); return nil })
+		f.Close()
+		if cut := (*CutError)(nil); errors.As(err, &cut) {
+			cuts = append(cuts, p+": "+cut.Error())
+		} else if err != nil {
+			return c, cuts, fmt.Errorf("%s: %w", p, err)
+		}
+	}
+	c.sort()
+	return c, cuts, nil
+}
+
+// Save writes a capture to a file, whole or not at all.
+func Save(path string, c Capture) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".capture-")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // gone already where all went well
+	if err = c.write(f); err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+func (c Capture) write(out io.Writer) error {
+	if _, err := out.Write(Head()); err != nil {
+		return err
+	}
+	for n := range c.Intervals {
+		block, err := AppendBlock(nil, &c.Intervals[n])
+		if err != nil {
+			return err
+		}
+		if _, err := out.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinlink.example/puffinlink/internal/capture"
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/mailbox"
 	"puffinlink.example/puffinlink/internal/settings"
@@ -106,6 +107,13 @@
 	no     int
 }
 
+// outCall is a part call that is out.
+type outCall struct {
+	to    logic.SearcherID
+	index logic.IndexID
+	alone bool // nothing else of ours was there when it went
+}
+
 type callKey struct {
 	part logic.PartID
 	no   logic.CallNo
@@ -149,7 +157,9 @@
 	lookups  map[logic.LookupID]*Lookup
 	names    map[string]*Lookup // held, by the client's id
 	parts    map[logic.PartID]partRef
-	out      map[callKey]logic.SearcherID
+	out      map[callKey]outCall
+	book     *capture.Book // nil where nothing is captured
+	captured func(capture.Interval)
 	waiting  []Event
 	events   []logic.Event
 	actions  []logic.Action
@@ -165,7 +175,7 @@
 	m := &Mixer{In: mailbox.New[Event](), set: set, log: log, count: count, start: now,
 		unix: float64(now.UnixNano()) / 1e9, due: map[logic.TimerID]time.Time{},
 		lookups: map[logic.LookupID]*Lookup{}, names: map[string]*Lookup{}, parts: map[logic.PartID]partRef{},
-		out: map[callKey]logic.SearcherID{}, trips: map[logic.SearcherID][]Call{},
+		out: map[callKey]outCall{}, trips: map[logic.SearcherID][]Call{},
 		stopping: make(chan struct{}), stopped: make(chan struct{})}
 	m.module = logic.New(set.Settings, m.unix)
 	return m
@@ -179,6 +189,11 @@
 	return m.start.Add(time.Duration((seconds - m.unix) * float64(time.Second)))
 }
 
+// Capture lets a book count the load; each of its intervals goes to done, which may not block. It comes before Run.
+func (m *Mixer) Capture(book *capture.Book, done func(capture.Interval)) {
+	m.book, m.captured = book, done
+}
+
 // Run is the actor's goroutine, until Stop.
 func (m *Mixer) Run(searchers Searchers, register Register) {
 	defer close(m.stopped)
@@ -239,6 +254,9 @@
 		m.flush(to)
 	}
 	m.tripTo = m.tripTo[:0]
+	if m.book != nil && m.book.Due(m.seconds(now)) {
+		m.captured(m.book.Cut(m.seconds(now)))
+	}
 	clear(m.events)
 	clear(m.actions)
 }
@@ -255,9 +273,15 @@
 		}
 		e.Lookup = e.Taken.id
 		m.close(e.Taken)
+		m.ended(e.Taken, capture.Gone, now)
 		m.count.Add("lookups", "gone", 1)
 	case logic.CallEnded:
-		delete(m.out, callKey{e.Part, e.Call})
+		if key := (callKey{e.Part, e.Call}); m.book == nil {
+			delete(m.out, key)
+		} else if c, out := m.out[key]; out {
+			delete(m.out, key)
+			m.book.Called(m.seconds(now), c.to, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
+		}
 		if ref, held := m.parts[e.Part]; held && e.Outcome == logic.Answered {
 			if p := &ref.lookup.Parts[ref.no]; !p.In {
 				p.In, p.Value = true, e.Value
@@ -269,6 +293,9 @@
 		}
 		for i := range e.Entries {
 			m.searchers.Named(e.Entries[i], e.Addresses[i])
+			if m.book != nil {
+				m.book.Named(e.Entries[i].Searcher, e.Names[i].Searcher, e.Names[i].Location)
+			}
 		}
 		if e.List != logic.ListPatch {
 			keep := make(map[logic.SearcherID]bool, len(e.Entries))
@@ -286,6 +313,7 @@
 	switch {
 	case m.set.Limits.MaxHeld > 0 && len(m.lookups)+len(m.parts) >= m.set.Limits.MaxHeld:
 		m.count.Add("lookups", "full", 1)
+		m.ended(lk, capture.Full, now)
 		lk.Done <- Reply{End: Full}
 		return
 	case m.names[lk.ID] != nil: // its part calls could not be told from those of the other
@@ -305,6 +333,9 @@
 		e.Hint += lk.Parts[i].Hint
 	}
 	m.events = append(m.events, e)
+	if m.book != nil {
+		m.book.Taken(m.seconds(now), lk.Index, lk.Customer, lk.Resent, e.Hint, lk.shards)
+	}
 	e.Kind, e.Parts = logic.PartTaken, 0
 	for i := range lk.Parts {
 		p := &lk.Parts[i]
@@ -315,6 +346,24 @@
 	}
 }
 
+// shards yields the shard of each part.
+func (lk *Lookup) shards(yield func(logic.ShardID) bool) {
+	for i := range lk.Parts {
+		if !yield(lk.Parts[i].Shard) {
+			return
+		}
+	}
+}
+
+// ended tells the book of a lookup's end, where there is one.
+func (m *Mixer) ended(lk *Lookup, how capture.End, now time.Time) {
+	if m.book != nil {
+		m.book.Ended(m.seconds(now), lk.Index, lk.Customer, how, now.Sub(lk.Arrived).Seconds())
+	}
+}
+
+var captureEnds = [...]capture.End{Satisfied: capture.Answered, Nacked: capture.Nacked, Aborted: capture.Aborted}
+
 // holds tells whether a lookup was taken and has no final answer yet.
 func (m *Mixer) holds(lk *Lookup) bool { return m.lookups[lk.id] == lk }
 
@@ -328,7 +377,7 @@
 	}
 }
 
-func (m *Mixer) finish(id logic.LookupID, reason string, reply Reply) {
+func (m *Mixer) finish(id logic.LookupID, reason string, reply Reply, now time.Time) {
 	lk := m.lookups[id]
 	if lk == nil {
 		m.log.Warn().Uint64("lookup", uint64(id)).Str("end", reason).Msg("answer for a lookup that is not held")
@@ -336,6 +385,7 @@
 	}
 	m.close(lk)
 	m.count.Add("lookups", reason, 1)
+	m.ended(lk, captureEnds[reply.End], now)
 	lk.Done <- reply
 }
 
@@ -344,16 +394,16 @@
 	case logic.Send:
 		m.send(a, now)
 	case logic.Withdraw:
-		if to, out := m.out[callKey{a.Part, a.Call}]; out {
-			m.flush(to)
-			m.searchers.Withdraw(to, a.Part, a.Call)
+		if c, out := m.out[callKey{a.Part, a.Call}]; out {
+			m.flush(c.to)
+			m.searchers.Withdraw(c.to, a.Part, a.Call)
 		}
 	case logic.Answer:
-		m.finish(a.Lookup, "satisfied", Reply{End: Satisfied, Whole: a.Whole})
+		m.finish(a.Lookup, "satisfied", Reply{End: Satisfied, Whole: a.Whole}, now)
 	case logic.Nack:
-		m.finish(a.Lookup, "nacked", Reply{End: Nacked, Wait: a.Wait})
+		m.finish(a.Lookup, "nacked", Reply{End: Nacked, Wait: a.Wait}, now)
 	case logic.Abort:
-		m.finish(a.Lookup, "aborted", Reply{End: Aborted})
+		m.finish(a.Lookup, "aborted", Reply{End: Aborted}, now)
 	case logic.SetTimer:
 		m.setTimer(a, now)
 	case logic.Probe:
@@ -399,7 +449,11 @@
 	}
 	key := callKey{a.Part, p.made}
 	p.made++
-	m.out[key] = a.Searcher
+	c := outCall{to: a.Searcher, index: lk.Index}
+	if m.book != nil {
+		c.alone = m.book.Sent(m.seconds(now), a.Searcher)
+	}
+	m.out[key] = c
 	m.count.Add("calls", "sent", 1)
 	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop})
 	if len(trip) == 1 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinlink.example/puffinlink/internal/capture"
 	"puffinlink.example/puffinlink/internal/clients"
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/desk"
@@ -132,6 +133,7 @@
 	desk      *desk.Desk // nil where the operator's file has neither overrides nor a listener
 	store     *keep.Store
 	operators *operators.Server
+	captures  *capture.Writer
 	drained   chan struct{}
 	drain     func()
 }
@@ -141,6 +143,11 @@
 	clientLines, searcherLines, memory := c.lines()
 	n = &Node{log: log, count: count, drained: make(chan struct{})}
 	n.mixer = mixer.New(set, log, count)
+	if file.Capture.Directory != "" {
+		if err := n.capture(c.Name, set, file.Capture); err != nil {
+			return nil, fmt.Errorf("capture: %w", err)
+		}
+	}
 	tell := list.Listener(n.mixer.In)
 	if file.Overrides.On || file.Operators.Listen != "" {
 		n.openDesk(set, file)
@@ -203,6 +210,21 @@
 	n.desk.Restore(kept.Revision, kept.Held, kept.Recent)
 }
 
+// capture lets the mixer count its load into files.
+func (n *Node) capture(name string, set settings.Settings, file opfile.Capture) (err error) {
+	n.captures, err = capture.NewWriter(capture.Store{Directory: file.Directory, MostBytes: file.MostBytes,
+		MostAge: time.Duration(file.MostAge * float64(time.Second))}, n.log, n.count)
+	if err != nil {
+		return err
+	}
+	names := capture.Names{Indexes: set.Net.Indexes, Customers: set.Net.Customers, Shards: set.Net.Shards}
+	for _, x := range set.Indexes {
+		names.Soft = append(names.Soft, x.Soft)
+	}
+	n.mixer.Capture(capture.New(name, names, file.Interval), n.captures.Put)
+	return nil
+}
+
 // Reload takes of a config what may change under a running mixer: where the register is.
 func (n *Node) Reload(c Config) error {
 	if err := n.register.MoveTo(c.Discovery); err != nil {
@@ -239,4 +261,7 @@
 	}
 	n.mixer.Stop()
 	n.fleet.Stop()
+	if n.captures != nil {
+		n.captures.Stop()
+	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -331,6 +331,20 @@
 	if got > 0.6 || measure && math.Abs(got-0.25) > 0.15*0.25 {
 		t.Errorf("a weight of 0.25 gives %.3f of the usual part calls", got)
 	}
+	w.register.Whole()
+	w.register.Down(true)
+	w.register.Down(false)
+	w.register.SetState(s.Name, "DRAINING")
+	w.goesOn(20)
+	w.register.SetState(s.Name, "DELETED")
+	w.register.Set(s.Entry("SERVING", true))
+	w.restartMixer()
+	w.goesOn(parts / 4)
+	if through := share() / usual; through > 0.6 || measure && math.Abs(through-0.25) > 0.15*0.25 {
+		t.Errorf("after lists, a drain, a return and a restart a weight of 0.25 gives %.3f of the usual part calls", through)
+	} else {
+		t.Logf("after lists, a drain, a return and a restart %.3f of the usual", through)
+	}
 	w.clear(made.Override.ID)
 	w.until("it is back", func() bool { return len(w.view().Returning) == 0 })
 	w.goesOn(parts / 4)
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -20,6 +20,15 @@
 type File struct {
 	Overrides Overrides
 	Operators Operators
+	Capture   Capture
+}
+
+// Capture sets what is recorded of the load. Times are seconds.
+type Capture struct {
+	Directory string // "" for none
+	Interval  float64
+	MostBytes int64 // of all files there
+	MostAge   float64
 }
 
 // Overrides set the book of overrides. Times are seconds.
@@ -71,7 +80,11 @@
 }
 
 // Defaults is a file that states nothing.
-func Defaults() File { return File{Overrides: Overrides{Limits: override.Defaults()}} }
+//
+// A capture's intervals are 10 s, of which a day takes 10 to 100 MB, and it goes back a week.
+func Defaults() File {
+	return File{Overrides: Overrides{Limits: override.Defaults()}, Capture: Capture{Interval: 10, MostBytes: 256 << 20, MostAge: 7 * 86400}}
+}
 
 // kind is what a value has to be.
 type kind string
@@ -104,6 +117,16 @@
 	}
 }
 
+// scaled takes a number from low to high that is kept in another unit.
+func scaled(to func(*File, float64), low, high float64) func(*File, hujson.Literal) error {
+	return func(f *File, l hujson.Literal) error {
+		var v float64
+		err := within(func(*File) *float64 { return &v }, low, high)(f, l)
+		to(f, v)
+		return err
+	}
+}
+
 // count takes a whole number from low to high.
 func count(to func(*File) *int, low, high int) func(*File, hujson.Literal) error {
 	return func(f *File, l hujson.Literal) error {
@@ -140,12 +163,7 @@
 var keys = []key{
 	{name: "overrides", kind: object, begin: func(f *File) { f.Overrides.On = true }, keys: []key{
 		{name: "directory", kind: text, take: path(func(f *File) *string { return &f.Overrides.Directory })},
-		{name: "most_hours", kind: number, take: func(f *File, l hujson.Literal) error {
-			var hours float64
-			err := within(func(*File) *float64 { return &hours }, 0.01, mostHours)(f, l)
-			f.Overrides.Limits.MostTime = 3600 * hours
-			return err
-		}},
+		{name: "most_hours", kind: number, take: scaled(func(f *File, v float64) { f.Overrides.Limits.MostTime = 3600 * v }, 0.01, mostHours)},
 		{name: "most", kind: number, take: count(func(f *File) *int { return &f.Overrides.Limits.Most }, 1, most)},
 		{name: "most_pinned_shards", kind: number, take: count(func(f *File) *int { return &f.Overrides.Limits.MostPins }, 1, 10*most)},
 		{name: "shard_share", kind: number, take: within(func(f *File) *float64 { return &f.Overrides.Limits.ShardGone }, 0, 1)},
@@ -153,6 +171,12 @@
 		{name: "ramp_s", kind: number, take: within(func(f *File) *float64 { return &f.Overrides.Limits.Ramp }, 1, mostRamp)},
 		{name: "return_share_per_s", kind: number, take: within(func(f *File) *float64 { return &f.Overrides.Limits.Together }, 0.001, 1)},
 	}},
+	{name: "capture", kind: object, keys: []key{
+		{name: "directory", kind: text, take: path(func(f *File) *string { return &f.Capture.Directory })},
+		{name: "interval_s", kind: number, take: within(func(f *File) *float64 { return &f.Capture.Interval }, 1, 3600)},
+		{name: "most_mb", kind: number, take: scaled(func(f *File, v float64) { f.Capture.MostBytes = int64(v * (1 << 20)) }, 1, 1<<20)},
+		{name: "most_hours", kind: number, take: scaled(func(f *File, v float64) { f.Capture.MostAge = 3600 * v }, 1, 365*24)},
+	}},
 	{name: "operators", kind: object, keys: []key{
 		{name: "listen", kind: text, take: func(f *File, l hujson.Literal) error {
 			f.Operators.Listen = l.String()
--- a/logic/override_test.go
+++ b/logic/override_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 )
@@ -82,6 +83,26 @@
 	}
 }
 
+// overridden plays a world with overrides at random; told is how each patch reaches the instance.
+func overridden(seed uint64, told func(*Overrides) *Overrides) error {
+	e := newEnv(seed)
+	o := &overrides{out: map[SearcherID]map[IndexID]bool{}, pins: map[pinned]PinOverride{}}
+	e.extra = func(e *env) (events []Event) {
+		if e.rng.IntN(20) == 0 {
+			events = append(events, Event{Kind: OverridesChanged, Override: told(o.draw(e))})
+		}
+		return events
+	}
+	e.renamed = func(id SearcherID) { delete(o.out, id) }
+	e.sabotage = func(e *env, actions []Action) []Action {
+		for _, a := range actions {
+			o.check(e, a)
+		}
+		return actions
+	}
+	return e.run(25).err
+}
+
 // Under any overrides the six rules hold, nothing goes to a searcher taken out from the next step on, and a strict
 // pin lets nothing go elsewhere but for a drain.
 func FuzzOverrides(f *testing.F) {
@@ -89,25 +110,28 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
-		e := newEnv(seed)
-		o := &overrides{out: map[SearcherID]map[IndexID]bool{}, pins: map[pinned]PinOverride{}}
-		e.extra = func(e *env) (events []Event) {
-			if e.rng.IntN(20) == 0 {
-				events = append(events, Event{Kind: OverridesChanged, Override: o.draw(e)})
-			}
-			return events
+		if err := overridden(seed, func(o *Overrides) *Overrides { return o }); err != nil {
+			t.Fatal(err)
 		}
-		e.renamed = func(id SearcherID) { delete(o.out, id) }
-		e.sabotage = func(e *env, actions []Action) []Action {
-			for _, a := range actions {
-				o.check(e, a)
+	})
+}
+
+// The checks are seen to fail where an instance is not told of what holds.
+func TestChecksSeeOverridesThatAreNotHeeded(t *testing.T) {
+	for what, deaf := range map[string]func(*Overrides) *Overrides{
+		"out:":        func(o *Overrides) *Overrides { return &Overrides{Pins: o.Pins} },
+		"strict pin:": func(o *Overrides) *Overrides { return &Overrides{Searchers: o.Searchers} },
+	} {
+		seen := 0
+		for seed := range uint64(20) {
+			if err := overridden(seed, deaf); err != nil && strings.Contains(err.Error(), what) {
+				seen++
 			}
-			return actions
 		}
-		if e.run(25); e.err != nil {
-			t.Fatal(e.err)
+		if seen == 0 {
+			t.Errorf("%s nobody saw it", what)
 		}
-	})
+	}
 }
 
 // shares plays a steady load on 8 searchers, two a shard, that answer within a while, and tells each one's part calls.
