--- a/cmd/puffinlink/main.go
+++ b/cmd/puffinlink/main.go
@@ -26,6 +26,7 @@
 	Check    checkCmd    `cmd:"" help:"Check an operator's file. Example: puffinlink check deploy/operator.json5"`
 	Override overrideCmd `cmd:"" help:"List, set, clear, watch and explain overrides of a running mixer. Example: puffinlink override list --at unix:/run/p.sock"`
 	Capture  captureCmd  `cmd:"" help:"Show, merge, cut and make captures of load. Example: puffinlink capture show all.capture"`
+	Plan     planCmd     `cmd:"" help:"Plan a fleet for a load. Example: puffinlink plan report fleet.json5 --capture all.capture"`
 	Token    tokenCmd    `cmd:"" help:"Make an operator's token. Example: puffinlink token --key-file /etc/puffinlink/key"`
 	Demo     demoCmd     `cmd:"" help:"Run stand-ins, mixers and a small load on this machine. Example: puffinlink demo --for 10s"`
 	Version  versionCmd  `cmd:"" help:"Print the version. Example: puffinlink version --json"`
--- /dev/null
+++ b/cmd/puffinlink/plan.go
@@ -0,0 +1,340 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"strconv"
+
+	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/fleetfile"
+	"puffinlink.example/puffinlink/internal/plan"
+	"puffinlink.example/puffinlink/internal/prove"
+)
+
+type planCmd struct {
+	Report  planReportCmd  `cmd:"" help:"What breaks first, what it bears, what losing a location does. Example: puffinlink plan report fleet.json5 --capture all.capture"`
+	Buy     planBuyCmd     `cmd:"" help:"Fewest searchers that keep the goals with a location lost. Example: puffinlink plan buy fleet.json5 --capture all.capture --spare 1"`
+	Compare planCompareCmd `cmd:"" help:"Two fleets, or one under two captures, side by side. Example: puffinlink plan compare a.json5 b.json5 --capture all.capture"`
+	Prove   planProveCmd   `cmd:"" help:"Hold predictions to what happens on this machine. Example: puffinlink plan prove --seconds 10"`
+}
+
+// planned is what a plan is made of.
+type planned struct {
+	Fleet   string  `arg:"" help:"The fleet's description, JSON with comments."`
+	Capture string  `required:"" help:"A capture: a file, or a directory of them."`
+	Mean    bool    `help:"Plan for the capture's mean, not its busiest interval."`
+	Times   float64 `default:"1" help:"Multiply the load."`
+	Seed    uint64  `default:"1" help:"Of what chance adds."`
+	JSON    bool    `name:"json" help:"As JSON."`
+}
+
+// read reads both and puts them beside one another.
+func (p *planned) read() (f plan.Fleet, a plan.Ask, notes []string, err error) {
+	if f, err = fleetfile.Read(p.Fleet); err != nil {
+		return f, a, nil, err
+	}
+	c, err := opened(p.Capture)
+	if err != nil {
+		return f, a, nil, err
+	}
+	sum := c.Sum()
+	if notes, err = fleetfile.Fill(&f, &sum); err != nil {
+		return f, a, notes, err
+	}
+	if err = f.Check(); err != nil {
+		return f, a, notes, fmt.Errorf("%s: %w", p.Fleet, err)
+	}
+	a, more, err := fleetfile.Ask(&f, c, p.Mean)
+	if err != nil {
+		return f, a, notes, err
+	}
+	notes = append(notes, more...)
+	if !(p.Times > 0) {
+		return f, a, notes, fmt.Errorf("times is %g, expected more than none", p.Times)
+	}
+	a = a.Scaled(p.Times)
+	if seen := busiest(c); a.PerS > seen*1.001 {
+		notes = append(notes, fmt.Sprintf("%.0f lookups a second are beyond the %.0f that the capture saw: how clients come back and what is popular then is not known, take figures as good to %s", a.PerS, seen, "a quarter"))
+	}
+	return f, a, notes, nil
+}
+
+// busiest is the most lookups a second that a capture saw.
+func busiest(c capture.Capture) (most float64) {
+	for i := range c.Intervals {
+		n := 0.0
+		for _, l := range c.Intervals[i].Loads {
+			n += float64(l.Lookups)
+		}
+		most = math.Max(most, n/c.Intervals[i].Span)
+	}
+	return most
+}
+
+type planReportCmd struct{ planned }
+
+// reported is the report as JSON.
+type reported struct {
+	LookupsPerS float64       `json:"lookups_per_s"`
+	Notes       []string      `json:"notes"`
+	Limits      []plan.Limit  `json:"limits"`
+	Breaks      plan.Breaking `json:"breaks"`
+	WhatIfs     []whatIfRow   `json:"what_ifs"`
+	Recovers    bool          `json:"recovers_from_burst"` // of burstOf times the load
+	LeaveAt     float64       `json:"leave_at_per_s"`      // else the load to go down to
+}
+
+// burstOf is how many times the load the burst is from which a plan tells whether a fleet recovers: month end against a
+// usual day.
+const burstOf = 3
+
+type whatIfRow struct {
+	Name     string  `json:"name"`
+	InTime   float64 `json:"share_of_gain_in_time"`
+	Nacked   float64 `json:"nacked"`
+	Aborted  float64 `json:"aborted"`
+	P50      float64 `json:"p50_s"`
+	P99      float64 `json:"p99_s"`
+	Hottest  string  `json:"hottest"`
+	Use      float64 `json:"use"`
+	Lost     []int   `json:"shards_lost"`
+	KeepsAll bool    `json:"keeps_goals"`
+}
+
+func (c *planReportCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	f, a, notes, err := c.read()
+	if err != nil {
+		return err
+	}
+	var r reported
+	r.LookupsPerS, r.Notes = a.PerS, notes
+	for _, w := range plan.WhatIfs(&f, &a) {
+		if ctx.Err() != nil {
+			return errors.New("interrupted")
+		}
+		o := plan.Emulate(&w.Fleet, &w.Ask, c.Seed, 0)
+		if w.Name == "as it is" {
+			r.Limits = o.Limits(&f)
+		}
+		keeps, _ := o.Meets(&w.Fleet)
+		r.WhatIfs = append(r.WhatIfs, whatIfRow{w.Name, o.Gain, o.Nacked, o.Aborted, o.P50, o.P99, w.Fleet.Searchers[o.Hottest].Name, o.Use[o.Hottest], w.Lost, keeps})
+	}
+	r.Recovers, r.LeaveAt = plan.Recovers(&f, &a, burstOf, c.Seed)
+	var breakErr error
+	r.Breaks, breakErr = plan.Break(&f, &a, c.Seed, func(done, of int) {
+		if !c.JSON {
+			fmt.Fprintf(stderr, "\rlooking for where it breaks: %d of %d at most", done, of)
+		}
+		if ctx.Err() != nil {
+			fmt.Fprintln(stderr, "\ninterrupted")
+			os.Exit(exitFailed)
+		}
+	})
+	if c.JSON {
+		return asJSON(r)
+	}
+	fmt.Fprintln(stderr)
+	fmt.Fprintf(stdout, "%.1f lookups a second\n", a.PerS)
+	for _, n := range notes {
+		fmt.Fprintln(stdout, "note:", n)
+	}
+	if breakErr != nil {
+		fmt.Fprintln(stdout, "note:", breakErr)
+	} else {
+		fmt.Fprintf(stdout, "goals break at %.0f to %.0f lookups a second, %.2f times this load: index %s first; nearest its limit there: %s of %s (margin %.2f)\n",
+			r.Breaks.PerS, r.Breaks.Fails, r.Breaks.PerS/a.PerS, r.Breaks.Index, r.Breaks.First.What, r.Breaks.First.Where, r.Breaks.First.Margin)
+	}
+	switch {
+	case r.Recovers:
+		fmt.Fprintf(stdout, "after a burst of %d times this load the goals are kept again\n", burstOf)
+	case r.LeaveAt > 0:
+		fmt.Fprintf(stdout, "after a burst of %d times this load the goals stay broken until it goes down to %.0f lookups a second\n", burstOf, r.LeaveAt)
+	default:
+		fmt.Fprintf(stdout, "after a burst of %d times this load the goals stay broken down to a tenth of it\n", burstOf)
+	}
+	rows := [][]string{}
+	for _, l := range r.Limits {
+		rows = append(rows, []string{l.What, l.Where, fmt.Sprintf("%.3g", l.Used), fmt.Sprintf("%.3g", l.Most), fmt.Sprintf("%.2f", l.Margin)})
+	}
+	fmt.Fprintln(stdout)
+	table(stdout, "LIMIT WHERE USED MOST MARGIN", rows)
+	rows = rows[:0]
+	for _, w := range r.WhatIfs {
+		keeps := "no"
+		if w.KeepsAll {
+			keeps = "yes"
+		}
+		rows = append(rows, []string{w.Name, fmt.Sprintf("%.3f", w.InTime), fmt.Sprintf("%.3f", w.Nacked), fmt.Sprintf("%.3f", w.Aborted), ms(w.P50), ms(w.P99),
+			fmt.Sprintf("%s %.0f%%", w.Hottest, 100*w.Use), strconv.Itoa(len(w.Lost)), keeps})
+	}
+	fmt.Fprintln(stdout)
+	table(stdout, "WHAT-IF IN-TIME NACKED ABORTED P50 P99 HOTTEST SHARDS-LOST KEEPS-GOALS", rows)
+	return nil
+}
+
+type planBuyCmd struct {
+	planned
+	Spare int `help:"Searchers that may be lost besides a location."`
+	Most  int `default:"100" help:"That may stand in one location."`
+}
+
+func (c *planBuyCmd) Run() error {
+	f, a, notes, err := c.read()
+	if err != nil {
+		return err
+	}
+	b, err := plan.Break(&f, &a, c.Seed, nil)
+	if err != nil {
+		return err
+	}
+	at := a.Scaled(b.PerS / a.PerS)
+	use := plan.Emulate(&f, &at, c.Seed, 0)
+	busy, cores := 0.0, 0.0
+	for i, s := range f.Searchers {
+		busy, cores = busy+use.Use[i]*float64(s.Cores), cores+float64(s.Cores)
+	}
+	demand := busy / b.PerS * a.PerS
+	var offers []plan.Offer
+	for _, place := range f.Locations {
+		for _, s := range f.Searchers {
+			if s.Location == place {
+				offers = append(offers, plan.Offer{Location: place, Price: max(s.Price, 1e-9), Capacity: busy / cores * float64(s.Cores), Most: c.Most})
+				break
+			}
+		}
+	}
+	buy, err := plan.Fewest(offers, demand, c.Spare)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return asJSON(map[string]any{"offers": offers, "buy": buy, "demand_cores": demand, "notes": notes})
+	}
+	for _, n := range notes {
+		fmt.Fprintln(stdout, "note:", n)
+	}
+	fmt.Fprintf(stdout, "%.1f cores of work a second at %.0f lookups a second; the goals break at a use of %.0f%%\n", demand, a.PerS, 100*busy/cores)
+	rows := [][]string{}
+	for i, o := range offers {
+		rows = append(rows, []string{o.Location, strconv.Itoa(buy.Counts[i]), fmt.Sprintf("%.4g", o.Price)})
+	}
+	table(stdout, "LOCATION SEARCHERS PRICE-EACH", rows)
+	fmt.Fprintf(stdout, "price %.4g; no purchase costs less than %.4g\n", buy.Price, buy.Bound)
+	return nil
+}
+
+type planProveCmd struct {
+	Seconds float64 `default:"10" help:"That each setting is played, after 2 s to learn."`
+	Drawn   int     `default:"4" help:"Settings that a seed draws, beside the known ones."`
+	Seed    uint64  `default:"1" help:"Of the drawn ones."`
+	Only    string  `help:"The setting of this name alone."`
+	JSON    bool    `name:"json" help:"As JSON."`
+}
+
+func (c *planProveCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var results []prove.Result
+	overrun := prove.Overrun()
+	fmt.Fprintf(stderr, "sleeps take %.2f ms longer than asked here, which is added to the work of parts\n", 1000*overrun)
+	for _, s := range prove.Settings(c.Drawn, c.Seed, c.Seconds) {
+		if c.Only != "" && s.Name != c.Only {
+			continue
+		}
+		fmt.Fprintln(stderr, "playing", s.Name)
+		r, err := prove.Play(ctx, s, overrun, c.Seed)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	if c.JSON {
+		return asJSON(results)
+	}
+	prove.Print(stdout, results)
+	return nil
+}
+
+type planCompareCmd struct {
+	planned
+	Other        string `arg:"" help:"The fleet to compare with."`
+	OtherCapture string `help:"The other capture; the same one where it is not stated."`
+}
+
+// side is one side of a comparison.
+type side struct {
+	Fleet       string  `json:"fleet"`
+	LookupsPerS float64 `json:"lookups_per_s"`
+	InTime      float64 `json:"share_of_gain_in_time"`
+	Nacked      float64 `json:"nacked"`
+	P50         float64 `json:"p50_s"`
+	P99         float64 `json:"p99_s"`
+	Use         float64 `json:"use_of_hottest"`
+	Breaks      float64 `json:"breaks_at_per_s"`
+	Worst       string  `json:"worst_location"`
+	WorstInTime float64 `json:"in_time_with_it_lost"`
+	Price       float64 `json:"price"`
+	Text        string  `json:"note,omitempty"`
+}
+
+func (c *planCompareCmd) side(p planned) (s side, err error) {
+	f, a, _, err := p.read()
+	if err != nil {
+		return s, err
+	}
+	o := plan.Emulate(&f, &a, c.Seed, 0)
+	s = side{Fleet: p.Fleet, LookupsPerS: a.PerS, InTime: o.Gain, Nacked: o.Nacked, P50: o.P50, P99: o.P99, Use: o.Use[o.Hottest], WorstInTime: 1}
+	for _, x := range f.Searchers {
+		s.Price += x.Price
+	}
+	for _, place := range f.Locations {
+		left, _ := f.Without(place)
+		if len(left.Searchers) == 0 || len(left.Searchers) == len(f.Searchers) {
+			continue
+		}
+		if lost := plan.Emulate(&left, &a, c.Seed, 0); lost.Gain <= s.WorstInTime {
+			s.Worst, s.WorstInTime = place, lost.Gain
+		}
+	}
+	b, err := plan.Break(&f, &a, c.Seed, nil)
+	if s.Breaks = b.PerS; err != nil {
+		s.Text = err.Error()
+	}
+	return s, nil
+}
+
+func (c *planCompareCmd) Run() error {
+	other := c.planned
+	if other.Fleet = c.Other; c.OtherCapture != "" {
+		other.Capture = c.OtherCapture
+	}
+	var sides []side
+	for _, p := range []planned{c.planned, other} {
+		s, err := c.side(p)
+		if err != nil {
+			return err
+		}
+		sides = append(sides, s)
+	}
+	if c.JSON {
+		return asJSON(sides)
+	}
+	rows := [][]string{}
+	for _, s := range sides {
+		rows = append(rows, []string{s.Fleet, fmt.Sprintf("%.1f", s.LookupsPerS), fmt.Sprintf("%.3f", s.InTime), fmt.Sprintf("%.3f", s.Nacked), ms(s.P50), ms(s.P99),
+			fmt.Sprintf("%.0f%%", 100*s.Use), fmt.Sprintf("%.0f", s.Breaks), fmt.Sprintf("%s %.3f", s.Worst, s.WorstInTime), fmt.Sprintf("%.4g", s.Price)})
+	}
+	table(stdout, "FLEET LOOKUPS/S IN-TIME NACKED P50 P99 USE BREAKS-AT WORST-LOCATION-LOST PRICE", rows)
+	for _, s := range sides {
+		if s.Text != "" {
+			fmt.Fprintln(stdout, "note:", s.Fleet+":", s.Text)
+		}
+	}
+	return nil
+}
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -72,6 +72,9 @@
 	return mean, sd * sd / (mean * mean)
 }
 
+// Merge adds all that another holds.
+func (h *Hist) Merge(o Hist) { h.merge(o) }
+
 func (h *Hist) merge(o Hist) {
 	for _, b := range o.bars() {
 		h.record(float64(b[0])*unit, b[1])
@@ -198,28 +201,30 @@
 	Shards             int
 }
 
-type row struct {
-	load SearcherLoad
-	out  int
+// Seat is a searcher in a book: its part calls out, and what came of the interval's. It lives while the list names the
+// searcher or a call to it is out.
+type Seat struct {
+	name, location string
+	out            int
+	rows           []*SearcherLoad // by index; nil where nothing came
+	unnamed        bool
 }
 
 // Book counts one mixer's load. One goroutine alone uses it.
 type Book struct {
-	mixer    string
-	names    Names
-	span     float64
-	begun    bool
-	from     float64
-	loads    [][]Load // by index and customer
-	parts    []map[int]int64
-	latency  []Hist
-	shards   [][]int64
-	rows     map[logic.SearcherID][]*row // by index
-	kept     int                         // rows
-	searcher map[logic.SearcherID][2]string
-	outAt    map[logic.SearcherID]int
-	held     meter
-	out      meter
+	mixer   string
+	names   Names
+	span    float64
+	begun   bool
+	from    float64
+	loads   [][]Load // by index and customer
+	parts   []map[int]int64
+	latency []Hist
+	shards  [][]int64
+	seats   map[logic.SearcherID]*Seat
+	kept    int // rows
+	held    meter
+	out     meter
 }
 
 // meter is the integral of a count over time.
@@ -245,7 +250,7 @@
 
 // New makes a book of a mixer with intervals of span seconds.
 func New(mixer string, names Names, span float64) *Book {
-	b := &Book{mixer: mixer, names: names, span: span, searcher: map[logic.SearcherID][2]string{}, outAt: map[logic.SearcherID]int{}}
+	b := &Book{mixer: mixer, names: names, span: span, seats: map[logic.SearcherID]*Seat{}}
 	b.clear()
 	return b
 }
@@ -257,16 +262,30 @@
 		b.loads[k] = make([]Load, len(b.names.Customers)+1)
 		b.parts[k], b.shards[k] = map[int]int64{}, make([]int64, b.names.Shards)
 	}
-	b.rows, b.kept = map[logic.SearcherID][]*row{}, 0
+	b.kept = 0
 }
 
-// Named notes a searcher's name and location; a number comes once.
+// Named notes a searcher's name and location.
 func (b *Book) Named(id logic.SearcherID, name, location string) {
-	b.searcher[id] = [2]string{name, location}
+	s := b.seat(id)
+	s.name, s.location, s.unnamed = name, location, false
 }
 
-// Unnamed forgets a searcher that the list no longer names.
-func (b *Book) Unnamed(id logic.SearcherID) { delete(b.searcher, id) }
+// Unnamed lets go of a searcher that the list no longer names, with the interval in hand.
+func (b *Book) Unnamed(id logic.SearcherID) {
+	if s := b.seats[id]; s != nil {
+		s.unnamed = true
+	}
+}
+
+func (b *Book) seat(id logic.SearcherID) *Seat {
+	s := b.seats[id]
+	if s == nil {
+		s = &Seat{rows: make([]*SearcherLoad, len(b.names.Indexes))}
+		b.seats[id] = s
+	}
+	return s
+}
 
 func (b *Book) load(k logic.IndexID, c logic.CustomerID) *Load {
 	list := b.loads[k]
@@ -331,37 +350,29 @@
 	b.held.move(now, -1)
 }
 
-// Sent counts a part call that goes out, and tells whether it found nothing else of this mixer at its searcher.
-func (b *Book) Sent(now float64, s logic.SearcherID) (alone bool) {
+// Sent counts a part call that goes out, and tells where it sits and whether it found nothing else of this mixer there.
+func (b *Book) Sent(now float64, id logic.SearcherID) (s *Seat, alone bool) {
 	b.out.move(now, 1)
-	b.outAt[s]++
-	return b.outAt[s] == 1
+	s = b.seat(id)
+	s.out++
+	return s, s.out == 1
 }
 
-func (b *Book) row(s logic.SearcherID, k logic.IndexID) *row {
-	rows := b.rows[s]
-	if rows == nil {
-		rows = make([]*row, len(b.names.Indexes))
-		b.rows[s] = rows
-	}
-	if rows[k] == nil {
-		name := b.searcher[s]
-		if b.kept >= mostRows {
-			name = [2]string{others, ""}
+func (b *Book) row(s *Seat, k logic.IndexID) *SearcherLoad {
+	if s.rows[k] == nil {
+		s.rows[k] = &SearcherLoad{Searcher: s.name, Location: s.location, Index: b.names.Indexes[k]}
+		if b.kept++; b.kept > mostRows {
+			s.rows[k].Searcher, s.rows[k].Location = others, ""
 		}
-		b.kept++
-		rows[k] = &row{load: SearcherLoad{Searcher: name[0], Location: name[1], Index: b.names.Indexes[k]}}
 	}
-	return rows[k]
+	return s.rows[k]
 }
 
 // Called counts the end of a part call: its outcome, how long it took, and whether it was alone there when it went.
-func (b *Book) Called(now float64, s logic.SearcherID, k logic.IndexID, outcome logic.Outcome, elapsed float64, alone bool, load logic.Load) {
+func (b *Book) Called(now float64, s *Seat, k logic.IndexID, outcome logic.Outcome, elapsed float64, alone bool, load logic.Load) {
 	b.out.move(now, -1)
-	if b.outAt[s]--; b.outAt[s] <= 0 {
-		delete(b.outAt, s)
-	}
-	r := &b.row(s, k).load
+	s.out--
+	r := b.row(s, k)
 	r.Calls++
 	switch outcome {
 	case logic.Answered:
@@ -417,12 +428,16 @@
 			}
 		}
 	}
-	for _, rows := range b.rows {
-		for _, r := range rows {
+	for id, s := range b.seats {
+		for k, r := range s.rows {
 			if r != nil {
-				i.Searchers = append(i.Searchers, r.load)
+				i.Searchers = append(i.Searchers, *r)
+				s.rows[k] = nil
 			}
 		}
+		if s.unnamed && s.out == 0 {
+			delete(b.seats, id)
+		}
 	}
 	i.sort()
 	b.clear()
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -29,7 +29,7 @@
 		b.Named(logic.SearcherID(s+1), fmt.Sprint("s-", s), "north")
 	}
 	type out struct {
-		s     logic.SearcherID
+		s     *Seat
 		alone bool
 	}
 	var open []out
@@ -46,7 +46,8 @@
 		lookups, parts = lookups+1, parts+int64(n)
 		b.Ended(now, k, 0, End(rng.IntN(4)), 2*rng.Float64())
 		s := logic.SearcherID(1 + rng.IntN(4))
-		open = append(open, out{s, b.Sent(now, s)})
+		seat, alone := b.Sent(now, s)
+		open = append(open, out{seat, alone})
 		if len(open) > 5 {
 			b.Called(now, open[0].s, k, logic.Outcome(rng.IntN(8)), 0.02, open[0].alone, logic.Load{})
 			open, calls = open[1:], calls+1
--- /dev/null
+++ b/internal/fleetfile/fleetfile.go
@@ -0,0 +1,220 @@
+// Package fleetfile reads a fleet's description, JSON with comments, and puts a capture's load beside it. Mistakes are
+// told with the line where the file can't be read, and with what to do where it can.
+package fleetfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/plan"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// file is the form. Times are seconds.
+type file struct {
+	Locations []string `json:"locations"`
+	Layout    struct {
+		Cells  int `json:"cells"`
+		Width  int `json:"width"`
+		Shards int `json:"shards"`
+	} `json:"layout"`
+	Searchers []group `json:"searchers"`
+	Indexes   []struct {
+		Name     string  `json:"name"`
+		Effect   string  `json:"effect"`
+		SoftS    float64 `json:"soft_s"`
+		HardS    float64 `json:"hard_s"`
+		Gain     float64 `json:"gain"`
+		LateGain float64 `json:"late_gain"`
+		WorkS    float64 `json:"work_s"`
+		WorkScv  float64 `json:"work_scv"`
+		Goal     float64 `json:"goal"`
+	} `json:"indexes"`
+	Mixers struct {
+		Count       int     `json:"count"`
+		MostHeld    int     `json:"most_held"`
+		StepS       float64 `json:"step_s"`
+		MostTries   int     `json:"most_tries"`
+		Multiplex   int     `json:"multiplex"`
+		Descriptors int     `json:"descriptors"`
+	} `json:"mixers"`
+	Clients struct {
+		Retries  int     `json:"retries"`
+		BackoffS float64 `json:"backoff_s"`
+	} `json:"clients"`
+	NetworkS float64 `json:"network_s"`
+}
+
+// group is searchers that are alike but for name and cell: {n} in the name is their number, and cells count up from the
+// first.
+type group struct {
+	Name        string  `json:"name"`
+	Count       int     `json:"count"`
+	Location    string  `json:"location"`
+	Cell        int     `json:"cell"`
+	CellStep    int     `json:"cell_step"`
+	Cores       int     `json:"cores"`
+	Speed       float64 `json:"speed"`
+	Queue       int     `json:"queue"`
+	Connections int     `json:"connections"`
+	Price       float64 `json:"price"`
+}
+
+var effects = map[string]logic.Effect{"": logic.Idempotent, "idempotent": logic.Idempotent, "fingerprinted": logic.Fingerprinted, "once-only": logic.OnceOnly}
+
+// mostSearchers is ten times the largest fleet that a plan is made for.
+const mostSearchers = 10000
+
+// Read reads and checks a description. work may be left out where a capture tells it: Fill comes before Check then.
+func Read(path string) (f plan.Fleet, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	if f, err = Parse(text); err != nil {
+		return f, fmt.Errorf("%s:%w", path, err)
+	}
+	return f, nil
+}
+
+// Parse reads a description; its figures are not checked yet.
+func Parse(text []byte) (f plan.Fleet, err error) {
+	plain, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return f, fmt.Errorf(" %s", strings.TrimPrefix(err.Error(), "hujson: "))
+	}
+	var in file
+	d := json.NewDecoder(bytes.NewReader(plain))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&in); err != nil {
+		at := d.InputOffset()
+		if t := (*json.UnmarshalTypeError)(nil); errors.As(err, &t) {
+			at = t.Offset
+			err = fmt.Errorf("%s is a %s, expected %s", t.Field, t.Value, t.Type)
+		} else if _, name, is := strings.Cut(err.Error(), "unknown field "); is { // the decoder stands behind its object
+			at = int64(max(0, bytes.Index(plain, []byte(name))))
+			err = fmt.Errorf("%s is not known", name)
+		}
+		return f, fmt.Errorf("%d: %w", 1+bytes.Count(plain[:min(int(at), len(plain))], []byte{'\n'}), err)
+	}
+	f = plan.Fleet{Locations: in.Locations, Cells: in.Layout.Cells, Width: in.Layout.Width, Shards: in.Layout.Shards, Mixers: in.Mixers.Count,
+		MostHeld: in.Mixers.MostHeld, Step: in.Mixers.StepS, Network: in.NetworkS, MostTries: max(1, in.Mixers.MostTries), Retries: in.Clients.Retries,
+		Backoff: in.Clients.BackoffS, Multiplex: in.Mixers.Multiplex, Lines: in.Mixers.Descriptors}
+	for _, g := range in.Searchers {
+		if g.Speed == 0 {
+			g.Speed = 1
+		}
+		for n := range max(1, g.Count) {
+			if len(f.Searchers) >= mostSearchers {
+				return f, fmt.Errorf("1: more than %d searchers", mostSearchers)
+			}
+			cell := g.Cell + n*g.CellStep
+			if f.Cells > 0 {
+				cell %= f.Cells
+			}
+			f.Searchers = append(f.Searchers, plan.Searcher{Name: strings.ReplaceAll(g.Name, "{n}", fmt.Sprint(n+1)), Location: g.Location,
+				Cell: cell, Cores: g.Cores, Speed: g.Speed, Queue: g.Queue, Connections: g.Connections, Price: g.Price})
+		}
+	}
+	for _, x := range in.Indexes {
+		effect, known := effects[x.Effect]
+		if !known {
+			return f, fmt.Errorf("1: index %s has effect %q, expected idempotent, fingerprinted or once-only", x.Name, x.Effect)
+		}
+		f.Indexes = append(f.Indexes, plan.Index{Name: x.Name, Effect: effect, Soft: x.SoftS, Hard: x.HardS, Gain: x.Gain, Late: x.LateGain, Work: x.WorkS, Scv: x.WorkScv, Goal: x.Goal})
+	}
+	return f, nil
+}
+
+// leastAlone is how many calls that were alone at their searcher it takes to read an index's work from them.
+const leastAlone = 200
+
+// Fill takes the work of a part from a capture where the description leaves it out: from calls that found nothing else of
+// their mixer at the searcher, less the network's two ways. It tells what it took, and what it could not.
+func Fill(f *plan.Fleet, c *capture.Interval) (notes []string, err error) {
+	for k := range f.Indexes {
+		x := &f.Indexes[k]
+		if x.Work > 0 {
+			continue
+		}
+		var alone capture.Hist
+		n := int64(0)
+		for _, s := range c.Searchers {
+			if s.Index == x.Name {
+				n += s.Alone.Count()
+				alone.Merge(s.Alone)
+			}
+		}
+		if n < leastAlone {
+			return notes, fmt.Errorf("index %s: only %d part calls of the capture were alone at their searcher, %d are needed to read a part's work: capture a quiet hour, or state work_s", x.Name, n, leastAlone)
+		}
+		mean, scv := alone.Moments()
+		x.Work, x.Scv = max(mean-2*f.Network, mean/10), scv
+		notes = append(notes, fmt.Sprintf("index %s: %.2f ms of work a part, read from %d calls that were alone", x.Name, 1000*x.Work, n))
+	}
+	return notes, nil
+}
+
+// Ask is the load of a capture at its busiest interval, or in the mean of all of them. The notes say what was left out.
+func Ask(f *plan.Fleet, c capture.Capture, mean bool) (a plan.Ask, notes []string, err error) {
+	if len(c.Intervals) == 0 {
+		return a, nil, errors.New("the capture holds no interval")
+	}
+	i := c.Sum()
+	if !mean {
+		best := -1.0
+		for n := range c.Intervals {
+			parts := 0.0
+			for _, l := range c.Intervals[n].Loads {
+				parts += float64(l.Parts) / c.Intervals[n].Span
+			}
+			if parts > best {
+				best, i = parts, c.Intervals[n]
+			}
+		}
+	}
+	for _, h := range c.Holes() {
+		notes = append(notes, fmt.Sprintf("nothing was captured for %.0f s: what happened then is not in the plan", h.To-h.From))
+	}
+	all := 0.0
+	for _, l := range i.Loads {
+		all += float64(l.Lookups - l.Resent)
+	}
+	place := map[string]int{}
+	for k, x := range f.Indexes {
+		place[x.Name] = k
+	}
+	by := map[int][2]float64{}
+	for _, l := range i.Loads {
+		k, known := place[l.Index]
+		if !known {
+			return a, notes, fmt.Errorf("the capture has lookups of index %s, which the fleet does not describe: add it", l.Index)
+		}
+		v := by[k]
+		by[k] = [2]float64{v[0] + float64(l.Lookups-l.Resent), v[1] + float64(l.Parts)*float64(l.Lookups-l.Resent)/float64(max(1, l.Lookups))}
+	}
+	if all <= 0 {
+		return a, notes, errors.New("the capture holds no lookups")
+	}
+	a.PerS = all / i.Span
+	for k := range f.Indexes {
+		if v := by[k]; v[0] > 0 {
+			a.Mix = append(a.Mix, plan.Share{Index: k, Of: v[0] / all, Parts: max(1, int(v[1]/v[0]+0.5))})
+		}
+	}
+	a.Popular = make([]float64, f.Shards)
+	for _, s := range c.Sum().Shards {
+		if s.Shard >= f.Shards {
+			return a, notes, fmt.Errorf("the capture asks for shard %d, the fleet holds %d: describe the fleet that the capture was taken on", s.Shard, f.Shards)
+		}
+		a.Popular[s.Shard] += float64(s.Parts)
+	}
+	return a, notes, a.Check(f)
+}
--- /dev/null
+++ b/internal/fleetfile/fleetfile_test.go
@@ -0,0 +1,83 @@
+package fleetfile
+
+import (
+	"strings"
+	"testing"
+
+	"puffinlink.example/puffinlink/internal/capture"
+)
+
+const good = `{ // two locations
+	"locations": ["north", "south"], "layout": {"cells": 4, "width": 2, "shards": 8},
+	"searchers": [{"name": "a-{n}", "count": 2, "location": "north", "cell": 0, "cell_step": 2, "cores": 4},
+		{"name": "b-{n}", "count": 2, "location": "south", "cell": 1, "cell_step": 2, "cores": 4}],
+	"indexes": [{"name": "reads", "soft_s": 0.5, "hard_s": 2, "gain": 1, "goal": 0.99}],
+	"mixers": {"count": 2, "step_s": 0.005}, "clients": {"retries": 1}, "network_s": 0.001,
+}`
+
+func load(t *testing.T, alone int64) capture.Capture {
+	c := capture.Capture{}
+	s := capture.Synth{For: 60, Span: 10, PerS: 20, Shards: 8, Skew: 0.5, Indexes: []capture.SynthIndex{{Index: "reads", Share: 1, Parts: 3}}, Bursts: []capture.Burst{{From: 20, For: 10, Factor: 3}}}
+	if err := s.Make(func(i *capture.Interval) error { c.Intervals = append(c.Intervals, *i); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	x := capture.SearcherLoad{Searcher: "a-1", Index: "reads"}
+	if alone > 0 {
+		x.Alone.Add(0.012, alone)
+	}
+	c.Intervals[0].Searchers = append(c.Intervals[0].Searchers, x)
+	return c
+}
+
+func TestAFleetAndItsCapture(t *testing.T) {
+	f, err := Parse([]byte(good))
+	if err != nil || len(f.Searchers) != 4 || f.Searchers[3].Cell != 3 || f.Searchers[1].Name != "a-2" {
+		t.Fatalf("got %+v, %v", f, err)
+	}
+	c := load(t, 500)
+	sum := c.Sum()
+	if notes, err := Fill(&f, &sum); err != nil || len(notes) != 1 || f.Indexes[0].Work < 0.0099 || f.Indexes[0].Work > 0.0102 {
+		t.Fatalf("got %+v, %v, %v", f.Indexes[0], notes, err)
+	}
+	if err := f.Check(); err != nil {
+		t.Fatal(err)
+	}
+	a, notes, err := Ask(&f, c, false)
+	if err != nil || len(notes) > 0 || a.PerS < 59 || a.PerS > 61 || a.Mix[0].Parts != 3 || a.Popular[0] <= a.Popular[7] {
+		t.Fatalf("got %+v, %v, %v", a, notes, err)
+	}
+	if a, _, err = Ask(&f, c, true); err != nil || a.PerS < 26 || a.PerS > 27.5 {
+		t.Fatalf("in the mean %+v, %v", a, err)
+	}
+	holed := capture.Capture{Intervals: append(c.Intervals[:1:1], c.Intervals[3:]...)}
+	if _, notes, err := Ask(&f, holed, true); err != nil || len(notes) != 1 || !strings.Contains(notes[0], "for 20 s") {
+		t.Fatalf("got %v, %v", notes, err)
+	}
+}
+
+func TestWhatDoesNotFitIsTold(t *testing.T) {
+	for want, in := range map[string]string{
+		"line 1":                        "{",
+		"3: \"coers\" is not known":     strings.Replace(good, `"cores": 4}`, `"coers": 4}`, 1),
+		"expected int":                  strings.Replace(good, `"cores": 4`, `"cores": "4"`, 1),
+		`effect "often", expected idem`: strings.Replace(good, `"name": "reads"`, `"name": "reads", "effect": "often"`, 1),
+	} {
+		if _, err := Parse([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, expected %q", err, want)
+		}
+	}
+	f, _ := Parse([]byte(good))
+	c := load(t, 10)
+	sum := c.Sum()
+	if _, err := Fill(&f, &sum); err == nil || !strings.Contains(err.Error(), "capture a quiet hour") {
+		t.Errorf("got %v", err)
+	}
+	f.Shards = 4
+	if _, _, err := Ask(&f, c, true); err == nil || !strings.Contains(err.Error(), "the fleet holds 4") {
+		t.Errorf("got %v", err)
+	}
+	f.Indexes[0].Name = "writes"
+	if _, _, err := Ask(&f, c, true); err == nil || !strings.Contains(err.Error(), "does not describe") {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/mixer/capture_test.go
@@ -0,0 +1,77 @@
+package mixer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/logic"
+)
+
+var bookNames = capture.Names{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Soft: []float64{1, 1}, Shards: 8}
+
+// What the actor tells a book is what came and what became of it.
+func TestTheLoadIsCaptured(t *testing.T) {
+	r := newRig(nil)
+	var got []capture.Interval
+	r.Capture(capture.New("n1", bookNames, 0.1), func(i capture.Interval) { got = append(got, i) })
+	r.put(Event{Event: logic.Event{Kind: logic.ListChanged, Entries: []logic.Entry{{Searcher: 1}}}, Addresses: []string{"x:1"}, Names: []Name{{"s-1", "north"}}})
+	one, two := r.lookup("aa", 0, 2), r.lookup("bb", 1, 1)
+	r.put(one, two)
+	for _, c := range r.sent {
+		r.put(c.ends(logic.Answered, "v"))
+	}
+	gone := r.lookup("cc", 0, 1)
+	r.put(gone)
+	r.put(Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: gone.Taken})
+	for range 30 {
+		r.put(Event{Event: logic.Event{Kind: logic.TimerDue, Timer: 99}})
+	}
+	if len(got) == 0 {
+		t.Fatal("no interval")
+	}
+	sum := capture.Capture{Intervals: got}.Sum()
+	if l := sum.Loads; len(l) != 2 || l[1].Lookups != 2 || l[1].Parts != 3 || l[1].Ends.Satisfied != 1 || l[1].Ends.Gone != 1 || l[0].Ends.Satisfied != 1 {
+		t.Fatalf("got %+v", l)
+	}
+	calls, alone := int64(0), int64(0)
+	for _, s := range sum.Searchers {
+		calls, alone = calls+s.Calls, alone+s.Alone.Count()
+	}
+	if calls != 3 || alone == 0 || sum.Held.Most != 2 {
+		t.Fatalf("%d calls, %d alone, held %+v", calls, alone, sum.Held)
+	}
+}
+
+// BenchmarkCapture tells, by turns in one run, what the actor's work for a lookup of four parts costs with a book against
+// without. It is the actor's work alone: sockets, heads and bodies, several times as much, are not in it.
+func BenchmarkCapture(b *testing.B) {
+	with, without := newRig(nil), newRig(nil)
+	with.Capture(capture.New("n1", bookNames, 10), func(capture.Interval) {})
+	var took [2]time.Duration
+	n := 0
+	for b.Loop() {
+		for i, r := range []*rig{with, without} {
+			n++
+			e := r.lookup(fmt.Sprint(n), 0, 4)
+			r.sent = r.sent[:0]
+			began := time.Now()
+			r.put(e)
+			sent := r.sent
+			var ends []Event
+			for _, c := range sent {
+				ends = append(ends, c.ends(logic.Answered, "v"))
+			}
+			r.put(ends...)
+			took[i] += time.Since(began)
+			select {
+			case <-e.Taken.Done:
+			default:
+				b.Fatal("no answer")
+			}
+		}
+	}
+	b.ReportMetric(float64(took[0])/float64(took[1]), "with/without")
+	b.ReportMetric(float64(took[1].Nanoseconds())/float64(b.N), "ns/lookup-without")
+}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -111,7 +111,8 @@
 type outCall struct {
 	to    logic.SearcherID
 	index logic.IndexID
-	alone bool // nothing else of ours was there when it went
+	seat  *capture.Seat // nil where nothing is captured
+	alone bool          // nothing else of ours was there when it went
 }
 
 type callKey struct {
@@ -280,7 +281,7 @@
 			delete(m.out, key)
 		} else if c, out := m.out[key]; out {
 			delete(m.out, key)
-			m.book.Called(m.seconds(now), c.to, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
+			m.book.Called(m.seconds(now), c.seat, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
 		}
 		if ref, held := m.parts[e.Part]; held && e.Outcome == logic.Answered {
 			if p := &ref.lookup.Parts[ref.no]; !p.In {
@@ -293,7 +294,11 @@
 		}
 		for i := range e.Entries {
 			m.searchers.Named(e.Entries[i], e.Addresses[i])
-			if m.book != nil {
+			switch {
+			case m.book == nil:
+			case e.Entries[i].Phase == logic.Gone:
+				m.book.Unnamed(e.Entries[i].Searcher)
+			default:
 				m.book.Named(e.Entries[i].Searcher, e.Names[i].Searcher, e.Names[i].Location)
 			}
 		}
@@ -451,7 +456,7 @@
 	p.made++
 	c := outCall{to: a.Searcher, index: lk.Index}
 	if m.book != nil {
-		c.alone = m.book.Sent(m.seconds(now), a.Searcher)
+		c.seat, c.alone = m.book.Sent(m.seconds(now), a.Searcher)
 	}
 	m.out[key] = c
 	m.count.Add("calls", "sent", 1)
--- /dev/null
+++ b/internal/plan/emulate.go
@@ -0,0 +1,499 @@
+package plan
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+
+	"puffinlink.example/puffinlink/logic"
+)
+
+// pcg is a permuted congruential generator (XSH RR 64/32).
+type pcg uint64
+
+func (g *pcg) unit() float64 {
+	old := uint64(*g)
+	*g = pcg(old*6364136223846793005 + 1442695040888963407)
+	x, r := uint32(((old>>18)^old)>>27), uint32(old>>59)
+	return (float64(x>>r|x<<(-r&31)) + 0.5) / (1 << 32)
+}
+
+func (g *pcg) exp() float64 { return -math.Log(g.unit()) }
+
+func (g *pcg) normal() float64 {
+	return math.Sqrt(-2*math.Log(g.unit())) * math.Cos(2*math.Pi*g.unit())
+}
+
+// about draws a positive figure of this mean and squared coefficient of variation, lognormal: work has a long tail, and
+// two figures fix it.
+func (g *pcg) about(mean, scv float64) float64 {
+	if scv <= 0 {
+		return mean
+	}
+	s2 := math.Log(1 + scv)
+	return mean * math.Exp(math.Sqrt(s2)*g.normal()-s2/2)
+}
+
+// happening is one thing to come in the emulated world.
+type happening struct {
+	at   float64
+	no   int // order among those at one time
+	what func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].no < a[j].no
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// work is a part call at a searcher.
+type work struct {
+	mixer *mixer
+	part  logic.PartID
+	no    logic.CallNo
+	k     logic.IndexID
+	sent  float64
+	ends  float64 // when its mixer stops waiting
+	gone  bool    // its mixer waits no more
+}
+
+// station is a searcher: so many cores, and a queue before them.
+type station struct {
+	Searcher
+	id      logic.SearcherID
+	busy    int
+	queue   []*work
+	most    int
+	used    float64 // core seconds
+	calls   int64
+	refused int64
+	in      int // lines in use at most, estimated by calls in hand
+}
+
+// query is a lookup as its client sees it, all tries together.
+type query struct {
+	share  int
+	began  float64
+	tries  int
+	shards []int
+	counts bool // began after the warm-up
+}
+
+type partOf struct {
+	held *taken
+	k    logic.IndexID
+}
+
+// taken is a try that a mixer holds.
+type taken struct {
+	of    *query
+	id    logic.LookupID
+	parts []logic.PartID
+}
+
+// mixer is one decision module in the emulated world.
+type mixer struct {
+	no       int
+	m        *logic.Mixer
+	events   []logic.Event
+	actions  []logic.Action
+	stepped  float64
+	waiting  bool // a step is on the agenda
+	lookups  map[logic.LookupID]*taken
+	parts    map[logic.PartID]partOf
+	made     map[logic.PartID]logic.CallNo
+	out      map[callKey]*work
+	lastID   uint64
+	mostHeld int
+	mostOut  int
+}
+
+type callKey struct {
+	part logic.PartID
+	no   logic.CallNo
+}
+
+// world is a fleet under a load.
+type world struct {
+	f        *Fleet
+	a        *Ask
+	g        pcg
+	now      float64
+	agenda   agenda
+	no       int
+	stations []*station
+	byID     map[logic.SearcherID]*station
+	mixers   []*mixer
+	popular  []float64 // sums up to each shard
+	warm     float64
+	end      float64
+	got      Outcome
+}
+
+// Outcome is what an emulation comes to.
+type Outcome struct {
+	Asked     int64     // lookups, by their clients' first tries
+	InTime    []float64 // share of lookups by index that were answered within the soft deadline
+	LateShare []float64 // answered after it
+	Nacked    float64   // shares of all that ended so at last
+	Aborted   float64
+	Gain      float64 // share of gain within the soft deadline
+	ByIndex   []float64
+	P50, P99  float64 // of answered lookups, seconds from the first try
+	Use       []float64
+	Hottest   int // searcher of most use
+	MostQueue int
+	MostHeld  int // lookups and parts, of the fullest mixer
+	MostOut   int // part calls out, of the busiest mixer
+	Refused   int64
+	Tries     float64 // lookups sent by clients for each asked
+	Calls     float64 // part calls for each part
+
+	took []float64
+}
+
+// sizes of an emulation: enough lookups that a p99 rests on some twenty.
+const (
+	warmLookups = 400
+	sureLookups = 2500
+	leastWarm   = 2.0 // seconds: windows and latencies are learnt
+	leastTime   = 3.0
+	mostTime    = 120.0
+)
+
+// Emulate plays a steady load on a fleet, so long that so many lookups count (0 for the usual number). Both must have
+// been checked.
+func Emulate(f *Fleet, a *Ask, seed uint64, lookups int) Outcome {
+	if lookups == 0 {
+		lookups = sureLookups
+	}
+	w := newWorld(f, a, seed)
+	w.warm = max(leastWarm, warmLookups/a.PerS)
+	w.end = w.warm + min(mostTime, max(leastTime, float64(lookups)/a.PerS))
+	w.arrive()
+	longest := 0.0
+	for _, x := range f.Indexes {
+		longest = max(longest, x.Hard)
+	}
+	for len(w.agenda) > 0 && w.agenda[0].at < w.end+longest+1 {
+		w.next()
+	}
+	return w.outcome()
+}
+
+// next lets the next thing happen.
+func (w *world) next() {
+	h := heap.Pop(&w.agenda).(happening)
+	w.now = h.at
+	h.what()
+}
+
+func newWorld(f *Fleet, a *Ask, seed uint64) *world {
+	w := &world{f: f, a: a, g: pcg(seed*2 + 1), byID: map[logic.SearcherID]*station{}}
+	w.got.InTime, w.got.LateShare, w.got.ByIndex = make([]float64, len(f.Indexes)), make([]float64, len(f.Indexes)), make([]float64, len(f.Indexes))
+	list := logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}
+	for i, s := range f.Searchers {
+		st := &station{Searcher: s, id: logic.SearcherID(i + 1)}
+		w.stations = append(w.stations, st)
+		w.byID[st.id] = st
+		list.Entries = append(list.Entries, logic.Entry{Searcher: st.id, Location: logic.LocationID(slices.Index(f.Locations, s.Location)), Cell: logic.CellID(s.Cell), Share: 1})
+	}
+	sum := 0.0
+	for s := range f.Shards {
+		if a.Popular == nil {
+			sum += 1 / float64(f.Shards)
+		} else {
+			sum += a.Popular[s]
+		}
+		w.popular = append(w.popular, sum)
+	}
+	for i := range f.Mixers {
+		set := logic.Settings{Seed: seed + uint64(i)*7919, Self: logic.MixerNo(i), Mixers: f.Mixers, Location: logic.LocationID(i % max(1, len(f.Locations))),
+			Step: f.Step, Layout: logic.Layout{Cells: f.Cells, Width: f.Width, CallParts: 1},
+			Limits: logic.Limits{Cancel: true, Probe: true, SecondCopy: true, RetryAfter: true, MaxTries: max(1, f.MostTries), MaxHeld: f.MostHeld, MaxRetryAfter: 1, ConnectTimeout: 0.25},
+			Rules:  logic.Rules{AnswerSlack: 0.02, DrainGrace: 2}, Prices: logic.Prices{CrossLocation: 0.02}}
+		for _, x := range f.Indexes {
+			set.Indexes = append(set.Indexes, logic.IndexSettings{Soft: x.Soft, Hard: x.Hard, Gain: max(x.Gain, 1e-9), LateGain: x.Late, Effect: x.Effect, Need: 1, Floor: 1})
+		}
+		m := &mixer{no: i, m: logic.New(set, 0), lookups: map[logic.LookupID]*taken{}, parts: map[logic.PartID]partOf{},
+			made: map[logic.PartID]logic.CallNo{}, out: map[callKey]*work{}, stepped: -1}
+		w.mixers = append(w.mixers, m)
+		w.tell(m, list)
+	}
+	return w
+}
+
+func (w *world) at(t float64, what func()) {
+	w.no++
+	heap.Push(&w.agenda, happening{max(t, w.now), w.no, what})
+}
+
+// arrive lets clients ask, until the end.
+func (w *world) arrive() {
+	if w.now >= w.end {
+		return
+	}
+	u, share := w.g.unit(), len(w.a.Mix)-1
+	for i, m := range w.a.Mix {
+		if u -= m.Of; u < 0 {
+			share = i
+			break
+		}
+	}
+	q := &query{share: share, began: w.now, counts: w.now >= w.warm}
+	q.shards = w.shards(w.a.Mix[share].Parts)
+	if q.counts {
+		w.got.Asked++
+	}
+	w.try(q)
+	w.at(w.now+w.gap()/w.a.PerS, w.arrive)
+}
+
+// gap is the time between two lookups against its mean.
+func (w *world) gap() float64 {
+	if w.a.Bursts <= 0 || w.a.Bursts == 1 {
+		return w.g.exp()
+	}
+	return w.g.about(1, w.a.Bursts)
+}
+
+// shards draws so many different ones by their popularity.
+func (w *world) shards(n int) (list []int) {
+	for len(list) < n {
+		s, _ := slices.BinarySearch(w.popular, w.g.unit()*w.popular[len(w.popular)-1])
+		for slices.Contains(list, s%w.f.Shards) { // all that are popular are in: the next one along
+			s++
+		}
+		list = append(list, s%w.f.Shards)
+	}
+	return list
+}
+
+// try sends a lookup to a mixer by chance.
+func (w *world) try(q *query) {
+	q.tries++
+	if q.counts {
+		w.got.Tries++
+	}
+	m := w.mixers[int(w.g.unit()*float64(len(w.mixers)))]
+	if w.f.MostHeld > 0 && len(m.lookups)+len(m.parts) >= w.f.MostHeld {
+		w.nacked(q, 0)
+		return
+	}
+	k := w.a.Mix[q.share].Index
+	x := &w.f.Indexes[k]
+	m.lastID++
+	t := &taken{of: q, id: logic.LookupID(m.lastID)}
+	m.lookups[t.id] = t
+	e := logic.Event{Kind: logic.LookupTaken, Lookup: t.id, No: logic.LookupNo(t.id), Index: logic.IndexID(k), Left: x.Hard - (w.now - q.began), Parts: len(q.shards), Resent: q.tries > 1}
+	events := []logic.Event{e}
+	e.Kind, e.Parts = logic.PartTaken, 0
+	for _, s := range q.shards {
+		m.lastID++
+		e.Part, e.Shard, e.Weight = logic.PartID(m.lastID), logic.ShardID(s), 1/float64(len(q.shards))
+		t.parts = append(t.parts, e.Part)
+		m.parts[e.Part] = partOf{t, logic.IndexID(k)}
+		events = append(events, e)
+	}
+	m.mostHeld = max(m.mostHeld, len(m.lookups)+len(m.parts))
+	w.tell(m, events...)
+}
+
+// tell hands events to a mixer, which steps no sooner after its last step than it may.
+func (w *world) tell(m *mixer, events ...logic.Event) {
+	m.events = append(m.events, events...)
+	if !m.waiting {
+		m.waiting = true
+		w.at(max(w.now, m.stepped+w.f.Step), func() { w.step(m) })
+	}
+}
+
+func (w *world) step(m *mixer) {
+	m.waiting, m.stepped = false, w.now
+	events := m.events
+	m.events = nil
+	m.actions = m.m.Step(w.now, events, m.actions[:0])
+	for i := range m.actions {
+		w.act(m, &m.actions[i])
+	}
+	m.mostOut = max(m.mostOut, len(m.out))
+}
+
+func (w *world) act(m *mixer, a *logic.Action) {
+	switch a.Kind {
+	case logic.Send:
+		p, held := m.parts[a.Part]
+		if !held {
+			return
+		}
+		no := m.made[a.Part]
+		m.made[a.Part] = no + 1
+		c := &work{mixer: m, part: a.Part, no: no, k: p.k, sent: w.now, ends: a.StopAt}
+		m.out[callKey{a.Part, no}] = c
+		to := w.byID[a.Searcher]
+		w.at(w.now+w.f.Network, func() { w.reach(to, c) })
+		w.at(a.StopAt, func() { w.finish(c, to, logic.TimedOut) })
+	case logic.Withdraw:
+		if c := m.out[callKey{a.Part, a.Call}]; c != nil {
+			w.finish(c, nil, logic.Withdrawn)
+		}
+	case logic.Answer:
+		w.answered(m, a.Lookup)
+	case logic.Nack, logic.Abort:
+		if t := w.close(m, a.Lookup); t != nil && a.Kind == logic.Nack {
+			w.nacked(t.of, a.Wait)
+		} else if t != nil && t.of.counts {
+			w.got.Aborted++
+		}
+	case logic.SetTimer:
+		timer := a.Timer
+		w.at(w.now+a.Wait, func() {
+			if w.now < w.end+60 {
+				w.tell(m, logic.Event{Kind: logic.TimerDue, Timer: timer})
+			}
+		})
+	case logic.Probe:
+		id := a.Searcher
+		w.at(w.now+2*w.f.Network, func() {
+			w.tell(m, logic.Event{Kind: logic.ProbeEnded, Searcher: id, Outcome: logic.Answered, Elapsed: 2 * w.f.Network})
+		})
+	}
+}
+
+// reach puts a call on a core, into the queue, or turns it away.
+func (w *world) reach(s *station, c *work) {
+	s.calls++
+	switch {
+	case s.busy < s.Cores:
+		w.serve(s, c)
+	case s.Queue > 0 && len(s.queue) >= s.Queue:
+		s.refused++
+		w.at(w.now+w.f.Network, func() { w.finish(c, s, logic.TurnedAway) })
+	default:
+		s.queue = append(s.queue, c)
+		s.most = max(s.most, len(s.queue))
+	}
+}
+
+func (w *world) serve(s *station, c *work) {
+	s.busy++
+	x := &w.f.Indexes[c.k]
+	took := w.g.about(x.Work, x.Scv) / s.Speed
+	if w.now >= w.warm {
+		s.used += min(took, max(0, w.end-w.now))
+	}
+	w.at(w.now+took, func() {
+		s.busy--
+		w.at(w.now+w.f.Network, func() { w.finish(c, s, logic.Answered) })
+		for len(s.queue) > 0 && s.busy < s.Cores {
+			next := s.queue[0]
+			s.queue = s.queue[1:]
+			if !next.gone {
+				w.serve(s, next)
+			}
+		}
+	})
+}
+
+// finish tells a mixer once how a call ended.
+func (w *world) finish(c *work, s *station, how logic.Outcome) {
+	key := callKey{c.part, c.no}
+	if c.gone || c.mixer.out[key] != c {
+		return
+	}
+	c.gone = true
+	delete(c.mixer.out, key)
+	id := logic.SearcherID(0)
+	if s != nil {
+		id = s.id
+	}
+	w.tell(c.mixer, logic.Event{Kind: logic.CallEnded, Part: c.part, Call: c.no, Searcher: id, Outcome: how, Elapsed: w.now - c.sent})
+}
+
+func (w *world) close(m *mixer, id logic.LookupID) *taken {
+	t := m.lookups[id]
+	if t == nil {
+		return nil
+	}
+	delete(m.lookups, id)
+	for _, p := range t.parts {
+		delete(m.parts, p)
+	}
+	return t
+}
+
+func (w *world) answered(m *mixer, id logic.LookupID) {
+	t := w.close(m, id)
+	if t == nil || !t.of.counts {
+		return
+	}
+	k := w.a.Mix[t.of.share].Index
+	took := w.now - t.of.began
+	w.got.took = append(w.got.took, took)
+	if took <= w.f.Indexes[k].Soft {
+		w.got.InTime[k]++
+	} else {
+		w.got.LateShare[k]++
+	}
+}
+
+// nacked lets a client come back, where it has tries and time left.
+func (w *world) nacked(q *query, wait float64) {
+	k := w.a.Mix[q.share].Index
+	back := w.now + max(wait, w.f.Backoff*(0.5+w.g.unit()))
+	if q.tries <= w.f.Retries && back < q.began+w.f.Indexes[k].Hard {
+		w.at(back, func() { w.try(q) })
+	} else if q.counts {
+		w.got.Nacked++
+	}
+}
+
+func (w *world) outcome() Outcome {
+	o := &w.got
+	asked := make([]float64, len(w.f.Indexes))
+	for _, m := range w.a.Mix {
+		asked[m.Index] += m.Of * float64(o.Asked)
+	}
+	n := max(1, float64(o.Asked))
+	gain, all := 0.0, 0.0
+	for k, x := range w.f.Indexes {
+		all += asked[k] * x.Gain
+		gain += o.InTime[k] * x.Gain
+		o.ByIndex[k] = min(1, o.InTime[k]/max(1, asked[k]))
+		o.InTime[k], o.LateShare[k] = o.ByIndex[k], o.LateShare[k]/max(1, asked[k])
+	}
+	o.Gain = min(1, gain/max(all, 1e-9))
+	o.Nacked, o.Aborted, o.Tries = o.Nacked/n, o.Aborted/n, o.Tries/n
+	slices.Sort(o.took)
+	if len(o.took) > 0 {
+		o.P50, o.P99 = o.took[len(o.took)/2], o.took[min(len(o.took)-1, len(o.took)*99/100)]
+	}
+	parts := 0.0
+	for i, s := range w.stations {
+		o.Use = append(o.Use, s.used/(float64(s.Cores)*(w.end-w.warm)))
+		if o.Use[i] > o.Use[o.Hottest] {
+			o.Hottest = i
+		}
+		o.MostQueue = max(o.MostQueue, s.most)
+		o.Refused += s.refused
+		parts += float64(s.calls)
+	}
+	for _, m := range w.mixers {
+		o.MostHeld, o.MostOut = max(o.MostHeld, m.mostHeld), max(o.MostOut, m.mostOut)
+	}
+	each := 0.0
+	for _, m := range w.a.Mix {
+		each += m.Of * float64(m.Parts)
+	}
+	o.Calls = parts / max(1, each*w.a.PerS*w.end)
+	return *o
+}
--- /dev/null
+++ b/internal/plan/fleet.go
@@ -0,0 +1,192 @@
+// Package plan says beforehand what a load does to a fleet: it plays lookups through the mixers' own decision module
+// against modelled searchers, in its own time, and looks for what breaks first. It does no I/O, has no clock and no
+// goroutine; the same seed gives the same figures.
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"puffinlink.example/puffinlink/logic"
+)
+
+// Searcher is one of a fleet.
+type Searcher struct {
+	Name        string
+	Location    string
+	Cell        int
+	Cores       int     // parts that it works on at once
+	Speed       float64 // 1 takes an index's work as stated, 2 half as long
+	Queue       int     // parts that may wait beyond those; more are turned away. 0 for no limit
+	Connections int     // lines that it takes; 0 for no limit
+	Price       float64
+}
+
+// Index is one index of a fleet. Times are seconds.
+type Index struct {
+	Name       string
+	Effect     logic.Effect
+	Soft, Hard float64
+	Gain, Late float64 // of a lookup, and the share of it after the soft deadline
+	Work       float64 // of a part, in the mean
+	Scv        float64 // squared coefficient of variation of that
+	Goal       float64 // share of gain within the soft deadline; 0 for none
+}
+
+// Fleet is what a load meets. Times are seconds.
+type Fleet struct {
+	Locations []string
+	Cells     int
+	Width     int
+	Shards    int
+	Searchers []Searcher
+	Indexes   []Index
+	Mixers    int
+	MostHeld  int     // lookups and parts that a mixer may hold; 0 for no limit
+	Step      float64 // least time between two steps of a mixer
+	Network   float64 // one way, mixer to searcher
+	MostTries int     // part calls of a part
+	Retries   int     // of a client whose lookup was nacked
+	Backoff   float64 // before each
+	Multiplex int     // calls that one line carries; 0 for no limit
+	Lines     int     // descriptors that a mixer has for searchers; 0 for no limit
+}
+
+// Check tells every mistake with what to do about it, a line each.
+func (f *Fleet) Check() error {
+	var wrong []string
+	say := func(format string, args ...any) { wrong = append(wrong, fmt.Sprintf(format, args...)) }
+	if f.Cells < 1 || f.Width < 1 || f.Width > f.Cells || f.Shards < 1 || f.Mixers < 1 {
+		say("%d cells of width %d with %d shards and %d mixers: expected at least one of each, and a width of no more than the cells", f.Cells, f.Width, f.Shards, f.Mixers)
+		return errors.New(strings.Join(wrong, "\n"))
+	}
+	names, cells := map[string]bool{}, make([]int, f.Cells)
+	for _, s := range f.Searchers {
+		if names[s.Name] || s.Name == "" {
+			say("searcher %q is named twice, or not at all: give each a name of its own", s.Name)
+		}
+		names[s.Name] = true
+		if !slices.Contains(f.Locations, s.Location) {
+			say("searcher %s stands at %q: expected one of %q", s.Name, s.Location, f.Locations)
+		}
+		if s.Cores < 1 || !(s.Speed > 0) || s.Queue < 0 || s.Connections < 0 || s.Price < 0 {
+			say("searcher %s has %d cores of speed %g, a queue of %d, %d connections: expected at least one core, a speed above 0, and no figure below 0", s.Name, s.Cores, s.Speed, s.Queue, s.Connections)
+		}
+		if s.Cell < 0 || s.Cell >= f.Cells {
+			say("searcher %s is of cell %d: expected 0 to %d", s.Name, s.Cell, f.Cells-1)
+			continue
+		}
+		cells[s.Cell]++
+	}
+	for s := range min(f.Shards, f.Cells) {
+		n := 0
+		for j := range f.Width {
+			n += cells[(s+j)%f.Cells]
+		}
+		if n == 0 {
+			say("shard %d has no holder: put a searcher into one of the cells %d to %d", s, s, (s+f.Width-1)%f.Cells)
+		}
+	}
+	seen := map[string]bool{}
+	for _, x := range f.Indexes {
+		switch {
+		case x.Name == "" || seen[x.Name]:
+			say("index %q is named twice, or not at all", x.Name)
+		case !(x.Soft > 0) || x.Hard < x.Soft:
+			say("index %s has deadlines of %g and %g s: expected a soft one above 0 and a hard one no sooner", x.Name, x.Soft, x.Hard)
+		case x.Hard > 600:
+			say("index %s has a hard deadline of %g s: times are seconds, is it in milliseconds?", x.Name, x.Hard)
+		case !(x.Work > 0):
+			say("index %s states no work of a part: state it in seconds, or read it from a capture with low load", x.Name)
+		case x.Work > x.Soft:
+			say("index %s has a part's work of %g s, more than its soft deadline of %g s: times are seconds, is it in milliseconds?", x.Name, x.Work, x.Soft)
+		case x.Goal < 0 || x.Goal > 1:
+			say("index %s has a goal of %g: expected a share from 0 to 1, as 0.99", x.Name, x.Goal)
+		case x.Scv < 0 || x.Gain < 0 || x.Late < 0 || x.Late > 1:
+			say("index %s has a figure below 0, or a late gain above 1", x.Name)
+		}
+		seen[x.Name] = true
+	}
+	if len(f.Indexes) == 0 {
+		say("expected at least one index")
+	}
+	if len(wrong) > 0 {
+		return errors.New(strings.Join(wrong, "\n"))
+	}
+	return nil
+}
+
+// holders lists the searchers of a shard, by their places.
+func (f *Fleet) holders(shard int) (list []int) {
+	for i, s := range f.Searchers {
+		if behind := (s.Cell - shard%f.Cells + f.Cells) % f.Cells; behind < f.Width {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Without is the fleet with a location lost, and the shards of which no holder is left.
+func (f Fleet) Without(location string) (left Fleet, lost []int) {
+	left = f
+	left.Searchers = nil
+	for _, s := range f.Searchers {
+		if s.Location != location {
+			left.Searchers = append(left.Searchers, s)
+		}
+	}
+	for s := range f.Shards {
+		if len(left.holders(s)) == 0 {
+			lost = append(lost, s)
+		}
+	}
+	return left, lost
+}
+
+// Slower is the fleet with every searcher taking so many times as long.
+func (f Fleet) Slower(times float64) Fleet {
+	f.Searchers = slices.Clone(f.Searchers)
+	for i := range f.Searchers {
+		f.Searchers[i].Speed /= times
+	}
+	return f
+}
+
+// Ask is a steady load.
+type Ask struct {
+	PerS    float64 // lookups
+	Mix     []Share
+	Popular []float64 // share of parts by shard; nil for all alike
+	Bursts  float64   // squared coefficient of variation of the time between two lookups, 1 for chance alone
+}
+
+// Share is one kind of lookup in it.
+type Share struct {
+	Index int // place in the fleet's indexes
+	Of    float64
+	Parts int
+}
+
+// Check tells what of a load does not fit a fleet.
+func (a *Ask) Check(f *Fleet) error {
+	if !(a.PerS > 0) || len(a.Mix) == 0 {
+		return fmt.Errorf("%g lookups a second of %d kinds: expected more than none", a.PerS, len(a.Mix))
+	}
+	for _, m := range a.Mix {
+		if m.Index < 0 || m.Index >= len(f.Indexes) || !(m.Of > 0) || m.Parts < 1 || m.Parts > f.Shards {
+			return fmt.Errorf("a share of %g with %d parts of index %d: expected an index of the fleet and 1 to %d parts", m.Of, m.Parts, m.Index, f.Shards)
+		}
+	}
+	if a.Popular != nil && len(a.Popular) != f.Shards {
+		return fmt.Errorf("the load asks for %d shards, the fleet holds %d: describe the fleet that the capture was taken on", len(a.Popular), f.Shards)
+	}
+	return nil
+}
+
+// Scaled is the load at another rate.
+func (a Ask) Scaled(times float64) Ask {
+	a.PerS *= times
+	return a
+}
--- /dev/null
+++ b/internal/plan/place.go
@@ -0,0 +1,284 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Offer is what a location has of searchers.
+type Offer struct {
+	Location string
+	Price    float64 // of one searcher
+	Capacity float64 // core seconds a second of one, at the use that keeps the goals
+	Most     int     // that may stand there
+}
+
+// Buy is how many searchers stand where.
+type Buy struct {
+	Counts []int // by offer
+	Price  float64
+	Bound  float64 // no purchase costs less; equal to Price where it is exact
+}
+
+// mostExact is how many purchases are gone through one by one.
+const mostExact = 2_000_000
+
+// Fewest finds the cheapest purchase whose capacity bears demand with any one location lost and, besides, so many searchers
+// lost wherever it hurts most. Small ones are gone through one by one, with the cheaper ones first cut off by the best
+// found; for large ones the bound says how far it may be from the best.
+func Fewest(offers []Offer, demand float64, spare int) (Buy, error) {
+	if len(offers) < 2 {
+		return Buy{}, fmt.Errorf("%d locations: expected two at least, or the loss of one leaves nothing", len(offers))
+	}
+	for _, o := range offers {
+		if !(o.Capacity > 0) || !(o.Price > 0) || o.Most < 1 {
+			return Buy{}, fmt.Errorf("location %s offers capacity %g at %g, %d at most: expected more than none of each", o.Location, o.Capacity, o.Price, o.Most)
+		}
+	}
+	best := Buy{Price: math.Inf(1)}
+	all := make([]int, len(offers))
+	for i, o := range offers {
+		all[i] = o.Most
+	}
+	if !bears(offers, all, demand, spare) {
+		return best, fmt.Errorf("all searchers that may stand there do not bear %.3g core seconds a second with a location lost", demand)
+	}
+	n := 1.0
+	for _, o := range offers {
+		n *= float64(o.Most + 1)
+	}
+	if n <= mostExact {
+		counts := make([]int, len(offers))
+		exact(offers, demand, spare, 0, 0, counts, &best)
+		best.Bound = best.Price
+		return best, nil
+	}
+	best = greedy(offers, demand, spare)
+	best.Bound = bound(offers, demand)
+	return best, nil
+}
+
+// bears tells whether a purchase bears the demand through the worst loss.
+func bears(offers []Offer, counts []int, demand float64, spare int) bool {
+	for lost := range offers {
+		left := 0.0
+		var sizes []Offer
+		for i, o := range offers {
+			if i != lost && counts[i] > 0 {
+				left += o.Capacity * float64(counts[i])
+				sizes = append(sizes, Offer{Capacity: o.Capacity, Most: counts[i]})
+			}
+		}
+		slices.SortFunc(sizes, func(x, y Offer) int { return cmp.Compare(y.Capacity, x.Capacity) })
+		for n := spare; n > 0 && len(sizes) > 0; sizes = sizes[1:] {
+			gone := min(n, sizes[0].Most)
+			left -= float64(gone) * sizes[0].Capacity
+			n -= gone
+		}
+		if left < demand-1e-9 {
+			return false
+		}
+	}
+	return true
+}
+
+func exact(offers []Offer, demand float64, spare, i int, price float64, counts []int, best *Buy) {
+	if price >= best.Price-1e-12 {
+		return
+	}
+	if i == len(offers) {
+		if bears(offers, counts, demand, spare) {
+			*best = Buy{Counts: slices.Clone(counts), Price: price}
+		}
+		return
+	}
+	for n := 0; n <= offers[i].Most; n++ {
+		counts[i] = n
+		exact(offers, demand, spare, i+1, price+float64(n)*offers[i].Price, counts, best)
+	}
+	counts[i] = 0
+}
+
+// greedy takes searchers off the fullest purchase while it still bears, the dearest for its capacity first, and then
+// tries to swap one for a cheaper one.
+func greedy(offers []Offer, demand float64, spare int) (b Buy) {
+	counts := make([]int, len(offers))
+	order := make([]int, len(offers))
+	for i, o := range offers {
+		counts[i], order[i] = o.Most, i
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		return cmp.Compare(offers[y].Price/offers[y].Capacity, offers[x].Price/offers[x].Capacity)
+	})
+	for changed := true; changed; {
+		changed = false
+		for _, i := range order {
+			for step := max(1, counts[i]/2); step > 0 && counts[i] > 0; {
+				step = min(step, counts[i])
+				counts[i] -= step
+				if bears(offers, counts, demand, spare) {
+					changed = true
+				} else {
+					counts[i] += step
+					step /= 2
+				}
+			}
+		}
+		for _, i := range order { // one more of a cheap one may save two dear ones
+			for _, j := range order {
+				if i == j || counts[j] == offers[j].Most || counts[i] == 0 {
+					continue
+				}
+				counts[j]++
+				n := 0
+				for counts[i] > 0 {
+					counts[i]--
+					if !bears(offers, counts, demand, spare) {
+						counts[i]++
+						break
+					}
+					n++
+				}
+				if float64(n)*offers[i].Price > offers[j].Price+1e-12 {
+					changed = true
+				} else {
+					counts[j]--
+					counts[i] += n
+				}
+			}
+		}
+	}
+	for i, n := range counts {
+		b.Price += float64(n) * offers[i].Price
+	}
+	b.Counts = counts
+	return b
+}
+
+// bound is a price that no purchase beats. With a location lost the others bear the demand, for each location: summed
+// over all of them, (locations - 1) x capacity >= locations x demand, and capacity costs at least the cheapest.
+func bound(offers []Offer, demand float64) float64 {
+	cheapest := math.Inf(1)
+	for _, o := range offers {
+		cheapest = min(cheapest, o.Price/o.Capacity)
+	}
+	n := float64(len(offers))
+	return n / (n - 1) * demand * cheapest
+}
+
+// Copies is where the copies of each shard stand, by places of searchers.
+type Copies [][]int
+
+// Placed is a placement and what it comes to.
+type Placed struct {
+	Copies Copies
+	Moves  int     // copies that stand elsewhere than today
+	Most   float64 // load of the fullest searcher against its capacity
+	Bound  float64 // no placement has less
+}
+
+// Place puts so many copies of each shard on searchers, no two of one shard in one location, so that what is asked for is
+// balanced; of those about as good, the one that moves least from today's. load is what each shard brings, all copies
+// together; capacity of a searcher is its Cores x Speed.
+func Place(f *Fleet, load []float64, copies int, today Copies) (Placed, error) {
+	places := map[string]bool{}
+	capacity, all := make([]float64, len(f.Searchers)), 0.0
+	for i, s := range f.Searchers {
+		places[s.Location] = true
+		capacity[i] = float64(s.Cores) * s.Speed
+		all += capacity[i]
+	}
+	if copies < 1 || len(places) < copies {
+		return Placed{}, fmt.Errorf("%d copies in %d locations: expected a location for each copy", copies, len(places))
+	}
+	p := Placed{Copies: make(Copies, len(load))}
+	sum, largest := 0.0, 0.0
+	for _, l := range load {
+		sum += l
+		largest = max(largest, l/float64(copies))
+	}
+	p.Bound = max(sum/all, largest/slices.Max(capacity))
+	order := make([]int, len(load))
+	for s := range order {
+		order[s] = s
+	}
+	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(load[y], load[x]) })
+	used := make([]float64, len(f.Searchers))
+	stands := func(s, i int) bool { return s < len(today) && slices.Contains(today[s], i) }
+	for _, s := range order {
+		each := load[s] / float64(copies)
+		for range copies {
+			best, least := -1, math.Inf(1)
+			for i := range f.Searchers {
+				if slices.ContainsFunc(p.Copies[s], func(o int) bool { return f.Searchers[o].Location == f.Searchers[i].Location }) {
+					continue
+				}
+				full := (used[i] + each) / capacity[i]
+				if stands(s, i) && full <= p.Bound*(1+roomToStay) {
+					full = -1 + full // it stays where it is while that is about as good
+				}
+				if full < least {
+					best, least = i, full
+				}
+			}
+			used[best] += each
+			p.Copies[s] = append(p.Copies[s], best)
+		}
+	}
+	p.level(f, load, copies, used, capacity, stands)
+	for s, list := range p.Copies {
+		for _, i := range list {
+			if !stands(s, i) {
+				p.Moves++
+			}
+		}
+	}
+	for i := range used {
+		p.Most = max(p.Most, used[i]/capacity[i])
+	}
+	return p, nil
+}
+
+// roomToStay is how much above the least possible a searcher may be filled by what stands there already.
+const roomToStay = 0.05
+
+// level moves copies off the fullest searcher while that helps.
+func (p *Placed) level(f *Fleet, load []float64, copies int, used, capacity []float64, stands func(s, i int) bool) {
+	for range 4 * len(load) {
+		from := 0
+		for i := range used {
+			if used[i]/capacity[i] > used[from]/capacity[from] {
+				from = i
+			}
+		}
+		worst := used[from] / capacity[from]
+		if worst <= p.Bound*(1+roomToStay/2) {
+			return
+		}
+		bestS, bestC, bestTo, least := -1, -1, -1, worst-1e-12
+		for s, list := range p.Copies {
+			c := slices.Index(list, from)
+			if c < 0 {
+				continue
+			}
+			each := load[s] / float64(copies)
+			for to := range f.Searchers {
+				clash := slices.ContainsFunc(list, func(o int) bool { return o != from && f.Searchers[o].Location == f.Searchers[to].Location })
+				if to == from || clash || each == 0 {
+					continue
+				}
+				if after := max((used[to]+each)/capacity[to], (used[from]-each)/capacity[from]); after < least {
+					bestS, bestC, bestTo, least = s, c, to, after
+				}
+			}
+		}
+		if bestS < 0 {
+			return
+		}
+		each := load[bestS] / float64(copies)
+		used[from], used[bestTo] = used[from]-each, used[bestTo]+each
+		p.Copies[bestS][bestC] = bestTo
+	}
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,184 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Limit is one thing that may break, with how much more load it bears.
+type Limit struct {
+	What   string  // cores, queue, most held, connections, descriptors
+	Where  string  // a searcher, a location, or "each mixer"
+	Used   float64 // at this load, in the limit's own unit
+	Most   float64
+	Margin float64 // most / used: 1 is at the limit
+}
+
+// Limits lists what may break, the nearest first. What has no limit is left out.
+func (o *Outcome) Limits(f *Fleet) (list []Limit) {
+	add := func(what, where string, used, most float64) {
+		if most > 0 && used > 0 {
+			list = append(list, Limit{what, where, used, most, most / used})
+		}
+	}
+	hot := f.Searchers[o.Hottest]
+	add("cores", hot.Name, o.Use[o.Hottest]*float64(hot.Cores), float64(hot.Cores))
+	for _, place := range f.Locations {
+		used, all := 0.0, 0.0
+		for i, s := range f.Searchers {
+			if s.Location == place {
+				used, all = used+o.Use[i]*float64(s.Cores), all+float64(s.Cores)
+			}
+		}
+		add("cores", "location "+place, used, all)
+	}
+	queue := 0
+	for _, s := range f.Searchers {
+		if s.Queue > 0 && (queue == 0 || s.Queue < queue) {
+			queue = s.Queue
+		}
+	}
+	add("queue", "the fullest searcher", float64(o.MostQueue), float64(queue))
+	add("most held", "each mixer", float64(o.MostHeld), float64(f.MostHeld))
+	lines := float64(len(f.Searchers)) // one to each at least
+	if f.Multiplex > 0 {
+		lines = max(lines, math.Ceil(float64(o.MostOut)/float64(f.Multiplex)))
+	}
+	add("descriptors", "each mixer", lines, float64(f.Lines))
+	for _, s := range f.Searchers {
+		if s.Connections > 0 {
+			add("connections", s.Name, float64(f.Mixers)*max(1, lines/float64(len(f.Searchers))), float64(s.Connections))
+			break
+		}
+	}
+	slices.SortStableFunc(list, func(x, y Limit) int { return cmp.Compare(x.Margin, y.Margin) })
+	return list
+}
+
+// Meets tells whether an outcome keeps the goals, and which index falls short most, "" for none.
+func (o *Outcome) Meets(f *Fleet) (bool, string) {
+	worst, by := "", 0.0
+	for k, x := range f.Indexes {
+		if short := x.Goal - o.ByIndex[k]; x.Goal > 0 && short > by && slices.ContainsFunc(o.ByIndex, func(v float64) bool { return v > 0 }) {
+			worst, by = x.Name, short
+		} else if x.Goal > 0 && o.Gain == 0 {
+			worst, by = x.Name, x.Goal
+		}
+	}
+	return worst == "", worst
+}
+
+// Breaking is where the goals break as a load grows.
+type Breaking struct {
+	PerS     float64 // the most that keeps them, lookups a second
+	Fails    float64 // the least that was seen to break them
+	Index    string  // whose goal breaks first
+	First    Limit   // what was nearest its limit there
+	Searched int     // emulations
+}
+
+const (
+	// closeEnough is how near the two sides of a breaking load are brought: a third of what predictions are held to.
+	closeEnough = 0.05
+	// mostSearch bounds the search.
+	mostSearch = 24
+)
+
+// Break finds the load at which the goals break, by doubling and halving. A fleet without goals never does.
+func Break(f *Fleet, a *Ask, seed uint64, progress func(done, of int)) (Breaking, error) {
+	if !slices.ContainsFunc(f.Indexes, func(x Index) bool { return x.Goal > 0 }) {
+		return Breaking{}, fmt.Errorf("no index has a goal: state one, as 0.99")
+	}
+	var b Breaking
+	low, high := 0.0, 0.0
+	try := a.PerS
+	for b.Searched < mostSearch && (low == 0 || high == 0 || high/low > 1+closeEnough) {
+		b.Searched++
+		if progress != nil {
+			progress(b.Searched, mostSearch)
+		}
+		asked := a.Scaled(try / a.PerS)
+		o := Emulate(f, &asked, seed, 0)
+		if ok, index := o.Meets(f); ok {
+			low = try
+		} else {
+			high, b.Index = try, index
+			if limits := o.Limits(f); len(limits) > 0 {
+				b.First = limits[0]
+			}
+		}
+		switch {
+		case high == 0:
+			try = low * 2
+		case low == 0:
+			try = high / 2
+		default:
+			try = math.Sqrt(low * high)
+		}
+	}
+	b.PerS, b.Fails = low, high
+	if low == 0 {
+		return b, fmt.Errorf("the goals of %s are not kept at any load that was tried, down to %.3g lookups a second: they ask for more than the fleet's work and network allow", b.Index, high)
+	}
+	return b, nil
+}
+
+// WhatIf is a named change of fleet and load.
+type WhatIf struct {
+	Name  string
+	Fleet Fleet
+	Ask   Ask
+	Lost  []int // shards that no searcher holds any more: they are lost, not overloaded
+}
+
+// WhatIfs are the usual ones: as it is, a burst, all slower, each location lost, both, and all traffic to each index.
+func WhatIfs(f *Fleet, a *Ask) (list []WhatIf) {
+	list = append(list, WhatIf{Name: "as it is", Fleet: *f, Ask: *a},
+		WhatIf{Name: "burst x 2", Fleet: *f, Ask: a.Scaled(2)},
+		WhatIf{Name: "all 1.5 times slower", Fleet: f.Slower(1.5), Ask: *a})
+	for _, place := range f.Locations {
+		left, lost := f.Without(place)
+		if len(left.Searchers) == 0 {
+			continue
+		}
+		list = append(list, WhatIf{"location " + place + " lost", left, *a, lost},
+			WhatIf{"location " + place + " lost, all 1.5 times slower", left.Slower(1.5), *a, lost})
+	}
+	if len(a.Mix) > 1 {
+		for _, m := range a.Mix {
+			moved := *a
+			moved.Mix = []Share{{m.Index, 1, m.Parts}}
+			list = append(list, WhatIf{Name: "all traffic to " + f.Indexes[m.Index].Name, Fleet: *f, Ask: moved})
+		}
+	}
+	return list
+}
+
+// Recovers plays a burst and then the usual load, and tells whether the usual load keeps the goals again: clients that
+// come back may hold a fleet down that would bear them one by one. Where it does not, Leave is the load to go down to.
+func Recovers(f *Fleet, a *Ask, burst float64, seed uint64) (recovers bool, leave float64) {
+	for share := 1.0; share > 0.1; share -= 0.1 {
+		asked := a.Scaled(share)
+		w := newWorld(f, &asked, seed)
+		usual := asked.PerS
+		w.warm = leastWarm + mostBurst*2
+		w.end = w.warm + max(leastTime, sureLookups/usual)
+		w.at(leastWarm, func() { asked.PerS = burst * a.PerS })
+		w.at(leastWarm+mostBurst, func() { asked.PerS = usual })
+		w.arrive()
+		for len(w.agenda) > 0 && w.agenda[0].at < w.end+10 {
+			w.next()
+		}
+		if o := w.outcome(); first(o.Meets(f)) {
+			return share == 1, share * a.PerS
+		}
+	}
+	return false, 0
+}
+
+// mostBurst is how long a burst lasts that Recovers plays, seconds.
+const mostBurst = 3.0
+
+func first(ok bool, _ string) bool { return ok }
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,290 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"puffinlink.example/puffinlink/logic"
+)
+
+func fleet(searchers, cores int) Fleet {
+	f := Fleet{Locations: []string{"north", "south"}, Cells: searchers, Width: 2, Shards: 2 * searchers, Mixers: 2, Step: 0.005, Network: 0.0002, MostTries: 3,
+		Indexes: []Index{{Name: "reads", Soft: 0.5, Hard: 2, Gain: 1, Late: 0.1, Work: 0.01, Scv: 0.3, Goal: 0.98}}}
+	for i := range searchers {
+		f.Searchers = append(f.Searchers, Searcher{Name: fmt.Sprint("s-", i), Location: f.Locations[i%2], Cell: i, Cores: cores, Speed: 1, Price: 1})
+	}
+	return f
+}
+
+func ask(perS float64, parts int) Ask {
+	return Ask{PerS: perS, Mix: []Share{{0, 1, parts}}}
+}
+
+func TestMistakesInAFleetAreTold(t *testing.T) {
+	for want, change := range map[string]func(*Fleet){
+		"shard 0 has no holder: put a searcher into one of the cells 0 to 1": func(f *Fleet) { f.Searchers = f.Searchers[2:5] },
+		`"s-1" is named twice`:          func(f *Fleet) { f.Searchers[2].Name = "s-1" },
+		`stands at "west": expected`:    func(f *Fleet) { f.Searchers[2].Location = "west" },
+		"0 cores":                       func(f *Fleet) { f.Searchers[2].Cores = 0 },
+		"cell 9: expected 0 to 5":       func(f *Fleet) { f.Searchers[2].Cell = 9 },
+		"goal of 99":                    func(f *Fleet) { f.Indexes[0].Goal = 99 },
+		"is it in milliseconds?":        func(f *Fleet) { f.Indexes[0].Work = 10 },
+		"2000 s: times are seconds, is": func(f *Fleet) { f.Indexes[0].Hard = 2000 },
+		"read it from a capture":        func(f *Fleet) { f.Indexes[0].Work = 0 },
+		"a width of no more than":       func(f *Fleet) { f.Width = 9 },
+	} {
+		f := fleet(6, 4)
+		change(&f)
+		if err := f.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, expected %q", err, want)
+		}
+	}
+	f, a := fleet(6, 4), ask(10, 99)
+	if err := a.Check(&f); err == nil || !strings.Contains(err.Error(), "1 to 12 parts") {
+		t.Errorf("got %v", err)
+	}
+	if a = ask(10, 2); a.Check(&f) != nil || f.Check() != nil {
+		t.Error("a good fleet is refused")
+	}
+	a.Popular = make([]float64, 5)
+	if err := a.Check(&f); err == nil || !strings.Contains(err.Error(), "asks for 5 shards, the fleet holds 12") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// What the emulation comes to where a formula tells it.
+func TestEmulationAgainstFormulas(t *testing.T) {
+	f := fleet(6, 4)
+	a := ask(100, 4)
+	o := Emulate(&f, &a, 1, 0)
+	if again := Emulate(&f, &a, 1, 0); !reflect.DeepEqual(o, again) {
+		t.Fatal("the same seed gives other figures")
+	}
+	if o.Gain < 0.99 || o.Nacked+o.Aborted > 0 || o.Tries < 1 {
+		t.Fatalf("a low load comes to %+v", o)
+	}
+	use := 0.0 // 100 lookups of 4 parts of 10 ms on 24 cores
+	for _, u := range o.Use {
+		use += u / 6
+	}
+	if want := 100 * 4 * 0.01 / 24; math.Abs(use-want) > 0.05*want {
+		t.Errorf("use %.4f, expected %.4f", use, want)
+	}
+	// Alone, a lookup of one part takes its work, two ways, and some steps.
+	one := ask(5, 1)
+	f.Indexes[0].Scv = 0
+	if o := Emulate(&f, &one, 2, 500); o.P50 < 0.0104 || o.P50 > 0.0104+2*f.Step {
+		t.Errorf("a part of 10 ms takes %.4f s", o.P50)
+	}
+	// Far beyond what the cores bear, no more than they bear is answered, and most of that.
+	over := ask(1200, 4) // twice the 600 that they bear
+	o = Emulate(&f, &over, 3, 4000)
+	if answered := 1 - o.Nacked - o.Aborted; answered > 0.56 || answered < 0.3 {
+		t.Errorf("at twice what the cores bear a share of %.2f is answered", answered)
+	}
+	if limits := o.Limits(&f); limits[0].What != "cores" || limits[0].Margin > 1.15 {
+		t.Errorf("nearest its limit: %+v", limits[0])
+	}
+	lost, shards := f.Without("south")
+	if len(lost.Searchers) != 3 || len(shards) != 0 {
+		t.Errorf("without south: %d searchers, lost %v", len(lost.Searchers), shards)
+	}
+	same := fleet(6, 4)
+	same.Searchers[1].Location, same.Searchers[0].Location = "south", "south"
+	if _, shards := same.Without("south"); !slices.Contains(shards, 0) {
+		t.Errorf("both copies of shard 0 stand in south, lost are %v", shards)
+	}
+}
+
+// The load at which the goal breaks lies below what the cores bear, and more cores bear more.
+func TestBreakingLoad(t *testing.T) {
+	f, a := fleet(4, 2), ask(50, 2)
+	b, err := Break(&f, &a, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bears := 4 * 2 / 0.01 / 2.0 // 400 lookups a second
+	if b.PerS < 0.5*bears || b.PerS > 1.05*bears || b.Fails/b.PerS > 1+closeEnough+0.01 || b.Index != "reads" || b.First.What != "cores" {
+		t.Fatalf("breaks at %+v, cores bear %g", b, bears)
+	}
+	if raceOn { // the race detector has nothing to find where there is no goroutine
+		return
+	}
+	larger := fleet(4, 4)
+	if more, err := Break(&larger, &a, 1, nil); err != nil || more.PerS < 1.6*b.PerS {
+		t.Fatalf("twice the cores break at %g against %g, %v", more.PerS, b.PerS, err)
+	}
+	f.Indexes[0].Goal = 0
+	if _, err := Break(&f, &a, 1, nil); err == nil {
+		t.Fatal("no goal, and it breaks")
+	}
+}
+
+// brute goes through every purchase.
+func brute(offers []Offer, demand float64, spare int) (best float64) {
+	best = math.Inf(1)
+	counts := make([]int, len(offers))
+	for {
+		price := 0.0
+		for i, n := range counts {
+			price += float64(n) * offers[i].Price
+		}
+		if price < best && bears(offers, counts, demand, spare) {
+			best = price
+		}
+		i := 0
+		for ; i < len(counts) && counts[i] == offers[i].Most; i++ {
+			counts[i] = 0
+		}
+		if i == len(counts) {
+			return best
+		}
+		counts[i]++
+	}
+}
+
+func TestFewestSearchers(t *testing.T) {
+	sum, worst, n := 0.0, 1.0, 0
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		var offers []Offer
+		for i := range 2 + rng.IntN(3) {
+			offers = append(offers, Offer{fmt.Sprint("l-", i), 1 + 3*rng.Float64(), 1 + 3*rng.Float64(), 4 + rng.IntN(5)})
+		}
+		demand, spare := 1+8*rng.Float64(), rng.IntN(3)
+		got, err := Fewest(offers, demand, spare)
+		want := brute(offers, demand, spare)
+		if math.IsInf(want, 1) != (err != nil) {
+			t.Fatalf("seed %d: %v, the best costs %g", seed, err, want)
+		}
+		if err != nil {
+			continue
+		}
+		if math.Abs(got.Price-want) > 1e-9 || !bears(offers, got.Counts, demand, spare) {
+			t.Fatalf("seed %d: %+v, the best costs %g", seed, got, want)
+		}
+		quick := greedy(offers, demand, spare)
+		if !bears(offers, quick.Counts, demand, spare) || quick.Price < want-1e-9 || bound(offers, demand) > want+1e-9 {
+			t.Fatalf("seed %d: quick %+v, bound %g, the best costs %g", seed, quick, bound(offers, demand), want)
+		}
+		sum, worst, n = sum+quick.Price/want, max(worst, quick.Price/want), n+1
+	}
+	t.Logf("without going through all: %.3f of the best in the mean, %.3f at worst, of %d", sum/float64(n), worst, n)
+	if sum/float64(n) > 1.1 {
+		t.Errorf("%.3f of the best in the mean", sum/float64(n))
+	}
+	if _, err := Fewest([]Offer{{"a", 1, 1, 5}}, 1, 0); err == nil {
+		t.Error("one location bears its own loss")
+	}
+	var large []Offer
+	for i := range 12 {
+		large = append(large, Offer{fmt.Sprint("l-", i), 1 + float64(i%3), 8, 100})
+	}
+	if b, err := Fewest(large, 3000, 4); err != nil || b.Price > 1.5*b.Bound {
+		t.Errorf("got %+v, %v", b, err)
+	}
+}
+
+// bestPlacement goes through every placement of two copies.
+func bestPlacement(f *Fleet, load []float64) float64 {
+	best := math.Inf(1)
+	used := make([]float64, len(f.Searchers))
+	var put func(s int)
+	put = func(s int) {
+		if s == len(load) {
+			most := 0.0
+			for i, u := range used {
+				most = max(most, u/float64(f.Searchers[i].Cores))
+			}
+			best = min(best, most)
+			return
+		}
+		for i := range f.Searchers {
+			for j := range i {
+				if f.Searchers[i].Location != f.Searchers[j].Location {
+					used[i], used[j] = used[i]+load[s]/2, used[j]+load[s]/2
+					put(s + 1)
+					used[i], used[j] = used[i]-load[s]/2, used[j]-load[s]/2
+				}
+			}
+		}
+	}
+	put(0)
+	return best
+}
+
+func TestPlacement(t *testing.T) {
+	worst := 1.0
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		f := fleet(4, 1)
+		for i := range f.Searchers {
+			f.Searchers[i].Cores = 1 + rng.IntN(3)
+		}
+		load := make([]float64, 5)
+		for s := range load {
+			load[s] = 0.1 + rng.Float64()
+		}
+		p, err := Place(&f, load, 2, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		best := bestPlacement(&f, load)
+		if p.Most < best-1e-9 || p.Bound > best+1e-9 {
+			t.Fatalf("seed %d: %g, bound %g, the best is %g", seed, p.Most, p.Bound, best)
+		}
+		worst = max(worst, p.Most/best)
+		for s, list := range p.Copies {
+			if len(list) != 2 || f.Searchers[list[0]].Location == f.Searchers[list[1]].Location {
+				t.Fatalf("seed %d: copies of shard %d stand at %v", seed, s, list)
+			}
+		}
+		again, err := Place(&f, load, 2, p.Copies)
+		if err != nil || again.Moves > 0 && p.Most <= p.Bound*(1+roomToStay/2) {
+			t.Fatalf("seed %d: %d moves from a placement that is as good as it gets, %v", seed, again.Moves, err)
+		}
+	}
+	t.Logf("the fullest searcher has at worst %.3f of the best placement's", worst)
+	if worst > 1.35 {
+		t.Errorf("%.3f of the best at worst", worst)
+	}
+	f := fleet(4, 1)
+	for i := range f.Searchers {
+		f.Searchers[i].Location = "north"
+	}
+	if _, err := Place(&f, []float64{1}, 2, nil); err == nil {
+		t.Error("two copies in one location")
+	}
+}
+
+// An emulation keeps the modules' rules: a once-only part is never called twice where a call may have run.
+func TestEmulationOfOnceOnly(t *testing.T) {
+	f, a := fleet(6, 2), ask(400, 3)
+	f.Indexes[0].Effect = logic.OnceOnly
+	f.Searchers[2].Queue = 2
+	o := Emulate(&f, &a, 4, 3000)
+	if o.Calls > 1.05 {
+		t.Fatalf("%.3f calls a part", o.Calls)
+	}
+}
+
+// A fleet with room recovers from a burst; one that is asked for more than it bears does not, and is told how far to go down.
+func TestRecovery(t *testing.T) {
+	f, a := fleet(4, 2), ask(100, 2) // its cores bear 400
+	f.Retries, f.Backoff = 2, 0.05
+	if recovers, leave := Recovers(&f, &a, 3, 1); !recovers || leave != a.PerS {
+		t.Errorf("a quarter of what the cores bear: %t, leave at %g", recovers, leave)
+	}
+	if raceOn {
+		return
+	}
+	a = ask(600, 2)
+	if recovers, leave := Recovers(&f, &a, 2, 1); recovers || leave < 150 || leave > 420 {
+		t.Errorf("one and a half times what the cores bear: %t, leave at %g", recovers, leave)
+	}
+}
--- /dev/null
+++ b/internal/plan/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package plan
+
+const raceOn = false
--- /dev/null
+++ b/internal/prove/prove.go
@@ -0,0 +1,245 @@
+// Package prove holds the planner to what happens: it plays settings through real mixers against stand-in searchers with
+// known limits, and shows what was predicted, what happened and the error side by side. It decides nothing.
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/node"
+	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/plan"
+	"puffinlink.example/puffinlink/internal/standin"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// Setting is one that is played.
+type Setting struct {
+	Name    string
+	Fleet   plan.Fleet
+	Ask     plan.Ask
+	Blind   bool // drawn by a seed that was never looked at while tuning
+	Seconds float64
+}
+
+// Figure is one that is predicted and happens.
+type Figure struct {
+	Name                string
+	Predicted, Happened float64
+	Error               float64 // of the prediction, against what happened
+}
+
+// Result is what came of a setting.
+type Result struct {
+	Setting string
+	Blind   bool
+	Figures []Figure
+	Worst   float64
+}
+
+// loop is what loopback, the kernel's timers and the clients' side add to each way of a part call and of a lookup, seconds:
+// measured by one lookup at a time on an idle machine.
+const loop = 0.0002
+
+// uniformScv is of the stand-ins' service times, which lie evenly from half to one and a half of their mean.
+const uniformScv = 1.0 / 12
+
+// Settings are the ones that are always played, and so many that a seed draws.
+func Settings(blind int, seed uint64, seconds float64) (list []Setting) {
+	base := func(name string) Setting {
+		f := plan.Fleet{Locations: []string{"north", "south"}, Cells: 6, Width: 2, Shards: 12, Mixers: 2, Step: 0.005, Network: loop, MostTries: 3, Multiplex: 100,
+			Indexes: []plan.Index{{Name: "reads", Soft: 0.5, Hard: 2, Gain: 1, Late: 0.1, Work: 0.01, Scv: uniformScv, Goal: 0.99},
+				{Name: "orders", Effect: logic.OnceOnly, Soft: 0.5, Hard: 2, Gain: 3, Late: 0.1, Work: 0.01, Scv: uniformScv, Goal: 0.99}}}
+		for i := range 6 {
+			f.Searchers = append(f.Searchers, plan.Searcher{Name: fmt.Sprint("s-", i+1), Location: f.Locations[i%2], Cell: i, Cores: 4, Speed: 1, Price: 1})
+		}
+		return Setting{Name: name, Fleet: f, Ask: plan.Ask{PerS: 100, Mix: []plan.Share{{Index: 0, Of: 0.9, Parts: 4}, {Index: 1, Of: 0.1, Parts: 2}}}, Seconds: seconds}
+	}
+	add := func(name string, change func(*Setting)) {
+		s := base(name)
+		change(&s)
+		list = append(list, s)
+	}
+	// Six searchers of four cores and 10 ms a part bear 2,400 parts a second: some 630 lookups of 3.8 parts.
+	add("low load", func(s *Setting) { s.Ask.PerS = 60 })
+	add("half load", func(s *Setting) { s.Ask.PerS = 310 })
+	add("high load", func(s *Setting) { s.Ask.PerS = 500 })
+	add("many parts", func(s *Setting) { s.Ask.PerS = 150; s.Ask.Mix[0].Parts = 10 })
+	add("popular shards", func(s *Setting) {
+		s.Ask.PerS = 250
+		s.Ask.Popular = make([]float64, 12)
+		for i := range s.Ask.Popular {
+			s.Ask.Popular[i] = 1 / float64(i+1)
+		}
+	})
+	add("all twice as slow", func(s *Setting) { s.Fleet = s.Fleet.Slower(2); s.Ask.PerS = 200 })
+	add("once-only alone", func(s *Setting) { s.Ask.Mix = s.Ask.Mix[1:]; s.Ask.Mix[0].Of = 1; s.Ask.PerS = 400 })
+	add("a location lost", func(s *Setting) {
+		s.Fleet, _ = s.Fleet.Without("south")
+		s.Ask.PerS = 150
+	})
+	g := seed
+	unit := func() float64 { // splitmix64
+		g += 0x9e3779b97f4a7c15
+		z := (g ^ g>>30) * 0xbf58476d1ce4e5b9
+		z = (z ^ z>>27) * 0x94d049bb133111eb
+		return float64(z^z>>31) / (1 << 64)
+	}
+	for n := range blind {
+		s := base(fmt.Sprintf("drawn %d", n+1))
+		s.Blind = true
+		work := 0.005 + 0.02*unit()
+		for i := range s.Fleet.Indexes {
+			s.Fleet.Indexes[i].Work = work
+		}
+		cores, parts := 2+int(4*unit()), 1+int(7*unit())
+		for i := range s.Fleet.Searchers {
+			s.Fleet.Searchers[i].Cores = cores
+		}
+		s.Ask.Mix[0].Parts = parts
+		each := 0.9*float64(parts) + 0.1*2
+		s.Ask.PerS = (0.1 + 0.7*unit()) * float64(6*cores) / work / each
+		list = append(list, s)
+	}
+	return list
+}
+
+// Overrun is how much longer than asked a sleep takes on this machine, seconds: stand-ins work by sleeping, so a part's work
+// is that much more than stated, as a capture of theirs would show.
+func Overrun() float64 {
+	const sleepers, times, long = 8, 20, 5 * time.Millisecond
+	over := make(chan time.Duration, sleepers*times)
+	for range sleepers {
+		go func() {
+			for range times {
+				began := time.Now()
+				time.Sleep(long)
+				over <- time.Since(began) - long
+			}
+		}()
+	}
+	sum := 0.0
+	for range sleepers * times {
+		sum += (<-over).Seconds()
+	}
+	return sum / (sleepers * times)
+}
+
+// Play plays one setting, predicted and on sockets.
+func Play(ctx context.Context, s Setting, overrun float64, seed uint64) (r Result, err error) {
+	if err := s.Fleet.Check(); err != nil {
+		return r, err
+	}
+	known := s.Fleet
+	known.Indexes = slices.Clone(known.Indexes)
+	for i := range known.Indexes { // all searchers of a setting are of one speed
+		known.Indexes[i].Work += overrun * known.Searchers[0].Speed
+	}
+	want := plan.Emulate(&known, &s.Ask, seed, 0)
+	got, err := happen(ctx, s)
+	if err != nil {
+		return r, err
+	}
+	r = Result{Setting: s.Name, Blind: s.Blind}
+	add := func(name string, predicted, happened float64) {
+		e := 0.0
+		if happened != predicted {
+			e = (predicted - happened) / math.Max(happened, 1e-9)
+		}
+		r.Figures = append(r.Figures, Figure{name, predicted, happened, e})
+		r.Worst = math.Max(r.Worst, math.Abs(e))
+	}
+	answered := float64(got.Satisfied) / float64(max(1, got.Asked))
+	add("satisfied", 1-want.Nacked-want.Aborted, answered)
+	add("p50 ms", 1000*want.P50, float64(got.P50.Microseconds())/1000)
+	add("p99 ms", 1000*want.P99, float64(got.P99.Microseconds())/1000)
+	return r, nil
+}
+
+// happen plays a setting on sockets: real mixers, stand-ins for the rest.
+func happen(ctx context.Context, s Setting) (t standin.Tally, err error) {
+	site := standin.Site{Zones: s.Fleet.Locations, Cells: s.Fleet.Cells, Width: s.Fleet.Width, Shards: s.Fleet.Shards, Mixers: s.Fleet.Mixers}
+	effects := map[logic.Effect]string{logic.Idempotent: "repeatable", logic.Fingerprinted: "by_key", logic.OnceOnly: "once"}
+	for _, x := range s.Fleet.Indexes {
+		site.Indexes = append(site.Indexes, standin.Index{Name: x.Name, Effect: effects[x.Effect], Soft: x.Soft, Hard: x.Hard, Gain: x.Gain})
+	}
+	register, err := standin.NewRegister()
+	if err != nil {
+		return t, err
+	}
+	defer register.Close()
+	for _, x := range s.Fleet.Searchers {
+		service := time.Duration(s.Fleet.Indexes[0].Work / x.Speed * float64(time.Second))
+		h, err := standin.NewSearcher(x.Name, x.Location, x.Cell, x.Cores, service)
+		if err != nil {
+			return t, err
+		}
+		defer h.Kill()
+		register.Set(h.Entry("SERVING", true))
+	}
+	load := &standin.Load{Site: site, PerS: s.Ask.PerS, Popular: s.Ask.Popular}
+	for _, m := range s.Ask.Mix {
+		x := s.Fleet.Indexes[m.Index]
+		load.Mixes = append(load.Mixes, standin.Mix{Index: x.Name, Share: m.Of, Parts: m.Parts, Deadline: time.Duration(x.Hard * float64(time.Second))})
+	}
+	for i := range s.Fleet.Mixers {
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return t, err
+		}
+		address := free.Addr().String()
+		free.Close()
+		var c node.Config
+		if err := json.Unmarshal(site.Config(fmt.Sprint("n", i+1), address, register, i), &c); err != nil {
+			return t, err
+		}
+		set, err := c.Check()
+		if err != nil {
+			return t, err
+		}
+		n, err := node.Start(c, set, opfile.Defaults(), zerolog.Nop(), counters.New())
+		if err != nil {
+			return t, err
+		}
+		defer n.Stop()
+		load.Mixers = append(load.Mixers, address)
+	}
+	load.Run()
+	pause := func(seconds float64) {
+		select {
+		case <-time.After(time.Duration(seconds * float64(time.Second))):
+		case <-ctx.Done():
+		}
+	}
+	pause(2) // windows and latencies are learnt
+	load.Take()
+	pause(s.Seconds)
+	t = load.Take()
+	load.Stop()
+	rest := load.Take() // what was due then
+	t.Satisfied, t.Nacked, t.Aborted, t.Lost = t.Satisfied+rest.Satisfied, t.Nacked+rest.Nacked, t.Aborted+rest.Aborted, t.Lost+rest.Lost
+	t.Asked = t.Satisfied + t.Nacked + t.Aborted + t.Lost
+	return t, ctx.Err()
+}
+
+// Print shows results, the worst first among the known and among the drawn ones.
+func Print(out io.Writer, results []Result) {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "SETTING\tFIGURE\tPREDICTED\tHAPPENED\tERROR")
+	for _, r := range results {
+		for _, f := range r.Figures {
+			fmt.Fprintf(w, "%s\t%s\t%.3g\t%.3g\t%+.1f%%\n", r.Setting, f.Name, f.Predicted, f.Happened, 100*f.Error)
+		}
+	}
+	w.Flush()
+}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,10 +26,11 @@
 
 // Load asks mixers for lookups at a steady mean rate, by itself: a slow answer holds up no arrival.
 type Load struct {
-	Mixers []string // addresses
-	Site   Site
-	Mixes  []Mix
-	PerS   float64
+	Mixers  []string // addresses
+	Site    Site
+	Mixes   []Mix
+	PerS    float64
+	Popular []float64 // share of parts by shard; nil for all alike
 
 	client *http.Client
 	wg     sync.WaitGroup
@@ -63,12 +65,34 @@
 					break
 				}
 			}
-			shards := rng.Perm(l.Site.Shards)[:min(mix.Parts, l.Site.Shards)]
+			shards := l.shards(rng, min(mix.Parts, l.Site.Shards))
 			l.wg.Go(func() { l.ask(mixer, mix, shards) })
 		}
 	})
 }
 
+// shards draws so many different ones by their popularity.
+func (l *Load) shards(rng *rand.Rand, n int) (list []int) {
+	if l.Popular == nil {
+		return rng.Perm(l.Site.Shards)[:n]
+	}
+	total := 0.0
+	for _, p := range l.Popular {
+		total += p
+	}
+	for len(list) < n {
+		s := 0
+		for u := rng.Float64() * total; s < len(l.Popular)-1 && u >= l.Popular[s]; s++ {
+			u -= l.Popular[s]
+		}
+		for slices.Contains(list, s%l.Site.Shards) {
+			s++
+		}
+		list = append(list, s%l.Site.Shards)
+	}
+	return list
+}
+
 // newHistogram holds microseconds up to a minute, to three digits.
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
 
