--- a/internal/plan/emulate.go
+++ b/internal/plan/emulate.go
@@ -165,9 +165,12 @@
 const (
 	warmLookups = 400
 	sureLookups = 2500
-	leastWarm   = 2.0 // seconds: windows and latencies are learnt
-	leastTime   = 3.0
 	mostTime    = 120.0
+	// Windows and latencies are learnt once each searcher has answered so often, or after mostWarm seconds.
+	warmCalls           = 100
+	leastWarm, mostWarm = 0.5, 2.0
+	// leastTime is what counts at the least, seconds: queues at high load come and go over tens of parts' work.
+	leastTime = 1.0
 )
 
 // Emulate plays a steady load on a fleet, so long that so many lookups count (0 for the usual number). Both must have
@@ -177,7 +180,7 @@
 		lookups = sureLookups
 	}
 	w := newWorld(f, a, seed)
-	w.warm = max(leastWarm, warmLookups/a.PerS)
+	w.warm = max(warmLookups/a.PerS, min(mostWarm, max(leastWarm, warmCalls*float64(len(f.Searchers))/(a.PerS*a.parts()))))
 	w.end = w.warm + min(mostTime, max(leastTime, float64(lookups)/a.PerS))
 	w.arrive()
 	longest := 0.0
@@ -490,10 +493,6 @@
 	for _, m := range w.mixers {
 		o.MostHeld, o.MostOut = max(o.MostHeld, m.mostHeld), max(o.MostOut, m.mostOut)
 	}
-	each := 0.0
-	for _, m := range w.a.Mix {
-		each += m.Of * float64(m.Parts)
-	}
-	o.Calls = parts / max(1, each*w.a.PerS*w.end)
+	o.Calls = parts / max(1, w.a.parts()*w.a.PerS*w.end)
 	return *o
 }
--- a/internal/plan/fleet.go
+++ b/internal/plan/fleet.go
@@ -185,6 +185,14 @@
 	return nil
 }
 
+// parts is how many a lookup has in the mean.
+func (a *Ask) parts() (n float64) {
+	for _, m := range a.Mix {
+		n += m.Of * float64(m.Parts)
+	}
+	return n
+}
+
 // Scaled is the load at another rate.
 func (a Ask) Scaled(times float64) Ask {
 	a.PerS *= times
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -163,10 +163,10 @@
 		asked := a.Scaled(share)
 		w := newWorld(f, &asked, seed)
 		usual := asked.PerS
-		w.warm = leastWarm + mostBurst*2
-		w.end = w.warm + max(leastTime, sureLookups/usual)
-		w.at(leastWarm, func() { asked.PerS = burst * a.PerS })
-		w.at(leastWarm+mostBurst, func() { asked.PerS = usual })
+		w.warm = mostWarm + mostBurst*2
+		w.end = w.warm + max(3*leastTime, sureLookups/usual)
+		w.at(mostWarm, func() { asked.PerS = burst * a.PerS })
+		w.at(mostWarm+mostBurst, func() { asked.PerS = usual })
 		w.arrive()
 		for len(w.agenda) > 0 && w.agenda[0].at < w.end+10 {
 			w.next()
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -88,6 +88,37 @@
 		s.Fleet, _ = s.Fleet.Without("south")
 		s.Ask.PerS = 150
 	})
+	add("high load, popular shards", func(s *Setting) {
+		s.Ask.PerS = 330
+		s.Ask.Popular = make([]float64, 12)
+		for i := range s.Ask.Popular {
+			s.Ask.Popular[i] = 1 / math.Sqrt(float64(i+1))
+		}
+	})
+	add("one part", func(s *Setting) {
+		s.Ask.PerS = 1200
+		s.Ask.Mix = s.Ask.Mix[:1]
+		s.Ask.Mix[0] = plan.Share{Index: 0, Of: 1, Parts: 1}
+	})
+	add("every shard", func(s *Setting) {
+		s.Ask.PerS = 110
+		s.Ask.Mix = s.Ask.Mix[:1]
+		s.Ask.Mix[0] = plan.Share{Index: 0, Of: 1, Parts: 12}
+	})
+	add("four mixers", func(s *Setting) { s.Ask.PerS = 400; s.Fleet.Mixers = 4 })
+	add("a location lost under load", func(s *Setting) {
+		s.Fleet, _ = s.Fleet.Without("south")
+		s.Ask.PerS = 260
+	})
+	add("a location lost with both copies", func(s *Setting) {
+		for i := range s.Fleet.Searchers { // cells 0 to 2 stand in north: shards 0 and 1 have both copies there
+			s.Fleet.Searchers[i].Location = s.Fleet.Locations[i/3]
+		}
+		s.Fleet, _ = s.Fleet.Without("north")
+		s.Ask.PerS = 60
+	})
+	add("too much", func(s *Setting) { s.Ask.PerS = 850 })
+	add("too much, clients come back", func(s *Setting) { s.Ask.PerS = 750; s.Fleet.Retries, s.Fleet.Backoff = 2, 0.1 })
 	g := seed
 	unit := func() float64 { // splitmix64
 		g += 0x9e3779b97f4a7c15
@@ -161,6 +192,7 @@
 	}
 	answered := float64(got.Satisfied) / float64(max(1, got.Asked))
 	add("satisfied", 1-want.Nacked-want.Aborted, answered)
+	add("gain in time", want.Gain, got.Gain)
 	add("p50 ms", 1000*want.P50, float64(got.P50.Microseconds())/1000)
 	add("p99 ms", 1000*want.P99, float64(got.P99.Microseconds())/1000)
 	return r, nil
@@ -187,10 +219,11 @@
 		defer h.Kill()
 		register.Set(h.Entry("SERVING", true))
 	}
-	load := &standin.Load{Site: site, PerS: s.Ask.PerS, Popular: s.Ask.Popular}
+	load := &standin.Load{Site: site, PerS: s.Ask.PerS, Popular: s.Ask.Popular, Retries: s.Fleet.Retries, Backoff: time.Duration(s.Fleet.Backoff * float64(time.Second))}
 	for _, m := range s.Ask.Mix {
 		x := s.Fleet.Indexes[m.Index]
-		load.Mixes = append(load.Mixes, standin.Mix{Index: x.Name, Share: m.Of, Parts: m.Parts, Deadline: time.Duration(x.Hard * float64(time.Second))})
+		load.Mixes = append(load.Mixes, standin.Mix{Index: x.Name, Share: m.Of, Parts: m.Parts, Deadline: time.Duration(x.Hard * float64(time.Second)),
+			Soft: time.Duration(x.Soft * float64(time.Second)), Gain: x.Gain})
 	}
 	for i := range s.Fleet.Mixers {
 		free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -227,6 +260,7 @@
 	t = load.Take()
 	load.Stop()
 	rest := load.Take() // what was due then
+	// Lookups that were due then are few against the others, and their gain is left out.
 	t.Satisfied, t.Nacked, t.Aborted, t.Lost = t.Satisfied+rest.Satisfied, t.Nacked+rest.Nacked, t.Aborted+rest.Aborted, t.Lost+rest.Lost
 	t.Asked = t.Satisfied + t.Nacked + t.Aborted + t.Lost
 	return t, ctx.Err()
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -22,6 +22,8 @@
 	Share    float64 // of all lookups
 	Parts    int
 	Deadline time.Duration
+	Soft     time.Duration // within which an answer has its whole gain
+	Gain     float64
 }
 
 // Load asks mixers for lookups at a steady mean rate, by itself: a slow answer holds up no arrival.
@@ -30,7 +32,9 @@
 	Site    Site
 	Mixes   []Mix
 	PerS    float64
-	Popular []float64 // share of parts by shard; nil for all alike
+	Popular []float64     // share of parts by shard; nil for all alike
+	Retries int           // of a lookup that was nacked, within its deadline
+	Backoff time.Duration // before each, at the least
 
 	client *http.Client
 	wg     sync.WaitGroup
@@ -40,6 +44,7 @@
 
 	mu      sync.Mutex
 	ends    map[string]int64 // satisfied, nacked, aborted, lost
+	gain    [2]float64       // asked for, and answered within the soft deadline
 	latency *hdrhistogram.Histogram
 }
 
@@ -103,10 +108,11 @@
 	l.client.CloseIdleConnections()
 }
 
-// ask sends one lookup. The query names it, so that a part that runs twice is seen.
+// ask sends one lookup, and sends it again where it is nacked and the clients do that. The query names it, so that a part
+// that runs twice is seen.
 func (l *Load) ask(mixer string, mix Mix, shards []int) {
 	l.asked.Add(1)
-	id := fmt.Sprintf("%016x", l.nextID.Add(1))
+	query := fmt.Sprintf("%s-%016x", mix.Index, l.nextID.Add(1))
 	body := []byte(`{"targets":[`)
 	for i, s := range shards {
 		if i > 0 {
@@ -114,39 +120,59 @@
 		}
 		body = fmt.Appendf(body, `{"partition":%d,"share":%.6f}`, s, 1/float64(len(shards)))
 	}
-	body = fmt.Appendf(body, `],"query":"%s-%s"}`, mix.Index, id)
-	ctx, cancel := context.WithTimeout(context.Background(), mix.Deadline+2*time.Second)
+	body = fmt.Appendf(body, `],"query":"%s"}`, query)
+	began := time.Now()
+	end, wait := "", time.Duration(0)
+	for tries := 0; ; tries++ {
+		end, wait = l.try(mixer, mix, body, mix.Deadline-time.Since(began))
+		wait = max(wait, time.Duration(float64(l.Backoff)*(0.5+rand.Float64())))
+		if end != "nacked" || tries >= l.Retries || time.Since(began)+wait >= mix.Deadline {
+			break
+		}
+		time.Sleep(wait)
+		mixer = l.Mixers[rand.IntN(len(l.Mixers))]
+	}
+	took := time.Since(began)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[end]++
+	l.gain[0] += mix.Gain
+	if end == "satisfied" {
+		l.latency.RecordValue(max(1, took.Microseconds()))
+		if took <= mix.Soft {
+			l.gain[1] += mix.Gain
+		}
+	}
+}
+
+// try sends a lookup once.
+func (l *Load) try(mixer string, mix Mix, body []byte, left time.Duration) (end string, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), left+2*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+mixer+"/"+mix.Index, bytes.NewReader(body))
-	req.Header = http.Header{"Req-Id": {id}, "Req-Kind": {mix.Index}, "Req-Deadline": {strconv.FormatFloat(mix.Deadline.Seconds(), 'f', 3, 64)}}
-	began := time.Now()
+	req.Header = http.Header{"Req-Id": {fmt.Sprintf("%016x", l.nextID.Add(1))}, "Req-Kind": {mix.Index},
+		"Req-Deadline": {strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}}
 	res, err := l.client.Do(req)
-	end := "lost"
 	if err == nil {
 		_, err = io.Copy(io.Discard, res.Body)
 		res.Body.Close()
 	}
-	took := time.Since(began)
 	switch {
 	case err != nil:
+		return "lost", 0
 	case res.StatusCode == http.StatusOK:
-		end = "satisfied"
+		return "satisfied", 0
 	case res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusServiceUnavailable:
-		end = "nacked"
-	default:
-		end = "aborted"
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ends[end]++
-	if end == "satisfied" {
-		l.latency.RecordValue(max(1, took.Microseconds()))
+		seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		return "nacked", time.Duration(seconds * float64(time.Second))
 	}
+	return "aborted", 0
 }
 
 // Tally is what came of some lookups.
 type Tally struct {
 	Asked, Satisfied, Nacked, Aborted, Lost int64
+	Gain                                    float64       // share of it that was answered within the soft deadline
 	P50, P99                                time.Duration // of the satisfied
 }
 
@@ -156,6 +182,10 @@
 	defer l.mu.Unlock()
 	t := Tally{Asked: l.asked.Swap(0), Satisfied: l.ends["satisfied"], Nacked: l.ends["nacked"], Aborted: l.ends["aborted"], Lost: l.ends["lost"],
 		P50: time.Duration(l.latency.ValueAtQuantile(50)) * time.Microsecond, P99: time.Duration(l.latency.ValueAtQuantile(99)) * time.Microsecond}
+	if t.Gain = 1; l.gain[0] > 0 {
+		t.Gain = l.gain[1] / l.gain[0]
+	}
+	l.gain = [2]float64{}
 	clear(l.ends)
 	l.latency.Reset()
 	return t
