--- a/logic/logic.go
+++ b/logic/logic.go
@@ -188,7 +188,7 @@
 	if out := s.scope(p.lk.k).out; out || pin == nil {
 		return !out
 	}
-	at := m.searchers[pin.Searcher]
+	at := p.pinTo
 	switch dead := at == nil || at.gone || m.now < at.downUntil; {
 	case s == at:
 		return !pin.Strict || !dead
--- a/logic/state.go
+++ b/logic/state.go
@@ -102,7 +102,8 @@
 	ran    bool    // some call of it may have run
 	owed   bool    // a further call is promised to it
 	lot    float64
-	pin    *PinOverride // where operators pin it, as of so many changes of pins
+	pin    *PinOverride // where operators pin it, as of so many changes of pins and lists
+	pinTo  *searcher    // that one; nil where nobody has its number
 	pinsAt int
 }
 
@@ -341,12 +342,12 @@
 }
 
 // pin tells where operators pin p, nil if they do not or it is among those that a waning pin leaves. It is looked up
-// once between two changes of pins.
+// once between two changes of pins or of the list.
 func (m *Mixer) pin(p *part) *PinOverride {
 	if p.pinsAt != m.pinsAt {
 		p.pinsAt, p.pin = m.pinsAt, nil
 		if pin := m.pins[pinned{p.shard, p.lk.k}]; pin != nil && p.lot < pin.Share {
-			p.pin = pin
+			p.pin, p.pinTo = pin, m.searchers[pin.Searcher]
 		}
 	}
 	return p.pin
@@ -464,6 +465,7 @@
 // unname takes all searchers as gone, before a whole list names those that are not. Those that were gone before
 // and that nothing refers to any more are forgotten.
 func (m *Mixer) unname(all bool) {
+	m.pinsAt++
 	forgotten := func(s *searcher) bool { return s.gone && len(s.out) == 0 && s.heldUnits == 0 }
 	for _, s := range m.fleet {
 		if forgotten(s) {
