--- a/cmd/puffinlink/plan.go
+++ b/cmd/puffinlink/plan.go
@@ -147,7 +147,7 @@
 	if breakErr != nil {
 		fmt.Fprintln(stdout, "note:", breakErr)
 	} else {
-		fmt.Fprintf(stdout, "goals break at %.0f to %.0f lookups a second, %.2f times this load: index %s first; nearest its limit there: %s of %s (margin %.2f)\n",
+		fmt.Fprintf(stdout, "goals break at %.0f to %.0f lookups a second, %.2f times this load, first that of %s; nearest its limit there: %s of %s (margin %.2f)\n",
 			r.Breaks.PerS, r.Breaks.Fails, r.Breaks.PerS/a.PerS, r.Breaks.Index, r.Breaks.First.What, r.Breaks.First.Where, r.Breaks.First.Margin)
 	}
 	switch {
--- a/internal/plan/emulate.go
+++ b/internal/plan/emulate.go
@@ -153,6 +153,7 @@
 // Outcome is what an emulation comes to.
 type Outcome struct {
 	Asked     int64     // lookups, by their clients' first tries
+	Lookups   []int64   // of them, by index
 	InTime    []float64 // share of lookups by index that were answered within the soft deadline
 	LateShare []float64 // answered after it
 	Nacked    float64   // shares of all that ended so at last
@@ -477,6 +478,9 @@
 	asked := w.asked
 	n := max(1, float64(o.Asked))
 	gain, all := 0.0, 0.0
+	for _, n := range asked {
+		o.Lookups = append(o.Lookups, int64(n))
+	}
 	for k, x := range w.f.Indexes {
 		all += asked[k] * x.Gain
 		gain += o.InTime[k] * x.Gain
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -57,14 +57,12 @@
 	return list
 }
 
-// Meets tells whether an outcome keeps the goals, and which index falls short most, "" for none.
+// Meets tells whether an outcome keeps the goals of the indexes that were asked, and which falls short most, "" for none.
 func (o *Outcome) Meets(f *Fleet) (bool, string) {
 	worst, by := "", 0.0
 	for k, x := range f.Indexes {
-		if short := x.Goal - o.ByIndex[k]; x.Goal > 0 && short > by && slices.ContainsFunc(o.ByIndex, func(v float64) bool { return v > 0 }) {
+		if short := x.Goal - o.ByIndex[k]; o.Lookups[k] > 0 && short > by {
 			worst, by = x.Name, short
-		} else if x.Goal > 0 && o.Gain == 0 {
-			worst, by = x.Name, x.Goal
 		}
 	}
 	return worst == "", worst
@@ -82,6 +80,9 @@
 const (
 	// closeEnough is how near the two sides of a breaking load are brought: a third of what predictions are held to.
 	closeEnough = 0.05
+	// mostUse is the use of a searcher's cores beyond which its queue grows for good: within an emulation's seconds that
+	// breaks no goal yet, within an hour it does.
+	mostUse = 0.97
 	// mostSearch bounds the search.
 	mostSearch = 24
 )
@@ -101,7 +102,11 @@
 		}
 		asked := a.Scaled(try / a.PerS)
 		o := Emulate(f, &asked, seed, 0)
-		if ok, index := o.Meets(f); ok {
+		ok, index := o.Meets(f)
+		if ok && o.Use[o.Hottest] > mostUse {
+			ok, index = false, "all of them, by a queue that grows"
+		}
+		if ok {
 			low = try
 		} else {
 			high, b.Index = try, index
