--- a/cmd/puffinlink/capture.go
+++ b/cmd/puffinlink/capture.go
@@ -1,16 +1,14 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/jsonc"
 )
 
 type captureCmd struct {
@@ -153,14 +151,9 @@
 	if err != nil {
 		return err
 	}
-	if text, err = hujson.Standardize(text); err != nil {
-		return fmt.Errorf("%s: %w", m.File, err)
-	}
 	f := synthFile{IntervalS: 10}
-	in := json.NewDecoder(strings.NewReader(string(text)))
-	in.DisallowUnknownFields()
-	if err := in.Decode(&f); err != nil {
-		return fmt.Errorf("%s: %w", m.File, err)
+	if err := jsonc.Decode(text, &f); err != nil {
+		return fmt.Errorf("%s:%w", m.File, err)
 	}
 	s := capture.Synth{For: f.LastsS, Span: f.IntervalS, PerS: f.LookupsPerS, Shards: f.Shards, Skew: f.Skew, Day: f.Day, MonthEnd: f.MonthEndFactor, Seed: f.Seed}
 	if !f.Begins.IsZero() {
--- a/cmd/puffinlink/commands_test.go
+++ b/cmd/puffinlink/commands_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/operators"
+	"puffinlink.example/puffinlink/internal/standin"
 )
 
 // said runs a command line and tells its exit code and what it printed.
@@ -60,12 +61,10 @@
 		t.Fatal(err)
 	}
 	defer os.RemoveAll(dir)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := free.Addr().String()
-	free.Close()
 	configured(t, listen, "127.0.0.1:1", "127.0.0.1:2", goodSettings)
 	socket := "unix:" + dir + "/s"
 	operator := filepath.Join(dir, "operator.json5")
--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"puffinlink.example/puffinlink/internal/standin"
 )
 
 const goodSettings = `{"granularityS":0.005,"azs":["a"],"models":["m"],"stats":{"how":"answers"},
@@ -93,12 +95,10 @@
 		http.NotFound(w, q)
 	}))
 	defer moved.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := free.Addr().String()
-	free.Close()
 	configured(t, listen, register.Listener.Addr().String(), peer.Addr().String(), goodSettings)
 	t.Setenv("LB_DISCOVERY", register.Listener.Addr().String())
 	ended := make(chan error, 1)
--- a/cmd/puffinlink/override.go
+++ b/cmd/puffinlink/override.go
@@ -372,11 +372,9 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(stdout, "token, for its holder alone: %s\nfor operators.tokens: %s\n", token, func() string {
-		text, _ := json.Marshal(opfileToken{c.Name, c.Role, hash})
-		return string(text)
-	}())
-	return nil
+	line, err := json.Marshal(opfileToken{c.Name, c.Role, hash})
+	fmt.Fprintf(stdout, "token, for its holder alone: %s\nfor operators.tokens: %s\n", token, line)
+	return err
 }
 
 type opfileToken struct {
--- a/cmd/puffinlink/plan.go
+++ b/cmd/puffinlink/plan.go
@@ -48,7 +48,7 @@
 	if err = f.Check(); err != nil {
 		return f, a, notes, fmt.Errorf("%s: %w", p.Fleet, err)
 	}
-	a, more, err := fleetfile.Ask(&f, c, p.Mean)
+	a, more, err := fleetfile.Ask(&f, c, &sum, p.Mean)
 	if err != nil {
 		return f, a, notes, err
 	}
@@ -283,12 +283,13 @@
 	Text        string  `json:"note,omitempty"`
 }
 
-func (c *planCompareCmd) side(p planned) (s side, err error) {
+// side plays one side.
+func (p *planned) side() (s side, err error) {
 	f, a, _, err := p.read()
 	if err != nil {
 		return s, err
 	}
-	o := plan.Emulate(&f, &a, c.Seed, 0)
+	o := plan.Emulate(&f, &a, p.Seed, 0)
 	s = side{Fleet: p.Fleet, LookupsPerS: a.PerS, InTime: o.Gain, Nacked: o.Nacked, P50: o.P50, P99: o.P99, Use: o.Use[o.Hottest], WorstInTime: 1}
 	for _, x := range f.Searchers {
 		s.Price += x.Price
@@ -298,11 +299,11 @@
 		if len(left.Searchers) == 0 || len(left.Searchers) == len(f.Searchers) {
 			continue
 		}
-		if lost := plan.Emulate(&left, &a, c.Seed, 0); lost.Gain <= s.WorstInTime {
+		if lost := plan.Emulate(&left, &a, p.Seed, 0); lost.Gain <= s.WorstInTime {
 			s.Worst, s.WorstInTime = place, lost.Gain
 		}
 	}
-	b, err := plan.Break(&f, &a, c.Seed, nil)
+	b, err := plan.Break(&f, &a, p.Seed, nil)
 	if s.Breaks = b.PerS; err != nil {
 		s.Text = err.Error()
 	}
@@ -316,7 +317,7 @@
 	}
 	var sides []side
 	for _, p := range []planned{c.planned, other} {
-		s, err := c.side(p)
+		s, err := p.side()
 		if err != nil {
 			return err
 		}
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -29,16 +29,14 @@
 	return Hist{hdrhistogram.New(1, int64(longest/unit), digits)}
 }
 
-func (h *Hist) record(seconds float64, n int64) {
+// Add records a time in seconds, n times.
+func (h *Hist) Add(seconds float64, n int64) {
 	if h.of == nil {
 		*h = newHist(2)
 	}
 	h.of.RecordValues(min(max(1, int64(seconds/unit+0.5)), int64(longest/unit)), n)
 }
 
-// Add records a time in seconds, n times.
-func (h *Hist) Add(seconds float64, n int64) { h.record(seconds, n) }
-
 // Count is how many times it holds.
 func (h Hist) Count() int64 {
 	if h.of == nil {
@@ -73,11 +71,9 @@
 }
 
 // Merge adds all that another holds.
-func (h *Hist) Merge(o Hist) { h.merge(o) }
-
-func (h *Hist) merge(o Hist) {
+func (h *Hist) Merge(o Hist) {
 	for _, b := range o.bars() {
-		h.record(float64(b[0])*unit, b[1])
+		h.Add(float64(b[0])*unit, b[1])
 	}
 }
 
@@ -108,7 +104,7 @@
 		if b[0] < 1 || b[0] > 2*longest/unit || b[1] < 1 {
 			return fmt.Errorf("histogram bar %v, expected a time of %g s at most and a count", b, float64(longest))
 		}
-		h.record(float64(b[0])*unit, b[1])
+		h.Add(float64(b[0])*unit, b[1])
 	}
 	return nil
 }
@@ -336,7 +332,7 @@
 		} else {
 			e.Late++
 		}
-		b.latency[k].record(took, 1)
+		b.latency[k].Add(took, 1)
 	case Nacked:
 		e.Nacked++
 	case Aborted:
@@ -379,9 +375,9 @@
 		if r.Latency.of == nil {
 			r.Latency, r.Alone = newHist(1), newHist(1)
 		}
-		r.Latency.record(elapsed, 1)
+		r.Latency.Add(elapsed, 1)
 		if alone {
-			r.Alone.record(elapsed, 1)
+			r.Alone.Add(elapsed, 1)
 		}
 	case logic.TurnedAway:
 		r.TurnedAway++
--- a/internal/capture/merge.go
+++ b/internal/capture/merge.go
@@ -21,7 +21,7 @@
 		at    float64
 	}
 	seen := map[key]bool{}
-	byTime := map[int64]*Interval{}
+	byTime := map[int64]*summing{}
 	for _, c := range captures {
 		for n := range c.Intervals {
 			i := &c.Intervals[n]
@@ -35,7 +35,7 @@
 			slot := int64(i.At / span)
 			into := byTime[slot]
 			if into == nil {
-				into = &Interval{At: float64(slot) * span, Span: span}
+				into = newSumming(float64(slot)*span, span)
 				byTime[slot] = into
 			}
 			into.add(i)
@@ -44,7 +44,7 @@
 	var out Capture
 	for _, i := range byTime {
 		i.sort()
-		out.Intervals = append(out.Intervals, *i)
+		out.Intervals = append(out.Intervals, i.Interval)
 	}
 	out.sort()
 	return out, nil
@@ -54,8 +54,37 @@
 	slices.SortFunc(c.Intervals, func(x, y Interval) int { return cmp.Compare(x.At, y.At) })
 }
 
-// add sums an interval into another. Held and out of several mixers add up, means weighed by their spans.
-func (i *Interval) add(o *Interval) {
+// summing is an interval into which others are summed, and where its rows stand: of a day's intervals each would
+// otherwise be looked through for each other.
+type summing struct {
+	Interval
+	loads, searchers map[[2]string]int
+	indexes          map[string]int
+	shards           map[shardKey]int
+}
+
+type shardKey struct {
+	index string
+	shard int
+}
+
+func newSumming(at, span float64) *summing {
+	return &summing{Interval{At: at, Span: span}, map[[2]string]int{}, map[[2]string]int{}, map[string]int{}, map[shardKey]int{}}
+}
+
+// row finds a row by its key, and puts a fresh one where there is none.
+func row[K comparable, R any](rows *[]R, at map[K]int, key K, fresh R) *R {
+	n, known := at[key]
+	if !known {
+		n = len(*rows)
+		at[key] = n
+		*rows = append(*rows, fresh)
+	}
+	return &(*rows)[n]
+}
+
+// add sums an interval in. Held and out of several mixers add up, means weighed by their spans.
+func (i *summing) add(o *Interval) {
 	for _, m := range o.Mixers {
 		if !slices.Contains(i.Mixers, m) {
 			i.Mixers = append(i.Mixers, m)
@@ -65,12 +94,7 @@
 	i.Held = Level{i.Held.Mean + o.Held.Mean*o.Span/i.Span, i.Held.Most + o.Held.Most}
 	i.Out = Level{i.Out.Mean + o.Out.Mean*o.Span/i.Span, i.Out.Most + o.Out.Most}
 	for _, l := range o.Loads {
-		n := slices.IndexFunc(i.Loads, func(x Load) bool { return x.Index == l.Index && x.Customer == l.Customer })
-		if n < 0 {
-			i.Loads = append(i.Loads, l)
-			continue
-		}
-		x := &i.Loads[n]
+		x := row(&i.Loads, i.loads, [2]string{l.Index, l.Customer}, Load{Index: l.Index, Customer: l.Customer})
 		x.Lookups += l.Lookups
 		x.Resent += l.Resent
 		x.Parts += l.Parts
@@ -78,61 +102,25 @@
 		x.Ends.add(l.Ends)
 	}
 	for _, l := range o.Indexes {
-		n := slices.IndexFunc(i.Indexes, func(x IndexLoad) bool { return x.Index == l.Index })
-		if n < 0 {
-			n = len(i.Indexes)
-			i.Indexes = append(i.Indexes, IndexLoad{Index: l.Index, Parts: map[int]int64{}})
-		}
+		x := row(&i.Indexes, i.indexes, l.Index, IndexLoad{Index: l.Index, Parts: map[int]int64{}})
 		for parts, lookups := range l.Parts {
-			i.Indexes[n].Parts[parts] += lookups
+			x.Parts[parts] += lookups
 		}
-		i.Indexes[n].Latency.merge(l.Latency)
-	}
-	i.addShards(o)
-	i.addSearchers(o)
-}
-
-func (i *Interval) addShards(o *Interval) {
-	type key struct {
-		index string
-		shard int
-	}
-	at := make(map[key]int, len(i.Shards))
-	for n, s := range i.Shards {
-		at[key{s.Index, s.Shard}] = n
+		x.Latency.Merge(l.Latency)
 	}
 	for _, s := range o.Shards {
-		if n, known := at[key{s.Index, s.Shard}]; known {
-			i.Shards[n].Parts += s.Parts
-		} else {
-			at[key{s.Index, s.Shard}] = len(i.Shards)
-			i.Shards = append(i.Shards, s)
-		}
-	}
-}
-
-func (i *Interval) addSearchers(o *Interval) {
-	at := make(map[[2]string]int, len(i.Searchers))
-	for n, s := range i.Searchers {
-		at[[2]string{s.Searcher, s.Index}] = n
+		row(&i.Shards, i.shards, shardKey{s.Index, s.Shard}, ShardLoad{Index: s.Index, Shard: s.Shard}).Parts += s.Parts
 	}
 	for _, s := range o.Searchers {
-		k := [2]string{s.Searcher, s.Index}
-		n, known := at[k]
-		if !known {
-			n = len(i.Searchers)
-			at[k] = n
-			i.Searchers = append(i.Searchers, SearcherLoad{Searcher: s.Searcher, Location: s.Location, Index: s.Index})
-		}
-		x := &i.Searchers[n]
+		x := row(&i.Searchers, i.searchers, [2]string{s.Searcher, s.Index}, SearcherLoad{Searcher: s.Searcher, Location: s.Location, Index: s.Index})
 		x.Calls += s.Calls
 		x.Failed += s.Failed
 		x.TurnedAway += s.TurnedAway
 		x.Reports += s.Reports
 		x.Service += s.Service
 		x.Util += s.Util
-		x.Latency.merge(s.Latency)
-		x.Alone.merge(s.Alone)
+		x.Latency.Merge(s.Latency)
+		x.Alone.Merge(s.Alone)
 	}
 }
 
@@ -170,7 +158,7 @@
 		return Interval{}
 	}
 	first, last := &c.Intervals[0], &c.Intervals[len(c.Intervals)-1]
-	sum := Interval{At: first.At, Span: last.At + last.Span - first.At}
+	sum := newSumming(first.At, last.At+last.Span-first.At)
 	for n := range c.Intervals {
 		i := &c.Intervals[n]
 		most := [2]int64{max(sum.Held.Most, i.Held.Most), max(sum.Out.Most, i.Out.Most)}
@@ -178,5 +166,5 @@
 		sum.Held.Most, sum.Out.Most = most[0], most[1]
 	}
 	sum.sort()
-	return sum
+	return sum.Interval
 }
--- a/internal/capture/synth.go
+++ b/internal/capture/synth.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"math"
+
+	"puffinlink.example/puffinlink/internal/chance"
 )
 
 // Synth is a load that nobody has captured, as it is stated. Times are seconds.
@@ -33,24 +35,13 @@
 // mostIntervals is a month of seconds: more would not fit in memory.
 const mostIntervals = 31 * 86400
 
-// pcg is a permuted congruential generator (XSH RR 64/32).
-type pcg uint64
-
-func (g *pcg) unit() float64 {
-	old := uint64(*g)
-	*g = pcg(old*6364136223846793005 + 1442695040888963407)
-	x, r := uint32(((old>>18)^old)>>27), uint32(old>>59)
-	return (float64(x>>r|x<<(-r&31)) + 0.5) / (1 << 32)
-}
-
 // around draws a count about a mean, as arrivals that know nothing of one another come: by the normal approximation
 // of Poisson's distribution.
-func (g *pcg) around(mean float64) int64 {
+func around(g *chance.PCG, mean float64) int64 {
 	if *g == 0 || mean <= 0 {
 		return int64(math.Round(mean))
 	}
-	z := math.Sqrt(-2*math.Log(g.unit())) * math.Cos(2*math.Pi*g.unit())
-	return max(0, int64(math.Round(mean+z*math.Sqrt(mean))))
+	return max(0, int64(math.Round(mean+g.Normal()*math.Sqrt(mean))))
 }
 
 func (s *Synth) check() error {
@@ -121,7 +112,7 @@
 	if err := s.check(); err != nil {
 		return err
 	}
-	g := pcg(s.Seed)
+	g := chance.PCG(s.Seed)
 	popular := Popularity(s.Shards, s.Skew)
 	left := make([][]float64, len(s.Indexes)) // what rounding owes each shard
 	for k := range left {
@@ -132,7 +123,7 @@
 		i := Interval{At: s.At + t, Span: s.Span, Mixers: []string{"synth"}}
 		rate := s.PerS * s.factor(t+s.Span/2)
 		for k, x := range s.Indexes {
-			lookups := g.around(rate * x.Share * s.Span)
+			lookups := around(&g, rate*x.Share*s.Span)
 			if lookups == 0 {
 				continue
 			}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -16,28 +16,27 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
 	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = time.Minute
+const patience = boxtest.Patience
 
 // rig is a server whose module's actor the test plays.
 type rig struct {
 	*testing.T
 	*Server
-	box     *mailbox.Box[mixer.Event]
-	events  []mixer.Event
+	told    *boxtest.Ear[mixer.Event]
 	address string
 }
 
 func newRig(t *testing.T, most int, change func(*Server)) *rig {
 	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
 	set.Limits.RetryAfter = true
-	r := &rig{T: t, box: mailbox.New[mixer.Event]()}
-	r.Server = New(set, most, 64<<20, r.box, zerolog.Nop(), counters.New())
+	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r.Server = New(set, most, 64<<20, r.told.Box, zerolog.Nop(), counters.New())
 	if change != nil {
 		change(r.Server)
 	}
@@ -53,16 +52,7 @@
 
 func (r *rig) event(kind logic.EventKind) *mixer.Lookup {
 	r.Helper()
-	for late := time.After(patience); len(r.events) == 0; {
-		select {
-		case <-r.box.Ready():
-			r.events = r.box.Take(nil)
-		case <-late:
-			r.Fatal("nothing was told")
-		}
-	}
-	e := r.events[0]
-	r.events = r.events[1:]
+	e := r.told.Next(r.T)
 	if e.Kind != kind {
 		r.Fatalf("got %+v", e)
 	}
@@ -251,7 +241,7 @@
 	l = r.dial()
 	io.WriteString(l, "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
 	l.expect(404)
-	if told := r.box.Take(nil); len(told) > 0 {
+	if told := r.told.Box.Take(nil); len(told) > 0 {
 		t.Fatalf("told %+v", told)
 	}
 	l = r.dial()
@@ -468,8 +458,8 @@
 	go func() {
 		for {
 			select {
-			case <-r.box.Ready():
-				for _, e := range r.box.Take(nil) {
+			case <-r.told.Box.Ready():
+				for _, e := range r.told.Box.Take(nil) {
 					if e.Kind == logic.LookupTaken {
 						e.Taken.Done <- mixer.Reply{End: mixer.Nacked}
 					}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"text/tabwriter"
@@ -66,7 +64,7 @@
 	sockets  []string
 	load     *standin.Load
 	dir      string
-	sum      Summary
+	all      standin.Tally
 	last     map[string]int64
 }
 
@@ -76,7 +74,7 @@
 		return sum, fmt.Errorf("got %d mixers, %d searchers, %g lookups a second and a service time of %s; expected at least 1, 2 to 512, and more than none",
 			o.Mixers, o.Searchers, o.PerS, o.Service)
 	}
-	d := &demo{Options: o, site: site(o), last: map[string]int64{}, sum: Summary{PartCalls: map[string]int64{}}}
+	d := &demo{Options: o, site: site(o), last: map[string]int64{}}
 	defer d.close()
 	if err := d.start(); err != nil {
 		return sum, err
@@ -98,15 +96,16 @@
 		}
 	}
 	d.load.Stop()
-	d.sum.Seconds = time.Since(began).Seconds()
+	seconds := time.Since(began).Seconds()
 	d.take()
+	sum = Summary{seconds, d.all.Asked, d.all.Satisfied, d.all.Nacked, d.all.Aborted, d.all.Lost, map[string]int64{}}
 	for _, s := range d.fleet {
-		d.sum.PartCalls[s.Name] = s.Calls()
+		sum.PartCalls[s.Name] = s.Calls()
 	}
-	if d.sum.Lost > 0 {
-		err = fmt.Errorf("%d lookups had no final answer", d.sum.Lost)
+	if sum.Lost > 0 {
+		err = fmt.Errorf("%d lookups had no final answer", sum.Lost)
 	}
-	return d.sum, err
+	return sum, err
 }
 
 func (d *demo) start() (err error) {
@@ -143,20 +142,11 @@
 
 // mixer starts one as it would be started alone, on a port that was free a moment ago.
 func (d *demo) mixer(i int, log zerolog.Logger) (*node.Node, string, error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	address, name := free.Addr().String(), fmt.Sprintf("n%d", i+1)
-	free.Close()
-	var c node.Config
-	if err := json.Unmarshal(d.site.Config(name, address, d.register, i), &c); err != nil {
-		return nil, "", err
-	}
-	set, err := c.Check()
+	address, err := standin.FreeAddress()
 	if err != nil {
 		return nil, "", err
 	}
+	name := fmt.Sprintf("n%d", i+1)
 	file := opfile.Defaults()
 	file.Overrides.On = true
 	if d.Directory != "" {
@@ -164,7 +154,7 @@
 	}
 	file.Operators.Listen = "unix:" + filepath.Join(d.dir, name+".sock")
 	d.sockets = append(d.sockets, file.Operators.Listen)
-	n, err := node.Start(c, set, file, log.With().Str("mixer", name).Logger(), counters.New())
+	n, err := node.StartText(d.site.Config(name, address, d.register, i), file, log.With().Str("mixer", name).Logger(), counters.New())
 	return n, address, err
 }
 
@@ -183,11 +173,7 @@
 // take adds what came of lookups since the last time.
 func (d *demo) take() standin.Tally {
 	t := d.load.Take()
-	d.sum.Asked += t.Asked
-	d.sum.Satisfied += t.Satisfied
-	d.sum.Nacked += t.Nacked
-	d.sum.Aborted += t.Aborted
-	d.sum.Lost += t.Lost
+	d.all.Add(t)
 	return t
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -9,13 +9,13 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
 	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/internal/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = time.Minute
+const patience = boxtest.Patience
 
 // slowKeeper keeps nothing until it is told to.
 type slowKeeper struct{ asked chan func(error) }
@@ -25,15 +25,14 @@
 type rig struct {
 	*testing.T
 	*Desk
-	tell   *mailbox.Box[mixer.Event]
-	events []mixer.Event
+	told *boxtest.Ear[mixer.Event]
 }
 
 func newRig(t *testing.T, keeper Keeper) *rig {
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
-	r := &rig{T: t, tell: mailbox.New[mixer.Event]()}
-	r.Desk = New(lim, r.tell, keeper, "", zerolog.Nop(), counters.New())
+	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r.Desk = New(lim, r.told.Box, keeper, "", zerolog.Nop(), counters.New())
 	r.list(logic.Ready)
 	r.Settle()
 	r.event(logic.ListChanged)
@@ -57,16 +56,7 @@
 
 func (r *rig) event(kind logic.EventKind) mixer.Event {
 	r.Helper()
-	for late := time.After(patience); len(r.events) == 0; {
-		select {
-		case <-r.tell.Ready():
-			r.events = r.tell.Take(nil)
-		case <-late:
-			r.Fatal("nothing was told")
-		}
-	}
-	e := r.events[0]
-	r.events = r.events[1:]
+	e := r.told.Next(r.T)
 	if e.Kind != kind {
 		r.Fatalf("got %+v, expected kind %d", e.Event, kind)
 	}
@@ -120,7 +110,7 @@
 		Names: []mixer.Name{{Searcher: "s-0", Location: "north"}}}
 	r.Put(e)
 	r.event(logic.ListChanged)
-	if len(r.events) == 0 {
+	if len(r.told.Rest()) == 0 {
 		t.Fatal("the list came alone")
 	}
 	if e := r.event(logic.OverridesChanged); e.Override.Searchers[0].Searcher != 9 || !e.Override.Searchers[0].Out {
--- a/internal/fleetfile/fleetfile.go
+++ b/internal/fleetfile/fleetfile.go
@@ -3,16 +3,13 @@
 package fleetfile
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/jsonc"
 	"puffinlink.example/puffinlink/internal/plan"
 	"puffinlink.example/puffinlink/logic"
 )
@@ -86,23 +83,9 @@
 
 // Parse reads a description; its figures are not checked yet.
 func Parse(text []byte) (f plan.Fleet, err error) {
-	plain, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return f, fmt.Errorf(" %s", strings.TrimPrefix(err.Error(), "hujson: "))
-	}
 	var in file
-	d := json.NewDecoder(bytes.NewReader(plain))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&in); err != nil {
-		at := d.InputOffset()
-		if t := (*json.UnmarshalTypeError)(nil); errors.As(err, &t) {
-			at = t.Offset
-			err = fmt.Errorf("%s is a %s, expected %s", t.Field, t.Value, t.Type)
-		} else if _, name, is := strings.Cut(err.Error(), "unknown field "); is { // the decoder stands behind its object
-			at = int64(max(0, bytes.Index(plain, []byte(name))))
-			err = fmt.Errorf("%s is not known", name)
-		}
-		return f, fmt.Errorf("%d: %w", 1+bytes.Count(plain[:min(int(at), len(plain))], []byte{'\n'}), err)
+	if err := jsonc.Decode(text, &in); err != nil {
+		return f, err
 	}
 	f = plan.Fleet{Locations: in.Locations, Cells: in.Layout.Cells, Width: in.Layout.Width, Shards: in.Layout.Shards, Mixers: in.Mixers.Count,
 		MostHeld: in.Mixers.MostHeld, Step: in.Mixers.StepS, Network: in.NetworkS, MostTries: max(1, in.Mixers.MostTries), Retries: in.Clients.Retries,
@@ -184,12 +167,13 @@
 	return list
 }
 
-// Ask is the load of a capture at its busiest interval, or in the mean of all of them. The notes say what was left out.
-func Ask(f *plan.Fleet, c capture.Capture, mean bool) (a plan.Ask, notes []string, err error) {
+// Ask is the load of a capture at its busiest interval, or in the mean of all of them, whose sum is given as a day's takes a
+// while. The notes say what was left out.
+func Ask(f *plan.Fleet, c capture.Capture, sum *capture.Interval, mean bool) (a plan.Ask, notes []string, err error) {
 	if len(c.Intervals) == 0 {
 		return a, nil, errors.New("the capture holds no interval")
 	}
-	i := c.Sum()
+	i := sum
 	if !mean {
 		best := -1.0
 		for n := range c.Intervals {
@@ -198,7 +182,7 @@
 				parts += float64(l.Parts) / c.Intervals[n].Span
 			}
 			if parts > best {
-				best, i = parts, c.Intervals[n]
+				best, i = parts, &c.Intervals[n]
 			}
 		}
 	}
@@ -232,7 +216,7 @@
 		}
 	}
 	a.Popular = make([]float64, f.Shards)
-	for _, s := range c.Sum().Shards {
+	for _, s := range sum.Shards {
 		if s.Shard >= f.Shards {
 			return a, notes, fmt.Errorf("the capture asks for shard %d, the fleet holds %d: describe the fleet that the capture was taken on", s.Shard, f.Shards)
 		}
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -63,7 +63,6 @@
 	db     *bolt.DB
 	lock   *os.File // nobody else reads or writes the directory while it is held
 	in     *mailbox.Box[job]
-	log    zerolog.Logger
 	ended  chan struct{}
 	failed error // opened without a file: every change is refused with it
 }
@@ -75,7 +74,7 @@
 }
 
 func openWithin(dir string, wait time.Duration, log zerolog.Logger) (s *Store, kept Kept, err error) {
-	s = &Store{in: mailbox.New[job](), log: log, ended: make(chan struct{})}
+	s = &Store{in: mailbox.New[job](), ended: make(chan struct{})}
 	defer func() {
 		s.failed = err
 		go s.run()
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -13,20 +13,20 @@
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
 	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = time.Minute
+const patience = boxtest.Patience
 
 // rig is a register's actor and the register it speaks with, which the test plays: each request comes as a
 // function that writes a line to it.
 type rig struct {
 	*testing.T
 	*Register
-	box    *mailbox.Box[mixer.Event]
-	events []mixer.Event
+	told   *boxtest.Ear[mixer.Event]
 	asks   chan ask
 	server string // its address
 }
@@ -48,7 +48,7 @@
 }
 
 func newRig(t *testing.T, asked bool, change func(*Register)) *rig {
-	r := &rig{T: t, box: mailbox.New[mixer.Event](), asks: make(chan ask, 100)}
+	r := &rig{T: t, told: boxtest.New[mixer.Event](), asks: make(chan ask, 100)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		ctx, end := context.WithCancel(q.Context())
 		out := make(chan string, 10)
@@ -68,7 +68,7 @@
 	var err error
 	r.server = strings.TrimPrefix(server.URL, "http://")
 	r.Register, err = New(r.server, []byte(line(41, true, searcher("s1", "SERVING"))), set,
-		r.box, zerolog.Nop(), counters.New())
+		r.told.Box, zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,16 +98,7 @@
 // expect waits for a list event with these searchers and phases.
 func (r *rig) expect(kind logic.ListKind, entries ...string) mixer.Event {
 	r.Helper()
-	for late := time.After(patience); len(r.events) == 0; {
-		select {
-		case <-r.box.Ready():
-			r.events = r.box.Take(nil)
-		case <-late:
-			r.Fatal("nothing was told")
-		}
-	}
-	e := r.events[0]
-	r.events = r.events[1:]
+	e := r.told.Next(r.T)
 	var got []string
 	for i, x := range e.Entries {
 		name := strings.TrimSuffix(strings.TrimPrefix(e.Addresses[i], "h-"), ":1")
@@ -215,8 +206,8 @@
 	r.expect(logic.ListPatch, "s2:0")
 	w.write(line(42, false, searcher("s9", "SERVING"))) // the old one is heard no more
 	r.ask("/discovery/hosts?stream=1&index=42")
-	if r.events = append(r.events, r.box.Take(nil)...); len(r.events) > 0 {
-		t.Fatalf("told %+v", r.events)
+	if rest := r.told.Rest(); len(rest) > 0 {
+		t.Fatalf("told %+v", rest)
 	}
 }
 
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -277,10 +277,10 @@
 		m.ended(e.Taken, capture.Gone, now)
 		m.count.Add("lookups", "gone", 1)
 	case logic.CallEnded:
-		if key := (callKey{e.Part, e.Call}); m.book == nil {
-			delete(m.out, key)
-		} else if c, out := m.out[key]; out {
-			delete(m.out, key)
+		key := callKey{e.Part, e.Call}
+		c, out := m.out[key]
+		delete(m.out, key)
+		if out && m.book != nil {
 			m.book.Called(m.seconds(now), c.seat, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
 		}
 		if ref, held := m.parts[e.Part]; held && e.Outcome == logic.Answered {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// StartText starts a mixer from the text of a config, as it would be started from its file.
+func StartText(text []byte, file opfile.File, log zerolog.Logger, count *counters.Set) (*Node, error) {
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	set, err := c.Check()
+	if err != nil {
+		return nil, err
+	}
+	return Start(c, set, file, log, count)
+}
+
 // Node is a mixer that runs.
 type Node struct {
 	log       zerolog.Logger
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -58,12 +56,9 @@
 		w.fleet = append(w.fleet, s)
 		w.register.Set(s.Entry("SERVING", true))
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if w.listen, err = standin.FreeAddress(); err != nil {
 		t.Fatal(err)
 	}
-	w.listen = free.Addr().String()
-	free.Close()
 	w.file = opfile.Defaults()
 	w.file.Overrides.On, w.file.Overrides.Directory = true, t.TempDir()
 	w.file.Overrides.Limits.Ramp = 2
@@ -88,15 +83,7 @@
 
 func (w *world) start() {
 	w.Helper()
-	var c Config
-	if err := json.Unmarshal(w.site.Config("n1", w.listen, w.register, 0), &c); err != nil {
-		w.Fatal(err)
-	}
-	set, err := c.Check()
-	if err != nil {
-		w.Fatal(err)
-	}
-	n, err := Start(c, set, w.file, zerolog.Nop(), counters.New())
+	n, err := StartText(w.site.Config("n1", w.listen, w.register, 0), w.file, zerolog.Nop(), counters.New())
 	if err != nil {
 		w.Fatal(err)
 	}
@@ -106,11 +93,7 @@
 // take adds what came of the load.
 func (w *world) take() standin.Tally {
 	t := w.load.Take()
-	w.asked.Asked += t.Asked
-	w.asked.Satisfied += t.Satisfied
-	w.asked.Nacked += t.Nacked
-	w.asked.Aborted += t.Aborted
-	w.asked.Lost += t.Lost
+	w.asked.Add(t)
 	return t
 }
 
--- a/internal/operators/listener.go
+++ b/internal/operators/listener.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -68,7 +69,7 @@
 	}
 	// It is made under a name in a directory that nobody else may enter, and takes its own name once its mode is set:
 	// at no moment may others connect.
-	dir, err := os.MkdirTemp(parent(path), ".operators-")
+	dir, err := os.MkdirTemp(filepath.Dir(path), ".operators-")
 	if err != nil {
 		return nil, err
 	}
@@ -88,13 +89,6 @@
 	return l, nil
 }
 
-func parent(path string) string {
-	if i := strings.LastIndexByte(path, '/'); i > 0 {
-		return path[:i]
-	}
-	return "/"
-}
-
 // New makes a server for a mixer of this name.
 func New(mixer string, set opfile.Operators, d *desk.Desk, log zerolog.Logger, count *counters.Set) (*Server, error) {
 	door, err := newDoor(set)
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -3,6 +3,7 @@
 package opfile
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -294,7 +295,7 @@
 func (r *reader) object(under string, v hujson.Value, known []key) {
 	o, isObject := v.Value.(*hujson.Object)
 	if !isObject {
-		r.fail(v.StartOffset, "%s is %.40s, expected an object", cmpOr(under, "the file"), v.Pack())
+		r.fail(v.StartOffset, "%s is %.40s, expected an object", cmp.Or(under, "the file"), v.Pack())
 		return
 	}
 	seen := map[string]bool{}
@@ -342,13 +343,6 @@
 	}
 }
 
-func cmpOr(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
 // nearest is the known key that takes the fewest changes of letters.
 func nearest(name string, known []key) (best string) {
 	least := 1 << 30
--- a/internal/override/book.go
+++ b/internal/override/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 
@@ -19,7 +20,7 @@
 	Member
 	listed  bool
 	drained bool // it left as one that drained, while a pin to it held
-	levels  []level
+	levels  []share
 	own     []*Override // by searcher: weights and outs
 	pins    []*Override
 }
@@ -28,8 +29,12 @@
 // falls at once to what is wanted and rises by steps.
 type level struct {
 	now, want float64
-	told      float64 // what the module was last told; -1 for out, or no pin
-	moving    bool
+}
+
+// share is a searcher's level of an index, and what the module was last told of it.
+type share struct {
+	level
+	told float64
 }
 
 // place lives as the book does.
@@ -64,8 +69,8 @@
 	indexes  map[string]logic.IndexID
 	revision Revision
 	live     map[Revision]*Override
-	ends     []*Override // a heap by end
-	pinned   int         // shards of all pins
+	ends     ends
+	pinned   int // shards of all pins
 	members  map[string]*member
 	byCell   map[logic.CellID]map[string]*member
 	places   map[string]*place
@@ -143,7 +148,7 @@
 
 func (b *Book) enter(o *Override) {
 	b.live[o.ID] = o
-	b.pushEnd(o)
+	heap.Push(&b.ends, o)
 	switch {
 	case o.Kind == Pin:
 		m := b.member(o.Searcher)
@@ -165,13 +170,8 @@
 func (b *Book) leave(o *Override) {
 	delete(b.live, o.ID)
 	if len(b.ends) > 2*len(b.live)+64 { // those that were cleared are not kept until their end
-		kept := b.ends
-		b.ends = nil
-		for _, e := range kept {
-			if b.live[e.ID] == e {
-				b.pushEnd(e)
-			}
-		}
+		b.ends = slices.DeleteFunc(b.ends, func(e *Override) bool { return b.live[e.ID] != e })
+		heap.Init(&b.ends)
 	}
 	is := func(x *Override) bool { return x == o }
 	switch {
@@ -235,9 +235,9 @@
 func (b *Book) member(name string) *member {
 	m := b.members[name]
 	if m == nil {
-		m = &member{Member: Member{Name: name, Phase: logic.Gone}, levels: make([]level, len(b.lim.Indexes))}
+		m = &member{Member: Member{Name: name, Phase: logic.Gone}, levels: make([]share, len(b.lim.Indexes))}
 		for k := range m.levels {
-			m.levels[k] = level{now: 1, want: 1, told: 1}
+			m.levels[k] = share{level{1, 1}, 1}
 		}
 		b.members[name] = m
 	}
@@ -334,7 +334,7 @@
 // Due ends what has come to its end, and tells it, to be kept.
 func (b *Book) Due(now float64) (ended []Change) {
 	for len(b.ends) > 0 && (b.ends[0].End <= now || b.live[b.ends[0].ID] != b.ends[0]) {
-		o := b.popEnd()
+		o := heap.Pop(&b.ends).(*Override)
 		if b.live[o.ID] == o {
 			ended = append(ended, b.end(now, o, HasEnded, "its time is over"))
 		}
@@ -354,37 +354,19 @@
 	return next
 }
 
-// pushEnd and popEnd keep the heap of ends.
-func (b *Book) pushEnd(o *Override) {
-	b.ends = append(b.ends, o)
-	for i := len(b.ends) - 1; i > 0; {
-		up := (i - 1) / 2
-		if b.ends[up].End <= b.ends[i].End {
-			break
-		}
-		b.ends[up], b.ends[i] = b.ends[i], b.ends[up]
-		i = up
-	}
-}
+// ends is a heap of overrides by their end.
+type ends []*Override
 
-func (b *Book) popEnd() *Override {
-	top, last := b.ends[0], len(b.ends)-1
-	b.ends[0] = b.ends[last]
-	b.ends[last] = nil
-	b.ends = b.ends[:last]
-	for i := 0; ; {
-		least := i
-		for _, c := range [2]int{2*i + 1, 2*i + 2} {
-			if c < last && b.ends[c].End < b.ends[least].End {
-				least = c
-			}
-		}
-		if least == i {
-			return top
-		}
-		b.ends[i], b.ends[least] = b.ends[least], b.ends[i]
-		i = least
-	}
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].End < e[j].End }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(*Override)) }
+func (e *ends) Pop() any {
+	last := len(*e) - 1
+	o := (*e)[last]
+	(*e)[last] = nil
+	*e = (*e)[:last]
+	return o
 }
 
 // Live lists what holds, oldest first.
--- a/internal/override/override_test.go
+++ b/internal/override/override_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"puffinlink.example/puffinlink/internal/raceflag"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -340,7 +341,7 @@
 
 func TestSeededHistoriesAgainstTheModel(t *testing.T) {
 	histories := 100_000
-	if testing.Short() || raceOn {
+	if testing.Short() || raceflag.On {
 		histories = 3_000 // the race detector has nothing to find in a package without a goroutine
 	}
 	for seed := range uint64(histories) {
@@ -360,7 +361,7 @@
 			newWorld().play(t, []int{a, b}, func() float64 { return 1 })
 		}
 	}
-	if raceOn {
+	if raceflag.On {
 		return
 	}
 	for a := range 13 {
--- a/internal/override/race_on_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build race
-
-package override
-
-const raceOn = true
--- a/internal/override/view.go
+++ b/internal/override/view.go
@@ -20,7 +20,6 @@
 
 // claim is one that a row of the precedence has found.
 type claim struct {
-	rule string
 	by   *Override
 	text string
 }
--- a/internal/plan/emulate.go
+++ b/internal/plan/emulate.go
@@ -5,24 +5,12 @@
 	"math"
 	"slices"
 
+	"puffinlink.example/puffinlink/internal/chance"
 	"puffinlink.example/puffinlink/logic"
 )
 
-// pcg is a permuted congruential generator (XSH RR 64/32).
-type pcg uint64
-
-func (g *pcg) unit() float64 {
-	old := uint64(*g)
-	*g = pcg(old*6364136223846793005 + 1442695040888963407)
-	x, r := uint32(((old>>18)^old)>>27), uint32(old>>59)
-	return (float64(x>>r|x<<(-r&31)) + 0.5) / (1 << 32)
-}
-
-func (g *pcg) exp() float64 { return -math.Log(g.unit()) }
-
-func (g *pcg) normal() float64 {
-	return math.Sqrt(-2*math.Log(g.unit())) * math.Cos(2*math.Pi*g.unit())
-}
+// pcg draws what an emulation needs beside what every generator draws.
+type pcg struct{ chance.PCG }
 
 // about draws a positive figure of this mean and squared coefficient of variation, lognormal: work has a long tail, and
 // two figures fix it.
@@ -31,7 +19,7 @@
 		return mean
 	}
 	s2 := math.Log(1 + scv)
-	return mean * math.Exp(math.Sqrt(s2)*g.normal()-s2/2)
+	return mean * math.Exp(math.Sqrt(s2)*g.Normal()-s2/2)
 }
 
 // work draws what a part of an index takes on a core of speed 1, by its shape or else lognormal.
@@ -39,7 +27,7 @@
 	if len(x.Shape) == 0 {
 		return g.about(x.Work, x.Scv)
 	}
-	at := g.unit() * float64(len(x.Shape)-1)
+	at := g.Unit() * float64(len(x.Shape)-1)
 	i := min(int(at), len(x.Shape)-2)
 	return x.Work * (x.Shape[i] + (at-float64(i))*(x.Shape[i+1]-x.Shape[i]))
 }
@@ -72,8 +60,7 @@
 	no    logic.CallNo
 	k     logic.IndexID
 	sent  float64
-	ends  float64 // when its mixer stops waiting
-	gone  bool    // its mixer waits no more
+	gone  bool // its mixer waits no more
 }
 
 // station is a searcher: so many cores, and a queue before them.
@@ -86,7 +73,6 @@
 	used    float64 // core seconds
 	calls   int64
 	refused int64
-	in      int // lines in use at most, estimated by calls in hand
 }
 
 // query is a lookup as its client sees it, all tries together.
@@ -98,28 +84,21 @@
 	counts bool // began after the warm-up
 }
 
-type partOf struct {
-	held *taken
-	k    logic.IndexID
-}
-
 // taken is a try that a mixer holds.
 type taken struct {
 	of    *query
-	id    logic.LookupID
 	parts []logic.PartID
 }
 
 // mixer is one decision module in the emulated world.
 type mixer struct {
-	no       int
 	m        *logic.Mixer
 	events   []logic.Event
 	actions  []logic.Action
 	stepped  float64
 	waiting  bool // a step is on the agenda
 	lookups  map[logic.LookupID]*taken
-	parts    map[logic.PartID]partOf
+	parts    map[logic.PartID]logic.IndexID
 	made     map[logic.PartID]logic.CallNo
 	out      map[callKey]*work
 	lastID   uint64
@@ -147,20 +126,17 @@
 	warm     float64
 	end      float64
 	got      Outcome
-	asked    []float64 // by index
 }
 
 // Outcome is what an emulation comes to.
 type Outcome struct {
-	Asked     int64     // lookups, by their clients' first tries
-	Lookups   []int64   // of them, by index
-	InTime    []float64 // share of lookups by index that were answered within the soft deadline
-	LateShare []float64 // answered after it
-	Nacked    float64   // shares of all that ended so at last
+	Asked     int64   // lookups, by their clients' first tries
+	Lookups   []int64 // of them, by index
+	Nacked    float64 // shares of all that ended so at last
 	Aborted   float64
-	Gain      float64 // share of gain within the soft deadline
-	ByIndex   []float64
-	P50, P99  float64 // of answered lookups, seconds from the first try
+	Gain      float64   // share of gain within the soft deadline
+	ByIndex   []float64 // share of lookups answered within the soft deadline
+	P50, P99  float64   // of answered lookups, seconds from the first try
 	Use       []float64
 	Hottest   int // searcher of most use
 	MostQueue int
@@ -213,9 +189,8 @@
 }
 
 func newWorld(f *Fleet, a *Ask, seed uint64) *world {
-	w := &world{f: f, a: a, g: pcg(seed*2 + 1), byID: map[logic.SearcherID]*station{}}
-	w.asked = make([]float64, len(f.Indexes))
-	w.got.InTime, w.got.LateShare, w.got.ByIndex = make([]float64, len(f.Indexes)), make([]float64, len(f.Indexes)), make([]float64, len(f.Indexes))
+	w := &world{f: f, a: a, g: pcg{chance.PCG(seed*2 + 1)}, byID: map[logic.SearcherID]*station{}}
+	w.got.Lookups, w.got.ByIndex = make([]int64, len(f.Indexes)), make([]float64, len(f.Indexes))
 	list := logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}
 	for i, s := range f.Searchers {
 		st := &station{Searcher: s, id: logic.SearcherID(i + 1)}
@@ -240,7 +215,7 @@
 		for _, x := range f.Indexes {
 			set.Indexes = append(set.Indexes, logic.IndexSettings{Soft: x.Soft, Hard: x.Hard, Gain: max(x.Gain, 1e-9), LateGain: x.Late, Effect: x.Effect, Need: 1, Floor: 1})
 		}
-		m := &mixer{no: i, m: logic.New(set, 0), lookups: map[logic.LookupID]*taken{}, parts: map[logic.PartID]partOf{},
+		m := &mixer{m: logic.New(set, 0), lookups: map[logic.LookupID]*taken{}, parts: map[logic.PartID]logic.IndexID{},
 			made: map[logic.PartID]logic.CallNo{}, out: map[callKey]*work{}, stepped: -1}
 		w.mixers = append(w.mixers, m)
 		w.tell(m, list)
@@ -258,7 +233,7 @@
 	if w.now >= w.end {
 		return
 	}
-	u, share := w.g.unit(), len(w.a.Mix)-1
+	u, share := w.g.Unit(), len(w.a.Mix)-1
 	for i, m := range w.a.Mix {
 		if u -= m.Of; u < 0 {
 			share = i
@@ -269,7 +244,7 @@
 	q.shards = w.shards(w.a.Mix[share].Parts)
 	if q.counts {
 		w.got.Asked++
-		w.asked[w.a.Mix[share].Index]++
+		w.got.Lookups[w.a.Mix[share].Index]++
 	}
 	w.try(q)
 	w.at(w.now+w.gap()/w.a.PerS, w.arrive)
@@ -278,7 +253,7 @@
 // gap is the time between two lookups against its mean.
 func (w *world) gap() float64 {
 	if w.a.Bursts <= 0 || w.a.Bursts == 1 {
-		return w.g.exp()
+		return w.g.Exp()
 	}
 	return w.g.about(1, w.a.Bursts)
 }
@@ -286,7 +261,7 @@
 // shards draws so many different ones by their popularity.
 func (w *world) shards(n int) (list []int) {
 	for len(list) < n {
-		s, _ := slices.BinarySearch(w.popular, w.g.unit()*w.popular[len(w.popular)-1])
+		s, _ := slices.BinarySearch(w.popular, w.g.Unit()*w.popular[len(w.popular)-1])
 		for slices.Contains(list, s%w.f.Shards) { // all that are popular are in: the next one along
 			s++
 		}
@@ -301,7 +276,7 @@
 	if q.counts {
 		w.got.Tries++
 	}
-	m := w.mixers[int(w.g.unit()*float64(len(w.mixers)))]
+	m := w.mixers[int(w.g.Unit()*float64(len(w.mixers)))]
 	if w.f.MostHeld > 0 && len(m.lookups)+len(m.parts) >= w.f.MostHeld {
 		w.nacked(q, 0)
 		return
@@ -309,16 +284,16 @@
 	k := w.a.Mix[q.share].Index
 	x := &w.f.Indexes[k]
 	m.lastID++
-	t := &taken{of: q, id: logic.LookupID(m.lastID)}
-	m.lookups[t.id] = t
-	e := logic.Event{Kind: logic.LookupTaken, Lookup: t.id, No: logic.LookupNo(t.id), Index: logic.IndexID(k), Left: x.Hard - (w.now - q.began), Parts: len(q.shards), Resent: q.tries > 1}
+	id, t := logic.LookupID(m.lastID), &taken{of: q}
+	m.lookups[id] = t
+	e := logic.Event{Kind: logic.LookupTaken, Lookup: id, No: logic.LookupNo(id), Index: logic.IndexID(k), Left: x.Hard - (w.now - q.began), Parts: len(q.shards), Resent: q.tries > 1}
 	events := []logic.Event{e}
 	e.Kind, e.Parts = logic.PartTaken, 0
 	for _, s := range q.shards {
 		m.lastID++
 		e.Part, e.Shard, e.Weight = logic.PartID(m.lastID), logic.ShardID(s), 1/float64(len(q.shards))
 		t.parts = append(t.parts, e.Part)
-		m.parts[e.Part] = partOf{t, logic.IndexID(k)}
+		m.parts[e.Part] = logic.IndexID(k)
 		events = append(events, e)
 	}
 	m.mostHeld = max(m.mostHeld, len(m.lookups)+len(m.parts))
@@ -348,13 +323,13 @@
 func (w *world) act(m *mixer, a *logic.Action) {
 	switch a.Kind {
 	case logic.Send:
-		p, held := m.parts[a.Part]
+		k, held := m.parts[a.Part]
 		if !held {
 			return
 		}
 		no := m.made[a.Part]
 		m.made[a.Part] = no + 1
-		c := &work{mixer: m, part: a.Part, no: no, k: p.k, sent: w.now, ends: a.StopAt}
+		c := &work{mixer: m, part: a.Part, no: no, k: k, sent: w.now}
 		m.out[callKey{a.Part, no}] = c
 		to := w.byID[a.Searcher]
 		w.at(w.now+w.f.Network, func() { w.reach(to, c) })
@@ -456,16 +431,14 @@
 	took := w.now - t.of.began
 	w.got.took = append(w.got.took, took)
 	if took <= w.f.Indexes[k].Soft {
-		w.got.InTime[k]++
-	} else {
-		w.got.LateShare[k]++
+		w.got.ByIndex[k]++
 	}
 }
 
 // nacked lets a client come back, where it has tries and time left.
 func (w *world) nacked(q *query, wait float64) {
 	k := w.a.Mix[q.share].Index
-	back := w.now + max(wait, w.f.Backoff*(0.5+w.g.unit()))
+	back := w.now + max(wait, w.f.Backoff*(0.5+w.g.Unit()))
 	if q.tries <= w.f.Retries && back < q.began+w.f.Indexes[k].Hard {
 		w.at(back, func() { w.try(q) })
 	} else if q.counts {
@@ -475,19 +448,14 @@
 
 func (w *world) outcome() Outcome {
 	o := &w.got
-	asked := w.asked
 	n := max(1, float64(o.Asked))
 	gain, all := 0.0, 0.0
-	for _, n := range asked {
-		o.Lookups = append(o.Lookups, int64(n))
-	}
 	for k, x := range w.f.Indexes {
-		all += asked[k] * x.Gain
-		gain += o.InTime[k] * x.Gain
-		o.ByIndex[k] = min(1, o.InTime[k]/max(1, asked[k]))
-		o.InTime[k], o.LateShare[k] = o.ByIndex[k], o.LateShare[k]/max(1, asked[k])
+		all += float64(o.Lookups[k]) * x.Gain
+		gain += o.ByIndex[k] * x.Gain
+		o.ByIndex[k] /= max(1, float64(o.Lookups[k]))
 	}
-	o.Gain = min(1, gain/max(all, 1e-9))
+	o.Gain = gain / max(all, 1e-9)
 	o.Nacked, o.Aborted, o.Tries = o.Nacked/n, o.Aborted/n, o.Tries/n
 	slices.Sort(o.took)
 	if len(o.took) > 0 {
--- a/internal/plan/fleet.go
+++ b/internal/plan/fleet.go
@@ -68,7 +68,7 @@
 		say("%d cells of width %d with %d shards and %d mixers: expected at least one of each, and a width of no more than the cells", f.Cells, f.Width, f.Shards, f.Mixers)
 		return errors.New(strings.Join(wrong, "\n"))
 	}
-	names, cells := map[string]bool{}, make([]int, f.Cells)
+	names := map[string]bool{}
 	for _, s := range f.Searchers {
 		if names[s.Name] || s.Name == "" {
 			say("searcher %q is named twice, or not at all: give each a name of its own", s.Name)
@@ -82,16 +82,10 @@
 		}
 		if s.Cell < 0 || s.Cell >= f.Cells {
 			say("searcher %s is of cell %d: expected 0 to %d", s.Name, s.Cell, f.Cells-1)
-			continue
 		}
-		cells[s.Cell]++
 	}
-	for s := range min(f.Shards, f.Cells) {
-		n := 0
-		for j := range f.Width {
-			n += cells[(s+j)%f.Cells]
-		}
-		if n == 0 && !lost {
+	for _, s := range f.unheld() {
+		if s < f.Cells && !lost { // the others are held by the same cells
 			say("shard %d has no holder: put a searcher into one of the cells %d to %d", s, s, (s+f.Width-1)%f.Cells)
 		}
 	}
@@ -126,11 +120,21 @@
 	return nil
 }
 
-// holders lists the searchers of a shard, by their places.
-func (f *Fleet) holders(shard int) (list []int) {
-	for i, s := range f.Searchers {
-		if behind := (s.Cell - shard%f.Cells + f.Cells) % f.Cells; behind < f.Width {
-			list = append(list, i)
+// unheld lists the shards that no searcher holds.
+func (f *Fleet) unheld() (list []int) {
+	held := make([]bool, f.Cells)
+	for _, s := range f.Searchers {
+		if s.Cell >= 0 && s.Cell < f.Cells {
+			held[s.Cell] = true
+		}
+	}
+	for s := range f.Shards {
+		any := false
+		for j := range f.Width {
+			any = any || held[(s+j)%f.Cells]
+		}
+		if !any {
+			list = append(list, s)
 		}
 	}
 	return list
@@ -145,12 +149,7 @@
 			left.Searchers = append(left.Searchers, s)
 		}
 	}
-	for s := range f.Shards {
-		if len(left.holders(s)) == 0 {
-			lost = append(lost, s)
-		}
-	}
-	return left, lost
+	return left, left.unheld()
 }
 
 // Slower is the fleet with every searcher taking so many times as long.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"puffinlink.example/puffinlink/internal/raceflag"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -113,7 +114,7 @@
 	if b.PerS < 0.5*bears || b.PerS > 1.05*bears || b.Fails/b.PerS > 1+closeEnough+0.01 || b.Index == "" || b.First.What != "cores" {
 		t.Fatalf("breaks at %+v, cores bear %g", b, bears)
 	}
-	if raceOn { // the race detector has nothing to find where there is no goroutine
+	if raceflag.On { // the race detector has nothing to find where there is no goroutine
 		return
 	}
 	larger := fleet(4, 4)
@@ -281,7 +282,7 @@
 	if recovers, leave := Recovers(&f, &a, 3, 1); !recovers || leave != a.PerS {
 		t.Errorf("a quarter of what the cores bear: %t, leave at %g", recovers, leave)
 	}
-	if raceOn {
+	if raceflag.On {
 		return
 	}
 	a = ask(600, 2)
@@ -293,7 +294,7 @@
 // Work is drawn by its shape: of its mean, and within its ends.
 func TestWorkByShape(t *testing.T) {
 	for _, x := range []Index{{Work: 0.01, Shape: []float64{0.5, 1.5}}, {Work: 0.02, Shape: []float64{0, 0.5, 0.5, 3}}, {Work: 0.01, Scv: 0.5}} {
-		g, sum, want := pcg(9), 0.0, x.Work
+		g, sum, want := pcg{9}, 0.0, x.Work
 		if n := len(x.Shape); n > 0 {
 			want = 0
 			for i := range n - 1 {
--- a/internal/plan/race_off_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package plan
-
-const raceOn = false
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -238,21 +236,11 @@
 			Soft: time.Duration(x.Soft * float64(time.Second)), Gain: x.Gain})
 	}
 	for i := range s.Fleet.Mixers {
-		free, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := standin.FreeAddress()
 		if err != nil {
 			return t, err
 		}
-		address := free.Addr().String()
-		free.Close()
-		var c node.Config
-		if err := json.Unmarshal(site.Config(fmt.Sprint("n", i+1), address, register, i), &c); err != nil {
-			return t, err
-		}
-		set, err := c.Check()
-		if err != nil {
-			return t, err
-		}
-		n, err := node.Start(c, set, opfile.Defaults(), zerolog.Nop(), counters.New())
+		n, err := node.StartText(site.Config(fmt.Sprint("n", i+1), address, register, i), opfile.Defaults(), zerolog.Nop(), counters.New())
 		if err != nil {
 			return t, err
 		}
@@ -273,7 +261,7 @@
 	load.Stop()
 	rest := load.Take() // what was due then
 	// Lookups that were due then are few against the others, and their gain is left out.
-	t.Satisfied, t.Nacked, t.Aborted, t.Lost = t.Satisfied+rest.Satisfied, t.Nacked+rest.Nacked, t.Aborted+rest.Aborted, t.Lost+rest.Lost
+	t.Add(rest)
 	t.Asked = t.Satisfied + t.Nacked + t.Aborted + t.Lost
 	return t, ctx.Err()
 }
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -16,23 +16,21 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
 	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
-// patience bounds what a test waits for, which comes at once unless something is broken.
-const patience = time.Minute
+const patience = boxtest.Patience
 
 // rig is a fleet with one searcher, whose part the test plays.
 type rig struct {
 	*testing.T
-	fleet  *Fleet
-	box    *mailbox.Box[mixer.Event]
-	events []mixer.Event
-	peer   net.Listener
-	next   logic.PartID
+	fleet *Fleet
+	told  *boxtest.Ear[mixer.Event]
+	peer  net.Listener
+	next  logic.PartID
 }
 
 func newRig(t *testing.T, change func(*settings.Net)) *rig {
@@ -40,8 +38,8 @@
 	if change != nil {
 		change(&set)
 	}
-	r := &rig{T: t, box: mailbox.New[mixer.Event]()}
-	r.fleet = New(set, 100, r.box, zerolog.Nop(), counters.New())
+	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r.fleet = New(set, 100, r.told.Box, zerolog.Nop(), counters.New())
 	t.Cleanup(r.fleet.Stop)
 	r.peer = r.listen()
 	r.named(r.peer.Addr().String(), logic.Ready, 0)
@@ -105,16 +103,7 @@
 // event waits for the next thing told.
 func (r *rig) event() mixer.Event {
 	r.Helper()
-	for late := time.After(patience); len(r.events) == 0; {
-		select {
-		case <-r.box.Ready():
-			r.events = r.box.Take(nil)
-		case <-late:
-			r.Fatal("nothing was told")
-		}
-	}
-	e := r.events[0]
-	r.events = r.events[1:]
+	e := r.told.Next(r.T)
 	return e
 }
 
@@ -532,7 +521,7 @@
 		p.expect('S', "ab.0")
 		r.named("", logic.Gone, 0) // completes what it has
 		p.say('R', "ab.0 done 0 -\n")
-		if e := r.ended(next[0].Part, logic.Answered); len(r.box.Take(nil)) > 0 || len(r.events) > 0 {
+		if e := r.ended(next[0].Part, logic.Answered); len(r.told.Rest()) > 0 {
 			t.Fatalf("%s: more than %+v was told", name, e)
 		}
 	}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -176,6 +176,15 @@
 	P50, P99                                time.Duration // of the satisfied
 }
 
+// Add adds the counts of another.
+func (t *Tally) Add(o Tally) {
+	t.Asked += o.Asked
+	t.Satisfied += o.Satisfied
+	t.Nacked += o.Nacked
+	t.Aborted += o.Aborted
+	t.Lost += o.Lost
+}
+
 // Take tells what came since the last time that it was asked. A lookup that is still due counts where it ends.
 func (l *Load) Take() Tally {
 	l.mu.Lock()
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -52,6 +52,15 @@
 // beat is how often an empty line comes while nothing changes.
 const beat = 2 * time.Second
 
+// FreeAddress is a loopback address that was free a moment ago, for a mixer to listen at.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 // NewRegister listens on loopback.
 func NewRegister() (*Register, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
