--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -267,6 +270,15 @@
 	w.register.SetState(s.Name, "SERVING")
 	w.until("the pin acts", func() bool { v := w.view(); return v.Overrides[0].State == "acts" && len(v.Returning) == 0 })
 	settled("back")
+	w.register.SetState(s.Name, "DELETED")
+	w.until("the pin waits", func() bool { return strings.HasPrefix(w.view().Overrides[0].State, "waits") })
+	w.register.Set(s.Entry("SERVING", true))
+	acts := func() bool { v := w.view(); return v.Overrides[0].State == "acts" && len(v.Returning) == 0 }
+	w.until("the pin acts after a return", acts)
+	settled("returned")
+	w.register.Set(s.Entry("SERVING", false))
+	w.until("the pin acts after a restart", acts)
+	settled("restarted")
 	w.restartMixer()
 	settled("the mixer restarted")
 	s.Kill() // not strict: its siblings take the shard
@@ -321,6 +333,8 @@
 	w.goesOn(20)
 	w.register.SetState(s.Name, "DELETED")
 	w.register.Set(s.Entry("SERVING", true))
+	w.register.Set(w.fleet[0].Entry("SERVING", true))
+	w.register.Set(s.Entry("SERVING", false)) // it has restarted
 	w.restartMixer()
 	w.goesOn(parts / 4)
 	if through := share() / usual; through > 0.6 || measure && math.Abs(through-0.25) > 0.15*0.25 {
@@ -359,6 +373,55 @@
 	w.ends()
 }
 
+// Operators that hold all lines, say half a request or ask without end cost lookups nothing.
+func TestRudeOperatorsDelayNoLookup(t *testing.T) {
+	w := newWorld(t, 150, 4*time.Millisecond)
+	lookups := int64(300)
+	if measure {
+		lookups = 1500
+	}
+	tail := func() standin.Tally {
+		w.take()
+		w.until("lookups", func() bool { return w.load.Answered() >= lookups })
+		return w.take()
+	}
+	w.goesOn(200)
+	calm := tail()
+	stop := make(chan struct{})
+	var rude sync.WaitGroup
+	for i := range 24 { // more than the listener's lines
+		rude.Go(func() {
+			for {
+				c, err := net.Dial("unix", strings.TrimPrefix(w.file.Operators.Listen, "unix:"))
+				if err != nil {
+					return
+				}
+				c.SetDeadline(time.Now().Add(time.Second))
+				if i%2 == 0 {
+					io.WriteString(c, "POST /v1/overrides HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n{")
+				} else {
+					io.WriteString(c, "GET /v1/overrides HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+				}
+				io.Copy(io.Discard, c)
+				c.Close()
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	pressed := tail()
+	close(stop)
+	rude.Wait()
+	t.Logf("p99 %s without, %s with rude operators; p50 %s and %s", calm.P99, pressed.P99, calm.P50, pressed.P50)
+	if measure && float64(pressed.P99) > 1.1*float64(calm.P99) {
+		t.Errorf("the p99 is %.2f times that without", float64(pressed.P99)/float64(calm.P99))
+	}
+	w.ends()
+}
+
 // Without a directory overrides end with the process, and the answer says so. Of a directory that can't be used commands
 // are refused and lookups are served.
 func TestWhereOverridesAreKept(t *testing.T) {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -185,6 +185,16 @@
 	t.Lost += o.Lost
 }
 
+// Answered is how many lookups have ended since Take was last called.
+func (l *Load) Answered() (n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ended := range l.ends {
+		n += ended
+	}
+	return n
+}
+
 // Take tells what came since the last time that it was asked. A lookup that is still due counts where it ends.
 func (l *Load) Take() Tally {
 	l.mu.Lock()
--- a/logic/override_test.go
+++ b/logic/override_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -293,6 +294,37 @@
 	}
 }
 
+// One that is out of every index is not asked whether it lives, however silent it is: nothing is to go there. Once it is
+// back it is taken for neither silent nor lost by what was asked before.
+func TestOneThatIsOutIsNotProbed(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Limits.Probe = true })
+	warm(s)
+	for range 4 { // some go to each, and are never answered
+		s.take(6, 1, 1)
+	}
+	out := func(is bool) Event {
+		return Event{Kind: OverridesChanged, Override: &Overrides{Searchers: []SearcherOverride{{Searcher: 1, Out: is, Weight: 1}}}}
+	}
+	s.step(0.005, out(true))
+	probed := map[SearcherID]int{}
+	for range 200 {
+		for _, a := range only(Probe, s.tick(0.02)) {
+			probed[a.Searcher]++
+			s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: TimedOut})
+		}
+	}
+	if probed[1] > 0 || probed[2] == 0 {
+		t.Fatalf("probed %v", probed)
+	}
+	for _, c := range slices.Clone(s.m.searchers[1].out) {
+		s.step(0.001, Event{Kind: CallEnded, Part: c.part.id, Call: c.no, Searcher: 1, Outcome: Withdrawn})
+	}
+	s.step(0.005, out(false))
+	if s.tick(0.02); !usable(s.m.searchers[1]) {
+		t.Fatal("it is back, and taken for lost")
+	}
+}
+
 // busy is an instance with a fleet of 1,000 and a steady load, all learnt, stepped by hand.
 type busy struct {
 	m    *Mixer
