First steps end in time for second ones; admission and thinning by the parts that are needed

Parts of area-map lay in queues until the hard deadline, though the short answer goes out at the soft one and cancel takes back nothing that waits there. Crossing added up to 2 usual latencies to an idle replica elsewhere: with 80 mixers one's own calls do not tell how busy home is, and after a shift of traffic all stayed in the full hall.

Now: due() keeps 2.5 latencies for a second step; turnAway takes the slowest part that the least answer needs; a call stops at the soft deadline where a short answer is due then or nothing is earned later; where recent latencies are 1.6 of the usual, half of the weight that a lookup may do without is dropped, least weight for its work first; crossing adds at most 0.45 usual latencies and 6 over the mixers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,31 +21,29 @@
 	smoothing    = 0.2   // weight of a new latency: about the last ten answers count
 	forgetAfter  = 4.0   // soft deadlines in which an estimate not renewed goes back to the average
 	longMemory   = 16.0  // soft deadlines in which faults fade, and doubt in idle lines
-	faultMost    = 4.0   // calls of one searcher that weigh in its share of faults
-	faultPrior   = 1.0   // and as how many that of its location does
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
 	crossFault   = 20.0  // of that, times fault cost and share squared: no crossing saved is worth a fault
-	creditEarn   = 0.2   // credit for an answer: bounds further calls to this share where all goes wrong
 	deepFrom     = 0.25  // of a usual latency: a probe that takes longer has waited
 	lookFrom     = 0.15  // share of calls that fail or crawl from which a mixer looks before it sends
 	lookMemory   = 2.0   // soft deadlines over which that share is counted
 	lookLeast    = 10.0  // calls that weigh as much as what is taken for granted without them
 	lookFresh    = 0.25  // for so long a sign of life serves
 	scoutFrom    = 0.005 // share of calls that end with their searcher from which a lookup sends a part ahead
-	scoutMemory  = 16    // soft deadlines over which that share is counted
 	lookCost     = 4.0   // what a searcher counts that has given none, or where the part's last call failed
 	idleLeast    = 0.2   // pauses of a line that are looked at
 	idleDoubt    = 1.0   // calls lost after such pauses, before lines are thought to die
 	idleTrust    = 0.05  // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
-	coldMargin   = 0.8   // of what the fall rule allows: capacity, hints and the split among mixers are rough
-	coldLoad     = 1.5   // of its full capacity that may be meant for a cold searcher, its sibling being lost
+	secondFor    = 2.5   // latencies that a second step takes
 	sumSlack     = 5e-5  // weights are rounded
 	sweepTimer   = TimerID(1)
 
+	faultMost, faultPrior    = 4.0, 1.0    // calls that weigh in a searcher's share of faults; its location's
+	crossMost, crossSeen     = 0.45, 6.0   // idle crossing at most, and by mixer: many see little of home
+	coldMargin, coldLoad     = 0.8, 1.5    // of the fall rule; meant for a cold one, its sibling being lost
+	crowdFrom, crowdDrop     = 1.6, 0.5    // of the usual, lately; of the weight not needed, dropped then
 	usualUpTo, slowFrom      = 2.0, 2.5    // times usual: an answer within widens, one beyond narrows and is ill
-	creditStart, creditMost  = 3.0, 10.0   // further part calls of a searcher never heard, and of any at most
 	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
 	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
@@ -56,18 +54,6 @@
 
 var faultCost = [...]float64{Idempotent: 6, Fingerprinted: 6, OnceOnly: 30} // a once-only fault ends a lookup
 
-// indexRow is what differs by index.
-type indexRow struct {
-	soft, hard, gain, late float64 // deadlines, gain, and its share after the soft one
-	need, floor, short     float64
-	effect                 Effect
-	fault                  float64 // what a fault of a searcher adds to its cost
-	repeat                 float64
-	second                 int
-	first, votes           float64 // the time that most tries give, and how many more than others
-	work                   float64 // mean hint of a part
-}
-
 // Filled at init, as effects lead back to the tables. An input that a state does not list changes nothing.
 var partTable, lookupTable = []rule[*part]{}, []rule[*lookup]{}
 
@@ -153,11 +139,11 @@
 		r := &e.Entries[i]
 		s, fresh := m.entered(r)
 		if fresh {
-			s.window, s.credit = windowStart, creditStart
+			s.window = windowStart
 		}
 		if r.StartedAt > 0 && r.StartedAt > s.started {
 			if !fresh {
-				m.fallen.add(1, m.now, scoutMemory*m.longSoft)
+				m.fallen.add(1, m.now, longMemory*m.longSoft)
 			}
 			m.renew(s)
 			m.starts(s, r.StartedAt)
@@ -215,8 +201,8 @@
 // dear is what s costs a part that another holds: a weight divides it.
 func (m *Mixer) dear(p *part, s *searcher) float64 { return m.cost(p, s) / s.scope(p.lk.k).weight }
 
-// thin binds a part that a weight may keep from a holder: it is bound as if nothing were weighed, and a share of
-// what binds to the weighed one, by lot, then goes elsewhere. For as long as a call takes, that counts as out
+// thin binds a part that a weight may keep from a holder: it is bound as if nothing were weighed, and a share
+// of what binds to the weighed one, by lot, then goes elsewhere. For as long as a call takes, that counts as out
 // there and not where it went: else the weighed one looks idle, its siblings busy, and more binds to it.
 func (m *Mixer) thin(p *part) *searcher {
 	m.asUsual = p.made == 0 && slices.ContainsFunc(m.holdersOf(p), (*searcher).weighed)
@@ -295,14 +281,14 @@
 	return m.set.Limits.Probe && m.ill.mean(0, lookLeast, m.now, lookMemory*m.longSoft) > lookFrom
 }
 
-// fallsMost is how many searchers a lookup may take down before it is given up, as it likely does so by itself.
-func (m *Mixer) fallsMost() int {
-	if m.fallen.mean(0, lookLeast, m.now, scoutMemory*m.longSoft) > scoutFrom {
-		return 1
-	}
-	return 2
+// falling tells whether searchers fall so often that a lookup may be what brings them down.
+func (m *Mixer) falling() bool {
+	return m.fallen.mean(0, lookLeast, m.now, longMemory*m.longSoft) > scoutFrom
 }
 
+// scouts tells whether a lookup sends one part ahead. Of one that brings searchers down every part does.
+func (m *Mixer) scouts(lk *lookup) bool { return !lk.proven && (lk.broken > 0 || m.falling()) }
+
 func (m *Mixer) fresh(s *searcher) bool { return m.now-s.alive < lookFresh }
 
 // look asks the two likeliest holders of a held part, and tells whether to wait for the first that answers.
@@ -345,31 +331,61 @@
 	m.bind(p)
 	if len(lk.parts) == lk.expect {
 		slices.SortStableFunc(lk.parts, func(a, b *part) int { return cmp.Compare(b.size, a.size) })
+		m.thinOut(lk)
 		if m.turnAway(lk) {
 			m.lookup(lk, giveUp)
 		}
 	}
 }
 
-// turnAway tells whether a lookup just taken could not be answered in time. While others wait, what is worth
-// less, by its index or past its customer's share, must come out earlier. Where many mixers share searchers,
-// the queues lie there: what was heard of late from any tells how long the last of the needed parts takes.
+// turnAway tells whether a lookup just taken could not be answered in time, by the slowest part that its
+// least answer needs. What is worth less, by its index or past its customer's share, must come out earlier.
 func (m *Mixer) turnAway(lk *lookup) bool {
-	x, n, recent := &m.index[lk.k], float64(len(lk.parts)), m.recent.mean(m.usual, lookLeast, m.now, m.shortSoft)
-	est := m.usual + (recent-m.usual)*(1+math.Log(n/(1+n*(1-x.floor))))
-	crowded := recent > usualUpTo*m.usual
+	x, est, crowded := &m.index[lk.k], 0.0, m.recently() > usualUpTo*m.usual
+	ends := m.ends[:0]
 	for _, p := range lk.parts {
 		if s := p.at; s != nil {
 			ahead := float64(s.heldUnits - m.units(lk, s))
 			crowded = crowded || ahead > 0 || s.window < 1
-			est = max(est, m.latency(s, lk.k)*(1+ahead/s.window)+max(0, s.downUntil-m.now))
+			ends = append(ends, m.latency(s, lk.k)*(1+ahead/s.window)+max(0, s.downUntil-m.now))
 		}
 	}
+	if m.ends = ends; len(ends) > 0 {
+		slices.Sort(ends)
+		est = ends[min(len(ends)-1, int(x.floor*float64(len(ends))))]
+	}
 	est += lowGain * (1 - x.gain/m.topGain) * x.soft
 	if lk.over {
 		est += overShare * x.soft
 	}
-	return m.average > 0 && (m.now+est > lk.deadline || crowded && m.now+est > lk.soft)
+	return m.average > 0 && (m.now+est > lk.deadline || crowded && m.now+est > m.due(lk))
+}
+
+// thinOut drops, where it is crowded, parts that a lookup may do without and that give least for their work.
+func (m *Mixer) thinOut(lk *lookup) {
+	most := (lk.need - m.index[lk.k].floor) * crowdDrop
+	if m.recently() <= crowdFrom*m.usual {
+		return
+	}
+	parts := slices.Clone(lk.parts)
+	slices.SortStableFunc(parts, func(a, b *part) int { return cmp.Compare(a.weight/a.size, b.weight/b.size) })
+	for _, p := range parts {
+		if most -= p.weight; most < 0 {
+			return
+		}
+		m.part(p, tooLate)
+	}
+}
+
+// recently is the latency heard of late from any searcher.
+func (m *Mixer) recently() float64 { return m.recent.mean(m.usual, lookLeast, m.now, m.shortSoft) }
+
+// due is the soft deadline of the step in hand: a second one that is to come needs time too.
+func (m *Mixer) due(lk *lookup) float64 {
+	if lk.state != first {
+		return lk.soft
+	}
+	return lk.soft - secondFor*max(m.average, m.recently())
 }
 
 // watch looks after what time alone does to a lookup.
@@ -379,7 +395,7 @@
 	switch {
 	case m.now >= lk.deadline-m.margin() && !enough:
 		m.lookup(lk, giveUp)
-	case m.now >= lk.deadline-m.margin(), enough && m.now >= lk.soft-m.margin() && x.short*lk.in > x.late:
+	case m.now >= lk.deadline-m.margin(), enough && m.now >= m.due(lk)-m.margin() && x.short*lk.in > x.late:
 		m.lookup(lk, short)
 	}
 	waiting := lk.weigh(func(p *part) bool { return p.state == held })
@@ -389,7 +405,7 @@
 			m.overdue(p)
 		case held:
 			// One that misses the soft deadline takes more from others than the little gain that is left.
-			if waiting > x.late && m.average > 0 && p.at != nil && m.now+m.latency(p.at, lk.k) > lk.soft {
+			if waiting > x.late && m.average > 0 && p.at != nil && m.now+m.latency(p.at, lk.k) > m.due(lk) {
 				m.part(p, tooLate)
 			}
 		}
@@ -515,7 +531,8 @@
 	f := m.faulty(s, lk.k)
 	c += m.index[lk.k].fault * f * (c + f*crossFault*m.set.Prices.CrossLocation*m.usual)
 	if s.location != m.set.Location {
-		c = c*(1+crossCost*m.set.Prices.CrossLocation) + crossIdle*m.set.Prices.CrossLocation*m.usual
+		price := m.set.Prices.CrossLocation
+		c = c*(1+crossCost*price) + min(crossIdle*price, crossMost+crossSeen/float64(m.set.Mixers))*m.usual
 	}
 	return c
 }
@@ -551,7 +568,7 @@
 func (m *Mixer) choose(p *part, not *searcher, withRoom bool) (best *searcher) {
 	least := math.Inf(1)
 	for _, s := range m.holdersOf(p) {
-		if s == not || !s.ready || !m.may(p, s) || withRoom && !m.room(p, s) || p.made > 0 && s.credit < 1 {
+		if s == not || !s.ready || !m.may(p, s) || withRoom && !m.room(p, s) {
 			continue
 		}
 		if c := m.rank(p, s) * (1 + 0.01*m.chance.unit()); c < least {
@@ -561,8 +578,6 @@
 	return best
 }
 
-func usable(s *searcher) bool { return s.ready && s.downWait == 0 }
-
 // room: a searcher out of reach gets one call at a time, after each pause.
 func (m *Mixer) room(p *part, s *searcher) bool {
 	if !usable(s) && (s.probing || m.now < s.downUntil || s.units > 0) {
@@ -621,14 +636,13 @@
 		}
 		// While parts that it needs have no holder in reach, work on the others is likely for nothing.
 		blocked := lk.lost+lk.weigh(m.blocked) > 1-m.index[lk.k].floor+sumSlack
-		scouts := !lk.proven && (lk.broken > 0 || m.fallsMost() < 2)
 		parts := lk.parts
 		for i, p := range parts {
-			if scouts {
+			if m.scouts(lk) {
 				if lk.calling() {
 					break
 				}
-				p = parts[len(parts)-1-i]
+				p = parts[len(parts)-1-i] // the least first
 			}
 			if p.state == held && (!blocked || m.blocked(p)) {
 				m.tryRelease(p)
@@ -688,7 +702,15 @@
 	if m.warmth(s) < 1 {
 		s.sent = append(s.sent, sending{m.now, m.workOf(p.lk.k)})
 	}
-	m.do(Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: p.lk.deadline})
+	m.do(Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: m.stop(p.lk)})
+}
+
+// stop is when a call of a lookup is no longer worth its work: what waits beyond that need not be begun.
+func (m *Mixer) stop(lk *lookup) float64 {
+	if x := &m.index[lk.k]; x.floor < x.need && x.short > x.late || x.late == 0 {
+		return min(lk.deadline, lk.soft)
+	}
+	return lk.deadline
 }
 
 // mayAgain tells whether a further call of p is allowed by its index, its tries and the budget.
@@ -716,15 +738,14 @@
 	p.ran = p.ran || !outcomeTable[e.Outcome].never
 	m.learn(c, e)
 	lk := p.lk
-	if e.Outcome == Answered {
-		lk.proven = true
-	} else if e.Outcome == Broken && (m.fallsMost() < 2 || !m.idled(c, e)) {
+	lk.proven = lk.proven || e.Outcome == Answered
+	if e.Outcome == Broken && (m.falling() || !m.idled(c, e)) {
 		lk.broken++
 	}
 	switch {
 	case e.Outcome == Answered:
 		m.part(p, answered)
-	case lk.state != done && lk.broken >= m.fallsMost() && !lk.proven && !lk.calling():
+	case (lk.broken > 1 || lk.broken > 0 && m.falling()) && !lk.proven && !lk.calling():
 		m.lookup(lk, giveUp)
 	case p.state != out || len(p.live) > 0:
 	case m.mayAgain(p):
@@ -748,14 +769,12 @@
 	if failed {
 		m.blame(s, k, 1)
 	}
-	fell := (e.Outcome == Broken || what.away)
-	m.fallen.add(share(fell), m.now, scoutMemory*m.longSoft)
+	m.fallen.add(share(e.Outcome == Broken || what.away), m.now, longMemory*m.longSoft)
 	m.ill.add(share(failed || m.usual > 0 && sample > slowFrom*m.usual), m.now, lookMemory*m.longSoft)
 	switch {
 	case e.Outcome == Answered:
 		s.answeredAt, s.usedAt = m.now, m.now
 		s.lives(m.now)
-		s.credit = min(creditMost, s.credit+creditEarn)
 		m.blame(s, k, 0)
 		if c.idle >= idleLeast {
 			m.doubt.shift(-idleTrust, m.now, longMemory*m.longSoft)
--- /dev/null
+++ b/logic/move_test.go
@@ -0,0 +1,181 @@
+package logic
+
+import (
+	"math"
+	"testing"
+)
+
+// wide is a deployment of eight shards with two holders each, whose index may be answered in part.
+func wide(t *testing.T, floor float64, second int) *scene {
+	var entries []Entry
+	for i := range 16 {
+		entries = append(entries, Entry{Searcher: SearcherID(1 + i), Cell: CellID(i % 8)})
+	}
+	s := newScene(t, func(set *Settings) {
+		set.Mixers, set.Layout.Cells = 60, 8
+		set.Indexes[0].Floor, set.Indexes[0].ShortGain, set.Indexes[0].SecondStep = floor, 0.9, second
+		set.Limits.SecondCopy = true
+	}, entries...)
+	for range 20 {
+		s.serve(only(Send, acts(s.take(6, 1))), 0.02, 0.1)
+	}
+	for lk := range s.m.lookups { // what a second step left open
+		s.step(0.005, Event{Kind: ClientGone, Lookup: s.m.lookups[lk].id})
+	}
+	return s
+}
+
+func acts(_ []PartID, done []Action) []Action { return done }
+
+var eight = []float64{1, 1, 1, 1, 1, 1, 1, 0.5}
+
+// A lookup each of whose parts brings down the searcher that begins it was sent to all its searchers at once, and its
+// parts to their siblings after that.
+func TestLookupThatOnlyBreaksIsGivenUp(t *testing.T) {
+	s := wide(t, 1, 0)
+	parts, done := s.take(6, eight...)
+	sends := only(Send, done)
+	if len(sends) != len(parts) {
+		t.Fatalf("%d parts of %d went out while nothing was in doubt", len(sends), len(parts))
+	}
+	done = nil
+	for _, a := range sends {
+		done = append(done, s.end(0.005, a.Part, a.Searcher, Broken, 0.15)...)
+	}
+	if len(only(Send, done)) != 0 || len(only(Nack, done)) != 1 {
+		t.Fatalf("expected a nack once all had broken and no part again, got %v", done)
+	}
+	// In doubt now: one part goes ahead, the least; as it breaks too, that is all.
+	parts, done = s.take(6, eight...)
+	if sends = only(Send, done); len(sends) != 1 || sends[0].Part != parts[7] {
+		t.Fatalf("expected the least part alone, got %v", sends)
+	}
+	done = s.end(0.1, parts[7], sends[0].Searcher, Broken, 0.1)
+	if len(only(Send, done)) != 0 || len(only(Nack, done)) != 1 {
+		t.Fatalf("expected a nack, got %v", done)
+	}
+	// The next one is sound: its other parts follow the answer.
+	parts, done = s.take(6, eight...)
+	sends = only(Send, done)
+	if done = s.end(0.1, parts[7], sends[0].Searcher, Answered, 0.1); len(only(Send, done)) != 7 {
+		t.Fatalf("expected the other seven, got %v", done)
+	}
+}
+
+// A crash takes some parts of a lookup with it. Its others are answered, so those go again at once.
+func TestPartsBrokenByACrashGoAgain(t *testing.T) {
+	s := wide(t, 1, 0)
+	_, done := s.take(6, eight...)
+	sends := only(Send, done)
+	s.end(0.05, sends[0].Part, sends[0].Searcher, Answered, 0.05)
+	for _, a := range sends[1:4] {
+		if again := only(Send, s.end(0.005, a.Part, a.Searcher, Broken, 0.05)); len(again) != 1 {
+			t.Fatalf("expected the part again, got %v", again)
+		}
+	}
+}
+
+// What waits for a part sent ahead was dropped as late where nobody had answered yet: latency counts as the soft
+// deadline until then.
+func TestNothingIsDroppedAsLateBeforeAnyAnswer(t *testing.T) {
+	s := newScene(t, func(set *Settings) { set.Layout.Cells = 2 }, Entry{Searcher: 1}, Entry{Searcher: 2, Cell: 1})
+	for range 10 {
+		s.m.fallen.add(1, s.now, longMemory*s.m.longSoft)
+	}
+	_, done := s.take(6, 1, 1)
+	if done = append(done, s.tick(0.3)...); len(only(Nack, done)) != 0 || len(only(Send, done)) != 1 {
+		t.Fatalf("got %v", done)
+	}
+}
+
+// The first answer of two leaves time for the second step: given at the soft deadline, it earned nothing.
+func TestFirstStepLeavesTimeForTheSecond(t *testing.T) {
+	for second, answered := range map[int]bool{0: false, 3: true} {
+		s := wide(t, 0.7, second)
+		_, done := s.take(6, eight...)
+		for _, a := range only(Send, done)[:6] {
+			s.end(0.01, a.Part, a.Searcher, Answered, 0.1)
+		}
+		var short []Action
+		for s.now < s.m.open[0].soft-1.2*s.m.average && len(short) == 0 {
+			short = only(Answer, s.tick(0.02))
+		}
+		if (len(short) > 0) != answered {
+			t.Errorf("second step of %d: got %v before the soft deadline", second, short)
+		}
+	}
+}
+
+// Turned away is who has too little time for what the least answer needs, not for the slowest of all parts.
+func TestTurnedAwayByTheSlowestPartThatIsNeeded(t *testing.T) {
+	for floor, refused := range map[float64]bool{0.5: false, 1: true} {
+		s := wide(t, floor, 0)
+		for _, x := range s.m.holders[0] {
+			x.latency, x.heardAt, x.window = 5, s.now, 0.5
+		}
+		_, done := s.take(6, eight...)
+		if (len(only(Nack, done)) > 0) != refused {
+			t.Errorf("floor %g: got %v", floor, done)
+		}
+	}
+}
+
+// Where it is crowded, half of the weight that a lookup may do without is not sent: what weighs least for its work.
+func TestCrowdedLookupsGoWithoutTheirLeastParts(t *testing.T) {
+	s := wide(t, 0.5, 0)
+	for range 300 {
+		s.m.recent.add(2*s.m.usual, s.now, s.m.shortSoft)
+	}
+	parts, done := s.take(6, 2, 2, 1, 1, 1, 1, 1, 1)
+	sends := only(Send, done)
+	for _, a := range sends {
+		if a.Part == parts[0] || a.Part == parts[1] {
+			t.Errorf("the heaviest work for its weight was sent: %v", a)
+		}
+	}
+	if len(sends) != 6 {
+		t.Errorf("%d of 8 parts sent, expected 6", len(sends))
+	}
+	whole := wide(t, 1, 0)
+	for range 300 {
+		whole.m.recent.add(2*whole.m.usual, whole.now, whole.m.shortSoft)
+	}
+	if _, done := whole.take(6, eight...); len(only(Send, done)) != 8 {
+		t.Errorf("an index that needs all went without some: %v", done)
+	}
+}
+
+// A call whose answer would come when a short one has been given need not be begun.
+func TestCallsStopWhereAShortAnswerIsDue(t *testing.T) {
+	for floor, stop := range map[float64]float64{0.5: 2, 1: 6} {
+		s := wide(t, floor, 0)
+		_, done := s.take(6, eight...)
+		for _, a := range only(Send, done) {
+			if math.Abs(a.StopAt-s.now-stop) > 1e-9 {
+				t.Fatalf("floor %g: stops after %g s, expected %g", floor, a.StopAt-s.now, stop)
+			}
+		}
+	}
+}
+
+// Idle searchers elsewhere: one of many mixers sees little of how busy those at home are, one of few sees it all.
+func TestCrossingIsCheaperAmongManyMixers(t *testing.T) {
+	dear := func(mixers int) float64 {
+		s := newScene(t, func(set *Settings) { set.Mixers, set.Prices.CrossLocation = mixers, 0.03 },
+			Entry{Searcher: 1}, Entry{Searcher: 2, Location: 1})
+		warm(s)
+		for _, x := range s.m.fleet {
+			x.latency, x.heardAt = s.m.usual, s.now
+		}
+		parts, _ := s.take(6, 1)
+		p := s.m.parts[parts[0]]
+		for len(p.live) > 0 {
+			s.end(0.001, p.id, p.live[0].at.id, TurnedAway, 0.001)
+		}
+		s.m.unhold(p)
+		return (s.m.cost(p, s.m.searchers[2]) - s.m.cost(p, s.m.searchers[1])) / s.m.usual
+	}
+	if few, many := dear(3), dear(80); few < 1 || many > 0.8 {
+		t.Errorf("crossing adds %.2f usual latencies among 3 mixers and %.2f among 80", few, many)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -37,6 +37,18 @@
 	left
 )
 
+// indexRow is what differs by index.
+type indexRow struct {
+	soft, hard, gain, late float64 // deadlines, gain, and its share after the soft one
+	need, floor, short     float64
+	effect                 Effect
+	fault                  float64 // what a fault of a searcher adds to its cost
+	repeat                 float64
+	second                 int
+	first, votes           float64 // the time that most tries give, and how many more than others
+	work                   float64 // mean hint of a part
+}
+
 // rule is a row of a table: in one of these states, on one of these inputs, go to the next state and do this.
 type rule[T any] struct {
 	state state
@@ -160,7 +172,6 @@
 	trip       *trip
 	fault      []gauge // by index
 	pool       []gauge // the same of all at its location
-	credit     float64
 	downUntil  float64
 	downWait   float64
 	probing    bool
@@ -261,6 +272,7 @@
 	fallen    gauge                  // share of calls that ended with their searcher
 	ill       gauge                  // share of calls that fail or crawl
 	recent    gauge                  // latency of late, over all searchers
+	ends      []float64              // scratch of turning away
 	deep      bool                   // probes wait in the searchers' queues
 	doubt     fading                 // calls lost after a pause, less those answered
 	idle      float64                // a line idle for longer may be dead
@@ -493,6 +505,9 @@
 	return s, fresh
 }
 
+// usable: ready, and in reach as far as is known.
+func usable(s *searcher) bool { return s.ready && s.downWait == 0 }
+
 func (s *searcher) asked(now float64) {
 	if s.quietFrom == 0 {
 		s.quietFrom = now
@@ -605,7 +620,6 @@
 	} else {
 		m.books(&m.further)
 		m.owe(p, false)
-		s.credit--
 	}
 	s.usedAt = m.now
 	s.asked(m.now)
