--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -180,6 +180,9 @@
 		return fmt.Errorf("settings: specifics.secondStep has %d figures, expected one for each of %d classes",
 			n, len(w.RequestClasses))
 	}
+	for i, n := range sp.SecondStep {
+		atLeast0 = append(atLeast0, figure{fmt.Sprintf("specifics.secondStep[%d]", i), float64(n)})
+	}
 	for _, f := range atLeast0 {
 		if f.value < 0 {
 			return fmt.Errorf("settings: %s is %g, expected 0 or more", f.name, f.value)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,7 +25,8 @@
 		x.Effect != logic.Fingerprinted || x.Need != 0.9 || x.RepeatS != 5 || s.Customers[0].QuotaPerS != 2 {
 		t.Fatalf("got %+v", s.Settings)
 	}
-	for _, bad := range []string{`{"limits":{"multiplex":-1}}`, `{"limits":{"idleCloseS":-1}}`, `{"specifics":{"slices":-1}}`, `[]`, ``} {
+	for _, bad := range []string{`{"limits":{"multiplex":-1}}`, `{"limits":{"idleCloseS":-1}}`, `{"specifics":{"slices":-1}}`,
+		`{"requestClasses":[{"effect":"once"}],"specifics":{"secondStep":[-1]}}`, `{"siblings":-1}`, `[]`, ``} {
 		if _, err := Read(7, []byte(bad)); err == nil {
 			t.Errorf("%s was taken", bad)
 		}
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -204,6 +205,8 @@
 	Effect     string  // repeatable, by_key, once
 	Soft, Hard float64 // seconds
 	Gain       float64
+	Floor      float64 // least share of an answer; 0 for all of it
+	RepeatS    float64 // how long a repeated part is dropped; 0 for 5 s
 }
 
 // Site is a small deployment: so many cells, each shard held by Width of them.
@@ -215,24 +218,27 @@
 	Shards  int
 	Mixers  int
 	ColdS   float64 // how long a searcher is cold; 0 for never
+
+	CallParts int     // parts that may share a call; 0 for one
+	CallCostS float64 // work of a call beside its parts
 }
 
 // Settings is the object that a mixer of the site starts from.
 func (s Site) Settings(ordinal int) []byte {
-	var classes, ones []string
+	var classes, ones, floors []string
 	for _, x := range s.Indexes {
-		classes = append(classes, fmt.Sprintf(`{"name":%q,"effect":%q,"promiseS":%g,"giveUpS":%g,"worth":%g,"lateWorth":0.1,"repeatWindowS":5}`,
-			x.Name, x.Effect, x.Soft, x.Hard, x.Gain))
-		ones = append(ones, "1")
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"effect":%q,"promiseS":%g,"giveUpS":%g,"worth":%g,"lateWorth":0.1,"repeatWindowS":%g}`,
+			x.Name, x.Effect, x.Soft, x.Hard, x.Gain, cmp.Or(x.RepeatS, 5)))
+		ones, floors = append(ones, "1"), append(floors, strconv.FormatFloat(cmp.Or(x.Floor, 1), 'g', -1, 64))
 	}
 	zones, _ := json.Marshal(s.Zones)
 	return fmt.Appendf(nil, `{"granularityS":0.005,"azs":%s,"models":["m"],"ordinal":%d,"siblings":%d,"zone":%d,"stats":{"how":"none"},
-		"requestClasses":[%s],"specifics":{"places":%d,"width":%d,"slices":%d,"perCall":1,"classNeed":[%s],"floorByClass":[%[9]s]},
+		"requestClasses":[%s],"specifics":{"places":%d,"width":%d,"slices":%d,"perCall":%d,"callCostS":%g,"classNeed":[%s],"floorByClass":[%s]},
 		"limits":{"cancel":true,"probing":true,"mayDuplicate":true,"retryAfter":true,"mostTries":3,"multiplex":100,"idleCloseS":15,
 		"connectTimeoutS":0.25,"maxRetryAfterS":1,"mostHeld":20000},
 		"invariants":{"answerSlackS":0.02,"coldS":%g,"coldShare":0.25,"drainGraceS":2,"fallMultiple":2,"fallS":1},"prices":{"crossZone":0.02}}`,
 		zones, ordinal, max(1, s.Mixers), ordinal%max(1, len(s.Zones)), strings.Join(classes, ","), s.Cells, s.Width, s.Shards,
-		strings.Join(ones, ","), s.ColdS)
+		max(1, s.CallParts), s.CallCostS, strings.Join(ones, ","), strings.Join(floors, ","), s.ColdS)
 }
 
 // Config is a mixer's config file.
