--- a/logic/logic.go
+++ b/logic/logic.go
@@ -405,7 +405,8 @@
 			m.overdue(p)
 		case held:
 			// One that misses the soft deadline takes more from others than the little gain that is left.
-			if waiting > x.late && m.average > 0 && p.at != nil && m.now+m.latency(p.at, lk.k) > m.due(lk) {
+			inTime := func(s *searcher) bool { return usable(s) && m.now+m.latency(s, lk.k) <= m.due(lk) }
+			if waiting > x.late && m.average > 0 && p.at != nil && !slices.ContainsFunc(m.holdersOf(p), inTime) {
 				m.part(p, tooLate)
 			}
 		}
