--- a/internal/node/shapes_test.go
+++ b/internal/node/shapes_test.go
@@ -23,8 +23,9 @@
 
 // During a move mixers of the old shape (shards on two neighbouring cells, a call for each part, whole answers) and of the
 // new one (sets, calls that parts share, answers in part, parts that a fingerprint guards) run before the same searchers.
-// With more asked of these than they can do, one of them killed and one drained, the rules hold for both kinds, and
-// neither starves the other.
+// With more asked of these than they can do, one of them killed and back cold, and one drained, the rules hold for both
+// kinds, and neither starves the other. Seen to fail where draining searchers count as ready, and where once-only parts go
+// again.
 func TestOldAndNewShapeBeforeTheSameSearchers(t *testing.T) {
 	const cells, service = 6, 50 * time.Millisecond
 	soft := standin.Index{Soft: 1, Hard: 3, Gain: 1, RepeatS: 1.5}
@@ -39,9 +40,9 @@
 	}
 	t.Cleanup(register.Close)
 	shapes := map[string]*shape{
-		"old": {site: standin.Site{Zones: []string{"a", "b"}, Cells: cells, Width: 2, Shards: 2 * cells, Mixers: 4,
+		"old": {site: standin.Site{Zones: []string{"a", "b"}, Cells: cells, Width: 2, Shards: 2 * cells, Mixers: 4, ColdS: 2,
 			Indexes: []standin.Index{index("reads", "repeatable", 1, 0), index("orders", "once", 3, 0)}}},
-		"new": {site: standin.Site{Zones: []string{"a", "b"}, Cells: cells, Width: 1, Shards: 2 * cells, Mixers: 4, CallParts: 8, CallCostS: 0.002,
+		"new": {site: standin.Site{Zones: []string{"a", "b"}, Cells: cells, Width: 1, Shards: 2 * cells, Mixers: 4, ColdS: 2, CallParts: 8, CallCostS: 0.002,
 			Indexes: []standin.Index{index("maps", "repeatable", 5, 0.7), index("notes", "by_key", 1, 0)}}},
 	}
 	var fleet []*standin.Searcher
@@ -122,12 +123,28 @@
 	for name, sh := range shapes {
 		shares[name] = float64(sh.asked.Satisfied) / float64(sh.asked.Asked)
 	}
-	if least, most := min(shares["old"], shares["new"]), max(shares["old"], shares["new"]); least < most/4 {
-		t.Errorf("one starves the other: satisfied shares %v", shares)
+	// Alone each would get all it asks for, 290 parts a second of 480; together at least a third of that.
+	if least := min(shares["old"], shares["new"]); least < 1./3 {
+		t.Errorf("one starves the other: satisfied shares %v, expected a third each", shares)
 	}
-	ran := map[string]int64{}
+	ran, first, last := map[string]int64{}, map[string]time.Time{}, map[string]time.Time{}
 	for _, s := range fleet {
 		s.Executed(func(id string, times int64) { ran[id] += times })
+		s.Arrivals(func(id string, from, to time.Time) {
+			if was, seen := first[id]; !seen || from.Before(was) {
+				first[id] = from
+			}
+			if to.After(last[id]) {
+				last[id] = to
+			}
+		})
+	}
+	// A fingerprinted part goes again only within its window, which begins as it is first sent; the second is a busy machine's.
+	// A client's own retry is another lookup, but these come only where nothing has run.
+	for id, from := range first {
+		if strings.HasPrefix(id, "notes-") && ran[id] > 1 && last[id].Sub(from) > 2500*time.Millisecond {
+			t.Errorf("fingerprinted part %s came again %v after it first did", id, last[id].Sub(from))
+		}
 	}
 	for id, n := range ran {
 		if strings.HasPrefix(id, "orders-") && n > 1 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -176,6 +176,11 @@
 			shares = append(shares, figure{fmt.Sprintf("specifics.%s[%d]", list.name, i), v})
 		}
 	}
+	for i, floor := range sp.FloorByClass {
+		if need := at(sp.ClassNeed, i); need > 0 && floor > need && floor < 1 { // 1 is what a class without a floor has
+			return fmt.Errorf("settings: specifics.floorByClass[%d] is %g, expected at most classNeed, %g", i, floor, need)
+		}
+	}
 	if n := len(sp.SecondStep); n > 0 && n != len(w.RequestClasses) {
 		return fmt.Errorf("settings: specifics.secondStep has %d figures, expected one for each of %d classes",
 			n, len(w.RequestClasses))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,7 +26,9 @@
 		t.Fatalf("got %+v", s.Settings)
 	}
 	for _, bad := range []string{`{"limits":{"multiplex":-1}}`, `{"limits":{"idleCloseS":-1}}`, `{"specifics":{"slices":-1}}`,
-		`{"requestClasses":[{"effect":"once"}],"specifics":{"secondStep":[-1]}}`, `{"siblings":-1}`, `[]`, ``} {
+		`{"requestClasses":[{"effect":"once"}],"specifics":{"secondStep":[-1]}}`, `{"siblings":-1}`,
+		`{"requestClasses":[{"effect":"by_key","repeatWindowS":-1}]}`, `{"requestClasses":[{"effect":"twice"}]}`, `{"requestClasses":[{"effect":"once","worth":-1}]}`,
+		`{"requestClasses":[{"effect":"once"}],"specifics":{"classNeed":[0.5],"floorByClass":[0.6]}}`, `[]`, ``} {
 		if _, err := Read(7, []byte(bad)); err == nil {
 			t.Errorf("%s was taken", bad)
 		}
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -36,6 +36,7 @@
 	mostOut  atomic.Int64
 	byShard  [1024]atomic.Int64
 	executed sync.Map // part id -> *atomic.Int64
+	arrived  sync.Map // part id -> *[2]time.Time, its first and last arrival
 }
 
 // NewSearcher listens on loopback, with so many slots.
@@ -96,6 +97,25 @@
 	s.executed.Range(func(id, n any) bool { f(id.(string), n.(*atomic.Int64).Load()); return true })
 }
 
+// Arrivals tells when each part came here first and last.
+func (s *Searcher) Arrivals(f func(id string, first, last time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived.Range(func(id, at any) bool { f(id.(string), at.(*[2]time.Time)[0], at.(*[2]time.Time)[1]); return true })
+}
+
+// arrives notes a part's arrival.
+func (s *Searcher) arrives(id string) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, _ := s.arrived.LoadOrStore(id, &[2]time.Time{now, now})
+	at.(*[2]time.Time)[1] = now
+}
+
+// named is a part's name among all lookups: its query's text and its shard.
+func named(id, query string) string { return query + " " + id[bytes.IndexByte([]byte(id), '.')+1:] }
+
 func (s *Searcher) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -189,6 +209,7 @@
 		if out := s.out.Add(1); out > s.mostOut.Load() {
 			s.mostOut.Store(out)
 		}
+		s.arrives(named(string(fields[0]), string(after[:n])))
 		go s.work(l, string(fields[0]), string(after[:n]), given)
 		rest = after[n:]
 	}
@@ -202,7 +223,7 @@
 	if _, gone := given.Load(id); gone {
 		return
 	}
-	times, _ := s.executed.LoadOrStore(query+" "+id[bytes.IndexByte([]byte(id), '.')+1:], new(atomic.Int64))
+	times, _ := s.executed.LoadOrStore(named(id, query), new(atomic.Int64))
 	times.(*atomic.Int64).Add(1)
 	mean := float64(s.service.Load())
 	time.Sleep(time.Duration(mean * (0.5 + rand.Float64())))
