--- a/logic/logic.go
+++ b/logic/logic.go
@@ -202,7 +202,7 @@
 func (m *Mixer) dear(p *part, s *searcher) float64 { return m.cost(p, s) / s.scope(p.lk.k).weight }
 
 // thin binds a part that a weight may keep from a holder: it is bound as if nothing were weighed, and a share
-// of what binds to the weighed one, by lot, then goes elsewhere. For as long as a call takes, that counts as out
+// of what binds to the weighed one, by lot, then goes elsewhere. As long as a call takes, that counts as out
 // there and not where it went: else the weighed one looks idle, its siblings busy, and more binds to it.
 func (m *Mixer) thin(p *part) *searcher {
 	m.asUsual = p.made == 0 && slices.ContainsFunc(m.holdersOf(p), (*searcher).weighed)
