--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -161,11 +161,23 @@
 	w.Helper()
 	w.load.Stop()
 	w.take()
-	if a := w.asked; a.Lost > 0 || a.Asked != a.Satisfied+a.Nacked+a.Aborted || a.Satisfied == 0 {
-		w.Fatalf("not each lookup had its answer: %+v", a)
+	eachAnswered(w.T, w.asked)
+	w.Logf("%+v; %d once-only parts ran", w.asked, ranOnce(w.T, w.fleet))
+}
+
+// eachAnswered checks that each lookup had exactly one final answer, and some of them what they asked for.
+func eachAnswered(t *testing.T, a standin.Tally) {
+	t.Helper()
+	if a.Lost > 0 || a.Asked != a.Satisfied+a.Nacked+a.Aborted || a.Satisfied == 0 {
+		t.Fatalf("not each lookup had its answer: %+v", a)
 	}
+}
+
+// ranOnce checks that no once-only part ran twice, and tells how many ran.
+func ranOnce(t *testing.T, fleet []*standin.Searcher) int {
+	t.Helper()
 	ran := map[string]int64{}
-	for _, s := range w.fleet {
+	for _, s := range fleet {
 		s.Executed(func(id string, times int64) {
 			if strings.HasPrefix(id, "orders-") {
 				ran[id] += times
@@ -174,10 +186,10 @@
 	}
 	for id, n := range ran {
 		if n > 1 {
-			w.Errorf("%s ran %d times", id, n)
+			t.Errorf("%s ran %d times", id, n)
 		}
 	}
-	w.Logf("%+v; %d once-only parts ran", w.asked, len(ran))
+	return len(ran)
 }
 
 // restartMixer starts the mixer anew in the same place, as a release does. What it then held is the clients' to ask again.
--- a/internal/node/shapes_test.go
+++ b/internal/node/shapes_test.go
@@ -28,11 +28,8 @@
 // again.
 func TestOldAndNewShapeBeforeTheSameSearchers(t *testing.T) {
 	const cells, service = 6, 50 * time.Millisecond
-	soft := standin.Index{Soft: 1, Hard: 3, Gain: 1, RepeatS: 1.5}
 	index := func(name, effect string, gain, floor float64) standin.Index {
-		x := soft
-		x.Name, x.Effect, x.Gain, x.Floor = name, effect, gain, floor
-		return x
+		return standin.Index{Name: name, Effect: effect, Soft: 1, Hard: 3, Gain: gain, Floor: floor, RepeatS: 1.5}
 	}
 	register, err := standin.NewRegister()
 	if err != nil {
@@ -114,10 +111,8 @@
 		for _, n := range sh.nodes {
 			n.Stop()
 		}
-		if a := sh.asked; a.Lost > 0 || a.Asked != a.Satisfied+a.Nacked+a.Aborted {
-			t.Errorf("%s: not each lookup had its answer: %+v", name, a)
-		}
 		t.Logf("%s: %+v", name, sh.asked)
+		eachAnswered(t, sh.asked)
 	}
 	shares := map[string]float64{}
 	for name, sh := range shapes {
@@ -146,9 +141,5 @@
 			t.Errorf("fingerprinted part %s came again %v after it first did", id, last[id].Sub(from))
 		}
 	}
-	for id, n := range ran {
-		if strings.HasPrefix(id, "orders-") && n > 1 {
-			t.Errorf("once-only part %s ran %d times", id, n)
-		}
-	}
+	ranOnce(t, fleet)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -342,7 +342,7 @@
 // least answer needs. What is worth less, by its index or past its customer's share, must come out earlier.
 func (m *Mixer) turnAway(lk *lookup) bool {
 	x, est, crowded := &m.index[lk.k], 0.0, m.recently() > usualUpTo*m.usual
-	ends := m.ends[:0]
+	ends := make([]float64, 0, len(lk.parts))
 	for _, p := range lk.parts {
 		if s := p.at; s != nil {
 			ahead := float64(s.heldUnits - m.units(lk, s))
@@ -350,7 +350,7 @@
 			ends = append(ends, m.latency(s, lk.k)*(1+ahead/s.window)+max(0, s.downUntil-m.now))
 		}
 	}
-	if m.ends = ends; len(ends) > 0 {
+	if len(ends) > 0 {
 		slices.Sort(ends)
 		est = ends[min(len(ends)-1, int(x.floor*float64(len(ends))))]
 	}
@@ -390,14 +390,15 @@
 
 // watch looks after what time alone does to a lookup.
 func (m *Mixer) watch(lk *lookup) {
-	x := &m.index[lk.k]
+	x, due := &m.index[lk.k], m.due(lk)
 	enough := lk.in >= x.floor-sumSlack
 	switch {
 	case m.now >= lk.deadline-m.margin() && !enough:
 		m.lookup(lk, giveUp)
-	case m.now >= lk.deadline-m.margin(), enough && m.now >= m.due(lk)-m.margin() && x.short*lk.in > x.late:
+	case m.now >= lk.deadline-m.margin(), enough && m.now >= due-m.margin() && x.short*lk.in > x.late:
 		m.lookup(lk, short)
 	}
+	inTime := func(s *searcher) bool { return usable(s) && m.now+m.latency(s, lk.k) <= due }
 	waiting := lk.weigh(func(p *part) bool { return p.state == held })
 	for _, p := range lk.parts {
 		switch p.state {
@@ -405,7 +406,6 @@
 			m.overdue(p)
 		case held:
 			// One that misses the soft deadline takes more from others than the little gain that is left.
-			inTime := func(s *searcher) bool { return usable(s) && m.now+m.latency(s, lk.k) <= m.due(lk) }
 			if waiting > x.late && m.average > 0 && p.at != nil && !slices.ContainsFunc(m.holdersOf(p), inTime) {
 				m.part(p, tooLate)
 			}
@@ -632,22 +632,22 @@
 		m.reorder()
 	}
 	for _, lk := range m.order {
-		if len(lk.parts) < lk.expect {
+		scouts, parts := m.scouts(lk), lk.parts
+		if len(parts) < lk.expect || scouts && lk.calling() {
 			continue
 		}
 		// While parts that it needs have no holder in reach, work on the others is likely for nothing.
 		blocked := lk.lost+lk.weigh(m.blocked) > 1-m.index[lk.k].floor+sumSlack
-		parts := lk.parts
 		for i, p := range parts {
-			if m.scouts(lk) {
-				if lk.calling() {
-					break
-				}
+			if scouts {
 				p = parts[len(parts)-1-i] // the least first
 			}
 			if p.state == held && (!blocked || m.blocked(p)) {
 				m.tryRelease(p)
 			}
+			if scouts && p.state == out {
+				break
+			}
 		}
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -272,7 +272,6 @@
 	fallen    gauge                  // share of calls that ended with their searcher
 	ill       gauge                  // share of calls that fail or crawl
 	recent    gauge                  // latency of late, over all searchers
-	ends      []float64              // scratch of turning away
 	deep      bool                   // probes wait in the searchers' queues
 	doubt     fading                 // calls lost after a pause, less those answered
 	idle      float64                // a line idle for longer may be dead
