The log's time format is set once, before anything runs

The connection's last line had read zerolog.TimeFieldFormat in the mixer of TestOverridesByCommandLine, and run set it again for the next mixer (serve.go, run): one process starts one mixer, tests start several. Ruled out: the log's writer and the counters, which lock. It is set in init now; the new test logs while a mixer starts, and fails with a race where run sets it again.

--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -59,6 +61,27 @@
 	}
 }
 
+// TestStartLeavesTheLogAlone: lines that end with one mixer are logged while another starts, which sets nothing that they read.
+func TestStartLeavesTheLogAlone(t *testing.T) {
+	configured(t, "x", "x:1", "y:1", goodSettings) // its address stops it, after its log is there
+	begun, ended := make(chan bool), make(chan bool)
+	go func() {
+		defer close(ended)
+		log := zerolog.New(io.Discard).With().Timestamp().Logger()
+		for i := range 1000 {
+			log.Info().Msg("connection ended")
+			if i == 0 {
+				close(begun)
+			}
+		}
+	}()
+	<-begun
+	if err := run(""); err == nil {
+		t.Error("an address without a port was taken")
+	}
+	<-ended
+}
+
 // TestServesAndStops runs the whole program against stand-ins: it serves from what was known, with the register
 // out of reach, and on SIGTERM answers what it holds before it ends.
 func TestServesAndStops(t *testing.T) {
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -34,6 +34,9 @@
 
 func (s *serveCmd) Run() error { return run(s.Operator) }
 
+// The log's times, set once and before anything runs: lines of a mixer that stops may still read it.
+func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs }
+
 // limit keeps Go within the machine's share.
 func limit(c node.Config) {
 	if c.Limits.Cores > 0 {
@@ -81,7 +84,6 @@
 	out := diode.NewWriter(struct{ io.Writer }{os.Stdout}, logLines, 0, func(missed int) { count.Add("log", "dropped", int64(missed)) })
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Str("mixer", c.Name).Logger()
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 
 	n, err := node.Start(c, set, file, log, count)
 	if err != nil {
