Full queues send parts elsewhere; lines are asked before they are taken for silent

- A part turned away by a full queue went back to it at once, and was lost within 5 ms: "hist 38:full@930 38:full@999 38:full@1161, holders 38 (lat 0.068) 148 (lat 0.190)", "124:full@586 @587 @589". learn only halved the window, and latency stayed that of a quick searcher, so four times it (avoid) still beat a busy sibling. 55 other parts were lost with it, their work being done all the same, and their clients came back: 10,500 turned away and 57% nacked between 5 and 10 s.
A full queue now counts as eight usual latencies and takes the window below one call.
- Calls without an answer taught nothing where a probe had been answered since (s.alive < c.sent in learn): never heard, window of 4, while calls of half a second ended there.
What counts now is whether a call was answered since (s.answeredAt).
In the module an overdue call is its line's fault only where probes wait in the queue (overdue; 31,000 lines closed on request).

--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -355,10 +355,20 @@
 // least: what a client gives a call may be next to nothing.
 func (a *actor) unanswered(l *line, asked, now time.Time) {
 	if l.heard.Before(asked) && now.Sub(asked) >= seconds(a.fleet.set.Connect) {
-		l.mute(now)
+		a.mute(l, now)
 	}
 }
 
+// mute gives a line that says nothing a last time to: it is asked by a probe of its own, which a searcher answers at
+// once however long its calls wait. Without one, slow searchers lost line after line, with the work done for them.
+func (a *actor) mute(l *line, now time.Time) {
+	if l.closing != "" || !l.muteAt.IsZero() {
+		return
+	}
+	l.muteAt = now
+	l.out.Put(packet{letter: a.letter()})
+}
+
 // ask notes that something is handed to a line. It counts from here and not from when the writer tells of it: on a
 // busy machine that may come after the answer of a probe on another line, which would then find nothing asked here.
 func (l *line) ask(now time.Time) {
@@ -367,12 +377,6 @@
 	}
 }
 
-func (l *line) mute(now time.Time) {
-	if l.muteAt.IsZero() {
-		l.muteAt = now
-	}
-}
-
 // stale tells of a line that its searcher may close for being idle before a frame gets there: a frame is given
 // as long as a connect.
 func (a *actor) stale(l *line) bool {
@@ -580,11 +584,15 @@
 func (a *actor) ask(l *line) {
 	a.asking.line = l
 	l.ask(time.Now())
-	letter := byte(letterAlive)
+	l.out.Put(packet{letter: a.letter()})
+}
+
+// letter is that of a probe.
+func (a *actor) letter() byte {
 	if a.fleet.set.Loads {
-		letter = letterLoad
+		return letterLoad
 	}
-	l.out.Put(packet{letter: letter})
+	return letterAlive
 }
 
 // alive takes the answer of a probe. One that comes after its time-out may be taken for the next one's: a sign
@@ -596,7 +604,7 @@
 	} else if p.apart { // the searcher lives, and lines that were asked before and said nothing since do not
 		for _, l := range a.lines {
 			if !l.asked.IsZero() && l.asked.Before(p.since) {
-				l.mute(n.at)
+				a.mute(l, n.at)
 			}
 		}
 	}
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -324,12 +324,40 @@
 		}
 	}
 	p.expect('M', "")
+	p.expect('M', "") // asked by itself as well, once it had no answer in its time
 	p.say('R', "aa.0 done 1 -\nvalue")
 	r.ended(out[0].Part, logic.Answered)
 	r.send("cc", "q", time.Minute, 1)
 	p.expect('S', "cc.0")
 }
 
+// A searcher whose queue is long answers probes at once, on a line of its own as on that of a call that waits: the
+// line lives, and the call with it. It was taken for a line fallen silent, and so were scores in every second.
+func TestALongQueueIsNoSilentLine(t *testing.T) {
+	const connect = 50 * time.Millisecond
+	r := newRig(t, func(n *settings.Net) { n.Connect = connect.Seconds() })
+	out := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	r.fleet.Probe(1, true)
+	other := r.accept(r.peer)
+	other.expect('M', "")
+	other.say('M', "-")
+	r.event()
+	p.expect('M', "")
+	p.say('M', "-")
+	for begun := time.Now(); time.Since(begun) < 4*connect; { // a silent line would have ended by then
+		r.fleet.Probe(1, true)
+		other.expect('M', "")
+		other.say('M', "-")
+		if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Answered {
+			t.Fatalf("got %+v", e.Event)
+		}
+	}
+	p.say('R', "aa.0 done 1 -\nvalue")
+	r.ended(out[0].Part, logic.Answered)
+}
+
 // Asked apart, a searcher is heard at once on a line of its own, and the one that has said nothing takes nothing new.
 func TestAProbeApartFindsASilentLine(t *testing.T) {
 	// The connect's time is what a silent line is given: far longer than a busy machine keeps this test from running.
@@ -346,6 +374,7 @@
 	}
 	r.send("bb", "q", time.Minute, 1)
 	other.expect('S', "bb.0")
+	p.expect('M', "")
 	p.say('R', "aa.0 done 1 -\nvalue") // it was only slow
 	r.ended(out[0].Part, logic.Answered)
 	lost := r.send("cc", "q", time.Minute, 1)
@@ -358,6 +387,7 @@
 	other.say('R', "bb.0 done 1 -\nvalue")
 	r.event()
 	r.ended(lost[0].Part, logic.TimedOut) // long before its deadline
+	p.expect('M', "")
 	if _, _, err := readFrame(p.in); err != io.EOF {
 		t.Fatalf("the silent line goes on: %v", err)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	crowdFrom, crowdDrop     = 1.6, 0.5    // of the usual, lately; of the weight not needed, dropped then
 	usualUpTo, slowFrom      = 2.0, 2.5    // times usual: an answer within widens, one beyond narrows and is ill
 	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
+	nearIn, fullFrom         = 0.75, 8.0   // of what is needed: copies are due early; usual latencies of a full queue
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
 	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
 	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
@@ -198,9 +199,6 @@
 	return s.scope(p.lk.k).weight
 }
 
-// dear is what s costs a part that another holds: a weight divides it.
-func (m *Mixer) dear(p *part, s *searcher) float64 { return m.cost(p, s) / s.scope(p.lk.k).weight }
-
 // thin binds a part that a weight may keep from a holder: it is bound as if nothing were weighed, and a share
 // of what binds to the weighed one, by lot, then goes elsewhere. As long as a call takes, that counts as out
 // there and not where it went: else the weighed one looks idle, its siblings busy, and more binds to it.
@@ -420,7 +418,7 @@
 	}
 	c, s := p.live[0], m.choose(p, p.live[0].at, true)
 	age, patience := m.now-c.sent, overdueFrom*max(m.average, m.latency(s, p.lk.k))*p.size
-	if !m.deep {
+	if !m.deep && (p.lk.in < nearIn*p.lk.need || m.recently() > crowdFrom*m.usual) { // the last few cost little
 		patience *= shallowMore
 	}
 	if s == nil || age < patience && usable(c.at) {
@@ -431,7 +429,7 @@
 		m.ask(s, false)
 		return
 	}
-	if c.at.alive > c.sent && c.at.answeredAt < c.sent {
+	if m.deep && c.at.alive > c.sent && c.at.answeredAt < c.sent { // a call that waits no longer than a probe
 		m.lineLost(c)
 	}
 	if m.set.Limits.SecondCopy {
@@ -673,7 +671,7 @@
 	sound := s != nil && usable(s) && !m.late(p, s)
 	if !sound || !m.room(p, s) || looks && !m.fresh(s) {
 		alt := m.choose(p, s, sound)
-		if alt != nil && !m.late(p, alt) && (!sound && usable(alt) || sound && (m.dear(p, alt) < m.cost(p, s) ||
+		if alt != nil && !m.late(p, alt) && (!sound && usable(alt) || sound && (m.cost(p, alt) < m.cost(p, s)*alt.scope(p.lk.k).weight ||
 			!m.coldAllows(p, s) || looks && m.fresh(alt) && !m.fresh(s))) {
 			m.hold(p, alt)
 			s = alt
@@ -766,7 +764,8 @@
 		m.lineLost(c) // it tells nothing of the searcher
 		return
 	}
-	failed := what.fault || what.away || what.slow && s.alive < c.sent && c.part.state == out
+	stuck := what.slow && s.answeredAt < c.sent // whatever a probe was told: it may not have waited
+	failed := what.fault || what.away || stuck && c.part.state == out
 	if failed {
 		m.blame(s, k, 1)
 	}
@@ -782,12 +781,12 @@
 		}
 		m.heard(s, sample)
 		m.recent.add(sample, m.now, m.shortSoft)
-	case what.slow && s.alive < c.sent && sample > m.latency(s, k):
+	case stuck && sample > m.latency(s, k):
 		m.heard(s, sample)
-	case what.full:
-		m.narrow(s, windowMost)
-	}
-	if what.away {
+	case what.full: // and not to be asked again at once
+		s.latency, s.heardAt = max(m.latency(s, k), fullFrom*m.usual), m.now
+		m.narrow(s, min(windowMost, windowMost/s.window))
+	case what.away:
 		s.dead = true
 		m.away(s)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -362,7 +362,7 @@
 				done = append(done, s.tick(0.05)...)
 				for _, a := range only(Probe, done) {
 					outcome := map[bool]Outcome{true: Answered, false: TimedOut}[alive]
-					s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: outcome})
+					s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: outcome, Elapsed: 0.1}) // it waits as a call does
 				}
 				for _, a := range only(Withdraw, done) {
 					s.end(0.005, a.Part, 0, Withdrawn, 1)
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -164,18 +164,78 @@
 		s := newScene(t, func(set *Settings) { set.Mixers, set.Prices.CrossLocation = mixers, 0.03 },
 			Entry{Searcher: 1}, Entry{Searcher: 2, Location: 1})
 		warm(s)
-		for _, x := range s.m.fleet {
-			x.latency, x.heardAt = s.m.usual, s.now
-		}
 		parts, _ := s.take(6, 1)
 		p := s.m.parts[parts[0]]
 		for len(p.live) > 0 {
 			s.end(0.001, p.id, p.live[0].at.id, TurnedAway, 0.001)
 		}
 		s.m.unhold(p)
+		for _, x := range s.m.fleet {
+			x.latency, x.heardAt = s.m.usual, s.now
+		}
 		return (s.m.cost(p, s.m.searchers[2]) - s.m.cost(p, s.m.searchers[1])) / s.m.usual
 	}
 	if few, many := dear(3), dear(80); few < 1 || many > 0.8 {
 		t.Errorf("crossing adds %.2f usual latencies among 3 mixers and %.2f among 80", few, many)
 	}
 }
+
+// A full queue was no reason to go elsewhere: a busy sibling looked dearer, and the part spent its three calls on the full
+// one within milliseconds. A lookup of 56 parts was lost with it.
+func TestAFullSearcherIsNotAskedAgainAtOnce(t *testing.T) {
+	s := newScene(t, nil)
+	warm(s)
+	s.m.searchers[2].latency, s.m.searchers[2].heardAt = 5*s.m.usual, s.now
+	parts, done := s.take(6, 1)
+	if at := only(Send, done)[0].Searcher; at != 1 {
+		t.Fatalf("bound to %d, expected the quick one", at)
+	}
+	if sends := only(Send, s.end(0.002, parts[0], 1, TurnedAway, 0.002)); len(sends) != 1 || sends[0].Searcher != 2 {
+		t.Fatalf("expected the busy sibling, got %v", sends)
+	}
+	done = s.end(0.002, parts[0], 2, TurnedAway, 0.002)
+	if len(only(Send, done)) != 0 || len(only(Nack, done)) != 0 {
+		t.Fatalf("both are full, expected the part to wait, got %v", done)
+	}
+	for range 100 {
+		if done = append(done, s.tick(0.02)...); len(only(Send, done)) > 0 {
+			return
+		}
+	}
+	t.Error("the part never went again")
+}
+
+// Probes answered beside a searcher's queue say nothing of it: calls that ended without an answer taught nothing, and
+// the next part went there as before.
+func TestACallWithoutAnswerCountsThoughProbesAreAnswered(t *testing.T) {
+	for _, outcome := range []Outcome{TimedOut, Withdrawn} {
+		s := newScene(t, nil)
+		warm(s)
+		parts, done := s.take(6, 1)
+		at := only(Send, done)[0].Searcher
+		s.step(0.3, Event{Kind: ProbeEnded, Searcher: at, Outcome: Answered, Elapsed: 0.001})
+		s.end(0.7, parts[0], at, outcome, 1)
+		if l := s.m.searchers[at].latency; l < 1.5*s.m.usual || s.m.searchers[at].fault[0].sum == 0 {
+			t.Errorf("outcome %d: latency %.2f and fault %.2f after a call of 1 s, %.2f is usual", outcome, l,
+				s.m.searchers[at].fault[0].sum, s.m.usual)
+		}
+	}
+}
+
+// Where probes tell little, copies are late lest queues double; the last part of a lookup has one in time.
+func TestLastPartsAreCopiedEarly(t *testing.T) {
+	for _, answered := range []int{2, 7} {
+		s := wide(t, 1, 0)
+		parts, done := s.take(6, 1, 1, 1, 1, 1, 1, 1, 1)
+		for _, a := range only(Send, done)[:answered] {
+			s.end(0.001, a.Part, a.Searcher, Answered, 0.1)
+		}
+		copies := 0
+		for range 30 { // 0.6 s, six latencies
+			copies += len(only(Send, s.tick(0.02)))
+		}
+		if early := copies > 0; early != (answered == 7) {
+			t.Errorf("%d of %d parts answered: %d copies in six latencies", answered, len(parts), copies)
+		}
+	}
+}
