--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -239,3 +239,36 @@
 		}
 	}
 }
+
+// A mixer that stood still finds its answers, its clients and its timer all at once, the timer first. What it took so long to
+// hear is nobody's fault: nothing is copied, asked or blamed, and the lookup is answered.
+func TestAStallIsNoFaultOfSearchers(t *testing.T) {
+	s := wide(t, 1, 0)
+	s.m.set.Limits.Probe = true
+	parts, done := s.take(6, 1, 1, 1, 1)
+	sends := only(Send, done)
+	events := []Event{{Kind: TimerDue, Timer: sweepTimer}}
+	for _, a := range sends {
+		events = append(events, Event{Kind: CallEnded, Part: a.Part, Searcher: a.Searcher, Outcome: Answered, Elapsed: 0.1})
+	}
+	done = s.step(1.2, events...)
+	if len(sends) != len(parts) || len(only(Answer, done)) != 1 || len(only(Send, done))+len(only(Probe, done))+len(only(Withdraw, done)) > 0 {
+		t.Fatalf("expected an answer and no doubt in anybody, got %v", done)
+	}
+	// One answer is still on its way when the mixer wakes: its call is as old as the stall, and looks overdue.
+	parts, done = s.take(6, 1, 1, 1, 1)
+	sends, events = only(Send, done), events[:1]
+	for _, a := range sends[1:] {
+		events = append(events, Event{Kind: CallEnded, Part: a.Part, Searcher: a.Searcher, Outcome: Answered, Elapsed: 0.1})
+	}
+	s.step(1.2, events...)
+	s.end(0.005, sends[0].Part, sends[0].Searcher, Answered, 0.1)
+	for _, x := range s.m.fleet {
+		if x.fault[0].sum > 0 || x.downWait > 0 || x.window < 1 || x.latency > 1.1*s.m.usual {
+			t.Errorf("searcher %d: fault %.2f, down %.2f, window %.2f, latency %.2f of %.2f", x.id, x.fault[0].sum, x.downWait, x.window, x.latency, s.m.usual)
+		}
+	}
+	if len(s.m.lookups) != 0 {
+		t.Errorf("%d lookups of %d parts are still open", len(s.m.lookups), len(parts))
+	}
+}
