--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	crowdFrom, crowdDrop     = 1.6, 0.5    // of the usual, lately; of the weight not needed, dropped then
 	usualUpTo, slowFrom      = 2.0, 2.5    // times usual: an answer within widens, one beyond narrows and is ill
 	overdueFrom, shallowMore = 4.0, 2.0    // of a sibling: out longer is taken back; more where probes tell less
-	nearIn, fullFrom         = 0.75, 8.0   // of what is needed: copies are due early; usual latencies of a full queue
+	nearIn, fullFrom         = 0.75, 8.0   // of what is needed: copies come early; of usual, a full queue
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
 	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
 	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
@@ -671,8 +671,8 @@
 	sound := s != nil && usable(s) && !m.late(p, s)
 	if !sound || !m.room(p, s) || looks && !m.fresh(s) {
 		alt := m.choose(p, s, sound)
-		if alt != nil && !m.late(p, alt) && (!sound && usable(alt) || sound && (m.cost(p, alt) < m.cost(p, s)*alt.scope(p.lk.k).weight ||
-			!m.coldAllows(p, s) || looks && m.fresh(alt) && !m.fresh(s))) {
+		if alt != nil && !m.late(p, alt) && (!sound && usable(alt) || sound && (!m.coldAllows(p, s) ||
+			m.cost(p, alt) < m.cost(p, s)*alt.scope(p.lk.k).weight || looks && m.fresh(alt) && !m.fresh(s))) {
 			m.hold(p, alt)
 			s = alt
 		}
