--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -49,26 +49,23 @@
 		"coldS is -1":                   {"x:1", "x:1", strings.Replace(goodSettings, `"granularityS"`, `"invariants":{"coldS":-1},"granularityS"`, 1)},
 		"address x: missing port":       {"x", "x:1", goodSettings},
 		`requestClasses[0].effect is "`: {"x:1", "x:1", strings.Replace(goodSettings, "repeatable", "often", 1)},
+		"requestClasses[0].repeatWindowS is -1, expected 0 or more": {"x:1", "x:1", strings.Replace(goodSettings, `"repeatable"`, `"by_key","repeatWindowS":-1`, 1)},
+		"floorByClass[0] is 0.6, expected at most classNeed, 0.5":   {"x:1", "x:1", strings.Replace(goodSettings, `"classNeed":[1]`, `"classNeed":[0.5],"floorByClass":[0.6]`, 1)},
 	} {
 		configured(t, c[0], c[1], "y:1", c[2])
 		if err := run(""); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("got %v, expected %q", err, want)
 		}
 	}
-	for _, c := range [][3]string{
-		{`"weight":1.0`, `"weight":0`, `searcher "s-1": weight is 0, expected more than 0`},
-		{`"weight":1.0`, `"weight":"NaN"`, "weight of type float64"},
-		{`"effect":"repeatable"`, `"effect":"by_key","repeatWindowS":-1`, "requestClasses[0].repeatWindowS is -1, expected 0 or more"},
-		{`"classNeed":[1]`, `"classNeed":[0.5],"floorByClass":[0.6]`, "floorByClass[0] is 0.6, expected at most classNeed, 0.5"},
-	} {
+	for weight, want := range map[string]string{"0": `searcher "s-1": weight is 0, expected more than 0`, `"NaN"`: "weight of type float64"} {
 		configured(t, "x:1", "x:1", "y:1", goodSettings)
 		text, err := os.ReadFile(os.Getenv("LB_CONFIG"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		os.WriteFile(os.Getenv("LB_CONFIG"), bytes.Replace(text, []byte(c[0]), []byte(c[1]), 1), 0o600)
-		if err := run(""); err == nil || !strings.Contains(err.Error(), c[2]) || strings.Contains(err.Error(), "\n") {
-			t.Errorf("got %v, expected %q", err, c[2])
+		os.WriteFile(os.Getenv("LB_CONFIG"), bytes.Replace(text, []byte(`"weight":1.0`), []byte(`"weight":`+weight), 1), 0o600)
+		if err := run(""); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, expected %q", err, want)
 		}
 	}
 	t.Setenv("LB_CONFIG", "")
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -192,6 +192,16 @@
 	}
 }
 
+// A weight that can't be one counts as none stated: refusing the list for it would cost the drains that it tells of.
+func TestAListCountsThoughAWeightCannot(t *testing.T) {
+	r := newRig(t, false, nil)
+	w := r.ask("/discovery/hosts?stream=1&index=41")
+	w.write(line(42, false, strings.Replace(searcher("s4", "SERVING"), `"weight":2`, `"weight":0`, 1), searcher("s1", "DRAINING")))
+	if e := r.expect(logic.ListPatch, "s4:0", "s1:1"); e.Entries[0].Share != 1 || e.Entries[1].Share != 2 {
+		t.Fatalf("got shares %v and %v, expected 1 and 2", e.Entries[0].Share, e.Entries[1].Share)
+	}
+}
+
 func TestASilentWatchIsRenewed(t *testing.T) {
 	r := newRig(t, false, func(r *Register) { r.silence = 100 * time.Millisecond })
 	w := r.ask("/discovery/hosts?stream=1&index=41")
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -359,7 +359,7 @@
 	}
 }
 
-// mute gives a line that says nothing a last time to: it is asked by a probe of its own, which a searcher answers at
+// mute begins the last wait for a line that has said nothing, and asks it by a probe of its own, which a searcher answers at
 // once however long its calls wait. Without one, slow searchers lost line after line, with the work done for them.
 func (a *actor) mute(l *line, now time.Time) {
 	if l.closing != "" || !l.muteAt.IsZero() {
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -305,6 +305,21 @@
 	}
 }
 
+// apart has the searcher asked apart, and answers for it on that line, or else on the new one that this takes.
+func (r *rig) apart(on *peerLine) *peerLine {
+	r.Helper()
+	r.fleet.Probe(1, true)
+	if on == nil {
+		on = r.accept(r.peer)
+	}
+	on.expect('M', "")
+	on.say('M', "-")
+	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Answered {
+		r.Fatalf("got %+v, expected a probe that was answered", e.Event)
+	}
+	return on
+}
+
 // A line that has fallen silent takes nothing new, and its searcher is heard again on another; what is out on it may
 // still be answered, and then it is as good as before.
 func TestASilentLineIsNoSilentSearcher(t *testing.T) {
@@ -339,20 +354,11 @@
 	out := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
-	r.fleet.Probe(1, true)
-	other := r.accept(r.peer)
-	other.expect('M', "")
-	other.say('M', "-")
-	r.event()
+	other := r.apart(nil)
 	p.expect('M', "")
 	p.say('M', "-")
 	for begun := time.Now(); time.Since(begun) < 4*connect; { // a silent line would have ended by then
-		r.fleet.Probe(1, true)
-		other.expect('M', "")
-		other.say('M', "-")
-		if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Answered {
-			t.Fatalf("got %+v", e.Event)
-		}
+		r.apart(other)
 	}
 	p.say('R', "aa.0 done 1 -\nvalue")
 	r.ended(out[0].Part, logic.Answered)
@@ -365,13 +371,7 @@
 	out := r.send("aa", "q", time.Hour, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
-	r.fleet.Probe(1, true)
-	other := r.accept(r.peer)
-	other.expect('M', "")
-	other.say('M', "-")
-	if e := r.event(); e.Kind != logic.ProbeEnded || e.Outcome != logic.Answered {
-		t.Fatalf("got %+v", e.Event)
-	}
+	other := r.apart(nil)
 	r.send("bb", "q", time.Minute, 1)
 	other.expect('S', "bb.0")
 	p.expect('M', "")
@@ -379,11 +379,7 @@
 	r.ended(out[0].Part, logic.Answered)
 	lost := r.send("cc", "q", time.Minute, 1)
 	p.expect('S', "cc.0")
-	r.fleet.Probe(1, true) // neither line is idle
-	last := r.accept(r.peer)
-	last.expect('M', "")
-	last.say('M', "-")
-	r.event()
+	r.apart(nil) // neither line is idle
 	other.say('R', "bb.0 done 1 -\nvalue")
 	r.event()
 	r.ended(lost[0].Part, logic.TimedOut) // long before its deadline
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -45,7 +45,7 @@
 
 	mu      sync.Mutex
 	ends    map[string]int64 // satisfied, nacked, aborted, lost
-	why     string           // one was lost
+	why     string           // the last lookup was lost
 	gain    [2]float64       // asked for, and answered within the soft deadline
 	latency *hdrhistogram.Histogram
 }
@@ -124,9 +124,9 @@
 	}
 	body = fmt.Appendf(body, `],"query":"%s"}`, query)
 	began := time.Now()
-	end, wait := "", time.Duration(0)
+	end, why, wait := "", "", time.Duration(0)
 	for tries := 0; ; tries++ {
-		end, wait = l.try(mixer, mix, body, mix.Deadline-time.Since(began))
+		end, why, wait = l.try(mixer, mix, body, mix.Deadline-time.Since(began))
 		wait = max(wait, time.Duration(float64(l.Backoff)*(0.5+rand.Float64())))
 		if end != "nacked" || tries >= l.Retries || time.Since(began)+wait >= mix.Deadline {
 			break
@@ -138,6 +138,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ends[end]++
+	l.why = cmp.Or(why, l.why)
 	l.gain[0] += mix.Gain
 	if end == "satisfied" {
 		l.latency.RecordValue(max(1, took.Microseconds()))
@@ -148,7 +149,7 @@
 }
 
 // try sends a lookup once.
-func (l *Load) try(mixer string, mix Mix, body []byte, left time.Duration) (end string, wait time.Duration) {
+func (l *Load) try(mixer string, mix Mix, body []byte, left time.Duration) (end, why string, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), left+2*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+mixer+"/"+mix.Index, bytes.NewReader(body))
@@ -162,17 +163,14 @@
 	}
 	switch {
 	case err != nil:
-		l.mu.Lock()
-		l.why = fmt.Sprintf("given %v: %v", left, err)
-		l.mu.Unlock()
-		return "lost", 0
+		return "lost", fmt.Sprintf("given %v: %v", left, err), 0
 	case res.StatusCode == http.StatusOK:
-		return "satisfied", 0
+		return "satisfied", "", 0
 	case res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusServiceUnavailable:
 		seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
-		return "nacked", time.Duration(seconds * float64(time.Second))
+		return "nacked", "", time.Duration(seconds * float64(time.Second))
 	}
-	return "aborted", 0
+	return "aborted", "", 0
 }
 
 // Tally is what came of some lookups.
@@ -180,7 +178,7 @@
 	Asked, Satisfied, Nacked, Aborted, Lost int64
 	Gain                                    float64       // share of it that was answered within the soft deadline
 	P50, P99                                time.Duration // of the satisfied
-	Why                                     string        // the last one was lost
+	Why                                     string        // the last lookup was lost
 }
 
 // Add adds the counts of another.
@@ -212,7 +210,7 @@
 	if t.Gain = 1; l.gain[0] > 0 {
 		t.Gain = l.gain[1] / l.gain[0]
 	}
-	l.gain = [2]float64{}
+	l.gain, l.why = [2]float64{}, ""
 	clear(l.ends)
 	l.latency.Reset()
 	return t
