A call begins only while it may, and ends once its searcher was told

Read and then forced on loopback: giveUp put the frame C into its line's mailbox and told the end at once (searchers.go), so that the next call of that part could be on another line before C was written, always where the write was stuck. Ruled out: the module, which sends no other call before CallEnded there (its rule check in logic/env_test.go); two parts of one name (refused by name). Found on the same reading, each forced by a test: a call taken back, overdue, or a repeat past its window was written after it had waited for a connect or behind a write; so was one to a searcher that had begun to drain or was gone meanwhile, past any grace; a failed write closed the line over a whole answer that was unread, which then counted as broken; the end of a mixer waited for connects that nobody needed.

Change: a call's actor and its line's writer settle by one compare-and-swap whether it begins. What does not begin ends at once and never ran; what began ends once C is written. Begin is the earlier of the stop time and what the module says (BeginBy, for a repeat of a fingerprinted part). A drain takes back all that has not begun. A line over which a write failed, or that leads to the process before, is read for 50 ms more. Connects end with the mixer.

Seen: each test of crossings_test.go fails without its guard (begin, takeBack, unsend, the end told with C, finish, the connect's context). Goroutines are counted after the package's tests (goleak).

--- a/internal/mixer/gate.go
+++ b/internal/mixer/gate.go
@@ -79,7 +79,7 @@
 	if v.Most > 0 {
 		lk.Wait = min(lk.Wait, now.Sub(lk.Arrived).Seconds()+v.Most)
 	}
-	if lk.kept = v.Zones != nil; lk.kept {
+	if v.Zones != nil {
 		m.missing(lk, v.Zones, now)
 	}
 	return v.Zones, true
@@ -161,7 +161,6 @@
 		clear(m.gated.covers)
 		for id, lk := range m.lookups {
 			zones := e.Rules.Zones(lk.Customer, lk.Index)
-			lk.kept = lk.kept || zones != nil
 			e.Override.Zones = append(e.Override.Zones, logic.ZonesOverride{Lookup: id, Zones: zones})
 		}
 	}
--- a/internal/mixer/mixer.go
+++ b/internal/mixer/mixer.go
@@ -30,8 +30,7 @@
 	Parts    []Part
 	Done     chan Reply // holds one
 
-	id   logic.LookupID
-	kept bool // inside the zones of a contract
+	id logic.LookupID
 }
 
 // Part is one of a lookup's; its Value is there once it is In.
@@ -88,7 +87,7 @@
 	Shard  logic.ShardID
 	Sent   time.Time
 	Stop   time.Time // when to stop waiting
-	Kept   bool      // inside the zones of a contract: not begun after Stop, whatever held it up
+	Begin  time.Time // by when it has to be on its way, whatever held it up; after it, it is not begun
 }
 
 // Searchers takes what goes to searchers. None of its methods may block.
@@ -479,6 +478,10 @@
 	if at := m.clock(a.StopAt); a.StopAt > 0 && at.Before(stop) {
 		stop = at
 	}
+	begin := stop
+	if at := m.clock(a.BeginBy); a.BeginBy > 0 && at.Before(begin) {
+		begin = at
+	}
 	key := callKey{a.Part, p.made}
 	p.made++
 	c := outCall{to: a.Searcher, index: lk.Index, owner: lk.Customer}
@@ -487,7 +490,7 @@
 	}
 	m.out[key] = c
 	m.count.Add("calls", "sent", 1)
-	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop, lk.kept})
+	trip := append(m.trips[a.Searcher], Call{key.part, key.no, lk, p.Shard, now, stop, begin})
 	if len(trip) == 1 {
 		m.tripTo = append(m.tripTo, a.Searcher)
 	}
--- /dev/null
+++ b/internal/searchers/crossings_test.go
@@ -0,0 +1,265 @@
+package searchers
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stuck sends a call that is larger than sockets hold unread, and returns its line once the write of it has begun: what is
+// sent there next waits behind it until the line is read.
+func (r *rig) stuck() *peerLine {
+	r.Helper()
+	r.send("large", strings.Repeat("q", 16<<20), time.Minute, 1)
+	p := r.accept(r.peer)
+	if _, err := p.in.Peek(5); err != nil {
+		r.Fatal(err)
+	}
+	return p
+}
+
+// rest reads the large call to its end, and then what else was written before the line was closed by us.
+func (p *peerLine) rest() string {
+	p.r.Helper()
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(p.in, head); err != nil {
+		p.r.Fatal(err)
+	}
+	n := int(head[0])<<24 | int(head[1])<<16 | int(head[2])<<8 | int(head[3])
+	if _, err := io.CopyN(io.Discard, p.in, int64(n)); err != nil {
+		p.r.Fatal(err)
+	}
+	p.say('R', "large.0 done 0 -\n") // so that it is idle, and closed where that is asked for
+	p.r.ended(1, logic.Answered)
+	p.r.hub.CloseIdle(1)
+	text, _ := io.ReadAll(p.in)
+	return string(text)
+}
+
+// A call that was taken back while it waited behind a write is not written after it, and neither is its withdrawal.
+func TestTakenBackBehindAWriteIsNeverSent(t *testing.T) {
+	r := newRig(t, nil)
+	p := r.stuck()
+	calls := r.send("bb", "q", time.Minute, 1)
+	r.hub.Withdraw(1, calls[0].Part, 0)
+	r.ended(calls[0].Part, logic.Withdrawn)
+	if text := p.rest(); text != "" {
+		t.Fatalf("%q was written", text)
+	}
+}
+
+// One whose time passed while it waited: nobody waits for its answer.
+func TestOverdueBehindAWriteIsNeverSent(t *testing.T) {
+	r := newRig(t, nil)
+	p := r.stuck()
+	calls := r.send("bb", "q", 20*time.Millisecond, 1)
+	r.ended(calls[0].Part, logic.TimedOut)
+	if text := p.rest(); text != "" {
+		t.Fatalf("%q was written", text)
+	}
+}
+
+// A call that is on its way to its searcher ends once that was told: before, another call of its part would be a second copy,
+// which a deployment may not allow.
+func TestACallEndsOnceItsSearcherWasTold(t *testing.T) {
+	r := newRig(t, nil)
+	calls := r.send("aa", "q", time.Minute, 1)
+	p := r.accept(r.peer)
+	p.expect('S', "aa.0")
+	large := r.send("large", strings.Repeat("q", 16<<20), time.Minute, 1)
+	if _, err := p.in.Peek(5); err != nil { // the write is stuck behind it
+		t.Fatal(err)
+	}
+	r.hub.Withdraw(1, calls[0].Part, 0)
+	twin := calls[0]
+	r.next++
+	twin.Part = r.next
+	r.hub.Send(1, append(calls[:0:0], twin))
+	r.ended(twin.Part, logic.NotSent) // the other is still out, and its withdrawal was heard
+	if _, err := io.CopyN(io.Discard, p.in, int64(4+1+len("large.0 0 d=59999 16777216\n")+16<<20)); err != nil {
+		t.Fatal(err)
+	}
+	p.expect('C', "aa.0")
+	r.ended(calls[0].Part, logic.Withdrawn)
+	p.say('R', "large.0 done 0 -\n")
+	r.ended(large[0].Part, logic.Answered)
+}
+
+// A repeat that waits for its line, or behind a write, until it would no longer be known as one.
+func TestARepeatBeyondItsWindowIsNeverSent(t *testing.T) {
+	r := newRig(t, nil)
+	p := r.stuck()
+	calls := r.send("bb", "q", time.Minute, 1)
+	r.next++
+	late := calls[0]
+	late.Part, late.Shard, late.Begin = r.next, 7, time.Now()
+	kept := r.send("cc", "q", time.Minute, 1)
+	r.hub.Send(1, append(kept[:0:0], late))
+	io.CopyN(io.Discard, p.in, 4+int64(1+len("large.0 0 d=60000 16777216\n")+16<<20)-1) // but for what its length may vary by
+	r.ended(late.Part, logic.NotSent)
+	var text string
+	for !strings.Contains(text, "cc.0") {
+		b := make([]byte, 1<<10)
+		n, err := p.in.Read(b)
+		if text += string(b[:n]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !strings.Contains(text, "bb.0") || strings.Contains(text, "bb.7") {
+		t.Fatalf("%q was written", text)
+	}
+}
+
+// A drain, or the end, takes back at once what waits for a connect that does not come up; later calls are not begun either.
+func TestADrainTakesBackWhatWaitsForAConnect(t *testing.T) {
+	for _, phase := range []logic.Phase{logic.Draining, logic.Gone} {
+		r := newRig(t, func(n *settings.Net) { n.Connect = 50 })
+		address := r.deaf()
+		r.named(address, logic.Ready, 0)
+		calls := r.send("aa", "q", time.Minute, 2)
+		r.named(address, phase, 0)
+		for range calls {
+			if e := r.event(); e.Kind != logic.CallEnded || e.Outcome != logic.NotSent {
+				t.Fatalf("got %+v", e.Event)
+			}
+		}
+		r.ended(r.send("bb", "q", time.Minute, 1)[0].Part, logic.NotSent)
+	}
+}
+
+// The same for what waits behind a write: it is not written once the line is read again, whether by then the line was given
+// up or not.
+func TestADrainTakesBackWhatWaitsBehindAWrite(t *testing.T) {
+	r := newRig(t, nil)
+	p := r.stuck()
+	calls := r.send("bb", "q", time.Minute, 1)
+	r.named(r.peer.Addr().String(), logic.Draining, 0)
+	r.ended(calls[0].Part, logic.NotSent)
+	got, err := io.Copy(io.Discard, io.LimitReader(p.in, int64(4+1+len("large.0 0 d=59999 16777216\n")+16<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got > 16<<20 { // it was not given up
+		p.say('R', "large.0 done 0 -\n")
+	}
+	if e := r.event(); e.Part != 1 {
+		t.Fatalf("got %+v", e.Event)
+	}
+	r.hub.CloseIdle(1)
+	if text, _ := io.ReadAll(p.in); strings.Contains(string(text), "bb.0") {
+		t.Fatalf("%q was written after the drain", text)
+	}
+}
+
+// A stop does not wait for connects that nobody needs any more.
+func TestAStopEndsConnects(t *testing.T) {
+	r := newRig(t, func(n *settings.Net) { n.Connect = 3600 })
+	r.named(r.deaf(), logic.Ready, 0)
+	r.send("aa", "q", time.Hour, 1)
+	for late := time.Now().Add(patience); r.hub.count.Get("lines", "dialled") == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("no connect")
+		}
+	}
+	stopped := make(chan struct{})
+	go func() { r.hub.Stop(); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		t.Fatal("it still waits")
+	}
+}
+
+// held is a connection that is not read until it is let go: what comes meanwhile is here, unread.
+type held struct {
+	net.Conn
+	let chan struct{}
+}
+
+func (h held) Read(b []byte) (int, error) {
+	<-h.let
+	return h.Conn.Read(b)
+}
+
+// heldLine is a line over such a connection, with what it tells.
+func heldLine(t *testing.T) (l *line, peer *net.TCPConn, let chan struct{}, notes chan note) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	let, notes = make(chan struct{}), make(chan note, 100)
+	l = &line{conn: held{conn, let}, out: mailbox.New[packet](), ghosts: map[string]time.Time{}}
+	go l.run(func(n note) { notes <- n })
+	return l, p.(*net.TCPConn), let, notes
+}
+
+// answeredThenEnded expects one answer and then the line's end.
+func answeredThenEnded(t *testing.T, notes chan note) {
+	t.Helper()
+	answers := 0
+	for n := range notes {
+		switch n.kind {
+		case cameIn:
+			answers++
+		case spoilt:
+			t.Fatalf("got %+v", n)
+		case lineEnded:
+			if answers != 1 {
+				t.Fatalf("%d answers came before the end", answers)
+			}
+			return
+		}
+	}
+}
+
+// An answer that is whole counts, though its line was reset under the next write before it was read.
+func TestAnAnswerBeforeAResetCounts(t *testing.T) {
+	l, peer, let, notes := heldLine(t)
+	peer.Write(appendFrame(nil, letterAnswer, []byte("aa.0 done 0 -\nvalue")...))
+	peer.SetLinger(0)
+	peer.Close()
+	for broken := false; !broken; { // until a write has failed
+		l.out.Put(packet{letter: letterAlive})
+		select {
+		case n := <-notes:
+			if n.kind != wentOut {
+				t.Fatalf("got %+v", n)
+			}
+		case <-time.After(time.Millisecond):
+		}
+		broken = l.finishing() || errors.Is(l.conn.SetReadDeadline(time.Time{}), net.ErrClosed)
+	}
+	close(let)
+	answeredThenEnded(t, notes)
+}
+
+// The same where the line is closed as its searcher was started anew.
+func TestAnAnswerBeforeAnEndOfOursCounts(t *testing.T) {
+	l, peer, let, notes := heldLine(t)
+	defer peer.Close()
+	peer.Write(appendFrame(nil, letterAnswer, []byte("aa.0 done 0 -\nvalue")...))
+	l.trips = 1
+	(&actor{}).close(l, whyRestarted)
+	close(let)
+	answeredThenEnded(t, notes)
+}
--- a/internal/searchers/line.go
+++ b/internal/searchers/line.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,11 +18,13 @@
 // what waits behind it is not bounded otherwise.
 const stuckWrite = time.Second
 
+// lastReads is how long a line that is over may still be read: what has come is here, it has to be taken up alone.
+const lastReads = 50 * time.Millisecond
+
 // packet is what a line writes at once, in one piece or not at all as far as its searcher's actor knows.
 type packet struct {
 	letter byte
-	calls  []*call // S
-	name   string  // C
+	calls  []*call // S, and C with one
 }
 
 // line is a connection to a searcher with a goroutine for each direction, so that a write that gets stuck holds
@@ -32,6 +33,9 @@
 	conn net.Conn
 	out  *mailbox.Box[packet]
 
+	mu   sync.Mutex
+	over bool // nothing more is written, and only what has come is read
+
 	address string
 	opened  time.Time
 	used    time.Time            // last frame either way
@@ -79,16 +83,51 @@
 		once.Do(func() {
 			why, text = w, err.Error()
 			close(stop)
-			l.conn.Close()
+			if w == whyWriteFails { // what came before it counts, and may still be unread
+				l.finish()
+			} else {
+				l.conn.Close()
+			}
 		})
 	}
 	var readers sync.WaitGroup
-	readers.Go(func() { end(l.read(tell)) })
+	readers.Go(func() {
+		end(l.read(tell))
+		l.conn.Close()
+	})
 	l.write(tell, stop, end)
 	readers.Wait()
 	tell(note{kind: lineEnded, line: l, why: why, text: text})
 }
 
+// finish ends what is written, and leaves the reader a moment for what has come already: an answer that is whole counts,
+// whatever became of its line since.
+func (l *line) finish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over = true
+	l.conn.SetReadDeadline(time.Now().Add(lastReads))
+	if c, ok := l.conn.(*net.TCPConn); ok {
+		c.CloseWrite()
+	}
+}
+
+// finishing tells whether the line is read for the last time.
+func (l *line) finishing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over
+}
+
+// readBy sets when the read in hand has to be done, unless it is one of the last.
+func (l *line) readBy(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.over {
+		l.conn.SetReadDeadline(at)
+	}
+}
+
 // read tells what comes in until the line ends or says what can't be read. From there on no frame can be trusted:
 // the call that the bad one may mean is told at once, and the line is closed.
 func (l *line) read(tell func(note)) (reason, error) {
@@ -105,14 +144,16 @@
 			if !buffered(r) {
 				tell(note{kind: cameHalf, line: l})
 			}
-			l.conn.SetReadDeadline(time.Now().Add(frameTime))
+			l.readBy(time.Now().Add(frameTime))
 			letter, rest, err = readFrame(r)
 		}
 		at := time.Now()
 		var sys syscall.Errno
 		switch {
 		case err == nil:
-			l.conn.SetReadDeadline(time.Time{})
+			l.readBy(time.Time{})
+		case l.finishing():
+			return whyWriteFails, err
 		case err == io.EOF:
 			return whyEOF, err
 		case errors.As(err, &sys), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
@@ -142,14 +183,24 @@
 	}
 }
 
-// begun leaves out calls that may not begin any more: those kept inside zones by a contract that may have changed since,
-// where something held up the process. Their actor gives them up at their stop time.
-func begun(calls []*call, now time.Time) []*call {
-	late := func(c *call) bool { return c.Kept && now.After(c.Stop) }
-	if !slices.ContainsFunc(calls, late) {
-		return calls
+// begin tells calls that may begin from those that may not any more.
+func begin(calls []*call, now time.Time) (may, not []*call) {
+	for _, c := range calls {
+		if c.begin(now) {
+			may = append(may, c)
+		} else {
+			not = append(not, c)
+		}
+	}
+	return may, not
+}
+
+// from is where a packet begins.
+func from(upTo []int, i int) int {
+	if i == 0 {
+		return 0
 	}
-	return slices.DeleteFunc(slices.Clone(calls), late)
+	return upTo[i-1]
 }
 
 func (l *line) write(tell func(note), stop chan struct{}, end func(reason, error)) {
@@ -167,16 +218,21 @@
 		}
 		waiting = l.out.Take(waiting)
 		buf, upTo = buf[:0], upTo[:0]
+		l.conn.SetWriteDeadline(time.Now().Add(stuckWrite)) // before the look at what may begin: hurry may cut it short
 		now := time.Now()
 		for i := range waiting {
 			p := &waiting[i]
 			switch p.letter {
 			case letterCall:
-				if p.calls = begun(p.calls, now); len(p.calls) > 0 {
+				var not []*call
+				if p.calls, not = begin(p.calls, now); len(not) > 0 {
+					tell(note{kind: notBegun, line: l, calls: not})
+				}
+				if len(p.calls) > 0 {
 					buf = appendCall(buf, p.calls, now)
 				}
 			case letterCancel:
-				buf = appendFrame(buf, letterCancel, []byte(p.name)...)
+				buf = appendFrame(buf, letterCancel, []byte(p.calls[0].name)...)
 			default:
 				buf = appendFrame(buf, p.letter)
 			}
@@ -185,10 +241,9 @@
 		if len(buf) == 0 {
 			continue
 		}
-		l.conn.SetWriteDeadline(now.Add(stuckWrite))
 		n, err := l.conn.Write(buf)
 		for i, p := range waiting {
-			if n >= upTo[i] && p.letter != letterCancel && (p.letter != letterCall || len(p.calls) > 0) {
+			if n >= upTo[i] && upTo[i] > from(upTo, i) {
 				tell(note{kind: wentOut, line: l, letter: p.letter, calls: p.calls, at: now})
 			}
 		}
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -3,6 +3,7 @@
 package searchers
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"net"
@@ -24,6 +25,9 @@
 // nobody waits for, and short enough that the names given up in it are few.
 const lateAnswer = 30 * time.Second
 
+// hurry is what is left to a write to a searcher that wants nothing new: one that is not stuck is done by then.
+const hurry = 100 * time.Millisecond
+
 // Hub hands each searcher's actor what concerns it. It belongs to the module's actor.
 type Hub struct {
 	set    settings.Net
@@ -33,13 +37,17 @@
 	actors map[logic.SearcherID]*actor
 	gone   map[logic.SearcherID]*actor // those of actors that the list no longer names
 	lines  chan struct{}               // one place for each descriptor in use
+	dials  context.Context             // ends with all connects
+	undial context.CancelFunc
 	all    sync.WaitGroup
 }
 
 // New makes a hub that keeps no more than so many lines.
 func New(set settings.Net, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
-	return &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
+	h := &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
 		gone: map[logic.SearcherID]*actor{}, lines: make(chan struct{}, most)}
+	h.dials, h.undial = context.WithCancel(context.Background())
+	return h
 }
 
 // Named takes what the list says of a searcher, and starts its actor at the first naming. An actor whose searcher is
@@ -114,6 +122,7 @@
 	for _, a := range h.actors {
 		a.in.Put(note{kind: stop})
 	}
+	h.undial() // nobody waits for them any more
 	h.all.Wait()
 }
 
@@ -128,6 +137,7 @@
 	stop
 	dialled   // era, line, or why and text
 	wentOut   // line, letter, calls: written to the last byte; at: when that began
+	notBegun  // line, calls: not written and not to be any more
 	cameHalf  // line: a frame that is not here to its end
 	cameIn    // line, letter, answer or text, at
 	spoilt    // line, name of the call it may mean, at: nothing after it is read
@@ -161,6 +171,29 @@
 	trip    *trip
 	line    *line // nil while it waits for one
 	written bool
+	back    bool          // given up, which its searcher is being told
+	how     logic.Outcome // then: as what
+	begun   atomic.Int32  // its actor and its line's writer settle by it which of them comes first
+}
+
+const (
+	waits int32 = iota
+	writes
+	never
+)
+
+// begin tells its line's writer whether its write may begin, however long it waited for that: it may not once it was
+// taken back, its searcher wants nothing new, nobody waits for it, or a repeat of it would no longer be known as one.
+func (c *call) begin(now time.Time) bool {
+	if now.After(c.Begin) {
+		c.begun.CompareAndSwap(waits, never)
+	}
+	return c.begun.CompareAndSwap(waits, writes)
+}
+
+// takeBack tells its actor whether it surely is not written and never will be.
+func (c *call) takeBack() bool {
+	return c.line == nil || c.begun.CompareAndSwap(waits, never) || c.begun.Load() == never
 }
 
 // trip is the calls that share one place on a line.
@@ -184,6 +217,7 @@
 	in       *mailbox.Box[note]
 	address  string
 	stopped  bool
+	closed   bool        // the list says that it wants nothing new
 	gone     bool        // the list no longer names it
 	over     atomic.Bool // it has ended
 	era      int         // of the address
@@ -244,12 +278,22 @@
 		a.dialled(n)
 	case wentOut:
 		n.line.used = n.at
-		for _, c := range n.calls {
-			c.written = true
-		}
-		if n.letter != letterCall && a.asking != nil && a.asking.line == n.line {
+		switch {
+		case n.letter == letterCall:
+			for _, c := range n.calls {
+				c.written = true
+			}
+		case n.letter == letterCancel:
+			a.gaveUp(n.line, n.calls[0])
+		case a.asking != nil && a.asking.line == n.line:
 			a.asking.written = true
 		}
+	case notBegun:
+		for _, c := range n.calls {
+			if a.calls[c.name] == c {
+				a.end(c, logic.NotSent, time.Now(), answer{})
+			}
+		}
 	case cameHalf:
 		n.line.half = true
 	case cameIn:
@@ -273,6 +317,9 @@
 // named takes what the list says. Lines to another address, or older than the searcher's last start, lead to a
 // process that is no more.
 func (a *actor) named(n *note) {
+	if a.closed = n.entry.Phase != logic.Ready; a.closed {
+		a.unsend()
+	}
 	if a.gone = n.entry.Phase == logic.Gone; a.gone {
 		return
 	}
@@ -291,6 +338,19 @@
 	}
 }
 
+// unsend takes back all calls that are not on their way to a searcher that wants nothing new: none of them begins any
+// more, be it that a connect or a write holds it up for longer than the grace.
+func (a *actor) unsend() {
+	for _, c := range a.calls {
+		switch {
+		case c.takeBack():
+			a.end(c, logic.NotSent, time.Now(), answer{})
+		case !c.written && c.line.closing == "":
+			c.line.conn.SetWriteDeadline(time.Now().Add(hurry))
+		}
+	}
+}
+
 func (a *actor) idle(l *line) bool {
 	return l.trips == 0 && (a.asking == nil || a.asking.line != l)
 }
@@ -305,8 +365,13 @@
 
 // close ends a line; what is out on it is told when its goroutines have said all they know.
 func (a *actor) close(l *line, why reason) {
-	if l.closing == "" {
-		l.closing = why
+	if l.closing != "" {
+		return
+	}
+	l.closing = why
+	if l.trips > 0 && (why == whyMoved || why == whyRestarted) { // the process before may have answered
+		l.finish()
+	} else {
 		l.conn.Close()
 	}
 }
@@ -318,7 +383,7 @@
 	}
 	t.live = len(t.calls)
 	for _, c := range slices.Clone(t.calls) {
-		if a.calls[c.name] != nil { // its answer could not be told from the other's
+		if a.closed || a.calls[c.name] != nil { // its answer could not be told from the other's
 			a.end(c, logic.NotSent, time.Now(), answer{})
 			continue
 		}
@@ -445,7 +510,7 @@
 	}
 	go func() {
 		defer func() { <-a.hub.lines }()
-		conn, err := net.DialTimeout("tcp", address, connect)
+		conn, err := (&net.Dialer{Timeout: connect}).DialContext(a.hub.dials, "tcp", address)
 		if err != nil {
 			why := whyNoConnect
 			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
@@ -519,18 +584,43 @@
 	logic.TimedOut: "timed_out", logic.NotConnected: "not_connected", logic.Broken: "broken",
 	logic.Withdrawn: "withdrawn", logic.NotSent: "not_sent"}
 
-// giveUp ends a call that nobody waits for any more. Its searcher is told, and what it may still say is dropped.
+// giveUp gives up a call that nobody waits for any more. Its end is told once its searcher was: until then another call of
+// its part would be a second copy. An answer that comes before that is taken.
 func (a *actor) giveUp(c *call, how logic.Outcome) {
-	if l := c.line; l != nil && l.closing == "" {
-		now := time.Now()
-		if c.written && how == logic.TimedOut {
-			a.unanswered(l, c.Sent, now)
-		}
-		maps.DeleteFunc(l.ghosts, func(_ string, until time.Time) bool { return until.Before(now) })
-		l.ghosts[c.name] = now.Add(lateAnswer)
-		l.out.Put(packet{letter: letterCancel, name: c.name})
+	l, now := c.line, time.Now()
+	switch {
+	case c.back:
+		return
+	case c.takeBack() || l.closing != "":
+		a.end(c, how, now, answer{})
+		return
+	case c.written && how == logic.TimedOut:
+		a.unanswered(l, c.Sent, now)
 	}
-	a.end(c, how, time.Now(), answer{})
+	c.back, c.how = true, how
+	l.out.Put(packet{letter: letterCancel, calls: []*call{c}})
+}
+
+// gaveUp ends a call that its searcher was told is given up; what it may still say is dropped.
+func (a *actor) gaveUp(l *line, c *call) {
+	if a.calls[c.name] != c {
+		return // answered meanwhile
+	}
+	now := time.Now()
+	maps.DeleteFunc(l.ghosts, func(_ string, until time.Time) bool { return until.Before(now) })
+	l.ghosts[c.name] = now.Add(lateAnswer)
+	a.end(c, c.how, now, answer{})
+}
+
+// outcome is that of a call whose line can tell no more: what was never wholly written never ran.
+func (c *call) outcome() logic.Outcome {
+	switch {
+	case c.back:
+		return c.how
+	case c.written:
+		return logic.Broken
+	}
+	return logic.NotConnected
 }
 
 // answered takes an answer that can be read. One to a call given up is late, the last one may come twice; any other
@@ -567,10 +657,10 @@
 			}
 		}
 	}
+	a.close(l, why) // before its call's end is told, as another call of that part may go out then
 	if meant != nil {
 		a.end(meant, logic.Errored, at, answer{})
 	}
-	a.close(l, why)
 }
 
 func (a *actor) probe(at time.Time, apart bool) {
@@ -632,19 +722,17 @@
 		why = l.closing
 	}
 	a.logEnd(why, n.text, l.address, now.Sub(l.opened))
-	how := func(written bool) logic.Outcome {
-		if written {
-			return logic.Broken
-		}
-		return logic.NotConnected
-	}
 	for _, c := range a.calls {
 		if c.line == l {
-			a.end(c, how(c.written), now, answer{})
+			a.end(c, c.outcome(), now, answer{})
 		}
 	}
 	if p := a.asking; p != nil && p.line == l {
-		a.probed(how(p.written), now, logic.Load{})
+		how := logic.NotConnected
+		if p.written {
+			how = logic.Broken
+		}
+		a.probed(how, now, logic.Load{})
 	}
 	if !a.stopped {
 		a.assign()
@@ -670,7 +758,7 @@
 		return true
 	}
 	for _, c := range a.calls {
-		if due(c.Stop) {
+		if !c.back && due(c.Stop) {
 			a.giveUp(c, logic.TimedOut)
 		}
 	}
@@ -689,12 +777,12 @@
 		case !l.muteAt.IsZero():
 			// Its searcher lives, and has had as long again as a probe to say something here: nobody waits any more.
 			if a.idle(l) || !a.heard.Before(l.muteAt) && due(l.muteAt.Add(seconds(a.hub.set.Connect))) {
+				a.close(l, whyMute) // before any end on it is told
 				for _, c := range a.calls {
 					if c.line == l {
 						a.end(c, logic.TimedOut, now, answer{})
 					}
 				}
-				a.close(l, whyMute)
 			}
 		case !a.idle(l):
 		case a.hub.set.Idle > 0 && due(l.used.Add(a.keep())):
--- a/internal/searchers/searchers_test.go
+++ b/internal/searchers/searchers_test.go
@@ -65,7 +65,7 @@
 	lk := &mixer.Lookup{ID: id, Query: []byte(query)}
 	for i := range parts {
 		r.next++
-		calls = append(calls, mixer.Call{Part: r.next, Lookup: lk, Shard: logic.ShardID(i), Sent: now, Stop: now.Add(wait)})
+		calls = append(calls, mixer.Call{Part: r.next, Lookup: lk, Shard: logic.ShardID(i), Sent: now, Stop: now.Add(wait), Begin: now.Add(wait)})
 	}
 	r.hub.Send(1, slices.Clone(calls))
 	return calls
--- a/logic/env_test.go
+++ b/logic/env_test.go
@@ -295,6 +295,7 @@
 		{open > 0 && (!e.set.Limits.SecondCopy || x.Effect == OnceOnly), "duplicate: two calls out at once"},
 		{x.Effect == OnceOnly && ran, "duplicate: once-only, sent again"},
 		{x.Effect == Fingerprinted && ran && e.now > p.first+x.RepeatS, "duplicate: sent again too late"},
+		{x.Effect == Fingerprinted && ran && !(a.BeginBy > 0 && a.BeginBy <= p.first+x.RepeatS+1e-9), "duplicate: may begin too late"},
 		{h.toldAt > 0 && e.now > h.toldAt+r.DrainGrace, "drain: sent after the grace"},
 		{e.set.Limits.MaxTries > 0 && len(p.calls) >= e.set.Limits.MaxTries, "too many calls"},
 	} {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -421,15 +421,13 @@
 	if !m.deep && (p.lk.in < nearIn*p.lk.need || m.recently() > crowdFrom*m.usual) { // the last few cost little
 		patience *= shallowMore
 	}
-	if s == nil || age < patience && usable(c.at) {
+	switch {
+	case s == nil || age < patience && usable(c.at):
 		return
-	}
-	// Where the sibling's queue is as long, a further call only adds to both.
-	if m.set.Limits.Probe && !m.fresh(s) {
+	case m.set.Limits.Probe && !m.fresh(s): // where the sibling's queue is as long, one more only adds to both
 		m.ask(s, false)
 		return
-	}
-	if m.deep && c.at.alive > c.sent && c.at.answeredAt < c.sent { // a call that waits no longer than a probe
+	case m.deep && c.at.alive > c.sent && c.at.answeredAt < c.sent: // it waits no longer than a probe
 		m.lineLost(c)
 	}
 	if m.set.Limits.SecondCopy {
@@ -697,11 +695,15 @@
 		m.do(Action{Kind: CloseIdle, Searcher: s.id})
 		idle = 0
 	}
+	a := Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: m.stop(p.lk)}
+	if m.index[p.lk.k].effect == Fingerprinted && p.maybe() {
+		a.BeginBy = p.first + m.index[p.lk.k].repeat // also where it waits for a line until then
+	}
 	m.begin(p, s).idle = idle
 	if m.warmth(s) < 1 {
 		s.sent = append(s.sent, sending{m.now, m.workOf(p.lk.k)})
 	}
-	m.do(Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: m.stop(p.lk)})
+	m.do(a)
 }
 
 // stop is when a call of a lookup is no longer worth its work: what waits beyond that need not be begun.
@@ -720,11 +722,9 @@
 		x.effect == OnceOnly && p.maybe(),
 		x.effect == Fingerprinted && p.maybe() && m.now > p.first+x.repeat-m.set.Step:
 		return false
-	case !r.Budget:
-		return true
 	}
 	further, taken := m.spent(p, m.now-r.BudgetS)
-	return float64(further) <= r.BudgetFree+r.BudgetPer*float64(taken)
+	return !r.Budget || float64(further) <= r.BudgetFree+r.BudgetPer*float64(taken)
 }
 
 func (m *Mixer) callEnded(e *Event) {
--- a/logic/types.go
+++ b/logic/types.go
@@ -257,7 +257,7 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota // Part, Searcher, StopAt
+	Send      ActionKind = iota // Part, Searcher, StopAt, BeginBy
 	Withdraw                    // Part, Call
 	Answer                      // Lookup, Whole
 	Nack                        // Lookup, Wait
@@ -285,6 +285,7 @@
 	Searcher SearcherID
 	Call     CallNo
 	StopAt   float64 // clock time, 0 for when the client gives up
+	BeginBy  float64 // clock time after which it may not begin any more, 0 for StopAt
 	Wait     float64
 	Timer    TimerID
 	Peer     MixerNo
