Who reads a client's connection ends it, and leaving behind what was sent ahead is seen

Cause, each forced on loopback: net/http reads one byte behind a request to see its client leave; a client that had sent more and left was waited for until its lookup's end, and its calls went on. At the cap, when idle and at a stop we closed connections from the book, whose view is older than a read in hand: a request read just then was dropped unanswered. A close over unread bytes is a reset, which may take the answer before it along. Ruled out: the module, which ends a lookup's calls as soon as it hears ClientGone.

A request read behind a client's end is not handed to the module. A connection that shall go is told to leave and ends by its own next read, unless a request has begun.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -72,7 +72,7 @@
 // New makes a server that keeps no more than so many lines, in so many bytes of memory altogether.
 func New(set settings.Settings, most, memory int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
-		lines: newLines(most, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
+		lines: newLines(most, memory, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
 	longest := 0.0
 	for _, x := range set.Indexes {
 		longest = max(longest, x.Hard)
@@ -104,7 +104,8 @@
 // closes once its queue is empty, and the idle lines close; it returns when all that was taken is answered.
 func (s *Server) Drain() {
 	s.ends.Store(time.Now().Add(s.serveOn + lastAnswers - lastSecond).UnixNano())
-	for began := time.Now(); time.Since(began) < s.serveOn && (time.Since(began) < noticed || s.lines.any()); {
+	open := func() bool { n, _ := s.lines.left(); return n > 0 }
+	for began := time.Now(); time.Since(began) < s.serveOn && (time.Since(began) < noticed || open()); {
 		time.Sleep(emptying)
 	}
 	s.lines.drains.Store(true)
@@ -112,10 +113,19 @@
 	<-s.stopped
 	// Clients send on lines that stay open: each is to be told by an answer that its line closes. A line that is closed
 	// between two lookups may be closed under one that is on its way, so that is left for those that say nothing.
-	for began := time.Now(); time.Since(began) < lastAnswers-lastSecond && s.lines.any(); {
+	for began := time.Now(); time.Since(began) < lastAnswers-lastSecond && open(); {
 		time.Sleep(emptying)
 	}
-	for s.lines.closeIdle(whyShutdown) > 0 {
+	for open() {
+		s.lines.leave(whyShutdown)
+		time.Sleep(emptying)
+	}
+	// What was answered is not to be reset by our end over what a client has sent since: its own end is waited for.
+	until := time.Now().Add(lingers)
+	if last := time.Unix(0, s.ends.Load()).Add(lastSecond / 2); last.Before(until) {
+		until = last
+	}
+	for _, half := s.lines.left(); half > 0 && time.Now().Before(until); _, half = s.lines.left() {
 		time.Sleep(emptying)
 	}
 	s.http.Close()
@@ -187,6 +197,15 @@
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
+	select {
+	case <-l.left: // this one was sent ahead, and nobody waits for its answer
+		s.write(w, r, http.StatusInternalServerError, nil)
+		return
+	case <-r.Context().Done():
+		s.write(w, r, http.StatusInternalServerError, nil)
+		return
+	default:
+	}
 	if !s.lines.ask(l) {
 		s.refuse(w, r, http.StatusServiceUnavailable, "too many lookups at once")
 		return
@@ -199,13 +218,19 @@
 	select {
 	case reply := <-lk.Done:
 		s.answer(w, r, lk, reply)
+	case <-l.left: // behind what it had sent ahead, which net/http does not see
+		s.gone(w, r, lk)
 	case <-r.Context().Done():
-		s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.ClientGone}})
-		// Should it still listen, having closed one direction only, net/http's own answer would be an empty 200.
-		s.write(w, r, http.StatusInternalServerError, nil)
+		s.gone(w, r, lk)
 	}
 }
 
+func (s *Server) gone(w http.ResponseWriter, r *http.Request, lk *mixer.Lookup) {
+	s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.ClientGone}})
+	// Should it still listen, having closed one direction only, net/http's own answer would be an empty 200.
+	s.write(w, r, http.StatusInternalServerError, nil)
+}
+
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, lk *mixer.Lookup, reply mixer.Reply) {
 	switch reply.End {
 	case mixer.Satisfied:
@@ -244,7 +269,7 @@
 	s.count.Add("answers", strconv.Itoa(status), 1)
 	l.SetWriteDeadline(time.Now().Add(s.slow))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if s.lines.drains.Load() {
+	if s.lines.drains.Load() || l.leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/clients/crossings_test.go
@@ -0,0 +1,329 @@
+package clients
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/logic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// forgotten waits until the server holds nothing of any client.
+func (r *rig) forgotten() {
+	r.Helper()
+	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		open, half := r.lines.left()
+		r.lines.mu.Lock()
+		held := r.lines.held
+		r.lines.mu.Unlock()
+		if open == 0 && half == 0 && held == 0 {
+			return
+		}
+		if time.Now().After(late) {
+			r.Fatalf("%d connections open, %d half, %d lookups held", open, half, held)
+		}
+	}
+}
+
+func again(id string) string {
+	return request("/reads", strings.Replace(goodHead, "ab12", id, 1), goodBody)
+}
+
+// A client that leaves behind what it sent ahead is told of as soon as one that sent nothing, however it leaves.
+func TestAClientThatLeavesBehindWhatItSentAhead(t *testing.T) {
+	for name, ahead := range map[string]string{"byte": "P", "request": again("second"), "many": strings.Repeat(again("second"), 100)} {
+		for _, how := range []string{"fin", "half", "reset"} {
+			r := newRig(t, 100, nil)
+			c := r.dial()
+			io.WriteString(c, again("first")+ahead)
+			lk := r.event(logic.LookupTaken)
+			switch tcp := c.Conn.(*net.TCPConn); how {
+			case "fin":
+				tcp.Close()
+			case "half":
+				tcp.CloseWrite()
+			case "reset":
+				tcp.SetLinger(0)
+				tcp.Close()
+			}
+			if gone := r.event(logic.ClientGone); gone != lk {
+				t.Fatalf("%s, %s: lookup %q is told to have no client", name, how, gone.ID)
+			}
+			c.Close()
+			r.forgotten()
+			if rest := r.told.Rest(); len(rest) != 0 { // of what it sent behind
+				t.Fatalf("%s, %s: %q is sent on", name, how, rest[0].Taken.ID)
+			}
+		}
+	}
+}
+
+// What is sent ahead is answered in its turn as long as it is little, the last one too.
+func TestRequestsSentAheadAreAnsweredInTurn(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c := r.dial()
+	io.WriteString(c, again("a")+again("b"))
+	for _, id := range []string{"a", "b", "c"} {
+		lk := r.event(logic.LookupTaken)
+		if lk.ID != id {
+			t.Fatalf("got %q, expected %q", lk.ID, id)
+		}
+		if id == "a" {
+			io.WriteString(c, again("c")[:40])
+			io.WriteString(c, again("c")[40:])
+		}
+		lk.Done <- mixer.Reply{End: mixer.Nacked}
+		if head, _ := c.expect(429); head.Get("Connection") == "close" {
+			t.Fatalf("the connection ends with the answer to %q", id)
+		}
+	}
+}
+
+// More is not kept: the answer in hand is whole, and the last; nothing of the rest reaches the module.
+func TestAFloodBehindARequestEndsWithItsAnswer(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c, other := r.dial(), r.dial()
+	io.WriteString(c, again("first"))
+	lk := r.event(logic.LookupTaken)
+	if _, err := io.WriteString(c, strings.Repeat(again("more"), 2*mostAhead/len(again("more")))); err != nil {
+		t.Fatal(err)
+	}
+	r.overrun()
+	other.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
+	other.expect(429)
+	lk.Done <- mixer.Reply{End: mixer.Nacked}
+	if head, _ := c.expect(429); head.Get("Connection") != "close" {
+		t.Fatal("the connection stays open")
+	}
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Fatalf("ended by %v, expected io.EOF", err)
+	}
+	c.Close()
+	other.Close()
+	r.forgotten()
+	if rest := r.told.Rest(); len(rest) != 0 {
+		t.Fatalf("%d events", len(rest))
+	}
+}
+
+// overrun waits until some connection has sent more than is kept.
+func (r *rig) overrun() {
+	r.Helper()
+	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		r.lines.mu.Lock()
+		for l := range r.lines.open {
+			if l.overrun.Load() {
+				r.lines.mu.Unlock()
+				return
+			}
+		}
+		r.lines.mu.Unlock()
+		if time.Now().After(late) {
+			r.Fatal("nothing ran over")
+		}
+	}
+}
+
+// No close over bytes that nobody has read: it would be a reset, and may cost the client the answer before it.
+func TestAnAnswerBeforeUnreadBytesIsNotReset(t *testing.T) {
+	r := newRig(t, 100, nil)
+	c := r.dial()
+	io.WriteString(c, strings.Replace(again("x"), "Req-Deadline: 0.480", "Req-Deadline: never", 1)+strings.Repeat("x", 100<<10))
+	if head, _ := c.expect(400); head.Get("Connection") != "close" {
+		t.Fatal("the connection stays open")
+	}
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Fatalf("ended by %v, expected io.EOF", err)
+	}
+	if _, err := io.WriteString(c, "more"); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	r.forgotten()
+}
+
+// A client that rests until it is told is told by an end and not by a reset. A request that crosses with it is never sent on.
+func TestWhatComesAfterTheEndIsNeverSentOn(t *testing.T) {
+	r := newRig(t, 100, func(s *Server) { s.serveOn = time.Millisecond })
+	rests, half := r.dial(), r.dial()
+	rests.ask()
+	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
+	rests.expect(429)
+	io.WriteString(half, "POST /reads HTTP/1.1\r\nReq-Id: half")
+	drained := make(chan struct{})
+	go func() { r.Drain(); close(drained) }()
+	for _, c := range []*client{rests, half} {
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Fatalf("ended by %v, expected io.EOF", err)
+		}
+	}
+	if _, err := io.WriteString(rests, again("after")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rests.in.ReadByte(); err != io.EOF {
+		t.Fatalf("ended by %v, expected io.EOF", err)
+	}
+	rests.Close()
+	half.Close()
+	<-drained
+	r.forgotten()
+	if rest := r.told.Rest(); len(rest) != 0 {
+		t.Fatalf("%+v was sent on", rest[0].Taken)
+	}
+}
+
+// One that rests on for ever is left after a while, and at once where its place is needed.
+func TestARestingClientIsLeftAfterAWhile(t *testing.T) {
+	r := newRig(t, 2, nil)
+	for range 6 {
+		c := r.dial()
+		c.ask()
+		r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
+		c.expect(429)
+	}
+	r.forgotten()
+}
+
+// taken is a connection whose bytes were taken from the kernel, and are not told of until the test lets go.
+type taken struct {
+	net.Conn
+	got, let chan struct{}
+}
+
+func (c *taken) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.got <- struct{}{}
+		<-c.let
+	}
+	return n, err
+}
+
+// A request that was read as its connection is told to end is not dropped: it is read to its end and can be answered.
+func TestARequestReadAsItsConnectionEndsIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &taken{conn, make(chan struct{}), make(chan struct{})}
+	s := newLines(10, 1<<20, zerolog.Nop(), counters.New())
+	l := &line{Conn: held, of: s, left: make(chan struct{}), opened: time.Now(), idle: true}
+	l.turn = sync.NewCond(&l.readMu)
+	s.open[l] = true
+	request := again("x")
+	io.WriteString(client, request[:100])
+	text := make(chan string)
+	go func() {
+		got := ""
+		for b := make([]byte, 4096); len(got) < len(request); {
+			n, err := l.Read(b)
+			if got += string(b[:n]); err != nil {
+				break
+			}
+		}
+		text <- got
+	}()
+	<-held.got // nobody knows yet
+	s.leave(whyShutdown)
+	held.let <- struct{}{}
+	io.WriteString(client, request[100:])
+	<-held.got
+	held.let <- struct{}{}
+	if got := <-text; got != request {
+		t.Fatalf("read %q", got)
+	}
+	l.asked.Store(true)
+	if _, err := io.WriteString(l, "HTTP/1.1 429 Too Many Requests\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if res, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || res.StatusCode != 429 {
+		t.Fatalf("got %v, %v", res, err)
+	}
+	conn.Close()
+}
+
+// Clients that leave in a burst, each with a lookup held: all are told of, and nothing of them is left.
+func TestABurstOfClientsLeaves(t *testing.T) {
+	r := newRig(t, 1000, nil)
+	var crowd []*client
+	for i := range 300 {
+		c := r.dial()
+		c.ask()
+		if i%3 == 0 {
+			io.WriteString(c, again("ahead"))
+		}
+		crowd = append(crowd, c)
+	}
+	for range crowd {
+		r.event(logic.LookupTaken)
+	}
+	for i, c := range crowd {
+		if i%2 == 0 {
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+	for range crowd {
+		r.event(logic.ClientGone)
+	}
+	r.forgotten()
+}
+
+// A client that leaves as its answer is decided is ended once, whichever comes first.
+func TestAnAnswerCrossesWithItsClientsLeaving(t *testing.T) {
+	r := newRig(t, 100, nil)
+	for i := range 100 {
+		c := r.dial()
+		c.ask()
+		lk := r.event(logic.LookupTaken)
+		go c.Conn.(*net.TCPConn).CloseWrite()
+		lk.Done <- mixer.Reply{End: mixer.Satisfied, Whole: true}
+		answers := 0
+		for {
+			res, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				if !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+					t.Fatal(err)
+				}
+				break
+			}
+			io.Copy(io.Discard, res.Body)
+			answers++
+		}
+		if answers > 1 {
+			t.Fatalf("%d answers in round %d", answers, i)
+		}
+		c.Close()
+	}
+	r.forgotten()
+	for _, e := range r.told.Rest() {
+		if e.Kind != logic.ClientGone {
+			t.Fatalf("got %+v", e)
+		}
+	}
+}
--- a/internal/clients/lines.go
+++ b/internal/clients/lines.go
@@ -27,6 +27,9 @@
 	// those that never ask again on a line they keep would use them up: closed, it costs one that does a new line.
 	keepShare = 0.4
 	fullPoll  = 5 * time.Millisecond
+	// A client has so long to end its side after ours, unless its place is needed, and may send so much meanwhile.
+	lingers    = time.Second
+	mostUnread = 4 * mostBody
 )
 
 var errDrained = errors.New("no longer accepting")
@@ -58,48 +61,41 @@
 	last     atomic.Int64 // the same of the last byte
 	asked    atomic.Bool  // the request is whole, and its answer is not
 	answered atomic.Bool  // some answer was given
-	why      atomic.Value // reason
+	ended    atomic.Bool  // by its client
+	because  atomic.Value // reason
 	once     sync.Once
 
-	idle   bool // an answer is written and no request read since; guarded by of.mu, as are the next two
+	idle   bool // an answer is written and no request read since; guarded by of.mu, as are the next three
 	holds  bool // a lookup of it is held
 	served bool // one was, at any time
+	closed bool // on our side: it takes a descriptor until its client has ended too
+
+	readMu   sync.Mutex    // guards what follows, up to overrun
+	turn     *sync.Cond    // who reads or follows has stopped
+	deadline time.Time     // of reads, as net/http set it
+	reads    bool          // net/http does
+	shuts    bool          // our side has ended: nothing that comes counts
+	leaves   reason        // before its next request, and why; "" if it does not
+	follows  bool          // somebody reads on behind a request
+	quits    bool          // and is to stop
+	ahead    []byte        // what was read so
+	aheadErr error         // and how that ended
+	overrun  atomic.Bool   // more came than is kept
+	left     chan struct{} // closed once the client has left behind what it sent ahead
 
 	headMu sync.Mutex
 	head   []byte // what came since the last answer, up to the end of the first head
-	ended  bool   // that is there
-}
-
-func (l *line) Read(b []byte) (int, error) {
-	n, err := l.Conn.Read(b)
-	if n > 0 {
-		at := max(1, int64(time.Since(l.opened)))
-		l.came.CompareAndSwap(0, at)
-		l.last.Store(at)
-		l.keep(b[:n])
-	}
-	switch {
-	case err == nil:
-	case err == io.EOF:
-		l.end(whyClient)
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		l.end(whyReset)
-	case l.came.Load() != 0:
-		l.end(whySlow)
-	case !l.answered.Load():
-		l.end(whySilent)
-	case l.of.idles(l):
-		l.end(whyIdle)
-		// Else net/http stopped its own read, to go on to the next request.
-	}
-	return n, err
+	headed bool   // that is there
 }
 
 func (l *line) Write(b []byte) (int, error) {
+	if !l.asked.Load() && l.leaving() {
+		return 0, net.ErrClosed // net/http answers half a request too; without an answer its client asks anew
+	}
 	l.came.Store(0)
 	l.answered.Store(true)
 	l.headMu.Lock()
-	l.head, l.ended = l.head[:0], false
+	l.head, l.headed = l.head[:0], false
 	l.headMu.Unlock()
 	n, err := l.Conn.Write(b)
 	if err != nil {
@@ -112,18 +108,18 @@
 func (l *line) keep(b []byte) {
 	l.headMu.Lock()
 	defer l.headMu.Unlock()
-	if l.ended {
+	if l.headed {
 		return
 	}
 	from := max(0, len(l.head)-3)
 	l.head = append(l.head, b...)
 	for _, end := range []string{"\n\r\n", "\n\n"} {
 		if i := bytes.Index(l.head[from:], []byte(end)); i >= 0 {
-			l.head, l.ended = l.head[:from+i+1], true
+			l.head, l.headed = l.head[:from+i+1], true
 			return
 		}
 	}
-	l.ended = len(l.head) > 2*mostHead // net/http has given up on it long before
+	l.headed = len(l.head) > 2*mostHead // net/http has given up on it long before
 }
 
 // framed tells whether a request states the length of its body once at most. Of one that came along with the request
@@ -132,7 +128,7 @@
 	l.headMu.Lock()
 	defer l.headMu.Unlock()
 	start, rest, _ := bytes.Cut(bytes.TrimLeft(l.head, "\r\n"), []byte{'\n'})
-	if !l.ended || !bytes.HasPrefix(start, []byte(r.Method+" "+r.RequestURI+" ")) {
+	if !l.headed || !bytes.HasPrefix(start, []byte(r.Method+" "+r.RequestURI+" ")) {
 		return len(r.TransferEncoding) == 0
 	}
 	stated := 0
@@ -166,24 +162,54 @@
 }
 
 // end notes why the line ends; the first reason stands.
-func (l *line) end(why reason) { l.why.CompareAndSwap(nil, why) }
+func (l *line) end(why reason) { l.because.CompareAndSwap(nil, why) }
 
 // CloseWrite lets net/http end a line so that its answer is not lost with it.
 func (l *line) CloseWrite() error { return l.Conn.(*net.TCPConn).CloseWrite() }
 
+// Close ends our side. Over bytes that nobody has read a close would be a reset, which may cost the client the answer
+// before it: so the other side is read to its end, or for a while, and nothing that comes then counts.
 func (l *line) Close() error {
-	err := l.Conn.Close()
-	l.once.Do(func() { l.of.ended(l) })
-	return err
+	l.once.Do(func() {
+		l.of.closing(l)
+		l.readMu.Lock()
+		l.shuts = true
+		l.readMu.Unlock()
+		if l.ended.Load() || l.CloseWrite() != nil {
+			l.shut()
+		} else {
+			go l.linger()
+		}
+	})
+	return nil
+}
+
+func (l *line) linger() {
+	defer l.shut()
+	l.readMu.Lock()
+	for l.reads || l.follows {
+		l.Conn.SetReadDeadline(past)
+		l.turn.Wait()
+	}
+	l.readMu.Unlock()
+	l.Conn.SetReadDeadline(time.Now().Add(lingers))
+	io.Copy(io.Discard, io.LimitReader(l.Conn, mostUnread))
+}
+
+// shut ends the other side too.
+func (l *line) shut() {
+	l.Conn.Close()
+	l.of.ended(l)
 }
 
 // lines is the listener that net/http accepts from, and the book of its lines. At the cap it closes a line that
 // asks nothing; where there is none yet, newcomers wait in the kernel's queue, where their requests are not lost.
 type lines struct {
-	listener *net.TCPListener
-	most     int
-	log      zerolog.Logger
-	count    *counters.Set
+	listener  *net.TCPListener
+	most      int
+	mostAhead int // bytes read ahead on one
+	log       zerolog.Logger
+	count     *counters.Set
 
 	drains atomic.Bool // answers close their lines
 
@@ -192,8 +218,9 @@
 	held int // lines that hold a lookup
 }
 
-func newLines(most int, log zerolog.Logger, count *counters.Set) *lines {
-	return &lines{most: most, log: log, count: count, open: map[*line]bool{}}
+func newLines(most, memory int, log zerolog.Logger, count *counters.Set) *lines {
+	ahead := int(aheadShare * float64(memory) / float64(most))
+	return &lines{most: most, mostAhead: min(mostAhead, max(leastAhead, ahead)), log: log, count: count, open: map[*line]bool{}}
 }
 
 func (s *lines) Addr() net.Addr { return s.listener.Addr() }
@@ -208,49 +235,45 @@
 		return nil, err
 	}
 	s.count.Add("client_lines", "accepted", 1)
-	l := &line{Conn: c, of: s}
+	l := &line{Conn: c, of: s, left: make(chan struct{})}
+	l.turn = sync.NewCond(&l.readMu)
 	for !s.enter(l) {
 		time.Sleep(fullPoll)
 	}
 	return l, nil
 }
 
-// enter books a new line, at the cap in place of one that may be closed; else it has to wait.
+// enter books a new line. At the cap it has to wait, for one that is told to leave, or for what is left of one that has.
 func (s *lines) enter(l *line) bool {
 	s.mu.Lock()
-	var evicted *line
-	if len(s.open) >= s.most {
-		evicted = s.leastMissed()
-	}
-	room := len(s.open) < s.most
-	if room {
+	defer s.mu.Unlock()
+	if len(s.open) < s.most {
 		l.opened = time.Now() // not when it was accepted: nobody has read from it yet
 		s.open[l] = true
+		return true
 	}
-	s.mu.Unlock()
-	evicted.evict()
-	return room
-}
-
-// evict closes a line that was taken off the book, if there is one.
-func (l *line) evict() {
-	if l != nil {
-		l.end(whyEvicted)
-		l.Close()
+	for o := range s.open {
+		if o.closed {
+			o.Conn.SetReadDeadline(past)
+			return false
+		}
+	}
+	if evicted := s.leastMissed(); evicted != nil {
+		evicted.leave(whyEvicted)
 	}
+	return false
 }
 
 // heard is when its last byte came.
 func (l *line) heard() time.Time { return l.opened.Add(time.Duration(l.last.Load())) }
 
-// leastMissed takes the line off the book that may be closed and has heard nothing longest; the lock is held. Lines
+// leastMissed finds the line that may be closed and has heard nothing longest; the lock is held. Lines
 // on which a lookup was served go only when there are no others: a crowd that says nothing must not cost them theirs.
 func (s *lines) leastMissed() *line {
 	found, strangers := s.longestIdle(false)
 	if strangers == 0 {
 		found, _ = s.longestIdle(true)
 	}
-	delete(s.open, found)
 	return found
 }
 
@@ -258,7 +281,7 @@
 // that had none, and tells how many these are; the lock is held.
 func (s *lines) longestIdle(served bool) (found *line, all int) {
 	for l := range s.open {
-		if l.served != served {
+		if l.closed || l.served != served {
 			continue
 		}
 		all++
@@ -310,53 +333,61 @@
 		}
 	}
 	s.mu.Unlock()
-	surplus.evict()
+	if surplus != nil {
+		surplus.leave(whyEvicted)
+	}
 }
 
-// surplus takes the line off the book that is idle longest, where more are kept than may be; the lock is held.
+// surplus finds the line that is idle longest, where more are kept than may be; the lock is held.
 func (s *lines) surplus() *line {
 	found, kept := s.longestIdle(true)
 	if float64(kept) <= keepShare*float64(s.most) {
 		return nil
 	}
-	delete(s.open, found)
 	return found
 }
 
-func (s *lines) ended(l *line) {
+// closing notes that our side of a line has ended: nothing of it is held any more but its descriptor.
+func (s *lines) closing(l *line) {
 	s.mu.Lock()
-	delete(s.open, l)
+	l.closed = true
 	s.release(l)
 	s.mu.Unlock()
 	l.end(whyAnswered)
-	why := string(l.why.Load().(reason))
+}
+
+// ended notes that both have.
+func (s *lines) ended(l *line) {
+	s.mu.Lock()
+	delete(s.open, l)
+	s.mu.Unlock()
+	why := string(l.because.Load().(reason))
 	s.count.Add("client_lines", why, 1)
 	s.log.Info().Str("peer", "client").Str("reason", why).Stringer("address", l.RemoteAddr()).
 		Float64("lived_s", time.Since(l.opened).Seconds()).Msg("connection ended")
 }
 
-// any tells whether a client has a line.
-func (s *lines) any() bool {
+// left tells how many clients have a line that is open on our side, and how many one that is on theirs alone.
+func (s *lines) left() (open, half int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open) > 0
+	for l := range s.open {
+		if l.closed {
+			half++
+		} else {
+			open++
+		}
+	}
+	return open, half
 }
 
-// closeIdle closes lines between two requests, and tells how many others there are.
-func (s *lines) closeIdle(why reason) (others int) {
+// leave lets lines go that are between two requests.
+func (s *lines) leave(why reason) {
 	s.mu.Lock()
-	var idle []*line
+	defer s.mu.Unlock()
 	for l := range s.open {
-		if l.between() {
-			idle = append(idle, l)
-		} else {
-			others++
+		if !l.closed && l.between() {
+			l.leave(why)
 		}
 	}
-	s.mu.Unlock()
-	for _, l := range idle {
-		l.end(why)
-		l.Close()
-	}
-	return others
 }
