Discovery: a reset ends no list, an overtaken whole list is asked for anew, a beat ends the back-off

A watch's last line without its line break was taken as a list also where the connection was reset behind it (bufio.Scanner hands out what is left at any error; list.go, follow). Now only a clean end ends a line. A whole list that was asked for at the address before, or before a watch told a drain, was applied when it came, and called the searcher ready again (wholeCame). It is asked for anew. The waits between tries went back with a list only, not with a beat: a watch that had come back after an outage and fell silent could be renewed 6.5 s after its last byte, more than the 6 s after which what it misses counts as told.

Seen: TestAResetIsNoEndOfAWatchsLine, TestAWholeListThatIsOvertakenIsAskedForAnew and TestABeatEndsTheBackOff fail on the file before. Also forced, and held before: silence at each point of a watch with the old one's late lines, outage and return. Goroutines are counted after the package's tests.

--- /dev/null
+++ b/internal/list/crossings_test.go
@@ -0,0 +1,244 @@
+package list
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bare is a register by hand, whose answers need not be whole.
+type bare struct {
+	*testing.T
+	*Register
+	told   *boxtest.Ear[mixer.Event]
+	server *net.TCPListener
+}
+
+func newBare(t *testing.T, asked bool, change func(*Register)) *bare {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &bare{T: t, told: boxtest.New[mixer.Event](), server: l}
+	set := settings.Settings{}
+	set.AskList = asked
+	r.Register, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Box, zerolog.Nop(), counters.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(r.Register)
+	}
+	go r.Register.Run()
+	t.Cleanup(func() { r.Stop(); l.Close() })
+	r.told.Next(t) // what was known
+	return r
+}
+
+// accept takes the next request, which has to be this one.
+func (r *bare) accept(query string) *net.TCPConn {
+	r.Helper()
+	r.server.SetDeadline(time.Now().Add(patience))
+	c, err := r.server.AcceptTCP()
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { c.Close() })
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil || req.URL.String() != query {
+		r.Fatalf("asked %v, %v, expected %q", req, err, query)
+	}
+	return c
+}
+
+const (
+	noLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	chunked  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func reset(c *net.TCPConn) {
+	c.SetLinger(0)
+	c.Close()
+}
+
+// nothing expects that nothing was told by now.
+func (r *bare) nothing() {
+	r.Helper()
+	if rest := r.told.Rest(); len(rest) > 0 {
+		r.Fatalf("told %+v", rest)
+	}
+}
+
+// What was not ended by its line break before a reset is no list, though it can be read; what was, counts. The watch goes on from there.
+func TestAResetIsNoEndOfAWatchsLine(t *testing.T) {
+	r := newBare(t, false, nil)
+	list := line(43, false, searcher("s2", "SERVING"))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(strings.TrimSpace(list)), "", " "); err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{noLength + strings.TrimSpace(list), chunked + chunk(strings.TrimSpace(list)), noLength + indented.String(),
+		noLength, noLength + list[:40], chunked + chunk(list[:40])} {
+		c := r.accept("/discovery/hosts?stream=1&index=41")
+		c.Write([]byte(text))
+		reset(c)
+	}
+	c := r.accept("/discovery/hosts?stream=1&index=41")
+	r.nothing()
+	c.Write([]byte(chunked + chunk(list) + chunk(`{"generation":44`)))
+	if e := r.told.Next(t); e.List != logic.ListPatch || len(e.Entries) != 1 {
+		t.Fatalf("told %+v", e)
+	}
+	reset(c)
+	r.accept("/discovery/hosts?stream=1&index=43")
+	r.nothing()
+}
+
+// Neither is a whole list that is reset, in whatever form it came; and what is cut short is none either.
+func TestAResetIsNoEndOfAWholeList(t *testing.T) {
+	r := newBare(t, true, nil)
+	list := line(43, true, searcher("s2", "SERVING"))
+	for _, text := range []string{noLength + list, chunked + chunk(list), "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + list} {
+		r.AskWhole()
+		c := r.accept("/discovery/hosts")
+		c.Write([]byte(text))
+		reset(c)
+		if e := r.told.Next(t); e.List != logic.ListFailed {
+			t.Fatalf("%q: told %+v", text, e)
+		}
+	}
+	r.AskWhole()
+	c := r.accept("/discovery/hosts")
+	c.Write([]byte(noLength + list))
+	c.Close()
+	if e := r.told.Next(t); e.List != logic.ListWhole {
+		t.Fatalf("told %+v", e)
+	}
+}
+
+// A whole list that was asked for at the old address, or before what a watch has told since, is asked for anew.
+func TestAWholeListThatIsOvertakenIsAskedForAnew(t *testing.T) {
+	r, other := newBare(t, true, nil), newBare(t, true, nil)
+	r.AskWhole()
+	old := r.accept("/discovery/hosts")
+	if err := r.MoveTo(other.server.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	r.Subscribe(true) // told behind the move: its watch shows that the move was taken
+	c := other.accept("/discovery/hosts?stream=1&index=41")
+	old.Write([]byte(noLength + line(99, true, searcher("s9", "SERVING"))))
+	old.Close()
+	again := other.accept("/discovery/hosts")
+	r.nothing()
+	c.Write([]byte(chunked + chunk(line(44, false, searcher("s1", "DRAINING")))))
+	if e := r.told.Next(t); e.List != logic.ListPatch || e.Entries[0].Phase != logic.Draining {
+		t.Fatalf("told %+v", e)
+	}
+	again.Write([]byte(noLength + line(41, true, searcher("s1", "SERVING")))) // as it was before the drain
+	again.Close()
+	third := other.accept("/discovery/hosts")
+	r.nothing()
+	third.Write([]byte(noLength + line(45, true, searcher("s1", "DRAINING"))))
+	third.Close()
+	if e := r.told.Next(t); e.List != logic.ListWhole || e.Entries[0].Phase != logic.Draining {
+		t.Fatalf("told %+v", e)
+	}
+}
+
+// A watch that falls silent is renewed wherever it stands: with its request taken and no head, with a head and no line, with half a
+// line, behind beats. What the old one says late counts no more.
+func TestAWatchSilentAtAnyPointIsRenewed(t *testing.T) {
+	r := newBare(t, false, func(r *Register) { r.silence = 200 * time.Millisecond })
+	list := line(43, false, searcher("s9", "SERVING"))
+	var old []*net.TCPConn
+	for _, text := range []string{"", "HTTP/1.1 200", chunked, noLength, chunked + chunk(list[:50]), chunked + chunk("\n") + chunk(list[:50])} {
+		c := r.accept("/discovery/hosts?stream=1&index=41")
+		c.Write([]byte(text))
+		old = append(old, c)
+	}
+	c := r.accept("/discovery/hosts?stream=1&index=41")
+	for _, o := range old {
+		o.Write([]byte(chunked + chunk(list)))
+	}
+	c.Write([]byte(chunked + chunk(line(44, false, searcher("s1", "DRAINING")))))
+	if e := r.told.Next(t); e.List != logic.ListPatch || len(e.Entries) != 1 || e.Entries[0].Searcher != 1 {
+		t.Fatalf("told %+v", e)
+	}
+	r.accept("/discovery/hosts?stream=1&index=44")
+	r.nothing()
+}
+
+// A register that comes back after a while is heard at once: of what it has, the first line counts, drains above all. The waits between
+// tries have grown by then, and go back with the first beat: the next silence has 6 s of its own.
+func TestABeatEndsTheBackOff(t *testing.T) {
+	box := mailbox.New[mixer.Event]()
+	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, box, zerolog.Nop(), counters.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		r.watch++
+		r.cancel = func() {}
+		r.hear(&note{kind: watchEnded, watch: r.watch, err: net.ErrClosed})
+	}
+	if r.wait != mostWait {
+		t.Fatalf("waits %s after ten tries, expected %s", r.wait, mostWait)
+	}
+	r.cancel = func() {}
+	r.hear(&note{kind: lineCame, watch: r.watch})
+	heard := r.heard
+	r.ended("silent", net.ErrClosed)
+	if r.wait != firstWait {
+		t.Fatalf("waits %s after a beat, expected %s", r.wait, firstWait)
+	}
+	if late := r.silence + firstWait*3/2; late >= 6*time.Second || heard.IsZero() {
+		t.Fatalf("a new watch stands %s after the last byte, expected less than 6 s", late)
+	}
+}
+
+// Outage and return: while nobody listens at the register's address the list stays as it is; once somebody does, the watch is there
+// within the longest wait between tries.
+func TestARegisterThatComesBackIsWatched(t *testing.T) {
+	r := newBare(t, false, nil)
+	address := r.server.Addr().(*net.TCPAddr)
+	c := r.accept("/discovery/hosts?stream=1&index=41")
+	r.server.Close()
+	c.Write([]byte(chunked + chunk("\n")))
+	reset(c)
+	for late := time.Now().Add(patience); r.count.Get("watches", "watch_ended") < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("it does not try again")
+		}
+	}
+	r.nothing()
+	var err error
+	if r.server, err = net.ListenTCP("tcp", address); err != nil {
+		t.Fatal(err)
+	}
+	defer r.server.Close()
+	c = r.accept("/discovery/hosts?stream=1&index=41")
+	c.Write([]byte(chunked + chunk(line(50, false, searcher("s1", "DRAINING")))))
+	if e := r.told.Next(t); e.List != logic.ListPatch || e.Entries[0].Phase != logic.Draining {
+		t.Fatalf("told %+v", e)
+	}
+}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -74,7 +75,7 @@
 	moveTo     // address
 	lineCame   // watch, line
 	watchEnded // watch, err
-	wholeCame  // line or err
+	wholeCame  // address: its URL; version: that known when it was asked for; line or err
 	stop
 )
 
@@ -83,6 +84,7 @@
 	on      bool
 	address string
 	watch   int
+	version int64
 	line    []byte
 	err     error
 }
@@ -194,7 +196,7 @@
 		r.drop()
 		r.again = time.Time{}
 	case askWhole:
-		go r.fetch(r.url)
+		go r.fetch(r.url, r.version)
 	case moveTo:
 		if url := listURL(n.address); url != r.url {
 			r.url, r.wait, r.again = url, 0, time.Time{}
@@ -206,20 +208,22 @@
 		if n.watch != r.watch {
 			return
 		}
-		r.heard = time.Now()
+		r.heard, r.wait = time.Now(), 0 // a beat as well: what it misses from here on has its own 6 s
 		if len(n.line) == 0 {
 			return
 		}
 		if err := r.take(n.line, false); err != nil {
 			r.ended("bad_line", err)
-			return
 		}
-		r.wait = 0
 	case watchEnded:
 		if n.watch == r.watch && r.cancel != nil {
 			r.ended("watch_ended", n.err)
 		}
 	case wholeCame:
+		if n.address != r.url || n.version != r.version && n.olderThan(r.version) { // as it was elsewhere, or before what a watch told
+			go r.fetch(r.url, r.version)
+			return
+		}
 		err := n.err
 		if err == nil {
 			err = r.take(n.line, false)
@@ -231,6 +235,12 @@
 	}
 }
 
+// olderThan tells of a whole list that it is from before a version.
+func (n *note) olderThan(version int64) bool {
+	var p page
+	return n.err == nil && json.Unmarshal(n.line, &p) == nil && p.Version != nil && *p.Version < version
+}
+
 // silent is when the watch in hand counts as silent. A new one that has said nothing at all gets half as long, in which a
 // beat is due: should it be silent as the one before it was, a third one stands before drains have to be kept.
 func (r *Register) silent() time.Time {
@@ -321,8 +331,10 @@
 		return err
 	}
 	defer res.Body.Close()
-	lines := bufio.NewScanner(res.Body)
+	body := &tail{Reader: res.Body}
+	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, mostLine)
+	lines.Split(body.lines)
 	var whole gathered
 	for lines.Scan() {
 		if text, done := whole.add(lines.Bytes()); done {
@@ -335,6 +347,25 @@
 	return io.EOF
 }
 
+// tail is a body that remembers how it ended: a reset is no end. What came behind the last line break before one is no
+// line, even where it can be read.
+type tail struct {
+	io.Reader
+	err error
+}
+
+func (t *tail) Read(b []byte) (n int, err error) {
+	n, t.err = t.Reader.Read(b)
+	return n, t.err
+}
+
+func (t *tail) lines(data []byte, atEnd bool) (advance int, token []byte, err error) {
+	if atEnd && t.err != io.EOF && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEnd)
+}
+
 // gathered puts together what comes in several lines, as indented lists do: the lines from the one that opens an object to
 // the one that closes it. An empty line in between is a beat behind a list that broke off, which is then handed on as it
 // is, to be found bad.
@@ -372,10 +403,10 @@
 }
 
 // fetch asks for the whole list once.
-func (r *Register) fetch(url string) {
+func (r *Register) fetch(url string, version int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.silence)
 	defer cancel()
-	n := note{kind: wholeCame}
+	n := note{kind: wholeCame, address: url, version: version}
 	var res *http.Response
 	if res, n.err = r.get(ctx, url); n.err == nil {
 		n.line, n.err = io.ReadAll(io.LimitReader(res.Body, mostLine))
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -256,8 +256,13 @@
 	r.ask("/discovery/hosts?stream=1&index=41").write("\n")
 	r.ask("/discovery/hosts?stream=1&index=41")
 	go func() { // the third, and on a busy machine those after it
-		for w := range r.asks {
-			w.write(line(42, false, searcher("s1", "DRAINING")))
+		for {
+			select {
+			case w := <-r.asks:
+				w.write(line(42, false, searcher("s1", "DRAINING")))
+			case <-t.Context().Done():
+				return
+			}
 		}
 	}()
 	r.expect(logic.ListPatch, "s1:1")
