A stop is bounded where clients never leave

Cause: found by reading what a stop waits for: an answer that its client does not read holds it for slowAnswer, 10 s, and a trickled request for 2 s, both beyond the time of SIGKILL (clients.go, Drain: for open()). By then nothing is owed to either. Seen: TestAStopDoesNotWaitForClientsThatNeverLeave fails without the bound, passes 3 times with -race.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -116,13 +116,16 @@
 	for began := time.Now(); time.Since(began) < lastAnswers-lastSecond && open(); {
 		time.Sleep(emptying)
 	}
-	for open() {
+	// By the last moment all that was taken is decided. What is open then is a client that does not read its answer, or that
+	// trickles a request: nothing is owed to either, and to be killed over them would cost others.
+	last := time.Unix(0, s.ends.Load()).Add(lastSecond / 2)
+	for open() && time.Now().Before(last) {
 		s.lines.leave(whyShutdown)
 		time.Sleep(emptying)
 	}
 	// What was answered is not to be reset by our end over what a client has sent since: its own end is waited for.
 	until := time.Now().Add(lingers)
-	if last := time.Unix(0, s.ends.Load()).Add(lastSecond / 2); last.Before(until) {
+	if last.Before(until) {
 		until = last
 	}
 	for _, half := s.lines.left(); half > 0 && time.Now().Before(until); _, half = s.lines.left() {
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -187,6 +188,57 @@
 	}
 }
 
+// A stop ends in time whatever clients do: one does not read its answer, one trickles a head, one a body. Those that are held are answered
+// before.
+func TestAStopDoesNotWaitForClientsThatNeverLeave(t *testing.T) {
+	r := newRig(t, 100, func(s *Server) {
+		s.serveOn, s.slow = time.Millisecond, time.Hour
+		s.http.ReadTimeout, s.http.IdleTimeout = time.Hour, time.Hour
+	})
+	deaf, held, head, body := r.dial(), r.dial(), r.dial(), r.dial()
+	deaf.ask()
+	lk := r.event(logic.LookupTaken)
+	lk.Parts[0].In, lk.Parts[0].Value = true, bytes.Repeat([]byte("v"), 32<<20) // more than sockets hold unread
+	lk.Done <- mixer.Reply{End: mixer.Satisfied}
+	if _, err := deaf.in.Peek(1); err != nil { // its answer is on its way
+		t.Fatal(err)
+	}
+	held.ask()
+	lk = r.event(logic.LookupTaken)
+	text := again("trickles")
+	io.WriteString(head, text[:20])
+	io.WriteString(body, text[:len(text)-20])
+	drained := make(chan struct{})
+	go func() { r.Drain(); close(drained) }()
+	trickles := time.NewTicker(50 * time.Millisecond)
+	defer trickles.Stop()
+	late := time.After(patience)
+	for sent := 0; ; sent++ {
+		select {
+		case <-trickles.C:
+			if sent == 2 {
+				lk.Done <- mixer.Reply{End: mixer.Nacked}
+				held.expect(429)
+			}
+			if sent < 10 {
+				io.WriteString(head, text[20+sent:21+sent])
+				io.WriteString(body, text[len(text)-20+sent:len(text)-19+sent])
+			}
+		case <-drained:
+			if sent < 2 {
+				t.Fatal("it ended with a lookup held")
+			}
+			if rest := r.told.Rest(); len(rest) != 0 {
+				t.Fatalf("%+v was sent on", rest[0].Taken)
+			}
+			r.forgotten()
+			return
+		case <-late:
+			t.Fatal("it waits for them")
+		}
+	}
+}
+
 // One that rests on for ever is left after a while, and at once where its place is needed.
 func TestARestingClientIsLeftAfterAWhile(t *testing.T) {
 	r := newRig(t, 2, nil)
