--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -18,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinlink.example/puffinlink/internal/node"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -224,3 +227,52 @@
 		t.Fatal("did not end")
 	}
 }
+
+// A stop while the process before still holds the address ends at once and well, whenever it comes; so does one more.
+func TestAStopWhileStarting(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	configured(t, held.Addr().String(), "127.0.0.1:1", "127.0.0.1:1", goodSettings)
+	ours := make(chan os.Signal, 1) // so that one that comes before it listens for signals ends nothing
+	signal.Notify(ours, syscall.SIGTERM)
+	defer signal.Stop(ours)
+	ended := make(chan error, 1)
+	go func() { ended <- run("") }()
+	again := time.NewTicker(10 * time.Millisecond)
+	defer again.Stop()
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Fatal(err)
+			}
+			return
+		case <-again.C:
+			syscall.Kill(os.Getpid(), syscall.SIGTERM)
+		case <-time.After(time.Minute):
+			t.Fatal("it does not end")
+		}
+	}
+}
+
+// What comes while it starts is kept for the mixer that runs, in its order.
+func TestSignalsWhileStartingAreKept(t *testing.T) {
+	signals := make(chan os.Signal, 16)
+	begun, err := start(signals, func(ctx context.Context) (*node.Node, error) {
+		signals <- syscall.SIGHUP
+		signals <- syscall.SIGTERM
+		<-ctx.Done()
+		return &node.Node{}, nil // it served a moment before
+	})
+	if begun == nil || err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if got := <-signals; got != want {
+			t.Fatalf("got %v, expected %v", got, want)
+		}
+	}
+}
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -63,6 +65,38 @@
 	return n.Reload(c)
 }
 
+// start starts a mixer, which may take a while. A signal to stop ends that; one that comes as it is done, and all others, are kept for
+// the mixer that runs.
+func start(signals chan os.Signal, begin func(context.Context) (*node.Node, error)) (n *node.Node, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begun := make(chan struct{})
+	go func() {
+		defer close(begun)
+		n, err = begin(ctx)
+	}()
+	var kept []os.Signal
+	defer func() {
+		for _, s := range kept {
+			select {
+			case signals <- s:
+			default: // as many wait already
+			}
+		}
+	}()
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGTERM || s == syscall.SIGINT {
+				cancel()
+			}
+			kept = append(kept, s)
+		case <-begun:
+			return n, err
+		}
+	}
+}
+
 func run(operatorFile string) error {
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
@@ -85,8 +119,11 @@
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Str("mixer", c.Name).Logger()
 
-	n, err := node.Start(c, set, file, log, count)
-	if err != nil {
+	n, err := start(signals, func(ctx context.Context) (*node.Node, error) { return node.Start(ctx, c, set, file, log, count) })
+	if errors.Is(err, context.Canceled) {
+		log.Info().Msg("told to stop before it served")
+		return nil
+	} else if err != nil {
 		return err
 	}
 	for on := true; on; {
--- /dev/null
+++ b/internal/mixer/crossings_test.go
@@ -0,0 +1,126 @@
+package mixer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// orders yields each order of n things.
+func orders(n int, yield func([]int)) {
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	var turn func(from int)
+	turn = func(from int) {
+		if from == n {
+			yield(order)
+			return
+		}
+		for i := from; i < n; i++ {
+			order[from], order[i] = order[i], order[from]
+			turn(from + 1)
+			order[from], order[i] = order[i], order[from]
+		}
+	}
+	turn(0)
+}
+
+// The ends of both calls, the client's leaving and the hard deadline come in one and the same step, in each order, however the calls end and
+// whatever the index allows: there is one final answer, or the client has gone, and nothing of the lookup goes out after that or stays.
+func TestAllEndsOfALookupInOneStep(t *testing.T) {
+	outcomes := []logic.Outcome{logic.Answered, logic.Errored, logic.TurnedAway, logic.TimedOut, logic.NotConnected, logic.Broken, logic.Withdrawn, logic.NotSent}
+	for index := range logic.IndexID(2) {
+		for _, first := range outcomes {
+			for _, second := range outcomes {
+				for _, late := range []time.Duration{0, 3 * time.Second} { // past the wait: its timers come behind
+					orders(3, func(order []int) {
+						r := newRig(nil)
+						e := r.lookup("aa", index, 2)
+						r.put(e)
+						if len(r.sent) != 2 {
+							t.Fatalf("sent %+v", r.sent)
+						}
+						ends := []Event{r.sent[0].ends(first, "one"), r.sent[1].ends(second, "two"),
+							{Event: logic.Event{Kind: logic.ClientGone}, Taken: e.Taken}}
+						r.now = r.now.Add(late)
+						r.put(ends[order[0]], ends[order[1]], ends[order[2]])
+						what := fmt.Sprintf("index %d, outcomes %d and %d, order %v, %s late", index, first, second, order, late)
+						sent := len(r.sent)
+						for i := range 40 {
+							for _, c := range r.sent[2:] { // a part that went again before its client was known to have left
+								if _, out := r.out[callKey{c.Part, c.No}]; out {
+									r.put(c.ends(logic.Withdrawn, ""))
+								}
+							}
+							r.now = r.now.Add(100 * time.Millisecond)
+							r.put(Event{Event: logic.Event{Kind: logic.CallEnded, Part: 1 << 40, Call: logic.CallNo(i)}})
+						}
+						if len(r.sent) != sent {
+							t.Fatalf("%s: %d calls after its end", what, len(r.sent)-sent)
+						}
+						answers := len(e.Taken.Done)
+						gone := int(r.count.Get("lookups", "gone"))
+						if answers+gone != 1 {
+							t.Fatalf("%s: %d answers, gone %d", what, answers, gone)
+						}
+						r.books(t, map[string]int64{"taken": 1, "held": 0})
+						if len(r.lookups)+len(r.names)+len(r.parts)+len(r.out) != 0 {
+							t.Fatalf("%s: left are %v %v %v %v", what, r.lookups, r.names, r.parts, r.out)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// A client that left while its lookup waited in the mailbox, or for a searcher to have room: nothing of it is sent, neither then nor later.
+func TestNothingOfAClientThatLeftIsSent(t *testing.T) {
+	r := newRig(func(s *settings.Settings) { s.Rules.ColdShare = 0.2 })
+	e := r.lookup("aa", 0, 4)
+	r.put(e, Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: e.Taken})
+	if len(r.sent) != 0 {
+		t.Fatalf("sent %+v", r.sent)
+	}
+	// All searchers start anew and are cold: of many lookups some wait until they may take more.
+	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}, Addresses: make([]string, 8)}
+	for i := range 8 {
+		list.Entries = append(list.Entries, logic.Entry{Searcher: logic.SearcherID(i + 20), Cell: logic.CellID(i % 4), StartedAt: r.seconds(r.now)})
+	}
+	r.put(list)
+	var crowd []Event
+	for i := range 300 {
+		crowd = append(crowd, r.lookup(fmt.Sprint("c", i), 0, 4))
+	}
+	r.put(crowd...)
+	begun := map[*Lookup]bool{}
+	for _, c := range r.sent {
+		begun[c.Lookup] = true
+	}
+	waiting := 0
+	var leave []Event
+	for _, e := range crowd {
+		if !begun[e.Taken] && len(e.Taken.Done) == 0 {
+			waiting++
+			leave = append(leave, Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: e.Taken})
+		}
+	}
+	if waiting == 0 {
+		t.Fatalf("none of %d lookups waits", len(crowd))
+	}
+	r.put(leave...)
+	sent := len(r.sent)
+	for i := 0; i < len(r.sent); i++ { // all that is out ends, so that there is room
+		r.put(r.sent[i].ends(logic.Answered, "v"))
+	}
+	for _, c := range r.sent[sent:] {
+		if !begun[c.Lookup] {
+			t.Fatalf("lookup %s went out after its client had left", c.Lookup.ID)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -117,12 +118,17 @@
 }
 
 // listen waits a while for an address in use: a restart may overlap with the end of the process before it.
-func listen(address *net.TCPAddr) (l *net.TCPListener, err error) {
-	for until := time.Now().Add(overlap); ; time.Sleep(overlap / 100) {
+func listen(ctx context.Context, address *net.TCPAddr) (l *net.TCPListener, err error) {
+	for until := time.Now().Add(overlap); ; {
 		l, err = net.ListenTCP("tcp", address)
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
 			return l, err
 		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(overlap / 100):
+		}
 	}
 }
 
@@ -136,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Start(c, set, file, log, count)
+	return Start(context.Background(), c, set, file, log, count)
 }
 
 // Node is a mixer that runs.
@@ -156,8 +162,9 @@
 	drain     func()
 }
 
-// Start starts a mixer that serves from what the config knows, with what the operator's file adds.
-func Start(c Config, set settings.Settings, file opfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
+// Start starts a mixer that serves from what the config knows, with what the operator's file adds. Until it serves, the
+// context's end ends the start.
+func Start(ctx context.Context, c Config, set settings.Settings, file opfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
 	clientLines, searcherLines, memory := c.lines()
 	n = &Node{log: log, count: count, drained: make(chan struct{})}
 	n.mixer = mixer.New(set, log, count)
@@ -195,7 +202,7 @@
 			return nil, fmt.Errorf("operators: %w", err)
 		}
 	}
-	listener, err := listen(address)
+	listener, err := listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
