A connect that comes up late to a searcher that drains is closed; late connects forced in each order

Cause: found by forcing a connect to come up after its searcher began to drain: the idle connections had been closed by then, nothing waited for this one, and it stayed until its idle time, a place at the searcher and a descriptor each (searchers.go, dialled). Change: it is closed at once, unless a probe waits for it. Connects go through a field of the hub that tests hold them by. Seen: TestALateConnectSendsNothingThatIsOver fails without the change in its case of a drain.

--- a/internal/searchers/crossings_test.go
+++ b/internal/searchers/crossings_test.go
@@ -1,10 +1,12 @@
 package searchers
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -263,3 +265,100 @@
 	close(let)
 	answeredThenEnded(t, notes)
 }
+
+// gate holds connects that have come up until the test lets them go.
+type gate struct {
+	up  chan struct{} // one has come up
+	let chan struct{}
+}
+
+// holdDials comes before anything is sent.
+func (r *rig) holdDials() gate {
+	g := gate{make(chan struct{}, 100), make(chan struct{})}
+	dial := r.hub.dialer
+	r.hub.dialer = func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
+		c, err := dial(ctx, timeout, address)
+		g.up <- struct{}{}
+		<-g.let
+		return c, err
+	}
+	return g
+}
+
+// A connect comes up late: after its call was withdrawn, timed out or could no longer begin, its searcher drained, was gone or moved. What it was
+// for has ended long before and is never written. A connection of use is kept for the next call, any other is closed.
+func TestALateConnectSendsNothingThatIsOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait time.Duration
+		do   func(*rig, logic.PartID)
+		how  logic.Outcome
+		kept bool
+	}{
+		"withdrawn": {time.Minute, func(r *rig, part logic.PartID) { r.hub.Withdraw(1, part, 0) }, logic.Withdrawn, true},
+		"timed out": {time.Millisecond, func(*rig, logic.PartID) {}, logic.TimedOut, true},
+		"draining":  {time.Minute, func(r *rig, _ logic.PartID) { r.named(r.peer.Addr().String(), logic.Draining, 0) }, logic.NotSent, false},
+		"gone":      {time.Minute, func(r *rig, _ logic.PartID) { r.named("", logic.Gone, 0) }, logic.NotSent, false},
+	} {
+		r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 60, 2 })
+		g := r.holdDials()
+		calls := r.send("aa", "q", c.wait, 1)
+		<-g.up
+		c.do(r, calls[0].Part)
+		r.ended(calls[0].Part, c.how)
+		close(g.let)
+		p := r.accept(r.peer)
+		if !c.kept {
+			if text, err := io.ReadAll(p.in); len(text) > 0 || err != nil {
+				t.Fatalf("%s: %q was written, %v", name, text, err)
+			}
+			continue
+		}
+		next := r.send("bb", "q", time.Minute, 1)
+		p.expect('S', "bb.0") // the first that is written on it
+		p.say('R', "bb.0 done 0 -\n")
+		r.ended(next[0].Part, logic.Answered)
+		if n := r.hub.count.Get("lines", "dialled"); n != 1 {
+			t.Fatalf("%s: %d connects, expected 1", name, n)
+		}
+	}
+}
+
+// A connect that comes up as its searcher has moved goes to an address that leads nowhere any more: closed, and the call goes to the new one.
+func TestALateConnectToAnOldAddressIsClosed(t *testing.T) {
+	r := newRig(t, nil)
+	g := r.holdDials()
+	calls := r.send("aa", "q", time.Minute, 1)
+	<-g.up
+	old := r.accept(r.peer)
+	to := r.listen()
+	r.named(to.Addr().String(), logic.Ready, 0)
+	<-g.up
+	close(g.let)
+	p := r.accept(to)
+	p.expect('S', "aa.0")
+	if text, _ := io.ReadAll(old.in); len(text) > 0 {
+		t.Fatalf("%q was written to the old address", text)
+	}
+	p.say('R', "aa.0 done 0 -\n")
+	r.ended(calls[0].Part, logic.Answered)
+}
+
+// A stop comes while a connect is under way, and it comes up after that: it is closed, nothing is written, and the stop ends.
+func TestALateConnectAfterAStopIsClosed(t *testing.T) {
+	r := newRig(t, nil)
+	g := r.holdDials()
+	r.send("aa", "q", time.Minute, 1)
+	<-g.up
+	var wg sync.WaitGroup
+	wg.Go(r.hub.Stop)
+	p := r.accept(r.peer)
+	<-r.hub.dials.Done() // the stop has been told by then
+	close(g.let)
+	if text, _ := io.ReadAll(p.in); len(text) > 0 {
+		t.Fatalf("%q was written", text)
+	}
+	wg.Wait()
+	if len(r.hub.lines) != 0 {
+		t.Fatalf("%d places of descriptors are still taken", len(r.hub.lines))
+	}
+}
--- a/internal/searchers/searchers.go
+++ b/internal/searchers/searchers.go
@@ -38,6 +38,7 @@
 	gone   map[logic.SearcherID]*actor // those of actors that the list no longer names
 	lines  chan struct{}               // one place for each descriptor in use
 	dials  context.Context             // ends with all connects
+	dialer func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error)
 	undial context.CancelFunc
 	all    sync.WaitGroup
 }
@@ -47,6 +48,9 @@
 	h := &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
 		gone: map[logic.SearcherID]*actor{}, lines: make(chan struct{}, most)}
 	h.dials, h.undial = context.WithCancel(context.Background())
+	h.dialer = func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
+		return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+	}
 	return h
 }
 
@@ -510,7 +514,7 @@
 	}
 	go func() {
 		defer func() { <-a.hub.lines }()
-		conn, err := (&net.Dialer{Timeout: connect}).DialContext(a.hub.dials, "tcp", address)
+		conn, err := a.hub.dialer(a.hub.dials, connect, address)
 		if err != nil {
 			why := whyNoConnect
 			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
@@ -539,6 +543,8 @@
 			a.close(n.line, whyShutdown)
 		case old:
 			a.close(n.line, whyMoved)
+		case a.closed && a.asking == nil: // idle ones were closed when it began to drain
+			a.close(n.line, whyAsked)
 		}
 		a.assign()
 		return
