A failed connect is no restart: only one that follows two others lets its searcher count as new

Traced, lookup by lookup, in a scratch copy: 353 of 1,182 were refused at once, 136 late although each call of theirs had been answered: their parts were held by coldAllows, and the share served fell from 1.0 to 0.2 within 8 s, as after each failed connect the next probe's answer let its searcher count as started just then (logic.go, probed), for the 18 s of the settings. Ruled out: slow searchers (answers took 0.07 s in the median), windows, the network code (a connect per waiting call, and nothing left waiting). So was a failed connect that a call's answer on another connection had followed: dead stayed set, and a silence long after led to the same (state.go, lives).

Change: only from the third failed connect in a row, after 0.75 s out of reach, is what is heard again taken for new; the list tells of all starts anyway. An answer ends the doubt.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,6 @@
 	idleDoubt    = 1.0   // calls lost after such pauses, before lines are thought to die
 	idleTrust    = 0.05  // of a lost call, made good by one that was answered after a pause
 	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
-	secondFor    = 2.5   // latencies that a second step takes
-	sumSlack     = 5e-5  // weights are rounded
 	sweepTimer   = TimerID(1)
 
 	faultMost, faultPrior    = 4.0, 1.0    // calls that weigh in a searcher's share of faults; its location's
@@ -49,6 +47,8 @@
 	silentFrom, silentLeast  = 4.0, 0.25   // usual latencies, and of a soft deadline, without answer: silent
 	sweepEvery, burstS       = 0.02, 2.0   // pause; seconds of its share that a customer may run ahead
 	waitFirst, waitMost      = 0.25, 2.0   // pause after a failed connect or ask for the list, doubled up to
+	waitGone                 = 0.5         // of those: beyond, what is heard again may be a new process
+	secondFor, sumSlack      = 2.5, 5e-5   // latencies that a second step takes; weights are rounded
 	lowGain, overShare       = 0.35, 0.5   // of a soft deadline: how much earlier least gain goes; over share
 	tryApart, tryMost        = 0.02, 100.0 // of a hard deadline: tries alike; votes for the time that most give
 )
@@ -838,7 +838,7 @@
 	switch {
 	case e.Outcome == Answered:
 		m.deep = m.deep || e.Elapsed > deepFrom*m.usual
-		if s.downWait > 0 && s.dead {
+		if s.downWait > waitGone && s.dead {
 			m.renew(s)
 			m.starts(s, m.now)
 		}
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -272,3 +272,59 @@
 		t.Errorf("%d lookups of %d parts are still open", len(s.m.lookups), len(parts))
 	}
 }
+
+// Where connects come up late now and then, each failed one was taken for a restart once a probe was answered: its searcher counted as cold for
+// the time that the settings name, and soon all did. A process that is no more fails again and again.
+func TestAFailedConnectIsNoRestart(t *testing.T) {
+	for _, fails := range []int{1, 2, 3, 4} {
+		s := newScene(t, func(set *Settings) {
+			set.Limits.Probe = true
+			set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
+		}, Entry{Searcher: 1})
+		warm(s)
+		x := s.m.searchers[1]
+		parts, _ := s.take(60, 1)
+		s.end(0.25, parts[0], 1, NotConnected, 0.25)
+		for failed := 1; failed < fails; {
+			for _, a := range only(Probe, s.tick(0.05)) {
+				s.step(0.25, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: NotConnected})
+				failed++
+			}
+		}
+		for range 100 {
+			for _, a := range only(Probe, s.tick(0.05)) {
+				s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: Answered})
+			}
+		}
+		if cold := s.m.warmth(x) < 1; !usable(x) || cold != (fails > 2) {
+			t.Errorf("%d connects failed: usable %v, warmth %.2f, cold is expected after three", fails, usable(x), s.m.warmth(x))
+		}
+	}
+}
+
+// A failed connect that a call's answer on another connection has followed is no reason to take a silence, long after, for a restart.
+func TestAnAnswerEndsTheDoubtOfAFailedConnect(t *testing.T) {
+	s := newScene(t, func(set *Settings) {
+		set.Limits.Probe = true
+		set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
+	}, Entry{Searcher: 1})
+	warm(s)
+	x := s.m.searchers[1]
+	first, _ := s.take(60, 1)
+	second, _ := s.take(60, 1)
+	s.end(0.25, first[0], 1, NotConnected, 0.25)
+	s.end(0.01, second[0], 1, Answered, 0.26)
+	s.take(60, 1)
+	answer := TimedOut
+	for i := range 400 {
+		if i > 300 {
+			answer = Answered
+		}
+		for _, a := range only(Probe, s.tick(0.05)) {
+			s.step(0.001, Event{Kind: ProbeEnded, Searcher: a.Searcher, Outcome: answer})
+		}
+	}
+	if !usable(x) || s.m.warmth(x) < 1 {
+		t.Errorf("usable %v, warmth %.2f", usable(x), s.m.warmth(x))
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -176,7 +176,7 @@
 	downUntil  float64
 	downWait   float64
 	probing    bool
-	dead       bool      // no connection was made since it was last new
+	dead       bool      // a connect has failed since it was last heard
 	sent       []sending // while cold
 	lot        float64   // with that of a part, decides whether it may go there while cold, or weighed
 	scopes     []scope   // by index, what operators override; nil where they do not
@@ -542,7 +542,7 @@
 
 // lives notes a sign of life.
 func (s *searcher) lives(now float64) {
-	s.alive, s.quietFrom, s.unheard, s.downWait, s.downUntil = now, 0, false, 0, 0
+	s.alive, s.quietFrom, s.unheard, s.dead, s.downWait, s.downUntil = now, 0, false, false, 0, 0
 }
 
 func (m *Mixer) place(r *Entry) *searcher {
