--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -15,11 +15,17 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/opfile"
 )
 
+// Work that a stand-in has begun goes on for its time, as a searcher's would; nothing of a mixer may.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("puffinlink.example/puffinlink/internal/standin.(*Searcher).work"))
+}
+
 // peer is a searcher whose every call the test decides on.
 type peer struct {
 	listener net.Listener
@@ -255,6 +261,7 @@
 			t.Fatalf("got %v, %v", res, err)
 		}
 		res.Body.Close()
+		http.DefaultClient.CloseIdleConnections()
 		if res, body, _ := h.ask(t, "reads", "aa", "", "5"); res.StatusCode != 200 {
 			t.Fatalf("got %d %s", res.StatusCode, body)
 		}
