--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -14,14 +14,14 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"go.uber.org/goleak"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/leaktest"
 	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { leaktest.Main(m) }
 
 // forgotten waits until the server holds nothing of any client.
 func (r *rig) forgotten() {
--- a/internal/list/crossings_test.go
+++ b/internal/list/crossings_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"go.uber.org/goleak"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/leaktest"
 	"puffinlink.example/puffinlink/internal/mailbox"
 	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
 	"puffinlink.example/puffinlink/internal/mixer"
@@ -22,7 +22,7 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { leaktest.Main(m) }
 
 // bare is a register by hand, whose answers need not be whole.
 type bare struct {
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -18,12 +18,13 @@
 	"go.uber.org/goleak"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/leaktest"
 	"puffinlink.example/puffinlink/internal/opfile"
 )
 
 // Work that a stand-in has begun goes on for its time, as a searcher's would; nothing of a mixer may.
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("puffinlink.example/puffinlink/internal/standin.(*Searcher).work"))
+	leaktest.Main(m, goleak.IgnoreAnyFunction("puffinlink.example/puffinlink/internal/standin.(*Searcher).work"))
 }
 
 // peer is a searcher whose every call the test decides on.
--- a/internal/searchers/crossings_test.go
+++ b/internal/searchers/crossings_test.go
@@ -10,14 +10,13 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
+	"puffinlink.example/puffinlink/internal/leaktest"
 	"puffinlink.example/puffinlink/internal/mailbox"
 	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { leaktest.Main(m) }
 
 // stuck sends a call that is larger than sockets hold unread, and returns its line once the write of it has begun: what is
 // sent there next waits behind it until the line is read.
