--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -200,14 +200,9 @@
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
-	select {
-	case <-l.left: // this one was sent ahead, and nobody waits for its answer
+	if l.hasLeft(r.Context()) { // this one was sent ahead, and nobody waits for its answer
 		s.write(w, r, http.StatusInternalServerError, nil)
 		return
-	case <-r.Context().Done():
-		s.write(w, r, http.StatusInternalServerError, nil)
-		return
-	default:
 	}
 	if !s.lines.ask(l) {
 		s.refuse(w, r, http.StatusServiceUnavailable, "too many lookups at once")
--- a/internal/clients/reading.go
+++ b/internal/clients/reading.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -121,6 +122,16 @@
 	}
 }
 
+// hasLeft tells whether the client of a request is known to have left.
+func (l *line) hasLeft(request context.Context) bool {
+	select {
+	case <-l.left:
+		return true
+	default:
+		return request.Err() != nil
+	}
+}
+
 // SetReadDeadline is net/http's and the handler's; one that is told to leave keeps the deadline that ends its next read. Once
 // our side has ended it is without effect: net/http takes back a deadline of its own after it has closed, and with it would
 // take back the bound on the client's end.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -394,14 +394,20 @@
 	}
 }
 
-// A searcher silent for a while was once shunned for good, and then taken for new: it is asked after each pause,
-// and one that answers keeps its figures and is not cold. One that turns probes away is not silent.
-func TestSearcherIsAskedAgainAfterSilence(t *testing.T) {
+// alone is a scene of one warm searcher, which may be probed and would be cold after a start.
+func alone(t *testing.T) *scene {
 	s := newScene(t, func(set *Settings) {
 		set.Limits.Probe = true
 		set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
 	}, Entry{Searcher: 1})
 	warm(s)
+	return s
+}
+
+// A searcher silent for a while was once shunned for good, and then taken for new: it is asked after each pause,
+// and one that answers keeps its figures and is not cold. One that turns probes away is not silent.
+func TestSearcherIsAskedAgainAfterSilence(t *testing.T) {
+	s := alone(t)
 	s.take(60, 1)
 	answer, x := TimedOut, s.m.searchers[1]
 	for i := range 400 {
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -277,11 +277,7 @@
 // the time that the settings name, and soon all did. A process that is no more fails again and again.
 func TestAFailedConnectIsNoRestart(t *testing.T) {
 	for _, fails := range []int{1, 2, 3, 4} {
-		s := newScene(t, func(set *Settings) {
-			set.Limits.Probe = true
-			set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
-		}, Entry{Searcher: 1})
-		warm(s)
+		s := alone(t)
 		x := s.m.searchers[1]
 		parts, _ := s.take(60, 1)
 		s.end(0.25, parts[0], 1, NotConnected, 0.25)
@@ -304,11 +300,7 @@
 
 // A failed connect that a call's answer on another connection has followed is no reason to take a silence, long after, for a restart.
 func TestAnAnswerEndsTheDoubtOfAFailedConnect(t *testing.T) {
-	s := newScene(t, func(set *Settings) {
-		set.Limits.Probe = true
-		set.Rules = Rules{ColdShare: 0.1, ColdS: 10, FallMultiple: 2, FallS: 1}
-	}, Entry{Searcher: 1})
-	warm(s)
+	s := alone(t)
 	x := s.m.searchers[1]
 	first, _ := s.take(60, 1)
 	second, _ := s.take(60, 1)
