--- /dev/null
+++ b/internal/controlplane/feed/feed.go
@@ -0,0 +1,52 @@
+// Package feed holds what the control plane tells the data plane: the configuration in force, who leads which group,
+// and which mixers exist. A Digest names one state of it, so that a reader fetches only what it lacks.
+package feed
+
+// Paths of the internal calls.
+const (
+	// WatchPath is served by core mixers: it answers once something differs from the reader's digest.
+	WatchPath = "/feed/watch"
+	// ExchangePath is served by agents: digests first, then what the other lacks (epidemic reconciliation).
+	ExchangePath = "/feed/exchange"
+	// LocalPath is served by an agent on its own machine, to the proxy beside it.
+	LocalPath = "/feed/local"
+)
+
+// Leader is who leads a replication group. The higher epoch is the newer one.
+type Leader struct {
+	Address string `msgpack:"a"` // internal address, host:port
+	Epoch   uint64 `msgpack:"e"`
+}
+
+// Digest names a state of the feed.
+type Digest struct {
+	ConfigurationVersion uint64            `msgpack:"c"`
+	LeaderEpochs         map[string]uint64 `msgpack:"l"` // by group
+	MembersSum           uint64            `msgpack:"m"` // checksum of the members' addresses
+}
+
+// Snapshot is the whole state of the feed.
+type Snapshot struct {
+	ConfigurationVersion uint64            `msgpack:"c"`
+	Configuration        []byte            `msgpack:"b"` // as the operator sent it; empty before the first
+	Leaders              map[string]Leader `msgpack:"l"` // by group
+	Core                 []string          `msgpack:"k"` // internal addresses of core mixers
+	Front                []string          `msgpack:"f"` // internal addresses of the agents on front machines
+}
+
+// Watch asks a core mixer for news.
+type Watch struct {
+	Known  Digest `msgpack:"k"`
+	WaitMS int64  `msgpack:"w"` // answer after that long even without news
+	Agent  string `msgpack:"a"` // the asking agent's internal address, by which the core learns of it
+}
+
+// WatchReply is the answer. A core mixer without contact to a majority answers with Current false, and its reader turns to another.
+type WatchReply struct {
+	Current  bool      `msgpack:"u"`
+	Changed  bool      `msgpack:"h"`
+	Snapshot *Snapshot `msgpack:"s,omitempty"` // nil when nothing changed
+}
+
+// GroupOf is the replication group that schedules a service's jobs.
+func GroupOf(service string) string { return "jobs/" + service }
