Scheduler: dispatch apart from events, cached average latency, refusals remembered

Change: events only mark that tasks may find room; one dispatch follows, rarer where it is much work; requests that found no room cover larger ones; the average latency is kept, not summed anew.

--- a/internal/controlplane/register/round_test.go
+++ b/internal/controlplane/register/round_test.go
@@ -35,7 +35,10 @@
 		c.restart("member-2", 0, true)
 		acknowledged = <-changed == nil
 		c.network.Cut("member-0", true)
-		value, err := c.process("member-1").register.Read(context.Background())
+		reading, cancelReading := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancelReading()
+		value, err := c.process("member-1").register.Read(reading)
+		t.Log(err)
 		kept = err == nil && string(value) == "value"
 		c.end()
 	})
--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -22,11 +22,11 @@
 
 // Faults are what a network does to each request and each reply on its own.
 type Faults struct {
-	Lose       float64       // probability of being lost; the caller then waits for its context
-	Double     float64       // probability that a request arrives a second time, at another moment
-	Delay      time.Duration // upper bound of the usual delay
-	Late       float64       // probability of a delay up to LateBy instead
-	LateBy     time.Duration
+	Lose   float64       // probability of being lost; the caller then waits for its context
+	Double float64       // probability that a request arrives a second time, at another moment
+	Delay  time.Duration // upper bound of the usual delay
+	Late   float64       // probability of a delay up to LateBy instead
+	LateBy time.Duration
 }
 
 // errUnreachable is the failure of a call to an address that nobody serves.
--- a/internal/jobs/job/job.go
+++ b/internal/jobs/job/job.go
@@ -76,6 +76,11 @@
 	return Resources{r.Processors - o.Processors, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns a multiple.
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.Processors * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
 // Labels is a list that is written as a text where there is only one.
 type Labels []string
 
--- a/internal/jobs/manager/lead.go
+++ b/internal/jobs/manager/lead.go
@@ -13,21 +13,27 @@
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
-const tickInterval = 200 * time.Millisecond
+const (
+	tickInterval  = 200 * time.Millisecond
+	cheapDispatch = 300 * time.Microsecond // one that takes longer is not repeated at once
+	dispatchRest  = 4                      // times what it took
+)
 
 // lead is one leadership of one group.
 type lead struct {
-	config    Config
-	term      *replication.Term
-	ctx       context.Context
-	stop      context.CancelFunc
-	mu        sync.Mutex
-	scheduler *scheduler.Scheduler
-	links     map[worker.SearcherID]*worker.Link
-	unheard   map[worker.SearcherID]bool // links whose last call failed
-	proposed  uint64                     // number of proposals so far
-	committed uint64                     // and of those that are durable
-	wake      chan struct{}              // a repetition may be due earlier than the loop thinks
+	config       Config
+	term         *replication.Term
+	ctx          context.Context
+	stop         context.CancelFunc
+	mu           sync.Mutex
+	scheduler    *scheduler.Scheduler
+	links        map[worker.SearcherID]*worker.Link
+	unheard      map[worker.SearcherID]bool // links whose last call failed
+	proposed     uint64                     // number of proposals so far
+	committed    uint64                     // and of those that are durable
+	nextDispatch time.Time                  // no dispatch before
+	ticked       time.Time
+	wake         chan struct{} // a repetition may be due earlier than the loop thinks
 }
 
 func newLead(config Config, term *replication.Term, state map[string][]byte) (*lead, error) {
@@ -74,15 +80,24 @@
 func (l *lead) pause() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	due := l.scheduler.NextDue()
-	if due == 0 {
-		return tickInterval
+	pause := tickInterval
+	if l.scheduler.Unplaced() {
+		pause = min(pause, time.Until(l.nextDispatch))
+	}
+	if due := l.scheduler.NextDue(); due != 0 {
+		pause = min(pause, time.Duration(due-time.Now().UnixMilli())*time.Millisecond)
 	}
-	return max(time.Millisecond, min(tickInterval, time.Duration(due-time.Now().UnixMilli())*time.Millisecond))
+	return max(time.Millisecond, pause)
 }
 
+// tick does what is due by time, and a dispatch that was put off.
 func (l *lead) tick() {
 	l.step(func(now scheduler.Now) {
+		due := l.scheduler.NextDue()
+		if now.Steady.Sub(l.ticked) < tickInterval && (due == 0 || due > now.WallMS) {
+			return
+		}
+		l.ticked = now.Steady
 		for id := range l.unheard {
 			link := l.links[id]
 			if link != nil && now.Steady.After(link.LapsedBy()) {
@@ -101,9 +116,27 @@
 		return
 	}
 	event(steady())
+	l.dispatch()
 	l.propose()
 }
 
+// dispatch lets waiting tasks start. Where that is much work it is done less often, so that it leaves most of the
+// processor to the rest; the loop then comes back to it. The lock is held.
+func (l *lead) dispatch() {
+	if !l.scheduler.Unplaced() {
+		return
+	}
+	begin := time.Now()
+	if begin.Before(l.nextDispatch) {
+		l.hasten()
+		return
+	}
+	l.scheduler.Dispatch(steady())
+	if took := time.Since(begin); took > cheapDispatch {
+		l.nextDispatch = begin.Add((1 + dispatchRest) * took)
+	}
+}
+
 // propose makes the gathered effects durable; the lock is held.
 func (l *lead) propose() {
 	effects := l.scheduler.Take()
@@ -156,6 +189,7 @@
 		return verdict.Unexecuted(errNotLeader, 0)
 	}
 	event(steady())
+	l.dispatch()
 	l.propose()
 	if l.committed == l.proposed && l.term.Valid() {
 		l.mu.Unlock()
--- a/internal/jobs/scheduler/health.go
+++ b/internal/jobs/scheduler/health.go
@@ -28,10 +28,7 @@
 		if r.inherited {
 			return
 		}
-		if sr.latency == 0 {
-			sr.latency = took
-		}
-		sr.latency += latencyWeight * (took - sr.latency)
+		s.hear(sr, took)
 		sr.faults -= faultWeight * sr.faults
 		if took <= usualUpTo*s.expectedMS(r.task.stage, sr) {
 			sr.window = min(windowMost, sr.window+1)
@@ -45,6 +42,28 @@
 	}
 }
 
+// hear takes a duration in milliseconds into a searcher's smoothed latency.
+func (s *Scheduler) hear(sr *searcher, took float64) {
+	if sr.latency == 0 {
+		sr.latency = max(1, took)
+		s.heard++
+		s.heardSum += sr.latency
+		return
+	}
+	change := latencyWeight * (took - sr.latency)
+	sr.latency += change
+	s.heardSum += change
+}
+
+// unhear forgets a searcher's latency.
+func (s *Scheduler) unhear(sr *searcher) {
+	if sr.latency > 0 {
+		s.heard--
+		s.heardSum -= sr.latency
+		sr.latency = 0
+	}
+}
+
 // expectedMS is how long a run of a stage takes at a searcher, by the client's estimate.
 func (s *Scheduler) expectedMS(stage *stageRun, sr *searcher) float64 {
 	return max(1, float64(stage.EstimatedDurationMS)) * s.distance(stage, sr)
--- a/internal/jobs/scheduler/inventory.go
+++ b/internal/jobs/scheduler/inventory.go
@@ -28,7 +28,7 @@
 			s.Gone(now, sr.ID)
 		}
 	}
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // Knows tells whether a searcher's life is going on as far as is known.
--- a/internal/jobs/scheduler/order.go
+++ b/internal/jobs/scheduler/order.go
@@ -17,10 +17,11 @@
 
 // candidate is a job with tasks that wait.
 type candidate struct {
-	job    *jobState
-	stages []*stageRun
-	parts  []subjob
-	size   int
+	job      *jobState
+	ordering uint64
+	stages   []*stageRun
+	parts    []subjob
+	size     int
 }
 
 // reorder sorts the stages that wait: by priority, and within a priority by SWAG's greedy order. Each searcher's queue
@@ -32,9 +33,8 @@
 	}
 	s.unsorted = false
 	candidates := s.candidates()
-	clear(s.queues)
 	for _, sr := range s.list {
-		s.queues[sr] = float64(len(sr.runs))
+		sr.queue = float64(len(sr.runs))
 	}
 	s.stages = s.stages[:0]
 	for begin := 0; begin < len(candidates); {
@@ -49,17 +49,17 @@
 
 // candidates lists the jobs that wait by priority and arrival, and drops stages without a waiting task.
 func (s *Scheduler) candidates() []*candidate {
-	byJob := map[*jobState]*candidate{}
-	var candidates []*candidate
+	s.ordering++
+	candidates := make([]*candidate, 0, len(s.stages))
 	for _, stage := range s.stages {
 		if len(stage.waiting) == 0 {
 			stage.listed = false
 			continue
 		}
-		c := byJob[stage.job]
-		if c == nil {
-			c = &candidate{job: stage.job}
-			byJob[stage.job] = c
+		c := stage.job.ranked
+		if c == nil || c.ordering != s.ordering {
+			c = &candidate{job: stage.job, ordering: s.ordering}
+			stage.job.ranked = c
 			candidates = append(candidates, c)
 		}
 		c.add(stage)
@@ -93,14 +93,14 @@
 	for len(left) > 0 {
 		best, bestSpan := 0, math.Inf(1)
 		for i, c := range left {
-			span := s.makespan(c)
+			span := s.makespan(c, bestSpan)
 			if span < bestSpan || span == bestSpan && c.size < left[best].size {
 				best, bestSpan = i, span
 			}
 		}
 		chosen := left[best]
 		for _, part := range chosen.parts {
-			s.queues[part.at] += float64(part.size)
+			part.at.queue += float64(part.size)
 		}
 		s.stages = append(s.stages, chosen.stages...)
 		left = slices.Delete(left, best, best+1)
@@ -110,11 +110,15 @@
 	}
 }
 
-// makespan is a job's slowest sub-job: queue and own tasks times the searcher's latency.
-func (s *Scheduler) makespan(c *candidate) float64 {
+// makespan is a job's slowest sub-job: queue and own tasks times the searcher's latency. One that exceeds the bound is
+// not worked out further.
+func (s *Scheduler) makespan(c *candidate, bound float64) float64 {
 	longest := 0.0
 	for _, part := range c.parts {
-		longest = max(longest, (s.queues[part.at]+float64(part.size))*s.latency(c.job, part.at))
+		if longest > bound {
+			break
+		}
+		longest = max(longest, (part.at.queue+float64(part.size))*s.latency(c.job, part.at))
 	}
 	return longest
 }
@@ -125,15 +129,8 @@
 	if sr.latency > 0 {
 		return sr.latency
 	}
-	sum, heard := 0.0, 0
-	for _, other := range s.list {
-		if other.latency > 0 {
-			sum += other.latency
-			heard++
-		}
-	}
-	if heard > 0 {
-		return sum / float64(heard)
+	if s.heard > 0 {
+		return s.heardSum / float64(s.heard)
 	}
 	return max(1, float64(j.Queue.TargetLatencyMS))
 }
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 )
 
@@ -83,33 +84,30 @@
 	s.unsorted = true
 }
 
-// open tells whether a searcher takes starts right now.
-func (s *Scheduler) open(now Now, sr *searcher) bool {
-	if !sr.reachable || sr.fencedAt.IsZero() || len(sr.strays) > 0 {
+// isOpen tells whether a searcher takes starts right now.
+func (s *Scheduler) isOpen(now Now, sr *searcher) bool {
+	if !sr.reachable || !sr.listed || sr.Draining || sr.fencedAt.IsZero() || len(sr.strays) > 0 {
 		return false
 	}
-	if now.Steady.Before(sr.restUntil) || now.Steady.Before(sr.fullUntil) {
+	if float64(len(sr.runs)) >= sr.window {
 		return false
 	}
-	return float64(len(sr.runs)) < sr.window
+	return !now.Steady.Before(sr.restUntil) && !now.Steady.Before(sr.fullUntil)
 }
 
-// admits tells whether a searcher can take one more task of a stage now.
-func (s *Scheduler) admits(now Now, stage *stageRun, sr *searcher, extra plan) bool {
-	if !s.open(now, sr) || !s.suits(stage, sr) {
-		return false
-	}
-	if float64(len(sr.runs)+extra.count[sr]) >= sr.window {
+// admits tells whether an open searcher can take one more task of a stage, beside so many more that are planned there.
+func (s *Scheduler) admits(stage *stageRun, sr *searcher, planned int) bool {
+	if float64(len(sr.runs)+planned) >= sr.window {
 		return false
 	}
 	free := sr.free()
-	for range extra.count[sr] {
-		free = free.Subtract(stage.Resources)
+	if planned > 0 {
+		free = free.Subtract(stage.Resources.Times(int64(planned)))
 	}
-	if !free.Fits(stage.Resources) {
+	if !free.Fits(stage.Resources) || !s.suits(stage, sr) {
 		return false
 	}
-	return stage.AntiAffinity == 0 || sr.tasksOf(stage)+extra.count[sr] < stage.AntiAffinity
+	return stage.AntiAffinity == 0 || sr.tasksOf(stage)+planned < stage.AntiAffinity
 }
 
 // tasksOf counts a stage's runs at a searcher.
@@ -123,59 +121,106 @@
 	return count
 }
 
-// plan is where the members of a gang would go.
-type plan struct {
-	at    []*searcher
-	count map[*searcher]int
-}
-
-// dispatch starts waiting tasks in their order, wherever there is room.
-func (s *Scheduler) dispatch(now Now) {
+// Dispatch starts waiting tasks in their order, wherever there is room.
+func (s *Scheduler) Dispatch(now Now) {
+	s.unplaced = false
 	s.reorder()
-	for i := 0; i < len(s.stages); i++ {
-		stage := s.stages[i]
-		if len(stage.waiting) == 0 {
+	s.open = s.open[:0]
+	for _, sr := range s.list {
+		if s.isOpen(now, sr) {
+			s.open = append(s.open, sr)
+		}
+	}
+	var refused refusals
+	for _, stage := range s.stages {
+		if len(s.open) == 0 {
+			return
+		}
+		if len(stage.waiting) == 0 || refused.covers(stage) {
 			continue
 		}
 		if stage.GangScheduled {
 			s.startGang(now, stage)
 			continue
 		}
-		s.startTasks(now, stage)
+		s.startTasks(now, stage, &refused)
+	}
+}
+
+// refusals are requests that found no room during one dispatch: whoever asks for as much finds none either.
+type refusals struct {
+	anywhere []job.Resources            // of stages that any searcher may take
+	labelled map[string][]job.Resources // of those that need a label
+}
+
+func (r *refusals) covers(stage *stageRun) bool {
+	if dominated(r.anywhere, stage.Resources) {
+		return true
+	}
+	for _, label := range stage.Requirements {
+		if dominated(r.labelled[label], stage.Resources) {
+			return true
+		}
 	}
+	return false
+}
+
+func (r *refusals) add(stage *stageRun) {
+	switch {
+	case stage.AntiAffinity > 0:
+	case len(stage.Requirements) == 0:
+		r.anywhere = append(r.anywhere, stage.Resources)
+	case len(stage.Requirements) == 1:
+		if r.labelled == nil {
+			r.labelled = map[string][]job.Resources{}
+		}
+		label := stage.Requirements[0]
+		r.labelled[label] = append(r.labelled[label], stage.Resources)
+	}
+}
+
+// dominated tells whether a request is at least as large as one of those refused.
+func dominated(refused []job.Resources, request job.Resources) bool {
+	for _, smaller := range refused {
+		if request.Fits(smaller) {
+			return true
+		}
+	}
+	return false
 }
 
 // startTasks starts as many of a stage's tasks as there is room for.
-func (s *Scheduler) startTasks(now Now, stage *stageRun) {
+func (s *Scheduler) startTasks(now Now, stage *stageRun, refused *refusals) {
 	for _, t := range slices.Clone(stage.waiting) {
 		if now.Steady.Before(t.notBefore) {
 			continue
 		}
-		sr := s.choose(now, t)
-		if sr == nil {
-			if len(t.avoid) == 0 {
-				return // its siblings ask for the same
-			}
+		sr := s.choose(t)
+		if sr != nil {
+			s.assign(now, t, sr, t.execution+1)
 			continue
 		}
-		s.assign(now, t, sr, t.execution+1)
+		if len(t.runs) == 0 {
+			refused.add(stage)
+			return // its siblings ask for the same
+		}
 	}
 }
 
-// choose picks a searcher with room: the one where the task is bound, else the least costly sibling.
-func (s *Scheduler) choose(now Now, t *task) *searcher {
-	nothing := plan{}
-	if bound := t.bound; bound != nil && s.admits(now, t.stage, bound, nothing) && !slices.Contains(t.avoid, bound.ID) && s.mayCopy(t, bound) {
-		return bound
-	}
+// choose picks an open searcher with room: the one where the task is bound, else the least costly sibling.
+func (s *Scheduler) choose(t *task) *searcher {
 	var best *searcher
 	bestCost := math.Inf(1)
-	for _, sr := range s.list {
-		if !s.admits(now, t.stage, sr, nothing) || !s.mayCopy(t, sr) {
+	for _, sr := range s.open {
+		if sr.runs[t.id] != nil || !s.admits(t.stage, sr, 0) {
 			continue
 		}
+		avoided := slices.Contains(t.avoid, sr.ID)
+		if sr == t.bound && !avoided {
+			return sr
+		}
 		cost := s.cost(t.stage, sr)
-		if slices.Contains(t.avoid, sr.ID) {
+		if avoided {
 			cost *= 1 + faultCost
 		}
 		if cost < bestCost {
@@ -185,11 +230,6 @@
 	return best
 }
 
-// mayCopy tells whether a task may start at a searcher beside the runs it has (one a searcher).
-func (s *Scheduler) mayCopy(t *task, sr *searcher) bool {
-	return sr.runs[t.id] == nil
-}
-
 // assign gives a task to a searcher.
 func (s *Scheduler) assign(now Now, t *task, sr *searcher, execution uint64) {
 	s.unwait(t)
@@ -216,7 +256,7 @@
 			return
 		}
 	}
-	placed := s.planGang(now, stage)
+	placed := s.planGang(stage)
 	if placed == nil {
 		return
 	}
@@ -226,20 +266,21 @@
 }
 
 // planGang finds room for all members: on one rack if they want that and one has room, else anywhere.
-func (s *Scheduler) planGang(now Now, stage *stageRun) []*searcher {
+func (s *Scheduler) planGang(stage *stageRun) []*searcher {
 	if stage.SameRack {
 		for _, rack := range s.racks() {
-			if placed := s.planOn(now, stage, rack); placed != nil {
+			if placed := s.planOn(stage, rack); placed != nil {
 				return placed
 			}
 		}
 	}
-	return s.planOn(now, stage, "")
+	return s.planOn(stage, "")
 }
 
+// racks lists the racks of open searchers.
 func (s *Scheduler) racks() []string {
 	var racks []string
-	for _, sr := range s.list {
+	for _, sr := range s.open {
 		if sr.rack != "" && !slices.Contains(racks, sr.rack) {
 			racks = append(racks, sr.rack)
 		}
@@ -248,23 +289,22 @@
 }
 
 // planOn places a gang on a rack ("" for all of them), filling the least costly searchers first.
-func (s *Scheduler) planOn(now Now, stage *stageRun, rack string) []*searcher {
+func (s *Scheduler) planOn(stage *stageRun, rack string) []*searcher {
 	var candidates []*searcher
-	for _, sr := range s.list {
-		if (rack == "" || sr.rack == rack) && s.admits(now, stage, sr, plan{}) {
+	for _, sr := range s.open {
+		if (rack == "" || sr.rack == rack) && s.admits(stage, sr, 0) {
 			candidates = append(candidates, sr)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *searcher) int { return cmp.Compare(s.cost(stage, a), s.cost(stage, b)) })
-	p := plan{count: map[*searcher]int{}}
+	var placed []*searcher
 	for _, sr := range candidates {
-		for len(p.at) < stage.Count && s.admits(now, stage, sr, p) {
-			p.at = append(p.at, sr)
-			p.count[sr]++
+		for planned := 0; len(placed) < stage.Count && s.admits(stage, sr, planned); planned++ {
+			placed = append(placed, sr)
 		}
 	}
-	if len(p.at) < stage.Count {
+	if len(placed) < stage.Count {
 		return nil
 	}
-	return p.at
+	return placed
 }
--- a/internal/jobs/scheduler/reports.go
+++ b/internal/jobs/scheduler/reports.go
@@ -40,7 +40,7 @@
 	if !report.Partial {
 		s.missing(now, sr, report, listed)
 	}
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // listRunning matches the running list with our runs and stops what nobody wants.
@@ -271,7 +271,7 @@
 	}
 	r.task.notBefore = now.Steady.Add(restAfterMisstart)
 	s.over(now, r)
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // StopResult takes that a stop was answered: the run has ended or is ending, or will never begin.
@@ -298,7 +298,7 @@
 		}
 		s.rebind(now, sr)
 	}
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // release lets the task of an unreachable run start elsewhere at once, where copies may run side by side.
@@ -318,11 +318,12 @@
 	}
 	s.clear(now, sr)
 	s.gone[id] = true
+	s.unhear(sr)
 	delete(s.searchers, id)
 	s.list = slices.DeleteFunc(s.list, func(other *searcher) bool { return other == sr })
 	sr.reachable = false
 	s.rebind(now, sr)
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // Lapsed takes that everything granted to an unreachable searcher under this leadership has run out.
@@ -333,7 +334,7 @@
 	}
 	if len(sr.runs) > 0 {
 		s.clear(now, sr)
-		s.dispatch(now)
+		s.unplaced = true
 	}
 }
 
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -70,8 +70,12 @@
 	pending   map[string]int
 	arrivals  uint64
 	unsorted  bool // the order of stages must be computed anew
+	unplaced  bool // waiting tasks may find room
+	heard     int  // searchers with a smoothed latency
+	heardSum  float64
 	effects   Effects
-	queues    map[*searcher]float64 // scratch of the ordering
+	open      []*searcher // scratch of Dispatch: those that take starts
+	ordering  uint64      // number of the current ordering
 }
 
 // New makes the scheduler of a leadership from the replicated state.
@@ -84,7 +88,6 @@
 		searchers: map[worker.SearcherID]*searcher{},
 		pending:   map[string]int{},
 		gone:      map[worker.SearcherID]bool{},
-		queues:    map[*searcher]float64{},
 	}
 	if err := s.restore(now, state); err != nil {
 		return nil, err
@@ -99,6 +102,9 @@
 	return effects
 }
 
+// Unplaced tells whether something has happened since the last Dispatch that may let waiting tasks start.
+func (s *Scheduler) Unplaced() bool { return s.unplaced }
+
 // Submit takes a job in; the same ID again is the same job.
 func (s *Scheduler) Submit(now Now, request *jobapi.Submit) {
 	if s.known(request.ID) {
@@ -109,7 +115,7 @@
 	s.addJob(j)
 	s.write(jobKey(j.id), j.jobRecord)
 	s.advance(now, j)
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // Status tells a job's state.
@@ -128,7 +134,7 @@
 func (s *Scheduler) Cancel(now Now, id job.ID) bool {
 	if j, live := s.jobs[id]; live {
 		s.endJob(now, j, job.Cancelled)
-		s.dispatch(now)
+		s.unplaced = true
 		return true
 	}
 	_, known := s.ended[id]
@@ -157,7 +163,7 @@
 		}
 	}
 	s.inspectRuns(now)
-	s.dispatch(now)
+	s.unplaced = true
 }
 
 // NextDue is the earliest time (milliseconds since 1970) at which a scheduled repetition begins; 0 when none waits.
--- a/internal/jobs/scheduler/state.go
+++ b/internal/jobs/scheduler/state.go
@@ -16,6 +16,7 @@
 	nextDue int64         // when the next repetition begins, milliseconds since 1970; 0 when all have begun
 	started bool          // a task was assigned at least once
 	over    bool
+	ranked  *candidate // scratch of the ordering
 }
 
 // repetition is one time that the stages run.
@@ -92,6 +93,7 @@
 	restUntil    time.Time // no starts before
 	fullUntil    time.Time // it rejected a start for want of room: no starts before the next report
 	rack         string
+	queue        float64 // scratch of the ordering: our runs, and tasks that were ranked before
 }
 
 type stray struct {
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -144,6 +144,7 @@
 
 // propose takes what the scheduler wants done; it is durable a little later.
 func (w *world) propose() {
+	w.scheduler.Dispatch(w.clock())
 	effects := w.scheduler.Take()
 	if !effects.Empty() {
 		w.flight = append(w.flight, batch{w.now + 15*time.Millisecond, effects})
