--- a/cmd/puffinlink/agent.go
+++ b/cmd/puffinlink/agent.go
@@ -32,6 +32,11 @@
 		return err
 	}
 	defer stopServing()
+	stopMetrics, err := serveMetrics(node, link.Metrics)
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
 	go func() {
 		for settings := range node.changes {
 			setMemoryLimit(settings)
@@ -51,7 +56,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("address for other agents: %w", err)
 	}
-	local, err := listen(ctx, node.settings.LoopbackAddress(agentLocalOffset))
+	local, err := listen(ctx, node.localAddress())
 	if err != nil {
 		peers.Close()
 		return nil, fmt.Errorf("address for the proxy: %w", err)
--- a/cmd/puffinlink/coordinator.go
+++ b/cmd/puffinlink/coordinator.go
@@ -16,6 +16,11 @@
 	if err != nil {
 		return err
 	}
+	stopMetrics, err := serveMetrics(node, core.Metrics)
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
 	internal, err := listen(ctx, node.settings.InternalAddress(coordinatorOffset))
 	if err != nil {
 		return fmt.Errorf("internal address: %w", err)
--- a/cmd/puffinlink/demo.go
+++ b/cmd/puffinlink/demo.go
@@ -22,11 +22,16 @@
 	Every     time.Duration `default:"1s" help:"Between two tables."`
 	Log       string        `help:"Where the mixers' log goes; nowhere where it is not stated." placeholder:"FILE"`
 	JSON      bool          `name:"json" help:"The summary alone, as JSON."`
+	System    bool          `help:"Run the cluster scheduler instead: 3 coordinators, 2 fronts, stand-in searchers of 2 services and jobs."`
+	JobsPerS  float64       `name:"jobs-per-s" default:"6" help:"With --system: jobs a second."`
 }
 
 func (c *demoCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.System {
+		return c.runSystem(ctx)
+	}
 	o := demo.Options{For: c.For, Mixers: c.Mixers, Searchers: c.Searchers, PerS: c.PerS, Service: c.Service, Directory: c.Directory,
 		JSON: c.JSON, Every: max(c.Every, 100*time.Millisecond), Out: stdout}
 	if info, err := os.Stdout.Stat(); err == nil {
--- /dev/null
+++ b/cmd/puffinlink/demosystem.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"puffinlink.example/puffinlink/internal/nodesettings"
+	"puffinlink.example/puffinlink/internal/systemdemo"
+)
+
+// systemDemoTime is how long the load of the demo lasts where it is not stated.
+const systemDemoTime = 20 * time.Second
+
+// errDemoFailed is the end of a demo in which something was lost, doubled or not played.
+var errDemoFailed = errors.New("the demo did not end as it should: see the counts above")
+
+// runSystem runs the demo of the cluster scheduler.
+func (c *demoCmd) runSystem(ctx context.Context) error {
+	directory, remove, err := c.workDirectory()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	log, closeLog, err := c.openLog()
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	options := systemdemo.Options{
+		For: c.For, Every: c.Every, Searchers: c.Searchers, PerS: c.JobsPerS, Directory: directory, Out: stdout, Log: log,
+		Launcher: systemdemo.Launcher{Coordinator: startCoordinatorProcess, Front: startFrontInside},
+	}
+	if options.For == 0 {
+		options.For = systemDemoTime
+	}
+	if c.JSON {
+		options.Out = io.Discard
+	}
+	summary, err := systemdemo.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := printSystemSummary(&summary, c.JSON); err != nil {
+		return err
+	}
+	if !summary.Good() {
+		return errDemoFailed
+	}
+	return nil
+}
+
+func printSystemSummary(summary *systemdemo.Summary, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(stdout).Encode(summary)
+	}
+	summary.Print(stdout)
+	return nil
+}
+
+// workDirectory is the directory that was named, or one that is removed at the end.
+func (c *demoCmd) workDirectory() (directory string, remove func(), err error) {
+	if c.Directory != "" {
+		entries, err := os.ReadDir(c.Directory)
+		if err == nil && len(entries) > 0 {
+			err = fmt.Errorf("--directory %s is not empty: name an empty one, or none", c.Directory)
+		}
+		return c.Directory, func() {}, err
+	}
+	directory, err = os.MkdirTemp("", "puffinlink-demo-")
+	return directory, func() { os.RemoveAll(directory) }, err
+}
+
+func (c *demoCmd) openLog() (log io.Writer, closeLog func(), err error) {
+	if c.Log == "" {
+		return io.Discard, func() {}, nil
+	}
+	file, err := os.Create(c.Log)
+	if err != nil {
+		return nil, nil, err
+	}
+	return file, func() { file.Close() }, nil
+}
+
+// startCoordinatorProcess starts a coordinator as a process of its own, so that it can be killed.
+func startCoordinatorProcess(settingsFile string, log io.Writer) (*systemdemo.Process, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	command := exec.Command(program, "coordinator")
+	command.Env = append(os.Environ(), nodesettings.PathVariable+"="+settingsFile)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // an interrupt at the terminal reaches the demo alone
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		command.Wait()
+	}()
+	return &systemdemo.Process{
+		Kill:  func() { command.Process.Kill() },
+		Stop:  func() { command.Process.Signal(syscall.SIGTERM) },
+		Ended: ended,
+	}, nil
+}
+
+// startFrontInside runs the proxy and the agent of a front machine in this process.
+func startFrontInside(settingsFile, localAddress string, log io.Writer) (*systemdemo.Process, error) {
+	settings, err := nodesettings.LoadFile(settingsFile)
+	if err != nil {
+		return nil, err
+	}
+	return startInside(settings, localAddress, log, runAgent, runProxy), nil
+}
+
+// startInside runs processes of one machine on goroutines.
+func startInside(settings nodesettings.Settings, localAddress string, log io.Writer, runs ...func(context.Context, *systemNode) error) *systemdemo.Process {
+	ctx, stop := context.WithCancel(context.Background())
+	logger := newInsideLog(settings.NodeName, log)
+	var running sync.WaitGroup
+	for _, run := range runs {
+		changes := make(chan nodesettings.Settings)
+		context.AfterFunc(ctx, func() { close(changes) })
+		running.Go(func() {
+			defer stop() // of the others too
+			node := &systemNode{settings: settings, changes: changes, log: logger, local: localAddress}
+			if err := run(ctx, node); err != nil {
+				logger.Error("process failed", zap.Error(err))
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		running.Wait()
+	}()
+	return &systemdemo.Process{Kill: stop, Stop: stop, Ended: ended}
+}
+
+func newInsideLog(node string, log io.Writer) *zap.Logger {
+	if log == io.Discard {
+		return zap.NewNop()
+	}
+	configuration := zap.NewProductionEncoderConfig()
+	configuration.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(configuration), zapcore.Lock(zapcore.AddSync(log)), zapcore.InfoLevel)
+	return zap.New(core).With(zap.String("node", node))
+}
--- a/cmd/puffinlink/proxy.go
+++ b/cmd/puffinlink/proxy.go
@@ -35,8 +35,13 @@
 	}
 	caller := transport.NewClient()
 	defer caller.Close()
+	var requests *proxy.RequestMetrics
+	if node.metrics != "" {
+		requests = proxy.NewRequestMetrics()
+	}
 	server := proxy.New(proxy.Config{
-		AgentAddress:   settings.LoopbackAddress(agentLocalOffset),
+		Requests:       requests,
+		AgentAddress:   node.localAddress(),
 		Caller:         caller,
 		BuildRouter:    buildRouter,
 		GracePeriod:    settings.Bounds.GracePeriod,
@@ -44,6 +49,13 @@
 		MaxBodyBytes:   settings.Limits.MemoryMB * bytesInMegabyte / bodyMemoryPart,
 		Log:            node.log,
 	})
+	stopMetrics, err := serveMetrics(node, server.Metrics)
+	if err != nil {
+		front.Close()
+		readiness.Close()
+		return err
+	}
+	defer stopMetrics()
 	go func() {
 		for settings := range node.changes {
 			setMemoryLimit(settings)
--- a/cmd/puffinlink/system.go
+++ b/cmd/puffinlink/system.go
@@ -35,11 +35,24 @@
 	settings nodesettings.Settings
 	changes  <-chan nodesettings.Settings // newer settings
 	log      *zap.Logger
+	metrics  string // address of the metrics, host:port; empty for none
+	// local is the loopback address, host:port, at which the agent and the proxy of one machine meet; empty for the
+	// standard one. It differs where several machines share a loopback.
+	local string
+}
+
+// localAddress is where the agent and the proxy of this machine meet.
+func (n *systemNode) localAddress() string {
+	if n.local != "" {
+		return n.local
+	}
+	return n.settings.LoopbackAddress(agentLocalOffset)
 }
 
 // systemOptions are the flags of the sub-commands.
 type systemOptions struct {
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level of the lines logged."`
+	Metrics  string `long:"metrics" value-name:"ADDRESS" description:"Serve metrics for Prometheus at this address, host:port, under /metrics; off if it is not given."`
 }
 
 // systemProcesses are the processes by the order of the help.
@@ -93,7 +106,7 @@
 		return exitUsage
 	}
 	log := newSystemLog(options.LogLevel, process.name, settings.NodeName)
-	if err := runSystemProcess(process, settings, log); err != nil {
+	if err := runSystemProcess(process, settings, &options, log); err != nil {
 		log.Error("process failed", zap.Error(err))
 		return exitFailed
 	}
@@ -136,7 +149,7 @@
 }
 
 // runSystemProcess runs a process until it fails or is told to stop by a signal.
-func runSystemProcess(process systemProcess, settings nodesettings.Settings, log *zap.Logger) error {
+func runSystemProcess(process systemProcess, settings nodesettings.Settings, options *systemOptions, log *zap.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -146,6 +159,7 @@
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
 	node := &systemNode{
+		metrics:  options.Metrics,
 		settings: settings,
 		changes:  nodesettings.Watch(watching, os.Getenv(nodesettings.PathVariable), settings, reload, log),
 		log:      log,
--- a/cmd/puffinlink/whyprint.go
+++ b/cmd/puffinlink/whyprint.go
@@ -54,7 +54,7 @@
 		fmt.Fprintf(stdout, "repetition %d: not due until %s\n", w.Repetition, wall(w.DueMS))
 		return
 	}
-	fmt.Fprintf(stdout, "repetition %d, stage %d: %d tasks of %s wait: %s\n", w.Repetition, w.Stage, w.Tasks, resources(w.Request), reasonTexts[w.Reason])
+	fmt.Fprintf(stdout, "repetition %d, stage %d: waiting tasks %d, each of %s: %s\n", w.Repetition, w.Stage, w.Tasks, resources(w.Request), reasonTexts[w.Reason])
 	if w.Reason == jobreport.ReasonDependsOn {
 		fmt.Fprintf(stdout, "  not complete: stages %v\n", w.DependsOn)
 		return
--- /dev/null
+++ b/internal/controlplane/coordinator/metrics.go
@@ -0,0 +1,85 @@
+package coordinator
+
+import (
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/metrics"
+)
+
+const serviceLabel = "service"
+
+// Descriptions of the metrics of the groups that this mixer leads.
+var (
+	epochMetric     = groupMetric("puffinlink_group_epoch", "Epoch of this mixer's leadership of a service's jobs; absent where another leads.")
+	jobsMetric      = groupMetric("puffinlink_jobs", "Jobs by state; ended ones are those still remembered.", "state")
+	waitingMetric   = groupMetric("puffinlink_waiting_tasks", "Tasks whose turn has come and that are not assigned.")
+	runsMetric      = groupMetric("puffinlink_runs", "Runs that may be under way.")
+	searchersMetric = groupMetric("puffinlink_searchers", "Known lives of searchers, by whether they answer.", "reachable")
+)
+
+func groupMetric(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(name, help, append([]string{serviceLabel}, labels...), nil)
+}
+
+// Metrics are what this mixer reports. They are worked out when they are read.
+func (c *Coordinator) Metrics() []prometheus.Collector {
+	return []prometheus.Collector{
+		metrics.Flag("puffinlink_in_contact", "Whether a majority has answered this mixer of late.", c.node.InContact),
+		metrics.Flag("puffinlink_disk_complete", "Whether the disk is complete, so that this mixer votes.", c.rebuilder.Ready),
+		metrics.Gauge("puffinlink_view_members", "Members of the view of the replicas.", func() float64 { return float64(len(c.views.View().Members)) }),
+		metrics.Gauge("puffinlink_live_members", "Members that are alive, this mixer included.", c.liveMembers),
+		metrics.Gauge("puffinlink_configuration_version", "Newest configuration known to be in force; 0 for none.", func() float64 {
+			version, _ := c.configurator.Current()
+			return float64(version)
+		}),
+		metrics.Gauge("puffinlink_agents", "Agents of front machines heard lately.", func() float64 { return float64(len(c.feed.Agents())) }),
+		groupCollector{c},
+	}
+}
+
+func (c *Coordinator) liveMembers() float64 {
+	alive := 1
+	for _, member := range c.node.Members() {
+		if member.Alive {
+			alive++
+		}
+	}
+	return float64(alive)
+}
+
+// groupCollector reports the groups that a mixer leads.
+type groupCollector struct{ coordinator *Coordinator }
+
+// Describe implements prometheus.Collector.
+func (g groupCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{epochMetric, jobsMetric, waitingMetric, runsMetric, searchersMetric} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (g groupCollector) Collect(collected chan<- prometheus.Metric) {
+	leaders := g.coordinator.node.Leaders()
+	for group, summary := range g.coordinator.jobs.Summaries() {
+		service := strings.TrimPrefix(group, feed.GroupOf(""))
+		collectGroup(collected, service, leaders[group].Epoch, summary)
+	}
+}
+
+func collectGroup(collected chan<- prometheus.Metric, service string, epoch uint64, summary jobreport.Summary) {
+	report := func(description *prometheus.Desc, value float64, labels ...string) {
+		collected <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, append([]string{service}, labels...)...)
+	}
+	report(epochMetric, float64(epoch))
+	report(jobsMetric, float64(summary.Queued), "queued")
+	report(jobsMetric, float64(summary.Running), "running")
+	report(jobsMetric, float64(summary.Ended), "ended")
+	report(waitingMetric, float64(summary.WaitingTasks))
+	report(runsMetric, float64(summary.Runs))
+	report(searchersMetric, float64(summary.ReachableSearchers), "true")
+	report(searchersMetric, float64(summary.Searchers-summary.ReachableSearchers), "false")
+}
--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -56,7 +56,9 @@
 	for place := range longest {
 		for _, one := range answers {
 			if place < len(one.reply.Jobs) && len(list.Jobs) < limit {
-				list.Jobs = append(list.Jobs, one.reply.Jobs[place])
+				entry := one.reply.Jobs[place]
+				entry.Service = serviceOf(one.group)
+				list.Jobs = append(list.Jobs, entry)
 			}
 		}
 	}
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -147,6 +147,7 @@
 				t.Error(err)
 			}
 			values = append(values, string(value))
+			synctest.Wait() // the calls to all members have begun
 			calls = append(calls, counting.calls.Load()-before)
 		}
 		read()
--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -23,7 +23,8 @@
 	working  context.Context // ends when requests under way are to be given up
 	now      func() time.Time
 	bodies   bodyMemory
-	lastCall atomic.Bool // answers end their connections
+	lastCall atomic.Bool     // answers end their connections
+	requests *RequestMetrics // nil to count none
 }
 
 type stateAnswer struct {
@@ -43,7 +44,7 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(plain http.ResponseWriter, r *http.Request) {
 	begun := h.now()
-	w := closingWriter{plain, &h.lastCall}
+	w := closingWriter{plain, &h.lastCall, h.counter(r, begun)}
 	router := h.feed.newest().router
 	if router == nil {
 		answerUnavailable(w, "no configuration yet")
@@ -66,7 +67,8 @@
 // closingWriter ends the connection with an answer that is written while the flag is set.
 type closingWriter struct {
 	http.ResponseWriter
-	closes *atomic.Bool
+	closes   *atomic.Bool
+	answered func(status int) // nil to count nothing
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -75,6 +77,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
+	if w.answered != nil {
+		w.answered(status)
+	}
+}
+
+// counter counts the answer of a request; nil where none are counted.
+func (h *handler) counter(r *http.Request, begun time.Time) func(status int) {
+	if h.requests == nil {
+		return nil
+	}
+	return func(status int) { h.requests.observe(r.Method, status, h.now().Sub(begun)) }
 }
 
 // answerNoRoute says that there is no such queue, if the proxy can be sure.
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -25,6 +25,7 @@
 	MaxConnections int           // of clients
 	MaxBodyBytes   int64         // of all request bodies held at the same time
 	Log            *zap.Logger
+	Requests       *RequestMetrics // counts requests; nil to count none
 }
 
 // Proxy serves clients.
@@ -47,7 +48,7 @@
 	proxy := &Proxy{
 		config:  config,
 		feed:    feed,
-		handler: &handler{feed: feed, jobs: jobs, working: working, now: time.Now},
+		handler: &handler{feed: feed, jobs: jobs, working: working, now: time.Now, requests: config.Requests},
 		giveUp:  giveUp,
 		tracker: newConnectionTracker(config.MaxConnections, time.Now),
 	}
--- a/internal/jobs/jobreport/jobreport.go
+++ b/internal/jobs/jobreport/jobreport.go
@@ -85,7 +85,7 @@
 // Job is one job in a list.
 type Job struct {
 	ID       job.ID     `msgpack:"i" json:"id"`
-	Service  string     `msgpack:"s" json:"service,omitempty"` // absent for jobs that have ended
+	Service  string     `msgpack:"s" json:"service"`
 	Route    string     `msgpack:"r" json:"route,omitempty"`   // absent for jobs that have ended
 	Priority int        `msgpack:"p" json:"priority"`
 	State    job.State  `msgpack:"t" json:"state"`
--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	connectionsPerSearcher = 6
+	connectionsPerSearcher = startSlots + 3 // a hold, a look, and one in place of a connection that is being given up
 	idleTimeout            = 2 * time.Minute
 	maxAnswerBytes         = 16 << 20
 	ordinaryAnswerBytes    = 64 << 10 // larger buffers are not kept
--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -15,17 +15,33 @@
 	longestPause      = 600 * time.Millisecond
 	earlyAnswerPause  = 100 * time.Millisecond // after a hold that was answered early without an end
 	refusalsTolerated = 1                      // holds refused in a row before a searcher counts as unreachable
+
+	acknowledgePatience = 60 * time.Millisecond  // how long the hold after new ends waits for their acknowledgement
+	repeatedHoldPause   = 150 * time.Millisecond // and how long the one after ends that are listed again
+	repeatAge           = time.Second            // ends not acknowledged for so long are delivered again
 )
 
-// holdCall is one call of the hold loop.
+// holdCall is one call that asks for both lists.
 type holdCall struct {
 	request    holdRequest
 	sentAt     time.Time
+	hedgeAfter time.Duration // 0 for a call that is not hedged
 	timeout    time.Duration
 	validUntil time.Duration // of the grant that it carries, on the searcher's clock; 0 for none
 	grant      *grant        // nil for none
 }
 
+func (c *holdCall) body() []byte { return c.request.append(make([]byte, 0, holdBytes)) }
+
+func (c *holdCall) wait() time.Duration { return time.Duration(c.request.waitMS) * time.Millisecond }
+
+// pendingHold is the newest call of the hold loop.
+type pendingHold struct {
+	abandon    context.CancelFunc
+	overdue    bool // it should have been answered by now
+	superseded bool // a look was answered instead
+}
+
 // Run looks at the searcher and then holds what runs there, until the link is closed, the context ends, the searcher's life
 // is over or a higher fencing token was seen. It returns once everything was reported.
 func (l *Link) Run(ctx context.Context) {
@@ -57,21 +73,20 @@
 func (l *Link) awaitWorkers() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.workers > 0 {
+	for l.workers > 0 || l.look.busy {
 		l.idle.Wait()
 	}
 }
 
-// holdOnce makes one call and tells whether it was answered with both lists.
+// holdOnce makes one call and tells whether the next one may follow at once.
 func (l *Link) holdOnce() bool {
 	c := l.beginHold()
-	a, err := l.caller.post(l.context, l.caller.hold, c.request.append(make([]byte, 0, holdBytes)), c.timeout)
+	a, err := l.postHold(c)
 	received := l.now()
 	l.settleHold(c, a, err, received)
 	if err != nil {
 		l.log.Debug("hold without answer", zap.Error(err))
-		l.setContact(unreachable)
-		return false
+		return l.holdFailed(c)
 	}
 	if l.endedBy(a) {
 		return false
@@ -80,26 +95,26 @@
 		l.holdRefused(a.status)
 		return false
 	}
-	l.deliver(c, a, received)
+	l.deliver(c, a, false)
+	l.pauseAfter(c, a, received)
 	return true
 }
 
-// beginHold decides what the next call asks for and notes its grant.
+// beginHold decides what the next call of the hold loop asks for and notes its grant.
 func (l *Link) beginHold() holdCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	c := holdCall{sentAt: now, timeout: lookTimeout}
-	c.request = holdRequest{fencingToken: l.config.FencingToken, lastSeen: l.acknowledged}
-	if !l.listed || l.contact == unreachable {
-		return c // a look, which grants nothing
-	}
-	lead := l.granted.validUntil - l.clock.highest(now)
-	if lead >= l.pace.minimumLead+l.pace.holdWait {
+	l.counts.Holds++
+	if l.contact == unreachable {
+		return l.beginLook(lookTimeout)
+	}
+	c := l.beginLook(0)
+	if l.listed && l.granted.validUntil-l.clock.highest(c.sentAt) >= l.pace.minimumLead+l.pace.holdWait {
 		c.request.waitMS = l.pace.holdWait.Milliseconds()
-		c.timeout = l.pace.holdWait + callMargin
 	}
-	if now.Sub(l.granted.askedAt) > l.pace.renewalAge {
+	c.hedgeAfter = c.wait() + l.roundTrips.hedgeDelay()
+	c.timeout = c.hedgeAfter + l.roundTrips.lookLimit() + abandonMargin
+	if l.listed && c.sentAt.Sub(l.granted.askedAt) > l.pace.renewalAge {
 		l.addGrant(&c)
 	}
 	return c
@@ -116,13 +131,76 @@
 	c.grant = l.grants.begin(l.clock.untilPassed(validUntil, c.sentAt), c.sentAt, c.timeout)
 }
 
+// postHold makes a call of the hold loop, which is hedged by a look when its answer is overdue.
+func (l *Link) postHold(c holdCall) (answer, error) {
+	ctx, abandon := context.WithCancel(l.context)
+	defer abandon()
+	pending := &pendingHold{abandon: abandon}
+	l.mu.Lock()
+	l.pending = pending
+	l.mu.Unlock()
+	if c.hedgeAfter > 0 {
+		timer := time.AfterFunc(c.hedgeAfter, func() { l.hedge(pending) })
+		defer timer.Stop()
+	}
+	return l.caller.post(ctx, l.caller.hold, c.body(), c.timeout)
+}
+
+// hedge looks at a searcher that has left a hold without an answer.
+func (l *Link) hedge(pending *pendingHold) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending != pending {
+		return
+	}
+	pending.overdue = true
+	l.doubtful = true
+	l.counts.Hedges++
+	l.requestLook(0)
+}
+
+// supersedeHold gives up an overdue hold after a look was answered.
+func (l *Link) supersedeHold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending != nil && l.pending.overdue {
+		l.pending.superseded = true
+		l.pending.abandon()
+	}
+}
+
+// holdFailed lets a look decide what a hold without an answer means, and tells whether the next hold may follow at once.
+func (l *Link) holdFailed(c holdCall) bool {
+	if c.hedgeAfter == 0 {
+		l.setContact(unreachable)
+		return false
+	}
+	l.mu.Lock()
+	pending := l.pending
+	overdue := pending.overdue
+	l.mu.Unlock()
+	if !overdue { // its connection broke
+		l.doubt()
+	}
+	l.awaitLook()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return pending.superseded
+}
+
 // settleHold takes in what an answer, or its absence, says about the searcher's clock and about the grant.
 func (l *Link) settleHold(c holdCall, a answer, err error, received time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.observe(a, c.sentAt, received)
 	l.settle(c.grant, c.validUntil, err, received)
-	if c.grant != nil && err == nil && a.status == http.StatusOK {
+	if err != nil {
+		return
+	}
+	if trip := received.Sub(c.sentAt) - c.wait(); trip >= 0 { // otherwise the searcher did not wait to the end
+		l.roundTrips.observe(trip)
+	}
+	if c.grant != nil && a.status == http.StatusOK {
 		l.granted = granted{c.validUntil, c.sentAt}
 	}
 }
@@ -140,30 +218,25 @@
 	}
 }
 
-// holdRefused notes a hold that was answered without the lists. A single one says little.
+// holdRefused notes a call that was answered without the lists. A single one says little.
 func (l *Link) holdRefused(status int) {
 	l.log.Debug("hold refused", zap.Int("status", status))
 	l.mu.Lock()
 	l.refusals++
 	many := l.refusals > refusalsTolerated
+	l.doubtful = false
+	l.dispatch()
 	l.mu.Unlock()
 	if many {
 		l.setContact(unreachable)
 	}
 }
 
-// deliver reports both lists, and waits until the ends among them are acknowledged, as the searcher would list them again.
-func (l *Link) deliver(c holdCall, a answer, received time.Time) {
-	listing := l.listing(c, a)
-	l.mu.Lock()
-	l.refusals = 0
-	listing.First = !l.listed
-	l.listed = true
-	l.mu.Unlock()
-	l.setContact(reachable)
-	l.out.post(func(e Events) { e.Listing(listing) })
-	if ends := len(listing.Finished); ends > 0 {
-		l.awaitAcknowledgement(listing.Finished[ends-1].Number)
+// pauseAfter waits before the next hold where the searcher would answer it at once: after ends, as it lists them until they
+// are acknowledged, and after an answer that came early for no reason known.
+func (l *Link) pauseAfter(c holdCall, a answer, received time.Time) {
+	if ends := len(a.reply.Finished); ends > 0 {
+		l.awaitAcknowledgement(a.reply.Finished[ends-1].task.Number)
 		return
 	}
 	if waited := received.Sub(c.sentAt); c.request.waitMS > 0 && waited < l.pace.holdWait/2 {
@@ -171,32 +244,16 @@
 	}
 }
 
-func (l *Link) listing(c holdCall, a answer) Listing {
-	listing := Listing{
-		Searcher: l.config.Instance.ID, SentAt: c.sentAt, Partial: len(a.reply.Finished) >= finishedPerAnswer,
-		Running:  make([]RunningTask, 0, len(a.reply.Running)),
-		Finished: make([]FinishedTask, 0, len(a.reply.Finished)),
-	}
-	for _, entry := range a.reply.Running {
-		if entry.bad != nil {
-			l.log.Warn("run skipped", zap.Error(entry.bad))
-			continue
-		}
-		listing.Running = append(listing.Running, entry.task)
-	}
-	for _, entry := range a.reply.Finished {
-		if entry.bad != nil {
-			l.log.Warn("end skipped", zap.Error(entry.bad))
-			continue
-		}
-		listing.Finished = append(listing.Finished, entry.task)
-	}
-	return listing
-}
-
-// awaitAcknowledgement waits until the ends up to a number are durable, though not for longer than a hold may take.
+// awaitAcknowledgement waits until the ends up to a number are durable: shortly after new ones, so that further ends are
+// heard soon in any case, and longer when the same ones are listed again.
 func (l *Link) awaitAcknowledgement(number uint64) {
-	limit := time.NewTimer(l.pace.holdWait)
+	patience := acknowledgePatience
+	if number <= l.awaited {
+		patience = repeatedHoldPause
+		l.countRepeat()
+	}
+	l.awaited = max(l.awaited, number)
+	limit := time.NewTimer(patience)
 	defer limit.Stop()
 	for {
 		l.mu.Lock()
@@ -214,6 +271,12 @@
 	}
 }
 
+func (l *Link) countRepeat() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Repeats++
+}
+
 // sleep waits for a while, or until the link ends.
 func (l *Link) sleep(pause time.Duration) {
 	timer := time.NewTimer(pause)
--- a/internal/jobs/worker/link.go
+++ b/internal/jobs/worker/link.go
@@ -16,10 +16,11 @@
 	minimumLead  = 1500 * time.Millisecond
 	shortestLead = 4 // minimumLead and holdWait are at most this part of the longest hold
 	newestGrant  = 6 // renewalAge is at most this part of the longest hold
-	startSlots   = 5 // orders under way at once; the hold has one more connection
-	callMargin   = 700 * time.Millisecond
-	lookTimeout  = 600 * time.Millisecond
-	orderTimeout = 900 * time.Millisecond
+	startSlots   = 5 // orders under way at once; the hold and the out-of-band look have connections besides
+	lookTimeout  = 600 * time.Millisecond // of the hold loop's looks while the searcher is unreachable
+
+	// abandonMargin is how much longer than its hedge a hold may last: usually the look's end decides about the hold.
+	abandonMargin = 100 * time.Millisecond
 )
 
 // Config describes a link.
@@ -68,19 +69,36 @@
 	done    chan struct{} // closed when the link ends
 	wake    chan struct{} // an acknowledgement has come
 
+	delivered history // used by one delivery at a time
+	awaited   uint64  // the newest end that the hold loop has waited for to be acknowledged; used by that loop only
+
 	mu           sync.Mutex
-	idle         sync.Cond // no order worker is left
+	idle         sync.Cond // no order worker is left, or no look is under way
 	ending       ending
 	contact      contact
 	suspended    bool // no call may be sent at present
+	doubtful     bool // a call got no answer, and none was answered since
 	refusals     int  // holds in a row that were answered but refused
 	listed       bool
 	acknowledged uint64
 	clock        clockBounds
 	grants       grantLedger
 	granted      granted
+	roundTrips   roundTrips
+	resultAt     time.Time    // of the newest result of an order
+	pending      *pendingHold // nil before the first one
+	look         lookState
 	orders       orderQueue
 	workers      int
+	counts       Counts
+}
+
+// Counts says how many calls for the lists a link has made so far.
+type Counts struct {
+	Holds   uint64 // by the hold loop, its looks included
+	Looks   uint64 // out of band
+	Hedges  uint64 // holds whose answer was overdue
+	Repeats uint64 // holds whose newest end had been listed before, as it was not acknowledged yet
 }
 
 // granted is the newest grant that was answered.
@@ -140,6 +158,13 @@
 	return l.grants.lapsedBy()
 }
 
+// Counts returns how many calls were made so far.
+func (l *Link) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
 // Close ends the link. Calls under way are given up, and their results and those of waiting orders are still reported; Run
 // returns after that.
 func (l *Link) Close() { l.end(closed) }
@@ -201,6 +226,12 @@
 	if changed {
 		l.contact = now
 	}
+	if now == reachable {
+		l.doubtful = false
+	}
+	if changed && now == unreachable && l.pending != nil {
+		l.pending.abandon() // the hold loop looks for the searcher
+	}
 	l.dispatch()
 	l.mu.Unlock()
 	if !changed {
@@ -211,6 +242,18 @@
 	l.out.post(func(e Events) { e.Reachability(report) })
 }
 
+// sendTime is the local time for a call that is sent now: certainly after the results reported before, even if the clock has
+// not moved since. The caller holds the lock.
+func (l *Link) sendTime() time.Time { return later(l.now(), l.resultAt.Add(1)) }
+
+// resultTime is the local time for the result of an order.
+func (l *Link) resultTime() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resultAt = later(l.resultAt, l.now())
+	return l.resultAt
+}
+
 // observe takes in the clock of an answer. The caller holds the lock.
 func (l *Link) observe(a answer, sent, received time.Time) {
 	if a.reply.ClockMS != nil {
--- /dev/null
+++ b/internal/jobs/worker/look.go
@@ -0,0 +1,116 @@
+package worker
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// mergeDelay is how long the look after an answered stop waits for further stops to share it.
+const mergeDelay = 5 * time.Millisecond
+
+// lookState is the state of the out-of-band looks, of which one at a time is under way.
+type lookState struct {
+	busy   bool // a goroutine makes looks, or is about to begin
+	wanted bool // a look was asked for since the last one was sent
+}
+
+// requestLook asks for a look that begins after the delay, or for another one after that under way. It grants nothing. While
+// the searcher is unreachable the hold loop looks anyway. The caller holds the lock.
+func (l *Link) requestLook(delay time.Duration) {
+	if l.ending != open || l.suspended || l.contact == unreachable {
+		return
+	}
+	l.look.wanted = true
+	if l.look.busy {
+		return
+	}
+	l.look.busy = true
+	time.AfterFunc(delay, l.runLooks)
+}
+
+// runLooks makes one look after another while they are wanted.
+func (l *Link) runLooks() {
+	for {
+		c, due := l.nextLook(l.config.Valid())
+		if !due {
+			return
+		}
+		l.lookOnce(c)
+	}
+}
+
+// nextLook begins the next look if one is wanted, and otherwise notes that none is under way.
+func (l *Link) nextLook(valid bool) (c holdCall, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !valid || !l.look.wanted || l.ending != open || l.contact == unreachable {
+		l.look = lookState{}
+		l.idle.Broadcast()
+		return holdCall{}, false
+	}
+	l.look.wanted = false
+	l.counts.Looks++
+	return l.beginLook(l.roundTrips.lookLimit()), true
+}
+
+// beginLook makes a call that asks for both lists at once and grants nothing. The caller holds the lock.
+func (l *Link) beginLook(timeout time.Duration) holdCall {
+	request := holdRequest{fencingToken: l.config.FencingToken, lastSeen: l.acknowledged}
+	return holdCall{request: request, sentAt: l.sendTime(), timeout: timeout}
+}
+
+func (l *Link) lookOnce(c holdCall) {
+	a, err := l.caller.post(l.context, l.caller.hold, c.body(), c.timeout)
+	l.settleHold(c, a, err, l.now())
+	switch {
+	case err != nil:
+		l.log.Debug("look without answer", zap.Error(err))
+		l.lookFailed()
+	case l.endedBy(a):
+	case a.status != http.StatusOK:
+		l.holdRefused(a.status)
+		l.sleep(firstPause)
+		l.wantLook()
+	default:
+		l.deliver(c, a, true)
+		l.supersedeHold()
+	}
+}
+
+// lookFailed repeats a look that got no answer, unless another call before it did not get one either: two in a row mean that
+// the searcher is unreachable.
+func (l *Link) lookFailed() {
+	l.mu.Lock()
+	confirmed := l.doubtful
+	l.doubtful = true
+	l.look.wanted = true
+	l.mu.Unlock()
+	if confirmed {
+		l.setContact(unreachable)
+	}
+}
+
+func (l *Link) wantLook() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.look.wanted = true
+}
+
+// doubt notes a call without an answer: no start is sent until a look has shown whether the searcher still answers.
+func (l *Link) doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubtful = true
+	l.requestLook(0)
+}
+
+// awaitLook waits until no look is under way.
+func (l *Link) awaitLook() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.look.busy {
+		l.idle.Wait()
+	}
+}
--- a/internal/jobs/worker/orders.go
+++ b/internal/jobs/worker/orders.go
@@ -105,9 +105,9 @@
 	return work
 }
 
-// startable tells whether a start order would be held long enough. The caller holds the lock.
+// startable tells whether a start order would be held long enough and is likely to be answered. The caller holds the lock.
 func (l *Link) startable(now time.Time) bool {
-	return l.granted.validUntil-l.clock.highest(now) >= l.pace.minimumLead
+	return !l.doubtful && l.granted.validUntil-l.clock.highest(now) >= l.pace.minimumLead
 }
 
 // nextStop takes the first stop order whose time has come, and sets the timer when all of them pause. The caller holds the
@@ -163,14 +163,18 @@
 	}
 	c := l.beginStart()
 	body := appendStart(make([]byte, 0, startBytes(&order)), &order, c.validUntil.Milliseconds(), l.config.FencingToken)
-	a, err := l.caller.post(l.context, l.caller.start, body, orderTimeout)
+	a, err := l.caller.post(l.context, l.caller.start, body, c.timeout)
 	l.settleStart(c, a, err, l.now())
 	l.reportStart(order, l.startOutcome(a, err))
+	if err != nil {
+		l.doubt() // a look shows whether the run is there
+	}
 }
 
 // startCall is a start call under way.
 type startCall struct {
 	sentAt     time.Time
+	timeout    time.Duration
 	validUntil time.Duration // on the searcher's clock
 	grant      *grant
 }
@@ -178,8 +182,8 @@
 func (l *Link) beginStart() startCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := startCall{sentAt: l.now(), validUntil: l.granted.validUntil}
-	c.grant = l.grants.begin(l.clock.untilPassed(c.validUntil, c.sentAt), c.sentAt, orderTimeout)
+	c := startCall{sentAt: l.now(), timeout: l.roundTrips.orderLimit(), validUntil: l.granted.validUntil}
+	c.grant = l.grants.begin(l.clock.untilPassed(c.validUntil, c.sentAt), c.sentAt, c.timeout)
 	return c
 }
 
@@ -188,6 +192,9 @@
 	defer l.mu.Unlock()
 	l.observe(a, c.sentAt, received)
 	l.settle(c.grant, c.validUntil, err, received)
+	if err == nil {
+		l.roundTrips.observe(received.Sub(c.sentAt))
+	}
 }
 
 // startBytes is about how long a start call's body is.
@@ -200,7 +207,6 @@
 func (l *Link) startOutcome(a answer, err error) StartOutcome {
 	if err != nil {
 		l.log.Debug("start without answer", zap.Error(err))
-		l.setContact(unreachable)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return l.endOutcome(failureOutcome(err))
@@ -216,7 +222,7 @@
 }
 
 func (l *Link) reportStart(order StartOrder, outcome StartOutcome) {
-	result := StartResult{l.config.Instance.ID, order, outcome, l.now()}
+	result := StartResult{l.config.Instance.ID, order, outcome, l.resultTime()}
 	l.out.post(func(e Events) { e.StartResult(result) })
 }
 
@@ -226,20 +232,38 @@
 		l.requeueStop(stop)
 		return
 	}
-	a, err := l.caller.post(l.context, l.caller.stop, appendStop(nil, stop.order, l.config.FencingToken), orderTimeout)
+	a, err := l.postStop(stop.order)
 	switch {
 	case err != nil:
 		l.log.Debug("stop without answer", zap.Error(err))
-		l.setContact(unreachable)
+		l.doubt()
 	case l.endedBy(a):
 	default:
 		l.setContact(reachable)
 	}
-	if err == nil && a.status == http.StatusOK {
-		l.reportStop(stop.order, true)
+	if err != nil || a.status != http.StatusOK {
+		l.requeueStop(stop)
 		return
 	}
-	l.requeueStop(stop)
+	l.reportStop(stop.order, true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requestLook(mergeDelay) // shows whether the run is there
+}
+
+func (l *Link) postStop(order StopOrder) (answer, error) {
+	l.mu.Lock()
+	timeout := l.roundTrips.orderLimit()
+	l.mu.Unlock()
+	sentAt := l.now()
+	a, err := l.caller.post(l.context, l.caller.stop, appendStop(nil, order, l.config.FencingToken), timeout)
+	if err == nil {
+		received := l.now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.roundTrips.observe(received.Sub(sentAt))
+	}
+	return a, err
 }
 
 func (l *Link) requeueStop(stop waitingStop) {
@@ -251,6 +275,6 @@
 }
 
 func (l *Link) reportStop(order StopOrder, answered bool) {
-	result := StopResult{l.config.Instance.ID, order, answered, l.now()}
+	result := StopResult{l.config.Instance.ID, order, answered, l.resultTime()}
 	l.out.post(func(e Events) { e.StopResult(result) })
 }
--- /dev/null
+++ b/internal/jobs/worker/roundtrip.go
@@ -0,0 +1,62 @@
+package worker
+
+import "time"
+
+const (
+	initialMargin = 300 * time.Millisecond // before the first round trip is measured
+	spareMargin   = 100 * time.Millisecond // beyond what the round trips suggest
+	longestSample = time.Second
+
+	shortestHedgeDelay  = 200 * time.Millisecond
+	longestHedgeDelay   = 700 * time.Millisecond
+	shortestOrderLimit  = 300 * time.Millisecond
+	longestOrderLimit   = 900 * time.Millisecond
+	shortestLookLimit   = 400 * time.Millisecond
+	longestLookLimit    = 700 * time.Millisecond
+	orderMargin         = 100 * time.Millisecond // an order may take this much longer than a look
+	smoothedParts       = 8                      // a sample's weight in the smoothed round trip, as in RFC 6298
+	variationParts      = 4                      // and in its variation
+	deviationsTolerated = 4
+)
+
+// roundTrips estimates how long calls to a searcher take, from those that were answered. The zero value knows nothing.
+type roundTrips struct {
+	measured  bool
+	smoothed  time.Duration
+	variation time.Duration // the smoothed distance of a sample from the smoothed round trip
+}
+
+// observe takes in one round trip.
+func (r *roundTrips) observe(sample time.Duration) {
+	sample = min(sample, longestSample)
+	if !r.measured {
+		*r = roundTrips{measured: true, smoothed: sample, variation: sample / 2}
+		return
+	}
+	distance := (sample - r.smoothed).Abs()
+	r.variation += (distance - r.variation) / variationParts
+	r.smoothed += (sample - r.smoothed) / smoothedParts
+}
+
+// margin is a time that nearly all answers take less than.
+func (r *roundTrips) margin() time.Duration {
+	if !r.measured {
+		return initialMargin
+	}
+	return deviationsTolerated*(r.smoothed+r.variation) + spareMargin
+}
+
+// hedgeDelay is how long after its wait an unanswered hold is hedged by a look.
+func (r *roundTrips) hedgeDelay() time.Duration {
+	return min(max(r.margin(), shortestHedgeDelay), longestHedgeDelay)
+}
+
+// orderLimit is the time-out of start and stop orders.
+func (r *roundTrips) orderLimit() time.Duration {
+	return min(max(r.margin()+orderMargin, shortestOrderLimit), longestOrderLimit)
+}
+
+// lookLimit is the time-out of an out-of-band look.
+func (r *roundTrips) lookLimit() time.Duration {
+	return min(max(r.margin(), shortestLookLimit), longestLookLimit)
+}
--- a/internal/jobs/worker/types.go
+++ b/internal/jobs/worker/types.go
@@ -101,7 +101,7 @@
 }
 
 // Listing is a searcher's account of its runs and of the ends that were not acknowledged yet. The listings of one link come
-// in the order in which they were asked for.
+// one at a time, and in the order in which they were asked for but for those of out-of-band looks, which may overtake holds.
 type Listing struct {
 	Searcher SearcherID
 	// SentAt is the local time just before the listing was asked for. A run may only be taken to be absent if its start
@@ -110,8 +110,14 @@
 	// First marks the first listing under the link's fencing token: from now on the searcher ignores lower tokens.
 	First bool
 	// Partial means that further ends are waiting, so a run missing here may be among those.
-	Partial  bool
-	Running  []RunningTask
+	Partial bool
+	// OutOfBand marks the answer to a look that was made beside a hold: after a start without an answer, after an answered
+	// stop, or as a hold was overdue.
+	OutOfBand bool
+	// Stale marks a listing whose running list may be older than that of one delivered before. Only its ends are of use.
+	Stale   bool
+	Running []RunningTask
+	// Finished is empty where all ends were delivered before, unless they were left without an acknowledgement for a second.
 	Finished []FinishedTask
 }
 
@@ -137,7 +143,8 @@
 // Fenced reports that the searcher has seen a higher fencing token; the link has ended.
 type Fenced struct{ Searcher SearcherID }
 
-// Reachability reports a change: whether the last call was answered.
+// Reachability reports a change. A searcher is unreachable once a call and the look that followed it were not answered, or
+// once it has refused two calls for the lists in a row; an answer makes it reachable again.
 type Reachability struct {
 	Searcher  SearcherID
 	Reachable bool
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,80 @@
+// Package metrics serves a process's metrics to Prometheus, at an address of its own.
+package metrics
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+)
+
+// Path is where the metrics are read.
+const Path = "/metrics"
+
+const (
+	headerTimeout = 5 * time.Second
+	writeTimeout  = 10 * time.Second
+	idleTimeout   = time.Minute
+	maxReaders    = 2 // at the same time
+)
+
+// Server serves one registry.
+type Server struct {
+	registry *prometheus.Registry
+	listener net.Listener
+	http     *http.Server
+}
+
+// NewServer listens at an address and serves the collectors, with those of the Go runtime and of the process.
+func NewServer(address string, log *zap.Logger, own ...prometheus.Collector) (*Server, error) {
+	registry := prometheus.NewRegistry()
+	all := append([]prometheus.Collector{
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	}, own...)
+	for _, collector := range all {
+		if err := registry.Register(collector); err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w; choose another address by --metrics", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Path, promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxReaders}))
+	server := &Server{registry: registry, listener: listener, http: &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log),
+	}}
+	go server.http.Serve(listener)
+	log.Info("metrics are served", zap.Stringer("address", listener.Addr()))
+	return server, nil
+}
+
+// Address is where it listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends serving.
+func (s *Server) Close() { s.http.Close() }
+
+// Gauge is a value that is read when the metrics are.
+func Gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+}
+
+// Flag is a Gauge that is 1 for true and 0 for false.
+func Flag(name, help string, value func() bool) prometheus.Collector {
+	return Gauge(name, help, func() float64 { return Number(value()) })
+}
+
+// Number is 1 for true and 0 for false.
+func Number(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -1,5 +1,5 @@
 // Package cluster has in-process stand-ins for what surrounds the system: searchers that run tasks, the platform's list of
-// them, and an operator. Only tests import it.
+// them, and an operator. Only tests and the demo import it.
 package cluster
 
 import (
@@ -25,6 +25,8 @@
 	StopTime  time.Duration
 	SaveEvery time.Duration
 	Restore   time.Duration
+	// InMemory searchers have no sockets; MemoryClient reaches them.
+	InMemory bool
 	// Describe tells what a task needs; nil for tasks that need nothing and work until Finish is called.
 	Describe func(task job.TaskID, specification string) Profile
 }
--- a/internal/standin/cluster/faults.go
+++ b/internal/standin/cluster/faults.go
@@ -26,6 +26,8 @@
 	Late
 	// Mute carries the call out at once and never answers.
 	Mute
+	// Slow carries the call out at once and answers Delay later what there was to answer then.
+	Slow
 	// Reset does nothing and ends the connection.
 	Reset
 )
@@ -34,7 +36,7 @@
 type Fault struct {
 	Kind   FaultKind
 	Status int           // of Refuse
-	Delay  time.Duration // of Late
+	Delay  time.Duration // of Late and of Slow
 	// FromArrival lets a Late call's hold count from the moment at which the call is carried out.
 	FromArrival bool
 }
--- a/internal/standin/cluster/searcher.go
+++ b/internal/standin/cluster/searcher.go
@@ -62,7 +62,10 @@
 	s := &Searcher{
 		cluster: c, config: config, startedAt: c.clock.Now(), life: newLife(config.ID), calls: make(map[Call]int),
 	}
-	s.server = listen(s)
+	s.server = &server{address: config.ID}
+	if !c.settings.InMemory {
+		s.server = listen(s)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.searchers = append(c.searchers, s)
@@ -70,7 +73,7 @@
 	return s
 }
 
-// Address is where the searcher listens.
+// Address is where the searcher listens, or where MemoryClient finds it.
 func (s *Searcher) Address() string { return s.server.address }
 
 // ID is the identifier of its present life.
--- a/internal/standin/cluster/server.go
+++ b/internal/standin/cluster/server.go
@@ -55,4 +55,9 @@
 	return s.accepted
 }
 
-func (s *server) close() { s.http.Close() }
+// close ends all that listens; without sockets there is nothing to end.
+func (s *server) close() {
+	if s.http != nil {
+		s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/systemdemo/machines.go
@@ -0,0 +1,180 @@
+package systemdemo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"puffinlink.example/puffinlink/internal/controlplane/operations"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/operatorclient"
+	"puffinlink.example/puffinlink/internal/standin/cluster"
+)
+
+const (
+	holdMax          = 6 * time.Second
+	searchersPerRack = 3
+	searcherFault    = 0.3 // when a searcher is killed, as a share of the load's time
+	leaderFault      = 0.55
+)
+
+func (d *demo) startSearchers() {
+	d.cluster = cluster.New(cluster.RealClock{}, cluster.Settings{
+		HoldMax: holdMax, GangWait: 3 * time.Second, StopTime: 100 * time.Millisecond, SaveEvery: 500 * time.Millisecond,
+		Restore: 100 * time.Millisecond, Describe: d.load.describe,
+	})
+	for _, service := range services {
+		for number := range d.options.Searchers {
+			d.searcher = append(d.searcher, d.cluster.AddSearcher(cluster.SearcherConfig{
+				ID: fmt.Sprintf("%s-%d", service, number), Service: service, Zone: "demo", Version: "v1", Slots: 8,
+				Capacity: job.Resources{Processors: 8000, MemoryMB: 16000, Accelerators: 2},
+				Labels:   []string{"standard", fmt.Sprintf("rack-%d", number/searchersPerRack)}, Guards: true,
+			}))
+		}
+	}
+}
+
+func (d *demo) startCoordinator(number int) error {
+	file, err := d.site.writeCore(number, true)
+	if err != nil {
+		return err
+	}
+	m := &machine{name: fmt.Sprintf("core-%d", number)}
+	if m.process, err = d.options.Launcher.Coordinator(file, d.options.Log); err != nil {
+		return fmt.Errorf("start %s: %w", m.name, err)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.coordinators = append(d.coordinators, m)
+	go d.watch(m, m.process)
+	return nil
+}
+
+func (d *demo) startFront(number int) error {
+	file, err := d.site.writeFront(number)
+	if err != nil {
+		return err
+	}
+	m := &machine{name: fmt.Sprintf("front-%d", number)}
+	if m.process, err = d.options.Launcher.Front(file, d.site.localAddress(number), d.options.Log); err != nil {
+		return fmt.Errorf("start %s: %w", m.name, err)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.fronts = append(d.fronts, m)
+	go d.watch(m, m.process)
+	return nil
+}
+
+// watch notes a process that ends by itself.
+func (d *demo) watch(m *machine, process *Process) {
+	<-process.Ended
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !m.stopping {
+		d.unexpected = append(d.unexpected, m.name)
+	}
+}
+
+// playFaults kills a searcher and later the leader of a service's jobs, which it starts again.
+func (d *demo) playFaults(ctx context.Context) {
+	if !pause(ctx, time.Duration(searcherFault*float64(d.options.For))) {
+		return
+	}
+	d.killSearcher()
+	if !pause(ctx, time.Duration((leaderFault-searcherFault)*float64(d.options.For))) {
+		return
+	}
+	number, err := d.findLeader(ctx)
+	if err != nil {
+		d.say("no leader to kill: %v", err)
+		return
+	}
+	d.killCoordinator(number)
+	pause(context.WithoutCancel(ctx), restartTime)
+	d.restartCoordinator(number)
+}
+
+// killSearcher kills one that is at work, with all that runs there.
+func (d *demo) killSearcher() {
+	busy := map[string]int{}
+	for _, record := range d.cluster.Runs() {
+		if record.EndedAt.IsZero() {
+			busy[record.Searcher]++
+		}
+	}
+	victim := d.searcher[0]
+	for _, searcher := range d.searcher {
+		if busy[searcher.ID()] > busy[victim.ID()] {
+			victim = searcher
+		}
+	}
+	id := victim.ID()
+	victim.Crash(id + "-again")
+	d.note("killed searcher %s with %d runs; it is back as %s", id, busy[id], victim.ID())
+}
+
+// findLeader finds the coordinator that leads the jobs of the first service.
+func (d *demo) findLeader(ctx context.Context) (number int, err error) {
+	answer, err := d.operator().Do(ctx, operatorclient.Request{Method: http.MethodGet, Path: operations.StatusPath})
+	if err != nil {
+		return 0, err
+	}
+	var status operations.Status
+	if err := json.Unmarshal(answer.Body, &status); err != nil {
+		return 0, err
+	}
+	for _, group := range status.Groups {
+		for number := range coreMachines {
+			if group.Service == services[0] && group.Leader == d.site.at(coreHost(number), 0) {
+				return number, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("service %s has no leader", services[0])
+}
+
+func (d *demo) killCoordinator(number int) {
+	d.mutex.Lock()
+	m := d.coordinators[number]
+	m.stopping = true
+	d.mutex.Unlock()
+	m.process.Kill()
+	<-m.process.Ended
+	d.note("killed coordinator %s, the leader of service %s", m.name, services[0])
+}
+
+func (d *demo) restartCoordinator(number int) {
+	file, err := d.site.writeCore(number, false)
+	var process *Process
+	if err == nil {
+		process, err = d.options.Launcher.Coordinator(file, d.options.Log)
+	}
+	if err != nil {
+		d.say("coordinator core-%d does not start again: %v", number, err)
+		return
+	}
+	d.mutex.Lock()
+	m := d.coordinators[number]
+	m.process, m.stopping = process, false
+	d.mutex.Unlock()
+	go d.watch(m, process)
+	d.say("started %s again with its disk", m.name)
+}
+
+func (d *demo) note(format string, arguments ...any) {
+	text := fmt.Sprintf(format, arguments...)
+	d.say("%s", text)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.faults = append(d.faults, text)
+}
+
+// underWay counts the runs that have not ended.
+func underWay(records []cluster.RunRecord) int {
+	return len(slices.DeleteFunc(records, func(record cluster.RunRecord) bool { return !record.EndedAt.IsZero() }))
+}
--- /dev/null
+++ b/internal/systemtest/clients_test.go
@@ -0,0 +1,130 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/systemtest/judge"
+)
+
+const (
+	clientDeadline = 3 * time.Second
+	clientTries    = 12
+	retryPause     = 150 * time.Millisecond
+	watchPause     = 300 * time.Millisecond
+	finishPatience = 45 * time.Second // from a job's first send until its end
+)
+
+var errGivenUp = errors.New("given up")
+
+// ask makes one call of a client and records it.
+func (s *system) ask(ctx context.Context, front *machine, method, path string, body []byte) judge.Request {
+	ctx, cancel := context.WithTimeout(ctx, clientDeadline+time.Second)
+	defer cancel()
+	record := judge.Request{Machine: front.name, Incarnation: front.lives, Method: method, Host: routeHost, Path: path, Body: body, SentAt: time.Now()}
+	record.Status, record.Answer = s.send(ctx, method, "http://"+front.address(frontOffset)+path, body)
+	record.AnsweredAt = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, record)
+	return record
+}
+
+// send makes a client's call.
+func (s *system) send(ctx context.Context, method, url string, body []byte) (status int, answer []byte) {
+	return s.sendWith(ctx, http.Header{"Deadline-Remaining": {"3000"}}, method, url, body)
+}
+
+// sendWith makes a call; the status is 0 without a whole answer.
+func (s *system) sendWith(ctx context.Context, header http.Header, method, url string, body []byte) (status int, answer []byte) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = routeHost
+	request.Header = header
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.clients.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	answer, err = io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, answer
+}
+
+// pause waits, or ends with the context.
+func pause(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// eventually asks one front after the other until an answer serves.
+func (s *system) eventually(ctx context.Context, random *rand.Rand, method, path string, body []byte, serves func(status int) bool) (judge.Request, error) {
+	first := random.IntN(len(s.fronts))
+	for try := range clientTries {
+		answer := s.ask(ctx, s.fronts[(first+try)%len(s.fronts)], method, path, body)
+		if serves(answer.Status) {
+			return answer, nil
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return answer, err
+		}
+	}
+	return judge.Request{}, errGivenUp
+}
+
+func isSuccess(status int) bool { return status == http.StatusOK }
+
+// play hands a job in, follows it to its end, and cancels it where that is planned. It tells whether the job was accepted.
+func (s *system) play(ctx context.Context, random *rand.Rand, plan jobPlan) bool {
+	s.plans.add(plan)
+	path := plan.route.prefix + string(plan.id)
+	if _, err := s.eventually(ctx, random, http.MethodPost, path, plan.encode(), isSuccess); err != nil {
+		return false
+	}
+	if plan.cancelAfter > 0 && pause(ctx, plan.cancelAfter) == nil {
+		s.cancel(ctx, random, path)
+	}
+	if plan.kind != lastingJob {
+		s.follow(ctx, random, path)
+	}
+	return true
+}
+
+func (s *system) cancel(ctx context.Context, random *rand.Rand, path string) {
+	s.eventually(ctx, random, http.MethodDelete, path, nil, func(status int) bool { return status == http.StatusOK || status == http.StatusGone })
+}
+
+// follow asks for a job's state until it is final.
+func (s *system) follow(ctx context.Context, random *rand.Rand, path string) {
+	ctx, cancel := context.WithTimeout(ctx, finishPatience)
+	defer cancel()
+	for pause(ctx, watchPause) == nil {
+		answer := s.ask(ctx, s.fronts[random.IntN(len(s.fronts))], http.MethodGet, path, nil)
+		if answer.Status == http.StatusOK && finalState(answer.Answer) {
+			return
+		}
+	}
+}
+
+func finalState(answer []byte) bool {
+	var content struct{ State string }
+	json.Unmarshal(answer, &content)
+	return content.State == "completed" || content.State == "failed" || content.State == "cancelled"
+}
--- /dev/null
+++ b/internal/systemtest/operators_test.go
@@ -0,0 +1,174 @@
+package systemtest
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/systemtest/judge"
+)
+
+const (
+	routeHost        = "jobs.example"
+	operatorPatience = time.Second // for one answer
+	operatorTries    = 20
+	maxAttempts      = 3
+)
+
+// routePlan is a route of the configurations.
+type routePlan struct{ prefix, service string }
+
+var (
+	renderRoute = routePlan{"/render/", guardedService}
+	mailRoute   = routePlan{"/mail/", unguardedService}
+)
+
+// configurations makes one version after the other.
+type configurations struct {
+	system *system
+
+	mu     sync.Mutex
+	routes []routePlan
+	newest int64 // version acknowledged
+}
+
+// encode writes a configuration.
+func encodeConfiguration(version int64, routes []routePlan) []byte {
+	type service struct {
+		Name            string `json:"name"`
+		HealthCheckPath string `json:"healthCheckPath"`
+		MaxConnections  int    `json:"maxConnections"`
+		Protocol        string `json:"protocol"`
+		Guards          bool   `json:"guards"`
+	}
+	type route struct {
+		Name            string  `json:"name"`
+		Host            string  `json:"host"`
+		PathPrefix      string  `json:"pathPrefix"`
+		Kind            string  `json:"kind"`
+		TimeoutMS       int     `json:"timeoutMs"`
+		TargetLatencyMS int     `json:"targetLatencyMs"`
+		Priority        int     `json:"priority"`
+		Service         string  `json:"service"`
+		MaxAttempts     int     `json:"maxAttempts"`
+		Extension       float64 `json:"extension"`
+	}
+	type limits struct {
+		MaxHeaderBytes  int `json:"maxHeaderBytes"`
+		MaxBodyBytes    int `json:"maxBodyBytes"`
+		HeaderTimeoutMS int `json:"headerTimeoutMs"`
+		IdleTimeoutMS   int `json:"idleTimeoutMs"`
+	}
+	var content struct {
+		Version  int64     `json:"version"`
+		Routes   []route   `json:"routes"`
+		Services []service `json:"services"`
+		Limits   limits    `json:"limits"`
+	}
+	content.Version = version
+	for _, name := range []string{guardedService, unguardedService} {
+		content.Services = append(content.Services, service{name, "/health", 64, "h1", name == guardedService})
+	}
+	for i, plan := range routes {
+		content.Routes = append(content.Routes, route{
+			"r-" + strconv.Itoa(i), routeHost, plan.prefix, "non_idempotent", 3000, 1000, 1, plan.service, maxAttempts, 2,
+		})
+	}
+	content.Limits = limits{16384, 262144, 3000, 15000}
+	body, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // the types above can all be written
+	}
+	return body
+}
+
+// order makes one call of an operator to one machine and records it.
+func (s *system) order(ctx context.Context, core *machine, method string, builtOn int64, body []byte) judge.Order {
+	ctx, cancel := context.WithTimeout(ctx, operatorPatience)
+	defer cancel()
+	record := judge.Order{Machine: core.name, Method: method, BuiltOn: builtOn, Body: body, SentAt: time.Now()}
+	record.Status, record.Answer = s.sendOrder(ctx, core, method, builtOn, body)
+	record.AnsweredAt = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, record)
+	return record
+}
+
+func (s *system) sendOrder(ctx context.Context, core *machine, method string, builtOn int64, body []byte) (int, []byte) {
+	header := http.Header{}
+	if method == http.MethodPut {
+		header.Set("If-Match", strconv.FormatInt(builtOn, 10))
+	}
+	return s.sendWith(ctx, header, method, "http://"+core.address(controlOffset)+"/-/configuration", body)
+}
+
+// put sends a change to one machine after the other until an answer is clear. It returns the status, 0 without a clear one.
+func (s *system) put(ctx context.Context, first int, builtOn int64, body []byte) int {
+	wait := retryPause
+	for try := range operatorTries {
+		answer := s.order(ctx, s.core[(first+try)%len(s.core)], http.MethodPut, builtOn, body)
+		if isClear(answer.Status) {
+			return answer.Status
+		}
+		if pause(ctx, wait) != nil {
+			return 0
+		}
+		wait = min(2*wait, time.Second)
+	}
+	return 0
+}
+
+func isClear(status int) bool {
+	return status != 0 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
+// set brings the next version, with these routes, and tells whether it was acknowledged.
+func (c *configurations) set(ctx context.Context, first int, routes ...routePlan) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	version := c.newest + 2
+	if c.system.put(ctx, first, c.newest, encodeConfiguration(version, routes)) != http.StatusOK {
+		return false
+	}
+	c.newest, c.routes = version, routes
+	return true
+}
+
+// race lets two operators change the newest version at once.
+func (c *configurations) race(ctx context.Context, one, other []routePlan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var both sync.WaitGroup
+	var statuses [2]int
+	proposals := [][]routePlan{one, other}
+	for i, routes := range proposals {
+		both.Go(func() {
+			statuses[i] = c.system.put(ctx, i, c.newest, encodeConfiguration(c.newest+3+int64(i), routes))
+		})
+	}
+	both.Wait()
+	for i, routes := range proposals {
+		if statuses[i] == http.StatusOK {
+			c.newest, c.routes = c.newest+3+int64(i), routes
+			return
+		}
+	}
+}
+
+// readBack reads the configuration at every core machine until one answers.
+func (s *system) readBack(ctx context.Context) {
+	for range operatorTries {
+		for _, core := range s.core {
+			if s.order(ctx, core, http.MethodGet, 0, nil).Status == http.StatusOK {
+				return
+			}
+		}
+		if pause(ctx, retryPause) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/systemtest/plans_test.go
@@ -0,0 +1,153 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/standin/cluster"
+)
+
+// jobPlan is one job of the load: what the client sends, and what its tasks do.
+type jobPlan struct {
+	id          job.ID
+	kind        jobKind
+	route       routePlan
+	body        job.Specification
+	work        time.Duration
+	hopeless    bool // each run ends failed
+	cancelAfter time.Duration
+}
+
+// jobKind is a kind of job of the load.
+type jobKind uint8
+
+const (
+	plainJob jobKind = iota
+	stepsJob
+	gangJob
+	timedJob
+	copiesJob
+	lastingJob
+	poisonJob
+	cancelledJob
+	spreadJob
+	jobKinds
+)
+
+// plans tells what tasks need and do.
+type plans struct {
+	mu    sync.Mutex
+	byJob map[string]jobPlan
+}
+
+func (p *plans) add(plan jobPlan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byJob[string(plan.id)] = plan
+}
+
+// describe implements cluster.Settings.Describe.
+func (p *plans) describe(task job.TaskID, _ string) cluster.Profile {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	plan, known := p.byJob[string(task.Job)]
+	if !known || task.Stage >= len(plan.body.Stages) {
+		return cluster.Profile{Duration: time.Second}
+	}
+	stage := plan.body.Stages[task.Stage]
+	profile := cluster.Profile{Resources: stage.Resources, Duration: plan.work, Checkpoints: stage.Checkpoints}
+	if stage.GangScheduled {
+		profile.Gang = stage.Count
+	}
+	if stage.LongRunning {
+		profile.Duration = 0
+	}
+	if plan.hopeless {
+		profile.Ends = job.Failure
+	}
+	return profile
+}
+
+// makePlan makes a job of a kind.
+func makePlan(random *rand.Rand, kind jobKind, route routePlan) jobPlan {
+	plan := jobPlan{id: job.ID(fmt.Sprintf("%016x", random.Uint64())), kind: kind, route: route}
+	plan.work = time.Duration(150+random.IntN(500)) * time.Millisecond
+	plan.body = job.Specification{Text: fmt.Sprintf("do \"%s\"\n", plan.id), Stages: []job.Stage{plainStage(random, 1+random.IntN(3))}}
+	first := &plan.body.Stages[0]
+	switch kind {
+	case stepsJob:
+		second, third := plainStage(random, 2), plainStage(random, 1)
+		second.DependsOn, third.DependsOn = []int{0}, []int{0, 1}
+		plan.body.Stages = append(plan.body.Stages, second, third)
+	case gangJob:
+		first.Count, first.GangScheduled, first.SameRack, first.Checkpoints = 3, true, random.IntN(2) == 0, true
+		plan.work = 1500 * time.Millisecond
+	case timedJob:
+		plan.body.Repetitions, plan.body.IntervalMS = 3, 700
+		plan.body.FirstRunMS = time.Now().Add(time.Second).UnixMilli()
+		first.Count = 1
+	case copiesJob:
+		first.AtLeastOnce = true
+	case lastingJob:
+		first.LongRunning, first.Count = true, 1
+	case poisonJob:
+		plan.hopeless = true
+	case cancelledJob:
+		first.Checkpoints = true
+		plan.work = 4 * time.Second
+		plan.cancelAfter = time.Second
+	case spreadJob:
+		first.Count, first.AntiAffinity, first.Checkpoints = 3, 1, true
+		plan.work = 1200 * time.Millisecond
+		plan.body.Stages = append(plan.body.Stages, plainStage(random, 1))
+		plan.body.Stages[1].Requirements = job.Labels{"big"}
+	}
+	return plan
+}
+
+func plainStage(random *rand.Rand, count int) job.Stage {
+	return job.Stage{
+		Count: count, Resources: job.Resources{Processors: int64(500 + 500*random.IntN(3)), MemoryMB: 500}, EstimatedDurationMS: 400,
+		Affinity: fmt.Sprintf("rack-%d", random.IntN(2)),
+	}
+}
+
+// encode is the job as its client sends it, without what is 0, false or empty.
+func (p jobPlan) encode() []byte {
+	content, err := json.Marshal(p.body)
+	if err != nil {
+		panic(err) // the types of a specification can all be written
+	}
+	var fields any
+	if err := json.Unmarshal(content, &fields); err != nil {
+		panic(err)
+	}
+	content, err = json.Marshal(withoutEmpty(fields))
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
+
+// withoutEmpty leaves out fields that are 0, false, empty or missing, but for the stages' own numbers.
+func withoutEmpty(value any) any {
+	switch value := value.(type) {
+	case map[string]any:
+		for key, field := range value {
+			if field == nil || field == false || field == "" || field == 0.0 {
+				delete(value, key)
+				continue
+			}
+			value[key] = withoutEmpty(field)
+		}
+	case []any:
+		for i := range value {
+			value[i] = withoutEmpty(value[i])
+		}
+	}
+	return value
+}
--- /dev/null
+++ b/internal/systemtest/scenario_test.go
@@ -0,0 +1,272 @@
+package systemtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/systemtest/judge"
+)
+
+// scenario is a load with faults in its midst.
+type scenario struct {
+	name string
+	seed uint64
+	// faults strike while the load runs. It returns once all that it made is over.
+	faults func(ctx context.Context, s *system) error
+}
+
+const (
+	scenarioPatience = 2 * time.Minute
+	loadLength       = 4 * time.Second
+	jobsPerKind      = 2
+	settled          = 1500 * time.Millisecond // of load before the faults
+)
+
+// outcome is what came of a scenario.
+type outcome struct {
+	violations []judge.Violation
+	failures   []error // of the test itself, or of processes
+	accepted   int
+	completed  int
+}
+
+// run plays a scenario in a folder of its own.
+func (sc scenario) run(folder string) outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), scenarioPatience)
+	defer cancel()
+	s, err := newSystem(folder, usualSize)
+	if err != nil {
+		return outcome{failures: []error{err}}
+	}
+	var result outcome
+	func() {
+		defer s.stop()
+		result.accepted = sc.play(ctx, s)
+	}()
+	return s.judged(result)
+}
+
+// play runs the system with its load and faults, and returns how many jobs were accepted.
+func (sc scenario) play(ctx context.Context, s *system) int {
+	random := rand.New(rand.NewPCG(sc.seed, 1))
+	if err := s.bringUp(ctx); err != nil {
+		s.fail(err)
+		return 0
+	}
+	load := s.beginLoad(ctx, random)
+	s.fail(pause(ctx, settled))
+	if sc.faults != nil {
+		s.fail(sc.faults(ctx, s))
+	}
+	accepted := load()
+	s.cancelLasting(ctx, random)
+	s.endedAt = time.Now()
+	s.askForAll(ctx, random)
+	s.readBack(ctx)
+	return accepted
+}
+
+// bringUp starts the system, brings the first configuration and waits until all fronts serve it.
+func (s *system) bringUp(ctx context.Context) error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	if !s.configured.set(ctx, 0, renderRoute, mailRoute) {
+		return errors.New("the first configuration was not acknowledged")
+	}
+	for _, front := range s.fronts {
+		if err := s.awaitRoute(ctx, front, renderRoute); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *system) awaitRoute(ctx context.Context, front *machine, route routePlan) error {
+	for {
+		if s.ask(ctx, front, http.MethodGet, route.prefix, nil).Status == http.StatusOK {
+			return nil
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return fmt.Errorf("%s does not serve %s: %w", front.name, route.prefix, err)
+		}
+	}
+}
+
+// beginLoad hands jobs of all kinds in, over some seconds. The function returned waits for their ends.
+func (s *system) beginLoad(ctx context.Context, random *rand.Rand) (wait func() (accepted int)) {
+	var jobs []jobPlan
+	for kind := range jobKinds {
+		for i := range jobsPerKind {
+			jobs = append(jobs, makePlan(random, kind, []routePlan{renderRoute, mailRoute}[i%2]))
+		}
+	}
+	random.Shuffle(len(jobs), func(i, j int) { jobs[i], jobs[j] = jobs[j], jobs[i] })
+	s.jobs = jobs
+	accepted := make(chan bool, len(jobs))
+	for i, plan := range jobs {
+		at := time.Duration(i) * loadLength / time.Duration(len(jobs))
+		own := rand.New(rand.NewPCG(random.Uint64(), 2))
+		go func() { accepted <- pause(ctx, at) == nil && s.play(ctx, own, plan) }()
+	}
+	return func() (count int) {
+		for range jobs {
+			if <-accepted {
+				count++
+			}
+		}
+		return count
+	}
+}
+
+// askForAll asks for the state of each job at the end, until it is final or the patience is over.
+func (s *system) askForAll(ctx context.Context, random *rand.Rand) {
+	var all sync.WaitGroup
+	for _, plan := range s.jobs {
+		own := rand.New(rand.NewPCG(random.Uint64(), 3))
+		all.Go(func() {
+			s.eventually(ctx, own, http.MethodGet, plan.route.prefix+string(plan.id), nil, func(status int) bool {
+				return status == http.StatusOK || status == http.StatusGone
+			})
+		})
+	}
+	all.Wait()
+}
+
+func (s *system) cancelLasting(ctx context.Context, random *rand.Rand) {
+	for _, plan := range s.jobs {
+		if plan.kind == lastingJob {
+			s.cancel(ctx, random, plan.route.prefix+string(plan.id))
+		}
+	}
+}
+
+// judged judges what was seen, and writes an account of each broken rule into the system's folder.
+func (s *system) judged(result outcome) outcome {
+	h := s.history(s.endedAt)
+	result.violations = judge.Check(h)
+	result.failures = append(result.failures, s.failures...)
+	for _, m := range s.machines() {
+		for _, p := range m.processes {
+			if err := p.problem(); err != nil {
+				result.failures = append(result.failures, err)
+			}
+		}
+	}
+	for _, request := range h.Requests {
+		if strings.Contains(string(request.Answer), `"completed"`) {
+			result.completed++
+		}
+	}
+	s.writeAccount(h, result)
+	return result
+}
+
+// writeAccount writes all that was seen of the subjects of broken rules, by time.
+func (s *system) writeAccount(h judge.History, result outcome) {
+	if len(result.violations) == 0 {
+		return
+	}
+	var text strings.Builder
+	for _, violation := range result.violations {
+		fmt.Fprintln(&text, violation)
+	}
+	var lines []accountLine
+	for _, subject := range subjects(result.violations) {
+		lines = append(lines, s.about(h, subject)...)
+	}
+	slices.SortStableFunc(lines, func(a, b accountLine) int { return a.at.Compare(b.at) })
+	for _, one := range lines {
+		fmt.Fprintln(&text, one.at.Format("15:04:05.000"), one.text)
+	}
+	os.WriteFile(filepath.Join(s.folder, "account.txt"), []byte(text.String()), 0o644)
+}
+
+// accountLine is one thing that was seen.
+type accountLine struct {
+	at   time.Time
+	text string
+}
+
+// subjects are the jobs that broken rules are about.
+func subjects(violations []judge.Violation) []string {
+	var found []string
+	for _, violation := range violations {
+		id, _, _ := strings.Cut(violation.Subject, ".")
+		if !slices.Contains(found, id) {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// about gathers what was seen of a job.
+func (s *system) about(h judge.History, id string) []accountLine {
+	var lines []accountLine
+	for _, trouble := range h.Troubles {
+		lines = append(lines, accountLine{trouble.From, "trouble with " + trouble.Machine + " until " + trouble.To.Format("15:04:05.000")})
+	}
+	for _, request := range h.Requests {
+		if strings.Contains(request.Path, id) {
+			text := fmt.Sprintf("%s %s at %s: %d %s", request.Method, request.Path, request.Machine, request.Status, request.Answer)
+			lines = append(lines, accountLine{request.AnsweredAt, text})
+		}
+	}
+	for _, run := range h.Runs {
+		if strings.HasPrefix(run.Task, id) {
+			lines = append(lines, accountLine{run.StartedAt, fmt.Sprintf("run %+v", run)})
+		}
+	}
+	for _, one := range s.recorder.lines {
+		if strings.Contains(string(one.call.body), id) || strings.Contains(string(one.call.answer), id) {
+			text := fmt.Sprintf("%s -> %s %s %s: %d %s", one.call.from, one.call.to, one.call.path, one.call.body, one.call.status, one.call.answer)
+			lines = append(lines, accountLine{one.at, text})
+		}
+	}
+	for _, order := range h.Orders {
+		if strings.HasPrefix(id, "version") || strings.HasPrefix(id, "/") {
+			text := fmt.Sprintf("%s %s on %d at %s: %d %s", order.Method, order.Body, order.BuiltOn, order.Machine, order.Status, order.Answer)
+			lines = append(lines, accountLine{order.AnsweredAt, text})
+		}
+	}
+	return lines
+}
+
+// leaderOf is the core machine that last told a service's searchers anything.
+func (s *system) leaderOf(service string) *machine {
+	for _, one := range s.searchers {
+		if one.fact.Service != service {
+			continue
+		}
+		name := s.recorder.leader(one.relay.to)
+		for _, m := range s.core {
+			if m.name == name {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// keepFolder is where a scenario's logs stay when it fails; the test's own folder goes with the test.
+func scenarioFolder(t *testing.T, name string) string {
+	if kept := os.Getenv("PUFFINLINK_SYSTEMTEST_KEEP"); kept != "" {
+		folder := filepath.Join(kept, name)
+		os.RemoveAll(folder)
+		if err := os.MkdirAll(folder, 0o755); err != nil {
+			t.Fatal(err)
+		}
+		return folder
+	}
+	return t.TempDir()
+}
