Searchers' connections and the fleet in files by concern

Cause: internal/searchers/searchers.go (800 lines) and internal/fleet/fleet.go (688) held every concern in one file each.

Change: hub.go, actor.go, call.go, calls.go, lines.go, probes.go; settings.go, run.go, receive.go, publish.go, judgements.go beside fleet.go.

--- /dev/null
+++ b/internal/fleet/judgements.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"puffinlink.example/puffinlink/internal/fleet/members"
+	"puffinlink.example/puffinlink/internal/fleet/points"
+	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/fleet/shared"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// saw takes what this mixer saw itself.
+func (f *Fleet) saw(seen []shared.Seen) {
+	if f.members == nil {
+		return
+	}
+	f.version++
+	r := shared.Make(f.set.Self, f.version, seen)
+	f.store_.Hear(f.now, &r)
+}
+
+func (f *Fleet) reported(_ roster.Name, r *reports) {
+	for i := range r.List {
+		f.store_.Hear(f.now, &r.List[i])
+	}
+}
+
+func (f *Fleet) pass() {
+	alive := func(name roster.Name) bool { return f.members.Status(name) != members.Dead }
+	to, list := f.store_.Pass(f.now, alive, mostReports)
+	if len(list) == 0 {
+		return
+	}
+	fault := points.Pass(points.TellReport)
+	for _, name := range to {
+		for range fault.Times() {
+			f.send(name, letterReports, reports{list})
+		}
+	}
+}
+
+// judge hands the module what others found. A mixer that hears nothing decides as if it were alone.
+func (f *Fleet) judge() {
+	var list []shared.Judgement
+	if !f.members.Deaf() && !points.Pass(points.JudgeSearchers).Drop {
+		list = f.store_.Judge(f.now, f.holders)
+	}
+	var tell []mixer.Judged
+	for _, j := range list {
+		if _, before := f.judged[j.Searcher]; !before {
+			f.count.Add("fleet", "judged", 1)
+			f.log.Info().Str("searcher", string(j.Searcher)).Float64("times", j.Times).Interface("witnesses", j.Witnesses).Msg("fleet: judged by others")
+		}
+		f.judged[j.Searcher] = f.now
+		tell = append(tell, mixer.Judged{Searcher: string(j.Searcher), Times: j.Times, For: shared.HeldFor})
+	}
+	for name, at := range f.judged {
+		if f.now-at > shared.HeldFor {
+			delete(f.judged, name)
+		}
+	}
+	if len(tell) > 0 {
+		f.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.OverridesChanged}, Judged: tell})
+	}
+}
+
+// list works out who holds which shards, by the cells.
+func (f *Fleet) list(places []mixer.Place) {
+	cells, width := max(1, f.set.Layout.Cells), max(1, f.set.Layout.Width)
+	f.holders = make(shared.Holders, cells)
+	for _, p := range places {
+		for j := range width {
+			c := ((int(p.Cell)-j)%cells + cells) % cells
+			f.holders[c] = append(f.holders[c], shared.Searcher(p.Name))
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/publish.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+
+	"puffinlink.example/puffinlink/internal/fleet/points"
+	"puffinlink.example/puffinlink/internal/fleet/quota"
+	"puffinlink.example/puffinlink/internal/fleet/residency"
+	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// emptyTable is what holds before anything was agreed on: the file's contracts, of no version.
+func (f *Fleet) emptyTable() *residency.Table {
+	return &residency.Table{Contracts: f.set.File.Contracts}
+}
+
+// publish puts a view before traffic. Purses are only there once the address is ours.
+func (f *Fleet) publish() {
+	v := &view{purses: map[logic.CustomerID]*quota.Purse{}, strict: map[logic.CustomerID]bool{}, all: slices.Contains(f.set.Strict, "*")}
+	purses := f.holder.Set(f.now, f.quotas)
+	for i, tenant := range f.set.Site.Tenants {
+		v.strict[logic.CustomerID(i)] = f.set.strict(quota.Tenant(tenant))
+		p := purses[quota.Tenant(tenant)]
+		if p == nil && f.set.HasQuotas && (f.members == nil || !f.heard) {
+			p = nothing
+		}
+		if p != nil {
+			v.purses[logic.CustomerID(i)] = p
+		}
+	}
+	v.rules = f.set.Site.Compile(f.table, f.set.Location)
+	points.Pass(points.PublishRules)
+	f.view.Store(v)
+}
+
+// nothing is the purse of a tenant of whom it is not known whether it has a quota, and of all before the address is ours:
+// another process may spend what is due to this mixer.
+var nothing = quota.Empty()
+
+// rezone brings the module's held lookups under the rules, and hears when all part calls go by them.
+func (f *Fleet) rezone() {
+	rules := f.view.Load().rules
+	zones := func(c logic.CustomerID, k logic.IndexID) *logic.Zones {
+		rule := rules.Of(c, k)
+		if !rule.Here {
+			return nowhere
+		}
+		return rule.Zones
+	}
+	f.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.OverridesChanged}, Rules: &mixer.Rules{Zones: zones, Held: f.held(f.has.Contracts)}})
+}
+
+// nowhere is for lookups held at a mixer that may not have them any more.
+var nowhere = logic.NewZones()
+
+func (f *Fleet) setSure(until float64) { f.sure.Store(math.Float64bits(until)) }
--- /dev/null
+++ b/internal/fleet/receive.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"puffinlink.example/puffinlink/internal/fleet/link"
+	"puffinlink.example/puffinlink/internal/fleet/members"
+	"puffinlink.example/puffinlink/internal/fleet/points"
+	"puffinlink.example/puffinlink/internal/fleet/roster"
+)
+
+// letter opens one and hands it on.
+func (f *Fleet) letter(sealed []byte) {
+	if f.members == nil {
+		return
+	}
+	l, why := f.book_.Open(f.now, sealed)
+	if why != link.Good {
+		f.count.Add("fleet_dropped", why.String(), 1)
+		if why == link.Old && f.now-f.trouble[l.From] >= 1 {
+			f.trouble[l.From] = f.now
+			f.send(l.From, letterNewer, newer{f.book_.Known(l.From)})
+		}
+		return
+	}
+	f.members.Heard(f.now, l.From)
+	handle := handlers[l.Kind]
+	if handle == nil {
+		f.count.Add("fleet_dropped", "unknown_kind", 1)
+		return
+	}
+	if err := handle(f, l.From, l.Body); err != nil {
+		f.count.Add("fleet_dropped", "unreadable", 1)
+		f.log.Warn().Str("from", string(l.From)).Uint8("kind", uint8(l.Kind)).Str("text", err.Error()).Msg("fleet: letter dropped")
+	}
+}
+
+// handled reads a body before it is handed on.
+func handled[T any](do func(*Fleet, roster.Name, *T)) func(*Fleet, roster.Name, []byte) error {
+	return func(f *Fleet, from roster.Name, body []byte) error {
+		v, err := unpacked[T](body)
+		if err == nil {
+			do(f, from, &v)
+		}
+		return err
+	}
+}
+
+var handlers map[link.Kind]func(*Fleet, roster.Name, []byte) error
+
+func init() {
+	handlers = map[link.Kind]func(*Fleet, roster.Name, []byte) error{
+		letterMembers: handled(func(f *Fleet, from roster.Name, m *members.Message) {
+			f.members.Hear(f.now, from, m)
+			f.sendMembers()
+		}),
+		letterCouncil: func(f *Fleet, from roster.Name, body []byte) error {
+			if f.council == nil || f.failed {
+				return nil
+			}
+			var err error
+			f.safely(func() { err = f.council.Step(from, body) })
+			return err
+		},
+		letterIntro:   handled((*Fleet).introduced),
+		letterAsk:     handled((*Fleet).answer),
+		letterGrant:   handled((*Fleet).granted_),
+		letterReports: handled((*Fleet).reported),
+		letterCommand: handled((*Fleet).handed),
+		letterResult:  handled((*Fleet).handedBack),
+		letterNewer: handled(func(f *Fleet, from roster.Name, n *newer) {
+			f.log.Error().Str("from", string(from)).Msg("fleet: another process spoke under this name, or the clock went back")
+			f.book_.Rise(n.Known)
+			f.saveTables()
+		}),
+	}
+}
+
+func (f *Fleet) send(to roster.Name, kind link.Kind, v any) { f.sendBody(to, kind, packed(v)) }
+
+func (f *Fleet) sendBody(to roster.Name, kind link.Kind, body []byte) {
+	if f.post != nil {
+		f.post.Send(to, f.book_.Seal(to, kind, body))
+	}
+}
+
+func (f *Fleet) sendMembers() {
+	list, changes := f.members.Taken()
+	for _, s := range list {
+		fault := points.Pass(points.ProbeMember)
+		for range fault.Times() {
+			f.send(s.To, letterMembers, s.Message)
+		}
+	}
+	for _, c := range changes {
+		f.count.Add("fleet_members", c.Now.String(), 1)
+		f.log.Info().Str("mixer", string(c.Name)).Str("was", c.Was.String()).Str("now", c.Now.String()).Msg("fleet: mixer")
+	}
+}
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"time"
+
+	"puffinlink.example/puffinlink/internal/fleet/council"
+	"puffinlink.example/puffinlink/internal/fleet/points"
+	"puffinlink.example/puffinlink/internal/fleet/residency"
+	"puffinlink.example/puffinlink/internal/fleet/shared"
+	"puffinlink.example/puffinlink/internal/mixer"
+)
+
+type noteKind uint8
+
+const (
+	sawCalls    noteKind = iota // seen
+	listed                      // places
+	rulesHeld                   // version
+	saved                       // err
+	tablesSaved                 // err
+	commanded                   // command, reply
+	asked                       // ask
+	offered                     // err, result
+	storeClosed
+	reopen
+	released
+)
+
+type note struct {
+	kind    noteKind
+	seen    []shared.Seen
+	places  []mixer.Place
+	version residency.Version
+	err     error
+	command *command
+	result  Result
+	quotas  council.QuotasVersion
+	ask     func()
+}
+
+// Run is the goroutine of control state, until Stop.
+func (f *Fleet) Run() {
+	defer close(f.stopped)
+	var notes []note
+	timer := time.NewTimer(turn)
+	for {
+		var letters chan []byte
+		if f.post != nil {
+			letters = f.post.In
+		}
+		select {
+		case sealed := <-letters:
+			f.now = f.Now()
+			f.letter(sealed)
+			for range min(len(letters), lettersATurn) { // what waits, so that a turn sees the newest
+				f.letter(<-letters)
+			}
+		case <-f.in.Ready():
+		case <-timer.C:
+		case <-f.stopping:
+			f.close()
+			return
+		}
+		f.now = f.Now()
+		notes = f.in.Take(notes)
+		for i := range notes {
+			f.hear(&notes[i])
+		}
+		f.turn()
+		timer.Reset(turn)
+	}
+}
+
+func (f *Fleet) hear(n *note) {
+	switch n.kind {
+	case sawCalls:
+		f.saw(n.seen)
+	case listed:
+		f.list(n.places)
+	case rulesHeld:
+		points.Pass(points.HoldContract)
+		f.holds = max(f.holds, n.version)
+		f.due.ask = min(f.due.ask, f.now+askSoonest) // the operator waits for it
+	case saved:
+		f.councilSaved(n.err)
+	case tablesSaved:
+		if n.err != nil {
+			f.log.Error().Str("text", n.err.Error()).Msg("fleet: tables can't be kept")
+		} else {
+			f.floorsAt = max(f.floorsAt, n.quotas)
+		}
+	case commanded:
+		f.command(n.command)
+	case asked:
+		n.ask()
+	case offered:
+		f.offered(n)
+	case storeClosed:
+		if !f.isReleased() {
+			f.storeClosed()
+		}
+	case reopen:
+		time.AfterFunc(time.Duration(muteFor*float64(time.Second)), func() { f.in.Put(note{kind: storeClosed}) })
+	case released:
+		f.unlead()
+		f.holder.Alone()
+		f.close()
+		f.members, f.council = nil, nil
+		close(f.released)
+	}
+}
+
+// turn does what is due.
+func (f *Fleet) turn() {
+	if f.isReleased() {
+		return
+	}
+	if f.members == nil {
+		if f.now >= f.due.open {
+			f.open()
+		}
+		return
+	}
+	if f.now >= f.due.members {
+		f.due.members = f.members.Tick(f.now)
+		f.sendMembers()
+	}
+	f.voter()
+	if f.now >= f.due.ask || f.holder.Urgent() && f.now >= f.due.ask-askEvery+askSoonest {
+		f.due.ask = f.now + askEvery
+		f.ask()
+	}
+	if f.now >= f.due.pass {
+		f.due.pass = f.now + passEvery
+		f.pass()
+	}
+	if f.now >= f.due.report {
+		f.due.report = f.now + reportEvery
+		f.judge()
+	}
+	if deaf := f.members.Deaf(); deaf != f.deaf {
+		f.deaf = deaf
+		f.count.Add("fleet", map[bool]string{true: "deaf", false: "hears_again"}[deaf], 1)
+		f.log.Warn().Bool("deaf", deaf).Msg("fleet: whether any other mixer is heard")
+	}
+	f.expire()
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+
+	"puffinlink.example/puffinlink/internal/fleet/council"
+	"puffinlink.example/puffinlink/internal/fleet/link"
+	"puffinlink.example/puffinlink/internal/fleet/quota"
+	"puffinlink.example/puffinlink/internal/fleet/residency"
+	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// Settings are what the operator's file and the mixer's config say together. Times are seconds.
+type Settings struct {
+	Self      roster.Name
+	Location  string // of this mixer, by the settings' names
+	Roster    roster.Roster
+	Key       [link.KeyBytes]byte
+	Directory string // "" keeps nothing; a voter needs one
+	Lease     float64
+	Longest   float64 // hard deadline
+	Site      residency.Site
+	Layout    logic.Layout
+	Seed      uint64
+
+	HasQuotas bool // the file has the section: until the council was heard no tenant is taken for one without a quota
+	File      council.FileTables
+	Strict    []string       // tenants refused where contracts are not sure; "*" for all
+	Lines     map[string]int // of the file, by key
+}
+
+// Keys of Lines, but for contracts and quotas, each of which has its own.
+const (
+	LineFleet  = "fleet"
+	LineStrict = "strict"
+)
+
+// ContractLine and QuotaLine are the keys of a tenant's.
+func ContractLine(t quota.Tenant) string { return "contract " + string(t) }
+
+func QuotaLine(t quota.Tenant) string { return "quota " + string(t) }
+
+// Check tells what settings and file say against each other, each with its line of the file.
+func (s *Settings) Check() error {
+	var wrong []error
+	say := func(key, format string, args ...any) {
+		wrong = append(wrong, fmt.Errorf("operator's file, line %d: %s", s.Lines[key], fmt.Sprintf(format, args...)))
+	}
+	me := s.Roster.Find(s.Self)
+	switch {
+	case me == nil:
+		say(LineFleet, "fleet.roster: no mixer is named %q, as this one is", s.Self)
+	case me.Votes && s.Directory == "":
+		say(LineFleet, "fleet.directory: expected one, as %q votes", s.Self)
+	}
+	for _, m := range s.Roster.Members {
+		if !slices.Contains(s.Site.Zones, m.Location) {
+			say(LineFleet, "fleet.roster: location %q of %q is none that the settings know, expected one of %q", m.Location, m.Name, s.Site.Zones)
+		}
+	}
+	if s.Lease*contractShare < s.Longest+1 {
+		say(LineFleet, "fleet.lease_s is %g, expected %g or more: half of it has to last for the longest hard deadline, %g s, and a second", s.Lease, 2*(s.Longest+1), s.Longest)
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(s.File.Contracts)) {
+		c := s.File.Contracts[tenant]
+		if err := s.Site.Check(tenant, &c); err != nil {
+			say(ContractLine(tenant), "contracts: %v", err)
+		}
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(s.File.Quotas)) {
+		if !slices.Contains(s.Site.Tenants, string(tenant)) {
+			say(QuotaLine(tenant), "quotas: tenant %q is none that the settings know, expected one of %q", tenant, s.Site.Tenants)
+		}
+	}
+	for _, tenant := range s.Strict {
+		if tenant != "*" && !slices.Contains(s.Site.Tenants, tenant) {
+			say(LineStrict, "contracts.strict: tenant %q is none that the settings know, expected some of %q or \"*\"", tenant, s.Site.Tenants)
+		}
+	}
+	return errors.Join(wrong...)
+}
+
+func (s *Settings) strict(tenant quota.Tenant) bool {
+	return slices.Contains(s.Strict, "*") || slices.Contains(s.Strict, string(tenant))
+}
+
+// strictHash tells whether two mixers refuse the same tenants where contracts are not sure.
+func (s *Settings) strictHash() uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(strings.Join(slices.Sorted(slices.Values(s.Strict)), "\n")))
+	return h.Sum64()
+}
