--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"puffinlink.example/puffinlink/internal/drill"
+	"puffinlink.example/puffinlink/internal/tools/drill"
 )
 
 func main() {
--- a/cmd/puffinlink/capture.go
+++ b/cmd/puffinlink/capture.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/capture"
 	"puffinlink.example/puffinlink/internal/jsonc"
+	"puffinlink.example/puffinlink/internal/operators/capture"
 )
 
 type captureCmd struct {
--- a/cmd/puffinlink/commands_test.go
+++ b/cmd/puffinlink/commands_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/operators"
+	"puffinlink.example/puffinlink/internal/operators/api"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -100,7 +100,7 @@
 	play(exitRefused, "unknown", "override clear 9 --reason done")
 	play(0, "cleared", "override clear 1 --reason done")
 	play(0, "forced over last_holder", "override history")
-	var v operators.View
+	var v api.View
 	if err := json.Unmarshal([]byte(play(0, `"revision": 3`, "override list --json")), &v); err != nil || len(v.Overrides) != 1 || v.Overrides[0].State != "acts" {
 		t.Fatalf("got %+v, %v", v, err)
 	}
--- a/cmd/puffinlink/demo.go
+++ b/cmd/puffinlink/demo.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/demo"
+	"puffinlink.example/puffinlink/internal/tools/demo"
 )
 
 type demoCmd struct {
--- a/cmd/puffinlink/fleet.go
+++ b/cmd/puffinlink/fleet.go
@@ -8,9 +8,9 @@
 	"text/tabwriter"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/operators"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/operators/api"
 )
 
 type fleetCmd struct {
@@ -22,14 +22,14 @@
 }
 
 // asker asks a mixer's listener within a time.
-func (d *door) asker(most time.Duration) (*operators.Client, context.Context, context.CancelFunc, error) {
+func (d *door) asker(most time.Duration) (*api.Client, context.Context, context.CancelFunc, error) {
 	c, err := d.client()
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	return c, ctx, cancel, err
 }
 
 // change sends a command and tells that it was accepted; what follows may take so long more.
-func (d *door) change(command operators.FleetCommand, more time.Duration) (*operators.Client, context.Context, context.CancelFunc, fleet.Result, error) {
+func (d *door) change(command api.FleetCommand, more time.Duration) (*api.Client, context.Context, context.CancelFunc, fleet.Result, error) {
 	client, ctx, cancel, err := d.asker(2*patience + more)
 	var res fleet.Result
 	if err == nil {
@@ -76,11 +76,11 @@
 	ID     string `name:"id" help:"The same command sent again under it acts once."`
 }
 
-func (s *stated) command(tenant string) operators.FleetCommand {
+func (s *stated) command(tenant string) api.FleetCommand {
 	if u, err := user.Current(); s.Author == "" && err == nil {
 		s.Author = u.Username
 	}
-	return operators.FleetCommand{ID: s.ID, Author: s.Author, Reason: s.Reason, Tenant: tenant}
+	return api.FleetCommand{ID: s.ID, Author: s.Author, Reason: s.Reason, Tenant: tenant}
 }
 
 type fleetContractCmd struct {
@@ -97,7 +97,7 @@
 func (c *fleetContractCmd) Run() error {
 	command := c.command(c.Tenant)
 	if command.Clear = "contract"; !c.Clear {
-		command.Clear, command.Contract = "", &operators.Contract{Zones: c.Zones, MixersToo: c.MixersToo, Indexes: c.Indexes}
+		command.Clear, command.Contract = "", &api.Contract{Zones: c.Zones, MixersToo: c.MixersToo, Indexes: c.Indexes}
 	}
 	client, ctx, cancel, res, err := c.change(command, c.Wait)
 	defer cancel()
@@ -168,7 +168,7 @@
 func (c *fleetQuotaCmd) Run() error {
 	command := c.command(c.Tenant)
 	if command.Clear = "quota"; !c.Clear {
-		command.Clear, command.Quota = "", &operators.Quota{PerS: c.PerS, Burst: c.Burst, Floor: c.FloorShare}
+		command.Clear, command.Quota = "", &api.Quota{PerS: c.PerS, Burst: c.Burst, Floor: c.FloorShare}
 	}
 	_, _, cancel, _, err := c.change(command, 0)
 	defer cancel()
--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/rs/zerolog"
 
-	"puffinlink.example/puffinlink/internal/node"
+	"puffinlink.example/puffinlink/internal/dataplane/node"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
--- a/cmd/puffinlink/override.go
+++ b/cmd/puffinlink/override.go
@@ -16,9 +16,9 @@
 	"text/tabwriter"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/operators"
-	"puffinlink.example/puffinlink/internal/opfile"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/api"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 // patience is how long a mixer may take for an answer; a command that waits for a disk takes longest.
@@ -40,7 +40,7 @@
 	JSON      bool   `name:"json" help:"As JSON, for programs."`
 }
 
-func (d *door) client() (*operators.Client, error) {
+func (d *door) client() (*api.Client, error) {
 	token := os.Getenv("PUFFINLINK_TOKEN")
 	if d.TokenFile != "" {
 		text, err := os.ReadFile(d.TokenFile)
@@ -49,7 +49,7 @@
 		}
 		token = strings.TrimSpace(string(text))
 	}
-	return operators.NewClient(d.At, token)
+	return api.NewClient(d.At, token)
 }
 
 func (d *door) get(path string, into any) error {
@@ -64,7 +64,7 @@
 
 // coded is the exit code of an error.
 func coded(err error) int {
-	e := (*operators.Error)(nil)
+	e := (*api.Error)(nil)
 	switch {
 	case errors.As(err, &e) && (e.Code == string(override.Conflict) || e.Code == string(override.KeyReused)):
 		return exitConflict
@@ -94,7 +94,7 @@
 }
 
 // what says in a few words what an override does.
-func what(o *operators.Override) (target, does string) {
+func what(o *api.Override) (target, does string) {
 	target = o.Searcher
 	if o.Location != "" {
 		target = "@" + o.Location
@@ -123,7 +123,7 @@
 type listCmd struct{ door }
 
 func (c *listCmd) Run() error {
-	var v operators.View
+	var v api.View
 	if err := c.get("/v1/overrides", &v); err != nil {
 		return err
 	}
@@ -187,7 +187,7 @@
 }
 
 func (c *setCmd) Run() error {
-	cmd := operators.Command{Kind: c.Kind, Index: c.Index, Weight: c.Weight, Strict: c.Strict, Author: c.Author, Reason: c.Reason,
+	cmd := api.Command{Kind: c.Kind, Index: c.Index, Weight: c.Weight, Strict: c.Strict, Author: c.Author, Reason: c.Reason,
 		For: c.For.Seconds(), UntilRestart: c.UntilRestart, Force: c.Force, Key: c.Key}
 	if place, is := strings.CutPrefix(c.Target, "@"); is {
 		cmd.Location = place
@@ -206,7 +206,7 @@
 }
 
 // send sends a command, for the present revision where none is stated; it goes again where the line broke, under one key.
-func (d *door) send(cmd operators.Command, revision int64) error {
+func (d *door) send(cmd api.Command, revision int64) error {
 	client, err := d.client()
 	if err != nil {
 		return err
@@ -217,7 +217,7 @@
 		r := uint64(revision)
 		cmd.Revision = &r
 	} else {
-		var v operators.View
+		var v api.View
 		if err := client.Get(ctx, "/v1/overrides", &v); err != nil {
 			return err
 		}
@@ -242,7 +242,7 @@
 	return nil
 }
 
-func printChange(out io.Writer, c *operators.Change) {
+func printChange(out io.Writer, c *api.Change) {
 	target, does := what(&c.Override)
 	at := time.UnixMilli(int64(1000 * c.At)).Format(time.DateTime)
 	line := fmt.Sprintf("%s  revision %d: override %d %s: %s %s, by %s: %s", at, c.Revision, c.Override.ID, c.What, target, does, c.Author, c.Reason)
@@ -268,7 +268,7 @@
 	if c.ID == 0 {
 		return errors.New("override 0, expected an id as `override list` shows it")
 	}
-	return c.send(operators.Command{Clear: c.ID, Author: c.Author, Reason: c.Reason, Key: c.Key}, c.Revision)
+	return c.send(api.Command{Clear: c.ID, Author: c.Author, Reason: c.Reason, Key: c.Key}, c.Revision)
 }
 
 type watchCmd struct {
@@ -283,7 +283,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	err = client.Watch(ctx, c.From, func(change operators.Change) error {
+	err = client.Watch(ctx, c.From, func(change api.Change) error {
 		if c.JSON {
 			return json.NewEncoder(stdout).Encode(change)
 		}
@@ -302,7 +302,7 @@
 }
 
 func (c *historyCmd) Run() error {
-	var list []operators.Change
+	var list []api.Change
 	if err := c.get("/v1/history?most="+strconv.Itoa(c.Most), &list); err != nil {
 		return err
 	}
@@ -323,7 +323,7 @@
 }
 
 func (c *whyCmd) Run() error {
-	var w operators.Why
+	var w api.Why
 	q := url.Values{"shard": {strconv.Itoa(c.Shard)}, "index": {c.Index}, "searcher": {c.Searcher}}
 	if err := c.get("/v1/why?"+q.Encode(), &w); err != nil {
 		return err
@@ -365,11 +365,11 @@
 			return err
 		}
 	}
-	key, err := opfile.ReadKey(c.KeyFile)
+	key, err := operatorfile.ReadKey(c.KeyFile)
 	if err != nil {
 		return err
 	}
-	token, hash, err := operators.NewToken(key)
+	token, hash, err := api.NewToken(key)
 	if err != nil {
 		return err
 	}
--- a/cmd/puffinlink/plan.go
+++ b/cmd/puffinlink/plan.go
@@ -9,10 +9,10 @@
 	"os/signal"
 	"strconv"
 
-	"puffinlink.example/puffinlink/internal/capture"
-	"puffinlink.example/puffinlink/internal/plan"
-	"puffinlink.example/puffinlink/internal/planfile"
-	"puffinlink.example/puffinlink/internal/prove"
+	"puffinlink.example/puffinlink/internal/operators/capture"
+	"puffinlink.example/puffinlink/internal/tools/plan"
+	"puffinlink.example/puffinlink/internal/tools/planfile"
+	"puffinlink.example/puffinlink/internal/tools/prove"
 )
 
 type planCmd struct {
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog/diode"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/node"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/dataplane/node"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
 
 const (
@@ -105,9 +105,9 @@
 	if err != nil {
 		return err
 	}
-	file := opfile.Defaults()
+	file := operatorfile.Defaults()
 	if operatorFile != "" {
-		if file, err = opfile.Read(operatorFile); err != nil {
+		if file, err = operatorfile.Read(operatorFile); err != nil {
 			return err
 		}
 	}
@@ -156,7 +156,7 @@
 }
 
 func (c *checkCmd) Run() error {
-	f, err := opfile.Read(c.File)
+	f, err := operatorfile.Read(c.File)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/ask.go
+++ b/internal/controlplane/fleet/ask.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // mostAsked askings may wait for an answer.
@@ -21,7 +21,7 @@
 	if len(f.asked) > mostAsked {
 		f.asked = slices.Delete(f.asked, 0, len(f.asked)-mostAsked)
 	}
-	fault := points.Pass(points.AskGranter)
+	fault := failpoint.Pass(failpoint.AskGranter)
 	for range fault.Times() {
 		if to == f.set.Self {
 			f.granted_(to, f.answered(to, a))
@@ -54,7 +54,7 @@
 		f.count.Add("fleet_dropped", "unasked", 1)
 		return
 	}
-	if points.Pass(points.TakeGrant).Drop {
+	if failpoint.Pass(failpoint.TakeGrant).Drop {
 		return
 	}
 	at, no := f.asked[i].at, f.asked[i].no
@@ -71,7 +71,7 @@
 	}
 	f.adopt(g)
 	if f.has.Contracts == g.Versions.Contracts {
-		points.Pass(points.Renew)
+		failpoint.Pass(failpoint.Renew)
 		f.lease.Renew(at)
 		f.setSure(f.lease.Until())
 	}
--- a/internal/fleet/command.go
+++ b/internal/controlplane/fleet/command.go
@@ -7,12 +7,12 @@
 	"math"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
 // Result is what became of a command.
@@ -115,7 +115,7 @@
 	case f.leads():
 		f.lead(c)
 	case c.from == "" && to != f.set.Self:
-		for range points.Pass(points.ForwardCommand).Times() {
+		for range failpoint.Pass(failpoint.ForwardCommand).Times() {
 			f.send(to, letterCommand, c.handed)
 		}
 	}
@@ -130,7 +130,7 @@
 			unlike = unlike || differs
 		}
 		p := f.spread.Progress(f.now, cmp.Or(q.Version, state.Contracts.Version), f.set.strict(q.Tenant) && !unlike)
-		points.Pass(points.TellHeld)
+		failpoint.Pass(failpoint.TellHeld)
 		f.finish(c, answer{progress: &p})
 		return
 	}
--- a/internal/fleet/council/council.go
+++ b/internal/controlplane/fleet/council/council.go
@@ -18,7 +18,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 const (
--- a/internal/fleet/council/council_test.go
+++ b/internal/controlplane/fleet/council/council_test.go
@@ -10,9 +10,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"puffinlink.example/puffinlink/internal/chance"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // disk is what a voter saved, as its store would hold it.
--- a/internal/fleet/council/founding.go
+++ b/internal/controlplane/fleet/council/founding.go
@@ -8,7 +8,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // A council is founded once, by all voters of the roster, each with an empty directory. Whoever heard that of all others
--- a/internal/fleet/council/state.go
+++ b/internal/controlplane/fleet/council/state.go
@@ -8,9 +8,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // CommandID names a command, so that one sent twice acts once.
--- a/internal/fleet/points/table.go
+++ b/internal/controlplane/fleet/failpoint/failpoint.go
@@ -1,7 +1,7 @@
-// Package points numbers the places where a fleet's code sends, receives, stores, applies, grants, spends or tells. In a
+// Package failpoint numbers the places where a fleet's code sends, receives, stores, applies, grants, spends or tells. In a
 // binary built with the tag `points`, and in no other, one of them can be armed by the environment, so that at its k-th pass
 // something goes wrong there: tests play each in turn. In the plain build Pass is empty and nothing reads the environment.
-package points
+package failpoint
 
 // Point is a place in the code. Its number stays its own: tests and results name it.
 type Point uint8
--- a/internal/fleet/points/points_test.go
+++ b/internal/controlplane/fleet/failpoint/failpoint_test.go
@@ -1,4 +1,4 @@
-package points
+package failpoint
 
 import (
 	"bytes"
--- a/internal/fleet/points/off.go
+++ b/internal/controlplane/fleet/failpoint/off.go
@@ -1,6 +1,6 @@
 //go:build !points
 
-package points
+package failpoint
 
 // Pass does nothing in this build.
 func Pass(Point) (f Fault) { return f }
--- a/internal/fleet/points/on.go
+++ b/internal/controlplane/fleet/failpoint/on.go
@@ -1,6 +1,6 @@
 //go:build points
 
-package points
+package failpoint
 
 import (
 	"fmt"
--- a/internal/fleet/fleet.go
+++ b/internal/controlplane/fleet/fleet.go
@@ -13,18 +13,18 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/sockets"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/members"
-	"puffinlink.example/puffinlink/internal/fleet/post"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
-	"puffinlink.example/puffinlink/internal/keep"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/store"
 )
 
 const (
@@ -60,10 +60,10 @@
 // Fleet is the actor.
 type Fleet struct {
 	set   Settings
-	tell  *mailbox.Box[mixer.Event]
+	tell  *eventqueue.Box[mixer.Event]
 	log   zerolog.Logger
 	count *counters.Set
-	in    *mailbox.Box[note]
+	in    *eventqueue.Box[note]
 	start time.Time
 	unix  float64
 
@@ -78,9 +78,9 @@
 	now        float64
 	others     []roster.Name
 	strictHash uint64
-	post       *post.Post
-	store      *keep.Log
-	kept       keep.LogKept
+	post       *sockets.Post
+	store      *store.Log
+	kept       store.LogKept
 	book_      *link.Book
 	members    *members.Machine
 	council    *council.Machine // nil where this one does not vote
@@ -127,12 +127,12 @@
 
 // New makes the actor. Until its directory and address are open, and another process may hold both, it knows no contract
 // for sure and has neither tokens nor floors.
-func New(set Settings, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
+func New(set Settings, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	f := &Fleet{set: set, tell: tell, log: log, count: count, in: mailbox.New[note](), start: now, unix: float64(now.UnixNano()) / 1e9,
+	f := &Fleet{set: set, tell: tell, log: log, count: count, in: eventqueue.New[note](), start: now, unix: float64(now.UnixNano()) / 1e9,
 		book: shared.NewBook(), others: set.Roster.Others(set.Self), granter: quota.NewGranter(set.Lease * tokenShare),
 		lease: residency.NewLease(set.Lease*contractShare, set.Longest), reads: map[council.ReadNo]float64{}, trouble: map[roster.Name]float64{},
 		judged: map[shared.Searcher]float64{}, quotaOf: map[roster.Name]council.QuotasVersion{}, unlike: map[roster.Name]bool{}, strictHash: set.strictHash(),
@@ -175,7 +175,7 @@
 
 func (f *Fleet) tryOpen() (err error) {
 	if f.set.Directory != "" && f.store == nil {
-		if f.store, f.kept, err = keep.OpenLog(f.set.Directory, 0, f.log); err != nil {
+		if f.store, f.kept, err = store.OpenLog(f.set.Directory, 0, f.log); err != nil {
 			return err
 		}
 	}
@@ -184,7 +184,7 @@
 		for _, name := range f.others {
 			addresses[name] = f.set.Roster.Find(name).Address
 		}
-		if f.post, err = post.Listen(f.set.Roster.Find(f.set.Self).Address, addresses, f.count); err != nil {
+		if f.post, err = sockets.Listen(f.set.Roster.Find(f.set.Self).Address, addresses, f.count); err != nil {
 			return err
 		}
 	}
@@ -214,7 +214,7 @@
 			f.mute(err)
 		}
 	}
-	f.kept = keep.LogKept{ID: f.kept.ID}
+	f.kept = store.LogKept{ID: f.kept.ID}
 	f.publish()
 	f.rezone()
 	return nil
--- a/internal/fleet/fleet_test.go
+++ b/internal/controlplane/fleet/fleet_test.go
@@ -7,13 +7,13 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 )
 
 func good() Settings {
@@ -70,7 +70,7 @@
 	if change != nil {
 		change(&s)
 	}
-	f, err := New(s, mailbox.New[mixer.Event](), zerolog.Nop(), counters.New())
+	f, err := New(s, eventqueue.New[mixer.Event](), zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/gate.go
+++ b/internal/controlplane/fleet/gate.go
@@ -5,11 +5,11 @@
 	"math"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -47,7 +47,7 @@
 	}
 	if p := v.purses[customer]; p != nil {
 		taken := p.Spend(now)
-		points.Pass(points.Spend)
+		failpoint.Pass(failpoint.Spend)
 		if !taken || f.Now()-now > stoodStill {
 			return mixer.Verdict{Refused: refusedQuota, Wait: min(1, p.Wait(now)), Text: "the tenant's quota is used up"}
 		}
--- a/internal/fleet/judgements.go
+++ b/internal/controlplane/fleet/judgements.go
@@ -1,11 +1,11 @@
 package fleet
 
 import (
-	"puffinlink.example/puffinlink/internal/fleet/members"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -31,7 +31,7 @@
 	if len(list) == 0 {
 		return
 	}
-	fault := points.Pass(points.TellReport)
+	fault := failpoint.Pass(failpoint.TellReport)
 	for _, name := range to {
 		for range fault.Times() {
 			f.send(name, letterReports, reports{list})
@@ -42,7 +42,7 @@
 // judge hands the module what others found. A mixer that hears nothing decides as if it were alone.
 func (f *Fleet) judge() {
 	var list []shared.Judgement
-	if !f.members.Deaf() && !points.Pass(points.JudgeSearchers).Drop {
+	if !f.members.Deaf() && !failpoint.Pass(failpoint.JudgeSearchers).Drop {
 		list = f.store_.Judge(f.now, f.holders)
 	}
 	var tell []mixer.Judged
--- a/internal/fleet/link/link.go
+++ b/internal/controlplane/fleet/link/link.go
@@ -16,7 +16,7 @@
 	"github.com/zeebo/xxh3"
 	"golang.org/x/time/rate"
 
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // Incarnation is one process of a mixer; a later one's is larger.
--- a/internal/fleet/link/link_test.go
+++ b/internal/controlplane/fleet/link/link_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 var key = [KeyBytes]byte{1, 2, 3}
--- a/internal/fleet/members/members.go
+++ b/internal/controlplane/fleet/members/members.go
@@ -12,7 +12,7 @@
 	"slices"
 
 	"puffinlink.example/puffinlink/internal/chance"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // Status is what is held of another mixer.
--- a/internal/fleet/members/members_test.go
+++ b/internal/controlplane/fleet/members/members_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"puffinlink.example/puffinlink/internal/chance"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // net plays a fleet in virtual time. Whatever happens, what a machine may never do is checked after each step.
--- a/internal/fleet/letters.go
+++ b/internal/controlplane/fleet/messages.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
 // Kinds of letters.
--- a/internal/fleet/publish.go
+++ b/internal/controlplane/fleet/publish.go
@@ -4,10 +4,10 @@
 	"math"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -31,7 +31,7 @@
 		}
 	}
 	v.rules = f.set.Site.Compile(f.table, f.set.Location)
-	points.Pass(points.PublishRules)
+	failpoint.Pass(failpoint.PublishRules)
 	f.view.Store(v)
 }
 
--- a/internal/fleet/quota/quota.go
+++ b/internal/controlplane/fleet/quota/quota.go
@@ -14,7 +14,7 @@
 	"math"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // Tenant is one by its name; GrantNo names a grant of one granter to one mixer.
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/controlplane/fleet/quota/quota_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"puffinlink.example/puffinlink/internal/chance"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/internal/raceflag"
 )
 
--- a/internal/fleet/receive.go
+++ b/internal/controlplane/fleet/receive.go
@@ -1,10 +1,10 @@
 package fleet
 
 import (
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/members"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // letter opens one and hands it on.
@@ -85,7 +85,7 @@
 func (f *Fleet) sendMembers() {
 	list, changes := f.members.Taken()
 	for _, s := range list {
-		fault := points.Pass(points.ProbeMember)
+		fault := failpoint.Pass(failpoint.ProbeMember)
 		for range fault.Times() {
 			f.send(s.To, letterMembers, s.Message)
 		}
--- a/internal/fleet/residency/residency.go
+++ b/internal/controlplane/fleet/residency/residency.go
@@ -8,8 +8,8 @@
 	"maps"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/fleet/run.go
+++ b/internal/controlplane/fleet/run.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 )
 
 type noteKind uint8
@@ -78,7 +78,7 @@
 	case listed:
 		f.list(n.places)
 	case rulesHeld:
-		points.Pass(points.HoldContract)
+		failpoint.Pass(failpoint.HoldContract)
 		f.holds = max(f.holds, n.version)
 		f.due.ask = min(f.due.ask, f.now+askSoonest) // the operator waits for it
 	case saved:
--- a/internal/fleet/settings.go
+++ b/internal/controlplane/fleet/settings.go
@@ -8,11 +8,11 @@
 	"slices"
 	"strings"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/fleet/shared/shared.go
+++ b/internal/controlplane/fleet/shared/shared.go
@@ -13,7 +13,7 @@
 	"slices"
 
 	"puffinlink.example/puffinlink/internal/chance"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // Searcher is one by its name in the list; Version counts the reports of one origin, across its incarnations.
--- a/internal/fleet/post/post.go
+++ b/internal/controlplane/fleet/sockets/sockets.go
@@ -1,7 +1,7 @@
-// Package post carries sealed letters between mixers: datagrams over UDP, and what is longer over TCP, both at the one
+// Package sockets carries sealed letters between mixers: datagrams over UDP, and what is longer over TCP, both at the one
 // address that the roster gives a mixer. It opens nothing and decides nothing. Whoever sends is never held up: what finds
 // no room is dropped, as a network drops it, and counted.
-package post
+package sockets
 
 import (
 	"encoding/binary"
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
 )
 
 const (
@@ -101,7 +101,7 @@
 		}
 		return
 	}
-	f := points.Pass(points.SendDatagram)
+	f := failpoint.Pass(failpoint.SendDatagram)
 	for range f.Times() {
 		if _, err := p.udp.WriteToUDP(sealed, p.to[to]); err != nil {
 			p.count.Add("fleet_dropped", "not_sent", 1)
@@ -112,7 +112,7 @@
 
 // put hands in what came. A mixer that is stopped for a while must not find hours of old letters: the oldest wait, and
 // what comes with no room left is dropped.
-func (p *Post) put(sealed []byte, f points.Fault) {
+func (p *Post) put(sealed []byte, f failpoint.Fault) {
 	for range f.Times() {
 		select {
 		case p.In <- sealed:
@@ -133,7 +133,7 @@
 			continue
 		}
 		p.count.Add("fleet_bytes", "taken", int64(n))
-		p.put(append([]byte(nil), buffer[:n]...), points.Pass(points.TakeDatagram))
+		p.put(append([]byte(nil), buffer[:n]...), failpoint.Pass(failpoint.TakeDatagram))
 	}
 }
 
@@ -159,7 +159,7 @@
 			idle.Reset(idleWait)
 			frame := binary.BigEndian.AppendUint32(nil, uint32(len(sealed)))
 			frame = append(frame, sealed...)
-			for range points.Pass(points.SendLong).Times() {
+			for range failpoint.Pass(failpoint.SendLong).Times() {
 				c = p.write(c, address, frame)
 			}
 		}
@@ -239,6 +239,6 @@
 			return
 		}
 		p.count.Add("fleet_bytes", "taken", int64(n))
-		p.put(sealed, points.Pass(points.TakeLong))
+		p.put(sealed, failpoint.Pass(failpoint.TakeLong))
 	}
 }
--- a/internal/fleet/tables.go
+++ b/internal/controlplane/fleet/tables.go
@@ -7,12 +7,12 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/link"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/keep"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/store"
 )
 
 // tables are what a mixer keeps of what it heard, so that it goes by that after a restart in which it hears nothing.
@@ -54,16 +54,16 @@
 	case f.store == nil: // it is opened anew, and all is saved then
 		return
 	}
-	if points.Pass(points.SaveTables).Fail {
+	if failpoint.Pass(failpoint.SaveTables).Fail {
 		f.hear(&note{kind: tablesSaved, err: errFault})
 		return
 	}
-	f.store.Save(keep.LogSave{Values: map[string][]byte{valueTables: packed(tables{f.book_.Incarnation(), f.table, f.quotas, f.has.Quotas, f.heard})}},
+	f.store.Save(store.LogSave{Values: map[string][]byte{valueTables: packed(tables{f.book_.Incarnation(), f.table, f.quotas, f.has.Quotas, f.heard})}},
 		func(err error) { f.in.Put(note{kind: tablesSaved, err: err, quotas: quotas}) })
 }
 
 // readCouncil reads what the council's library kept.
-func readCouncil(kept *keep.LogKept) (k council.Kept, err error) {
+func readCouncil(kept *store.LogKept) (k council.Kept, err error) {
 	k.ID = kept.ID
 	if v := kept.Values[valueHard]; v != nil {
 		k.Hard = &pb.HardState{}
@@ -88,7 +88,7 @@
 }
 
 // asLog puts what the council has to save into the store's form.
-func asLog(s *council.Save) (out keep.LogSave, err error) {
+func asLog(s *council.Save) (out store.LogSave, err error) {
 	out.Values = map[string][]byte{}
 	if s.Hard != nil {
 		if out.Values[valueHard], err = proto.Marshal(s.Hard); err != nil {
@@ -106,7 +106,7 @@
 		if err != nil {
 			return out, err
 		}
-		out.Entries = append(out.Entries, keep.Entry{Index: e.GetIndex(), Data: data})
+		out.Entries = append(out.Entries, store.Entry{Index: e.GetIndex(), Data: data})
 	}
 	return out, nil
 }
--- a/internal/fleet/voter.go
+++ b/internal/controlplane/fleet/voter.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/keep"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/store"
 )
 
 var errFault = errors.New("a fault that a test put here")
@@ -74,7 +74,7 @@
 }
 
 func (f *Fleet) introduce(to []roster.Name, in *council.Intro) {
-	fault := points.Pass(points.Introduce)
+	fault := failpoint.Pass(failpoint.Introduce)
 	for _, name := range to {
 		for range fault.Times() {
 			if name != f.set.Self {
@@ -124,7 +124,7 @@
 
 func (f *Fleet) save(s *council.Save) {
 	out, err := asLog(s)
-	if points.Pass(points.SaveCouncil).Fail {
+	if failpoint.Pass(failpoint.SaveCouncil).Fail {
 		err = errFault
 	}
 	if err != nil {
@@ -140,7 +140,7 @@
 		return
 	}
 	f.saving = false
-	if points.Pass(points.SavedCouncil).Fail {
+	if failpoint.Pass(failpoint.SavedCouncil).Fail {
 		err = errFault
 	}
 	if err != nil {
@@ -169,7 +169,7 @@
 }
 
 // seat makes our voter from what the directory holds.
-func (f *Fleet) seat(kept *keep.LogKept) error {
+func (f *Fleet) seat(kept *store.LogKept) error {
 	raftKept, err := readCouncil(kept)
 	if err != nil {
 		return err
@@ -179,7 +179,7 @@
 }
 
 func (f *Fleet) storeClosed() {
-	store, kept, err := keep.OpenLog(f.set.Directory, 0, f.log)
+	store, kept, err := store.OpenLog(f.set.Directory, 0, f.log)
 	if err != nil {
 		f.log.Error().Str("text", err.Error()).Msg("fleet: the directory can't be opened, this voter stays mute")
 		f.in.Put(note{kind: reopen})
@@ -216,7 +216,7 @@
 		}
 	}
 	if r.News {
-		points.Pass(points.ApplyCommand)
+		failpoint.Pass(failpoint.ApplyCommand)
 	}
 	for _, d := range r.Done {
 		f.acted(d)
@@ -229,10 +229,10 @@
 	if !f.council.Leads() {
 		return
 	}
-	points.Pass(points.ConfirmGranter)
+	failpoint.Pass(failpoint.ConfirmGranter)
 	authority := f.set.Lease * authorityShare
 	if !f.granted {
-		points.Pass(points.BeginGranting)
+		failpoint.Pass(failpoint.BeginGranting)
 		f.granted, f.term, f.sureTo = true, f.council.Term(), 0
 		f.granter.Begin(f.now, authority, f.term)
 		f.spread.Begin(f.now, authority)
@@ -261,7 +261,7 @@
 // answer answers a mixer that asks.
 func (f *Fleet) answer(from roster.Name, a *asking) {
 	out := f.answered(from, a)
-	for range points.Pass(points.AnswerAsk).Times() {
+	for range failpoint.Pass(failpoint.AnswerAsk).Times() {
 		f.send(from, letterGrant, out)
 	}
 }
--- a/internal/clients/body.go
+++ b/internal/dataplane/clients/body.go
@@ -12,8 +12,8 @@
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/clients/clients.go
+++ b/internal/dataplane/clients/clients.go
@@ -17,9 +17,9 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -57,7 +57,7 @@
 type Server struct {
 	http    *http.Server
 	lines   *lines
-	tell    *mailbox.Box[mixer.Event]
+	tell    *eventqueue.Box[mixer.Event]
 	log     zerolog.Logger
 	count   *counters.Set
 	book    book
@@ -70,7 +70,7 @@
 }
 
 // New makes a server that keeps no more than so many lines, in so many bytes of memory altogether.
-func New(set settings.Settings, most, memory int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
+func New(set settings.Settings, most, memory int, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
 		lines: newLines(most, memory, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
 	longest := 0.0
--- a/internal/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -16,26 +16,26 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue/queuetest"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = boxtest.Patience
+const patience = queuetest.Patience
 
 // rig is a server whose module's actor the test plays.
 type rig struct {
 	*testing.T
 	*Server
-	told    *boxtest.Ear[mixer.Event]
+	told    *queuetest.Ear[mixer.Event]
 	address string
 }
 
 func newRig(t *testing.T, most int, change func(*Server)) *rig {
 	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
 	set.Limits.RetryAfter = true
-	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
 	r.Server = New(set, most, 64<<20, r.told.Box, zerolog.Nop(), counters.New())
 	if change != nil {
 		change(r.Server)
--- a/internal/clients/crossings_test.go
+++ b/internal/dataplane/clients/crossings_test.go
@@ -16,8 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/internal/leaktest"
-	"puffinlink.example/puffinlink/internal/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/list/crossings_test.go
+++ b/internal/dataplane/discovery/crossings_test.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"bufio"
@@ -14,11 +14,11 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/eventqueue/queuetest"
 	"puffinlink.example/puffinlink/internal/leaktest"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -28,7 +28,7 @@
 type bare struct {
 	*testing.T
 	*Register
-	told   *boxtest.Ear[mixer.Event]
+	told   *queuetest.Ear[mixer.Event]
 	server *net.TCPListener
 }
 
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &bare{T: t, told: boxtest.New[mixer.Event](), server: l}
+	r := &bare{T: t, told: queuetest.New[mixer.Event](), server: l}
 	set := settings.Settings{}
 	set.AskList = asked
 	r.Register, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Box, zerolog.Nop(), counters.New())
@@ -191,7 +191,7 @@
 // A register that comes back after a while is heard at once: of what it has, the first line counts, drains above all. The waits between
 // tries have grown by then, and go back with the first beat: the next silence has 6 s of its own.
 func TestABeatEndsTheBackOff(t *testing.T) {
-	box := mailbox.New[mixer.Event]()
+	box := eventqueue.New[mixer.Event]()
 	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, box, zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/list/list.go
+++ b/internal/dataplane/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package list is the actor of the register: the list as it was known at the start, the watch on its changes,
+// Package discovery is the actor of the register: the list as it was known at the start, the watch on its changes,
 // the whole list where it is asked for, and reconnects.
-package list
+package discovery
 
 import (
 	"bufio"
@@ -19,9 +19,9 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -94,7 +94,7 @@
 
 // Register is the actor.
 type Register struct {
-	in       *mailbox.Box[note]
+	in       *eventqueue.Box[note]
 	tell     Listener
 	log      zerolog.Logger
 	count    *counters.Set
@@ -123,7 +123,7 @@
 	if err := checked(address); err != nil {
 		return nil, err
 	}
-	r := &Register{in: mailbox.New[note](), tell: tell, log: log, count: count,
+	r := &Register{in: eventqueue.New[note](), tell: tell, log: log, count: count,
 		url: listURL(address), silence: time.Duration(silentBeats * float64(beat)), asked: set.AskList, on: !set.AskList,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
--- a/internal/list/list_test.go
+++ b/internal/dataplane/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"bytes"
@@ -14,21 +14,21 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/eventqueue/queuetest"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = boxtest.Patience
+const patience = queuetest.Patience
 
 // rig is a register's actor and the register it speaks with, which the test plays: each request comes as a
 // function that writes a line to it.
 type rig struct {
 	*testing.T
 	*Register
-	told   *boxtest.Ear[mixer.Event]
+	told   *queuetest.Ear[mixer.Event]
 	asks   chan ask
 	server string // its address
 }
@@ -50,7 +50,7 @@
 }
 
 func newRig(t *testing.T, asked bool, change func(*Register)) *rig {
-	r := &rig{T: t, told: boxtest.New[mixer.Event](), asks: make(chan ask, 100)}
+	r := &rig{T: t, told: queuetest.New[mixer.Event](), asks: make(chan ask, 100)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		ctx, end := context.WithCancel(q.Context())
 		out := make(chan string, 10)
@@ -302,7 +302,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		box := mailbox.New[mixer.Event]()
+		box := eventqueue.New[mixer.Event]()
 		r := &Register{tell: box, places: map[string]int{}, kinds: map[string]int{},
 			ids: map[string]logic.SearcherID{}, version: -7}
 		err := r.take(text, false)
--- a/internal/mixer/capture_test.go
+++ b/internal/dataplane/mixer/capture_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/operators/capture"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/mixer/crossings_test.go
+++ b/internal/dataplane/mixer/crossings_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/mixer/mixer.go
+++ b/internal/dataplane/mixer/mixer.go
@@ -9,10 +9,10 @@
 
 	"github.com/rs/zerolog"
 
-	"puffinlink.example/puffinlink/internal/capture"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/operators/capture"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -145,7 +145,7 @@
 
 // Mixer is the actor.
 type Mixer struct {
-	In *mailbox.Box[Event]
+	In *eventqueue.Box[Event]
 
 	set       settings.Settings
 	log       zerolog.Logger
@@ -179,7 +179,7 @@
 // New makes the actor; Run starts it.
 func New(set settings.Settings, log zerolog.Logger, count *counters.Set) *Mixer {
 	now := time.Now()
-	m := &Mixer{In: mailbox.New[Event](), set: set, log: log, count: count, start: now,
+	m := &Mixer{In: eventqueue.New[Event](), set: set, log: log, count: count, start: now,
 		unix: float64(now.UnixNano()) / 1e9, due: map[logic.TimerID]time.Time{},
 		lookups: map[logic.LookupID]*Lookup{}, names: map[string]*Lookup{}, parts: map[logic.PartID]partRef{},
 		out: map[callKey]outCall{}, trips: map[logic.SearcherID][]Call{},
--- a/internal/mixer/mixer_test.go
+++ b/internal/dataplane/mixer/mixer_test.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/node/crossings_test.go
+++ b/internal/dataplane/node/crossings_test.go
@@ -19,7 +19,7 @@
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/leaktest"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
 
 // Work that a stand-in has begun goes on for its time, as a searcher's would; nothing of a mixer may.
@@ -140,7 +140,7 @@
 	}
 	at := listen.Addr().String()
 	listen.Close()
-	n, err := StartText([]byte(strings.Replace(text, "127.0.0.1:0", at, 1)), opfile.Defaults(), zerolog.Nop(), counters.New())
+	n, err := StartText([]byte(strings.Replace(text, "127.0.0.1:0", at, 1)), operatorfile.Defaults(), zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/dataplane/node/node.go
@@ -17,21 +17,21 @@
 
 	"github.com/rs/zerolog"
 
-	"puffinlink.example/puffinlink/internal/capture"
-	"puffinlink.example/puffinlink/internal/clients"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/desk"
-	"puffinlink.example/puffinlink/internal/fleet"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/keep"
-	"puffinlink.example/puffinlink/internal/list"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/operators"
-	"puffinlink.example/puffinlink/internal/opfile"
-	"puffinlink.example/puffinlink/internal/searchers"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/clients"
+	"puffinlink.example/puffinlink/internal/dataplane/discovery"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/searchers"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/operators/api"
+	"puffinlink.example/puffinlink/internal/operators/capture"
+	"puffinlink.example/puffinlink/internal/operators/controller"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
+	"puffinlink.example/puffinlink/internal/store"
 )
 
 const (
@@ -133,7 +133,7 @@
 }
 
 // StartText starts a mixer from the text of a config, as it would be started from its file.
-func StartText(text []byte, file opfile.File, log zerolog.Logger, count *counters.Set) (*Node, error) {
+func StartText(text []byte, file operatorfile.File, log zerolog.Logger, count *counters.Set) (*Node, error) {
 	var c Config
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
@@ -150,13 +150,13 @@
 	log       zerolog.Logger
 	count     *counters.Set
 	mixer     *mixer.Mixer
-	register  *list.Register
+	register  *discovery.Register
 	hub       *searchers.Hub
 	server    *clients.Server
-	fleet     *fleet.Fleet // nil where the operator's file has none
-	desk      *desk.Desk   // nil where the operator's file has neither overrides nor a listener
-	store     *keep.Store
-	operators *operators.Server
+	fleet     *fleet.Fleet     // nil where the operator's file has none
+	desk      *controller.Desk // nil where the operator's file has neither overrides nor a listener
+	store     *store.Store
+	operators *api.Server
 	captures  *capture.Writer
 	drained   chan struct{}
 	drain     func()
@@ -164,7 +164,7 @@
 
 // Start starts a mixer that serves from what the config knows, with what the operator's file adds. Until it serves, the
 // context's end ends the start.
-func Start(ctx context.Context, c Config, set settings.Settings, file opfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
+func Start(ctx context.Context, c Config, set settings.Settings, file operatorfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
 	clientLines, searcherLines, memory := c.lines()
 	n = &Node{log: log, count: count, drained: make(chan struct{})}
 	n.mixer = mixer.New(set, log, count)
@@ -178,12 +178,12 @@
 			return nil, err
 		}
 	}
-	tell := list.Listener(n.mixer.In)
+	tell := discovery.Listener(n.mixer.In)
 	if file.Overrides.On || file.Operators.Listen != "" {
 		n.openDesk(set, file)
 		tell = n.desk
 	}
-	if n.register, err = list.New(c.Discovery, c.Known, set, tell, log, count); err != nil {
+	if n.register, err = discovery.New(c.Discovery, c.Known, set, tell, log, count); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	if n.desk != nil {
@@ -195,10 +195,10 @@
 	}
 	var forOperators net.Listener
 	if file.Operators.Listen != "" {
-		if n.operators, err = operators.New(c.Name, file.Operators, n.desk, n.fleet, log, count); err != nil {
+		if n.operators, err = api.New(c.Name, file.Operators, n.desk, n.fleet, log, count); err != nil {
 			return nil, fmt.Errorf("operators: %w", err)
 		}
-		if forOperators, err = operators.Listen(file.Operators.Listen); err != nil {
+		if forOperators, err = api.Listen(file.Operators.Listen); err != nil {
 			return nil, fmt.Errorf("operators: %w", err)
 		}
 	}
@@ -232,29 +232,29 @@
 
 // openDesk makes the desk, with what a store has kept. Where nothing can be kept it serves all the same, and refuses
 // commands, which would end with the process though their sender thinks them kept.
-func (n *Node) openDesk(set settings.Settings, file opfile.File) {
+func (n *Node) openDesk(set settings.Settings, file operatorfile.File) {
 	lim := file.Overrides.Limits
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = set.Net.Indexes, set.Net.Shards, set.Layout.Cells, set.Layout.Width
-	var kept keep.Kept
-	keeper, in := desk.Keeper(nil), ""
+	var kept store.Kept
+	keeper, in := controller.Keeper(nil), ""
 	if dir := file.Overrides.Directory; dir != "" {
 		var err error
-		if n.store, kept, err = keep.Open(dir, n.log); err != nil {
+		if n.store, kept, err = store.Open(dir, n.log); err != nil {
 			n.log.Error().Str("text", err.Error()).Msg("overrides can't be kept, commands are refused")
 		}
 		keeper, in = n.store, dir
 	}
-	n.desk = desk.New(lim, n.mixer.In, keeper, in, n.log, n.count)
+	n.desk = controller.New(lim, n.mixer.In, keeper, in, n.log, n.count)
 	n.desk.Restore(kept.Revision, kept.Held, kept.Recent)
 }
 
 // join makes the mixer one of a fleet.
-func (n *Node) join(c Config, set settings.Settings, file opfile.File) error {
-	key, err := opfile.ReadKey(file.Fleet.KeyFile)
+func (n *Node) join(c Config, set settings.Settings, file operatorfile.File) error {
+	key, err := operatorfile.ReadKey(file.Fleet.KeyFile)
 	if err != nil {
 		return fmt.Errorf("fleet.key_file: %w", err)
 	}
-	s := fleet.Settings{Self: roster.Name(c.Name), Roster: file.Fleet.Roster(), Key: [opfile.KeyBytes]byte(key), Directory: file.Fleet.Directory,
+	s := fleet.Settings{Self: roster.Name(c.Name), Roster: file.Fleet.Roster(), Key: [operatorfile.KeyBytes]byte(key), Directory: file.Fleet.Directory,
 		Lease: file.Fleet.Lease, Layout: set.Layout, Seed: set.Seed, HasQuotas: file.Quotas.On, Strict: file.Contracts.Strict,
 		Site:  residency.Site{Zones: set.Net.Locations, Indexes: set.Net.Indexes, Tenants: set.Net.Customers},
 		Lines: map[string]int{fleet.LineFleet: file.Fleet.Line, fleet.LineStrict: file.Contracts.Line}}
@@ -289,7 +289,7 @@
 }
 
 // capture lets the mixer count its load into files.
-func (n *Node) capture(name string, set settings.Settings, file opfile.Capture) (err error) {
+func (n *Node) capture(name string, set settings.Settings, file operatorfile.Capture) (err error) {
 	n.captures, err = capture.NewWriter(capture.Store{Directory: file.Directory, MostBytes: file.MostBytes,
 		MostAge: time.Duration(file.MostAge * float64(time.Second))}, n.log, n.count)
 	if err != nil {
--- a/internal/node/node_test.go
+++ b/internal/dataplane/node/node_test.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/operators"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/operators/api"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -34,10 +34,10 @@
 	site     standin.Site
 	register *standin.Register
 	fleet    []*standin.Searcher
-	file     opfile.File
+	file     operatorfile.File
 	listen   string
 	node     *Node
-	client   *operators.Client
+	client   *api.Client
 	load     *standin.Load
 	asked    standin.Tally
 }
@@ -62,7 +62,7 @@
 	if w.listen, err = standin.FreeAddress(); err != nil {
 		t.Fatal(err)
 	}
-	w.file = opfile.Defaults()
+	w.file = operatorfile.Defaults()
 	w.file.Overrides.On, w.file.Overrides.Directory = true, t.TempDir()
 	w.file.Overrides.Limits.Ramp = 2
 	dir, err := os.MkdirTemp("", "pl") // a socket's path is short
@@ -73,7 +73,7 @@
 	w.file.Operators.Listen = "unix:" + filepath.Join(dir, "s")
 	w.start()
 	t.Cleanup(func() { w.node.Stop() })
-	if w.client, err = operators.NewClient(w.file.Operators.Listen, ""); err != nil {
+	if w.client, err = api.NewClient(w.file.Operators.Listen, ""); err != nil {
 		t.Fatal(err)
 	}
 	w.load = &standin.Load{Mixers: []string{w.listen}, Site: w.site, PerS: perS, Mixes: []standin.Mix{
@@ -125,11 +125,11 @@
 	w.until("more part calls", func() bool { return w.calls() >= from+more })
 }
 
-func (w *world) view() (v operators.View) {
+func (w *world) view() (v api.View) {
 	w.Helper()
 	for {
 		err := w.client.Get(context.Background(), "/v1/overrides", &v)
-		if e := (*operators.Error)(nil); errors.As(err, &e) && e.Code == "rate" {
+		if e := (*api.Error)(nil); errors.As(err, &e) && e.Code == "rate" {
 			time.Sleep(200 * time.Millisecond) // asked more often than operators may
 			continue
 		}
@@ -140,7 +140,7 @@
 	}
 }
 
-func (w *world) set(c operators.Command) operators.Change {
+func (w *world) set(c api.Command) api.Change {
 	w.Helper()
 	v := w.view()
 	c.Revision, c.Author, c.Reason = &v.Revision, "ann", "slow"
@@ -154,7 +154,7 @@
 	return made
 }
 
-func (w *world) clear(id uint64) { w.set(operators.Command{Clear: id}) }
+func (w *world) clear(id uint64) { w.set(api.Command{Clear: id}) }
 
 // ends stops the load, and checks that each lookup had exactly one final answer and no once-only part ran twice.
 func (w *world) ends() {
@@ -207,7 +207,7 @@
 	w := newWorld(t, 150, 2*time.Millisecond)
 	s := w.fleet[3]
 	w.until("calls of the searcher", func() bool { return s.Calls() > 50 })
-	w.set(operators.Command{Kind: "out", Searcher: s.Name})
+	w.set(api.Command{Kind: "out", Searcher: s.Name})
 	w.goesOn(100) // what was on its way has come
 	was := s.Calls()
 	for _, step := range []struct {
@@ -249,7 +249,7 @@
 func TestPinTakesItsShardAndYieldsToADrain(t *testing.T) {
 	w := newWorld(t, 150, 2*time.Millisecond)
 	s, sibling := w.fleet[5], w.fleet[6] // shard 5 is held by cells 5 and 6
-	w.set(operators.Command{Kind: "pin", Searcher: s.Name, From: 5, To: 5})
+	w.set(api.Command{Kind: "pin", Searcher: s.Name, From: 5, To: 5})
 	w.goesOn(100)
 	settled := func(name string) {
 		t.Helper()
@@ -303,7 +303,7 @@
 func TestStrictPinIsRefusedAtOnce(t *testing.T) {
 	w := newWorld(t, 100, 2*time.Millisecond)
 	s := w.fleet[5]
-	w.set(operators.Command{Kind: "pin", Searcher: s.Name, From: 0, To: 15, Strict: true, Force: true})
+	w.set(api.Command{Kind: "pin", Searcher: s.Name, From: 0, To: 15, Strict: true, Force: true})
 	w.goesOn(50)
 	s.Kill()
 	w.register.SetState(s.Name, "DELETED")
@@ -330,7 +330,7 @@
 	}
 	w.goesOn(parts / 4)
 	usual := share()
-	made := w.set(operators.Command{Kind: "weight", Searcher: s.Name, Weight: 0.25})
+	made := w.set(api.Command{Kind: "weight", Searcher: s.Name, Weight: 0.25})
 	w.goesOn(parts / 4)
 	weighed := share()
 	got := weighed / usual
@@ -371,7 +371,7 @@
 	w := newWorld(t, 300, 4*time.Millisecond)
 	s := w.fleet[3]
 	time.Sleep(3 * time.Second)
-	w.set(operators.Command{Kind: "out", Searcher: s.Name, For: 10})
+	w.set(api.Command{Kind: "out", Searcher: s.Name, For: 10})
 	time.Sleep(4900 * time.Millisecond)
 	w.take()
 	time.Sleep(5 * time.Second)
@@ -441,7 +441,7 @@
 	w.node.Stop()
 	w.file.Overrides.Directory = ""
 	w.start()
-	w.set(operators.Command{Kind: "out", Searcher: "s-1"})
+	w.set(api.Command{Kind: "out", Searcher: "s-1"})
 	if v := w.view(); v.Kept != "memory" || len(v.Overrides) != 1 {
 		t.Fatalf("got %+v", v)
 	}
@@ -451,8 +451,8 @@
 	w.file.Overrides.Directory = blocked
 	w.start()
 	v := w.view()
-	_, err := w.client.Send(context.Background(), operators.Command{Revision: &v.Revision, Kind: "out", Searcher: "s-1", Author: "ann", Reason: "slow", For: 9})
-	if e := (*operators.Error)(nil); !errors.As(err, &e) || e.Code != "not_kept" || len(v.Overrides) > 0 {
+	_, err := w.client.Send(context.Background(), api.Command{Revision: &v.Revision, Kind: "out", Searcher: "s-1", Author: "ann", Reason: "slow", For: 9})
+	if e := (*api.Error)(nil); !errors.As(err, &e) || e.Code != "not_kept" || len(v.Overrides) > 0 {
 		t.Fatalf("got %v, %+v", err, v)
 	}
 	w.load.Mixers, w.load.PerS = []string{w.listen}, 100
--- a/internal/node/shapes_test.go
+++ b/internal/dataplane/node/shapes_test.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -65,7 +65,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			n, err := StartText(sh.site.Config(fmt.Sprintf("%s-%d", name, i), listen, register, i), opfile.Defaults(), zerolog.Nop(), counters.New())
+			n, err := StartText(sh.site.Config(fmt.Sprintf("%s-%d", name, i), listen, register, i), operatorfile.Defaults(), zerolog.Nop(), counters.New())
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/searchers/actor.go
+++ b/internal/dataplane/searchers/actor.go
@@ -4,8 +4,8 @@
 	"sync/atomic"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -51,7 +51,7 @@
 type actor struct {
 	hub      *Hub
 	id       logic.SearcherID
-	in       *mailbox.Box[note]
+	in       *eventqueue.Box[note]
 	address  string
 	stopped  bool
 	closed   bool        // the list says that it wants nothing new
--- a/internal/searchers/call.go
+++ b/internal/dataplane/searchers/call.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/searchers/calls.go
+++ b/internal/dataplane/searchers/calls.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/searchers/line.go
+++ b/internal/dataplane/searchers/connection.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 )
 
 // stuckWrite is how long a searcher may leave what we write unread, after all that the kernel's buffers hold:
@@ -32,7 +32,7 @@
 type line struct {
 	conn  net.Conn
 	stuck time.Duration // that a write may take
-	out   *mailbox.Box[packet]
+	out   *eventqueue.Box[packet]
 
 	mu   sync.Mutex
 	over bool // nothing more is written, and only what has come is read
--- a/internal/searchers/lines.go
+++ b/internal/dataplane/searchers/connections.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -128,7 +128,7 @@
 			a.in.Put(note{kind: dialled, era: era, address: address, why: why, text: err.Error()})
 			return
 		}
-		l := &line{conn: conn, stuck: a.hub.stuck, out: mailbox.New[packet](), address: address, opened: time.Now(),
+		l := &line{conn: conn, stuck: a.hub.stuck, out: eventqueue.New[packet](), address: address, opened: time.Now(),
 			used: time.Now(), ghosts: map[string]time.Time{}}
 		a.in.Put(note{kind: dialled, era: era, line: l})
 		l.run(func(n note) { a.in.Put(n) })
--- a/internal/searchers/crossings_test.go
+++ b/internal/dataplane/searchers/crossings_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/internal/leaktest"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -211,7 +211,7 @@
 		t.Fatal(err)
 	}
 	let, notes = make(chan struct{}), make(chan note, 100)
-	l = &line{conn: held{conn, let}, stuck: patience, out: mailbox.New[packet](), ghosts: map[string]time.Time{}}
+	l = &line{conn: held{conn, let}, stuck: patience, out: eventqueue.New[packet](), ghosts: map[string]time.Time{}}
 	go l.run(func(n note) { notes <- n })
 	return l, p.(*net.TCPConn), let, notes
 }
--- a/internal/searchers/frames.go
+++ b/internal/dataplane/searchers/frames.go
@@ -12,7 +12,7 @@
 	"time"
 	"unicode/utf8"
 
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/searchers/hub.go
+++ b/internal/dataplane/searchers/hub.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -28,7 +28,7 @@
 // Hub hands each searcher's actor what concerns it. It belongs to the module's actor.
 type Hub struct {
 	set    settings.Net
-	tell   *mailbox.Box[mixer.Event]
+	tell   *eventqueue.Box[mixer.Event]
 	log    zerolog.Logger
 	count  *counters.Set
 	actors map[logic.SearcherID]*actor
@@ -42,7 +42,7 @@
 }
 
 // New makes a hub that keeps no more than so many lines.
-func New(set settings.Net, most int, tell *mailbox.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
+func New(set settings.Net, most int, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
 	h := &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
 		gone: map[logic.SearcherID]*actor{}, lines: make(chan struct{}, most), stuck: stuckWrite}
 	h.dials, h.undial = context.WithCancel(context.Background())
@@ -66,7 +66,7 @@
 	case a == nil && entry.Phase == logic.Gone:
 		return
 	case a == nil:
-		a = &actor{hub: h, id: entry.Searcher, in: mailbox.New[note](), calls: map[string]*call{}}
+		a = &actor{hub: h, id: entry.Searcher, in: eventqueue.New[note](), calls: map[string]*call{}}
 		h.actors[entry.Searcher] = a
 		h.all.Go(a.run)
 	case entry.Phase == logic.Gone:
--- a/internal/searchers/probes.go
+++ b/internal/dataplane/searchers/probes.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/searchers/searchers_test.go
+++ b/internal/dataplane/searchers/searchers_test.go
@@ -16,19 +16,19 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
+	"puffinlink.example/puffinlink/internal/eventqueue/queuetest"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = boxtest.Patience
+const patience = queuetest.Patience
 
 // rig is a hub with one searcher, whose part the test plays.
 type rig struct {
 	*testing.T
 	hub  *Hub
-	told *boxtest.Ear[mixer.Event]
+	told *queuetest.Ear[mixer.Event]
 	peer net.Listener
 	next logic.PartID
 }
@@ -38,7 +38,7 @@
 	if change != nil {
 		change(&set)
 	}
-	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
 	r.hub = New(set, 100, r.told.Box, zerolog.Nop(), counters.New())
 	t.Cleanup(r.hub.Stop)
 	r.peer = r.listen()
--- a/internal/mailbox/mailbox.go
+++ b/internal/eventqueue/eventqueue.go
@@ -1,5 +1,5 @@
-// Package mailbox is how actors hear of one another.
-package mailbox
+// Package eventqueue is how actors hear of one another.
+package eventqueue
 
 import "sync"
 
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/eventqueue/eventqueue_test.go
@@ -1,4 +1,4 @@
-package mailbox
+package eventqueue
 
 import (
 	"sync"
--- a/internal/mailbox/boxtest/boxtest.go
+++ b/internal/eventqueue/queuetest/queuetest.go
@@ -1,11 +1,11 @@
-// Package boxtest lets a test hear a mailbox as its actor would, one item at a time.
-package boxtest
+// Package queuetest lets a test hear a mailbox as its actor would, one item at a time.
+package queuetest
 
 import (
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 )
 
 // Patience bounds what a test waits for, which comes at once unless something is broken.
@@ -13,13 +13,13 @@
 
 // Ear is the side of a mailbox that takes.
 type Ear[T any] struct {
-	Box *mailbox.Box[T]
+	Box *eventqueue.Box[T]
 
 	heard []T
 }
 
 // New makes a mailbox and its ear.
-func New[T any]() *Ear[T] { return &Ear[T]{Box: mailbox.New[T]()} }
+func New[T any]() *Ear[T] { return &Ear[T]{Box: eventqueue.New[T]()} }
 
 // Next waits for the next item.
 func (e *Ear[T]) Next(t testing.TB) T {
--- a/internal/operators/operators_test.go
+++ b/internal/operators/api/api_test.go
@@ -1,4 +1,4 @@
-package operators
+package api
 
 import (
 	"context"
@@ -17,11 +17,11 @@
 	"golang.org/x/time/rate"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/desk"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/opfile"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/operators/controller"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
+	"puffinlink.example/puffinlink/internal/operators/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -30,14 +30,14 @@
 	*Server
 	address string
 	client  *Client
-	box     *mailbox.Box[mixer.Event]
+	box     *eventqueue.Box[mixer.Event]
 }
 
-func newRig(t *testing.T, set opfile.Operators, token string) *rig {
+func newRig(t *testing.T, set operatorfile.Operators, token string) *rig {
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
-	r := &rig{T: t, box: mailbox.New[mixer.Event]()}
-	d := desk.New(lim, r.box, nil, "", zerolog.Nop(), counters.New())
+	r := &rig{T: t, box: eventqueue.New[mixer.Event]()}
+	d := controller.New(lim, r.box, nil, "", zerolog.Nop(), counters.New())
 	list := mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}}
 	for i := range 4 {
 		list.Entries = append(list.Entries, logic.Entry{Searcher: logic.SearcherID(i + 1), Cell: logic.CellID(i % 2)})
@@ -93,7 +93,7 @@
 }
 
 func TestSetShowExplainAndClear(t *testing.T) {
-	r := newRig(t, opfile.Operators{}, "")
+	r := newRig(t, operatorfile.Operators{}, "")
 	info, err := os.Stat(strings.TrimPrefix(r.address, "unix:"))
 	if err != nil || info.Mode().Perm() != 0o600 {
 		t.Fatalf("the socket's mode is %v, %v", info.Mode(), err)
@@ -157,7 +157,7 @@
 	keyFile := filepath.Join(dir, "key")
 	key := []byte(strings.Repeat("k", keyBytes))
 	os.WriteFile(keyFile, []byte(hex.EncodeToString(key)+"\n"), 0o644)
-	set := opfile.Operators{Listen: "127.0.0.1:0", KeyFile: keyFile}
+	set := operatorfile.Operators{Listen: "127.0.0.1:0", KeyFile: keyFile}
 	tokens := map[string]string{}
 	for _, name := range []string{"reader", "writer"} {
 		token, hash, err := NewToken(key)
@@ -165,7 +165,7 @@
 			t.Fatal(err)
 		}
 		tokens[name] = token
-		set.Tokens = append(set.Tokens, opfile.Token{Name: name, Write: name == "writer", Hash: hash})
+		set.Tokens = append(set.Tokens, operatorfile.Token{Name: name, Write: name == "writer", Hash: hash})
 	}
 	if _, err := New("n1", set, nil, nil, zerolog.Nop(), counters.New()); err == nil || !strings.Contains(err.Error(), "0600") {
 		t.Fatalf("a key that all may read: %v", err)
@@ -194,7 +194,7 @@
 
 // Rude operators get an end, and the desk goes on at once.
 func TestRudeOperators(t *testing.T) {
-	r := newRig(t, opfile.Operators{}, "")
+	r := newRig(t, operatorfile.Operators{}, "")
 	path := strings.TrimPrefix(r.address, "unix:")
 	var rude []net.Conn
 	for range mostLines - 1 { // all lines but one say half a request, or nothing
@@ -234,7 +234,7 @@
 }
 
 func TestASocketLeftBehindIsReplacedAndOneInUseIsNot(t *testing.T) {
-	r := newRig(t, opfile.Operators{}, "")
+	r := newRig(t, operatorfile.Operators{}, "")
 	if _, err := Listen(r.address); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Fatalf("got %v", err)
 	}
--- a/internal/operators/auth.go
+++ b/internal/operators/api/auth.go
@@ -1,4 +1,4 @@
-package operators
+package api
 
 import (
 	"crypto/rand"
@@ -10,7 +10,7 @@
 
 	"github.com/zeebo/blake3"
 
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
 
 // keyBytes is the length of a token's secret and of its hash.
@@ -37,17 +37,17 @@
 // door knows who may come in.
 type door struct {
 	key    []byte
-	tokens []opfile.Token
+	tokens []operatorfile.Token
 	hashes [][]byte
 }
 
-func newDoor(set opfile.Operators) (*door, error) {
+func newDoor(set operatorfile.Operators) (*door, error) {
 	d := &door{tokens: set.Tokens}
 	if len(set.Tokens) == 0 {
 		return d, nil
 	}
 	var err error
-	if d.key, err = opfile.ReadKey(set.KeyFile); err != nil {
+	if d.key, err = operatorfile.ReadKey(set.KeyFile); err != nil {
 		return nil, err
 	}
 	for _, t := range set.Tokens {
--- a/internal/operators/fleet.go
+++ b/internal/operators/api/fleet.go
@@ -1,4 +1,4 @@
-package operators
+package api
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 	"strconv"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet"
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
 )
 
 // FleetCommand sets or clears one tenant's contract or quota, for all mixers.
--- a/internal/operators/listener.go
+++ b/internal/operators/api/listener.go
@@ -1,4 +1,4 @@
-package operators
+package api
 
 import (
 	"context"
@@ -19,11 +19,11 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/time/rate"
 
+	"puffinlink.example/puffinlink/internal/controlplane/fleet"
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/desk"
-	"puffinlink.example/puffinlink/internal/fleet"
-	"puffinlink.example/puffinlink/internal/opfile"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/controller"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
+	"puffinlink.example/puffinlink/internal/operators/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -45,7 +45,7 @@
 // Server serves operators.
 type Server struct {
 	mixer  string
-	desk   *desk.Desk
+	desk   *controller.Desk
 	fleet  *fleet.Fleet // nil where there is none
 	door   *door
 	log    zerolog.Logger
@@ -92,7 +92,7 @@
 }
 
 // New makes a server for a mixer of this name; its fleet may be nil.
-func New(mixer string, set opfile.Operators, d *desk.Desk, f *fleet.Fleet, log zerolog.Logger, count *counters.Set) (*Server, error) {
+func New(mixer string, set operatorfile.Operators, d *controller.Desk, f *fleet.Fleet, log zerolog.Logger, count *counters.Set) (*Server, error) {
 	door, err := newDoor(set)
 	if err != nil {
 		return nil, err
--- a/internal/operators/wire.go
+++ b/internal/operators/api/wire.go
@@ -1,13 +1,13 @@
-// Package operators is the operators' listener and its client: overrides are listed, set, cleared, watched and explained
+// Package api is the operators' listener and its client: overrides are listed, set, cleared, watched and explained
 // over HTTP on a unix socket or a loopback address. Names on that socket stay here. It decides nothing, and whatever an
 // operator does there holds up neither lookups nor the list.
-package operators
+package api
 
 import (
 	"fmt"
 	"math"
 
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/capture/files.go
+++ b/internal/operators/capture/files.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Writer writes intervals in a goroutine of its own. A disk that is full or gone costs intervals, and nothing else.
 type Writer struct {
 	store Store
-	in    *mailbox.Box[*Interval] // nil to end
+	in    *eventqueue.Box[*Interval] // nil to end
 	wait  chan struct{}
 	log   zerolog.Logger
 	count *counters.Set
@@ -48,7 +48,7 @@
 	if err := os.MkdirAll(store.Directory, 0o700); err != nil {
 		return nil, err
 	}
-	w := &Writer{store: store, in: mailbox.New[*Interval](), wait: make(chan struct{}, mostWaiting), log: log, count: count, ended: make(chan struct{})}
+	w := &Writer{store: store, in: eventqueue.New[*Interval](), wait: make(chan struct{}, mostWaiting), log: log, count: count, ended: make(chan struct{})}
 	go w.run()
 	return w, nil
 }
--- a/internal/desk/desk.go
+++ b/internal/operators/controller/controller.go
@@ -1,7 +1,7 @@
-// Package desk is the actor of overrides. It alone touches their book; it hears the list before the module does, so
+// Package controller is the actor of overrides. It alone touches their book; it hears the list before the module does, so
 // that what the list names and what is overridden of it reach the module in one step; and it answers operators. It
 // decides nothing.
-package desk
+package controller
 
 import (
 	"math"
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/operators/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -76,8 +76,8 @@
 
 // Desk is the actor.
 type Desk struct {
-	in       *mailbox.Box[note]
-	tell     *mailbox.Box[mixer.Event]
+	in       *eventqueue.Box[note]
+	tell     *eventqueue.Box[mixer.Event]
 	book     *override.Book
 	keeper   Keeper
 	keptIn   string
@@ -94,12 +94,12 @@
 }
 
 // New makes the actor before the first list. A nil keeper keeps nothing beyond the process.
-func New(lim override.Limits, tell *mailbox.Box[mixer.Event], keeper Keeper, keptIn string, log zerolog.Logger, count *counters.Set) *Desk {
+func New(lim override.Limits, tell *eventqueue.Box[mixer.Event], keeper Keeper, keptIn string, log zerolog.Logger, count *counters.Set) *Desk {
 	now := time.Now()
 	if keptIn == "" {
 		keptIn = "memory"
 	}
-	return &Desk{in: mailbox.New[note](), tell: tell, book: override.New(lim), keeper: keeper, keptIn: keptIn, log: log, count: count,
+	return &Desk{in: eventqueue.New[note](), tell: tell, book: override.New(lim), keeper: keeper, keptIn: keptIn, log: log, count: count,
 		start: now, unix: float64(now.UnixNano()) / 1e9, ended: make(chan struct{})}
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/operators/controller/controller_test.go
@@ -1,4 +1,4 @@
-package desk
+package controller
 
 import (
 	"errors"
@@ -9,13 +9,13 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/mailbox/boxtest"
-	"puffinlink.example/puffinlink/internal/mixer"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue/queuetest"
+	"puffinlink.example/puffinlink/internal/operators/override"
 	"puffinlink.example/puffinlink/logic"
 )
 
-const patience = boxtest.Patience
+const patience = queuetest.Patience
 
 // slowKeeper keeps nothing until it is told to.
 type slowKeeper struct{ asked chan func(error) }
@@ -25,13 +25,13 @@
 type rig struct {
 	*testing.T
 	*Desk
-	told *boxtest.Ear[mixer.Event]
+	told *queuetest.Ear[mixer.Event]
 }
 
 func newRig(t *testing.T, keeper Keeper) *rig {
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
-	r := &rig{T: t, told: boxtest.New[mixer.Event]()}
+	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
 	r.Desk = New(lim, r.told.Box, keeper, "", zerolog.Nop(), counters.New())
 	r.list(logic.Ready)
 	r.Settle()
--- a/internal/opfile/fleet.go
+++ b/internal/operators/operatorfile/fleet.go
@@ -1,8 +1,8 @@
-package opfile
+package operatorfile
 
 import (
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // Roster is that of the file.
--- a/internal/opfile/key.go
+++ b/internal/operators/operatorfile/key.go
@@ -1,4 +1,4 @@
-package opfile
+package operatorfile
 
 import (
 	"encoding/hex"
--- a/internal/opfile/opfile.go
+++ b/internal/operators/operatorfile/operatorfile.go
@@ -1,6 +1,6 @@
-// Package opfile reads the operator's file: JSON with comments. Every key is checked where it enters, and every mistake
+// Package operatorfile reads the operator's file: JSON with comments. Every key is checked where it enters, and every mistake
 // is told with its line and what was expected. Everything is off that the file does not state.
-package opfile
+package operatorfile
 
 import (
 	"cmp"
@@ -14,7 +14,7 @@
 	"github.com/agnivade/levenshtein"
 	"github.com/tailscale/hujson"
 
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 // File is what an operator's file states.
--- a/internal/opfile/opfile_test.go
+++ b/internal/operators/operatorfile/operatorfile_test.go
@@ -1,4 +1,4 @@
-package opfile
+package operatorfile
 
 import (
 	"os"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 func TestEveryMistakeIsToldWithItsLine(t *testing.T) {
@@ -58,7 +58,7 @@
 		o.Limits.PlaceGone != 0.25 || o.Limits.Most != 10000 || f.Operators.Listen != "unix:/run/p.sock" {
 		t.Fatalf("got %+v, %v", f, err)
 	}
-	if f, err = Read("../../deploy/operator.json5"); err != nil || f.Overrides.On || f.Operators.Listen != "" {
+	if f, err = Read("../../../deploy/operator.json5"); err != nil || f.Overrides.On || f.Operators.Listen != "" {
 		t.Fatalf("the file that is deployed: %+v, %v", f, err)
 	}
 	if _, err := Read(at + "x"); err == nil {
--- a/internal/keep/log.go
+++ b/internal/store/log.go
@@ -1,4 +1,4 @@
-package keep
+package store
 
 import (
 	"crypto/rand"
@@ -14,7 +14,7 @@
 	"github.com/zeebo/xxh3"
 	bolt "go.etcd.io/bbolt"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
+	"puffinlink.example/puffinlink/internal/eventqueue"
 )
 
 // What a mixer of a fleet keeps: values by name, and a log of entries by their index, as bytes whose meaning is the
@@ -57,7 +57,7 @@
 type Log struct {
 	db     *bolt.DB
 	lock   *os.File
-	in     *mailbox.Box[logJob]
+	in     *eventqueue.Box[logJob]
 	ended  chan struct{}
 	failed error
 }
@@ -71,7 +71,7 @@
 // OpenLog opens the file of a directory, or makes it. A spoilt one is put aside: whoever kept it begins anew, as if the
 // directory were lost. It waits so long for a process that still holds the directory.
 func OpenLog(dir string, wait time.Duration, log zerolog.Logger) (*Log, LogKept, error) {
-	l, kept := &Log{in: mailbox.New[logJob](), ended: make(chan struct{})}, LogKept{}
+	l, kept := &Log{in: eventqueue.New[logJob](), ended: make(chan struct{})}, LogKept{}
 	var err error
 	if l.lock, err = locked(dir, logLockName, wait); err != nil {
 		return nil, kept, err
--- a/internal/keep/pages.go
+++ b/internal/store/pages.go
@@ -1,4 +1,4 @@
-package keep
+package store
 
 import (
 	"bytes"
--- a/internal/keep/keep.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
-// Package keep keeps the revisions of overrides on disk, in an embedded store: what holds, and an audit trail of every
+// Package store keeps the revisions of overrides on disk, in an embedded store: what holds, and an audit trail of every
 // change. It decides nothing. A change is kept once its transaction is on disk, and never in part.
-package keep
+package store
 
 import (
 	"encoding/binary"
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog"
 	bolt "go.etcd.io/bbolt"
 
-	"puffinlink.example/puffinlink/internal/mailbox"
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 const (
@@ -61,7 +61,7 @@
 type Store struct {
 	db     *bolt.DB
 	lock   *os.File // nobody else reads or writes the directory while it is held
-	in     *mailbox.Box[job]
+	in     *eventqueue.Box[job]
 	ended  chan struct{}
 	failed error // opened without a file: every change is refused with it
 }
@@ -73,7 +73,7 @@
 }
 
 func openWithin(dir string, wait time.Duration, log zerolog.Logger) (s *Store, kept Kept, err error) {
-	s = &Store{in: mailbox.New[job](), ended: make(chan struct{})}
+	s = &Store{in: eventqueue.New[job](), ended: make(chan struct{})}
 	defer func() {
 		s.failed = err
 		go s.run()
--- a/internal/keep/keep_test.go
+++ b/internal/store/store_test.go
@@ -1,4 +1,4 @@
-package keep
+package store
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"github.com/rs/zerolog"
 
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 // A test that starts this binary as its child names the child's part in this variable.
--- a/internal/demo/demo.go
+++ b/internal/tools/demo/demo.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/node"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/dataplane/node"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -147,7 +147,7 @@
 		return nil, "", err
 	}
 	name := fmt.Sprintf("n%d", i+1)
-	file := opfile.Defaults()
+	file := operatorfile.Defaults()
 	file.Overrides.On = true
 	if d.Directory != "" {
 		file.Overrides.Directory = filepath.Join(d.Directory, name)
--- a/internal/drill/drill.go
+++ b/internal/tools/drill/drill.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"puffinlink.example/puffinlink/internal/settings"
+	"puffinlink.example/puffinlink/internal/dataplane/settings"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/planfile/planfile.go
+++ b/internal/tools/planfile/planfile.go
@@ -8,9 +8,9 @@
 	"os"
 	"strings"
 
-	"puffinlink.example/puffinlink/internal/capture"
 	"puffinlink.example/puffinlink/internal/jsonc"
-	"puffinlink.example/puffinlink/internal/plan"
+	"puffinlink.example/puffinlink/internal/operators/capture"
+	"puffinlink.example/puffinlink/internal/tools/plan"
 	"puffinlink.example/puffinlink/logic"
 )
 
--- a/internal/planfile/planfile_test.go
+++ b/internal/tools/planfile/planfile_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"puffinlink.example/puffinlink/internal/capture"
+	"puffinlink.example/puffinlink/internal/operators/capture"
 )
 
 const good = `{ // two locations
--- a/internal/prove/prove.go
+++ b/internal/tools/prove/prove.go
@@ -14,10 +14,10 @@
 	"github.com/rs/zerolog"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/node"
-	"puffinlink.example/puffinlink/internal/opfile"
-	"puffinlink.example/puffinlink/internal/plan"
+	"puffinlink.example/puffinlink/internal/dataplane/node"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 	"puffinlink.example/puffinlink/internal/standin"
+	"puffinlink.example/puffinlink/internal/tools/plan"
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -240,7 +240,7 @@
 		if err != nil {
 			return t, err
 		}
-		n, err := node.StartText(site.Config(fmt.Sprint("n", i+1), address, register, i), opfile.Defaults(), zerolog.Nop(), counters.New())
+		n, err := node.StartText(site.Config(fmt.Sprint("n", i+1), address, register, i), operatorfile.Defaults(), zerolog.Nop(), counters.New())
 		if err != nil {
 			return t, err
 		}
--- a/internal/rig/broken_test.go
+++ b/internal/tools/systemtest/broken_test.go
@@ -1,4 +1,4 @@
-package rig
+package systemtest
 
 import (
 	"strings"
@@ -14,7 +14,7 @@
 	t.Run("floors not subtracted", func(t *testing.T) {
 		t.Parallel()
 		q := `{"version": 1, "tenants": [{"tenant": "acme", "per_s": 60, "burst": 60, "floor_share": 0.6}]}`
-		for _, binary := range []string{"", Broken(t, "internal/fleet/voter.go", "	return perS, burst\n}", "	return 0, 0\n}")} {
+		for _, binary := range []string{"", Broken(t, "internal/controlplane/fleet/voter.go", "	return perS, burst\n}", "	return 0, 0\n}")} {
 			w := Start(t, Options{Mixers: 3, Quotas: q, Binary: binary})
 			w.grants()
 			stop := w.Load(180, "acme", "reads", w.All)
@@ -29,7 +29,7 @@
 	t.Run("told as held before all hold it", func(t *testing.T) {
 		t.Parallel()
 		w := Start(t, Options{Mixers: 3, Contracts: strings.Replace(contracts, `["a", "b"]`, `["a", "b", "c"]`, 1),
-			Binary: Broken(t, "internal/fleet/residency/residency.go", "			p.Held = false\n", "")})
+			Binary: Broken(t, "internal/controlplane/fleet/residency/residency.go", "			p.Held = false\n", "")})
 		alone := w.Mixers[(w.grants().no+1)%3]
 		stop := w.Load(100, "cato", "reads", w.All)
 		w.Until("it is served", func() bool { status, _ := w.Ask(alone, "cato", "reads", 0, 1); return status == 200 })
@@ -48,7 +48,7 @@
 	})
 	t.Run("a judgement of one sick witness", func(t *testing.T) {
 		t.Parallel()
-		w := Start(t, Options{Mixers: 4, Binary: Broken(t, "internal/fleet/shared/shared.go", "	witnesses  = 2 ", "	witnesses  = 1 ")})
+		w := Start(t, Options{Mixers: 4, Binary: Broken(t, "internal/controlplane/fleet/shared/shared.go", "	witnesses  = 2 ", "	witnesses  = 1 ")})
 		w.grants()
 		stop := w.Load(60, "cato", "reads", func(int) *Mixer { return w.Mixers[3] })
 		time.Sleep(1500 * time.Millisecond)
--- a/internal/rig/command_test.go
+++ b/internal/tools/systemtest/command_test.go
@@ -1,4 +1,4 @@
-package rig
+package systemtest
 
 import (
 	"os/exec"
--- a/internal/rig/points_test.go
+++ b/internal/tools/systemtest/failpoints_test.go
@@ -1,4 +1,4 @@
-package rig
+package systemtest
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 )
 
 // all plays every point with every fault, and not the sample that CI plays.
@@ -63,15 +63,15 @@
 func TestPointsInTurn(t *testing.T) {
 	t.Parallel()
 	type one struct {
-		point points.Point
+		point failpoint.Point
 		pass  int
 		fault string
 	}
-	sample := []one{{points.Spend, 40, "stop"}, {points.AnswerAsk, 25, "kill"}, {points.TakeGrant, 12, "delay"}, {points.SaveCouncil, 4, "fail"},
-		{points.HoldContract, 2, "drop"}, {points.Renew, 20, "stop"}, {points.SavedCouncil, 3, "kill"}, {points.SendDatagram, 90, "double"}}
+	sample := []one{{failpoint.Spend, 40, "stop"}, {failpoint.AnswerAsk, 25, "kill"}, {failpoint.TakeGrant, 12, "delay"}, {failpoint.SaveCouncil, 4, "fail"},
+		{failpoint.HoldContract, 2, "drop"}, {failpoint.Renew, 20, "stop"}, {failpoint.SavedCouncil, 3, "kill"}, {failpoint.SendDatagram, 90, "double"}}
 	if all {
 		sample = nil
-		for p := points.Point(1); int(p) < len(points.Names); p++ {
+		for p := failpoint.Point(1); int(p) < len(failpoint.Names); p++ {
 			for _, f := range faults {
 				sample = append(sample, one{p, 1 + int(p)%3, f})
 			}
@@ -96,14 +96,14 @@
 		for line := range strings.Lines(string(text)) {
 			passed[strings.TrimSpace(line)] = true
 		}
-		for p := points.Point(1); int(p) < len(points.Names); p++ {
+		for p := failpoint.Point(1); int(p) < len(failpoint.Names); p++ {
 			if !passed[fmt.Sprint(p)] {
-				t.Errorf("the workload does not pass point %d, %s", p, points.Names[p])
+				t.Errorf("the workload does not pass point %d, %s", p, failpoint.Names[p])
 			}
 		}
 	})
 	for _, c := range sample {
-		t.Run(fmt.Sprintf("%d %s %s", c.point, strings.ReplaceAll(points.Names[c.point], " ", "-"), c.fault), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d %s %s", c.point, strings.ReplaceAll(failpoint.Names[c.point], " ", "-"), c.fault), func(t *testing.T) {
 			t.Parallel()
 			places <- struct{}{}
 			defer func() { <-places }()
--- a/internal/rig/rig_test.go
+++ b/internal/tools/systemtest/systemtest_test.go
@@ -1,6 +1,6 @@
-// Package rig starts several real processes of the program on loopback, before stand-ins, with a relay between every two,
+// Package systemtest starts several real processes of the program on loopback, before stand-ins, with a relay between every two,
 // and judges what came of them. Only tests use it. What judges here shares no code with what it judges.
-package rig
+package systemtest
 
 import (
 	"bytes"
@@ -21,8 +21,8 @@
 	"testing"
 	"time"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/operators"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/operators/api"
 	"puffinlink.example/puffinlink/internal/standin"
 )
 
@@ -145,7 +145,7 @@
 	cmd      *exec.Cmd
 	ended    chan struct{}
 	log      string
-	client   *operators.Client
+	client   *api.Client
 }
 
 // Start starts a world. Mixers and searchers stand in zones a, b and c by turns; each shard is held in two zones.
@@ -468,12 +468,12 @@
 }
 
 // Client is its operators' client, one for all: the listener takes few lines.
-func (m *Mixer) Client() *operators.Client {
+func (m *Mixer) Client() *api.Client {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.client == nil {
 		var err error
-		m.client, err = operators.NewClient("unix:"+m.socket(), "")
+		m.client, err = api.NewClient("unix:"+m.socket(), "")
 		m.world.must(err)
 	}
 	return m.client
@@ -506,7 +506,7 @@
 	body, _ := json.Marshal(command)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	var c operators.FleetCommand
+	var c api.FleetCommand
 	m.world.must(json.Unmarshal(body, &c))
 	r, err := m.Client().Change(ctx, c)
 	return r.Version, err
@@ -582,7 +582,7 @@
 func (w *World) All(n int) *Mixer { return w.Mixers[n%len(w.Mixers)] }
 
 // Arming is the variable that arms a point.
-func Arming(p points.Point, pass int, fault string) string {
+func Arming(p failpoint.Point, pass int, fault string) string {
 	return "PUFFINLINK_POINT=" + strconv.Itoa(int(p)) + ":" + strconv.Itoa(pass) + ":" + fault
 }
 
