--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// TestStartLeavesTheLogAlone: lines that end with one mixer are logged while another starts, which sets nothing that they read.
+// TestStartLeavesTheLogAlone: connections that end with one mixer are logged while another starts, which sets nothing that they read.
 func TestStartLeavesTheLogAlone(t *testing.T) {
 	configured(t, "x", "x:1", "y:1", goodSettings) // its address stops it, after its log is there
 	begun, ended := make(chan bool), make(chan bool)
@@ -217,7 +217,7 @@
 	case <-time.After(time.Second):
 	}
 	answer <- true
-	expect(held, `200 false{"whole":true`) // the line stays: another mixer may not be there yet
+	expect(held, `200 false{"whole":true`) // the connection stays: another mixer may not be there yet
 	select {
 	case err := <-ended:
 		if err != nil {
--- a/cmd/puffinlink/override.go
+++ b/cmd/puffinlink/override.go
@@ -205,7 +205,7 @@
 	return c.send(cmd, c.Revision)
 }
 
-// send sends a command, for the present revision where none is stated; it goes again where the line broke, under one key.
+// send sends a command, for the present revision where none is stated; it goes again where the connection broke, under one key.
 func (d *door) send(cmd api.Command, revision int64) error {
 	client, err := d.client()
 	if err != nil {
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -26,7 +26,7 @@
 	heapShare = 0.6
 	// growth lets the heap grow to so many percent beyond what lives, as what lives is small: fewer collections.
 	growth = 400
-	// logLines may wait for whoever reads the log: those of all lines that a mixer may have, ending at once.
+	// logLines may wait for whoever reads the log: those of all connections that a mixer may have, ending at once.
 	logLines = 1024
 )
 
@@ -36,7 +36,7 @@
 
 func (s *serveCmd) Run() error { return run(s.Operator) }
 
-// The log's times, set once and before anything runs: lines of a mixer that stops may still read it.
+// The log's times, set once and before anything runs: connections of a mixer that stops may still read it.
 func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs }
 
 // limit keeps Go within the machine's share.
--- a/internal/controlplane/fleet/ask.go
+++ b/internal/controlplane/fleet/ask.go
@@ -26,7 +26,7 @@
 		if to == f.set.Self {
 			f.granted_(to, f.answered(to, a))
 		} else {
-			f.send(to, letterAsk, a)
+			f.send(to, messageAsk, a)
 		}
 	}
 }
@@ -47,7 +47,7 @@
 }
 
 // granted_ takes an answer. It counts from when we asked, however long it took: so a granter that stood still, and
-// letters that were held up, lengthen nothing.
+// messages that were held up, lengthen nothing.
 func (f *Fleet) granted_(from roster.Name, g *granting) {
 	i := slices.IndexFunc(f.asked, func(o out) bool { return o.no == g.No && o.to == from })
 	if i < 0 {
--- a/internal/controlplane/fleet/command.go
+++ b/internal/controlplane/fleet/command.go
@@ -31,7 +31,7 @@
 const (
 	// againEvery is how often a command is sent anew where its answer may be lost.
 	againEvery  = 0.5
-	mostWaiting = 64 // as many as operators have lines, and those of other mixers
+	mostWaiting = 64 // as many as operators have connections, and those of other mixers
 )
 
 // command is one on its way, ours or another mixer's.
@@ -116,7 +116,7 @@
 		f.lead(c)
 	case c.from == "" && to != f.set.Self:
 		for range failpoint.Pass(failpoint.ForwardCommand).Times() {
-			f.send(to, letterCommand, c.handed)
+			f.send(to, messageCommand, c.handed)
 		}
 	}
 }
@@ -160,7 +160,7 @@
 		c.reply <- a
 		return
 	}
-	f.send(c.from, letterResult, handedBack{c.No, a.result, a.progress})
+	f.send(c.from, messageResult, handedBack{c.No, a.result, a.progress})
 }
 
 // handed takes another mixer's command.
--- a/internal/controlplane/fleet/council/council_test.go
+++ b/internal/controlplane/fleet/council/council_test.go
@@ -45,26 +45,26 @@
 	intro    *Intro
 }
 
-// net plays a council by ticks: letters lost, late and doubled, voters that crash between saving and speaking, that come
+// net plays a council by ticks: messages lost, late and doubled, voters that crash between saving and speaking, that come
 // back with what they saved or with nothing.
 type net struct {
 	testing.TB
 	chance.PCG
-	names   []roster.Name
-	voters  map[roster.Name]*Machine
-	disks   map[roster.Name]*disk
-	letters []flying
-	tick    int
-	lossy   float64
-	late    int
-	cut     map[roster.Name]bool
-	applied map[uint64]Done // by index: what any voter applied there
-	acted   map[CommandID]uint64
-	reads   map[roster.Name]int // tick of the question of a read that was confirmed
-	asked   map[ReadNo]int
-	readNo  ReadNo
-	crash   float64 // chance between saving and going on
-	lost    uint64
+	names    []roster.Name
+	voters   map[roster.Name]*Machine
+	disks    map[roster.Name]*disk
+	messages []flying
+	tick     int
+	lossy    float64
+	late     int
+	cut      map[roster.Name]bool
+	applied  map[uint64]Done // by index: what any voter applied there
+	acted    map[CommandID]uint64
+	reads    map[roster.Name]int // tick of the question of a read that was confirmed
+	asked    map[ReadNo]int
+	readNo   ReadNo
+	crash    float64 // chance between saving and going on
+	lost     uint64
 }
 
 func newNet(t testing.TB, n int, seed uint64) *net {
@@ -99,9 +99,9 @@
 		return
 	}
 	f.at = w.tick + 1 + int(w.Unit()*float64(w.late))
-	w.letters = append(w.letters, f)
+	w.messages = append(w.messages, f)
 	if w.lossy > 0 && w.Unit() < 0.05 {
-		w.letters = append(w.letters, f)
+		w.messages = append(w.messages, f)
 	}
 }
 
@@ -146,12 +146,12 @@
 func (w *net) ticks(n int) {
 	for range n {
 		w.tick++
-		waiting := w.letters
-		w.letters = nil
+		waiting := w.messages
+		w.messages = nil
 		for _, l := range waiting {
 			switch {
 			case l.at > w.tick:
-				w.letters = append(w.letters, l)
+				w.messages = append(w.messages, l)
 			case l.intro != nil:
 				answer, save, err := w.voters[l.to].Introduced(l.from, l.intro)
 				if err != nil {
--- a/internal/controlplane/fleet/council/founding.go
+++ b/internal/controlplane/fleet/council/founding.go
@@ -28,7 +28,7 @@
 }
 
 // Introduce is what to say to all other voters now, if anything. A nonce that was given up may never come again; answers
-// count while theirs is the one in use, which is to be no longer than a network may hold up a letter and its answer.
+// count while theirs is the one in use, which is to be no longer than a network may hold up a message and its answer.
 func (m *Machine) Introduce(nonce uint64) (Intro, bool) {
 	if m.node != nil {
 		return Intro{}, false
--- a/internal/controlplane/fleet/failpoint/failpoint.go
+++ b/internal/controlplane/fleet/failpoint/failpoint.go
@@ -1,5 +1,5 @@
 // Package failpoint numbers the places where a fleet's code sends, receives, stores, applies, grants, spends or tells. In a
-// binary built with the tag `points`, and in no other, one of them can be armed by the environment, so that at its k-th pass
+// binary built with the tag `failpoints`, and in no other, one of them can be armed by the environment, so that at its k-th pass
 // something goes wrong there: tests play each in turn. In the plain build Pass is empty and nothing reads the environment.
 package failpoint
 
@@ -30,11 +30,11 @@
 	JudgeSearchers
 	ForwardCommand
 	SaveTables
-	points
+	count
 )
 
 // Names are the table: what happens at each point.
-var Names = [points]string{
+var Names = [count]string{
 	SendDatagram: "send a datagram", TakeDatagram: "take a datagram", SendLong: "send a long letter", TakeLong: "take a long letter",
 	Introduce: "introduce a voter", SaveCouncil: "save the council's work", SavedCouncil: "go on after the council's work is saved",
 	ApplyCommand: "apply what the council agreed on", BeginGranting: "begin to grant", ConfirmGranter: "confirm the granter's authority",
--- a/internal/controlplane/fleet/failpoint/failpoint_test.go
+++ b/internal/controlplane/fleet/failpoint/failpoint_test.go
@@ -19,7 +19,7 @@
 }
 
 // The plain build has nothing of it: no variable that arms a point, and no name of one.
-func TestPlainBuildHasNoPoints(t *testing.T) {
+func TestPlainBuildHasNoFailpoints(t *testing.T) {
 	has := func(tags string) bool {
 		path := filepath.Join(t.TempDir(), "mixer")
 		if out, err := exec.Command("go", "build", "-tags", tags, "-o", path, "puffinlink.example/puffinlink/cmd/puffinlink").CombinedOutput(); err != nil {
@@ -29,12 +29,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return bytes.Contains(text, []byte("PUFFINLINK_POINT")) || bytes.Contains(text, []byte(Names[Spend]))
+		return bytes.Contains(text, []byte("PUFFINLINK_FAILPOINT")) || bytes.Contains(text, []byte(Names[Spend]))
 	}
 	if has("") {
 		t.Error("the plain build can be armed")
 	}
-	if !has("points") {
-		t.Error("the build with points can't be told from the plain one by this test")
+	if !has("failpoints") {
+		t.Error("the build with failpoints can't be told from the plain one by this test")
 	}
 }
--- a/internal/controlplane/fleet/failpoint/off.go
+++ b/internal/controlplane/fleet/failpoint/off.go
@@ -1,4 +1,4 @@
-//go:build !points
+//go:build !failpoints
 
 package failpoint
 
--- a/internal/controlplane/fleet/failpoint/on.go
+++ b/internal/controlplane/fleet/failpoint/on.go
@@ -1,4 +1,4 @@
-//go:build points
+//go:build failpoints
 
 package failpoint
 
@@ -14,10 +14,10 @@
 // Variable arms a point: "POINT:PASS:FAULT", as "14:3:stop". Listed names a file to which each point's first pass is
 // written, a line each.
 const (
-	Variable = "PUFFINLINK_POINT"
-	Listed   = "PUFFINLINK_POINTS_LIST"
+	Variable = "PUFFINLINK_FAILPOINT"
+	Listed   = "PUFFINLINK_FAILPOINTS_LIST"
 	// Once names a file that whoever gets to the armed point first makes: of several processes armed alike one fails.
-	Once = "PUFFINLINK_POINT_ONCE"
+	Once = "PUFFINLINK_FAILPOINT_ONCE"
 	// DelayS is how long a delay lasts, longer than any time-out between mixers.
 	DelayS = 1.0
 )
@@ -30,7 +30,7 @@
 
 var (
 	arm    armed
-	passes [points]atomic.Int64
+	passes [count]atomic.Int64
 	list   *os.File
 )
 
--- a/internal/controlplane/fleet/fleet.go
+++ b/internal/controlplane/fleet/fleet.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	lettersATurn = 256 // or a flood would hold up what is due
+	messagesPerTurn = 256 // or a flood would hold up what is due
 
 	turn        = 50 * time.Millisecond // of the control goroutine, where nothing comes sooner
 	askEvery    = 0.2                   // a lease is renewed some twenty times while it lasts
@@ -37,12 +37,12 @@
 	reportEvery = 1.0
 	passEvery   = 0.25
 	introEvery  = 0.25
-	nonceFor    = 5.0 // a letter and its answer, with links of 2 s
+	nonceFor    = 5.0 // a message and its answer, with links of 2 s
 	answerWait  = 0.6 // for the granter's answer, before another voter is asked who grants
 	commandWait = 10.0
 	muteFor     = 5.0  // a voter whose directory took nothing
 	reopenEvery = 0.25 // where another process still has our address or directory
-	mostReports = 2    // in a letter: a datagram's worth
+	mostReports = 2    // in a message: a datagram's worth
 	// Shares of the settings' lease: how long a confirmed granter may act on that, and how long tokens and contracts last.
 	// With both, the clocks' slack and an election of 2 s the next granter is ready within a lease of 8 s or more.
 	authorityShare, tokenShare, contractShare = 0.15, 0.4, 0.5
@@ -60,10 +60,10 @@
 // Fleet is the actor.
 type Fleet struct {
 	set   Settings
-	tell  *eventqueue.Box[mixer.Event]
+	tell  *eventqueue.Queue[mixer.Event]
 	log   zerolog.Logger
 	count *counters.Set
-	in    *eventqueue.Box[note]
+	in    *eventqueue.Queue[note]
 	start time.Time
 	unix  float64
 
@@ -71,17 +71,17 @@
 	view atomic.Pointer[view]
 	sure atomic.Uint64 // until when contracts are sure, as bits of a float
 	// What the module's actor alone uses.
-	book  *shared.Book
-	cutAt float64
+	observed *shared.Observed
+	cutAt    float64
 
 	// What follows belongs to the goroutine of control state.
 	now        float64
 	others     []roster.Name
 	strictHash uint64
-	post       *sockets.Post
+	sockets    *sockets.Sockets
 	store      *store.Log
-	kept       store.LogKept
-	book_      *link.Book
+	stored     store.LogContents
+	sealer     *link.Sealer
 	members    *members.Machine
 	council    *council.Machine // nil where this one does not vote
 	saving     bool             // the council's work waits for the disk
@@ -127,13 +127,13 @@
 
 // New makes the actor. Until its directory and address are open, and another process may hold both, it knows no contract
 // for sure and has neither tokens nor floors.
-func New(set Settings, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
+func New(set Settings, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	f := &Fleet{set: set, tell: tell, log: log, count: count, in: eventqueue.New[note](), start: now, unix: float64(now.UnixNano()) / 1e9,
-		book: shared.NewBook(), others: set.Roster.Others(set.Self), granter: quota.NewGranter(set.Lease * tokenShare),
+		observed: shared.NewObserved(), others: set.Roster.Others(set.Self), granter: quota.NewGranter(set.Lease * tokenShare),
 		lease: residency.NewLease(set.Lease*contractShare, set.Longest), reads: map[council.ReadNo]float64{}, trouble: map[roster.Name]float64{},
 		judged: map[shared.Searcher]float64{}, quotaOf: map[roster.Name]council.QuotasVersion{}, unlike: map[roster.Name]bool{}, strictHash: set.strictHash(),
 		released: make(chan struct{}), stopping: make(chan struct{}), stopped: make(chan struct{})}
@@ -175,16 +175,16 @@
 
 func (f *Fleet) tryOpen() (err error) {
 	if f.set.Directory != "" && f.store == nil {
-		if f.store, f.kept, err = store.OpenLog(f.set.Directory, 0, f.log); err != nil {
+		if f.store, f.stored, err = store.OpenLog(f.set.Directory, 0, f.log); err != nil {
 			return err
 		}
 	}
-	if f.post == nil {
+	if f.sockets == nil {
 		addresses := map[roster.Name]string{}
 		for _, name := range f.others {
 			addresses[name] = f.set.Roster.Find(name).Address
 		}
-		if f.post, err = sockets.Listen(f.set.Roster.Find(f.set.Self).Address, addresses, f.count); err != nil {
+		if f.sockets, err = sockets.Listen(f.set.Roster.Find(f.set.Self).Address, addresses, f.count); err != nil {
 			return err
 		}
 	}
@@ -197,7 +197,7 @@
 	kept := f.readTables()
 	incarnation = max(incarnation, kept.Incarnation+1)
 	lim := link.Limits{BytesPerS: mostBytes, Burst: 2 * link.MostLong}
-	if f.book_, err = link.New(f.set.Self, incarnation, f.set.Key, f.others, lim); err != nil {
+	if f.sealer, err = link.New(f.set.Self, incarnation, f.set.Key, f.others, lim); err != nil {
 		return err
 	}
 	f.members = members.New(members.Defaults(), f.set.Self, members.Incarnation(incarnation), f.others, f.set.Seed, f.now)
@@ -210,11 +210,11 @@
 	f.quotas, f.has.Quotas = kept.Quotas, kept.QuotasAt
 	f.saveTables()
 	if f.set.Roster.Find(f.set.Self).Votes {
-		if err := f.seat(&f.kept); err != nil { // the mixer takes part all the same, but for its vote
+		if err := f.seat(&f.stored); err != nil { // the mixer takes part all the same, but for its vote
 			f.mute(err)
 		}
 	}
-	f.kept = store.LogKept{ID: f.kept.ID}
+	f.stored = store.LogContents{ID: f.stored.ID}
 	f.publish()
 	f.rezone()
 	return nil
@@ -237,9 +237,9 @@
 }
 
 func (f *Fleet) close() {
-	if f.post != nil {
-		f.post.Close()
-		f.post = nil
+	if f.sockets != nil {
+		f.sockets.Close()
+		f.sockets = nil
 	}
 	if f.store != nil {
 		f.store.Stop()
--- a/internal/controlplane/fleet/fleet_test.go
+++ b/internal/controlplane/fleet/fleet_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Letters that can't be read, of kinds that are not known, or that answer nothing we asked, change nothing and end nothing.
-func FuzzLetters(f *testing.F) {
+// Messages that can't be read, of kinds that are not known, or that answer nothing we asked, change nothing and end nothing.
+func FuzzMessages(f *testing.F) {
 	fl := alone(f, nil)
 	for kind := range byte(12) {
 		f.Add(kind, []byte{0xa1, 1, 2})
--- a/internal/controlplane/fleet/gate.go
+++ b/internal/controlplane/fleet/gate.go
@@ -15,10 +15,10 @@
 
 // view is what traffic goes by. It never changes; another takes its place.
 type view struct {
-	rules  *residency.Rules
-	strict map[logic.CustomerID]bool
-	all    bool // every tenant is strict
-	purses map[logic.CustomerID]*quota.Purse
+	rules   *residency.Rules
+	strict  map[logic.CustomerID]bool
+	all     bool // every tenant is strict
+	buckets map[logic.CustomerID]*quota.Bucket
 }
 
 // stoodStill is how long a process may take from reading the clock to having spent a token. Beyond it the token may have
@@ -45,7 +45,7 @@
 	if out.Zones = rule.Zones; rule.Zones != nil {
 		out.Most = f.set.Longest
 	}
-	if p := v.purses[customer]; p != nil {
+	if p := v.buckets[customer]; p != nil {
 		taken := p.Spend(now)
 		failpoint.Pass(failpoint.Spend)
 		if !taken || f.Now()-now > stoodStill {
@@ -62,14 +62,14 @@
 	case logic.TurnedAway, logic.NotSent: // a full queue is its own word on itself, and no fault
 		return
 	}
-	f.book.Ended(now, shared.Searcher(searcher), ends[how], elapsed)
+	f.observed.Ended(now, shared.Searcher(searcher), ends[how], elapsed)
 	if now-f.cutAt >= reportEvery {
 		f.cutAt = now
-		f.in.Put(note{kind: sawCalls, seen: f.book.Cut(now)})
+		f.in.Put(note{kind: sawCalls, seen: f.observed.Cut(now)})
 	}
 }
 
-// ends says what an end of a part call is for the book.
+// ends says what an end of a part call is for what is observed.
 var ends = [...]shared.End{logic.Answered: shared.Answered, logic.Errored: shared.Failed, logic.TurnedAway: shared.GivenUp,
 	logic.TimedOut: shared.Failed, logic.NotConnected: shared.Failed, logic.Broken: shared.Failed, logic.Withdrawn: shared.GivenUp,
 	logic.NotSent: shared.GivenUp}
--- a/internal/controlplane/fleet/judgements.go
+++ b/internal/controlplane/fleet/judgements.go
@@ -34,7 +34,7 @@
 	fault := failpoint.Pass(failpoint.TellReport)
 	for _, name := range to {
 		for range fault.Times() {
-			f.send(name, letterReports, reports{list})
+			f.send(name, messageReports, reports{list})
 		}
 	}
 }
--- a/internal/controlplane/fleet/link/link.go
+++ b/internal/controlplane/fleet/link/link.go
@@ -1,9 +1,9 @@
 // Package link seals what mixers say to each other, and opens it. It does no I/O and reads no clock. What is unknown,
 // altered, replayed, too long, of another version, or too much, is told apart and never acted on.
 //
-// A letter as it travels: version (1 byte), who it is from and for (8 bytes each, hashes of names), the sender's
-// incarnation and the letter's number (8 bytes each, big endian), its kind (1 byte), the body, and a keyed hash of all
-// that (16 bytes of BLAKE3). Who it is for is under the hash too: a letter to one mixer is none to another.
+// A message as it travels: version (1 byte), who it is from and for (8 bytes each, hashes of names), the sender's
+// incarnation and the message's number (8 bytes each, big endian), its kind (1 byte), the body, and a keyed hash of all
+// that (16 bytes of BLAKE3). Who it is for is under the hash too: a message to one mixer is none to another.
 package link
 
 import (
@@ -22,14 +22,14 @@
 // Incarnation is one process of a mixer; a later one's is larger.
 type Incarnation uint64
 
-// Number counts the letters of an incarnation to one other mixer, from 1.
+// Number counts the messages of an incarnation to one other mixer, from 1.
 type Number uint64
 
-// Kind is what a letter is about; the fleet's actor knows which there are.
+// Kind is what a message is about; the fleet's actor knows which there are.
 type Kind uint8
 
 const (
-	// Version of the letters. Another one is refused.
+	// Version of the messages. Another one is refused.
 	Version = 1
 	// KeyBytes is the length of the key that all of a fleet share.
 	KeyBytes = 32
@@ -44,7 +44,7 @@
 	windowWords = 16
 )
 
-// Why tells why a letter was not opened.
+// Why tells why a message was not opened.
 type Why uint8
 
 const (
@@ -63,8 +63,8 @@
 	return [...]string{"good", "other_version", "too_long", "unknown", "not_ours", "altered", "old", "replayed", "too_much"}[w]
 }
 
-// Letter is one that was opened.
-type Letter struct {
+// Message is one that was opened.
+type Message struct {
 	From        roster.Name
 	Incarnation Incarnation
 	Number      Number
@@ -102,7 +102,7 @@
 	return true
 }
 
-// peer lives as long as the book.
+// peer lives as long as the sealer.
 type peer struct {
 	name   roster.Name
 	id     uint64
@@ -112,7 +112,7 @@
 }
 
 // Book seals and opens for one mixer.
-type Book struct {
+type Sealer struct {
 	self        uint64
 	incarnation Incarnation
 	key         [KeyBytes]byte
@@ -122,36 +122,36 @@
 
 func id(name roster.Name) uint64 { return xxh3.HashString(string(name)) }
 
-// New makes the book of a mixer and the others of its roster.
-func New(self roster.Name, incarnation Incarnation, key [KeyBytes]byte, others []roster.Name, lim Limits) (*Book, error) {
-	b := &Book{self: id(self), incarnation: incarnation, key: key, byName: map[roster.Name]*peer{}, byID: map[uint64]*peer{}}
+// New makes the sealer of a mixer and the others of its roster.
+func New(self roster.Name, incarnation Incarnation, key [KeyBytes]byte, others []roster.Name, lim Limits) (*Sealer, error) {
+	s := &Sealer{self: id(self), incarnation: incarnation, key: key, byName: map[roster.Name]*peer{}, byID: map[uint64]*peer{}}
 	for _, name := range others {
 		p := &peer{name: name, id: id(name), allow: rate.NewLimiter(rate.Limit(lim.BytesPerS), int(lim.Burst))}
-		if other := b.byID[p.id]; other != nil || p.id == b.self {
+		if other := s.byID[p.id]; other != nil || p.id == s.self {
 			return nil, fmt.Errorf("the name %q looks like another one: expected a name with another hash", name)
 		}
-		b.byName[name], b.byID[p.id] = p, p
+		s.byName[name], s.byID[p.id] = p, p
 	}
-	return b, nil
+	return s, nil
 }
 
 // Incarnation is that of this process.
-func (b *Book) Incarnation() Incarnation { return b.incarnation }
+func (s *Sealer) Incarnation() Incarnation { return s.incarnation }
 
 // Rise takes a higher incarnation, where another mixer knows of one as high as ours: a clock that went back, or a second
 // process under our name.
-func (b *Book) Rise(above Incarnation) {
-	if above < b.incarnation {
+func (s *Sealer) Rise(above Incarnation) {
+	if above < s.incarnation {
 		return
 	}
-	b.incarnation = above + 1
-	for _, p := range b.byName {
+	s.incarnation = above + 1
+	for _, p := range s.byName {
 		p.sent = 0
 	}
 }
 
-func (b *Book) mac(sealed []byte) []byte {
-	h, err := blake3.NewKeyed(b.key[:])
+func (s *Sealer) mac(sealed []byte) []byte {
+	h, err := blake3.NewKeyed(s.key[:])
 	if err != nil {
 		panic(err) // the key's length is its type's
 	}
@@ -159,26 +159,26 @@
 	return h.Sum(nil)[:macSize]
 }
 
-// Seal makes a letter ready to travel; nil if it is for none of the roster or too long.
-func (b *Book) Seal(to roster.Name, kind Kind, body []byte) []byte {
-	p := b.byName[to]
+// Seal makes a message ready to travel; nil if it is for none of the roster or too long.
+func (s *Sealer) Seal(to roster.Name, kind Kind, body []byte) []byte {
+	p := s.byName[to]
 	if p == nil || len(body) > MostLong-Overhead {
 		return nil
 	}
 	p.sent++
 	out := make([]byte, 0, Overhead+len(body))
 	out = append(out, Version)
-	out = binary.BigEndian.AppendUint64(out, b.self)
+	out = binary.BigEndian.AppendUint64(out, s.self)
 	out = binary.BigEndian.AppendUint64(out, p.id)
-	out = binary.BigEndian.AppendUint64(out, uint64(b.incarnation))
+	out = binary.BigEndian.AppendUint64(out, uint64(s.incarnation))
 	out = binary.BigEndian.AppendUint64(out, uint64(p.sent))
 	out = append(append(out, byte(kind)), body...)
-	return append(out, b.mac(out)...)
+	return append(out, s.mac(out)...)
 }
 
-// Open opens what came at a time in seconds. Why is Good for a letter to act on; of an Old one the letter tells who it is
+// Open opens what came at a time in seconds. Why is Good for a message to act on; of an Old one the message tells who it is
 // from, so that its sender can be told the incarnation that Known has.
-func (b *Book) Open(now float64, in []byte) (l Letter, why Why) {
+func (s *Sealer) Open(now float64, in []byte) (l Message, why Why) {
 	switch {
 	case len(in) > MostLong:
 		return l, TooLong
@@ -187,22 +187,22 @@
 	case in[0] != Version:
 		return l, OtherVersion
 	}
-	p := b.byID[binary.BigEndian.Uint64(in[1:])]
+	p := s.byID[binary.BigEndian.Uint64(in[1:])]
 	switch {
 	case p == nil:
 		return l, Unknown
-	case binary.BigEndian.Uint64(in[9:]) != b.self:
+	case binary.BigEndian.Uint64(in[9:]) != s.self:
 		return l, NotOurs
 	}
 	body := in[:len(in)-macSize]
 	switch {
-	case subtle.ConstantTimeCompare(b.mac(body), in[len(in)-macSize:]) != 1:
+	case subtle.ConstantTimeCompare(s.mac(body), in[len(in)-macSize:]) != 1:
 		return l, Altered
 	// After the hash: else whoever forges a sender could use up what that one may send.
 	case !p.allow.AllowN(time.Unix(0, int64(now*1e9)), len(in)):
 		return l, TooMuch
 	}
-	l = Letter{From: p.name, Incarnation: Incarnation(binary.BigEndian.Uint64(in[17:])), Number: Number(binary.BigEndian.Uint64(in[25:])),
+	l = Message{From: p.name, Incarnation: Incarnation(binary.BigEndian.Uint64(in[17:])), Number: Number(binary.BigEndian.Uint64(in[25:])),
 		Kind: Kind(in[33]), Body: body[headSize:]}
 	switch w := &p.window; {
 	case l.Incarnation < w.incarnation:
@@ -219,8 +219,8 @@
 }
 
 // Known is the highest incarnation heard of a mixer, 0 for none.
-func (b *Book) Known(name roster.Name) Incarnation {
-	if p := b.byName[name]; p != nil {
+func (s *Sealer) Known(name roster.Name) Incarnation {
+	if p := s.byName[name]; p != nil {
 		return p.window.incarnation
 	}
 	return 0
--- a/internal/controlplane/fleet/link/link_test.go
+++ b/internal/controlplane/fleet/link/link_test.go
@@ -11,28 +11,28 @@
 
 var key = [KeyBytes]byte{1, 2, 3}
 
-func books(t testing.TB, lim Limits) (a, b *Book) {
+func books(t testing.TB, lim Limits) (a, s *Sealer) {
 	t.Helper()
 	a, err := New("a", 10, key, []roster.Name{"b", "c"}, lim)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b, err = New("b", 20, key, []roster.Name{"a", "c"}, lim); err != nil {
+	if s, err = New("b", 20, key, []roster.Name{"a", "c"}, lim); err != nil {
 		t.Fatal(err)
 	}
-	return a, b
+	return a, s
 }
 
 var wide = Limits{BytesPerS: 1e9, Burst: 1e9}
 
-func TestLettersAreOpenedOnce(t *testing.T) {
-	a, b := books(t, wide)
+func TestMessagesAreOpenedOnce(t *testing.T) {
+	a, s := books(t, wide)
 	sealed := a.Seal("b", 3, []byte("body"))
-	l, why := b.Open(1, sealed)
+	l, why := s.Open(1, sealed)
 	if why != Good || l.From != "a" || l.Kind != 3 || string(l.Body) != "body" || l.Incarnation != 10 || l.Number != 1 {
 		t.Fatalf("%v %+v", why, l)
 	}
-	if _, why := b.Open(1, sealed); why != Replayed {
+	if _, why := s.Open(1, sealed); why != Replayed {
 		t.Errorf("the same letter again: %v", why)
 	}
 	if _, why := a.Open(1, sealed); why != Unknown { // our own, turned back
@@ -45,57 +45,57 @@
 	for i := range sealed {
 		spoilt := bytes.Clone(sealed)
 		spoilt[i] ^= 1
-		if _, why := b.Open(1, spoilt); why == Good {
+		if _, why := s.Open(1, spoilt); why == Good {
 			t.Errorf("byte %d altered, and opened", i)
 		}
 	}
 	other, _ := New("a", 11, [KeyBytes]byte{9}, []roster.Name{"b"}, wide)
-	if _, why := b.Open(1, other.Seal("b", 1, nil)); why != Altered {
+	if _, why := s.Open(1, other.Seal("b", 1, nil)); why != Altered {
 		t.Errorf("another key: %v", why)
 	}
 	if a.Seal("nobody", 1, nil) != nil || a.Seal("b", 1, make([]byte, MostLong)) != nil {
 		t.Error("a letter to nobody, or too long, is sealed")
 	}
-	if _, why := b.Open(1, make([]byte, MostLong+1)); why != TooLong {
+	if _, why := s.Open(1, make([]byte, MostLong+1)); why != TooLong {
 		t.Errorf("too long: %v", why)
 	}
 }
 
-// A process that comes after another of its name ends what that one sent; its own letters begin at 1 again. One whose clock
+// A process that comes after another of its name ends what that one sent; its own messages begin at 1 again. One whose clock
 // went back is told, and rises.
 func TestIncarnations(t *testing.T) {
-	a, b := books(t, wide)
+	a, s := books(t, wide)
 	old := a.Seal("b", 1, nil)
 	next, _ := New("a", 11, key, []roster.Name{"b"}, wide)
-	if _, why := b.Open(1, next.Seal("b", 1, nil)); why != Good {
+	if _, why := s.Open(1, next.Seal("b", 1, nil)); why != Good {
 		t.Fatal(why)
 	}
-	if l, why := b.Open(1, old); why != Old || l.From != "a" {
+	if l, why := s.Open(1, old); why != Old || l.From != "a" {
 		t.Errorf("of the process before: %v", why)
 	}
-	a.Rise(b.Known("a"))
-	if _, why := b.Open(1, a.Seal("b", 1, nil)); why != Good || a.Incarnation() != 12 {
+	a.Rise(s.Known("a"))
+	if _, why := s.Open(1, a.Seal("b", 1, nil)); why != Good || a.Incarnation() != 12 {
 		t.Errorf("after it rose: %v, incarnation %d", why, a.Incarnation())
 	}
 }
 
 // Whoever sends too much is not heard for a while; others are.
 func TestBytesASecond(t *testing.T) {
-	a, b := books(t, Limits{BytesPerS: 1000, Burst: 1000})
+	a, s := books(t, Limits{BytesPerS: 1000, Burst: 1000})
 	c, _ := New("c", 1, key, []roster.Name{"b"}, wide)
 	opened := 0
 	for range 100 {
-		if _, why := b.Open(5, a.Seal("b", 1, make([]byte, 50))); why == Good {
+		if _, why := s.Open(5, a.Seal("b", 1, make([]byte, 50))); why == Good {
 			opened++
 		}
 	}
 	if opened < 8 || opened > 11 {
 		t.Errorf("%d letters of 100 bytes opened at once, expected 10", opened)
 	}
-	if _, why := b.Open(5, c.Seal("b", 1, nil)); why != Good {
+	if _, why := s.Open(5, c.Seal("b", 1, nil)); why != Good {
 		t.Errorf("another mixer: %v", why)
 	}
-	if _, why := b.Open(6, a.Seal("b", 1, nil)); why != Good {
+	if _, why := s.Open(6, a.Seal("b", 1, nil)); why != Good {
 		t.Errorf("a second later: %v", why)
 	}
 }
@@ -125,9 +125,9 @@
 	a, _ := books(f, wide)
 	f.Add(a.Seal("b", 1, []byte("x")))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		a, b := books(t, wide)
+		a, s := books(t, wide)
 		genuine := a.Seal("b", 1, []byte("x"))
-		if _, why := b.Open(1, in); why == Good && !bytes.Equal(in, genuine) {
+		if _, why := s.Open(1, in); why == Good && !bytes.Equal(in, genuine) {
 			t.Errorf("opened what nobody sealed: %x", in)
 		}
 	})
--- a/internal/controlplane/fleet/members/members.go
+++ b/internal/controlplane/fleet/members/members.go
@@ -85,14 +85,14 @@
 func Defaults() Settings { return Settings{Period: 0.5, Timeout: 0.15, DeafS: 1.5} }
 
 const (
-	through   = 3 // others asked to ask; Das and others, section 3.2
-	confirms  = 3 // suspicions by others that end one soonest; Lifeguard, section IV-B
-	longTimes = 3 // the longest suspicion against the least
-	leastMult = 3 // periods that the least suspicion lasts, times log10 of the fleet
-	doubtMost = 8 // of oneself, times which waits are longer; Lifeguard, section IV-A
-	perLetter = 8 // pieces of news that a message takes along: with names of 64 bytes still a datagram
-	retell    = 4 // times log10 of the fleet that one is passed on
-	nackAfter = 0.8
+	through    = 3 // others asked to ask; Das and others, section 3.2
+	confirms   = 3 // suspicions by others that end one soonest; Lifeguard, section IV-B
+	longTimes  = 3 // the longest suspicion against the least
+	leastMult  = 3 // periods that the least suspicion lasts, times log10 of the fleet
+	doubtMost  = 8 // of oneself, times which waits are longer; Lifeguard, section IV-A
+	perMessage = 8 // pieces of news that a message takes along: with names of 64 bytes still a datagram
+	retell     = 4 // times log10 of the fleet that one is passed on
+	nackAfter  = 0.8
 )
 
 // member lives as long as the machine.
@@ -369,7 +369,7 @@
 	most := int(math.Ceil(retell * m.size()))
 	slices.SortStableFunc(m.rumours, func(a, b rumour) int { return a.told - b.told })
 	for i := range m.rumours {
-		if r := &m.rumours[i]; len(msg.News) < perLetter && r.Name != to {
+		if r := &m.rumours[i]; len(msg.News) < perMessage && r.Name != to {
 			msg.News = append(msg.News, r.News)
 			r.told++
 		}
--- a/internal/controlplane/fleet/members/members_test.go
+++ b/internal/controlplane/fleet/members/members_test.go
@@ -20,7 +20,7 @@
 	cut      func(from, to roster.Name) bool
 	lossy    float64
 	delay    float64
-	letters  []flying
+	messages []flying
 	now      float64
 	bytes    int
 }
@@ -56,12 +56,12 @@
 
 func (w *net) until(at float64) {
 	for ; w.now < at; w.now += 0.01 {
-		waiting := w.letters
-		w.letters = nil
+		waiting := w.messages
+		w.messages = nil
 		for _, l := range waiting {
 			switch {
 			case l.at > w.now || w.stopped[l.to]:
-				w.letters = append(w.letters, l)
+				w.messages = append(w.messages, l)
 			case !w.dead[l.to]:
 				w.machines[l.to].Hear(w.now, l.from, &l.Message)
 				w.collect(l.to)
@@ -87,12 +87,12 @@
 		}
 	}
 	for _, s := range out {
-		if len(s.News) > perLetter {
-			w.Fatalf("%d pieces of news in a letter", len(s.News))
+		if len(s.News) > perMessage {
+			w.Fatalf("%d pieces of news in a message", len(s.News))
 		}
 		w.bytes += 60 + 20*len(s.News)
 		if !w.cut(from, s.To) && w.Unit() >= w.lossy {
-			w.letters = append(w.letters, flying{w.now + 0.001 + w.delay*w.Unit(), from, s.To, s.Message})
+			w.messages = append(w.messages, flying{w.now + 0.001 + w.delay*w.Unit(), from, s.To, s.Message})
 		}
 	}
 }
@@ -119,7 +119,7 @@
 }
 
 // A crash is known everywhere within seconds at any size, at a cost for each that hardly grows; the process that comes after it
-// is too, and where one in five letters is lost nobody that lives is dead for long.
+// is too, and where one in five messages is lost nobody that lives is dead for long.
 func TestCrashIsKnown(t *testing.T) {
 	for _, n := range []int{3, 9, 30, 100} {
 		w := newNet(t, n, uint64(n))
--- a/internal/controlplane/fleet/messages.go
+++ b/internal/controlplane/fleet/messages.go
@@ -11,17 +11,17 @@
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
-// Kinds of letters.
+// Kinds of messages.
 const (
-	letterMembers link.Kind = 1 + iota
-	letterCouncil
-	letterIntro
-	letterAsk
-	letterGrant
-	letterReports
-	letterCommand
-	letterResult
-	letterNewer
+	messageMembers link.Kind = 1 + iota
+	messageCouncil
+	messageIntro
+	messageAsk
+	messageGrant
+	messageReports
+	messageCommand
+	messageResult
+	messageNewer
 )
 
 // asking is what each mixer asks the granter a few times a second: whether its contracts are the newest, for tokens, and
@@ -73,7 +73,7 @@
 	Tenant  quota.Tenant      `cbor:"2,keyasint"`
 }
 
-// newer tells a mixer that letters of a higher incarnation came under its name.
+// newer tells a mixer that messages of a higher incarnation came under its name.
 type newer struct {
 	Known link.Incarnation `cbor:"1,keyasint"`
 }
@@ -91,7 +91,7 @@
 	return b
 }
 
-// unpacked reads a letter's body; the decoder bounds depth and sizes by itself. A letter that can't be read is dropped,
+// unpacked reads a message's body; the decoder bounds depth and sizes by itself. A message that can't be read is dropped,
 // which its sender takes for a lost one.
 func unpacked[T any](body []byte) (v T, err error) {
 	err = cbor.Unmarshal(body, &v)
--- a/internal/controlplane/fleet/publish.go
+++ b/internal/controlplane/fleet/publish.go
@@ -18,16 +18,16 @@
 
 // publish puts a view before traffic. Purses are only there once the address is ours.
 func (f *Fleet) publish() {
-	v := &view{purses: map[logic.CustomerID]*quota.Purse{}, strict: map[logic.CustomerID]bool{}, all: slices.Contains(f.set.Strict, "*")}
-	purses := f.holder.Set(f.now, f.quotas)
+	v := &view{buckets: map[logic.CustomerID]*quota.Bucket{}, strict: map[logic.CustomerID]bool{}, all: slices.Contains(f.set.Strict, "*")}
+	buckets := f.holder.Set(f.now, f.quotas)
 	for i, tenant := range f.set.Site.Tenants {
 		v.strict[logic.CustomerID(i)] = f.set.strict(quota.Tenant(tenant))
-		p := purses[quota.Tenant(tenant)]
+		p := buckets[quota.Tenant(tenant)]
 		if p == nil && f.set.HasQuotas && (f.members == nil || !f.heard) {
 			p = nothing
 		}
 		if p != nil {
-			v.purses[logic.CustomerID(i)] = p
+			v.buckets[logic.CustomerID(i)] = p
 		}
 	}
 	v.rules = f.set.Site.Compile(f.table, f.set.Location)
@@ -35,7 +35,7 @@
 	f.view.Store(v)
 }
 
-// nothing is the purse of a tenant of whom it is not known whether it has a quota, and of all before the address is ours:
+// nothing is the bucket of a tenant of whom it is not known whether it has a quota, and of all before the address is ours:
 // another process may spend what is due to this mixer.
 var nothing = quota.Empty()
 
--- a/internal/controlplane/fleet/quota/quota_test.go
+++ b/internal/controlplane/fleet/quota/quota_test.go
@@ -20,8 +20,8 @@
 	refilled   bool // a process begins with a full floor
 }
 
-// letter is what is on its way between two mixers in virtual time.
-type letter struct {
+// message is what is on its way between two mixers in virtual time.
+type message struct {
 	at   float64
 	to   int
 	from int
@@ -35,7 +35,7 @@
 	rate      float64
 	holder    *Holder
 	granter   *Granter
-	purse     *Purse
+	purse     *Bucket
 	stopped   float64 // until when the process stands still
 	epoch     uint64  // in which it believes to lead, 0 for none
 	no        uint64
@@ -47,7 +47,7 @@
 	weightDue float64
 }
 
-// sim plays one tenant's quota over a fleet in virtual time, with letters lost, late, doubled and out of order, mixers that
+// sim plays one tenant's quota over a fleet in virtual time, with messages lost, late, doubled and out of order, mixers that
 // stand still, restart and hear nothing, clocks that differ by a hundredth, and granters that change while the one before
 // still believes to be it. The judge is a bucket by true time: what it overflows by is a breach in some window.
 type sim struct {
@@ -56,7 +56,7 @@
 	lease    float64
 	broken   broken
 	mixers   []*simMixer
-	letters  []letter
+	messages []message
 	now      float64
 	leader   int
 	epoch    uint64
@@ -122,7 +122,7 @@
 	return n * perS, n * burst
 }
 
-func (s *sim) send(l letter) {
+func (s *sim) send(l message) {
 	lost, wait := 0.05, 0.001+0.02*s.Unit()
 	switch u := s.Unit(); {
 	case u < 0.05:
@@ -134,11 +134,11 @@
 		return
 	}
 	l.at = s.now + wait
-	s.letters = append(s.letters, l)
+	s.messages = append(s.messages, l)
 	if s.Unit() < 0.02 { // the link drops it where it is sealed; here an answer may come twice
 		l.at += 0.5 * s.Unit()
 		if l.back != nil {
-			s.letters = append(s.letters, l)
+			s.messages = append(s.messages, l)
 		}
 	}
 }
@@ -182,7 +182,7 @@
 			if s.Unit() < 0.9 {
 				m.sees = s.leader
 			}
-			l := letter{from: i, to: m.sees, no: m.no, asks: m.holder.Asks(now, m.no)}
+			l := message{from: i, to: m.sees, no: m.no, asks: m.holder.Asks(now, m.no)}
 			if l.to == i {
 				s.take(l)
 			} else {
@@ -212,18 +212,18 @@
 
 // deliver hands over what has arrived; what is said in answer waits for the next step.
 func (s *sim) deliver() {
-	waiting := s.letters
-	s.letters = nil
+	waiting := s.messages
+	s.messages = nil
 	for _, l := range waiting {
 		if m := s.mixers[l.to]; l.at > s.now || m.stopped > s.now {
-			s.letters = append(s.letters, l)
+			s.messages = append(s.messages, l)
 			continue
 		}
 		s.take(l)
 	}
 }
 
-func (s *sim) take(l letter) {
+func (s *sim) take(l message) {
 	m := s.mixers[l.to]
 	now := m.clock(s.now)
 	if l.back != nil {
@@ -242,12 +242,12 @@
 			back = append(back, g)
 		}
 	}
-	answer := letter{from: l.to, to: l.from, no: l.no, back: back, at: s.now + 0.01}
+	answer := message{from: l.to, to: l.from, no: l.no, back: back, at: s.now + 0.01}
 	switch {
 	case l.from == l.to:
 		s.take(answer)
 	case s.calm:
-		s.letters = append(s.letters, answer)
+		s.messages = append(s.messages, answer)
 	default:
 		s.send(answer)
 	}
@@ -330,11 +330,11 @@
 			m.next = s.now + 0.2
 			m.no++
 			m.asked[m.no] = now
-			l := letter{from: i, to: s.leader, no: m.no, asks: m.holder.Asks(now, m.no), at: s.now + 0.01}
+			l := message{from: i, to: s.leader, no: m.no, asks: m.holder.Asks(now, m.no), at: s.now + 0.01}
 			if i == s.leader {
 				s.take(l)
 			} else {
-				s.letters = append(s.letters, l)
+				s.messages = append(s.messages, l)
 			}
 		}
 		m.weightDue += perS * simStep * m.weight / total
@@ -393,10 +393,10 @@
 func TestFloorOfOneLookup(t *testing.T) {
 	const began = 1.79e9
 	h := NewHolder(3, 9)
-	p := h.Set(began, map[Tenant]Quota{"t": {PerS: 60, Burst: 90, Floor: 0.1}})["t"]
+	b := h.Set(began, map[Tenant]Quota{"t": {PerS: 60, Burst: 90, Floor: 0.1}})["t"]
 	n := 0
 	for i := range 60 * 100 {
-		if p.Spend(began + float64(i)/100) {
+		if b.Spend(began + float64(i)/100) {
 			n++
 		}
 	}
@@ -405,10 +405,10 @@
 	}
 }
 
-// Many goroutines spend from a purse while it is filled and closed: never more than was put in.
-func TestPurseIsSpentFromByMany(t *testing.T) {
+// Many goroutines spend from a bucket while it is filled and closed: never more than was put in.
+func TestBucketIsSpentFromByMany(t *testing.T) {
 	h := NewHolder(1000, 3)
-	p := h.Set(0, map[Tenant]Quota{"t": {PerS: 1000, Burst: 1000}})["t"]
+	b := h.Set(0, map[Tenant]Quota{"t": {PerS: 1000, Burst: 1000}})["t"]
 	var spent atomic.Int64
 	var all sync.WaitGroup
 	stop := make(chan struct{})
@@ -419,7 +419,7 @@
 				case <-stop:
 					return
 				default:
-					if p.Spend(1) {
+					if b.Spend(1) {
 						spent.Add(1)
 					}
 				}
@@ -443,8 +443,8 @@
 	close(stop)
 	all.Wait()
 	left := 0.0
-	for i := range p.slots {
-		if s := p.slots[i].Load(); s != nil {
+	for i := range b.slots {
+		if s := b.slots[i].Load(); s != nil {
 			left += float64(max(0, s.left.Load()))
 		}
 	}
--- a/internal/controlplane/fleet/receive.go
+++ b/internal/controlplane/fleet/receive.go
@@ -7,17 +7,17 @@
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
-// letter opens one and hands it on.
-func (f *Fleet) letter(sealed []byte) {
+// receive opens one and hands it on.
+func (f *Fleet) receive(sealed []byte) {
 	if f.members == nil {
 		return
 	}
-	l, why := f.book_.Open(f.now, sealed)
+	l, why := f.sealer.Open(f.now, sealed)
 	if why != link.Good {
 		f.count.Add("fleet_dropped", why.String(), 1)
 		if why == link.Old && f.now-f.trouble[l.From] >= 1 {
 			f.trouble[l.From] = f.now
-			f.send(l.From, letterNewer, newer{f.book_.Known(l.From)})
+			f.send(l.From, messageNewer, newer{f.sealer.Known(l.From)})
 		}
 		return
 	}
@@ -48,11 +48,11 @@
 
 func init() {
 	handlers = map[link.Kind]func(*Fleet, roster.Name, []byte) error{
-		letterMembers: handled(func(f *Fleet, from roster.Name, m *members.Message) {
+		messageMembers: handled(func(f *Fleet, from roster.Name, m *members.Message) {
 			f.members.Hear(f.now, from, m)
 			f.sendMembers()
 		}),
-		letterCouncil: func(f *Fleet, from roster.Name, body []byte) error {
+		messageCouncil: func(f *Fleet, from roster.Name, body []byte) error {
 			if f.council == nil || f.failed {
 				return nil
 			}
@@ -60,15 +60,15 @@
 			f.safely(func() { err = f.council.Step(from, body) })
 			return err
 		},
-		letterIntro:   handled((*Fleet).introduced),
-		letterAsk:     handled((*Fleet).answer),
-		letterGrant:   handled((*Fleet).granted_),
-		letterReports: handled((*Fleet).reported),
-		letterCommand: handled((*Fleet).handed),
-		letterResult:  handled((*Fleet).handedBack),
-		letterNewer: handled(func(f *Fleet, from roster.Name, n *newer) {
+		messageIntro:   handled((*Fleet).introduced),
+		messageAsk:     handled((*Fleet).answer),
+		messageGrant:   handled((*Fleet).granted_),
+		messageReports: handled((*Fleet).reported),
+		messageCommand: handled((*Fleet).handed),
+		messageResult:  handled((*Fleet).handedBack),
+		messageNewer: handled(func(f *Fleet, from roster.Name, n *newer) {
 			f.log.Error().Str("from", string(from)).Msg("fleet: another process spoke under this name, or the clock went back")
-			f.book_.Rise(n.Known)
+			f.sealer.Rise(n.Known)
 			f.saveTables()
 		}),
 	}
@@ -77,8 +77,8 @@
 func (f *Fleet) send(to roster.Name, kind link.Kind, v any) { f.sendBody(to, kind, packed(v)) }
 
 func (f *Fleet) sendBody(to roster.Name, kind link.Kind, body []byte) {
-	if f.post != nil {
-		f.post.Send(to, f.book_.Seal(to, kind, body))
+	if f.sockets != nil {
+		f.sockets.Send(to, f.sealer.Seal(to, kind, body))
 	}
 }
 
@@ -87,7 +87,7 @@
 	for _, s := range list {
 		fault := failpoint.Pass(failpoint.ProbeMember)
 		for range fault.Times() {
-			f.send(s.To, letterMembers, s.Message)
+			f.send(s.To, messageMembers, s.Message)
 		}
 	}
 	for _, c := range changes {
--- a/internal/controlplane/fleet/roster/roster.go
+++ b/internal/controlplane/fleet/roster/roster.go
@@ -14,7 +14,7 @@
 // Member is one mixer.
 type Member struct {
 	Name     Name
-	Address  string // host and port, on which it takes datagrams and lines from others
+	Address  string // host and port, on which it takes datagrams and connections from others
 	Location string
 	Votes    bool
 }
--- a/internal/controlplane/fleet/run.go
+++ b/internal/controlplane/fleet/run.go
@@ -44,16 +44,16 @@
 	var notes []note
 	timer := time.NewTimer(turn)
 	for {
-		var letters chan []byte
-		if f.post != nil {
-			letters = f.post.In
+		var messages chan []byte
+		if f.sockets != nil {
+			messages = f.sockets.In
 		}
 		select {
-		case sealed := <-letters:
+		case sealed := <-messages:
 			f.now = f.Now()
-			f.letter(sealed)
-			for range min(len(letters), lettersATurn) { // what waits, so that a turn sees the newest
-				f.letter(<-letters)
+			f.receive(sealed)
+			for range min(len(messages), messagesPerTurn) { // what waits, so that a turn sees the newest
+				f.receive(<-messages)
 			}
 		case <-f.in.Ready():
 		case <-timer.C:
--- a/internal/controlplane/fleet/shared/shared.go
+++ b/internal/controlplane/fleet/shared/shared.go
@@ -87,10 +87,10 @@
 	t.calls, t.at = t.calls*math.Exp((t.at-now)/fadingS), now
 }
 
-// Book counts what a mixer sees itself. The module's actor uses it.
-type Book struct{ tallies map[Searcher]*tally }
+// Observed counts what a mixer sees itself. The module's actor uses it.
+type Observed struct{ tallies map[Searcher]*tally }
 
-func NewBook() *Book { return &Book{map[Searcher]*tally{}} }
+func NewObserved() *Observed { return &Observed{map[Searcher]*tally{}} }
 
 // End is how a call ended, as far as it says something of its searcher.
 type End uint8
@@ -102,14 +102,14 @@
 )
 
 // Ended counts a call that ended so many seconds after it was sent.
-func (b *Book) Ended(now float64, s Searcher, how End, elapsed float64) {
-	t := b.tallies[s]
+func (o *Observed) Ended(now float64, s Searcher, how End, elapsed float64) {
+	t := o.tallies[s]
 	switch {
 	case how == GivenUp && (t == nil || elapsed <= t.latency):
 		return
 	case t == nil:
 		t = &tally{at: now, latency: elapsed}
-		b.tallies[s] = t
+		o.tallies[s] = t
 	}
 	t.fade(now)
 	t.calls++
@@ -122,11 +122,11 @@
 }
 
 // Cut is what is to be told of now. What has faded to nothing is forgotten.
-func (b *Book) Cut(now float64) (seen []Seen) {
-	for _, name := range slices.Sorted(maps.Keys(b.tallies)) {
-		t := b.tallies[name]
+func (o *Observed) Cut(now float64) (seen []Seen) {
+	for _, name := range slices.Sorted(maps.Keys(o.tallies)) {
+		t := o.tallies[name]
 		if t.fade(now); t.calls < 0.5 {
-			delete(b.tallies, name)
+			delete(o.tallies, name)
 			continue
 		}
 		seen = append(seen, Seen{name, int(math.Round(t.calls)), int(math.Round(t.calls * t.failing)), t.latency})
--- a/internal/controlplane/fleet/shared/shared_test.go
+++ b/internal/controlplane/fleet/shared/shared_test.go
@@ -116,20 +116,20 @@
 func TestReportsComeInAnyOrder(t *testing.T) {
 	g := chance.PCG(9)
 	for range 300 {
-		var letters []Report
+		var messages []Report
 		for _, origin := range names[1:] {
 			for v := range 5 {
-				letters = append(letters, Make(origin, Version(v+1), seen(Searcher(fmt.Sprint("s", v%4)))))
+				messages = append(messages, Make(origin, Version(v+1), seen(Searcher(fmt.Sprint("s", v%4)))))
 			}
 		}
 		left, right := store(), store()
 		for range 200 {
-			left.Hear(100, &letters[int(g.Unit()*float64(len(letters)))])
-			right.Hear(100, &letters[int(g.Unit()*float64(len(letters)))])
+			left.Hear(100, &messages[int(g.Unit()*float64(len(messages)))])
+			right.Hear(100, &messages[int(g.Unit()*float64(len(messages)))])
 		}
-		for i := range letters {
-			left.Hear(100, &letters[i])
-			right.Hear(100, &letters[len(letters)-1-i])
+		for i := range messages {
+			left.Hear(100, &messages[i])
+			right.Hear(100, &messages[len(messages)-1-i])
 		}
 		if l, r := left.Judge(100, holders), right.Judge(100, holders); fmt.Sprint(l) != fmt.Sprint(r) {
 			t.Fatalf("%v and %v", l, r)
@@ -157,18 +157,18 @@
 	stores["m0"].Hear(0, &r)
 	where["m0"] = 1
 	for round := 1; round <= 20; round++ {
-		type letter struct {
+		type message struct {
 			to   roster.Name
 			list []Report
 		}
-		var letters []letter
+		var messages []message
 		for _, name := range all {
 			to, list := stores[name].Pass(float64(round)/4, func(roster.Name) bool { return true }, 2)
 			for _, o := range to {
-				letters = append(letters, letter{o, list})
+				messages = append(messages, message{o, list})
 			}
 		}
-		for _, l := range letters {
+		for _, l := range messages {
 			for i := range l.list {
 				if stores[l.to].Hear(float64(round)/4, &l.list[i]) {
 					where[l.to] = round
--- a/internal/controlplane/fleet/sockets/sockets.go
+++ b/internal/controlplane/fleet/sockets/sockets.go
@@ -1,4 +1,4 @@
-// Package sockets carries sealed letters between mixers: datagrams over UDP, and what is longer over TCP, both at the one
+// Package sockets carries sealed messages between mixers: datagrams over UDP, and what is longer over TCP, both at the one
 // address that the roster gives a mixer. It opens nothing and decides nothing. Whoever sends is never held up: what finds
 // no room is dropped, as a network drops it, and counted.
 package sockets
@@ -18,127 +18,127 @@
 )
 
 const (
-	// waiting letters: some rounds of all that a fleet of hundreds may say at once.
+	// waiting messages: some rounds of all that a fleet of hundreds may say at once.
 	waiting = 4096
 	// longWaiting for one other mixer; what matters is said again.
-	longWaiting = 8
-	dialWait    = time.Second
-	longWait    = 5 * time.Second  // for a long letter, once it has begun
-	idleWait    = 10 * time.Second // a line without one is closed
-	mostLines   = 64               // taken in at once
+	longWaiting     = 8
+	dialWait        = time.Second
+	longWait        = 5 * time.Second  // for a long message, once it has begun
+	idleWait        = 10 * time.Second // a connection without one is closed
+	mostConnections = 64               // taken in at once
 )
 
-// Post is the sockets of one mixer.
-type Post struct {
-	In chan []byte // sealed letters as they came
+// Sockets is the sockets of one mixer.
+type Sockets struct {
+	In chan []byte // sealed messages as they came
 
-	udp    *net.UDPConn
-	tcp    net.Listener
-	count  *counters.Set
-	to     map[roster.Name]*net.UDPAddr
-	long   map[roster.Name]chan []byte
-	ended  chan struct{}
-	all    sync.WaitGroup
-	mu     sync.Mutex
-	lines  map[net.Conn]bool
-	closed bool
+	udp         *net.UDPConn
+	tcp         net.Listener
+	count       *counters.Set
+	to          map[roster.Name]*net.UDPAddr
+	long        map[roster.Name]chan []byte
+	ended       chan struct{}
+	all         sync.WaitGroup
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+	closed      bool
 }
 
 // Listen opens the sockets of a mixer. Its address is a lock too: a second process under the same name gets an error.
-func Listen(self string, others map[roster.Name]string, count *counters.Set) (*Post, error) {
-	p := &Post{In: make(chan []byte, waiting), count: count, to: map[roster.Name]*net.UDPAddr{}, long: map[roster.Name]chan []byte{},
-		ended: make(chan struct{}), lines: map[net.Conn]bool{}}
+func Listen(self string, others map[roster.Name]string, count *counters.Set) (*Sockets, error) {
+	s := &Sockets{In: make(chan []byte, waiting), count: count, to: map[roster.Name]*net.UDPAddr{}, long: map[roster.Name]chan []byte{},
+		ended: make(chan struct{}), connections: map[net.Conn]bool{}}
 	at, err := net.ResolveUDPAddr("udp", self)
 	if err != nil {
 		return nil, err
 	}
 	for name, address := range others {
-		if p.to[name], err = net.ResolveUDPAddr("udp", address); err != nil {
+		if s.to[name], err = net.ResolveUDPAddr("udp", address); err != nil {
 			return nil, err
 		}
-		p.long[name] = make(chan []byte, longWaiting)
+		s.long[name] = make(chan []byte, longWaiting)
 	}
-	if p.udp, err = net.ListenUDP("udp", at); err != nil {
+	if s.udp, err = net.ListenUDP("udp", at); err != nil {
 		return nil, err
 	}
-	if p.tcp, err = net.Listen("tcp", self); err != nil {
-		p.udp.Close()
+	if s.tcp, err = net.Listen("tcp", self); err != nil {
+		s.udp.Close()
 		return nil, err
 	}
-	p.all.Go(p.datagrams)
-	p.all.Go(p.accept)
-	for name, queue := range p.long {
-		p.all.Go(func() { p.carry(others[name], queue) })
+	s.all.Go(s.datagrams)
+	s.all.Go(s.accept)
+	for name, queue := range s.long {
+		s.all.Go(func() { s.carry(others[name], queue) })
 	}
-	return p, nil
+	return s, nil
 }
 
 // Close ends all of it.
-func (p *Post) Close() {
-	close(p.ended)
-	p.udp.Close()
-	p.tcp.Close()
-	p.mu.Lock()
-	p.closed = true
-	for c := range p.lines {
+func (s *Sockets) Close() {
+	close(s.ended)
+	s.udp.Close()
+	s.tcp.Close()
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.connections {
 		c.Close()
 	}
-	p.mu.Unlock()
-	p.all.Wait()
+	s.mu.Unlock()
+	s.all.Wait()
 }
 
-// Send sends a letter, by datagram if it fits one.
-func (p *Post) Send(to roster.Name, sealed []byte) {
-	if len(sealed) == 0 || p.to[to] == nil {
-		p.count.Add("fleet_dropped", "not_sent", 1)
+// Send sends a message, by datagram if it fits one.
+func (s *Sockets) Send(to roster.Name, sealed []byte) {
+	if len(sealed) == 0 || s.to[to] == nil {
+		s.count.Add("fleet_dropped", "not_sent", 1)
 		return
 	}
 	if len(sealed) > link.MostDatagram {
 		select {
-		case p.long[to] <- sealed:
+		case s.long[to] <- sealed:
 		default:
-			p.count.Add("fleet_dropped", "no_room", 1)
+			s.count.Add("fleet_dropped", "no_room", 1)
 		}
 		return
 	}
 	f := failpoint.Pass(failpoint.SendDatagram)
 	for range f.Times() {
-		if _, err := p.udp.WriteToUDP(sealed, p.to[to]); err != nil {
-			p.count.Add("fleet_dropped", "not_sent", 1)
+		if _, err := s.udp.WriteToUDP(sealed, s.to[to]); err != nil {
+			s.count.Add("fleet_dropped", "not_sent", 1)
 		}
-		p.count.Add("fleet_bytes", "sent", int64(len(sealed)))
+		s.count.Add("fleet_bytes", "sent", int64(len(sealed)))
 	}
 }
 
-// put hands in what came. A mixer that is stopped for a while must not find hours of old letters: the oldest wait, and
+// put hands in what came. A mixer that is stopped for a while must not find hours of old messages: the oldest wait, and
 // what comes with no room left is dropped.
-func (p *Post) put(sealed []byte, f failpoint.Fault) {
+func (s *Sockets) put(sealed []byte, f failpoint.Fault) {
 	for range f.Times() {
 		select {
-		case p.In <- sealed:
+		case s.In <- sealed:
 		default:
-			p.count.Add("fleet_dropped", "too_many", 1)
+			s.count.Add("fleet_dropped", "too_many", 1)
 		}
 	}
 }
 
-func (p *Post) datagrams() {
+func (s *Sockets) datagrams() {
 	buffer := make([]byte, link.MostDatagram+1)
 	for {
-		n, _, err := p.udp.ReadFromUDP(buffer)
+		n, _, err := s.udp.ReadFromUDP(buffer)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil: // a refused datagram of ours comes back as an error
 			continue
 		}
-		p.count.Add("fleet_bytes", "taken", int64(n))
-		p.put(append([]byte(nil), buffer[:n]...), failpoint.Pass(failpoint.TakeDatagram))
+		s.count.Add("fleet_bytes", "taken", int64(n))
+		s.put(append([]byte(nil), buffer[:n]...), failpoint.Pass(failpoint.TakeDatagram))
 	}
 }
 
-// carry takes long letters to one other mixer, one after the other on a line that it opens when there is one.
-func (p *Post) carry(address string, queue chan []byte) {
+// carry takes long messages to one other mixer, one after the other on a connection that it opens when there is one.
+func (s *Sockets) carry(address string, queue chan []byte) {
 	var c net.Conn
 	defer func() {
 		if c != nil {
@@ -148,7 +148,7 @@
 	idle := time.NewTimer(idleWait)
 	for {
 		select {
-		case <-p.ended:
+		case <-s.ended:
 			return
 		case <-idle.C:
 			if c != nil {
@@ -160,26 +160,26 @@
 			frame := binary.BigEndian.AppendUint32(nil, uint32(len(sealed)))
 			frame = append(frame, sealed...)
 			for range failpoint.Pass(failpoint.SendLong).Times() {
-				c = p.write(c, address, frame)
+				c = s.write(c, address, frame)
 			}
 		}
 	}
 }
 
-// write writes a frame on a line, or on a new one where that has ended meanwhile.
-func (p *Post) write(c net.Conn, address string, frame []byte) net.Conn {
+// write writes a frame on a connection, or on a new one where that has ended meanwhile.
+func (s *Sockets) write(c net.Conn, address string, frame []byte) net.Conn {
 	for range 2 {
 		fresh := c == nil
 		if fresh {
 			var err error
 			if c, err = net.DialTimeout("tcp", address, dialWait); err != nil {
-				p.count.Add("fleet_dropped", "no_line", 1)
+				s.count.Add("fleet_dropped", "no_line", 1)
 				return nil
 			}
 		}
 		c.SetWriteDeadline(time.Now().Add(longWait))
 		if _, err := c.Write(frame); err == nil {
-			p.count.Add("fleet_bytes", "sent", int64(len(frame)))
+			s.count.Add("fleet_bytes", "sent", int64(len(frame)))
 			return c
 		}
 		c.Close()
@@ -187,13 +187,13 @@
 			break
 		}
 	}
-	p.count.Add("fleet_dropped", "line_ended", 1)
+	s.count.Add("fleet_dropped", "line_ended", 1)
 	return nil
 }
 
-func (p *Post) accept() {
+func (s *Sockets) accept() {
 	for {
-		c, err := p.tcp.Accept()
+		c, err := s.tcp.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -201,26 +201,26 @@
 			time.Sleep(10 * time.Millisecond) // no descriptor left: others end
 			continue
 		}
-		p.mu.Lock()
-		room := !p.closed && len(p.lines) < mostLines
+		s.mu.Lock()
+		room := !s.closed && len(s.connections) < mostConnections
 		if room {
-			p.lines[c] = true
-			p.all.Go(func() { p.read(c) })
+			s.connections[c] = true
+			s.all.Go(func() { s.read(c) })
 		}
-		p.mu.Unlock()
+		s.mu.Unlock()
 		if !room {
 			c.Close()
 		}
 	}
 }
 
-// read takes long letters from a line. No memory is taken on the word of a length: it grows with what comes.
-func (p *Post) read(c net.Conn) {
+// read takes long messages from a connection. No memory is taken on the word of a length: it grows with what comes.
+func (s *Sockets) read(c net.Conn) {
 	defer func() {
 		c.Close()
-		p.mu.Lock()
-		delete(p.lines, c)
-		p.mu.Unlock()
+		s.mu.Lock()
+		delete(s.connections, c)
+		s.mu.Unlock()
 	}()
 	for {
 		var head [4]byte
@@ -230,7 +230,7 @@
 		}
 		n := binary.BigEndian.Uint32(head[:])
 		if n > link.MostLong {
-			p.count.Add("fleet_dropped", link.TooLong.String(), 1)
+			s.count.Add("fleet_dropped", link.TooLong.String(), 1)
 			return
 		}
 		c.SetReadDeadline(time.Now().Add(longWait))
@@ -238,7 +238,7 @@
 		if err != nil || len(sealed) < int(n) {
 			return
 		}
-		p.count.Add("fleet_bytes", "taken", int64(n))
-		p.put(sealed, failpoint.Pass(failpoint.TakeLong))
+		s.count.Add("fleet_bytes", "taken", int64(n))
+		s.put(sealed, failpoint.Pass(failpoint.TakeLong))
 	}
 }
--- a/internal/controlplane/fleet/tables.go
+++ b/internal/controlplane/fleet/tables.go
@@ -32,7 +32,7 @@
 )
 
 func (f *Fleet) readTables() (t tables) {
-	if v := f.kept.Values[valueTables]; v != nil {
+	if v := f.stored.Values[valueTables]; v != nil {
 		if err := cbor.Unmarshal(v, &t); err != nil {
 			f.log.Error().Str("text", err.Error()).Msg("fleet: kept tables can't be read, none holds")
 			return tables{}
@@ -58,12 +58,12 @@
 		f.hear(&note{kind: tablesSaved, err: errFault})
 		return
 	}
-	f.store.Save(store.LogSave{Values: map[string][]byte{valueTables: packed(tables{f.book_.Incarnation(), f.table, f.quotas, f.has.Quotas, f.heard})}},
+	f.store.Save(store.LogSave{Values: map[string][]byte{valueTables: packed(tables{f.sealer.Incarnation(), f.table, f.quotas, f.has.Quotas, f.heard})}},
 		func(err error) { f.in.Put(note{kind: tablesSaved, err: err, quotas: quotas}) })
 }
 
 // readCouncil reads what the council's library kept.
-func readCouncil(kept *store.LogKept) (k council.Kept, err error) {
+func readCouncil(kept *store.LogContents) (k council.Kept, err error) {
 	k.ID = kept.ID
 	if v := kept.Values[valueHard]; v != nil {
 		k.Hard = &pb.HardState{}
--- a/internal/controlplane/fleet/voter.go
+++ b/internal/controlplane/fleet/voter.go
@@ -78,7 +78,7 @@
 	for _, name := range to {
 		for range fault.Times() {
 			if name != f.set.Self {
-				f.send(name, letterIntro, in)
+				f.send(name, messageIntro, in)
 			}
 		}
 	}
@@ -169,7 +169,7 @@
 }
 
 // seat makes our voter from what the directory holds.
-func (f *Fleet) seat(kept *store.LogKept) error {
+func (f *Fleet) seat(kept *store.LogContents) error {
 	raftKept, err := readCouncil(kept)
 	if err != nil {
 		return err
@@ -203,7 +203,7 @@
 		return
 	}
 	for _, o := range r.Out {
-		f.sendBody(o.To, letterCouncil, o.Data)
+		f.sendBody(o.To, messageCouncil, o.Data)
 	}
 	for _, no := range r.Reads {
 		if at, known := f.reads[no]; known {
@@ -262,7 +262,7 @@
 func (f *Fleet) answer(from roster.Name, a *asking) {
 	out := f.answered(from, a)
 	for range failpoint.Pass(failpoint.AnswerAsk).Times() {
-		f.send(from, letterGrant, out)
+		f.send(from, messageGrant, out)
 	}
 }
 
--- a/internal/dataplane/clients/body.go
+++ b/internal/dataplane/clients/body.go
@@ -17,21 +17,21 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// book knows the settings' names by number.
-type book struct {
+// nameTable knows the settings' names by number.
+type nameTable struct {
 	indexes   map[string]logic.IndexID
 	customers map[string]logic.CustomerID
 	shards    int
 }
 
-func newBook(set settings.Net) book {
-	return book{settings.Numbered[logic.IndexID](set.Indexes), settings.Numbered[logic.CustomerID](set.Customers), set.Shards}
+func newNameTable(set settings.Net) nameTable {
+	return nameTable{settings.Numbered[logic.IndexID](set.Indexes), settings.Numbered[logic.CustomerID](set.Customers), set.Shards}
 }
 
 // index is the one that the first part of a path names.
-func (b *book) index(path string) (logic.IndexID, bool) {
+func (n *nameTable) index(path string) (logic.IndexID, bool) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	id, known := b.indexes[name]
+	id, known := n.indexes[name]
 	return id, known
 }
 
@@ -54,12 +54,13 @@
 	if d.PeekKind() != '[' {
 		return errors.New("targets is not a list")
 	}
-	for _, err := d.ReadToken(); d.PeekKind() != ']'; {
+	d.ReadToken() // the bracket, whose error the next read would meet too
+	for d.PeekKind() != ']' {
 		if len(t.list) == t.most {
 			return fmt.Errorf("targets names more than %d parts", t.most)
 		}
 		var next target
-		if err = json.UnmarshalDecode(d, &next); err != nil {
+		if err := json.UnmarshalDecode(d, &next); err != nil {
 			return err
 		}
 		t.list = append(t.list, next)
@@ -74,14 +75,14 @@
 }
 
 // readHead reads what a lookup's headers and address say; the error is for the client.
-func (b *book) readHead(r *http.Request, lk *mixer.Lookup) error {
+func (n *nameTable) readHead(r *http.Request, lk *mixer.Lookup) error {
 	for name, values := range r.Header {
 		if len(values) > 1 && strings.HasPrefix(name, "Req-") { // which one counts is anyone's guess
 			return fmt.Errorf("%s stands there twice", name)
 		}
 	}
 	if kind := r.Header.Get("Req-Kind"); kind != "" {
-		if index, known := b.indexes[kind]; !known || index != lk.Index {
+		if index, known := n.indexes[kind]; !known || index != lk.Index {
 			return fmt.Errorf("Req-Kind %q does not name the index of the path", kind)
 		}
 	}
@@ -89,9 +90,9 @@
 	if lk.ID == "" || len(lk.ID) > 64 || strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c > '~' }) {
 		return errors.New("Req-Id is not an id")
 	}
-	if owner := r.Header.Get("Req-Owner"); len(b.customers) > 0 {
+	if owner := r.Header.Get("Req-Owner"); len(n.customers) > 0 {
 		var known bool
-		if lk.Customer, known = b.customers[owner]; !known {
+		if lk.Customer, known = n.customers[owner]; !known {
 			return fmt.Errorf("Req-Owner %q is not known", owner)
 		}
 	}
@@ -109,8 +110,8 @@
 
 // readBody reads the parts; the query's text keeps its bytes. Names count in their own case only, and none may
 // come twice: what another reader would take for the lookup must not differ from what we do.
-func (b *book) readBody(text []byte, lk *mixer.Lookup) error {
-	in := body{Targets: targets{most: b.shards}}
+func (n *nameTable) readBody(text []byte, lk *mixer.Lookup) error {
+	in := body{Targets: targets{most: n.shards}}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return fmt.Errorf("the body is not as expected: %v", err)
 	}
@@ -126,7 +127,7 @@
 	sum := 0.0
 	for i, t := range in.Targets.list {
 		switch {
-		case t.Partition == nil || *t.Partition < 0 || *t.Partition >= b.shards:
+		case t.Partition == nil || *t.Partition < 0 || *t.Partition >= n.shards:
 			return fmt.Errorf("targets[%d].partition is not a shard", i)
 		case seen[*t.Partition]:
 			return fmt.Errorf("targets[%d].partition stands there twice", i)
--- a/internal/dataplane/clients/clients.go
+++ b/internal/dataplane/clients/clients.go
@@ -25,13 +25,13 @@
 
 const (
 	mostBody = 64 << 10 // what the protocol lets a body hold
-	mostHead = 8 << 10  // many times a lookup's: at net/http's own 1 MB the lines at the cap would not fit in memory
+	mostHead = 8 << 10  // many times a lookup's: at net/http's own 1 MB the connections at the cap would not fit in memory
 	// A client that says nothing, or stops in the middle of a head or a body, is owed an end within 3 s of
-	// connecting; some of that passes before its line is accepted.
+	// connecting; some of that passes before its connection is accepted.
 	slowRequest = 2 * time.Second
-	// One that stops in the middle of reading an answer holds its line no longer.
+	// One that stops in the middle of reading an answer holds its connection no longer.
 	slowAnswer = 10 * time.Second
-	// idleTime is how long a line without a request is kept at the least by agreement, and not for good, as some clients
+	// idleTime is how long a connection without a request is kept at the least by agreement, and not for good, as some clients
 	// never come back on one.
 	idleTime = 2 * time.Second
 	// smallBody is what the body of a usual lookup takes. Of larger ones only so many are in hand at once that they,
@@ -46,7 +46,7 @@
 	countedTime = 3 * time.Second
 	killAfter   = 700 * time.Millisecond
 	// Of that it serves on, as others may not be there yet, but for lastAnswers: by then all that it took is answered
-	// and its clients' lines are closed, each with an answer where they ask on.
+	// and its clients' connections are closed, each with an answer where they ask on.
 	lastAnswers = 500 * time.Millisecond
 	lastSecond  = 200 * time.Millisecond // of those, for what no lookup may take any more
 	// emptying is how long after that the listener's queue is emptied before it is closed.
@@ -55,24 +55,24 @@
 
 // Server serves clients.
 type Server struct {
-	http    *http.Server
-	lines   *lines
-	tell    *eventqueue.Box[mixer.Event]
-	log     zerolog.Logger
-	count   *counters.Set
-	book    book
-	retry   bool
-	slow    time.Duration // that an answer may take to be written
-	serveOn time.Duration // how long a stopping mixer takes lookups
-	ends    atomic.Int64  // when each must have its answer once it stops, in Unix ns; 0 before
-	large   chan struct{} // a place for each large body in hand
-	stopped chan error
+	http        *http.Server
+	connections *connections
+	tell        *eventqueue.Queue[mixer.Event]
+	log         zerolog.Logger
+	count       *counters.Set
+	names       nameTable
+	retry       bool
+	slow        time.Duration // that an answer may take to be written
+	serveOn     time.Duration // how long a stopping mixer takes lookups
+	ends        atomic.Int64  // when each must have its answer once it stops, in Unix ns; 0 before
+	large       chan struct{} // a place for each large body in hand
+	stopped     chan error
 }
 
-// New makes a server that keeps no more than so many lines, in so many bytes of memory altogether.
-func New(set settings.Settings, most, memory int, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
-	s := &Server{tell: tell, log: log, count: count, book: newBook(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
-		lines: newLines(most, memory, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
+// New makes a server that keeps no more than so many connections, in so many bytes of memory altogether.
+func New(set settings.Settings, most, memory int, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
+	s := &Server{tell: tell, log: log, count: count, names: newNameTable(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
+		connections: newConnections(most, memory, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
 	longest := 0.0
 	for _, x := range set.Indexes {
 		longest = max(longest, x.Hard)
@@ -80,8 +80,10 @@
 	s.serveOn = killAfter + min(countedTime, time.Duration(longest*float64(time.Second))) - lastAnswers
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: mostHead, ReadTimeout: slowRequest, IdleTimeout: idleTime,
 		DisableGeneralOptionsHandler: true, // which answers 200
-		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, lineKey{}, c) },
-		ConnState:                    s.lines.changed, ErrorLog: stdlog.New(httpLog{log}, "", 0)}
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+		ConnState: s.connections.changed, ErrorLog: stdlog.New(httpLog{log}, "", 0)}
 	return s
 }
 
@@ -95,23 +97,23 @@
 
 // Serve begins to accept, until Drain.
 func (s *Server) Serve(l *net.TCPListener) {
-	s.lines.listener = l
-	go func() { s.stopped <- s.http.Serve(s.lines) }()
+	s.connections.listener = l
+	go func() { s.stopped <- s.http.Serve(s.connections) }()
 }
 
 // Drain serves on for as long as a stopping mixer surely lives, but for the time that the last answers take: a front may
-// not have another mixer yet, and clients ask on on the lines they have. Then answers close their lines, the listener
-// closes once its queue is empty, and the idle lines close; it returns when all that was taken is answered.
+// not have another mixer yet, and clients ask on on the connections they have. Then answers close their connections, the listener
+// closes once its queue is empty, and the idle connections close; it returns when all that was taken is answered.
 func (s *Server) Drain() {
 	s.ends.Store(time.Now().Add(s.serveOn + lastAnswers - lastSecond).UnixNano())
-	open := func() bool { n, _ := s.lines.left(); return n > 0 }
+	open := func() bool { n, _ := s.connections.left(); return n > 0 }
 	for began := time.Now(); time.Since(began) < s.serveOn && (time.Since(began) < noticed || open()); {
 		time.Sleep(emptying)
 	}
-	s.lines.drains.Store(true)
-	s.lines.listener.SetDeadline(time.Now().Add(emptying))
+	s.connections.drains.Store(true)
+	s.connections.listener.SetDeadline(time.Now().Add(emptying))
 	<-s.stopped
-	// Clients send on lines that stay open: each is to be told by an answer that its line closes. A line that is closed
+	// Clients send on connections that stay open: each is to be told by an answer that its connection closes. A connection that is closed
 	// between two lookups may be closed under one that is on its way, so that is left for those that say nothing.
 	for began := time.Now(); time.Since(began) < lastAnswers-lastSecond && open(); {
 		time.Sleep(emptying)
@@ -120,7 +122,7 @@
 	// trickles a request: nothing is owed to either, and to be killed over them would cost others.
 	last := time.Unix(0, s.ends.Load()).Add(lastSecond / 2)
 	for open() && time.Now().Before(last) {
-		s.lines.leave(whyShutdown)
+		s.connections.leave(whyShutdown)
 		time.Sleep(emptying)
 	}
 	// What was answered is not to be reset by our end over what a client has sent since: its own end is waited for.
@@ -128,18 +130,18 @@
 	if last.Before(until) {
 		until = last
 	}
-	for _, half := s.lines.left(); half > 0 && time.Now().Before(until); _, half = s.lines.left() {
+	for _, half := s.connections.left(); half > 0 && time.Now().Before(until); _, half = s.connections.left() {
 		time.Sleep(emptying)
 	}
 	s.http.Close()
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	l := r.Context().Value(lineKey{}).(*line)
-	l.SetWriteDeadline(time.Time{}) // that of the answer before
-	index, known := s.book.index(r.URL.Path)
+	conn := r.Context().Value(connectionKey{}).(*connection)
+	conn.SetWriteDeadline(time.Time{}) // that of the answer before
+	index, known := s.names.index(r.URL.Path)
 	switch {
-	case !l.framed(r): // net/http has settled it in its own way, but another lookup may be hidden in the body
+	case !conn.framed(r): // net/http has settled it in its own way, but another lookup may be hidden in the body
 		s.refuse(w, r, http.StatusBadRequest, "the length of the body is stated twice")
 	case r.ContentLength > mostBody: // told before any of it is read
 		s.refuse(w, r, http.StatusRequestEntityTooLarge, tooLarge)
@@ -176,9 +178,9 @@
 
 // lookup reads one, hands it to the module's actor and writes what that says.
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request, index logic.IndexID) {
-	l := r.Context().Value(lineKey{}).(*line)
-	lk := &mixer.Lookup{Index: index, Arrived: l.arrived(), Done: make(chan mixer.Reply, 1)}
-	if err := s.book.readHead(r, lk); err != nil {
+	conn := r.Context().Value(connectionKey{}).(*connection)
+	lk := &mixer.Lookup{Index: index, Arrived: conn.arrived(), Done: make(chan mixer.Reply, 1)}
+	if err := s.names.readHead(r, lk); err != nil {
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
@@ -196,27 +198,27 @@
 		s.refuse(w, r, http.StatusBadRequest, "the body can't be read")
 		return
 	}
-	if err := s.book.readBody(text, lk); err != nil {
+	if err := s.names.readBody(text, lk); err != nil {
 		s.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
-	if l.hasLeft(r.Context()) { // this one was sent ahead, and nobody waits for its answer
+	if conn.hasLeft(r.Context()) { // this one was sent ahead, and nobody waits for its answer
 		s.write(w, r, http.StatusInternalServerError, nil)
 		return
 	}
-	if !s.lines.ask(l) {
+	if !s.connections.ask(conn) {
 		s.refuse(w, r, http.StatusServiceUnavailable, "too many lookups at once")
 		return
 	}
 	if ends := s.ends.Load(); ends > 0 { // a stopping mixer can't be waited for longer than it lives
 		lk.Wait = min(lk.Wait, max(0, time.Unix(0, ends).Sub(lk.Arrived).Seconds()))
 	}
-	l.SetReadDeadline(time.Time{}) // that of reading; from here net/http only watches for the client's leaving
+	conn.SetReadDeadline(time.Time{}) // that of reading; from here net/http only watches for the client's leaving
 	s.tell.Put(mixer.Event{Taken: lk, Event: logic.Event{Kind: logic.LookupTaken}})
 	select {
 	case reply := <-lk.Done:
 		s.answer(w, r, lk, reply)
-	case <-l.left: // behind what it had sent ahead, which net/http does not see
+	case <-conn.left: // behind what it had sent ahead, which net/http does not see
 		s.gone(w, r, lk)
 	case <-r.Context().Done():
 		s.gone(w, r, lk)
@@ -253,7 +255,7 @@
 	}
 }
 
-// refuse answers what never reaches the module with one plain sentence. What follows on such a line can't be trusted
+// refuse answers what never reaches the module with one plain sentence. What follows on such a connection can't be trusted
 // to begin where we would look for it, and who sends it again at once has to connect again.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, sentence string) {
 	w.Header().Set("Connection", "close")
@@ -262,12 +264,12 @@
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, status int, body []byte) {
-	l := r.Context().Value(lineKey{}).(*line)
-	l.asked.Store(true)
+	conn := r.Context().Value(connectionKey{}).(*connection)
+	conn.asked.Store(true)
 	s.count.Add("answers", strconv.Itoa(status), 1)
-	l.SetWriteDeadline(time.Now().Add(s.slow))
+	conn.SetWriteDeadline(time.Now().Add(s.slow))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if s.lines.drains.Load() || l.leaving() {
+	if s.connections.drains.Load() || conn.leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(status)
--- a/internal/dataplane/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -24,19 +24,19 @@
 
 const patience = queuetest.Patience
 
-// rig is a server whose module's actor the test plays.
-type rig struct {
+// fixture is a server whose module's actor the test plays.
+type fixture struct {
 	*testing.T
 	*Server
 	told    *queuetest.Ear[mixer.Event]
 	address string
 }
 
-func newRig(t *testing.T, most int, change func(*Server)) *rig {
+func newFixture(t *testing.T, most int, change func(*Server)) *fixture {
 	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
 	set.Limits.RetryAfter = true
-	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
-	r.Server = New(set, most, 64<<20, r.told.Box, zerolog.Nop(), counters.New())
+	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
+	r.Server = New(set, most, 64<<20, r.told.Queue, zerolog.Nop(), counters.New())
 	if change != nil {
 		change(r.Server)
 	}
@@ -50,7 +50,7 @@
 	return r
 }
 
-func (r *rig) event(kind logic.EventKind) *mixer.Lookup {
+func (r *fixture) event(kind logic.EventKind) *mixer.Lookup {
 	r.Helper()
 	e := r.told.Next(r.T)
 	if e.Kind != kind {
@@ -59,8 +59,8 @@
 	return e.Taken
 }
 
-// ended waits until a line has ended for a reason.
-func (r *rig) ended(why reason) {
+// ended waits until a connection has ended for a reason.
+func (r *fixture) ended(why reason) {
 	r.Helper()
 	for late := time.Now().Add(patience); r.count.Get("client_lines", string(why)) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(late) {
@@ -69,32 +69,32 @@
 	}
 }
 
-// idle waits until the book calls a client's line idle, which may be after the client has read its answer.
-func (r *rig) idle(c *client) {
+// idle waits until the table calls a client's connection idle, which may be after the client has read its answer.
+func (r *fixture) idle(c *client) {
 	r.Helper()
 	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		r.lines.mu.Lock()
-		for l := range r.lines.open {
+		r.connections.mu.Lock()
+		for l := range r.connections.open {
 			if l.idle && l.RemoteAddr().String() == c.LocalAddr().String() {
-				r.lines.mu.Unlock()
+				r.connections.mu.Unlock()
 				return
 			}
 		}
-		r.lines.mu.Unlock()
+		r.connections.mu.Unlock()
 		if time.Now().After(late) {
 			r.Fatal("the line is never idle")
 		}
 	}
 }
 
-// client is one line of a client's.
+// client is one connection of a client's.
 type client struct {
 	net.Conn
 	in *bufio.Reader
-	r  *rig
+	r  *fixture
 }
 
-func (r *rig) dial() *client {
+func (r *fixture) dial() *client {
 	c, err := net.Dial("tcp", r.address)
 	if err != nil {
 		r.Fatal(err)
@@ -114,7 +114,7 @@
 
 func (c *client) ask() { io.WriteString(c, request("/reads?key=7f3a9c21e0b4d655", goodHead, goodBody)) }
 
-// answer reads a whole answer; no status means that the line ended without one.
+// answer reads a whole answer; no status means that the connection ended without one.
 func (c *client) answer() (status int, head http.Header, body string) {
 	res, err := http.ReadResponse(c.in, nil)
 	if err != nil {
@@ -140,7 +140,7 @@
 }
 
 func TestLookupAndEachAnswer(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c := r.dial()
 	for _, a := range []struct {
 		reply mixer.Reply
@@ -175,7 +175,7 @@
 }
 
 func TestWhatCannotBeReadNeverReachesTheModule(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	for _, c := range []struct {
 		path, head, body string
 		want             int
@@ -241,7 +241,7 @@
 	l = r.dial()
 	io.WriteString(l, "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
 	l.expect(404)
-	if told := r.told.Box.Take(nil); len(told) > 0 {
+	if told := r.told.Queue.Take(nil); len(told) > 0 {
 		t.Fatalf("told %+v", told)
 	}
 	l = r.dial()
@@ -250,7 +250,7 @@
 }
 
 func TestTimeCountsFromTheFirstByte(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c := r.dial()
 	text := request("/reads", goodHead, goodBody)
 	for range 2 {
@@ -270,7 +270,7 @@
 }
 
 func TestAClientThatLeavesIsToldOnce(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c := r.dial()
 	c.ask()
 	lk := r.event(logic.LookupTaken)
@@ -289,7 +289,7 @@
 }
 
 func TestARequestThatStopsHalfWayEndsAlone(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.http.ReadTimeout = 50 * time.Millisecond })
+	r := newFixture(t, 100, func(s *Server) { s.http.ReadTimeout = 50 * time.Millisecond })
 	text := request("/reads", goodHead, goodBody)
 	for _, stops := range []int{10, len(text) - 10} {
 		c, other := r.dial(), r.dial()
@@ -311,8 +311,8 @@
 	c.expect(429)
 }
 
-func TestAtTheCapIdleLinesGoAndNewcomersAreTold(t *testing.T) {
-	r := newRig(t, 5, nil)
+func TestAtTheCapIdleConnectionsGoAndNewcomersAreTold(t *testing.T) {
+	r := newFixture(t, 5, nil)
 	idle := r.dial()
 	idle.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
@@ -336,9 +336,9 @@
 	}
 }
 
-// Clients that ask once and keep their lines do not use up those that clients may have: the longest idle ones close.
-func TestFewLinesAreKeptIdle(t *testing.T) {
-	r := newRig(t, 10, nil)
+// Clients that ask once and keep their connections do not use up those that clients may have: the longest idle ones close.
+func TestFewConnectionsAreKeptIdle(t *testing.T) {
+	r := newFixture(t, 10, nil)
 	held := r.dial()
 	held.ask()
 	reply := r.event(logic.LookupTaken).Done
@@ -365,9 +365,9 @@
 	held.expect(500)
 }
 
-// A line that is idle for long is closed, and one that says nothing, or that stops half way, gets its end in time.
-func TestLinesThatAskNothingEnd(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.http.ReadTimeout, s.http.IdleTimeout = 100*time.Millisecond, 50*time.Millisecond })
+// A connection that is idle for long is closed, and one that says nothing, or that stops half way, gets its end in time.
+func TestConnectionsThatAskNothingEnd(t *testing.T) {
+	r := newFixture(t, 100, func(s *Server) { s.http.ReadTimeout, s.http.IdleTimeout = 100*time.Millisecond, 50*time.Millisecond })
 	idle, silent, endless := r.dial(), r.dial(), r.dial()
 	idle.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
@@ -387,7 +387,7 @@
 
 // Large bodies take memory by turns.
 func TestLargeBodiesAreFew(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.large = make(chan struct{}, 1) })
+	r := newFixture(t, 100, func(s *Server) { s.large = make(chan struct{}, 1) })
 	large := strings.Replace(goodBody, "c4", strings.Repeat("c", 2*smallBody), 1)
 	for range 2 {
 		first, second := r.dial(), r.dial()
@@ -404,7 +404,7 @@
 }
 
 func TestAClientThatDoesNotReadHoldsUpNobody(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.slow = 100 * time.Millisecond })
+	r := newFixture(t, 100, func(s *Server) { s.slow = 100 * time.Millisecond })
 	c, other := r.dial(), r.dial()
 	c.ask()
 	lk := r.event(logic.LookupTaken)
@@ -416,10 +416,10 @@
 	r.ended(whyUnwritten)
 }
 
-// A new line, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
-// Then they go before any line that served a lookup.
-func TestLinesThatStopHalfWayMakeRoomAfterAWhile(t *testing.T) {
-	r := newRig(t, 8, nil)
+// A new connection, and one half way in a request, may hold what nobody has read yet: they are not taken for idle at once.
+// Then they go before any connection that served a lookup.
+func TestConnectionsThatStopHalfWayMakeRoomAfterAWhile(t *testing.T) {
+	r := newFixture(t, 8, nil)
 	served := r.dial()
 	served.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
@@ -451,15 +451,15 @@
 	served.expect(500)
 }
 
-// Far more clients than lines at once: each gets an answer, and none finds its line closed without one.
+// Far more clients than connections at once: each gets an answer, and none finds its connection closed without one.
 func TestACrowdIsAnsweredToTheLast(t *testing.T) {
-	r := newRig(t, 8, nil)
+	r := newFixture(t, 8, nil)
 	done := make(chan struct{})
 	go func() {
 		for {
 			select {
-			case <-r.told.Box.Ready():
-				for _, e := range r.told.Box.Take(nil) {
+			case <-r.told.Queue.Ready():
+				for _, e := range r.told.Queue.Take(nil) {
 					if e.Kind == logic.LookupTaken {
 						e.Taken.Done <- mixer.Reply{End: mixer.Nacked}
 					}
@@ -483,10 +483,10 @@
 	}
 }
 
-// A stopping mixer serves on while it surely lives: lines stay open, lookups that come then get their answers in that
-// time, and only after it do answers close their lines.
+// A stopping mixer serves on while it surely lives: connections stay open, lookups that come then get their answers in that
+// time, and only after it do answers close their connections.
 func TestDrainServesOnAndAnswersAllThatIsHeld(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.serveOn = 600 * time.Millisecond })
+	r := newFixture(t, 100, func(s *Server) { s.serveOn = 600 * time.Millisecond })
 	busy, idle := r.dial(), r.dial()
 	busy.ask()
 	held := r.event(logic.LookupTaken)
@@ -524,7 +524,7 @@
 	case <-time.After(patience):
 		t.Fatal("did not stop")
 	}
-	r = newRig(t, 100, func(s *Server) { s.serveOn = time.Hour })
+	r = newFixture(t, 100, func(s *Server) { s.serveOn = time.Hour })
 	r.Drain() // nobody is there
 }
 
@@ -533,7 +533,7 @@
 		`{"targets":[{"partition":1,"share":0}],"query":"\u0000\"\\"}`, `{"query":null,"targets":null}`, `[]`, ``} {
 		f.Add([]byte(s))
 	}
-	b := newBook(settings.Net{Shards: 8})
+	b := newNameTable(settings.Net{Shards: 8})
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var lk mixer.Lookup
 		if b.readBody(text, &lk) != nil {
--- a/internal/dataplane/clients/connections.go
+++ b/internal/dataplane/clients/connections.go
@@ -20,11 +20,11 @@
 	// unread is how long the rest of a request may have been here without being read; only after that is it
 	// known that the client has stopped half way.
 	unread = 300 * time.Millisecond
-	// askShare of the lines may have a lookup held at once: far above what usual clients need. The others are for
+	// askShare of the connections may have a lookup held at once: far above what usual clients need. The others are for
 	// those that come and go, so that a newcomer never waits for a held lookup.
 	askShare = 0.8
-	// keepShare of the lines may stand idle or held after a lookup. Clients have few descriptors for us themselves, and
-	// those that never ask again on a line they keep would use them up: closed, it costs one that does a new line.
+	// keepShare of the connections may stand idle or held after a lookup. Clients have few descriptors for us themselves, and
+	// those that never ask again on a connection they keep would use them up: closed, it costs one that does a new connection.
 	keepShare = 0.4
 	fullPoll  = 5 * time.Millisecond
 	// A client has so long to end its side after ours, unless its place is needed, and may send so much meanwhile.
@@ -34,9 +34,9 @@
 
 var errDrained = errors.New("no longer accepting")
 
-type lineKey struct{}
+type connectionKey struct{}
 
-// reason is the code of why a client's line ended, as docs/oncall.md lists them.
+// reason is the code of why a client's connection ended, as docs/oncall.md lists them.
 type reason string
 
 const (
@@ -51,11 +51,11 @@
 	whyShutdown  reason = "shutdown"
 )
 
-// line is a client's connection. It notes when a request's first byte came: the client's wait runs from its
+// connection is a client's connection. It notes when a request's first byte came: the client's wait runs from its
 // sending, so the byte's time is the nearest and safe side, however late the request's turn comes.
-type line struct {
+type connection struct {
 	net.Conn
-	of       *lines
+	of       *connections
 	opened   time.Time
 	came     atomic.Int64 // when, in ns after opened; 0 until the first byte after an answer
 	last     atomic.Int64 // the same of the last byte
@@ -88,47 +88,47 @@
 	headed bool   // that is there
 }
 
-func (l *line) Write(b []byte) (int, error) {
-	if !l.asked.Load() && l.leaving() {
+func (conn *connection) Write(b []byte) (int, error) {
+	if !conn.asked.Load() && conn.leaving() {
 		return 0, net.ErrClosed // net/http answers half a request too; without an answer its client asks anew
 	}
-	l.came.Store(0)
-	l.answered.Store(true)
-	l.headMu.Lock()
-	l.head, l.headed = l.head[:0], false
-	l.headMu.Unlock()
-	n, err := l.Conn.Write(b)
+	conn.came.Store(0)
+	conn.answered.Store(true)
+	conn.headMu.Lock()
+	conn.head, conn.headed = conn.head[:0], false
+	conn.headMu.Unlock()
+	n, err := conn.Conn.Write(b)
 	if err != nil {
-		l.end(whyUnwritten)
+		conn.end(whyUnwritten)
 	}
 	return n, err
 }
 
-// keep keeps the bytes of a head, of which net/http does not tell all.
-func (l *line) keep(b []byte) {
-	l.headMu.Lock()
-	defer l.headMu.Unlock()
-	if l.headed {
+// recordHead keeps the bytes of a head, of which net/http does not tell all.
+func (conn *connection) recordHead(b []byte) {
+	conn.headMu.Lock()
+	defer conn.headMu.Unlock()
+	if conn.headed {
 		return
 	}
-	from := max(0, len(l.head)-3)
-	l.head = append(l.head, b...)
+	from := max(0, len(conn.head)-3)
+	conn.head = append(conn.head, b...)
 	for _, end := range []string{"\n\r\n", "\n\n"} {
-		if i := bytes.Index(l.head[from:], []byte(end)); i >= 0 {
-			l.head, l.headed = l.head[:from+i+1], true
+		if i := bytes.Index(conn.head[from:], []byte(end)); i >= 0 {
+			conn.head, conn.headed = conn.head[:from+i+1], true
 			return
 		}
 	}
-	l.headed = len(l.head) > 2*mostHead // net/http has given up on it long before
+	conn.headed = len(conn.head) > 2*mostHead // net/http has given up on it long before
 }
 
 // framed tells whether a request states the length of its body once at most. Of one that came along with the request
 // before the head is not known: it may state a length, but not come in chunks, which could stand beside one.
-func (l *line) framed(r *http.Request) bool {
-	l.headMu.Lock()
-	defer l.headMu.Unlock()
-	start, rest, _ := bytes.Cut(bytes.TrimLeft(l.head, "\r\n"), []byte{'\n'})
-	if !l.headed || !bytes.HasPrefix(start, []byte(r.Method+" "+r.RequestURI+" ")) {
+func (conn *connection) framed(r *http.Request) bool {
+	conn.headMu.Lock()
+	defer conn.headMu.Unlock()
+	start, rest, _ := bytes.Cut(bytes.TrimLeft(conn.head, "\r\n"), []byte{'\n'})
+	if !conn.headed || !bytes.HasPrefix(start, []byte(r.Method+" "+r.RequestURI+" ")) {
 		return len(r.TransferEncoding) == 0
 	}
 	stated := 0
@@ -142,92 +142,92 @@
 }
 
 // arrived is when the request in hand began to come in.
-func (l *line) arrived() time.Time {
-	if came := l.came.Load(); came != 0 {
-		return l.opened.Add(time.Duration(came))
+func (conn *connection) arrived() time.Time {
+	if came := conn.came.Load(); came != 0 {
+		return conn.opened.Add(time.Duration(came))
 	}
 	return time.Now() // it came along with the request before
 }
 
-// between tells that the line may be closed without loss: its client has had its answers, and sends a request that
+// between tells that the connection may be closed without loss: its client has had its answers, and sends a request that
 // crosses with the closing again; or it has stopped half way, and nothing whole can be lost. of.mu is held.
-func (l *line) between() bool {
+func (conn *connection) between() bool {
 	switch {
-	case l.asked.Load():
+	case conn.asked.Load():
 		return false
-	case l.idle && l.came.Load() == 0:
+	case conn.idle && conn.came.Load() == 0:
 		return true
 	}
-	return time.Since(l.opened)-time.Duration(l.last.Load()) > unread
+	return time.Since(conn.opened)-time.Duration(conn.last.Load()) > unread
 }
 
-// end notes why the line ends; the first reason stands.
-func (l *line) end(why reason) { l.because.CompareAndSwap(nil, why) }
+// end notes why the connection ends; the first reason stands.
+func (conn *connection) end(why reason) { conn.because.CompareAndSwap(nil, why) }
 
-// CloseWrite lets net/http end a line so that its answer is not lost with it.
-func (l *line) CloseWrite() error { return l.Conn.(*net.TCPConn).CloseWrite() }
+// CloseWrite lets net/http end a connection so that its answer is not lost with it.
+func (conn *connection) CloseWrite() error { return conn.Conn.(*net.TCPConn).CloseWrite() }
 
 // Close ends our side. Over bytes that nobody has read a close would be a reset, which may cost the client the answer
 // before it: so the other side is read to its end, or for a while, and nothing that comes then counts.
-func (l *line) Close() error {
-	l.once.Do(func() {
-		l.of.closing(l)
-		l.readMu.Lock()
-		l.shuts = true
-		l.readMu.Unlock()
-		if l.ended.Load() || l.CloseWrite() != nil {
-			l.shut()
+func (conn *connection) Close() error {
+	conn.once.Do(func() {
+		conn.of.closing(conn)
+		conn.readMu.Lock()
+		conn.shuts = true
+		conn.readMu.Unlock()
+		if conn.ended.Load() || conn.CloseWrite() != nil {
+			conn.shut()
 		} else {
-			go l.linger()
+			go conn.linger()
 		}
 	})
 	return nil
 }
 
-func (l *line) linger() {
-	defer l.shut()
-	l.readMu.Lock()
-	for l.reads || l.follows {
-		l.Conn.SetReadDeadline(past)
-		l.turn.Wait()
+func (conn *connection) linger() {
+	defer conn.shut()
+	conn.readMu.Lock()
+	for conn.reads || conn.follows {
+		conn.Conn.SetReadDeadline(past)
+		conn.turn.Wait()
 	}
-	l.readMu.Unlock()
-	l.Conn.SetReadDeadline(time.Now().Add(lingers))
-	io.Copy(io.Discard, io.LimitReader(l.Conn, mostUnread))
+	conn.readMu.Unlock()
+	conn.Conn.SetReadDeadline(time.Now().Add(lingers))
+	io.Copy(io.Discard, io.LimitReader(conn.Conn, mostUnread))
 }
 
 // shut ends the other side too.
-func (l *line) shut() {
-	l.Conn.Close()
-	l.of.ended(l)
+func (conn *connection) shut() {
+	conn.Conn.Close()
+	conn.of.ended(conn)
 }
 
-// lines is the listener that net/http accepts from, and the book of its lines. At the cap it closes a line that
+// connections is the listener that net/http accepts from, and the table of its connections. At the cap it closes a connection that
 // asks nothing; where there is none yet, newcomers wait in the kernel's queue, where their requests are not lost.
-type lines struct {
+type connections struct {
 	listener  *net.TCPListener
 	most      int
 	mostAhead int // bytes read ahead on one
 	log       zerolog.Logger
 	count     *counters.Set
 
-	drains atomic.Bool // answers close their lines
+	drains atomic.Bool // answers close their connections
 
 	mu   sync.Mutex
-	open map[*line]bool
-	held int // lines that hold a lookup
+	open map[*connection]bool
+	held int // connections that hold a lookup
 }
 
-func newLines(most, memory int, log zerolog.Logger, count *counters.Set) *lines {
+func newConnections(most, memory int, log zerolog.Logger, count *counters.Set) *connections {
 	ahead := int(aheadShare * float64(memory) / float64(most))
-	return &lines{most: most, mostAhead: min(mostAhead, max(leastAhead, ahead)), log: log, count: count, open: map[*line]bool{}}
+	return &connections{most: most, mostAhead: min(mostAhead, max(leastAhead, ahead)), log: log, count: count, open: map[*connection]bool{}}
 }
 
-func (s *lines) Addr() net.Addr { return s.listener.Addr() }
+func (s *connections) Addr() net.Addr { return s.listener.Addr() }
 
-func (s *lines) Close() error { return s.listener.Close() }
+func (s *connections) Close() error { return s.listener.Close() }
 
-func (s *lines) Accept() (net.Conn, error) {
+func (s *connections) Accept() (net.Conn, error) {
 	c, err := s.listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errDrained // which net/http does not take for a passing trouble
@@ -235,21 +235,21 @@
 		return nil, err
 	}
 	s.count.Add("client_lines", "accepted", 1)
-	l := &line{Conn: c, of: s, left: make(chan struct{})}
-	l.turn = sync.NewCond(&l.readMu)
-	for !s.enter(l) {
+	conn := &connection{Conn: c, of: s, left: make(chan struct{})}
+	conn.turn = sync.NewCond(&conn.readMu)
+	for !s.enter(conn) {
 		time.Sleep(fullPoll)
 	}
-	return l, nil
+	return conn, nil
 }
 
-// enter books a new line. At the cap it has to wait, for one that is told to leave, or for what is left of one that has.
-func (s *lines) enter(l *line) bool {
+// enter records a new connection. At the cap it has to wait, for one that is told to leave, or for what is left of one that has.
+func (s *connections) enter(conn *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.open) < s.most {
-		l.opened = time.Now() // not when it was accepted: nobody has read from it yet
-		s.open[l] = true
+		conn.opened = time.Now() // not when it was accepted: nobody has read from it yet
+		s.open[conn] = true
 		return true
 	}
 	for o := range s.open {
@@ -265,11 +265,11 @@
 }
 
 // heard is when its last byte came.
-func (l *line) heard() time.Time { return l.opened.Add(time.Duration(l.last.Load())) }
+func (conn *connection) heard() time.Time { return conn.opened.Add(time.Duration(conn.last.Load())) }
 
-// leastMissed finds the line that may be closed and has heard nothing longest; the lock is held. Lines
+// leastMissed finds the connection that may be closed and has heard nothing longest; the lock is held. Connections
 // on which a lookup was served go only when there are no others: a crowd that says nothing must not cost them theirs.
-func (s *lines) leastMissed() *line {
+func (s *connections) leastMissed() *connection {
 	found, strangers := s.longestIdle(false)
 	if strangers == 0 {
 		found, _ = s.longestIdle(true)
@@ -277,58 +277,58 @@
 	return found
 }
 
-// longestIdle finds the line that may be closed and has heard nothing longest, among those that had a lookup or those
+// longestIdle finds the connection that may be closed and has heard nothing longest, among those that had a lookup or those
 // that had none, and tells how many these are; the lock is held.
-func (s *lines) longestIdle(served bool) (found *line, all int) {
-	for l := range s.open {
-		if l.closed || l.served != served {
+func (s *connections) longestIdle(served bool) (found *connection, all int) {
+	for conn := range s.open {
+		if conn.closed || conn.served != served {
 			continue
 		}
 		all++
-		if l.between() && (found == nil || l.heard().Before(found.heard())) {
-			found = l
+		if conn.between() && (found == nil || conn.heard().Before(found.heard())) {
+			found = conn
 		}
 	}
 	return found, all
 }
 
-// ask tells whether another lookup may be held, and books it.
-func (s *lines) ask(l *line) bool {
+// ask tells whether another lookup may be held, and records it.
+func (s *connections) ask(conn *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if float64(s.held) >= askShare*float64(s.most) {
 		return false
 	}
 	s.held++
-	l.holds, l.served = true, true
-	l.asked.Store(true)
+	conn.holds, conn.served = true, true
+	conn.asked.Store(true)
 	return true
 }
 
-// idles tells whether a line waits for its next request.
-func (s *lines) idles(l *line) bool {
+// idles tells whether a connection waits for its next request.
+func (s *connections) idles(conn *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return l.idle
+	return conn.idle
 }
 
-// release books that no lookup of a line is held any more; the lock is held.
-func (s *lines) release(l *line) {
-	if l.holds {
-		l.holds = false
+// release records that no lookup of a connection is held any more; the lock is held.
+func (s *connections) release(conn *connection) {
+	if conn.holds {
+		conn.holds = false
 		s.held--
 	}
 }
 
-// changed hears from net/http what a line does.
-func (s *lines) changed(c net.Conn, state http.ConnState) {
-	l := c.(*line)
+// changed hears from net/http what a connection does.
+func (s *connections) changed(c net.Conn, state http.ConnState) {
+	conn := c.(*connection)
 	s.mu.Lock()
-	var surplus *line
-	if l.idle = state == http.StateIdle; l.idle {
-		l.asked.Store(false)
-		s.release(l)
-		if l.served {
+	var surplus *connection
+	if conn.idle = state == http.StateIdle; conn.idle {
+		conn.asked.Store(false)
+		s.release(conn)
+		if conn.served {
 			surplus = s.surplus()
 		}
 	}
@@ -338,8 +338,8 @@
 	}
 }
 
-// surplus finds the line that is idle longest, where more are kept than may be; the lock is held.
-func (s *lines) surplus() *line {
+// surplus finds the connection that is idle longest, where more are kept than may be; the lock is held.
+func (s *connections) surplus() *connection {
 	found, kept := s.longestIdle(true)
 	if float64(kept) <= keepShare*float64(s.most) {
 		return nil
@@ -347,32 +347,32 @@
 	return found
 }
 
-// closing notes that our side of a line has ended: nothing of it is held any more but its descriptor.
-func (s *lines) closing(l *line) {
+// closing notes that our side of a connection has ended: nothing of it is held any more but its descriptor.
+func (s *connections) closing(conn *connection) {
 	s.mu.Lock()
-	l.closed = true
-	s.release(l)
+	conn.closed = true
+	s.release(conn)
 	s.mu.Unlock()
-	l.end(whyAnswered)
+	conn.end(whyAnswered)
 }
 
 // ended notes that both have.
-func (s *lines) ended(l *line) {
+func (s *connections) ended(conn *connection) {
 	s.mu.Lock()
-	delete(s.open, l)
+	delete(s.open, conn)
 	s.mu.Unlock()
-	why := string(l.because.Load().(reason))
+	why := string(conn.because.Load().(reason))
 	s.count.Add("client_lines", why, 1)
-	s.log.Info().Str("peer", "client").Str("reason", why).Stringer("address", l.RemoteAddr()).
-		Float64("lived_s", time.Since(l.opened).Seconds()).Msg("connection ended")
+	s.log.Info().Str("peer", "client").Str("reason", why).Stringer("address", conn.RemoteAddr()).
+		Float64("lived_s", time.Since(conn.opened).Seconds()).Msg("connection ended")
 }
 
-// left tells how many clients have a line that is open on our side, and how many one that is on theirs alone.
-func (s *lines) left() (open, half int) {
+// left tells how many clients have a connection that is open on our side, and how many one that is on theirs alone.
+func (s *connections) left() (open, half int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for l := range s.open {
-		if l.closed {
+	for conn := range s.open {
+		if conn.closed {
 			half++
 		} else {
 			open++
@@ -381,13 +381,13 @@
 	return open, half
 }
 
-// leave lets lines go that are between two requests.
-func (s *lines) leave(why reason) {
+// leave lets connections go that are between two requests.
+func (s *connections) leave(why reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for l := range s.open {
-		if !l.closed && l.between() {
-			l.leave(why)
+	for conn := range s.open {
+		if !conn.closed && conn.between() {
+			conn.leave(why)
 		}
 	}
 }
--- a/internal/dataplane/clients/crossings_test.go
+++ b/internal/dataplane/clients/crossings_test.go
@@ -24,13 +24,13 @@
 func TestMain(m *testing.M) { leaktest.Main(m) }
 
 // forgotten waits until the server holds nothing of any client.
-func (r *rig) forgotten() {
+func (r *fixture) forgotten() {
 	r.Helper()
 	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		open, half := r.lines.left()
-		r.lines.mu.Lock()
-		held := r.lines.held
-		r.lines.mu.Unlock()
+		open, half := r.connections.left()
+		r.connections.mu.Lock()
+		held := r.connections.held
+		r.connections.mu.Unlock()
 		if open == 0 && half == 0 && held == 0 {
 			return
 		}
@@ -48,7 +48,7 @@
 func TestAClientThatLeavesBehindWhatItSentAhead(t *testing.T) {
 	for name, ahead := range map[string]string{"byte": "P", "request": again("second"), "many": strings.Repeat(again("second"), 100)} {
 		for _, how := range []string{"fin", "half", "reset"} {
-			r := newRig(t, 100, nil)
+			r := newFixture(t, 100, nil)
 			c := r.dial()
 			io.WriteString(c, again("first")+ahead)
 			lk := r.event(logic.LookupTaken)
@@ -75,7 +75,7 @@
 
 // What is sent ahead is answered in its turn as long as it is little, the last one too.
 func TestRequestsSentAheadAreAnsweredInTurn(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c := r.dial()
 	io.WriteString(c, again("a")+again("b"))
 	for _, id := range []string{"a", "b", "c"} {
@@ -96,7 +96,7 @@
 
 // More is not kept: the answer in hand is whole, and the last; nothing of the rest reaches the module.
 func TestAFloodBehindARequestEndsWithItsAnswer(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c, other := r.dial(), r.dial()
 	io.WriteString(c, again("first"))
 	lk := r.event(logic.LookupTaken)
@@ -123,17 +123,17 @@
 }
 
 // overrun waits until some connection has sent more than is kept.
-func (r *rig) overrun() {
+func (r *fixture) overrun() {
 	r.Helper()
 	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		r.lines.mu.Lock()
-		for l := range r.lines.open {
+		r.connections.mu.Lock()
+		for l := range r.connections.open {
 			if l.overrun.Load() {
-				r.lines.mu.Unlock()
+				r.connections.mu.Unlock()
 				return
 			}
 		}
-		r.lines.mu.Unlock()
+		r.connections.mu.Unlock()
 		if time.Now().After(late) {
 			r.Fatal("nothing ran over")
 		}
@@ -142,7 +142,7 @@
 
 // No close over bytes that nobody has read: it would be a reset, and may cost the client the answer before it.
 func TestAnAnswerBeforeUnreadBytesIsNotReset(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	c := r.dial()
 	io.WriteString(c, strings.Replace(again("x"), "Req-Deadline: 0.480", "Req-Deadline: never", 1)+strings.Repeat("x", 100<<10))
 	if head, _ := c.expect(400); head.Get("Connection") != "close" {
@@ -160,7 +160,7 @@
 
 // A client that rests until it is told is told by an end and not by a reset. A request that crosses with it is never sent on.
 func TestWhatComesAfterTheEndIsNeverSentOn(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) { s.serveOn = time.Millisecond })
+	r := newFixture(t, 100, func(s *Server) { s.serveOn = time.Millisecond })
 	rests, half := r.dial(), r.dial()
 	rests.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Nacked}
@@ -191,7 +191,7 @@
 // A stop ends in time whatever clients do: one does not read its answer, one trickles a head, one a body. Those that are held are answered
 // before.
 func TestAStopDoesNotWaitForClientsThatNeverLeave(t *testing.T) {
-	r := newRig(t, 100, func(s *Server) {
+	r := newFixture(t, 100, func(s *Server) {
 		s.serveOn, s.slow = time.Millisecond, time.Hour
 		s.http.ReadTimeout, s.http.IdleTimeout = time.Hour, time.Hour
 	})
@@ -241,7 +241,7 @@
 
 // One that rests on for ever is left after a while, and at once where its place is needed.
 func TestARestingClientIsLeftAfterAWhile(t *testing.T) {
-	r := newRig(t, 2, nil)
+	r := newFixture(t, 2, nil)
 	for range 6 {
 		c := r.dial()
 		c.ask()
@@ -267,7 +267,7 @@
 }
 
 // loose is a connection that net/http does not read, and its client.
-func loose(t *testing.T) (*line, net.Conn) {
+func loose(t *testing.T) (*connection, net.Conn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -283,8 +283,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	s := newLines(10, 1<<20, zerolog.Nop(), counters.New())
-	l := &line{Conn: conn, of: s, left: make(chan struct{}), opened: time.Now(), idle: true}
+	s := newConnections(10, 1<<20, zerolog.Nop(), counters.New())
+	l := &connection{Conn: conn, of: s, left: make(chan struct{}), opened: time.Now(), idle: true}
 	l.turn = sync.NewCond(&l.readMu)
 	s.open[l] = true
 	return l, client
@@ -375,7 +375,7 @@
 
 // Clients that leave in a burst, each with a lookup held: all are told of, and nothing of them is left.
 func TestABurstOfClientsLeaves(t *testing.T) {
-	r := newRig(t, 1000, nil)
+	r := newFixture(t, 1000, nil)
 	var crowd []*client
 	for i := range 300 {
 		c := r.dial()
@@ -402,7 +402,7 @@
 
 // A client that leaves as its answer is decided is ended once, whichever comes first: by its answer, or by word of its leaving, not by both.
 func TestAnAnswerCrossesWithItsClientsLeaving(t *testing.T) {
-	r := newRig(t, 100, nil)
+	r := newFixture(t, 100, nil)
 	gone := map[*mixer.Lookup]bool{}
 	hear := func(e mixer.Event) {
 		if e.Kind != logic.ClientGone || gone[e.Taken] {
--- a/internal/dataplane/discovery/crossings_test.go
+++ b/internal/dataplane/discovery/crossings_test.go
@@ -27,12 +27,12 @@
 // bare is a register by hand, whose answers need not be whole.
 type bare struct {
 	*testing.T
-	*Register
+	*Client
 	told   *queuetest.Ear[mixer.Event]
 	server *net.TCPListener
 }
 
-func newBare(t *testing.T, asked bool, change func(*Register)) *bare {
+func newBare(t *testing.T, asked bool, change func(*Client)) *bare {
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
@@ -40,14 +40,14 @@
 	r := &bare{T: t, told: queuetest.New[mixer.Event](), server: l}
 	set := settings.Settings{}
 	set.AskList = asked
-	r.Register, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Box, zerolog.Nop(), counters.New())
+	r.Client, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Queue, zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
 	if change != nil {
-		change(r.Register)
+		change(r.Client)
 	}
-	go r.Register.Run()
+	go r.Client.Run()
 	t.Cleanup(func() { r.Stop(); l.Close() })
 	r.told.Next(t) // what was known
 	return r
@@ -166,9 +166,9 @@
 }
 
 // A watch that falls silent is renewed wherever it stands: with its request taken and no head, with a head and no line, with half a
-// line, behind beats. What the old one says late counts no more.
+// line, behind heartbeats. What the old one says late counts no more.
 func TestAWatchSilentAtAnyPointIsRenewed(t *testing.T) {
-	r := newBare(t, false, func(r *Register) { r.silence = 200 * time.Millisecond })
+	r := newBare(t, false, func(r *Client) { r.silence = 200 * time.Millisecond })
 	list := line(43, false, searcher("s9", "SERVING"))
 	var old []*net.TCPConn
 	for _, text := range []string{"", "HTTP/1.1 200", chunked, noLength, chunked + chunk(list[:50]), chunked + chunk("\n") + chunk(list[:50])} {
@@ -189,10 +189,10 @@
 }
 
 // A register that comes back after a while is heard at once: of what it has, the first line counts, drains above all. The waits between
-// tries have grown by then, and go back with the first beat: the next silence has 6 s of its own.
-func TestABeatEndsTheBackOff(t *testing.T) {
-	box := eventqueue.New[mixer.Event]()
-	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, box, zerolog.Nop(), counters.New())
+// tries have grown by then, and go back with the first heartbeat: the next silence has 6 s of its own.
+func TestAHeartbeatEndsTheBackOff(t *testing.T) {
+	queue := eventqueue.New[mixer.Event]()
+	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, queue, zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 		t.Fatalf("waits %s after ten tries, expected %s", r.wait, mostWait)
 	}
 	r.cancel = func() {}
-	r.hear(&note{kind: lineCame, watch: r.watch})
+	r.hear(&note{kind: lineArrived, watch: r.watch})
 	heard := r.heard
 	r.ended("silent", net.ErrClosed)
 	if r.wait != firstWait {
--- a/internal/dataplane/discovery/discovery.go
+++ b/internal/dataplane/discovery/discovery.go
@@ -26,11 +26,11 @@
 )
 
 const (
-	// beat is how often the protocol sends an empty line while nothing changes; a watch silent for so many of them
+	// heartbeatInterval is how often the protocol sends an empty line while nothing changes; a watch silent for so many of them
 	// is dead or its register out of reach, and only a new one can tell. What the register has to say counts as
 	// told 6 s later at the latest: a new watch must stand before.
-	beat        = 2 * time.Second
-	silentBeats = 2.5
+	heartbeatInterval = 2 * time.Second
+	silentHeartbeats  = 2.5
 	// Waits between watches grow, so that mixers that lost the register together leave it room, but not far, for
 	// the same reason.
 	firstWait = 50 * time.Millisecond
@@ -72,10 +72,10 @@
 const (
 	subscribe noteKind = iota // on
 	askWhole
-	moveTo     // address
-	lineCame   // watch, line
-	watchEnded // watch, err
-	wholeCame  // address: its URL; version: that known when it was asked for; line or err
+	moveTo       // address
+	lineArrived  // watch, line
+	watchEnded   // watch, err
+	wholeArrived // address: its URL; version: that known when it was asked for; line or err
 	stop
 )
 
@@ -92,9 +92,9 @@
 // Listener hears of the list: the module's actor, or one that stands before it. Put may not block.
 type Listener interface{ Put(...mixer.Event) }
 
-// Register is the actor.
-type Register struct {
-	in       *eventqueue.Box[note]
+// Client is the actor.
+type Client struct {
+	in       *eventqueue.Queue[note]
 	tell     Listener
 	log      zerolog.Logger
 	count    *counters.Set
@@ -119,14 +119,14 @@
 
 // New makes the actor and tells the module what was known at the start.
 func New(address string, known []byte, set settings.Settings, tell Listener, log zerolog.Logger,
-	count *counters.Set) (*Register, error) {
+	count *counters.Set) (*Client, error) {
 	if err := checked(address); err != nil {
 		return nil, err
 	}
-	r := &Register{in: eventqueue.New[note](), tell: tell, log: log, count: count,
-		url: listURL(address), silence: time.Duration(silentBeats * float64(beat)), asked: set.AskList, on: !set.AskList,
+	r := &Client{in: eventqueue.New[note](), tell: tell, log: log, count: count,
+		url: listURL(address), silence: time.Duration(silentHeartbeats * float64(heartbeatInterval)), asked: set.AskList, on: !set.AskList,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: beat}).DialContext}},
+			DialContext: (&net.Dialer{Timeout: heartbeatInterval}).DialContext}},
 		places: settings.Numbered[int](set.Net.Locations), kinds: settings.Numbered[int](set.Net.Kinds), ids: map[string]logic.SearcherID{},
 		finished: make(chan struct{})}
 	if err := r.take(known, true); err != nil {
@@ -137,7 +137,7 @@
 
 // MoveTo goes on at another address of the register, from the version last read: the list stays whole meanwhile.
 // An address that is not one changes nothing.
-func (r *Register) MoveTo(address string) error {
+func (r *Client) MoveTo(address string) error {
 	if err := checked(address); err != nil {
 		return err
 	}
@@ -158,17 +158,17 @@
 func listURL(address string) string { return "http://" + address + "/discovery/hosts" }
 
 // Subscribe and AskWhole are what the module may ask.
-func (r *Register) Subscribe(on bool) { r.in.Put(note{kind: subscribe, on: on}) }
-func (r *Register) AskWhole()         { r.in.Put(note{kind: askWhole}) }
+func (r *Client) Subscribe(on bool) { r.in.Put(note{kind: subscribe, on: on}) }
+func (r *Client) AskWhole()         { r.in.Put(note{kind: askWhole}) }
 
 // Stop ends the actor.
-func (r *Register) Stop() {
+func (r *Client) Stop() {
 	r.in.Put(note{kind: stop})
 	<-r.finished
 }
 
 // Run is the actor's goroutine.
-func (r *Register) Run() {
+func (r *Client) Run() {
 	defer close(r.finished)
 	var notes []note
 	timer := time.NewTimer(0)
@@ -189,7 +189,7 @@
 	}
 }
 
-func (r *Register) hear(n *note) {
+func (r *Client) hear(n *note) {
 	switch n.kind {
 	case subscribe:
 		r.on = n.on
@@ -204,11 +204,11 @@
 				r.let("address_changed", nil)
 			}
 		}
-	case lineCame:
+	case lineArrived:
 		if n.watch != r.watch {
 			return
 		}
-		r.heard, r.wait = time.Now(), 0 // a beat as well: what it misses from here on has its own 6 s
+		r.heard, r.wait = time.Now(), 0 // a heartbeat as well: what it misses from here on has its own 6 s
 		if len(n.line) == 0 {
 			return
 		}
@@ -219,7 +219,7 @@
 		if n.watch == r.watch && r.cancel != nil {
 			r.ended("watch_ended", n.err)
 		}
-	case wholeCame:
+	case wholeArrived:
 		if n.address != r.url || n.version != r.version && n.olderThan(r.version) { // as it was elsewhere, or before what a watch told
 			go r.fetch(r.url, r.version)
 			return
@@ -242,8 +242,8 @@
 }
 
 // silent is when the watch in hand counts as silent. A new one that has said nothing at all gets half as long, in which a
-// beat is due: should it be silent as the one before it was, a third one stands before drains have to be kept.
-func (r *Register) silent() time.Time {
+// heartbeat is due: should it be silent as the one before it was, a third one stands before drains have to be kept.
+func (r *Client) silent() time.Time {
 	if r.heard.Equal(r.since) {
 		return r.heard.Add(r.silence / 2)
 	}
@@ -251,7 +251,7 @@
 }
 
 // look begins a watch where one is due, ends one that is silent, and tells when to look again.
-func (r *Register) look(now time.Time) time.Time {
+func (r *Client) look(now time.Time) time.Time {
 	silent := r.silent()
 	if r.cancel != nil && !now.Before(silent) {
 		r.ended("silent", errors.New("no line and no beat"))
@@ -269,7 +269,7 @@
 	return now.Add(time.Hour)
 }
 
-func (r *Register) begin(now time.Time) {
+func (r *Client) begin(now time.Time) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.watch++
 	r.cancel, r.heard, r.since = cancel, now, now
@@ -280,7 +280,7 @@
 }
 
 // drop lets go of the watch in hand; what it may still say counts no more.
-func (r *Register) drop() {
+func (r *Client) drop() {
 	if r.cancel != nil {
 		r.cancel()
 		r.cancel = nil
@@ -289,7 +289,7 @@
 }
 
 // let lets go of a watch and says why.
-func (r *Register) let(why string, err error) {
+func (r *Client) let(why string, err error) {
 	r.count.Add("watches", why, 1)
 	line := r.log.Info().Str("peer", "register").Str("reason", why).Float64("lived_s", time.Since(r.since).Seconds())
 	if err != nil {
@@ -301,7 +301,7 @@
 
 // ended lets go of a watch that came to nothing, and sets when to try again. Mixers that lost the register
 // together must not come back together.
-func (r *Register) ended(why string, err error) {
+func (r *Client) ended(why string, err error) {
 	r.let(why, err)
 	r.wait = min(mostWait, max(firstWait, 2*r.wait))
 	r.again = time.Now().Add(time.Duration((0.5 + rand.Float64()) * float64(r.wait)))
@@ -311,7 +311,7 @@
 	}
 }
 
-func (r *Register) get(ctx context.Context, url string) (*http.Response, error) {
+func (r *Client) get(ctx context.Context, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -325,7 +325,7 @@
 }
 
 // follow reads a watch until it ends.
-func (r *Register) follow(ctx context.Context, no int, url string) error {
+func (r *Client) follow(ctx context.Context, no int, url string) error {
 	res, err := r.get(ctx, url)
 	if err != nil {
 		return err
@@ -338,7 +338,7 @@
 	var whole gathered
 	for lines.Scan() {
 		if text, done := whole.add(lines.Bytes()); done {
-			r.in.Put(note{kind: lineCame, watch: no, line: text})
+			r.in.Put(note{kind: lineArrived, watch: no, line: text})
 		}
 	}
 	if err := lines.Err(); err != nil {
@@ -367,7 +367,7 @@
 }
 
 // gathered puts together what comes in several lines, as indented lists do: the lines from the one that opens an object to
-// the one that closes it. An empty line in between is a beat behind a list that broke off, which is then handed on as it
+// the one that closes it. An empty line in between is a heartbeat behind a list that broke off, which is then handed on as it
 // is, to be found bad.
 type gathered struct {
 	text          []byte
@@ -403,10 +403,10 @@
 }
 
 // fetch asks for the whole list once.
-func (r *Register) fetch(url string, version int64) {
+func (r *Client) fetch(url string, version int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.silence)
 	defer cancel()
-	n := note{kind: wholeCame, address: url, version: version}
+	n := note{kind: wholeArrived, address: url, version: version}
 	var res *http.Response
 	if res, n.err = r.get(ctx, url); n.err == nil {
 		n.line, n.err = io.ReadAll(io.LimitReader(res.Body, mostLine))
@@ -417,7 +417,7 @@
 
 // take reads a line of the register's and tells the module, unless anything in it can't be read: half a list
 // would be worse than an old one.
-func (r *Register) take(line []byte, known bool) error {
+func (r *Client) take(line []byte, known bool) error {
 	var p page
 	if err := json.Unmarshal(line, &p); err != nil {
 		return err
--- a/internal/dataplane/discovery/discovery_test.go
+++ b/internal/dataplane/discovery/discovery_test.go
@@ -23,11 +23,11 @@
 
 const patience = queuetest.Patience
 
-// rig is a register's actor and the register it speaks with, which the test plays: each request comes as a
+// fixture is a register's actor and the register it speaks with, which the test plays: each request comes as a
 // function that writes a line to it.
-type rig struct {
+type fixture struct {
 	*testing.T
-	*Register
+	*Client
 	told   *queuetest.Ear[mixer.Event]
 	asks   chan ask
 	server string // its address
@@ -49,8 +49,8 @@
 		id, id, state)
 }
 
-func newRig(t *testing.T, asked bool, change func(*Register)) *rig {
-	r := &rig{T: t, told: queuetest.New[mixer.Event](), asks: make(chan ask, 100)}
+func newFixture(t *testing.T, asked bool, change func(*Client)) *fixture {
+	r := &fixture{T: t, told: queuetest.New[mixer.Event](), asks: make(chan ask, 100)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		ctx, end := context.WithCancel(q.Context())
 		out := make(chan string, 10)
@@ -69,21 +69,21 @@
 	set.AskList = asked
 	var err error
 	r.server = strings.TrimPrefix(server.URL, "http://")
-	r.Register, err = New(r.server, []byte(line(41, true, searcher("s1", "SERVING"))), set,
-		r.told.Box, zerolog.Nop(), counters.New())
+	r.Client, err = New(r.server, []byte(line(41, true, searcher("s1", "SERVING"))), set,
+		r.told.Queue, zerolog.Nop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
 	if change != nil {
-		change(r.Register)
+		change(r.Client)
 	}
-	go r.Register.Run()
+	go r.Client.Run()
 	t.Cleanup(func() { r.Stop(); server.CloseClientConnections(); server.Close() })
 	r.expect(logic.ListStale, "s1:0")
 	return r
 }
 
-func (r *rig) ask(query string) ask {
+func (r *fixture) ask(query string) ask {
 	r.Helper()
 	select {
 	case a := <-r.asks:
@@ -98,7 +98,7 @@
 }
 
 // expect waits for a list event with these searchers and phases.
-func (r *rig) expect(kind logic.ListKind, entries ...string) mixer.Event {
+func (r *fixture) expect(kind logic.ListKind, entries ...string) mixer.Event {
 	r.Helper()
 	e := r.told.Next(r.T)
 	var got []string
@@ -113,7 +113,7 @@
 }
 
 func TestChangesComeInOrderAndTheWatchGoesOnWhereItStopped(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newFixture(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	w.write("\n" + line(43, false, searcher("s2", "DRAINING")) + line(44, false, searcher("s2", "DELETED")))
 	e := r.expect(logic.ListPatch, "s2:1")
@@ -131,7 +131,7 @@
 
 // A name that comes again after it was gone is another searcher's, and nothing is kept of those that are gone.
 func TestGoneNamesAreForgotten(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newFixture(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	w.write(line(42, false, searcher("s2", "SERVING"), searcher("s7", "DELETED")) + line(43, false, searcher("s2", "DELETED")) +
 		line(44, false, searcher("s2", "SERVING")))
@@ -151,7 +151,7 @@
 
 // At a new address the watch goes on from the version last read; the old one is left, and what it says ignored.
 func TestTheRegisterMoves(t *testing.T) {
-	r, other := newRig(t, false, nil), newRig(t, false, nil)
+	r, other := newFixture(t, false, nil), newFixture(t, false, nil)
 	other.ask("/discovery/hosts?stream=1&index=41").end()
 	old := r.ask("/discovery/hosts?stream=1&index=41")
 	old.write(line(47, false, searcher("s2", "SERVING")))
@@ -165,7 +165,7 @@
 		t.Fatal(err)
 	}
 	var w ask
-	for w.query != "/discovery/hosts?stream=1&index=47" { // but for the watches of the other rig's own register
+	for w.query != "/discovery/hosts?stream=1&index=47" { // but for the watches of the other fixture's own register
 		w = <-other.asks
 	}
 	select {
@@ -178,7 +178,7 @@
 }
 
 func TestAnUnknownStateEndsTheWatchAndTellsNothingOfIt(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newFixture(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	w.write(line(42, false, searcher("s1", "DELETED"), searcher("s4", "ASLEEP")) + line(43, false, searcher("s5", "SERVING")))
 	w2 := r.ask("/discovery/hosts?stream=1&index=41")
@@ -196,7 +196,7 @@
 
 // A weight that can't be one counts as none stated: refusing the list for it would cost the drains that it tells of.
 func TestAListCountsThoughAWeightCannot(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newFixture(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	w.write(line(42, false, strings.Replace(searcher("s4", "SERVING"), `"weight":2`, `"weight":0`, 1), searcher("s1", "DRAINING")))
 	if e := r.expect(logic.ListPatch, "s4:0", "s1:1"); e.Entries[0].Share != 1 || e.Entries[1].Share != 2 {
@@ -205,9 +205,9 @@
 }
 
 func TestASilentWatchIsRenewed(t *testing.T) {
-	r := newRig(t, false, func(r *Register) { r.silence = 600 * time.Millisecond })
+	r := newFixture(t, false, func(r *Client) { r.silence = 600 * time.Millisecond })
 	w := r.ask("/discovery/hosts?stream=1&index=41")
-	for range 8 { // beats keep it
+	for range 8 { // heartbeats keep it
 		time.Sleep(100 * time.Millisecond)
 		w.write("\n")
 	}
@@ -223,9 +223,9 @@
 	}
 }
 
-// A list may come indented, over several lines; one that breaks off ends the watch at the next beat, and not later.
+// A list may come indented, over several lines; one that breaks off ends the watch at the next heartbeat, and not later.
 func TestIndentedLists(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newFixture(t, false, nil)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	indented := func(text string) string {
 		var out bytes.Buffer
@@ -252,7 +252,7 @@
 // place be silent too, a third one stands within that; nobody is called gone meanwhile, as nothing says so.
 func TestASilentWatchAfterASilentWatch(t *testing.T) {
 	const scale = 50 // times faster
-	r := newRig(t, false, func(r *Register) { r.silence /= scale })
+	r := newFixture(t, false, func(r *Client) { r.silence /= scale })
 	r.ask("/discovery/hosts?stream=1&index=41").write("\n")
 	r.ask("/discovery/hosts?stream=1&index=41")
 	go func() { // the third, and on a busy machine those after it
@@ -272,13 +272,13 @@
 		}
 	}
 	// How long that is in full, with the longest waits of chance between two watches.
-	if total := time.Duration(silentBeats*float64(beat))*3/2 + 2*firstWait*3/2; total > 8*time.Second {
+	if total := time.Duration(silentHeartbeats*float64(heartbeatInterval))*3/2 + 2*firstWait*3/2; total > 8*time.Second {
 		t.Errorf("two silent watches take %s, expected 6 s and a drain's grace at most", total)
 	}
 }
 
 func TestWhereTheListIsAskedForTheModuleSaysWhen(t *testing.T) {
-	r := newRig(t, true, nil)
+	r := newFixture(t, true, nil)
 	r.Subscribe(true)
 	w := r.ask("/discovery/hosts?stream=1&index=41")
 	w.end()
@@ -302,11 +302,11 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		box := eventqueue.New[mixer.Event]()
-		r := &Register{tell: box, places: map[string]int{}, kinds: map[string]int{},
+		queue := eventqueue.New[mixer.Event]()
+		r := &Client{tell: queue, places: map[string]int{}, kinds: map[string]int{},
 			ids: map[string]logic.SearcherID{}, version: -7}
 		err := r.take(text, false)
-		told := box.Take(nil)
+		told := queue.Take(nil)
 		if err != nil {
 			if len(told) > 0 || r.version != -7 {
 				t.Fatalf("%q: %v, but %+v was told", text, err, told)
--- a/internal/dataplane/mixer/capture_test.go
+++ b/internal/dataplane/mixer/capture_test.go
@@ -9,13 +9,13 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-var bookNames = capture.Names{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Soft: []float64{1, 1}, Shards: 8}
+var recorderNames = capture.Names{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Soft: []float64{1, 1}, Shards: 8}
 
-// What the actor tells a book is what came and what became of it.
+// What the actor tells a recorder is what came and what became of it.
 func TestTheLoadIsCaptured(t *testing.T) {
 	r := newRig(nil)
 	var got []capture.Interval
-	r.Capture(capture.New("n1", bookNames, 0.1), func(i capture.Interval) { got = append(got, i) })
+	r.Capture(capture.New("n1", recorderNames, 0.1), func(i capture.Interval) { got = append(got, i) })
 	r.put(Event{Event: logic.Event{Kind: logic.ListChanged, Entries: []logic.Entry{{Searcher: 1}}}, Addresses: []string{"x:1"}, Names: []Name{{"s-1", "north"}}})
 	one, two := r.lookup("aa", 0, 2), r.lookup("bb", 1, 1)
 	r.put(one, two)
@@ -44,15 +44,15 @@
 	}
 }
 
-// BenchmarkCapture tells, by turns in one run, what the actor's work for a lookup of four parts costs with a book against
+// BenchmarkCapture tells, by turns in one run, what the actor's work for a lookup of four parts costs with a recorder against
 // without. It is the actor's work alone: sockets, heads and bodies, several times as much, are not in it.
 func BenchmarkCapture(b *testing.B) {
 	with, without := newRig(nil), newRig(nil)
-	with.Capture(capture.New("n1", bookNames, 10), func(capture.Interval) {})
+	with.Capture(capture.New("n1", recorderNames, 10), func(capture.Interval) {})
 	var took [2]time.Duration
 	n := 0
 	for b.Loop() {
-		for i, r := range []*rig{with, without} {
+		for i, r := range []*fixture{with, without} {
 			n++
 			e := r.lookup(fmt.Sprint(n), 0, 4)
 			r.sent = r.sent[:0]
--- a/internal/dataplane/mixer/crossings_test.go
+++ b/internal/dataplane/mixer/crossings_test.go
@@ -68,7 +68,7 @@
 						if answers+gone != 1 {
 							t.Fatalf("%s: %d answers, gone %d", what, answers, gone)
 						}
-						r.books(t, map[string]int64{"taken": 1, "held": 0})
+						r.checkCounters(t, map[string]int64{"taken": 1, "held": 0})
 						if len(r.lookups)+len(r.names)+len(r.parts)+len(r.out) != 0 {
 							t.Fatalf("%s: left are %v %v %v %v", what, r.lookups, r.names, r.parts, r.out)
 						}
@@ -79,7 +79,7 @@
 	}
 }
 
-// A client that left while its lookup waited in the mailbox, or for a searcher to have room: nothing of it is sent, neither then nor later.
+// A client that left while its lookup waited in the queue, or for a searcher to have room: nothing of it is sent, neither then nor later.
 func TestNothingOfAClientThatLeftIsSent(t *testing.T) {
 	r := newRig(func(s *settings.Settings) { s.Rules.ColdShare = 0.2 })
 	e := r.lookup("aa", 0, 4)
--- a/internal/dataplane/mixer/mixer.go
+++ b/internal/dataplane/mixer/mixer.go
@@ -100,8 +100,8 @@
 	CloseIdle(at logic.SearcherID)
 }
 
-// Register takes what is asked of the list. None of its methods may block.
-type Register interface {
+// Discovery takes what is asked of the list. None of its methods may block.
+type Discovery interface {
 	Subscribe(on bool)
 	AskWhole()
 }
@@ -145,13 +145,13 @@
 
 // Mixer is the actor.
 type Mixer struct {
-	In *eventqueue.Box[Event]
+	In *eventqueue.Queue[Event]
 
 	set       settings.Settings
 	log       zerolog.Logger
 	count     *counters.Set
 	searchers Searchers
-	register  Register
+	register  Discovery
 	module    *logic.Mixer
 
 	start    time.Time // with its monotonic reading
@@ -165,7 +165,7 @@
 	parts    map[logic.PartID]partRef
 	out      map[callKey]outCall
 	gated    gated
-	book     *capture.Book // nil where nothing is captured
+	recorder *capture.Recorder // nil where nothing is captured
 	captured func(capture.Interval)
 	waiting  []Event
 	events   []logic.Event
@@ -196,13 +196,13 @@
 	return m.start.Add(time.Duration((seconds - m.unix) * float64(time.Second)))
 }
 
-// Capture lets a book count the load; each of its intervals goes to done, which may not block. It comes before Run.
-func (m *Mixer) Capture(book *capture.Book, done func(capture.Interval)) {
-	m.book, m.captured = book, done
+// Capture lets a recorder count the load; each of its intervals goes to done, which may not block. It comes before Run.
+func (m *Mixer) Capture(recorder *capture.Recorder, done func(capture.Interval)) {
+	m.recorder, m.captured = recorder, done
 }
 
 // Run is the actor's goroutine, until Stop.
-func (m *Mixer) Run(searchers Searchers, register Register) {
+func (m *Mixer) Run(searchers Searchers, register Discovery) {
 	defer close(m.stopped)
 	m.searchers, m.register = searchers, register
 	wake := time.NewTimer(time.Hour)
@@ -264,8 +264,8 @@
 	if m.gated.rules != nil {
 		m.holdRules()
 	}
-	if m.book != nil && m.book.Due(m.seconds(now)) {
-		m.captured(m.book.Cut(m.seconds(now)))
+	if m.recorder != nil && m.recorder.Due(m.seconds(now)) {
+		m.captured(m.recorder.Cut(m.seconds(now)))
 	}
 	clear(m.events)
 	clear(m.actions)
@@ -289,8 +289,8 @@
 		key := callKey{e.Part, e.Call}
 		c, out := m.out[key]
 		delete(m.out, key)
-		if out && m.book != nil {
-			m.book.Called(m.seconds(now), c.seat, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
+		if out && m.recorder != nil {
+			m.recorder.Called(m.seconds(now), c.seat, c.index, e.Outcome, e.Elapsed, c.alone, e.Load)
 		}
 		if out && m.gated.gate != nil {
 			m.gated.gate.Called(now, m.gated.places[c.to].name, e.Outcome, e.Elapsed)
@@ -307,11 +307,11 @@
 		for i := range e.Entries {
 			m.searchers.Named(e.Entries[i], e.Addresses[i])
 			switch {
-			case m.book == nil:
+			case m.recorder == nil:
 			case e.Entries[i].Phase == logic.Gone:
-				m.book.Unnamed(e.Entries[i].Searcher)
+				m.recorder.Unnamed(e.Entries[i].Searcher)
 			default:
-				m.book.Named(e.Entries[i].Searcher, e.Names[i].Searcher, e.Names[i].Location)
+				m.recorder.Named(e.Entries[i].Searcher, e.Names[i].Searcher, e.Names[i].Location)
 			}
 		}
 		if e.List != logic.ListPatch {
@@ -364,8 +364,8 @@
 		e.Hint += lk.Parts[i].Hint
 	}
 	m.events = append(m.events, e)
-	if m.book != nil {
-		m.book.Taken(m.seconds(now), lk.Index, lk.Customer, lk.Resent, e.Hint, lk.shards)
+	if m.recorder != nil {
+		m.recorder.Taken(m.seconds(now), lk.Index, lk.Customer, lk.Resent, e.Hint, lk.shards)
 	}
 	e.Kind, e.Parts = logic.PartTaken, 0
 	for i := range lk.Parts {
@@ -386,10 +386,10 @@
 	}
 }
 
-// ended tells the book of a lookup's end, where there is one.
+// ended tells the recorder of a lookup's end, where there is one.
 func (m *Mixer) ended(lk *Lookup, how capture.End, now time.Time) {
-	if m.book != nil {
-		m.book.Ended(m.seconds(now), lk.Index, lk.Customer, how, now.Sub(lk.Arrived).Seconds())
+	if m.recorder != nil {
+		m.recorder.Ended(m.seconds(now), lk.Index, lk.Customer, how, now.Sub(lk.Arrived).Seconds())
 	}
 }
 
@@ -485,8 +485,8 @@
 	key := callKey{a.Part, p.made}
 	p.made++
 	c := outCall{to: a.Searcher, index: lk.Index, owner: lk.Customer}
-	if m.book != nil {
-		c.seat, c.alone = m.book.Sent(m.seconds(now), a.Searcher)
+	if m.recorder != nil {
+		c.seat, c.alone = m.recorder.Sent(m.seconds(now), a.Searcher)
 	}
 	m.out[key] = c
 	m.count.Add("calls", "sent", 1)
--- a/internal/dataplane/mixer/mixer_test.go
+++ b/internal/dataplane/mixer/mixer_test.go
@@ -13,8 +13,8 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// rig is a module's actor that the test steps itself, and both of its peers.
-type rig struct {
+// fixture is a module's actor that the test steps itself, and both of its peers.
+type fixture struct {
 	*Mixer
 	now    time.Time
 	sent   []sentCall
@@ -29,23 +29,23 @@
 	Call
 }
 
-func (r *rig) Named(logic.Entry, string)         {}
-func (r *rig) Unnamed(map[logic.SearcherID]bool) {}
-func (r *rig) Probe(at logic.SearcherID, _ bool) { r.probes = append(r.probes, at) }
-func (r *rig) CloseIdle(logic.SearcherID)        {}
-func (r *rig) Subscribe(bool)                    { r.subs++ }
-func (r *rig) AskWhole()                         {}
-func (r *rig) Send(to logic.SearcherID, cs []Call) {
+func (r *fixture) Named(logic.Entry, string)         {}
+func (r *fixture) Unnamed(map[logic.SearcherID]bool) {}
+func (r *fixture) Probe(at logic.SearcherID, _ bool) { r.probes = append(r.probes, at) }
+func (r *fixture) CloseIdle(logic.SearcherID)        {}
+func (r *fixture) Subscribe(bool)                    { r.subs++ }
+func (r *fixture) AskWhole()                         {}
+func (r *fixture) Send(to logic.SearcherID, cs []Call) {
 	r.trips = append(r.trips, len(cs))
 	for _, c := range cs {
 		r.sent = append(r.sent, sentCall{to, c})
 	}
 }
-func (r *rig) Withdraw(_ logic.SearcherID, part logic.PartID, _ logic.CallNo) {
+func (r *fixture) Withdraw(_ logic.SearcherID, part logic.PartID, _ logic.CallNo) {
 	r.back = append(r.back, part)
 }
 
-func newRig(change func(*settings.Settings)) *rig {
+func newRig(change func(*settings.Settings)) *fixture {
 	set := settings.Settings{Settings: logic.Settings{Seed: 5, Mixers: 2, Step: 0.005,
 		Indexes: []logic.IndexSettings{{Soft: 1, Hard: 4, Gain: 1, LateGain: 0.1}, {Soft: 1, Hard: 4, Gain: 3, Effect: logic.OnceOnly}},
 		Layout:  logic.Layout{Cells: 4, Width: 2, CallParts: 1},
@@ -54,7 +54,7 @@
 	if change != nil {
 		change(&set)
 	}
-	r := &rig{Mixer: New(set, zerolog.Nop(), counters.New())}
+	r := &fixture{Mixer: New(set, zerolog.Nop(), counters.New())}
 	r.searchers, r.register, r.now = r, r, r.start
 	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListStale}, Addresses: make([]string, 8)}
 	for i := range 8 {
@@ -65,7 +65,7 @@
 }
 
 // put lets events come and the actor step a moment later.
-func (r *rig) put(events ...Event) {
+func (r *fixture) put(events ...Event) {
 	for _, e := range events {
 		r.In.Put(e)
 	}
@@ -73,7 +73,7 @@
 	r.step(r.now)
 }
 
-func (r *rig) lookup(id string, index logic.IndexID, parts int) Event {
+func (r *fixture) lookup(id string, index logic.IndexID, parts int) Event {
 	lk := &Lookup{ID: id, Index: index, Arrived: r.now, Wait: 2, Done: make(chan Reply, 1)}
 	for i := range parts {
 		lk.Parts = append(lk.Parts, Part{Shard: logic.ShardID(i), Weight: 1 / float64(parts)})
@@ -120,11 +120,11 @@
 		t.Fatalf("values %q", got)
 	}
 	r.put(Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: lk}) // it left as the answer was on its way
-	r.books(t, map[string]int64{"taken": 1, "satisfied": 1, "gone": 0, "held": 0})
+	r.checkCounters(t, map[string]int64{"taken": 1, "satisfied": 1, "gone": 0, "held": 0})
 }
 
-// books checks counters, and that they add up.
-func (r *rig) books(t *testing.T, want map[string]int64) {
+// checkCounters checks counters, and that they add up.
+func (r *fixture) checkCounters(t *testing.T, want map[string]int64) {
 	t.Helper()
 	get := func(reason string) int64 { return r.count.Get("lookups", reason) }
 	for reason, n := range want {
@@ -159,7 +159,7 @@
 	if len(r.sent) != 4 {
 		t.Fatalf("sent %d", len(r.sent))
 	}
-	r.books(t, map[string]int64{"taken": 3, "gone": 1, "held": 2, "full": 1, "twice": 1})
+	r.checkCounters(t, map[string]int64{"taken": 3, "gone": 1, "held": 2, "full": 1, "twice": 1})
 }
 
 func TestPartsOfAStepShareCalls(t *testing.T) {
@@ -217,7 +217,7 @@
 	time.Sleep(10 * time.Millisecond)
 	took := time.Since(begin)
 	r.Stop()
-	r.books(t, map[string]int64{"taken": 40})
+	r.checkCounters(t, map[string]int64{"taken": 40})
 	last, steps := time.Time{}, 0
 	for _, c := range r.sent { // calls of one step were sent at one time
 		if c.Sent.Equal(last) {
@@ -307,7 +307,7 @@
 					}
 				}
 			}
-			r.books(t, nil)
+			r.checkCounters(t, nil)
 		}
 		if len(open) > 0 || len(r.lookups) != 0 || len(r.parts) > 0 || len(r.out) != len(pending) {
 			t.Fatalf("%d lookups open, %d held, %d parts, %d calls booked of %d", len(open), len(r.lookups), len(r.parts), len(r.out), len(pending))
--- a/internal/dataplane/node/node.go
+++ b/internal/dataplane/node/node.go
@@ -1,4 +1,4 @@
-// Package node puts one mixer together: its actors, their mailboxes, and the order in which they start and stop. It
+// Package node puts one mixer together: its actors, their queues, and the order in which they start and stop. It
 // decides nothing.
 package node
 
@@ -35,7 +35,7 @@
 )
 
 const (
-	// Shares of the descriptors: clients' lines, searchers' lines; the rest is for the register, the listeners, the
+	// Shares of the descriptors: clients' connections, searchers' connections; the rest is for the register, the listeners, the
 	// log, the store and what Go itself opens.
 	clientShare   = 0.6
 	searcherShare = 0.3
@@ -104,17 +104,17 @@
 	return set, nil
 }
 
-// lines is how many lines clients and searchers may have, and in how many bytes altogether.
-func (c *Config) lines() (clientLines, searcherLines, memory int) {
-	clientLines, searcherLines, memory = math.MaxInt32, math.MaxInt32, math.MaxInt32
+// connectionLimits is how many connections clients and searchers may have, and in how many bytes altogether.
+func (c *Config) connectionLimits() (clientConnections, searcherConnections, memory int) {
+	clientConnections, searcherConnections, memory = math.MaxInt32, math.MaxInt32, math.MaxInt32
 	if c.Limits.MemoryMB > 0 {
 		memory = int(c.Limits.MemoryMB * (1 << 20))
 	}
 	if c.Limits.Sockets > 0 {
-		clientLines = max(1, int(clientShare*float64(c.Limits.Sockets)))
-		searcherLines = max(1, int(searcherShare*float64(c.Limits.Sockets)))
+		clientConnections = max(1, int(clientShare*float64(c.Limits.Sockets)))
+		searcherConnections = max(1, int(searcherShare*float64(c.Limits.Sockets)))
 	}
-	return clientLines, searcherLines, memory
+	return clientConnections, searcherConnections, memory
 }
 
 // listen waits a while for an address in use: a restart may overlap with the end of the process before it.
@@ -147,25 +147,25 @@
 
 // Node is a mixer that runs.
 type Node struct {
-	log       zerolog.Logger
-	count     *counters.Set
-	mixer     *mixer.Mixer
-	register  *discovery.Register
-	hub       *searchers.Hub
-	server    *clients.Server
-	fleet     *fleet.Fleet     // nil where the operator's file has none
-	desk      *controller.Desk // nil where the operator's file has neither overrides nor a listener
-	store     *store.Store
-	operators *api.Server
-	captures  *capture.Writer
-	drained   chan struct{}
-	drain     func()
+	log        zerolog.Logger
+	count      *counters.Set
+	mixer      *mixer.Mixer
+	discovery  *discovery.Client
+	hub        *searchers.Hub
+	server     *clients.Server
+	fleet      *fleet.Fleet           // nil where the operator's file has none
+	controller *controller.Controller // nil where the operator's file has neither overrides nor a listener
+	store      *store.Store
+	operators  *api.Server
+	captures   *capture.Writer
+	drained    chan struct{}
+	drain      func()
 }
 
 // Start starts a mixer that serves from what the config knows, with what the operator's file adds. Until it serves, the
 // context's end ends the start.
 func Start(ctx context.Context, c Config, set settings.Settings, file operatorfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
-	clientLines, searcherLines, memory := c.lines()
+	clientConnections, searcherConnections, memory := c.connectionLimits()
 	n = &Node{log: log, count: count, drained: make(chan struct{})}
 	n.mixer = mixer.New(set, log, count)
 	if file.Capture.Directory != "" {
@@ -180,14 +180,14 @@
 	}
 	tell := discovery.Listener(n.mixer.In)
 	if file.Overrides.On || file.Operators.Listen != "" {
-		n.openDesk(set, file)
-		tell = n.desk
+		n.openController(set, file)
+		tell = n.controller
 	}
-	if n.register, err = discovery.New(c.Discovery, c.Known, set, tell, log, count); err != nil {
+	if n.discovery, err = discovery.New(c.Discovery, c.Known, set, tell, log, count); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	if n.desk != nil {
-		n.desk.Settle()
+	if n.controller != nil {
+		n.controller.Settle()
 	}
 	address, err := net.ResolveTCPAddr("tcp", c.Listen)
 	if err != nil {
@@ -195,7 +195,7 @@
 	}
 	var forOperators net.Listener
 	if file.Operators.Listen != "" {
-		if n.operators, err = api.New(c.Name, file.Operators, n.desk, n.fleet, log, count); err != nil {
+		if n.operators, err = api.New(c.Name, file.Operators, n.controller, n.fleet, log, count); err != nil {
 			return nil, fmt.Errorf("operators: %w", err)
 		}
 		if forOperators, err = api.Listen(file.Operators.Listen); err != nil {
@@ -206,8 +206,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.hub = searchers.New(set.Net, searcherLines, n.mixer.In, log, count)
-	n.server = clients.New(set, clientLines, memory, n.mixer.In, log, count)
+	n.hub = searchers.New(set.Net, searcherConnections, n.mixer.In, log, count)
+	n.server = clients.New(set, clientConnections, memory, n.mixer.In, log, count)
 	n.drain = sync.OnceFunc(func() {
 		if n.fleet != nil {
 			go n.fleet.Release() // the next process may begin
@@ -217,11 +217,11 @@
 	if n.fleet != nil {
 		go n.fleet.Run()
 	}
-	go n.mixer.Run(n.hub, n.register)
-	if n.desk != nil {
-		go n.desk.Run()
+	go n.mixer.Run(n.hub, n.discovery)
+	if n.controller != nil {
+		go n.controller.Run()
 	}
-	go n.register.Run()
+	go n.discovery.Run()
 	n.server.Serve(listener)
 	if n.operators != nil {
 		go n.operators.Serve(forOperators)
@@ -230,22 +230,22 @@
 	return n, nil
 }
 
-// openDesk makes the desk, with what a store has kept. Where nothing can be kept it serves all the same, and refuses
+// openController makes the controller, with what a store has kept. Where nothing can be kept it serves all the same, and refuses
 // commands, which would end with the process though their sender thinks them kept.
-func (n *Node) openDesk(set settings.Settings, file operatorfile.File) {
+func (n *Node) openController(set settings.Settings, file operatorfile.File) {
 	lim := file.Overrides.Limits
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = set.Net.Indexes, set.Net.Shards, set.Layout.Cells, set.Layout.Width
-	var kept store.Kept
-	keeper, in := controller.Keeper(nil), ""
+	var kept store.Contents
+	persistent, in := controller.Store(nil), ""
 	if dir := file.Overrides.Directory; dir != "" {
 		var err error
 		if n.store, kept, err = store.Open(dir, n.log); err != nil {
 			n.log.Error().Str("text", err.Error()).Msg("overrides can't be kept, commands are refused")
 		}
-		keeper, in = n.store, dir
+		persistent, in = n.store, dir
 	}
-	n.desk = controller.New(lim, n.mixer.In, keeper, in, n.log, n.count)
-	n.desk.Restore(kept.Revision, kept.Held, kept.Recent)
+	n.controller = controller.New(lim, n.mixer.In, persistent, in, n.log, n.count)
+	n.controller.Restore(kept.Revision, kept.Held, kept.Recent)
 }
 
 // join makes the mixer one of a fleet.
@@ -305,7 +305,7 @@
 
 // Reload takes of a config what may change under a running mixer: where the register is.
 func (n *Node) Reload(c Config) error {
-	if err := n.register.MoveTo(c.Discovery); err != nil {
+	if err := n.discovery.MoveTo(c.Discovery); err != nil {
 		return fmt.Errorf("config: discovery: %w", err)
 	}
 	return nil
@@ -330,9 +330,9 @@
 	if n.operators != nil {
 		n.operators.Stop()
 	}
-	n.register.Stop()
-	if n.desk != nil {
-		n.desk.Stop()
+	n.discovery.Stop()
+	if n.controller != nil {
+		n.controller.Stop()
 	}
 	if n.store != nil {
 		n.store.Stop()
--- a/internal/dataplane/node/node_test.go
+++ b/internal/dataplane/node/node_test.go
@@ -385,7 +385,7 @@
 	w.ends()
 }
 
-// Operators that hold all lines, say half a request or ask without end cost lookups nothing.
+// Operators that hold all connections, say half a request or ask without end cost lookups nothing.
 func TestRudeOperatorsDelayNoLookup(t *testing.T) {
 	w := newWorld(t, 150, 4*time.Millisecond)
 	lookups := int64(300)
@@ -401,7 +401,7 @@
 	calm := tail()
 	stop := make(chan struct{})
 	var rude sync.WaitGroup
-	for i := range 24 { // more than the listener's lines
+	for i := range 24 { // more than the listener's connections
 		rude.Go(func() {
 			for {
 				c, err := net.Dial("unix", strings.TrimPrefix(w.file.Operators.Listen, "unix:"))
--- a/internal/dataplane/searchers/actor.go
+++ b/internal/dataplane/searchers/actor.go
@@ -18,60 +18,60 @@
 	probe
 	closeIdle
 	stop
-	dialled   // era, line, or why and text
-	wentOut   // line, letter, calls: written to the last byte; at: when that began
-	notBegun  // line, calls: not written and not to be any more
-	cameHalf  // line: a frame that is not here to its end
-	cameIn    // line, letter, answer or text, at
-	spoilt    // line, name of the call it may mean, at: nothing after it is read
-	lineEnded // line, why, text
+	dialled         // era, connection, or why and text
+	frameWritten    // connection, frameType, calls: written to the last byte; at: when that began
+	notBegun        // connection, calls: not written and not to be any more
+	framePartial    // connection: a frame that is not here to its end
+	frameReceived   // connection, frameType, answer or text, at
+	corrupted       // connection, name of the call it may mean, at: nothing after it is read
+	connectionEnded // connection, why, text
 )
 
-// note is what an actor hears, from the module's or from its own lines.
+// note is what an actor hears, from the module's or from its own connections.
 type note struct {
-	kind    noteKind
-	letter  byte
-	entry   logic.Entry
-	address string
-	apart   bool
-	era     int
-	new     []mixer.Call
-	calls   []*call
-	part    logic.PartID
-	no      logic.CallNo
-	line    *line
-	answer  answer
-	name    string
-	why     reason
-	text    string
-	at      time.Time
+	kind       noteKind
+	frameType  byte
+	entry      logic.Entry
+	address    string
+	apart      bool
+	era        int
+	new        []mixer.Call
+	calls      []*call
+	part       logic.PartID
+	no         logic.CallNo
+	connection *connection
+	answer     answer
+	name       string
+	why        reason
+	text       string
+	at         time.Time
 }
 
 // actor speaks with one searcher.
 type actor struct {
-	hub      *Hub
-	id       logic.SearcherID
-	in       *eventqueue.Box[note]
-	address  string
-	stopped  bool
-	closed   bool        // the list says that it wants nothing new
-	gone     bool        // the list no longer names it
-	over     atomic.Bool // it has ended
-	era      int         // of the address
-	lines    []*line
-	dials    int     // connects to this address
-	dialling int     // connects to any
-	waiting  []*trip // for a line with room
-	calls    map[string]*call
-	asking   *asking
-	heard    time.Time // last frame that came on any line
+	hub          *Hub
+	id           logic.SearcherID
+	in           *eventqueue.Queue[note]
+	address      string
+	stopped      bool
+	closed       bool        // the list says that it wants nothing new
+	gone         bool        // the list no longer names it
+	over         atomic.Bool // it has ended
+	era          int         // of the address
+	connections  []*connection
+	dials        int     // connects to this address
+	dialling     int     // connects to any
+	waiting      []*trip // for a connection with room
+	calls        map[string]*call
+	pendingProbe *pendingProbe
+	heard        time.Time // last frame that came on any connection
 }
 
 func (a *actor) run() {
 	var notes []note
 	timer := time.NewTimer(0)
 	defer a.over.Store(true)
-	for !a.stopped && !a.gone || a.dialling > 0 || len(a.lines) > 0 || a.gone && len(a.calls) > 0 {
+	for !a.stopped && !a.gone || a.dialling > 0 || len(a.connections) > 0 || a.gone && len(a.calls) > 0 {
 		select {
 		case <-a.in.Ready():
 		case <-timer.C:
@@ -106,22 +106,22 @@
 		a.closeIdle(whyAsked)
 	case stop:
 		a.stopped = true
-		for _, l := range a.lines {
-			a.close(l, whyShutdown)
+		for _, conn := range a.connections {
+			a.close(conn, whyShutdown)
 		}
 	case dialled:
 		a.dialled(n)
-	case wentOut:
-		n.line.used = n.at
+	case frameWritten:
+		n.connection.used = n.at
 		switch {
-		case n.letter == letterCall:
+		case n.frameType == frameCall:
 			for _, c := range n.calls {
 				c.written = true
 			}
-		case n.letter == letterCancel:
-			a.gaveUp(n.line, n.calls[0])
-		case a.asking != nil && a.asking.line == n.line:
-			a.asking.written = true
+		case n.frameType == frameCancel:
+			a.gaveUp(n.connection, n.calls[0])
+		case a.pendingProbe != nil && a.pendingProbe.connection == n.connection:
+			a.pendingProbe.written = true
 		}
 	case notBegun:
 		for _, c := range n.calls {
@@ -129,27 +129,27 @@
 				a.end(c, logic.NotSent, time.Now(), answer{})
 			}
 		}
-	case cameHalf:
-		n.line.half = true
-	case cameIn:
-		n.line.used, n.line.heard, n.line.half = n.at, n.at, false
-		n.line.muteAt, a.heard = time.Time{}, n.at
-		if !n.line.asked.After(n.at) {
-			n.line.asked = time.Time{}
+	case framePartial:
+		n.connection.half = true
+	case frameReceived:
+		n.connection.used, n.connection.heard, n.connection.half = n.at, n.at, false
+		n.connection.silentSince, a.heard = time.Time{}, n.at
+		if !n.connection.asked.After(n.at) {
+			n.connection.asked = time.Time{}
 		}
-		if n.letter == letterAnswer {
+		if n.frameType == frameAnswer {
 			a.answered(n)
 		} else {
 			a.alive(n)
 		}
-	case spoilt:
-		a.spoilt(n.line, n.name, n.why, n.at)
-	case lineEnded:
-		a.lineEnded(n)
+	case corrupted:
+		a.corrupted(n.connection, n.name, n.why, n.at)
+	case connectionEnded:
+		a.connectionEnded(n)
 	}
 }
 
-// named takes what the list says. Lines to another address, or older than the searcher's last start, lead to a
+// named takes what the list says. Connections to another address, or older than the searcher's last start, lead to a
 // process that is no more.
 func (a *actor) named(n *note) {
 	if a.closed = n.entry.Phase != logic.Ready; a.closed {
@@ -163,12 +163,12 @@
 		a.era++
 		defer a.assign()
 	}
-	for _, l := range a.lines {
+	for _, conn := range a.connections {
 		switch {
-		case l.address != a.address:
-			a.close(l, whyMoved)
-		case float64(l.opened.UnixNano())/1e9 < n.entry.StartedAt:
-			a.close(l, whyRestarted)
+		case conn.address != a.address:
+			a.close(conn, whyMoved)
+		case float64(conn.opened.UnixNano())/1e9 < n.entry.StartedAt:
+			a.close(conn, whyRestarted)
 		}
 	}
 }
@@ -190,31 +190,31 @@
 			a.giveUp(c, logic.TimedOut)
 		}
 	}
-	if p := a.asking; p != nil && due(p.since.Add(seconds(a.hub.set.Connect))) {
+	if p := a.pendingProbe; p != nil && due(p.since.Add(seconds(a.hub.set.Connect))) {
 		how := logic.TimedOut
-		if p.line == nil { // the connect that it waits for has as long, and may be told a moment later
+		if p.connection == nil { // the connect that it waits for has as long, and may be told a moment later
 			how = logic.NotConnected
 		} else if p.written {
-			a.unanswered(p.line, p.since, now)
+			a.unanswered(p.connection, p.since, now)
 		}
 		a.probed(how, now, logic.Load{})
 	}
-	for _, l := range a.lines {
+	for _, conn := range a.connections {
 		switch {
-		case l.closing != "":
-		case !l.muteAt.IsZero():
+		case conn.closing != "":
+		case !conn.silentSince.IsZero():
 			// Its searcher lives, and has had as long again as a probe to say something here: nobody waits any more.
-			if a.idle(l) || !a.heard.Before(l.muteAt) && due(l.muteAt.Add(seconds(a.hub.set.Connect))) {
-				a.close(l, whyMute) // before any end on it is told
+			if a.idle(conn) || !a.heard.Before(conn.silentSince) && due(conn.silentSince.Add(seconds(a.hub.set.Connect))) {
+				a.close(conn, whySilent) // before any end on it is told
 				for _, c := range a.calls {
-					if c.line == l {
+					if c.connection == conn {
 						a.end(c, logic.TimedOut, now, answer{})
 					}
 				}
 			}
-		case !a.idle(l):
-		case a.hub.set.Idle > 0 && due(l.used.Add(a.keep())):
-			a.close(l, whyIdle)
+		case !a.idle(conn):
+		case a.hub.set.Idle > 0 && due(conn.used.Add(a.idleLimit())):
+			a.close(conn, whyIdle)
 		}
 	}
 	return next
--- a/internal/dataplane/searchers/call.go
+++ b/internal/dataplane/searchers/call.go
@@ -11,13 +11,13 @@
 // call is one part call that is out. name, the Call and its trip never change.
 type call struct {
 	mixer.Call
-	name    string
-	trip    *trip
-	line    *line // nil while it waits for one
-	written bool
-	back    bool          // given up, which its searcher is being told
-	how     logic.Outcome // then: as what
-	begun   atomic.Int32  // its actor and its line's writer settle by it which of them comes first
+	name       string
+	trip       *trip
+	connection *connection // nil while it waits for one
+	written    bool
+	back       bool          // given up, which its searcher is being told
+	how        logic.Outcome // then: as what
+	begun      atomic.Int32  // its actor and its connection's writer settle by it which of them comes first
 }
 
 const (
@@ -26,7 +26,7 @@
 	never
 )
 
-// begin tells its line's writer whether its write may begin, however long it waited for that: it may not once it was
+// begin tells its connection's writer whether its write may begin, however long it waited for that: it may not once it was
 // taken back, its searcher wants nothing new, nobody waits for it, or a repeat of it would no longer be known as one.
 func (c *call) begin(now time.Time) bool {
 	if now.After(c.Begin) {
@@ -37,16 +37,16 @@
 
 // takeBack tells its actor whether it surely is not written and never will be.
 func (c *call) takeBack() bool {
-	return c.line == nil || c.begun.CompareAndSwap(waits, never) || c.begun.Load() == never
+	return c.connection == nil || c.begun.CompareAndSwap(waits, never) || c.begun.Load() == never
 }
 
-// trip is the calls that share one place on a line.
+// trip is the calls that share one place on a connection.
 type trip struct {
 	calls []*call
 	live  int
 }
 
-// outcome is that of a call whose line can tell no more: what was never wholly written never ran.
+// outcome is that of a call whose connection can tell no more: what was never wholly written never ran.
 func (c *call) outcome() logic.Outcome {
 	switch {
 	case c.back:
--- a/internal/dataplane/searchers/calls.go
+++ b/internal/dataplane/searchers/calls.go
@@ -16,8 +16,8 @@
 		switch {
 		case c.takeBack():
 			a.end(c, logic.NotSent, time.Now(), answer{})
-		case !c.written && c.line.closing == "":
-			c.line.conn.SetWriteDeadline(time.Now().Add(hurry))
+		case !c.written && c.connection.closing == "":
+			c.connection.socket.SetWriteDeadline(time.Now().Add(hurry))
 		}
 	}
 }
@@ -42,27 +42,27 @@
 	a.assign()
 }
 
-// assign puts what waits on the first line that can take it, and opens more lines where there are too few.
+// assign puts what waits on the first connection that can take it, and opens more connections where there are too few.
 func (a *actor) assign() {
 	var rest []*trip
 	for _, t := range a.waiting {
-		l := a.room(t)
-		if l == nil {
+		conn := a.room(t)
+		if conn == nil {
 			rest = append(rest, t)
 			continue
 		}
-		l.trips++
-		l.ask(time.Now())
+		conn.trips++
+		conn.ask(time.Now())
 		for _, c := range t.calls {
-			c.line = l
+			c.connection = conn
 		}
-		l.out.Put(packet{letter: letterCall, calls: t.calls})
+		conn.out.Put(outgoing{frameType: frameCall, calls: t.calls})
 	}
 	a.waiting = rest
-	if p := a.asking; p != nil && p.line == nil {
-		for _, l := range a.lines {
-			if a.takes(l) && (!p.apart || a.idle(l) && l.asked.IsZero()) {
-				a.ask(l)
+	if p := a.pendingProbe; p != nil && p.connection == nil {
+		for _, conn := range a.connections {
+			if a.takes(conn) && (!p.apart || a.idle(conn) && conn.asked.IsZero()) {
+				a.ask(conn)
 				break
 			}
 		}
@@ -72,7 +72,7 @@
 	}
 }
 
-// end takes a call off the books and tells the module how it ended.
+// end takes a call off the records and tells the module how it ended.
 func (a *actor) end(c *call, how logic.Outcome, at time.Time, with answer) {
 	if a.calls[c.name] == c {
 		delete(a.calls, c.name)
@@ -80,13 +80,13 @@
 	t := c.trip
 	t.live--
 	switch {
-	case c.line == nil: // not handed to a line yet
+	case c.connection == nil: // not handed to a connection yet
 		t.calls = slices.DeleteFunc(t.calls, func(o *call) bool { return o == c })
 		if t.live == 0 {
 			a.waiting = slices.DeleteFunc(a.waiting, func(o *trip) bool { return o == t })
 		}
 	case t.live == 0:
-		c.line.trips--
+		c.connection.trips--
 	}
 	a.hub.ended(&c.Call, a.id, how, at, with)
 }
@@ -94,66 +94,66 @@
 // giveUp gives up a call that nobody waits for any more. Its end is told once its searcher was: until then another call of
 // its part would be a second copy. An answer that comes before that is taken.
 func (a *actor) giveUp(c *call, how logic.Outcome) {
-	l, now := c.line, time.Now()
+	conn, now := c.connection, time.Now()
 	switch {
 	case c.back:
 		return
-	case c.takeBack() || l.closing != "":
+	case c.takeBack() || conn.closing != "":
 		a.end(c, how, now, answer{})
 		return
 	case c.written && how == logic.TimedOut:
-		a.unanswered(l, c.Sent, now)
+		a.unanswered(conn, c.Sent, now)
 	}
 	c.back, c.how = true, how
-	l.out.Put(packet{letter: letterCancel, calls: []*call{c}})
+	conn.out.Put(outgoing{frameType: frameCancel, calls: []*call{c}})
 }
 
 // gaveUp ends a call that its searcher was told is given up; what it may still say is dropped.
-func (a *actor) gaveUp(l *line, c *call) {
+func (a *actor) gaveUp(conn *connection, c *call) {
 	if a.calls[c.name] != c {
 		return // answered meanwhile
 	}
 	now := time.Now()
-	maps.DeleteFunc(l.ghosts, func(_ string, until time.Time) bool { return until.Before(now) })
-	l.ghosts[c.name] = now.Add(lateAnswer)
+	maps.DeleteFunc(conn.abandoned, func(_ string, until time.Time) bool { return until.Before(now) })
+	conn.abandoned[c.name] = now.Add(lateAnswer)
 	a.end(c, c.how, now, answer{})
 }
 
 // answered takes an answer that can be read. One to a call given up is late, the last one may come twice; any other
-// that names no call of this line is meant for one that it does not name.
+// that names no call of this connection is meant for one that it does not name.
 func (a *actor) answered(n *note) {
-	l, name := n.line, n.answer.name
+	conn, name := n.connection, n.answer.name
 	c := a.calls[name]
-	switch _, ghost := l.ghosts[name]; {
-	case c != nil && c.line == l:
-		l.last = name
+	switch _, abandoned := conn.abandoned[name]; {
+	case c != nil && c.connection == conn:
+		conn.last = name
 		a.end(c, n.answer.outcome, n.at, n.answer)
-	case ghost, name == l.last:
-		l.last = name
-		delete(l.ghosts, name)
+	case abandoned, name == conn.last:
+		conn.last = name
+		delete(conn.abandoned, name)
 		a.hub.count.Add("late", "answers", 1)
 	default:
-		a.spoilt(l, name, whyUnknownID, n.at)
+		a.corrupted(conn, name, whyUnknownID, n.at)
 	}
 }
 
-// spoilt gives a line up of which nothing can be trusted any more. The call that the bad answer names, or else the
-// only one that is out there, has run and failed; what becomes of the others is told by the line's end.
-func (a *actor) spoilt(l *line, name string, why reason, at time.Time) {
+// corrupted gives a connection up of which nothing can be trusted any more. The call that the bad answer names, or else the
+// only one that is out there, has run and failed; what becomes of the others is told by the connection's end.
+func (a *actor) corrupted(conn *connection, name string, why reason, at time.Time) {
 	a.hub.count.Add("late", "spoilt", 1)
 	meant := a.calls[name]
-	if meant == nil || meant.line != l {
+	if meant == nil || meant.connection != conn {
 		meant = nil
 		for _, c := range a.calls {
-			if c.line == l && meant != nil {
+			if c.connection == conn && meant != nil {
 				meant = nil
 				break
-			} else if c.line == l {
+			} else if c.connection == conn {
 				meant = c
 			}
 		}
 	}
-	a.close(l, why) // before its call's end is told, as another call of that part may go out then
+	a.close(conn, why) // before its call's end is told, as another call of that part may go out then
 	if meant != nil {
 		a.end(meant, logic.Errored, at, answer{})
 	}
--- a/internal/dataplane/searchers/connection.go
+++ b/internal/dataplane/searchers/connection.go
@@ -18,45 +18,45 @@
 // what waits behind it is not bounded otherwise.
 const stuckWrite = time.Second
 
-// lastReads is how long a line that is over may still be read: what has come is here, it has to be taken up alone.
+// lastReads is how long a connection that is over may still be read: what has come is here, it has to be taken up alone.
 const lastReads = 50 * time.Millisecond
 
-// packet is what a line writes at once, in one piece or not at all as far as its searcher's actor knows.
-type packet struct {
-	letter byte
-	calls  []*call // S, and C with one
+// outgoing is what a connection writes at once, in one piece or not at all as far as its searcher's actor knows.
+type outgoing struct {
+	frameType byte
+	calls     []*call // S, and C with one
 }
 
-// line is a connection to a searcher with a goroutine for each direction, so that a write that gets stuck holds
+// connection is one TCP connection to a searcher, with a goroutine for each direction, so that a write that gets stuck holds
 // up nothing else. Its fields below out belong to the searcher's actor.
-type line struct {
-	conn  net.Conn
-	stuck time.Duration // that a write may take
-	out   *eventqueue.Box[packet]
+type connection struct {
+	socket net.Conn
+	stuck  time.Duration // that a write may take
+	out    *eventqueue.Queue[outgoing]
 
 	mu   sync.Mutex
 	over bool // nothing more is written, and only what has come is read
 
-	address string
-	opened  time.Time
-	used    time.Time            // last frame either way
-	trips   int                  // calls that it carries
-	ghosts  map[string]time.Time // names of calls given up on it, which may still be answered, and until when
-	last    string               // name of the last answer on it, which may come twice
-	heard   time.Time            // last frame that came
-	asked   time.Time            // first frame handed to it since; zero if none was
-	muteAt  time.Time            // when what was asked on it had had its time; zero if something has come since
-	half    bool                 // a frame has begun to come; what never ends must not take a call with it
-	closing reason               // why we closed it; "" if we did not
+	address     string
+	opened      time.Time
+	used        time.Time            // last frame either way
+	trips       int                  // calls that it carries
+	abandoned   map[string]time.Time // names of calls given up on it, which may still be answered, and until when
+	last        string               // name of the last answer on it, which may come twice
+	heard       time.Time            // last frame that came
+	asked       time.Time            // first frame handed to it since; zero if none was
+	silentSince time.Time            // when what was asked on it had had its time; zero if something has come since
+	half        bool                 // a frame has begun to come; what never ends must not take a call with it
+	closing     reason               // why we closed it; "" if we did not
 }
 
-// reason is the code of why a line ended, as docs/oncall.md lists them.
+// reason is the code of why a connection ended, as docs/oncall.md lists them.
 type reason string
 
 const (
 	whyIdle       reason = "idle"
 	whyAsked      reason = "closed_on_request"
-	whyMute       reason = "no_answer"
+	whySilent     reason = "no_answer"
 	whyMoved      reason = "address_changed"
 	whyRestarted  reason = "searcher_restarted"
 	whyUnnamed    reason = "searcher_gone"
@@ -73,9 +73,9 @@
 	whyWriteFails reason = "write_failed"
 )
 
-// run serves the line until it ends, telling the actor what was written and what came. The last thing it tells
+// run serves the connection until it ends, telling the actor what was written and what came. The last thing it tells
 // is the end, when neither direction can tell anything more.
-func (l *line) run(tell func(note)) {
+func (conn *connection) run(tell func(note)) {
 	stop := make(chan struct{})
 	var once sync.Once
 	var why reason
@@ -85,100 +85,100 @@
 			why, text = w, err.Error()
 			close(stop)
 			if w == whyWriteFails { // what came before it counts, and may still be unread
-				l.finish()
+				conn.finish()
 			} else {
-				l.conn.Close()
+				conn.socket.Close()
 			}
 		})
 	}
 	var readers sync.WaitGroup
 	readers.Go(func() {
-		end(l.read(tell))
-		l.conn.Close()
+		end(conn.read(tell))
+		conn.socket.Close()
 	})
-	l.write(tell, stop, end)
+	conn.write(tell, stop, end)
 	readers.Wait()
-	tell(note{kind: lineEnded, line: l, why: why, text: text})
+	tell(note{kind: connectionEnded, connection: conn, why: why, text: text})
 }
 
 // finish ends what is written, and leaves the reader a moment for what has come already: an answer that is whole counts,
-// whatever became of its line since.
-func (l *line) finish() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.over = true
-	l.conn.SetReadDeadline(time.Now().Add(lastReads))
-	if c, ok := l.conn.(*net.TCPConn); ok {
+// whatever became of its connection since.
+func (conn *connection) finish() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.over = true
+	conn.socket.SetReadDeadline(time.Now().Add(lastReads))
+	if c, ok := conn.socket.(*net.TCPConn); ok {
 		c.CloseWrite()
 	}
 }
 
-// finishing tells whether the line is read for the last time.
-func (l *line) finishing() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.over
+// finishing tells whether the connection is read for the last time.
+func (conn *connection) finishing() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.over
 }
 
 // readBy sets when the read in hand has to be done, unless it is one of the last.
-func (l *line) readBy(at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.over {
-		l.conn.SetReadDeadline(at)
+func (conn *connection) readBy(at time.Time) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if !conn.over {
+		conn.socket.SetReadDeadline(at)
 	}
 }
 
-// read tells what comes in until the line ends or says what can't be read. From there on no frame can be trusted:
-// the call that the bad one may mean is told at once, and the line is closed.
-func (l *line) read(tell func(note)) (reason, error) {
-	r := bufio.NewReader(l.conn)
-	spoilt := func(name string, why reason, err error) (reason, error) {
-		tell(note{kind: spoilt, line: l, name: name, why: why, at: time.Now()})
+// read tells what comes in until the connection ends or says what can't be read. From there on no frame can be trusted:
+// the call that the bad one may mean is told at once, and the connection is closed.
+func (conn *connection) read(tell func(note)) (reason, error) {
+	r := bufio.NewReader(conn.socket)
+	corrupt := func(name string, why reason, err error) (reason, error) {
+		tell(note{kind: corrupted, connection: conn, name: name, why: why, at: time.Now()})
 		return why, err
 	}
 	for {
-		var letter byte
+		var frameType byte
 		var rest []byte
 		_, err := r.Peek(1)
 		if err == nil {
 			if !buffered(r) {
-				tell(note{kind: cameHalf, line: l})
+				tell(note{kind: framePartial, connection: conn})
 			}
-			l.readBy(time.Now().Add(frameTime))
-			letter, rest, err = readFrame(r)
+			conn.readBy(time.Now().Add(frameTime))
+			frameType, rest, err = readFrame(r)
 		}
 		at := time.Now()
 		var sys syscall.Errno
 		switch {
 		case err == nil:
-			l.readBy(time.Time{})
-		case l.finishing():
+			conn.readBy(time.Time{})
+		case conn.finishing():
 			return whyWriteFails, err
 		case err == io.EOF:
 			return whyEOF, err
 		case errors.As(err, &sys), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
 			return whyReset, err
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			return spoilt("", whyUnended, err)
+			return corrupt("", whyUnended, err)
 		default:
-			return spoilt("", whyBadFrame, err)
+			return corrupt("", whyBadFrame, err)
 		}
-		n := note{kind: cameIn, line: l, letter: letter, at: at}
-		switch letter {
-		case letterAnswer:
+		n := note{kind: frameReceived, connection: conn, frameType: frameType, at: at}
+		switch frameType {
+		case frameAnswer:
 			if n.answer, err = parseAnswer(rest); err != nil {
-				return spoilt(n.answer.name, whyBadFrame, err)
+				return corrupt(n.answer.name, whyBadFrame, err)
 			}
-		case letterAlive, letterLoad:
+		case frameAlive, frameLoad:
 			n.text = string(rest)
-			if letter == letterAlive && n.text != probeDone && n.text != probeFailed {
-				return spoilt("", whyBadFrame, fmt.Errorf("probe answered %.80q", n.text))
+			if frameType == frameAlive && n.text != probeDone && n.text != probeFailed {
+				return corrupt("", whyBadFrame, fmt.Errorf("probe answered %.80q", n.text))
 			}
-		case letterRefuse:
+		case frameRefuse:
 			return whyRefused, fmt.Errorf("%.200q", rest)
 		default:
-			return spoilt("", whyBadFrame, fmt.Errorf("unknown letter %q", letter))
+			return corrupt("", whyBadFrame, fmt.Errorf("unknown letter %q", frameType))
 		}
 		tell(n)
 	}
@@ -204,8 +204,8 @@
 	return upTo[i-1]
 }
 
-func (l *line) write(tell func(note), stop chan struct{}, end func(reason, error)) {
-	var waiting []packet
+func (conn *connection) write(tell func(note), stop chan struct{}, end func(reason, error)) {
+	var waiting []outgoing
 	var buf []byte
 	var upTo []int // where each packet ends in buf
 	for {
@@ -215,37 +215,37 @@
 		select {
 		case <-stop:
 			return
-		case <-l.out.Ready():
+		case <-conn.out.Ready():
 		}
-		waiting = l.out.Take(waiting)
+		waiting = conn.out.Take(waiting)
 		buf, upTo = buf[:0], upTo[:0]
-		l.conn.SetWriteDeadline(time.Now().Add(l.stuck)) // before the look at what may begin: hurry may cut it short
+		conn.socket.SetWriteDeadline(time.Now().Add(conn.stuck)) // before the look at what may begin: hurry may cut it short
 		now := time.Now()
 		for i := range waiting {
 			p := &waiting[i]
-			switch p.letter {
-			case letterCall:
+			switch p.frameType {
+			case frameCall:
 				var not []*call
 				if p.calls, not = begin(p.calls, now); len(not) > 0 {
-					tell(note{kind: notBegun, line: l, calls: not})
+					tell(note{kind: notBegun, connection: conn, calls: not})
 				}
 				if len(p.calls) > 0 {
 					buf = appendCall(buf, p.calls, now)
 				}
-			case letterCancel:
-				buf = appendFrame(buf, letterCancel, []byte(p.calls[0].name)...)
+			case frameCancel:
+				buf = appendFrame(buf, frameCancel, []byte(p.calls[0].name)...)
 			default:
-				buf = appendFrame(buf, p.letter)
+				buf = appendFrame(buf, p.frameType)
 			}
 			upTo = append(upTo, len(buf))
 		}
 		if len(buf) == 0 {
 			continue
 		}
-		n, err := l.conn.Write(buf)
+		n, err := conn.socket.Write(buf)
 		for i, p := range waiting {
 			if n >= upTo[i] && upTo[i] > from(upTo, i) {
-				tell(note{kind: wentOut, line: l, letter: p.letter, calls: p.calls, at: now})
+				tell(note{kind: frameWritten, connection: conn, frameType: p.frameType, calls: p.calls, at: now})
 			}
 		}
 		if err != nil {
--- a/internal/dataplane/searchers/connections.go
+++ b/internal/dataplane/searchers/connections.go
@@ -10,86 +10,86 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-func (a *actor) idle(l *line) bool {
-	return l.trips == 0 && (a.asking == nil || a.asking.line != l)
+func (a *actor) idle(conn *connection) bool {
+	return conn.trips == 0 && (a.pendingProbe == nil || a.pendingProbe.connection != conn)
 }
 
 func (a *actor) closeIdle(why reason) {
-	for _, l := range a.lines {
-		if a.idle(l) {
-			a.close(l, why)
+	for _, conn := range a.connections {
+		if a.idle(conn) {
+			a.close(conn, why)
 		}
 	}
 }
 
-// close ends a line; what is out on it is told when its goroutines have said all they know.
-func (a *actor) close(l *line, why reason) {
-	if l.closing != "" {
+// close ends a connection; what is out on it is told when its goroutines have said all they know.
+func (a *actor) close(conn *connection, why reason) {
+	if conn.closing != "" {
 		return
 	}
-	l.closing = why
-	if l.trips > 0 && (why == whyMoved || why == whyRestarted) { // the process before may have answered
-		l.finish()
+	conn.closing = why
+	if conn.trips > 0 && (why == whyMoved || why == whyRestarted) { // the process before may have answered
+		conn.finish()
 	} else {
-		l.conn.Close()
+		conn.socket.Close()
 	}
 }
 
-// room finds a line for a trip. One on which a call of the same name was given up is no use: its late answer
+// room finds a connection for a trip. One on which a call of the same name was given up is no use: its late answer
 // could not be told from the new one's.
-func (a *actor) room(t *trip) *line {
-	for _, l := range a.lines {
-		if !a.takes(l) || a.hub.set.Streams > 0 && l.trips >= a.hub.set.Streams {
+func (a *actor) room(t *trip) *connection {
+	for _, conn := range a.connections {
+		if !a.takes(conn) || a.hub.set.Streams > 0 && conn.trips >= a.hub.set.Streams {
 			continue
 		}
-		if !slices.ContainsFunc(t.calls, func(c *call) bool { return !l.ghosts[c.name].IsZero() }) {
-			return l
+		if !slices.ContainsFunc(t.calls, func(c *call) bool { return !conn.abandoned[c.name].IsZero() }) {
+			return conn
 		}
 	}
 	return nil
 }
 
-// takes tells whether anything new may be asked on a line. One that has fallen silent looks like a searcher that is
-// silent: only another line tells them apart, and a searcher that lives must not be lost with its line.
-func (a *actor) takes(l *line) bool {
-	return l.closing == "" && !l.half && l.muteAt.IsZero() && !a.stale(l)
+// takes tells whether anything new may be asked on a connection. One that has fallen silent looks like a searcher that is
+// silent: only another connection tells them apart, and a searcher that lives must not be lost with its connection.
+func (a *actor) takes(conn *connection) bool {
+	return conn.closing == "" && !conn.half && conn.silentSince.IsZero() && !a.stale(conn)
 }
 
-// unanswered notes that a line had no answer in its time to what was asked on it then. That time is a probe's at
+// unanswered notes that a connection had no answer in its time to what was asked on it then. That time is a probe's at
 // least: what a client gives a call may be next to nothing.
-func (a *actor) unanswered(l *line, asked, now time.Time) {
-	if l.heard.Before(asked) && now.Sub(asked) >= seconds(a.hub.set.Connect) {
-		a.mute(l, now)
+func (a *actor) unanswered(conn *connection, asked, now time.Time) {
+	if conn.heard.Before(asked) && now.Sub(asked) >= seconds(a.hub.set.Connect) {
+		a.markSilent(conn, now)
 	}
 }
 
-// mute begins the last wait for a line that has said nothing, and asks it by a probe of its own, which a searcher answers at
-// once however long its calls wait. Without one, slow searchers lost line after line, with the work done for them.
-func (a *actor) mute(l *line, now time.Time) {
-	if l.closing != "" || !l.muteAt.IsZero() {
+// markSilent begins the last wait for a connection that has said nothing, and asks it by a probe of its own, which a searcher answers at
+// once however long its calls wait. Without one, slow searchers lost connection after connection, with the work done for them.
+func (a *actor) markSilent(conn *connection, now time.Time) {
+	if conn.closing != "" || !conn.silentSince.IsZero() {
 		return
 	}
-	l.muteAt = now
-	l.out.Put(packet{letter: a.letter()})
+	conn.silentSince = now
+	conn.out.Put(outgoing{frameType: a.probeFrame()})
 }
 
-// ask notes that something is handed to a line. It counts from here and not from when the writer tells of it: on a
-// busy machine that may come after the answer of a probe on another line, which would then find nothing asked here.
-func (l *line) ask(now time.Time) {
-	if l.asked.IsZero() {
-		l.asked = now
+// ask notes that something is handed to a connection. It counts from here and not from when the writer tells of it: on a
+// busy machine that may come after the answer of a probe on another connection, which would then find nothing asked here.
+func (conn *connection) ask(now time.Time) {
+	if conn.asked.IsZero() {
+		conn.asked = now
 	}
 }
 
-// stale tells of a line that its searcher may close for being idle before a frame gets there: a frame is given
+// stale tells of a connection that its searcher may close for being idle before a frame gets there: a frame is given
 // as long as a connect.
-func (a *actor) stale(l *line) bool {
+func (a *actor) stale(conn *connection) bool {
 	idle := a.hub.set.Idle
-	return idle > 0 && a.idle(l) && time.Since(l.used) >= a.keep()
+	return idle > 0 && a.idle(conn) && time.Since(conn.used) >= a.idleLimit()
 }
 
-// keep is how long an idle line is kept; where a connect may take nearly all of the idle time, half of that.
-func (a *actor) keep() time.Duration {
+// idleLimit is how long an idle connection is kept; where a connect may take nearly all of the idle time, half of that.
+func (a *actor) idleLimit() time.Duration {
 	return seconds(max(a.hub.set.Idle-a.hub.set.Connect, a.hub.set.Idle/2))
 }
 
@@ -100,7 +100,7 @@
 	} else if need > 0 {
 		need = 1
 	}
-	if a.asking != nil && a.asking.line == nil {
+	if a.pendingProbe != nil && a.pendingProbe.connection == nil {
 		need = max(need, 1)
 	}
 	return need
@@ -112,14 +112,14 @@
 	a.hub.count.Add("lines", "dialled", 1)
 	address, era, connect := a.address, a.era, seconds(a.hub.set.Connect)
 	select {
-	case a.hub.lines <- struct{}{}:
+	case a.hub.descriptors <- struct{}{}:
 	default:
 		a.in.Put(note{kind: dialled, era: era, address: address, why: whyNoRoom})
 		return
 	}
 	go func() {
-		defer func() { <-a.hub.lines }()
-		conn, err := a.hub.dialer(a.hub.dials, connect, address)
+		defer func() { <-a.hub.descriptors }()
+		socket, err := a.hub.dialer(a.hub.dials, connect, address)
 		if err != nil {
 			why := whyNoConnect
 			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
@@ -128,10 +128,10 @@
 			a.in.Put(note{kind: dialled, era: era, address: address, why: why, text: err.Error()})
 			return
 		}
-		l := &line{conn: conn, stuck: a.hub.stuck, out: eventqueue.New[packet](), address: address, opened: time.Now(),
-			used: time.Now(), ghosts: map[string]time.Time{}}
-		a.in.Put(note{kind: dialled, era: era, line: l})
-		l.run(func(n note) { a.in.Put(n) })
+		conn := &connection{socket: socket, stuck: a.hub.stuck, out: eventqueue.New[outgoing](), address: address, opened: time.Now(),
+			used: time.Now(), abandoned: map[string]time.Time{}}
+		a.in.Put(note{kind: dialled, era: era, connection: conn})
+		conn.run(func(n note) { a.in.Put(n) })
 	}()
 }
 
@@ -141,15 +141,15 @@
 	if !old {
 		a.dials--
 	}
-	if n.line != nil {
-		a.lines = append(a.lines, n.line)
+	if n.connection != nil {
+		a.connections = append(a.connections, n.connection)
 		switch {
 		case a.stopped:
-			a.close(n.line, whyShutdown)
+			a.close(n.connection, whyShutdown)
 		case old:
-			a.close(n.line, whyMoved)
-		case a.closed && a.asking == nil: // idle ones were closed when it began to drain
-			a.close(n.line, whyAsked)
+			a.close(n.connection, whyMoved)
+		case a.closed && a.pendingProbe == nil: // idle ones were closed when it began to drain
+			a.close(n.connection, whyAsked)
 		}
 		a.assign()
 		return
@@ -167,26 +167,26 @@
 			a.end(c, how, time.Now(), answer{})
 		}
 	}
-	if p := a.asking; p != nil && p.line == nil {
+	if p := a.pendingProbe; p != nil && p.connection == nil {
 		a.probed(how, time.Now(), logic.Load{})
 	}
 }
 
-// lineEnded tells once what was out on a line: what was never wholly written never ran.
-func (a *actor) lineEnded(n *note) {
-	l, now := n.line, time.Now()
-	a.lines = slices.DeleteFunc(a.lines, func(o *line) bool { return o == l })
+// connectionEnded tells once what was out on a connection: what was never wholly written never ran.
+func (a *actor) connectionEnded(n *note) {
+	conn, now := n.connection, time.Now()
+	a.connections = slices.DeleteFunc(a.connections, func(o *connection) bool { return o == conn })
 	why := n.why
-	if l.closing != "" {
-		why = l.closing
+	if conn.closing != "" {
+		why = conn.closing
 	}
-	a.logEnd(why, n.text, l.address, now.Sub(l.opened))
+	a.logEnd(why, n.text, conn.address, now.Sub(conn.opened))
 	for _, c := range a.calls {
-		if c.line == l {
+		if c.connection == conn {
 			a.end(c, c.outcome(), now, answer{})
 		}
 	}
-	if p := a.asking; p != nil && p.line == l {
+	if p := a.pendingProbe; p != nil && p.connection == conn {
 		how := logic.NotConnected
 		if p.written {
 			how = logic.Broken
--- a/internal/dataplane/searchers/crossings_test.go
+++ b/internal/dataplane/searchers/crossings_test.go
@@ -18,9 +18,9 @@
 
 func TestMain(m *testing.M) { leaktest.Main(m) }
 
-// stuck sends a call that is larger than sockets hold unread, and returns its line once the write of it has begun: what is
-// sent there next waits behind it until the line is read.
-func (r *rig) stuck() *peerLine {
+// stuck sends a call that is larger than sockets hold unread, and returns its connection once the write of it has begun: what is
+// sent there next waits behind it until the connection is read.
+func (r *fixture) stuck() *peerConnection {
 	r.Helper()
 	r.hub.stuck = patience // it is the test that reads on, however busy the machine is
 	r.send("large", strings.Repeat("q", 16<<20), time.Minute, 1)
@@ -31,8 +31,8 @@
 	return p
 }
 
-// rest reads the large call to its end, and then what else was written before the line was closed by us.
-func (p *peerLine) rest() string {
+// rest reads the large call to its end, and then what else was written before the connection was closed by us.
+func (p *peerConnection) rest() string {
 	p.r.Helper()
 	head := make([]byte, 4)
 	if _, err := io.ReadFull(p.in, head); err != nil {
@@ -51,7 +51,7 @@
 
 // A call that was taken back while it waited behind a write is not written after it, and neither is its withdrawal.
 func TestTakenBackBehindAWriteIsNeverSent(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	p := r.stuck()
 	calls := r.send("bb", "q", time.Minute, 1)
 	r.hub.Withdraw(1, calls[0].Part, 0)
@@ -63,7 +63,7 @@
 
 // One whose time passed while it waited: nobody waits for its answer.
 func TestOverdueBehindAWriteIsNeverSent(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	p := r.stuck()
 	calls := r.send("bb", "q", 20*time.Millisecond, 1)
 	r.ended(calls[0].Part, logic.TimedOut)
@@ -75,7 +75,7 @@
 // A call that is on its way to its searcher ends once that was told: before, another call of its part would be a second copy,
 // which a deployment may not allow.
 func TestACallEndsOnceItsSearcherWasTold(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	r.hub.stuck = patience
 	calls := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
@@ -99,9 +99,9 @@
 	r.ended(large[0].Part, logic.Answered)
 }
 
-// A repeat that waits for its line, or behind a write, until it would no longer be known as one.
+// A repeat that waits for its connection, or behind a write, until it would no longer be known as one.
 func TestARepeatBeyondItsWindowIsNeverSent(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	p := r.stuck()
 	calls := r.send("bb", "q", time.Minute, 1)
 	r.next++
@@ -127,7 +127,7 @@
 // A drain, or the end, takes back at once what waits for a connect that does not come up; later calls are not begun either.
 func TestADrainTakesBackWhatWaitsForAConnect(t *testing.T) {
 	for _, phase := range []logic.Phase{logic.Draining, logic.Gone} {
-		r := newRig(t, func(n *settings.Net) { n.Connect = 50 })
+		r := newFixture(t, func(n *settings.Net) { n.Connect = 50 })
 		address := r.deaf()
 		r.named(address, logic.Ready, 0)
 		calls := r.send("aa", "q", time.Minute, 2)
@@ -141,10 +141,10 @@
 	}
 }
 
-// The same for what waits behind a write: it is not written once the line is read again, whether by then the line was given
+// The same for what waits behind a write: it is not written once the connection is read again, whether by then the connection was given
 // up or not.
 func TestADrainTakesBackWhatWaitsBehindAWrite(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	p := r.stuck()
 	calls := r.send("bb", "q", time.Minute, 1)
 	r.named(r.peer.Addr().String(), logic.Draining, 0)
@@ -167,7 +167,7 @@
 
 // A stop does not wait for connects that nobody needs any more.
 func TestAStopEndsConnects(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Connect = 3600 })
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 3600 })
 	r.named(r.deaf(), logic.Ready, 0)
 	r.send("aa", "q", time.Hour, 1)
 	for late := time.Now().Add(patience); r.hub.count.Get("lines", "dialled") == 0; time.Sleep(time.Millisecond) {
@@ -195,14 +195,14 @@
 	return h.Conn.Read(b)
 }
 
-// heldLine is a line over such a connection, with what it tells.
-func heldLine(t *testing.T) (l *line, peer *net.TCPConn, let chan struct{}, notes chan note) {
+// heldConnection is a connection over such a one, with what it tells.
+func heldConnection(t *testing.T) (conn *connection, peer *net.TCPConn, let chan struct{}, notes chan note) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	conn, err := net.Dial("tcp", listener.Addr().String())
+	socket, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -211,22 +211,22 @@
 		t.Fatal(err)
 	}
 	let, notes = make(chan struct{}), make(chan note, 100)
-	l = &line{conn: held{conn, let}, stuck: patience, out: eventqueue.New[packet](), ghosts: map[string]time.Time{}}
-	go l.run(func(n note) { notes <- n })
-	return l, p.(*net.TCPConn), let, notes
+	conn = &connection{socket: held{socket, let}, stuck: patience, out: eventqueue.New[outgoing](), abandoned: map[string]time.Time{}}
+	go conn.run(func(n note) { notes <- n })
+	return conn, p.(*net.TCPConn), let, notes
 }
 
-// answeredThenEnded expects one answer and then the line's end.
+// answeredThenEnded expects one answer and then the connection's end.
 func answeredThenEnded(t *testing.T, notes chan note) {
 	t.Helper()
 	answers := 0
 	for n := range notes {
 		switch n.kind {
-		case cameIn:
+		case frameReceived:
 			answers++
-		case spoilt:
+		case corrupted:
 			t.Fatalf("got %+v", n)
-		case lineEnded:
+		case connectionEnded:
 			if answers != 1 {
 				t.Fatalf("%d answers came before the end", answers)
 			}
@@ -235,34 +235,34 @@
 	}
 }
 
-// An answer that is whole counts, though its line was reset under the next write before it was read.
+// An answer that is whole counts, though its connection was reset under the next write before it was read.
 func TestAnAnswerBeforeAResetCounts(t *testing.T) {
-	l, peer, let, notes := heldLine(t)
-	peer.Write(appendFrame(nil, letterAnswer, []byte("aa.0 done 0 -\nvalue")...))
+	conn, peer, let, notes := heldConnection(t)
+	peer.Write(appendFrame(nil, frameAnswer, []byte("aa.0 done 0 -\nvalue")...))
 	peer.SetLinger(0)
 	peer.Close()
 	for broken := false; !broken; { // until a write has failed
-		l.out.Put(packet{letter: letterAlive})
+		conn.out.Put(outgoing{frameType: frameAlive})
 		select {
 		case n := <-notes:
-			if n.kind != wentOut {
+			if n.kind != frameWritten {
 				t.Fatalf("got %+v", n)
 			}
 		case <-time.After(time.Millisecond):
 		}
-		broken = l.finishing() || errors.Is(l.conn.SetReadDeadline(time.Time{}), net.ErrClosed)
+		broken = conn.finishing() || errors.Is(conn.socket.SetReadDeadline(time.Time{}), net.ErrClosed)
 	}
 	close(let)
 	answeredThenEnded(t, notes)
 }
 
-// The same where the line is closed as its searcher was started anew.
+// The same where the connection is closed as its searcher was started anew.
 func TestAnAnswerBeforeAnEndOfOursCounts(t *testing.T) {
-	l, peer, let, notes := heldLine(t)
+	conn, peer, let, notes := heldConnection(t)
 	defer peer.Close()
-	peer.Write(appendFrame(nil, letterAnswer, []byte("aa.0 done 0 -\nvalue")...))
-	l.trips = 1
-	(&actor{}).close(l, whyRestarted)
+	peer.Write(appendFrame(nil, frameAnswer, []byte("aa.0 done 0 -\nvalue")...))
+	conn.trips = 1
+	(&actor{}).close(conn, whyRestarted)
 	close(let)
 	answeredThenEnded(t, notes)
 }
@@ -274,7 +274,7 @@
 }
 
 // holdDials comes before anything is sent.
-func (r *rig) holdDials() gate {
+func (r *fixture) holdDials() gate {
 	g := gate{make(chan struct{}, 100), make(chan struct{})}
 	dial := r.hub.dialer
 	r.hub.dialer = func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
@@ -291,16 +291,16 @@
 func TestALateConnectSendsNothingThatIsOver(t *testing.T) {
 	for name, c := range map[string]struct {
 		wait time.Duration
-		do   func(*rig, logic.PartID)
+		do   func(*fixture, logic.PartID)
 		how  logic.Outcome
 		kept bool
 	}{
-		"withdrawn": {time.Minute, func(r *rig, part logic.PartID) { r.hub.Withdraw(1, part, 0) }, logic.Withdrawn, true},
-		"timed out": {time.Millisecond, func(*rig, logic.PartID) {}, logic.TimedOut, true},
-		"draining":  {time.Minute, func(r *rig, _ logic.PartID) { r.named(r.peer.Addr().String(), logic.Draining, 0) }, logic.NotSent, false},
-		"gone":      {time.Minute, func(r *rig, _ logic.PartID) { r.named("", logic.Gone, 0) }, logic.NotSent, false},
+		"withdrawn": {time.Minute, func(r *fixture, part logic.PartID) { r.hub.Withdraw(1, part, 0) }, logic.Withdrawn, true},
+		"timed out": {time.Millisecond, func(*fixture, logic.PartID) {}, logic.TimedOut, true},
+		"draining":  {time.Minute, func(r *fixture, _ logic.PartID) { r.named(r.peer.Addr().String(), logic.Draining, 0) }, logic.NotSent, false},
+		"gone":      {time.Minute, func(r *fixture, _ logic.PartID) { r.named("", logic.Gone, 0) }, logic.NotSent, false},
 	} {
-		r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 60, 2 })
+		r := newFixture(t, func(n *settings.Net) { n.Idle, n.Connect = 60, 2 })
 		g := r.holdDials()
 		calls := r.send("aa", "q", c.wait, 1)
 		<-g.up
@@ -326,7 +326,7 @@
 
 // A connect that comes up as its searcher has moved goes to an address that leads nowhere any more: closed, and the call goes to the new one.
 func TestALateConnectToAnOldAddressIsClosed(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	g := r.holdDials()
 	calls := r.send("aa", "q", time.Minute, 1)
 	<-g.up
@@ -346,7 +346,7 @@
 
 // A stop comes while a connect is under way, and it comes up after that: it is closed, nothing is written, and the stop ends.
 func TestALateConnectAfterAStopIsClosed(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	g := r.holdDials()
 	r.send("aa", "q", time.Minute, 1)
 	<-g.up
@@ -359,7 +359,7 @@
 		t.Fatalf("%q was written", text)
 	}
 	wg.Wait()
-	if len(r.hub.lines) != 0 {
-		t.Fatalf("%d places of descriptors are still taken", len(r.hub.lines))
+	if len(r.hub.descriptors) != 0 {
+		t.Fatalf("%d places of descriptors are still taken", len(r.hub.descriptors))
 	}
 }
--- a/internal/dataplane/searchers/frames.go
+++ b/internal/dataplane/searchers/frames.go
@@ -25,14 +25,14 @@
 	frameTime = 250 * time.Millisecond
 )
 
-// The letters of frames.
+// The types of frames, by their first byte.
 const (
-	letterCall   = 'S'
-	letterCancel = 'C'
-	letterAlive  = 'H'
-	letterLoad   = 'M'
-	letterAnswer = 'R'
-	letterRefuse = 'F'
+	frameCall   = 'S'
+	frameCancel = 'C'
+	frameAlive  = 'H'
+	frameLoad   = 'M'
+	frameAnswer = 'R'
+	frameRefuse = 'F'
 )
 
 // The words that answer a probe.
@@ -50,14 +50,14 @@
 }
 
 var (
-	ends        = map[string]logic.Outcome{"done": logic.Answered, "failed": logic.Errored, "full": logic.TurnedAway}
-	errNoLetter = errors.New("frame without a letter")
-	errNotText  = errors.New("value is not UTF-8, which no answer to a client can carry unchanged")
+	ends           = map[string]logic.Outcome{"done": logic.Answered, "failed": logic.Errored, "full": logic.TurnedAway}
+	errNoFrameType = errors.New("frame without a letter")
+	errNotText     = errors.New("value is not UTF-8, which no answer to a client can carry unchanged")
 )
 
 // readFrame reads one frame; what it returns is the caller's. Memory is taken as bytes come, never on the word
 // of a length.
-func readFrame(r *bufio.Reader) (letter byte, rest []byte, err error) {
+func readFrame(r *bufio.Reader) (frameType byte, rest []byte, err error) {
 	var head [5]byte
 	if _, err = io.ReadFull(r, head[:4]); err != nil {
 		return 0, nil, err
@@ -65,7 +65,7 @@
 	n := binary.BigEndian.Uint32(head[:4])
 	switch {
 	case n == 0:
-		return 0, nil, errNoLetter
+		return 0, nil, errNoFrameType
 	case n > mostFrame:
 		return 0, nil, fmt.Errorf("frame of %d bytes, %d at most", n, mostFrame)
 	}
@@ -89,9 +89,9 @@
 	return uint64(have) >= 4+uint64(binary.BigEndian.Uint32(head))
 }
 
-func appendFrame(b []byte, letter byte, rest ...byte) []byte {
+func appendFrame(b []byte, frameType byte, rest ...byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(1+len(rest)))
-	return append(append(b, letter), rest...)
+	return append(append(b, frameType), rest...)
 }
 
 // partName names a part call on the wire.
@@ -102,7 +102,7 @@
 // appendCall writes the parts of one call; the time left is rounded down, never to say more than the client waits.
 func appendCall(b []byte, calls []*call, now time.Time) []byte {
 	start := len(b)
-	b = append(b, 0, 0, 0, 0, letterCall)
+	b = append(b, 0, 0, 0, 0, frameCall)
 	for _, c := range calls {
 		b = append(append(b, c.name...), ' ')
 		b = strconv.AppendInt(b, int64(c.Shard), 10)
