--- a/internal/dataplane/searchers/hub.go
+++ b/internal/dataplane/searchers/hub.go
@@ -1,4 +1,4 @@
-// Package searchers speaks with searchers: an actor for each, with its lines, calls, probes and time-outs. What
+// Package searchers speaks with searchers: an actor for each, with its connections, calls, probes and time-outs. What
 // is sent where is the module's to decide; here is only how.
 package searchers
 
@@ -27,24 +27,24 @@
 
 // Hub hands each searcher's actor what concerns it. It belongs to the module's actor.
 type Hub struct {
-	set    settings.Net
-	tell   *eventqueue.Box[mixer.Event]
-	log    zerolog.Logger
-	count  *counters.Set
-	actors map[logic.SearcherID]*actor
-	gone   map[logic.SearcherID]*actor // those of actors that the list no longer names
-	lines  chan struct{}               // one place for each descriptor in use
-	stuck  time.Duration               // that a write may take
-	dials  context.Context             // ends with all connects
-	dialer func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error)
-	undial context.CancelFunc
-	all    sync.WaitGroup
+	set         settings.Net
+	tell        *eventqueue.Queue[mixer.Event]
+	log         zerolog.Logger
+	count       *counters.Set
+	actors      map[logic.SearcherID]*actor
+	gone        map[logic.SearcherID]*actor // those of actors that the list no longer names
+	descriptors chan struct{}               // one place for each descriptor in use
+	stuck       time.Duration               // that a write may take
+	dials       context.Context             // ends with all connects
+	dialer      func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error)
+	undial      context.CancelFunc
+	all         sync.WaitGroup
 }
 
-// New makes a hub that keeps no more than so many lines.
-func New(set settings.Net, most int, tell *eventqueue.Box[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
+// New makes a hub that keeps no more than so many connections.
+func New(set settings.Net, most int, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
 	h := &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
-		gone: map[logic.SearcherID]*actor{}, lines: make(chan struct{}, most), stuck: stuckWrite}
+		gone: map[logic.SearcherID]*actor{}, descriptors: make(chan struct{}, most), stuck: stuckWrite}
 	h.dials, h.undial = context.WithCancel(context.Background())
 	h.dialer = func(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
 		return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
@@ -90,7 +90,7 @@
 	}
 }
 
-// Send sends calls that share one place on a line.
+// Send sends calls that share one place on a connection.
 func (h *Hub) Send(to logic.SearcherID, calls []mixer.Call) {
 	if a := h.actors[to]; a != nil && !a.over.Load() {
 		a.in.Put(note{kind: send, new: calls})
@@ -119,7 +119,7 @@
 
 func (h *Hub) CloseIdle(at logic.SearcherID) { h.put(at, note{kind: closeIdle}) }
 
-// Stop ends all actors and their lines; the module's actor has ended before.
+// Stop ends all actors and their connections; the module's actor has ended before.
 func (h *Hub) Stop() {
 	for _, a := range h.actors {
 		a.in.Put(note{kind: stop})
--- a/internal/dataplane/searchers/probes.go
+++ b/internal/dataplane/searchers/probes.go
@@ -7,46 +7,46 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// asking is the probe that is out; the module has one at a time.
-type asking struct {
-	since   time.Time
-	apart   bool // on a line with nothing else out
-	line    *line
-	written bool
+// pendingProbe is the probe that is out; the module has one at a time.
+type pendingProbe struct {
+	since      time.Time
+	apart      bool // on a connection with nothing else out
+	connection *connection
+	written    bool
 }
 
 func (a *actor) probe(at time.Time, apart bool) {
-	if a.asking != nil {
+	if a.pendingProbe != nil {
 		return
 	}
-	a.asking = &asking{since: at, apart: apart}
+	a.pendingProbe = &pendingProbe{since: at, apart: apart}
 	a.assign()
 }
 
-func (a *actor) ask(l *line) {
-	a.asking.line = l
-	l.ask(time.Now())
-	l.out.Put(packet{letter: a.letter()})
+func (a *actor) ask(conn *connection) {
+	a.pendingProbe.connection = conn
+	conn.ask(time.Now())
+	conn.out.Put(outgoing{frameType: a.probeFrame()})
 }
 
-// letter is that of a probe.
-func (a *actor) letter() byte {
+// probeFrame is the type of frame that probes use.
+func (a *actor) probeFrame() byte {
 	if a.hub.set.Loads {
-		return letterLoad
+		return frameLoad
 	}
-	return letterAlive
+	return frameAlive
 }
 
 // alive takes the answer of a probe. One that comes after its time-out may be taken for the next one's: a sign
 // of life it is all the same.
 func (a *actor) alive(n *note) {
-	if p := a.asking; p == nil || p.line != n.line {
+	if p := a.pendingProbe; p == nil || p.connection != n.connection {
 		a.hub.count.Add("late", "probes", 1)
 		return
-	} else if p.apart { // the searcher lives, and lines that were asked before and said nothing since do not
-		for _, l := range a.lines {
-			if !l.asked.IsZero() && l.asked.Before(p.since) {
-				a.mute(l, n.at)
+	} else if p.apart { // the searcher lives, and connections that were asked before and said nothing since do not
+		for _, conn := range a.connections {
+			if !conn.asked.IsZero() && conn.asked.Before(p.since) {
+				a.markSilent(conn, n.at)
 			}
 		}
 	}
@@ -58,8 +58,8 @@
 }
 
 func (a *actor) probed(how logic.Outcome, at time.Time, load logic.Load) {
-	elapsed := max(0, at.Sub(a.asking.since).Seconds())
-	a.asking = nil
+	elapsed := max(0, at.Sub(a.pendingProbe.since).Seconds())
+	a.pendingProbe = nil
 	a.hub.count.Add("probes", outcomeNames[how], 1)
 	a.hub.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.ProbeEnded, Searcher: a.id, Outcome: how,
 		Elapsed: elapsed, Load: load}})
--- a/internal/dataplane/searchers/searchers_test.go
+++ b/internal/dataplane/searchers/searchers_test.go
@@ -24,8 +24,8 @@
 
 const patience = queuetest.Patience
 
-// rig is a hub with one searcher, whose part the test plays.
-type rig struct {
+// fixture is a hub with one searcher, whose part the test plays.
+type fixture struct {
 	*testing.T
 	hub  *Hub
 	told *queuetest.Ear[mixer.Event]
@@ -33,20 +33,20 @@
 	next logic.PartID
 }
 
-func newRig(t *testing.T, change func(*settings.Net)) *rig {
+func newFixture(t *testing.T, change func(*settings.Net)) *fixture {
 	set := settings.Net{Streams: 100, Idle: 60, Connect: 2, Loads: true}
 	if change != nil {
 		change(&set)
 	}
-	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
-	r.hub = New(set, 100, r.told.Box, zerolog.Nop(), counters.New())
+	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
+	r.hub = New(set, 100, r.told.Queue, zerolog.Nop(), counters.New())
 	t.Cleanup(r.hub.Stop)
 	r.peer = r.listen()
 	r.named(r.peer.Addr().String(), logic.Ready, 0)
 	return r
 }
 
-func (r *rig) listen() net.Listener {
+func (r *fixture) listen() net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.Fatal(err)
@@ -55,12 +55,12 @@
 	return l
 }
 
-func (r *rig) named(address string, phase logic.Phase, started float64) {
+func (r *fixture) named(address string, phase logic.Phase, started float64) {
 	r.hub.Named(logic.Entry{Searcher: 1, Phase: phase, StartedAt: started}, address)
 }
 
 // send sends parts of a lookup in one call; each part's shard is its place.
-func (r *rig) send(id, query string, wait time.Duration, parts int) (calls []mixer.Call) {
+func (r *fixture) send(id, query string, wait time.Duration, parts int) (calls []mixer.Call) {
 	now := time.Now()
 	lk := &mixer.Lookup{ID: id, Query: []byte(query)}
 	for i := range parts {
@@ -71,8 +71,8 @@
 	return calls
 }
 
-// accept takes a line as a searcher would.
-func (r *rig) accept(l net.Listener) *peerLine {
+// accept takes a connection as a searcher would.
+func (r *fixture) accept(l net.Listener) *peerConnection {
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
 	c, err := l.Accept()
 	if err != nil {
@@ -80,16 +80,16 @@
 	}
 	c.SetDeadline(time.Now().Add(patience))
 	r.Cleanup(func() { c.Close() })
-	return &peerLine{c, bufio.NewReader(c), r}
+	return &peerConnection{c, bufio.NewReader(c), r}
 }
 
-type peerLine struct {
+type peerConnection struct {
 	net.Conn
 	in *bufio.Reader
-	r  *rig
+	r  *fixture
 }
 
-func (p *peerLine) expect(letter byte, start string) string {
+func (p *peerConnection) expect(letter byte, start string) string {
 	p.r.Helper()
 	got, rest, err := readFrame(p.in)
 	if err != nil || got != letter || !strings.HasPrefix(string(rest), start) {
@@ -98,16 +98,18 @@
 	return string(rest)
 }
 
-func (p *peerLine) say(letter byte, rest string) { p.Write(appendFrame(nil, letter, []byte(rest)...)) }
+func (p *peerConnection) say(letter byte, rest string) {
+	p.Write(appendFrame(nil, letter, []byte(rest)...))
+}
 
 // event waits for the next thing told.
-func (r *rig) event() mixer.Event {
+func (r *fixture) event() mixer.Event {
 	r.Helper()
 	e := r.told.Next(r.T)
 	return e
 }
 
-func (r *rig) ended(part logic.PartID, how logic.Outcome) mixer.Event {
+func (r *fixture) ended(part logic.PartID, how logic.Outcome) mixer.Event {
 	r.Helper()
 	e := r.event()
 	if e.Kind != logic.CallEnded || e.Part != part || e.Outcome != how {
@@ -116,8 +118,8 @@
 	return e
 }
 
-func TestAnswersInAnyOrderOnOneLine(t *testing.T) {
-	r := newRig(t, nil)
+func TestAnswersInAnyOrderOnOneConnection(t *testing.T) {
+	r := newFixture(t, nil)
 	a, b := r.send("aa", "x\"\\y", 2*time.Second, 1), r.send("bb", "", time.Second, 1)
 	p := r.accept(r.peer)
 	if got := p.expect('S', "aa.0 0 d="); !strings.HasSuffix(got, " 4\nx\"\\y") {
@@ -138,7 +140,7 @@
 }
 
 func TestPartsShareACall(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	calls := r.send("aa", "q", time.Second, 2)
 	p := r.accept(r.peer)
 	if got := p.expect('S', "aa.0 0 d="); !strings.Contains(got, " 1\nqaa.1 1 d=") {
@@ -151,7 +153,7 @@
 }
 
 func TestRefusedConnectNeverRan(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	r.peer.Close()
 	calls := r.send("aa", "q", time.Second, 2)
 	for _, c := range calls {
@@ -165,7 +167,7 @@
 
 // A connect that never comes up proves that nothing ran; for a probe too, however close its own time-out is.
 func TestConnectThatNeverComesUp(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Connect = 0.1 })
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 0.1 })
 	r.named(r.deaf(), logic.Ready, 0)
 	calls := r.send("aa", "q", time.Minute, 1)
 	r.ended(calls[0].Part, logic.NotConnected)
@@ -177,7 +179,7 @@
 
 // What waits for a connect to an address that the list takes back goes to the new one.
 func TestAddressChangesWhileConnecting(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Connect = 0.5 })
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 0.5 })
 	r.named(r.deaf(), logic.Ready, 0)
 	calls := r.send("aa", "q", time.Minute, 1)
 	r.named(r.peer.Addr().String(), logic.Ready, 0)
@@ -188,9 +190,9 @@
 	r.ended(calls[0].Part, logic.Answered)
 }
 
-// Where a connect may take all of the idle time, lines are still used.
+// Where a connect may take all of the idle time, connections are still used.
 func TestIdleTimeShorterThanAConnect(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 2, 5 })
+	r := newFixture(t, func(n *settings.Net) { n.Idle, n.Connect = 2, 5 })
 	calls := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -199,7 +201,7 @@
 }
 
 // deaf is an address where no connect is ever answered.
-func (r *rig) deaf() string {
+func (r *fixture) deaf() string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		r.Fatal(err)
@@ -221,14 +223,14 @@
 	}
 }
 
-func TestLineLostAfterTheFrameMayHaveRun(t *testing.T) {
-	r := newRig(t, nil)
+func TestConnectionLostAfterTheFrameMayHaveRun(t *testing.T) {
+	r := newFixture(t, nil)
 	calls := r.send("aa", "q", time.Second, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
 	p.Close()
 	r.ended(calls[0].Part, logic.Broken)
-	again := r.send("ab", "q", time.Second, 1) // on a new line
+	again := r.send("ab", "q", time.Second, 1) // on a new connection
 	p = r.accept(r.peer)
 	p.expect('S', "ab.0")
 	p.say('F', "no more")
@@ -236,22 +238,22 @@
 }
 
 // Whatever spoils an answer, the call that it was meant for has failed at once, long before its deadline, and so has
-// the line; what else is out there may have run.
-func TestSpoiltAnswersFailAtOnce(t *testing.T) {
+// the connection; what else is out there may have run.
+func TestCorruptedAnswersFailAtOnce(t *testing.T) {
 	long := strings.Repeat("x", mostFrame)
-	for name, spoil := range map[string]func(p *peerLine){
-		"noise":               func(p *peerLine) { io.WriteString(p, "\xffnoise, and more of it") },
-		"no letter":           func(p *peerLine) { p.Write(make([]byte, 4)) },
-		"3 GB that keep on":   func(p *peerLine) { io.WriteString(p, "\xb0\x00\x00\x00Raa.0 done 1 -\n"+long) },
-		"a length too long":   func(p *peerLine) { io.WriteString(p, "\x00\x00\x01\x00Raa.0 done 1 -\nvalue") },
-		"a line without end":  func(p *peerLine) { p.say('R', "aa.0 done 1 -"+long[:1000]) },
-		"an unknown letter":   func(p *peerLine) { p.say('Q', "aa.0 done 1 -\nvalue") },
-		"an unknown end":      func(p *peerLine) { p.say('R', "aa.0 dome 1 -\nvalue") },
-		"an unknown id":       func(p *peerLine) { p.say('R', "ab.0 done 1 -\nvalue") },
-		"a value not in UTF8": func(p *peerLine) { p.say('R', "aa.0 done 1 -\nval\xc3") },
+	for name, spoil := range map[string]func(p *peerConnection){
+		"noise":               func(p *peerConnection) { io.WriteString(p, "\xffnoise, and more of it") },
+		"no letter":           func(p *peerConnection) { p.Write(make([]byte, 4)) },
+		"3 GB that keep on":   func(p *peerConnection) { io.WriteString(p, "\xb0\x00\x00\x00Raa.0 done 1 -\n"+long) },
+		"a length too long":   func(p *peerConnection) { io.WriteString(p, "\x00\x00\x01\x00Raa.0 done 1 -\nvalue") },
+		"a line without end":  func(p *peerConnection) { p.say('R', "aa.0 done 1 -"+long[:1000]) },
+		"an unknown letter":   func(p *peerConnection) { p.say('Q', "aa.0 done 1 -\nvalue") },
+		"an unknown end":      func(p *peerConnection) { p.say('R', "aa.0 dome 1 -\nvalue") },
+		"an unknown id":       func(p *peerConnection) { p.say('R', "ab.0 done 1 -\nvalue") },
+		"a value not in UTF8": func(p *peerConnection) { p.say('R', "aa.0 done 1 -\nval\xc3") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, nil)
+			r := newFixture(t, nil)
 			calls := r.send("aa", "q", time.Minute, 1)
 			p := r.accept(r.peer)
 			p.expect('S', "aa.0")
@@ -269,7 +271,7 @@
 			}
 		})
 	}
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	calls := append(r.send("aa", "q", time.Minute, 1), r.send("bb", "q", time.Minute, 1)...)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -279,10 +281,10 @@
 	r.ended(calls[0].Part, logic.Broken)
 }
 
-// An answer counts whatever comes behind it, and the next call on the line is not hurt by that.
+// An answer counts whatever comes behind it, and the next call on the connection is not hurt by that.
 func TestWhatFollowsAGoodAnswerHurtsNothing(t *testing.T) {
 	for _, behind := range []string{"noise behind it", "\x00\x00\x00\x14Raa.0 done 1 -\nother", "\x00\x00\x00\x99Raa.0", "\x00", "\x00\x00\x00\x09Rzz.0 wha"} {
-		r := newRig(t, nil)
+		r := newFixture(t, nil)
 		calls := r.send("aa", "q", time.Minute, 1)
 		p := r.accept(r.peer)
 		p.expect('S', "aa.0")
@@ -305,8 +307,8 @@
 	}
 }
 
-// apart has the searcher asked apart, and answers for it on that line, or else on the new one that this takes.
-func (r *rig) apart(on *peerLine) *peerLine {
+// apart has the searcher asked apart, and answers for it on that connection, or else on the new one that this takes.
+func (r *fixture) apart(on *peerConnection) *peerConnection {
 	r.Helper()
 	r.hub.Probe(1, true)
 	if on == nil {
@@ -320,10 +322,10 @@
 	return on
 }
 
-// A line that has fallen silent takes nothing new, and its searcher is heard again on another; what is out on it may
+// A connection that has fallen silent takes nothing new, and its searcher is heard again on another; what is out on it may
 // still be answered, and then it is as good as before.
-func TestASilentLineIsNoSilentSearcher(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Connect = 0.1 })
+func TestASilentConnectionIsNoSilentSearcher(t *testing.T) {
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 0.1 })
 	out := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -346,28 +348,28 @@
 	p.expect('S', "cc.0")
 }
 
-// A searcher whose queue is long answers probes at once, on a line of its own as on that of a call that waits: the
-// line lives, and the call with it. It was taken for a line fallen silent, and so were scores in every second.
-func TestALongQueueIsNoSilentLine(t *testing.T) {
+// A searcher whose queue is long answers probes at once, on a connection of its own as on that of a call that waits: the
+// connection lives, and the call with it. It was taken for a connection fallen silent, and so were scores in every second.
+func TestALongQueueIsNoSilentConnection(t *testing.T) {
 	const connect = 50 * time.Millisecond
-	r := newRig(t, func(n *settings.Net) { n.Connect = connect.Seconds() })
+	r := newFixture(t, func(n *settings.Net) { n.Connect = connect.Seconds() })
 	out := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
 	other := r.apart(nil)
 	p.expect('M', "")
 	p.say('M', "-")
-	for begun := time.Now(); time.Since(begun) < 4*connect; { // a silent line would have ended by then
+	for begun := time.Now(); time.Since(begun) < 4*connect; { // a silent connection would have ended by then
 		r.apart(other)
 	}
 	p.say('R', "aa.0 done 1 -\nvalue")
 	r.ended(out[0].Part, logic.Answered)
 }
 
-// Asked apart, a searcher is heard at once on a line of its own, and the one that has said nothing takes nothing new.
-func TestAProbeApartFindsASilentLine(t *testing.T) {
-	// The connect's time is what a silent line is given: far longer than a busy machine keeps this test from running.
-	r := newRig(t, func(n *settings.Net) { n.Connect = 2 })
+// Asked apart, a searcher is heard at once on a connection of its own, and the one that has said nothing takes nothing new.
+func TestAProbeApartFindsASilentConnection(t *testing.T) {
+	// The connect's time is what a silent connection is given: far longer than a busy machine keeps this test from running.
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 2 })
 	out := r.send("aa", "q", time.Hour, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -379,7 +381,7 @@
 	r.ended(out[0].Part, logic.Answered)
 	lost := r.send("cc", "q", time.Minute, 1)
 	p.expect('S', "cc.0")
-	r.apart(nil) // neither line is idle
+	r.apart(nil) // neither connection is idle
 	other.say('R', "bb.0 done 1 -\nvalue")
 	r.event()
 	r.ended(lost[0].Part, logic.TimedOut) // long before its deadline
@@ -389,9 +391,9 @@
 	}
 }
 
-// Once the list no longer names a searcher, its actor ends with its last call, and its lines with it.
+// Once the list no longer names a searcher, its actor ends with its last call, and its connections with it.
 func TestGoneSearchersAreForgotten(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	calls := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -413,9 +415,9 @@
 	r.ended(r.send("ab", "q", time.Minute, 1)[0].Part, logic.NotConnected)
 }
 
-func TestLinesKeepToTheDescriptors(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Streams = 1 })
-	r.hub.lines = make(chan struct{}, 1)
+func TestConnectionsKeepToTheDescriptors(t *testing.T) {
+	r := newFixture(t, func(n *settings.Net) { n.Streams = 1 })
+	r.hub.descriptors = make(chan struct{}, 1)
 	first := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -427,7 +429,7 @@
 }
 
 func TestHalfWrittenFrameNeverRan(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	large := r.send("aa", strings.Repeat("q", 16<<20), time.Minute, 1) // more than sockets hold unread
 	behind := r.send("bb", "q", time.Minute, 1)
 	p := r.accept(r.peer)
@@ -444,7 +446,7 @@
 }
 
 func TestTimeOutAndWithdrawalAreToldAndLateAnswersDropped(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	slow, kept := r.send("aa", "q", 60*time.Millisecond, 1), r.send("bb", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
@@ -454,7 +456,7 @@
 	r.hub.Withdraw(1, kept[0].Part, kept[0].No)
 	r.ended(kept[0].Part, logic.Withdrawn)
 	p.expect('C', "bb.0")
-	// Sent again, it goes on another line: there no answer to the first can be taken for its own.
+	// Sent again, it goes on another connection: there no answer to the first can be taken for its own.
 	kept[0].No++
 	r.hub.Send(1, kept)
 	other := r.accept(r.peer)
@@ -467,19 +469,19 @@
 	}
 }
 
-func TestWithdrawnBeforeALineIsNeverSent(t *testing.T) {
-	r := newRig(t, nil)
+func TestWithdrawnBeforeAConnectionIsNeverSent(t *testing.T) {
+	r := newFixture(t, nil)
 	calls := r.send("aa", "q", time.Minute, 2)
 	r.hub.Withdraw(1, calls[0].Part, 0)
 	r.ended(calls[0].Part, logic.Withdrawn)
 	p := r.accept(r.peer)
 	if got := p.expect('S', ""); strings.Contains(got, "aa.0") {
-		p.expect('C', "aa.0") // the line came first
+		p.expect('C', "aa.0") // the connection came first
 	}
 }
 
-func TestLineCarriesTheStatedNumberOfCalls(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Streams = 2 })
+func TestConnectionCarriesTheStatedNumberOfCalls(t *testing.T) {
+	r := newFixture(t, func(n *settings.Net) { n.Streams = 2 })
 	var calls []mixer.Call
 	for i := range 3 {
 		calls = append(calls, r.send(fmt.Sprint("a", i), "q", time.Minute, 1)...)
@@ -493,7 +495,7 @@
 		r.hub.Withdraw(1, c.Part, 0)
 		r.ended(c.Part, logic.Withdrawn)
 	}
-	r.send("b0", "q", time.Minute, 1) // on a line that is there: no third is accepted
+	r.send("b0", "q", time.Minute, 1) // on a connection that is there: no third is accepted
 	r.peer.(*net.TCPListener).SetDeadline(time.Now().Add(50 * time.Millisecond))
 	if c, err := r.peer.Accept(); err == nil {
 		t.Fatalf("a third line from %v", c.RemoteAddr())
@@ -501,8 +503,8 @@
 }
 
 func TestProbes(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Connect = 0.2 })
-	p := (*peerLine)(nil)
+	r := newFixture(t, func(n *settings.Net) { n.Connect = 0.2 })
+	p := (*peerConnection)(nil)
 	for _, c := range []struct {
 		say  string
 		want logic.Outcome
@@ -511,7 +513,7 @@
 		if p == nil {
 			p = r.accept(r.peer)
 		}
-		p.expect('M', "") // on the line that is open
+		p.expect('M', "") // on the connection that is open
 		if c.say != "" {
 			p.say('M', c.say)
 		}
@@ -528,12 +530,12 @@
 	}
 }
 
-func TestOldLinesEndAndTellOnce(t *testing.T) {
+func TestOldConnectionsEndAndTellOnce(t *testing.T) {
 	for name, c := range map[string]struct {
 		started float64
 		moves   bool
 	}{"another address": {0, true}, "a later start": {float64(time.Now().Unix()) + 3600, false}} {
-		r := newRig(t, nil)
+		r := newFixture(t, nil)
 		calls := r.send("aa", "q", time.Minute, 1)
 		r.accept(r.peer).expect('S', "aa.0")
 		to := r.peer
@@ -553,9 +555,9 @@
 	}
 }
 
-// A line goes before its searcher would end a call on it, and on request, but not while anything is out on it.
-func TestIdleLinesAreClosed(t *testing.T) {
-	r := newRig(t, func(n *settings.Net) { n.Idle, n.Connect = 0.3, 0.2 })
+// A connection goes before its searcher would end a call on it, and on request, but not while anything is out on it.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	r := newFixture(t, func(n *settings.Net) { n.Idle, n.Connect = 0.3, 0.2 })
 	calls := r.send("aa", "q", time.Minute, 1)
 	p := r.accept(r.peer)
 	p.expect('S', "aa.0")
--- a/internal/dataplane/settings/settings.go
+++ b/internal/dataplane/settings/settings.go
@@ -15,12 +15,12 @@
 	Net Net
 }
 
-// Net is what sockets need beside the module: names, which the module does not know, and limits of lines.
+// Net is what sockets need beside the module: names, which the module does not know, and limits of connections.
 type Net struct {
 	Indexes, Customers, Locations, Kinds []string // each in the order of its ids
 	Shards                               int
-	Streams                              int     // calls that one line carries at once
-	Idle                                 float64 // a line idle for so long is closed by its searcher
+	Streams                              int     // calls that one connection carries at once
+	Idle                                 float64 // a connection idle for so long is closed by its searcher
 	Connect                              float64 // a connect that takes longer has failed; a probe too, of which no other figure is told
 	Loads                                bool    // probes may ask for a load report
 }
--- a/internal/eventqueue/eventqueue.go
+++ b/internal/eventqueue/eventqueue.go
@@ -3,18 +3,18 @@
 
 import "sync"
 
-// Box holds what waits for one actor. Put never blocks: how much can wait is bounded by what its senders may
+// Queue holds what waits for one actor. Put never blocks: how much can wait is bounded by what its senders may
 // have in flight, not here.
-type Box[T any] struct {
+type Queue[T any] struct {
 	mu    sync.Mutex
 	items []T
 	ready chan struct{}
 }
 
-func New[T any]() *Box[T] { return &Box[T]{ready: make(chan struct{}, 1)} }
+func New[T any]() *Queue[T] { return &Queue[T]{ready: make(chan struct{}, 1)} }
 
 // Put adds items behind all that wait. Those of one call are taken together.
-func (b *Box[T]) Put(items ...T) {
+func (b *Queue[T]) Put(items ...T) {
 	b.mu.Lock()
 	b.items = append(b.items, items...)
 	b.mu.Unlock()
@@ -25,11 +25,11 @@
 }
 
 // Ready signals that something may wait; now and then nothing does, after a Take that came in between.
-func (b *Box[T]) Ready() <-chan struct{} { return b.ready }
+func (b *Queue[T]) Ready() <-chan struct{} { return b.ready }
 
 // Take brings all that waits, in the order of Put. The caller hands back the last slice it got, to be filled
 // again; it must have let go of that.
-func (b *Box[T]) Take(spare []T) []T {
+func (b *Queue[T]) Take(spare []T) []T {
 	clear(spare)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/eventqueue/queuetest/queuetest.go
+++ b/internal/eventqueue/queuetest/queuetest.go
@@ -1,4 +1,4 @@
-// Package queuetest lets a test hear a mailbox as its actor would, one item at a time.
+// Package queuetest lets a test hear a queue as its actor would, one item at a time.
 package queuetest
 
 import (
@@ -11,23 +11,23 @@
 // Patience bounds what a test waits for, which comes at once unless something is broken.
 const Patience = time.Minute
 
-// Ear is the side of a mailbox that takes.
+// Ear is the side of a queue that takes.
 type Ear[T any] struct {
-	Box *eventqueue.Box[T]
+	Queue *eventqueue.Queue[T]
 
 	heard []T
 }
 
-// New makes a mailbox and its ear.
-func New[T any]() *Ear[T] { return &Ear[T]{Box: eventqueue.New[T]()} }
+// New makes a queue and its ear.
+func New[T any]() *Ear[T] { return &Ear[T]{Queue: eventqueue.New[T]()} }
 
 // Next waits for the next item.
 func (e *Ear[T]) Next(t testing.TB) T {
 	t.Helper()
 	for late := time.After(Patience); len(e.heard) == 0; {
 		select {
-		case <-e.Box.Ready():
-			e.heard = e.Box.Take(nil)
+		case <-e.Queue.Ready():
+			e.heard = e.Queue.Take(nil)
 		case <-late:
 			t.Fatal("nothing was told")
 		}
@@ -39,6 +39,6 @@
 
 // Rest is all that is here and not heard yet.
 func (e *Ear[T]) Rest() []T {
-	e.heard = append(e.heard, e.Box.Take(nil)...)
+	e.heard = append(e.heard, e.Queue.Take(nil)...)
 	return e.heard
 }
--- a/internal/operators/api/api_test.go
+++ b/internal/operators/api/api_test.go
@@ -25,18 +25,18 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-type rig struct {
+type fixture struct {
 	*testing.T
 	*Server
 	address string
 	client  *Client
-	box     *eventqueue.Box[mixer.Event]
+	box     *eventqueue.Queue[mixer.Event]
 }
 
-func newRig(t *testing.T, set operatorfile.Operators, token string) *rig {
+func newFixture(t *testing.T, set operatorfile.Operators, token string) *fixture {
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
-	r := &rig{T: t, box: eventqueue.New[mixer.Event]()}
+	r := &fixture{T: t, box: eventqueue.New[mixer.Event]()}
 	d := controller.New(lim, r.box, nil, "", zerolog.Nop(), counters.New())
 	list := mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}}
 	for i := range 4 {
@@ -73,7 +73,7 @@
 	return r
 }
 
-func (r *rig) get(path string, into any) string {
+func (r *fixture) get(path string, into any) string {
 	return code(r.client.Get(context.Background(), path, into))
 }
 
@@ -86,14 +86,14 @@
 	return ""
 }
 
-func (r *rig) send(revision uint64, c Command) (Change, string) {
+func (r *fixture) send(revision uint64, c Command) (Change, string) {
 	c.Revision = &revision
 	made, err := r.client.Send(context.Background(), c)
 	return made, code(err)
 }
 
 func TestSetShowExplainAndClear(t *testing.T) {
-	r := newRig(t, operatorfile.Operators{}, "")
+	r := newFixture(t, operatorfile.Operators{}, "")
 	info, err := os.Stat(strings.TrimPrefix(r.address, "unix:"))
 	if err != nil || info.Mode().Perm() != 0o600 {
 		t.Fatalf("the socket's mode is %v, %v", info.Mode(), err)
@@ -171,7 +171,7 @@
 		t.Fatalf("a key that all may read: %v", err)
 	}
 	os.Chmod(keyFile, 0o600)
-	r := newRig(t, set, tokens["reader"])
+	r := newFixture(t, set, tokens["reader"])
 	var v View
 	if why := r.get("/v1/overrides", &v); why != "" {
 		t.Fatal(why)
@@ -192,12 +192,12 @@
 	}
 }
 
-// Rude operators get an end, and the desk goes on at once.
+// Rude operators get an end, and the controller goes on at once.
 func TestRudeOperators(t *testing.T) {
-	r := newRig(t, operatorfile.Operators{}, "")
+	r := newFixture(t, operatorfile.Operators{}, "")
 	path := strings.TrimPrefix(r.address, "unix:")
 	var rude []net.Conn
-	for range mostLines - 1 { // all lines but one say half a request, or nothing
+	for range mostConnections - 1 { // all connections but one say half a request, or nothing
 		c, err := net.Dial("unix", path)
 		if err != nil {
 			t.Fatal(err)
@@ -234,7 +234,7 @@
 }
 
 func TestASocketLeftBehindIsReplacedAndOneInUseIsNot(t *testing.T) {
-	r := newRig(t, operatorfile.Operators{}, "")
+	r := newFixture(t, operatorfile.Operators{}, "")
 	if _, err := Listen(r.address); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Fatalf("got %v", err)
 	}
--- a/internal/operators/api/listener.go
+++ b/internal/operators/api/listener.go
@@ -29,31 +29,31 @@
 
 // Operators are a few people and their scripts beside a mixer of one core: what follows leaves it to the lookups.
 const (
-	mostLines   = 16       // open at once, of the descriptors that neither clients nor searchers have
-	mostBody    = 16 << 10 // a command takes 1 KiB
-	mostHead    = 8 << 10  // as the clients' side
-	perSecond   = 20       // requests of all operators
-	burst       = 40       // a page of an overview at once
-	slowRequest = 2 * time.Second
-	slowAnswer  = 10 * time.Second // 10,000 overrides are 3 MB
-	slowIdle    = time.Minute      // a person reads between two requests
-	lineWait    = 5 * time.Second  // a watcher that takes none of what it asked for holds its line no longer
-	beat        = 10 * time.Second // an empty line while nothing changes
-	mostHistory = 1000
+	mostConnections   = 16       // open at once, of the descriptors that neither clients nor searchers have
+	mostBody          = 16 << 10 // a command takes 1 KiB
+	mostHead          = 8 << 10  // as the clients' side
+	perSecond         = 20       // requests of all operators
+	burst             = 40       // a page of an overview at once
+	slowRequest       = 2 * time.Second
+	slowAnswer        = 10 * time.Second // 10,000 overrides are 3 MB
+	slowIdle          = time.Minute      // a person reads between two requests
+	connectionWait    = 5 * time.Second  // a watcher that takes none of what it asked for holds its connection no longer
+	heartbeatInterval = 10 * time.Second // an empty line while nothing changes
+	mostHistory       = 1000
 )
 
 // Server serves operators.
 type Server struct {
-	mixer  string
-	desk   *controller.Desk
-	fleet  *fleet.Fleet // nil where there is none
-	door   *door
-	log    zerolog.Logger
-	count  *counters.Set
-	limit  *rate.Limiter
-	http   *http.Server
-	beat   time.Duration
-	closed chan struct{}
+	mixer      string
+	controller *controller.Controller
+	fleet      *fleet.Fleet // nil where there is none
+	door       *door
+	log        zerolog.Logger
+	count      *counters.Set
+	limit      *rate.Limiter
+	http       *http.Server
+	beat       time.Duration
+	closed     chan struct{}
 }
 
 // Listen opens the socket or the address. A socket left by a process that is no more is replaced; it is its owner's alone.
@@ -92,13 +92,13 @@
 }
 
 // New makes a server for a mixer of this name; its fleet may be nil.
-func New(mixer string, set operatorfile.Operators, d *controller.Desk, f *fleet.Fleet, log zerolog.Logger, count *counters.Set) (*Server, error) {
+func New(mixer string, set operatorfile.Operators, d *controller.Controller, f *fleet.Fleet, log zerolog.Logger, count *counters.Set) (*Server, error) {
 	door, err := newDoor(set)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{mixer: mixer, desk: d, fleet: f, door: door, log: log, count: count, limit: rate.NewLimiter(perSecond, burst),
-		beat: beat, closed: make(chan struct{})}
+	s := &Server{mixer: mixer, controller: d, fleet: f, door: door, log: log, count: count, limit: rate.NewLimiter(perSecond, burst),
+		beat: heartbeatInterval, closed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/overrides", s.read(s.list))
 	mux.HandleFunc("GET /v1/history", s.read(s.history))
@@ -113,7 +113,7 @@
 	return s, nil
 }
 
-// changed logs a line for each connection that ends.
+// changed logs one entry for each connection that ends.
 func (s *Server) changed(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
@@ -126,7 +126,7 @@
 
 // Serve serves until Stop.
 func (s *Server) Serve(l net.Listener) {
-	l = netutil.LimitListener(l, mostLines)
+	l = netutil.LimitListener(l, mostConnections)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		s.log.Error().Str("text", err.Error()).Msg("operators' listener ended")
 	}
@@ -179,7 +179,7 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, _ *http.Request, _ string) {
-	v := s.desk.View()
+	v := s.controller.View()
 	out := View{Mixer: s.mixer, Revision: uint64(v.Revision), Now: v.Now, Kept: v.Kept, Overrides: []Override{}, Returning: []Return{}}
 	for i := range v.Overrides {
 		o := shown(&v.Overrides[i].Override, v.Now)
@@ -208,7 +208,7 @@
 		most = n
 	}
 	list := []Change{}
-	for _, c := range s.desk.History(most) {
+	for _, c := range s.controller.History(most) {
 		list = append(list, changed(&c, c.At))
 	}
 	reply(w, http.StatusOK, list)
@@ -220,7 +220,7 @@
 		s.fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("shard is %.20q, expected a number", r.FormValue("shard")))
 		return
 	}
-	e, err := s.desk.Explain(logic.ShardID(shard), r.FormValue("index"), r.FormValue("searcher"))
+	e, err := s.controller.Explain(logic.ShardID(shard), r.FormValue("index"), r.FormValue("searcher"))
 	if err != nil {
 		s.refused(w, err)
 		return
@@ -267,7 +267,7 @@
 		return
 	}
 	select {
-	case res := <-s.desk.Do(do):
+	case res := <-s.controller.Do(do):
 		if res.Err != nil {
 			s.refused(w, res.Err)
 			return
@@ -275,27 +275,27 @@
 		out := changed(&res.Change, res.Change.At)
 		out.Again = res.Again
 		reply(w, http.StatusOK, out)
-	case <-s.desk.Ended():
+	case <-s.controller.Ended():
 		s.fail(w, http.StatusServiceUnavailable, "stopping", "the mixer stops; whether the command was kept shows at its next start")
 	}
 }
 
-// watch tells changes, a line each, and an empty line as a beat. One that falls behind is let go.
+// watch tells changes, a line each, and an empty line as a heartbeat. One that falls behind is let go.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, _ string) {
 	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
 	if err != nil {
 		s.fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("from is %.20q, expected a revision", r.FormValue("from")))
 		return
 	}
-	watcher := s.desk.Watch(override.Revision(from))
-	defer s.desk.Unwatch(watcher)
+	watcher := s.controller.Watch(override.Revision(from))
+	defer s.controller.Unwatch(watcher)
 	w.Header().Set("Content-Type", "application/jsonl")
 	w.WriteHeader(http.StatusOK)
 	out, enc := http.NewResponseController(w), json.NewEncoder(w)
 	tick := time.NewTicker(s.beat)
 	defer tick.Stop()
 	for {
-		out.SetWriteDeadline(time.Now().Add(lineWait))
+		out.SetWriteDeadline(time.Now().Add(connectionWait))
 		if err := out.Flush(); err != nil {
 			return
 		}
@@ -305,12 +305,12 @@
 				s.count.Add("operators", "watch_let_go", 1)
 				return
 			}
-			out.SetWriteDeadline(time.Now().Add(lineWait))
+			out.SetWriteDeadline(time.Now().Add(connectionWait))
 			if enc.Encode(changed(&c, c.At)) != nil {
 				return
 			}
 		case <-tick.C:
-			out.SetWriteDeadline(time.Now().Add(lineWait))
+			out.SetWriteDeadline(time.Now().Add(connectionWait))
 			if _, err := io.WriteString(w, "\n"); err != nil {
 				return
 			}
@@ -401,7 +401,7 @@
 	return json.NewDecoder(res.Body).Decode(into)
 }
 
-// Watch calls each for every change after a revision, until the line ends.
+// Watch calls each for every change after a revision, until the connection ends.
 func (c *Client) Watch(ctx context.Context, from uint64, each func(Change) error) error {
 	res, err := c.do(ctx, http.MethodGet, "/v1/changes?from="+strconv.FormatUint(from, 10), nil)
 	if err != nil {
--- a/internal/operators/capture/block.go
+++ b/internal/operators/capture/block.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// check refuses what no book would have written.
+// check refuses what no recorder would have written.
 func (i *Interval) check() error {
 	if !(i.Span > 0) || !(i.At >= 0) {
 		return fmt.Errorf("an interval of %g s at %g", i.Span, i.At)
--- a/internal/operators/capture/capture.go
+++ b/internal/operators/capture/capture.go
@@ -1,5 +1,5 @@
 // Package capture records what load a mixer had, by intervals, so that the planner can say what would become of it on
-// another fleet. The book takes what the module's actor sees and counts; it does no I/O, has no clock and no goroutine.
+// another fleet. The recorder takes what the module's actor sees and counts; it does no I/O, has no clock and no goroutine.
 // Blocks and files are in block.go and files.go, merging and cutting in merge.go, made-up loads in synth.go.
 package capture
 
@@ -197,7 +197,7 @@
 	Shards             int
 }
 
-// Seat is a searcher in a book: its part calls out, and what came of the interval's. It lives while the list names the
+// Seat is a searcher in a recorder: its part calls out, and what came of the interval's. It lives while the list names the
 // searcher or a call to it is out.
 type Seat struct {
 	name, location string
@@ -206,8 +206,8 @@
 	unnamed        bool
 }
 
-// Book counts one mixer's load. One goroutine alone uses it.
-type Book struct {
+// Recorder counts one mixer's load. One goroutine alone uses it.
+type Recorder struct {
 	mixer   string
 	names   Names
 	span    float64
@@ -244,47 +244,47 @@
 	return l
 }
 
-// New makes a book of a mixer with intervals of span seconds.
-func New(mixer string, names Names, span float64) *Book {
-	b := &Book{mixer: mixer, names: names, span: span, seats: map[logic.SearcherID]*Seat{}}
-	b.clear()
-	return b
+// New makes a recorder of a mixer with intervals of span seconds.
+func New(mixer string, names Names, span float64) *Recorder {
+	rec := &Recorder{mixer: mixer, names: names, span: span, seats: map[logic.SearcherID]*Seat{}}
+	rec.clear()
+	return rec
 }
 
-func (b *Book) clear() {
-	n := len(b.names.Indexes)
-	b.loads, b.parts, b.latency, b.shards = make([][]Load, n), make([]map[int]int64, n), make([]Hist, n), make([][]int64, n)
+func (rec *Recorder) clear() {
+	n := len(rec.names.Indexes)
+	rec.loads, rec.parts, rec.latency, rec.shards = make([][]Load, n), make([]map[int]int64, n), make([]Hist, n), make([][]int64, n)
 	for k := range n {
-		b.loads[k] = make([]Load, len(b.names.Customers)+1)
-		b.parts[k], b.shards[k] = map[int]int64{}, make([]int64, b.names.Shards)
+		rec.loads[k] = make([]Load, len(rec.names.Customers)+1)
+		rec.parts[k], rec.shards[k] = map[int]int64{}, make([]int64, rec.names.Shards)
 	}
-	b.kept = 0
+	rec.kept = 0
 }
 
 // Named notes a searcher's name and location.
-func (b *Book) Named(id logic.SearcherID, name, location string) {
-	s := b.seat(id)
+func (rec *Recorder) Named(id logic.SearcherID, name, location string) {
+	s := rec.seat(id)
 	s.name, s.location, s.unnamed = name, location, false
 }
 
 // Unnamed lets go of a searcher that the list no longer names, with the interval in hand.
-func (b *Book) Unnamed(id logic.SearcherID) {
-	if s := b.seats[id]; s != nil {
+func (rec *Recorder) Unnamed(id logic.SearcherID) {
+	if s := rec.seats[id]; s != nil {
 		s.unnamed = true
 	}
 }
 
-func (b *Book) seat(id logic.SearcherID) *Seat {
-	s := b.seats[id]
+func (rec *Recorder) seat(id logic.SearcherID) *Seat {
+	s := rec.seats[id]
 	if s == nil {
-		s = &Seat{rows: make([]*SearcherLoad, len(b.names.Indexes))}
-		b.seats[id] = s
+		s = &Seat{rows: make([]*SearcherLoad, len(rec.names.Indexes))}
+		rec.seats[id] = s
 	}
 	return s
 }
 
-func (b *Book) load(k logic.IndexID, c logic.CustomerID) *Load {
-	list := b.loads[k]
+func (rec *Recorder) load(k logic.IndexID, c logic.CustomerID) *Load {
+	list := rec.loads[k]
 	if int(c) < 0 || int(c) >= len(list) {
 		c = logic.CustomerID(len(list) - 1)
 	}
@@ -292,8 +292,8 @@
 }
 
 // Taken counts a lookup with its parts; the hint is of all of them, seconds.
-func (b *Book) Taken(now float64, k logic.IndexID, c logic.CustomerID, resent bool, hint float64, shards func(yield func(logic.ShardID) bool)) {
-	l := b.load(k, c)
+func (rec *Recorder) Taken(now float64, k logic.IndexID, c logic.CustomerID, resent bool, hint float64, shards func(yield func(logic.ShardID) bool)) {
+	l := rec.load(k, c)
 	l.Lookups++
 	l.Hint += hint
 	if resent {
@@ -302,13 +302,13 @@
 	n := 0
 	for s := range shards {
 		n++
-		if int(s) < len(b.shards[k]) {
-			b.shards[k][s]++
+		if int(s) < len(rec.shards[k]) {
+			rec.shards[k][s]++
 		}
 	}
 	l.Parts += int64(n)
-	b.parts[k][n]++
-	b.held.move(now, 1)
+	rec.parts[k][n]++
+	rec.held.move(now, 1)
 }
 
 // End is how a lookup ended.
@@ -323,16 +323,16 @@
 )
 
 // Ended counts the end of a lookup, so many seconds after it came.
-func (b *Book) Ended(now float64, k logic.IndexID, c logic.CustomerID, how End, took float64) {
-	e := &b.load(k, c).Ends
+func (rec *Recorder) Ended(now float64, k logic.IndexID, c logic.CustomerID, how End, took float64) {
+	e := &rec.load(k, c).Ends
 	switch how {
 	case Answered:
-		if took <= b.names.Soft[k] {
+		if took <= rec.names.Soft[k] {
 			e.Satisfied++
 		} else {
 			e.Late++
 		}
-		b.latency[k].Add(took, 1)
+		rec.latency[k].Add(took, 1)
 	case Nacked:
 		e.Nacked++
 	case Aborted:
@@ -343,21 +343,21 @@
 		e.Full++
 		return
 	}
-	b.held.move(now, -1)
+	rec.held.move(now, -1)
 }
 
 // Sent counts a part call that goes out, and tells where it sits and whether it found nothing else of this mixer there.
-func (b *Book) Sent(now float64, id logic.SearcherID) (s *Seat, alone bool) {
-	b.out.move(now, 1)
-	s = b.seat(id)
+func (rec *Recorder) Sent(now float64, id logic.SearcherID) (s *Seat, alone bool) {
+	rec.out.move(now, 1)
+	s = rec.seat(id)
 	s.out++
 	return s, s.out == 1
 }
 
-func (b *Book) row(s *Seat, k logic.IndexID) *SearcherLoad {
+func (rec *Recorder) row(s *Seat, k logic.IndexID) *SearcherLoad {
 	if s.rows[k] == nil {
-		s.rows[k] = &SearcherLoad{Searcher: s.name, Location: s.location, Index: b.names.Indexes[k]}
-		if b.kept++; b.kept > mostRows {
+		s.rows[k] = &SearcherLoad{Searcher: s.name, Location: s.location, Index: rec.names.Indexes[k]}
+		if rec.kept++; rec.kept > mostRows {
 			s.rows[k].Searcher, s.rows[k].Location = others, ""
 		}
 	}
@@ -365,10 +365,10 @@
 }
 
 // Called counts the end of a part call: its outcome, how long it took, and whether it was alone there when it went.
-func (b *Book) Called(now float64, s *Seat, k logic.IndexID, outcome logic.Outcome, elapsed float64, alone bool, load logic.Load) {
-	b.out.move(now, -1)
+func (rec *Recorder) Called(now float64, s *Seat, k logic.IndexID, outcome logic.Outcome, elapsed float64, alone bool, load logic.Load) {
+	rec.out.move(now, -1)
 	s.out--
-	r := b.row(s, k)
+	r := rec.row(s, k)
 	r.Calls++
 	switch outcome {
 	case logic.Answered:
@@ -393,38 +393,38 @@
 }
 
 // Due tells whether the interval in hand is over.
-func (b *Book) Due(now float64) bool {
-	if !b.begun {
-		b.begun, b.from = true, now
-		b.held.at, b.out.at = now, now
+func (rec *Recorder) Due(now float64) bool {
+	if !rec.begun {
+		rec.begun, rec.from = true, now
+		rec.held.at, rec.out.at = now, now
 	}
-	return now >= b.from+b.span
+	return now >= rec.from+rec.span
 }
 
 // Cut ends the interval in hand.
-func (b *Book) Cut(now float64) Interval {
-	span := max(now-b.from, 1e-3)
-	i := Interval{At: b.from, Span: span, Mixers: []string{b.mixer}, Held: b.held.cut(now, span), Out: b.out.cut(now, span)}
-	for k, index := range b.names.Indexes {
-		for c, l := range b.loads[k] {
+func (rec *Recorder) Cut(now float64) Interval {
+	span := max(now-rec.from, 1e-3)
+	i := Interval{At: rec.from, Span: span, Mixers: []string{rec.mixer}, Held: rec.held.cut(now, span), Out: rec.out.cut(now, span)}
+	for k, index := range rec.names.Indexes {
+		for c, l := range rec.loads[k] {
 			if l.Lookups == 0 && l.Ends == (Ends{}) {
 				continue
 			}
-			if l.Index = index; c < len(b.names.Customers) {
-				l.Customer = b.names.Customers[c]
+			if l.Index = index; c < len(rec.names.Customers) {
+				l.Customer = rec.names.Customers[c]
 			}
 			i.Loads = append(i.Loads, l)
 		}
-		if len(b.parts[k]) > 0 || b.latency[k].Count() > 0 {
-			i.Indexes = append(i.Indexes, IndexLoad{index, b.parts[k], b.latency[k]})
+		if len(rec.parts[k]) > 0 || rec.latency[k].Count() > 0 {
+			i.Indexes = append(i.Indexes, IndexLoad{index, rec.parts[k], rec.latency[k]})
 		}
-		for s, n := range b.shards[k] {
+		for s, n := range rec.shards[k] {
 			if n > 0 {
 				i.Shards = append(i.Shards, ShardLoad{index, s, n})
 			}
 		}
 	}
-	for id, s := range b.seats {
+	for id, s := range rec.seats {
 		for k, r := range s.rows {
 			if r != nil {
 				i.Searchers = append(i.Searchers, *r)
@@ -432,12 +432,12 @@
 			}
 		}
 		if s.unnamed && s.out == 0 {
-			delete(b.seats, id)
+			delete(rec.seats, id)
 		}
 	}
 	i.sort()
-	b.clear()
-	b.from = now
+	rec.clear()
+	rec.from = now
 	return i
 }
 
--- a/internal/operators/capture/capture_test.go
+++ b/internal/operators/capture/capture_test.go
@@ -21,12 +21,12 @@
 
 var names = Names{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Soft: []float64{1, 1}, Shards: 8}
 
-// played is a book's intervals of a random load, and what was asked and answered in all.
+// played is a recorder's intervals of a random load, and what was asked and answered in all.
 func played(t *testing.T, mixer string, seed uint64, seconds float64) (list []Interval, lookups, parts, calls int64) {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	b := New(mixer, names, 1)
+	rec := New(mixer, names, 1)
 	for s := range 4 {
-		b.Named(logic.SearcherID(s+1), fmt.Sprint("s-", s), "north")
+		rec.Named(logic.SearcherID(s+1), fmt.Sprint("s-", s), "north")
 	}
 	type out struct {
 		s     *Seat
@@ -34,26 +34,26 @@
 	}
 	var open []out
 	for now := 1000.0; now < 1000+seconds; now += 0.01 {
-		if b.Due(now) {
-			list = append(list, b.Cut(now))
+		if rec.Due(now) {
+			list = append(list, rec.Cut(now))
 		}
 		k, n := logic.IndexID(rng.IntN(2)), 1+rng.IntN(3)
-		b.Taken(now, k, logic.CustomerID(rng.IntN(2)), rng.IntN(9) == 0, 0.01*float64(n), func(yield func(logic.ShardID) bool) {
+		rec.Taken(now, k, logic.CustomerID(rng.IntN(2)), rng.IntN(9) == 0, 0.01*float64(n), func(yield func(logic.ShardID) bool) {
 			for s := range n {
 				yield(logic.ShardID(s))
 			}
 		})
 		lookups, parts = lookups+1, parts+int64(n)
-		b.Ended(now, k, 0, End(rng.IntN(4)), 2*rng.Float64())
+		rec.Ended(now, k, 0, End(rng.IntN(4)), 2*rng.Float64())
 		s := logic.SearcherID(1 + rng.IntN(4))
-		seat, alone := b.Sent(now, s)
+		seat, alone := rec.Sent(now, s)
 		open = append(open, out{seat, alone})
 		if len(open) > 5 {
-			b.Called(now, open[0].s, k, logic.Outcome(rng.IntN(8)), 0.02, open[0].alone, logic.Load{})
+			rec.Called(now, open[0].s, k, logic.Outcome(rng.IntN(8)), 0.02, open[0].alone, logic.Load{})
 			open, calls = open[1:], calls+1
 		}
 	}
-	return append(list, b.Cut(1000+seconds)), lookups, parts, calls
+	return append(list, rec.Cut(1000+seconds)), lookups, parts, calls
 }
 
 func total(list []Interval) (lookups, parts, calls, ends int64) {
@@ -70,7 +70,7 @@
 	return lookups, parts, calls, ends
 }
 
-func TestABookCountsAllOnce(t *testing.T) {
+func TestARecorderCountsAllOnce(t *testing.T) {
 	list, lookups, parts, calls := played(t, "n1", 1, 10)
 	gotLookups, gotParts, gotCalls, ends := total(list)
 	if gotLookups != lookups || gotParts != parts || gotCalls != calls || ends != lookups {
@@ -79,8 +79,7 @@
 	if n := len(list); n < 10 || n > 11 {
 		t.Fatalf("%d intervals in 10 s", n)
 	}
-	var b Book
-	b = *New("n1", names, 1)
+	b := *New("n1", names, 1)
 	b.Due(0)
 	b.Taken(0, 0, 0, false, 0, func(func(logic.ShardID) bool) {})
 	b.Ended(0.5, 0, 0, Answered, 0.5)
--- a/internal/operators/capture/files.go
+++ b/internal/operators/capture/files.go
@@ -34,7 +34,7 @@
 // Writer writes intervals in a goroutine of its own. A disk that is full or gone costs intervals, and nothing else.
 type Writer struct {
 	store Store
-	in    *eventqueue.Box[*Interval] // nil to end
+	in    *eventqueue.Queue[*Interval] // nil to end
 	wait  chan struct{}
 	log   zerolog.Logger
 	count *counters.Set
--- a/internal/operators/controller/controller_test.go
+++ b/internal/operators/controller/controller_test.go
@@ -17,31 +17,31 @@
 
 const patience = queuetest.Patience
 
-// slowKeeper keeps nothing until it is told to.
-type slowKeeper struct{ asked chan func(error) }
+// slowStore keeps nothing until it is told to.
+type slowStore struct{ asked chan func(error) }
 
-func (k slowKeeper) Keep(_ []override.Change, done func(error)) { k.asked <- done }
+func (k slowStore) Save(_ []override.Change, done func(error)) { k.asked <- done }
 
-type rig struct {
+type fixture struct {
 	*testing.T
-	*Desk
+	*Controller
 	told *queuetest.Ear[mixer.Event]
 }
 
-func newRig(t *testing.T, keeper Keeper) *rig {
+func newFixture(t *testing.T, keeper Store) *fixture {
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
-	r := &rig{T: t, told: queuetest.New[mixer.Event]()}
-	r.Desk = New(lim, r.told.Box, keeper, "", zerolog.Nop(), counters.New())
+	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
+	r.Controller = New(lim, r.told.Queue, keeper, "", zerolog.Nop(), counters.New())
 	r.list(logic.Ready)
 	r.Settle()
 	r.event(logic.ListChanged)
-	go r.Desk.Run()
+	go r.Controller.Run()
 	t.Cleanup(r.Stop)
 	return r
 }
 
-func (r *rig) list(phase logic.Phase) {
+func (r *fixture) list(phase logic.Phase) {
 	e := mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}}
 	for i := range 4 {
 		entry := logic.Entry{Searcher: logic.SearcherID(i + 1), Cell: logic.CellID(i % 2)}
@@ -54,7 +54,7 @@
 	r.Put(e)
 }
 
-func (r *rig) event(kind logic.EventKind) mixer.Event {
+func (r *fixture) event(kind logic.EventKind) mixer.Event {
 	r.Helper()
 	e := r.told.Next(r.T)
 	if e.Kind != kind {
@@ -69,8 +69,8 @@
 
 // While a disk keeps a command waiting, the list goes on to the module; what the disk refuses does not hold.
 func TestASlowDiskHoldsUpNoList(t *testing.T) {
-	k := slowKeeper{make(chan func(error), 10)}
-	r := newRig(t, k)
+	k := slowStore{make(chan func(error), 10)}
+	r := newFixture(t, k)
 	first, second := r.Do(out(0)), r.Do(out(0))
 	done := <-k.asked
 	r.list(logic.Draining)
@@ -99,7 +99,7 @@
 
 // What the list names and what is overridden of it come to the module together.
 func TestAReturnIsOutBeforeItIsKnown(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	if res := <-r.Do(out(0)); res.Err != nil {
 		t.Fatal(res.Err)
 	}
@@ -120,7 +120,7 @@
 
 // A watcher that takes nothing is let go; one that takes all hears all, in order.
 func TestWatchersThatLagAreLetGo(t *testing.T) {
-	r := newRig(t, nil)
+	r := newFixture(t, nil)
 	lazy, eager := r.Watch(0), r.Watch(0)
 	heard := make(chan override.Revision, 10)
 	go func() {
--- a/internal/operators/operatorfile/operatorfile.go
+++ b/internal/operators/operatorfile/operatorfile.go
@@ -84,7 +84,7 @@
 	MostAge   float64
 }
 
-// Overrides set the book of overrides. Times are seconds.
+// Overrides set the table of overrides. Times are seconds.
 type Overrides struct {
 	On        bool   // the file has the section
 	Directory string // where revisions are kept; "" for memory alone
--- a/internal/operators/override/bench_test.go
+++ b/internal/operators/override/bench_test.go
@@ -8,8 +8,8 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// fleet is a book of 1,000 searchers with so many overrides: weights, outs and pins by turns.
-func fleet(tb testing.TB, overrides int) *Book {
+// fleet is a table of 1,000 searchers with so many overrides: weights, outs and pins by turns.
+func fleet(tb testing.TB, overrides int) *Table {
 	lim := Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads", "orders"}, 5000, 500, 1
 	lim.Most, lim.MostPins = 1<<20, 1<<20
@@ -36,7 +36,7 @@
 	return b
 }
 
-func set(tb testing.TB, b *Book, s Spec) Change {
+func set(tb testing.TB, b *Table, s Spec) Change {
 	change, _, err := b.Decide(1, &Command{For: b.Revision(), Force: true, Spec: s})
 	if err != nil {
 		tb.Fatal(err)
@@ -58,18 +58,18 @@
 	var took [2]time.Duration
 	now := 2.0
 	for b.Loop() {
-		for i, book := range []*Book{many, few} {
+		for i, table := range []*Table{many, few} {
 			began := time.Now()
 			for n := range 20 {
 				now += 0.001
-				change := set(b, book, Spec{Kind: Weight, Searcher: name(n), Factor: 0.5, Author: "ann", Reason: "slow", End: 900})
-				book.Patch(now)
-				cleared, _, err := book.Decide(now, &Command{For: book.Revision(), Op: Clear, ID: change.Override.ID, Author: "ann", Reason: "done"})
+				change := set(b, table, Spec{Kind: Weight, Searcher: name(n), Factor: 0.5, Author: "ann", Reason: "slow", End: 900})
+				table.Patch(now)
+				cleared, _, err := table.Decide(now, &Command{For: table.Revision(), Op: Clear, ID: change.Override.ID, Author: "ann", Reason: "done"})
 				if err != nil {
 					b.Fatal(err)
 				}
-				book.Apply(cleared)
-				book.Patch(now)
+				table.Apply(cleared)
+				table.Patch(now)
 			}
 			took[i] += time.Since(began)
 		}
--- a/internal/operators/override/decide.go
+++ b/internal/operators/override/decide.go
@@ -20,20 +20,20 @@
 
 // Decide tells what a command would change, without changing anything. Its error is a *Refusal. A command that has
 // acted already gives the change that it made, and again is true.
-func (b *Book) Decide(now float64, c *Command) (change Change, again bool, err error) {
+func (t *Table) Decide(now float64, c *Command) (change Change, again bool, err error) {
 	sum := digest(c)
-	if had, known := b.keys[c.Key]; known && c.Key != "" {
+	if had, known := t.keys[c.Key]; known && c.Key != "" {
 		if had.digest != sum {
 			return change, false, refuse(KeyReused, "key %q was that of another command, of revision %d", c.Key, had.change.Revision)
 		}
 		return had.change, true, nil
 	}
-	if c.For != b.revision {
-		return change, false, refuse(Conflict, "made for revision %d, the book is at %d: look again at what holds", c.For, b.revision)
+	if c.For != t.revision {
+		return change, false, refuse(Conflict, "made for revision %d, the book is at %d: look again at what holds", c.For, t.revision)
 	}
-	change = Change{Revision: b.revision + 1, At: now, Key: c.Key, Digest: sum}
+	change = Change{Revision: t.revision + 1, At: now, Key: c.Key, Digest: sum}
 	if c.Op == Clear {
-		o := b.live[c.ID]
+		o := t.live[c.ID]
 		if o == nil {
 			return change, false, refuse(Unknown, "no override %d holds", c.ID)
 		}
@@ -47,10 +47,10 @@
 	if c.Lasts != 0 {
 		o.End = now + c.Lasts
 	}
-	if err := b.valid(now, &o); err != nil {
+	if err := t.valid(now, &o); err != nil {
 		return change, false, err
 	}
-	for _, guard := range b.guarded(&o) {
+	for _, guard := range t.guarded(&o) {
 		if !c.Force {
 			return change, false, guard
 		}
@@ -70,11 +70,11 @@
 }
 
 // valid checks what can't be meant. It notes the start that an until-restart counts from.
-func (b *Book) valid(now float64, o *Override) error {
+func (t *Table) valid(now float64, o *Override) error {
 	if err := saidBy(o.Author, o.Reason); err != nil {
 		return err
 	}
-	_, known := b.indexes[o.Index]
+	_, known := t.indexes[o.Index]
 	cover := 0
 	if o.Kind == Pin && o.From <= o.To {
 		cover = int(o.To-o.From) + 1
@@ -85,28 +85,28 @@
 	case (o.Searcher == "") == (o.Location == ""):
 		return refuse(Invalid, "expected either a searcher or a location")
 	case o.Index != "" && !known:
-		return refuse(Invalid, "index %q is not one of %q", o.Index, b.lim.Indexes)
+		return refuse(Invalid, "index %q is not one of %q", o.Index, t.lim.Indexes)
 	case o.Kind == Weight && !(o.Factor > 0 && o.Factor <= 1):
 		return refuse(Invalid, "weight is %g, expected over 0 and up to 1; for none at all take it out", o.Factor)
 	case o.Kind != Weight && o.Factor != 0:
 		return refuse(Invalid, "a weight is stated for %s", o.Kind)
 	case o.Kind == Pin && o.Searcher == "":
 		return refuse(Invalid, "a pin goes to a searcher, not to a location")
-	case o.Kind == Pin && (o.From < 0 || o.To < o.From || int(o.To) >= b.lim.Shards):
-		return refuse(Invalid, "shards %d to %d, expected some from 0 to %d", o.From, o.To, b.lim.Shards-1)
+	case o.Kind == Pin && (o.From < 0 || o.To < o.From || int(o.To) >= t.lim.Shards):
+		return refuse(Invalid, "shards %d to %d, expected some from 0 to %d", o.From, o.To, t.lim.Shards-1)
 	case o.Kind != Pin && (o.Strict || o.From != 0 || o.To != 0):
 		return refuse(Invalid, "shards and strict belong to a pin, not to %s", o.Kind)
 	case math.IsNaN(o.End) || o.End <= now:
 		return refuse(Invalid, "ends %.0f s ago, expected an end to come", now-o.End)
-	case o.End > now+b.lim.MostTime:
-		return refuse(Invalid, "ends in %.0f s, at most %.0f s are allowed", o.End-now, b.lim.MostTime)
-	case len(b.live) >= b.lim.Most:
-		return refuse(TooMany, "%d overrides hold, as many as may", len(b.live))
-	case b.pinned+cover > b.lim.MostPins:
-		return refuse(TooMany, "%d shards are pinned, %d more would be over %d", b.pinned, cover, b.lim.MostPins)
+	case o.End > now+t.lim.MostTime:
+		return refuse(Invalid, "ends in %.0f s, at most %.0f s are allowed", o.End-now, t.lim.MostTime)
+	case len(t.live) >= t.lim.Most:
+		return refuse(TooMany, "%d overrides hold, as many as may", len(t.live))
+	case t.pinned+cover > t.lim.MostPins:
+		return refuse(TooMany, "%d shards are pinned, %d more would be over %d", t.pinned, cover, t.lim.MostPins)
 	}
 	if o.UntilRestart {
-		m := b.members[o.Searcher]
+		m := t.members[o.Searcher]
 		if m == nil || !m.listed {
 			return refuse(Invalid, "until restart needs one searcher that is listed, as its start must be known")
 		}
@@ -116,61 +116,61 @@
 }
 
 // guarded lists the guard rails that stand against an override, the gravest first.
-func (b *Book) guarded(o *Override) (list []*Refusal) {
+func (t *Table) guarded(o *Override) (list []*Refusal) {
 	add := func(code Code, format string, args ...any) {
 		list = append(list, &Refusal{code, fmt.Sprintf(format, args...)})
 	}
-	switch m := b.members[o.Searcher]; {
-	case o.Location != "" && (b.places[o.Location] == nil || len(b.places[o.Location].members) == 0):
+	switch m := t.members[o.Searcher]; {
+	case o.Location != "" && (t.places[o.Location] == nil || len(t.places[o.Location].members) == 0):
 		add(Absent, "no listed searcher stands at %q", o.Location)
 	case o.Searcher != "" && (m == nil || !m.listed):
 		add(Absent, "the list does not name %q: the override would wait for it", o.Searcher)
 	case o.Kind == Pin:
 		for s := o.From; s <= o.To; s++ {
-			if !b.holds(m, s) {
+			if !t.holds(m, s) {
 				add(NoHolder, "%q holds no shard %d: the pin would have no effect there", o.Searcher, s)
 				break
 			}
 		}
 	default:
-		list = append(list, b.capacity(o)...)
+		list = append(list, t.capacity(o)...)
 	}
 	return list
 }
 
 // capacity checks what an out or a weight leaves of the shards and locations that it concerns.
-func (b *Book) capacity(o *Override) (list []*Refusal) {
+func (t *Table) capacity(o *Override) (list []*Refusal) {
 	concerned := map[string]*member{}
 	if o.Searcher != "" {
-		concerned[o.Searcher] = b.members[o.Searcher]
+		concerned[o.Searcher] = t.members[o.Searcher]
 	} else {
-		for name, m := range b.places[o.Location].members {
+		for name, m := range t.places[o.Location].members {
 			concerned[name] = m
 		}
 	}
 	starts, places := map[logic.ShardID]bool{}, map[string]bool{}
 	for _, m := range concerned {
 		places[m.Location] = true
-		for j := range min(b.lim.Width, b.lim.Cells) { // shards that begin at these cells
-			starts[logic.ShardID(((int(m.Cell)-j)%b.lim.Cells+b.lim.Cells)%b.lim.Cells)] = true
+		for j := range min(t.lim.Width, t.lim.Cells) { // shards that begin at these cells
+			starts[logic.ShardID(((int(m.Cell)-j)%t.lim.Cells+t.lim.Cells)%t.lim.Cells)] = true
 		}
 	}
 	worst := map[Code]struct {
 		gone float64
 		text string
 	}{}
-	for k := range b.lim.Indexes {
+	for k := range t.lim.Indexes {
 		k := logic.IndexID(k)
-		if !b.covers(o, k) {
+		if !t.covers(o, k) {
 			continue
 		}
 		var sum tally
 		add := func(m *member) {
 			if m.Phase == logic.Ready {
-				before, _ := b.target(m, k, nil)
+				before, _ := t.target(m, k, nil)
 				after := before
 				if concerned[m.Name] != nil {
-					after, _ = b.target(m, k, o)
+					after, _ = t.target(m, k, o)
 				}
 				sum.add(size(m), before, after)
 			}
@@ -180,29 +180,29 @@
 				worst[code] = struct {
 					gone float64
 					text string
-				}{gone, fmt.Sprintf("%.0f%% of %s %v for index %q would be gone by overrides, at most %.0f%% may be", 100*gone, what, id, b.lim.Indexes[k], 100*most)}
+				}{gone, fmt.Sprintf("%.0f%% of %s %v for index %q would be gone by overrides, at most %.0f%% may be", 100*gone, what, id, t.lim.Indexes[k], 100*most)}
 			}
 		}
 		for s := range starts {
-			if int(s) >= b.lim.Shards { // no shard begins there
+			if int(s) >= t.lim.Shards { // no shard begins there
 				continue
 			}
 			sum = tally{}
-			b.holders(s, add)
+			t.holders(s, add)
 			if sum.used > 0 && sum.left == 0 {
 				worst[LastHolder] = struct {
 					gone float64
 					text string
-				}{1, fmt.Sprintf("nobody who serves would be left for shard %d of index %q", s, b.lim.Indexes[k])}
+				}{1, fmt.Sprintf("nobody who serves would be left for shard %d of index %q", s, t.lim.Indexes[k])}
 			}
-			over(ShardShare, b.lim.ShardGone, "shard", s)
+			over(ShardShare, t.lim.ShardGone, "shard", s)
 		}
 		for name := range places {
 			sum = tally{}
-			for _, m := range b.places[name].members {
+			for _, m := range t.places[name].members {
 				add(m)
 			}
-			over(PlaceShare, b.lim.PlaceGone, "location", name)
+			over(PlaceShare, t.lim.PlaceGone, "location", name)
 		}
 	}
 	for _, code := range []Code{LastHolder, ShardShare, PlaceShare} {
--- a/internal/operators/override/override.go
+++ b/internal/operators/override/override.go
@@ -2,7 +2,7 @@
 // and lists go in; a patch for the decision module, and what changed, come out. It does no I/O, has no clock and no
 // goroutine. A command is decided, then kept by whoever keeps it, then applied: between the two nothing has changed.
 //
-// Files: this one holds what goes in and out, decide.go the commands and their guard rails, book.go what is
+// Files: this one holds what goes in and out, decide.go the commands and their guard rails, table.go what is
 // remembered, view.go precedence, returns and what is shown.
 package override
 
@@ -12,7 +12,7 @@
 	"puffinlink.example/puffinlink/logic"
 )
 
-// Revision counts the changes of a book, from 1. An override is named by the revision that set it.
+// Revision counts the changes of a table, from 1. An override is named by the revision that set it.
 type Revision uint64
 
 // Key names a command, so that the same one sent twice acts once.
@@ -154,7 +154,7 @@
 	Started  float64
 }
 
-// Limits are a book's caps and figures. Times are seconds.
+// Limits are a table's caps and figures. Times are seconds.
 type Limits struct {
 	Indexes   []string
 	Shards    int
--- a/internal/operators/override/override_test.go
+++ b/internal/operators/override/override_test.go
@@ -94,9 +94,9 @@
 	return listed && e.Phase == logic.Ready && holdsShard(e.Cell, s) && m.factor(name, index) > 0 && (pin == "" || pin == name)
 }
 
-// world is a book beside the model, and what a module would know by the patches alone.
+// world is a table beside the model, and what a module would know by the patches alone.
 type world struct {
-	*Book
+	*Table
 	model
 	now     float64
 	indexes []string
@@ -110,7 +110,7 @@
 	lim := Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads", "orders"}, 4, cells, width
 	lim.MostTime, lim.Most = 100, 6
-	w := &world{Book: New(lim), now: 1000, indexes: lim.Indexes, told: map[logic.SearcherID]map[logic.IndexID]logic.SearcherOverride{},
+	w := &world{Table: New(lim), now: 1000, indexes: lim.Indexes, told: map[logic.SearcherID]map[logic.IndexID]logic.SearcherOverride{},
 		pins: map[spot]logic.PinOverride{}, model: model{list: map[string]Member{}, drops: map[string]bool{}}}
 	for i := range 4 {
 		w.phase(i, logic.Ready)
@@ -181,7 +181,7 @@
 	return nil
 }
 
-// pass lets time pass, by steps no longer than the book wants, and takes the patches.
+// pass lets time pass, by steps no longer than the table wants, and takes the patches.
 func (w *world) pass(dt float64) {
 	for end, first := w.now+dt, true; ; first = false {
 		w.Due(w.now)
--- a/internal/operators/override/view.go
+++ b/internal/operators/override/view.go
@@ -30,15 +30,15 @@
 // these share out among several.
 var precedence = []struct {
 	rule string
-	asks func(b *Book, m *member, s logic.ShardID, k logic.IndexID) *claim
+	asks func(t *Table, m *member, s logic.ShardID, k logic.IndexID) *claim
 }{
-	{"list", (*Book).notServing},
-	{"out", (*Book).takenOut},
-	{"pin", (*Book).pinnedThere},
-	{"weight", (*Book).weighed},
+	{"list", (*Table).notServing},
+	{"out", (*Table).takenOut},
+	{"pin", (*Table).pinnedThere},
+	{"weight", (*Table).weighed},
 }
 
-func (b *Book) notServing(m *member, _ logic.ShardID, _ logic.IndexID) *claim {
+func (t *Table) notServing(m *member, _ logic.ShardID, _ logic.IndexID) *claim {
 	switch {
 	case !m.listed:
 		return &claim{text: "the list does not name it"}
@@ -48,15 +48,15 @@
 	return nil
 }
 
-func (b *Book) takenOut(m *member, _ logic.ShardID, k logic.IndexID) *claim {
-	if _, by := b.target(m, k, nil); by != nil && by.Kind == Out {
+func (t *Table) takenOut(m *member, _ logic.ShardID, k logic.IndexID) *claim {
+	if _, by := t.target(m, k, nil); by != nil && by.Kind == Out {
 		return &claim{by: by, text: "it is out of service"}
 	}
 	return nil
 }
 
-func (b *Book) pinnedThere(m *member, s logic.ShardID, k logic.IndexID) *claim {
-	o, why := b.pinOf(spot{s, k})
+func (t *Table) pinnedThere(m *member, s logic.ShardID, k logic.IndexID) *claim {
+	o, why := t.pinOf(spot{s, k})
 	switch {
 	case o == nil || why != "":
 		return nil
@@ -67,8 +67,8 @@
 	}
 }
 
-func (b *Book) weighed(m *member, _ logic.ShardID, k logic.IndexID) *claim {
-	if factor, by := b.target(m, k, nil); by != nil {
+func (t *Table) weighed(m *member, _ logic.ShardID, k logic.IndexID) *claim {
+	if factor, by := t.target(m, k, nil); by != nil {
 		return &claim{by: by, text: fmt.Sprintf("its share is weighed by %.3g", factor)}
 	}
 	return nil
@@ -84,13 +84,13 @@
 }
 
 // strongest finds the override of a kind that holds in a list for an index, with one more that is thought of.
-func (b *Book) strongest(list []*Override, kind Kind, k logic.IndexID, more *Override) (found *Override) {
+func (t *Table) strongest(list []*Override, kind Kind, k logic.IndexID, more *Override) (found *Override) {
 	for _, o := range list {
-		if o.Kind == kind && b.covers(o, k) && (found == nil || stronger(o, found)) {
+		if o.Kind == kind && t.covers(o, k) && (found == nil || stronger(o, found)) {
 			found = o
 		}
 	}
-	if more != nil && more.Kind == kind && b.covers(more, k) && (found == nil || stronger(more, found)) {
+	if more != nil && more.Kind == kind && t.covers(more, k) && (found == nil || stronger(more, found)) {
 		found = more
 	}
 	return found
@@ -98,21 +98,21 @@
 
 // target is what a searcher's share of an index comes to, 0 for out, and the override that says so, nil for none. Out
 // at either the searcher or its location is out; weights at both multiply.
-func (b *Book) target(m *member, k logic.IndexID, more *Override) (factor float64, by *Override) {
+func (t *Table) target(m *member, k logic.IndexID, more *Override) (factor float64, by *Override) {
 	here, there := (*Override)(nil), (*Override)(nil)
 	if more != nil && more.Searcher == m.Name {
 		here = more
 	} else if more != nil && more.Location == m.Location {
 		there = more
 	}
-	all := b.place(m.Location).own
-	for _, o := range []*Override{b.strongest(m.own, Out, k, here), b.strongest(all, Out, k, there)} {
+	all := t.place(m.Location).own
+	for _, o := range []*Override{t.strongest(m.own, Out, k, here), t.strongest(all, Out, k, there)} {
 		if o != nil {
 			return 0, o
 		}
 	}
 	factor = 1
-	for _, o := range []*Override{b.strongest(all, Weight, k, there), b.strongest(m.own, Weight, k, here)} {
+	for _, o := range []*Override{t.strongest(all, Weight, k, there), t.strongest(m.own, Weight, k, here)} {
 		if o != nil {
 			factor, by = factor*o.Factor, o
 		}
@@ -121,12 +121,12 @@
 }
 
 // pinOf finds the pin that holds for a shard of an index, and why it is suspended or waits; "" if it acts.
-func (b *Book) pinOf(at spot) (o *Override, why string) {
-	if o = b.strongest(b.byShard[at.shard], Pin, at.index, nil); o == nil {
+func (t *Table) pinOf(at spot) (o *Override, why string) {
+	if o = t.strongest(t.byShard[at.shard], Pin, at.index, nil); o == nil {
 		return nil, ""
 	}
-	m := b.member(o.Searcher)
-	factor, _ := b.target(m, at.index, nil)
+	m := t.member(o.Searcher)
+	factor, _ := t.target(m, at.index, nil)
 	switch {
 	case m.listed && m.Phase == logic.Draining:
 		return o, "suspended: its searcher drains"
@@ -134,7 +134,7 @@
 		return o, "suspended: its searcher has drained and left"
 	case !m.listed && !o.Strict:
 		return o, "waits: the list does not name its searcher"
-	case m.listed && !b.holds(m, at.shard):
+	case m.listed && !t.holds(m, at.shard):
 		return o, "waits: its searcher does not hold the shard"
 	case m.listed && factor == 0:
 		return o, "suspended: its searcher is out of service"
@@ -144,22 +144,22 @@
 
 // Patch tells the decision module what has changed by now, nil for nothing. What comes back moves on by the time since
 // the last call.
-func (b *Book) Patch(now float64) *logic.Overrides {
+func (t *Table) Patch(now float64) *logic.Overrides {
 	var patch logic.Overrides
-	dt := max(0, now-b.movedAt)
-	b.movedAt = now
-	b.move(min(dt, 1)) // a late caller is no reason for a blow
-	b.wantAll()
-	for _, name := range slices.Sorted(maps.Keys(b.dirtyMembers)) {
-		b.tellMember(b.dirtyMembers[name], &patch)
-	}
-	for _, at := range slices.SortedFunc(maps.Keys(b.dirtySpots), func(x, y spot) int {
+	dt := max(0, now-t.movedAt)
+	t.movedAt = now
+	t.move(min(dt, 1)) // a late caller is no reason for a blow
+	t.wantAll()
+	for _, name := range slices.Sorted(maps.Keys(t.dirtyMembers)) {
+		t.tellMember(t.dirtyMembers[name], &patch)
+	}
+	for _, at := range slices.SortedFunc(maps.Keys(t.dirtySpots), func(x, y spot) int {
 		return cmp.Or(cmp.Compare(x.shard, y.shard), cmp.Compare(x.index, y.index))
 	}) {
-		b.tellSpot(at, &patch)
+		t.tellSpot(at, &patch)
 	}
-	clear(b.dirtyMembers)
-	clear(b.dirtySpots)
+	clear(t.dirtyMembers)
+	clear(t.dirtySpots)
 	if len(patch.Searchers)+len(patch.Pins) == 0 {
 		return nil
 	}
@@ -167,41 +167,41 @@
 }
 
 // wantAll works out anew what is wanted where something was touched.
-func (b *Book) wantAll() {
-	for _, m := range b.dirtyMembers {
+func (t *Table) wantAll() {
+	for _, m := range t.dirtyMembers {
 		for k := range m.levels {
 			l := &m.levels[k]
-			l.want, _ = b.target(m, logic.IndexID(k), nil)
+			l.want, _ = t.target(m, logic.IndexID(k), nil)
 			if l.now >= l.want {
 				l.now = l.want
 			} else {
 				l.now = max(l.now, min(least, l.want))
-				b.rising[m] = true
+				t.rising[m] = true
 			}
 		}
 	}
-	for at := range b.dirtySpots {
-		b.wantSpot(at)
+	for at := range t.dirtySpots {
+		t.wantSpot(at)
 	}
 }
 
 // wantSpot: a pin takes its shard at once; one that ended lets go of it bit by bit, as its siblings come back. One that
 // is suspended lets go at once, and comes back bit by bit.
-func (b *Book) wantSpot(at spot) {
-	o, why := b.pinOf(at)
-	p := b.spots[at]
+func (t *Table) wantSpot(at spot) {
+	o, why := t.pinOf(at)
+	p := t.spots[at]
 	switch {
 	case o == nil && p == nil:
 		return
 	case p == nil:
 		p = &pinState{}
-		b.spots[at] = p
+		t.spots[at] = p
 		p.now = 1
 	}
 	switch {
 	case o == nil:
 		p.want = 0
-		m := b.members[p.to]
+		m := t.members[p.to]
 		if m == nil || !m.listed || m.Phase != logic.Ready || m.ID != p.id {
 			p.now = 0
 		}
@@ -210,7 +210,7 @@
 		p.want, p.now = 0, 0
 		p.to, p.strict, p.by = o.Searcher, o.Strict, o.ID
 	default:
-		m := b.member(o.Searcher)
+		m := t.member(o.Searcher)
 		switch {
 		case o.ID > p.by: // as told by its operator, at once
 			p.now = 1
@@ -223,18 +223,18 @@
 		}
 	}
 	if p.now != p.want {
-		b.waning[at] = true
+		t.waning[at] = true
 	}
 }
 
 // move lets what comes back come back by so many seconds: each by its ramp, and all together by no more than their share
 // of the fleet, or of the shards, in a second.
-func (b *Book) move(dt float64) {
+func (t *Table) move(dt float64) {
 	if dt == 0 {
 		return
 	}
-	step := b.step(dt, b.listed, len(b.rising))
-	for m := range b.rising {
+	step := t.step(dt, t.listed, len(t.rising))
+	for m := range t.rising {
 		done := true
 		for k := range m.levels {
 			l := &m.levels[k]
@@ -243,16 +243,16 @@
 				done = done && l.now == l.want
 			}
 		}
-		b.dirtyMembers[m.Name] = m
+		t.dirtyMembers[m.Name] = m
 		if done {
-			delete(b.rising, m)
+			delete(t.rising, m)
 		}
 	}
-	step = b.step(dt, b.lim.Shards*len(b.lim.Indexes), len(b.waning))
-	for at := range b.waning {
-		p := b.spots[at]
+	step = t.step(dt, t.lim.Shards*len(t.lim.Indexes), len(t.waning))
+	for at := range t.waning {
+		p := t.spots[at]
 		if p == nil {
-			delete(b.waning, at)
+			delete(t.waning, at)
 			continue
 		}
 		if p.now < p.want {
@@ -260,25 +260,25 @@
 		} else {
 			p.now = max(p.want, p.now-step)
 		}
-		b.dirtySpots[at] = true
+		t.dirtySpots[at] = true
 		if p.now == p.want {
-			delete(b.waning, at)
+			delete(t.waning, at)
 		}
 	}
 }
 
 // step is by how much each of some that come back together moves in dt seconds, of all that there are.
-func (b *Book) step(dt float64, all, moving int) float64 {
+func (t *Table) step(dt float64, all, moving int) float64 {
 	if moving == 0 {
 		return 0
 	}
-	each := 1 / max(b.lim.Ramp, returnStep)
-	return dt * min(each, max(b.lim.Together*float64(all), each)/float64(moving))
+	each := 1 / max(t.lim.Ramp, returnStep)
+	return dt * min(each, max(t.lim.Together*float64(all), each)/float64(moving))
 }
 
-func (b *Book) tellMember(m *member, patch *logic.Overrides) {
+func (t *Table) tellMember(m *member, patch *logic.Overrides) {
 	if !m.listed {
-		b.forgotten(m)
+		t.forgotten(m)
 		return
 	}
 	for k := range m.levels {
@@ -295,8 +295,8 @@
 	}
 }
 
-func (b *Book) tellSpot(at spot, patch *logic.Overrides) {
-	p := b.spots[at]
+func (t *Table) tellSpot(at spot, patch *logic.Overrides) {
+	p := t.spots[at]
 	if p == nil {
 		return
 	}
@@ -308,9 +308,9 @@
 		patch.Pins = append(patch.Pins, tell)
 	}
 	p.told = tell
-	if o, _ := b.pinOf(at); o == nil && p.now == 0 {
-		delete(b.spots, at)
-		delete(b.waning, at)
+	if o, _ := t.pinOf(at); o == nil && p.now == 0 {
+		delete(t.spots, at)
+		delete(t.waning, at)
 	}
 }
 
@@ -321,24 +321,24 @@
 }
 
 // Status shows what holds, oldest first.
-func (b *Book) Status() []Status {
-	live := b.Live()
+func (t *Table) Status() []Status {
+	live := t.Live()
 	list := make([]Status, len(live))
 	for i := range live {
-		list[i] = Status{live[i], b.state(b.live[live[i].ID])}
+		list[i] = Status{live[i], t.state(t.live[live[i].ID])}
 	}
 	return list
 }
 
 // state tells whether an override acts, or what stands above it.
-func (b *Book) state(o *Override) string {
+func (t *Table) state(o *Override) string {
 	if o.Kind == Pin {
-		return b.pinStates(o)
+		return t.pinStates(o)
 	}
-	list := b.place(o.Location).own
+	list := t.place(o.Location).own
 	if o.Searcher != "" {
-		m := b.member(o.Searcher)
-		defer b.forgotten(m)
+		m := t.member(o.Searcher)
+		defer t.forgotten(m)
 		list = m.own
 		if !m.listed {
 			return "waits: the list does not name its searcher"
@@ -346,20 +346,20 @@
 		if m.Phase == logic.Draining {
 			return "suspended: its searcher drains"
 		}
-	} else if len(b.place(o.Location).members) == 0 {
+	} else if len(t.place(o.Location).members) == 0 {
 		return "waits: no listed searcher stands there"
 	}
 	acts := 0
 	var above *Override
 	covered := 0
-	for k := range b.lim.Indexes {
+	for k := range t.lim.Indexes {
 		k := logic.IndexID(k)
-		if !b.covers(o, k) {
+		if !t.covers(o, k) {
 			continue
 		}
 		covered++
-		by := b.strongest(list, o.Kind, k, nil)
-		if out := b.strongest(list, Out, k, nil); o.Kind == Weight && out != nil {
+		by := t.strongest(list, o.Kind, k, nil)
+		if out := t.strongest(list, Out, k, nil); o.Kind == Weight && out != nil {
 			by = out
 		}
 		if by == o {
@@ -371,18 +371,18 @@
 	return shown(acts, covered, above, "")
 }
 
-func (b *Book) pinStates(o *Override) string {
+func (t *Table) pinStates(o *Override) string {
 	acts, covered := 0, 0
 	var above *Override
 	hindered := ""
 	for s := o.From; s <= o.To; s++ {
-		for k := range b.lim.Indexes {
+		for k := range t.lim.Indexes {
 			k := logic.IndexID(k)
-			if !b.covers(o, k) {
+			if !t.covers(o, k) {
 				continue
 			}
 			covered++
-			switch by, why := b.pinOf(spot{s, k}); {
+			switch by, why := t.pinOf(spot{s, k}); {
 			case by != o:
 				above = by
 			case why != "":
@@ -420,17 +420,17 @@
 }
 
 // Returns lists what comes back at present.
-func (b *Book) Returns() (list []Return) {
-	for m := range b.rising {
+func (t *Table) Returns() (list []Return) {
+	for m := range t.rising {
 		for k, l := range m.levels {
 			if l.now < l.want {
-				list = append(list, Return{Searcher: m.Name, Index: b.lim.Indexes[k], Level: l.now, Want: l.want})
+				list = append(list, Return{Searcher: m.Name, Index: t.lim.Indexes[k], Level: l.now, Want: l.want})
 			}
 		}
 	}
-	for at := range b.waning {
-		if p := b.spots[at]; p != nil && p.now != p.want {
-			list = append(list, Return{Searcher: p.to, Shard: at.shard, Pin: true, Index: b.lim.Indexes[at.index], Level: p.now, Want: p.want})
+	for at := range t.waning {
+		if p := t.spots[at]; p != nil && p.now != p.want {
+			list = append(list, Return{Searcher: p.to, Shard: at.shard, Pin: true, Index: t.lim.Indexes[at.index], Level: p.now, Want: p.want})
 		}
 	}
 	slices.SortFunc(list, func(x, y Return) int {
@@ -455,23 +455,23 @@
 }
 
 // Explain asks the precedence row by row. Its error is a *Refusal.
-func (b *Book) Explain(s logic.ShardID, index, searcher string) (e Explanation, err error) {
-	k, known := b.indexes[index]
-	m := b.members[searcher]
+func (t *Table) Explain(s logic.ShardID, index, searcher string) (e Explanation, err error) {
+	k, known := t.indexes[index]
+	m := t.members[searcher]
 	switch {
 	case !known:
-		return e, refuse(Invalid, "index %q is not one of %q", index, b.lim.Indexes)
-	case s < 0 || int(s) >= b.lim.Shards:
-		return e, refuse(Invalid, "shard %d, expected one from 0 to %d", s, b.lim.Shards-1)
+		return e, refuse(Invalid, "index %q is not one of %q", index, t.lim.Indexes)
+	case s < 0 || int(s) >= t.lim.Shards:
+		return e, refuse(Invalid, "shard %d, expected one from 0 to %d", s, t.lim.Shards-1)
 	case m == nil:
 		return e, refuse(Unknown, "neither the list nor an override names %q", searcher)
-	case m.listed && !b.holds(m, s):
+	case m.listed && !t.holds(m, s):
 		return Explanation{Lines: []Line{{"layout", true, 0, "it does not hold the shard"}}}, nil
 	}
 	e.Goes, e.Share = true, 1
 	acted := false
 	for _, row := range precedence {
-		c := row.asks(b, m, s, k)
+		c := row.asks(t, m, s, k)
 		if c == nil {
 			continue
 		}
@@ -492,7 +492,7 @@
 				e.Share = 0
 			}
 		case "weight":
-			e.Share, _ = b.target(m, k, nil)
+			e.Share, _ = t.target(m, k, nil)
 		}
 	}
 	if l := m.levels[k]; e.Goes && l.now < l.want && !acted {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+mixer+"/"+mix.Index, bytes.NewReader(body))
 	req.Header = http.Header{"Req-Id": {fmt.Sprintf("%016x", l.nextID.Add(1))}, "Req-Kind": {mix.Index},
-		"Idempotency-Key": {}, // not sent: it lets the client ask once more on a new line, where the mixer closed an idle one meanwhile
+		"Idempotency-Key": {}, // not sent: it lets the client ask once more on a new connection, where the mixer closed an idle one meanwhile
 		"Req-Deadline":    {strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}}
 	res, err := l.client.Do(req)
 	if err == nil {
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -50,8 +50,8 @@
 	end   chan struct{}
 }
 
-// beat is how often an empty line comes while nothing changes.
-const beat = 2 * time.Second
+// heartbeatInterval is how often an empty line comes while nothing changes.
+const heartbeatInterval = 2 * time.Second
 
 // FreeAddress is a loopback address that was free a moment ago, for a mixer to listen at.
 func FreeAddress() (string, error) {
@@ -84,10 +84,10 @@
 func (r *Register) Known() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.line(true, r.entries)
+	return r.encode(true, r.entries)
 }
 
-func (r *Register) line(whole bool, entries []Entry) []byte {
+func (r *Register) encode(whole bool, entries []Entry) []byte {
 	text, _ := json.Marshal(page{r.version, whole, slices.Clone(entries)})
 	return append(text, '\n')
 }
@@ -106,7 +106,7 @@
 	case e.State != "DELETED":
 		r.entries = append(r.entries, e)
 	}
-	r.tell(r.line(false, []Entry{e}))
+	r.tell(r.encode(false, []Entry{e}))
 }
 
 // SetState changes what a searcher is listed as.
@@ -128,7 +128,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
-	r.tell(r.line(true, r.entries))
+	r.tell(r.encode(true, r.entries))
 }
 
 // Down ends all watches and refuses new ones, until it is up again.
@@ -164,14 +164,14 @@
 		return
 	}
 	if q.FormValue("stream") == "" {
-		line := r.line(true, r.entries)
+		line := r.encode(true, r.entries)
 		r.mu.Unlock()
 		out.Write(line)
 		return
 	}
 	w := &watch{make(chan []byte, 1000), make(chan struct{})}
 	if had, _ := strconv.ParseInt(q.FormValue("index"), 10, 64); had != r.version {
-		w.lines <- r.line(true, r.entries)
+		w.lines <- r.encode(true, r.entries)
 	}
 	r.watches[w] = true
 	r.mu.Unlock()
@@ -182,7 +182,7 @@
 	}()
 	flush := out.(http.Flusher)
 	flush.Flush()
-	tick := time.NewTicker(beat)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -29,9 +29,9 @@
 	failing  atomic.Bool
 	silent   atomic.Bool
 
-	mu     sync.Mutex
-	lines  map[net.Conn]bool
-	closed bool
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+	closed      bool
 
 	calls    atomic.Int64
 	out      atomic.Int64
@@ -43,7 +43,7 @@
 
 // NewSearcher listens on loopback, with so many slots.
 func NewSearcher(name, zone string, cell, slots int, service time.Duration) (*Searcher, error) {
-	s := &Searcher{Name: name, Cell: cell, Zone: zone, slots: make(chan struct{}, slots), lines: map[net.Conn]bool{}}
+	s := &Searcher{Name: name, Cell: cell, Zone: zone, slots: make(chan struct{}, slots), connections: map[net.Conn]bool{}}
 	s.service.Store(int64(service))
 	return s, s.Start()
 }
@@ -72,16 +72,16 @@
 	return e
 }
 
-// Kill ends its lines and listens no more, as a process that dies.
+// Kill ends its connections and listens no more, as a process that dies.
 func (s *Searcher) Kill() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	s.listener.Close()
-	for c := range s.lines {
+	for c := range s.connections {
 		c.Close()
 	}
-	clear(s.lines)
+	clear(s.connections)
 }
 
 // SetService changes the mean service time, SetFailing lets it fail each call, SetSilent lets it answer nothing.
@@ -128,36 +128,36 @@
 		if s.closed {
 			c.Close()
 		} else {
-			s.lines[c] = true
+			s.connections[c] = true
 		}
 		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
 
-// line is one connection; answers of many calls share its writing side.
-type line struct {
+// connection is one that a mixer opened; answers of many calls share its writing side.
+type connection struct {
 	net.Conn
 	mu sync.Mutex
 }
 
-func (l *line) say(letter byte, rest []byte) {
+func (conn *connection) say(frameType byte, rest []byte) {
 	frame := binary.BigEndian.AppendUint32(nil, uint32(1+len(rest)))
-	frame = append(append(frame, letter), rest...)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.SetWriteDeadline(time.Now().Add(time.Second))
-	l.Write(frame)
+	frame = append(append(frame, frameType), rest...)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.SetWriteDeadline(time.Now().Add(time.Second))
+	conn.Write(frame)
 }
 
 func (s *Searcher) serve(c net.Conn) {
 	defer func() {
 		c.Close()
 		s.mu.Lock()
-		delete(s.lines, c)
+		delete(s.connections, c)
 		s.mu.Unlock()
 	}()
-	l := &line{Conn: c}
+	conn := &connection{Conn: c}
 	given := sync.Map{} // ids given up
 	in := bufio.NewReader(c)
 	for {
@@ -171,8 +171,8 @@
 		}
 		switch rest := frame[1:]; frame[0] {
 		case 'S':
-			if !s.call(l, rest, &given) {
-				l.say('F', []byte("can't be read"))
+			if !s.call(conn, rest, &given) {
+				conn.say('F', []byte("can't be read"))
 				return
 			}
 		case 'C':
@@ -185,16 +185,16 @@
 			if frame[0] == 'M' {
 				answer = "-"
 			}
-			l.say(frame[0], []byte(answer))
+			conn.say(frame[0], []byte(answer))
 		default:
-			l.say('F', []byte("unknown letter"))
+			conn.say('F', []byte("unknown letter"))
 			return
 		}
 	}
 }
 
 // call takes the parts of one frame.
-func (s *Searcher) call(l *line, rest []byte, given *sync.Map) bool {
+func (s *Searcher) call(conn *connection, rest []byte, given *sync.Map) bool {
 	for len(rest) > 0 {
 		head, after, found := bytes.Cut(rest, []byte{'\n'})
 		fields := bytes.Fields(head)
@@ -215,13 +215,13 @@
 			s.Heard(string(after[:n]), shard)
 		}
 		s.arrives(named(string(fields[0]), string(after[:n])))
-		go s.work(l, string(fields[0]), string(after[:n]), given)
+		go s.work(conn, string(fields[0]), string(after[:n]), given)
 		rest = after[n:]
 	}
 	return true
 }
 
-func (s *Searcher) work(l *line, id, query string, given *sync.Map) {
+func (s *Searcher) work(conn *connection, id, query string, given *sync.Map) {
 	defer s.out.Add(-1)
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
@@ -239,5 +239,5 @@
 	case s.failing.Load():
 		end = "failed"
 	}
-	l.say('R', fmt.Appendf(nil, "%s %s 1 -\nv-%s", id, end, s.Name))
+	conn.say('R', fmt.Appendf(nil, "%s %s 1 -\nv-%s", id, end, s.Name))
 }
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -38,12 +38,12 @@
 	Data  []byte
 }
 
-// LogKept is what a file held at its opening.
-type LogKept struct {
+// LogContents is what a file held at its opening.
+type LogContents struct {
 	ID      uint64 // drawn when the file was new, never 0
 	Values  map[string][]byte
 	Entries []Entry // in the order of their indexes
-	Aside   string  // where a spoilt file was put, "" for none
+	Aside   string  // where a corrupt file was put, "" for none
 }
 
 // LogSave is written as one, or not at all.
@@ -57,7 +57,7 @@
 type Log struct {
 	db     *bolt.DB
 	lock   *os.File
-	in     *eventqueue.Box[logJob]
+	in     *eventqueue.Queue[logJob]
 	ended  chan struct{}
 	failed error
 }
@@ -68,10 +68,10 @@
 	stop bool
 }
 
-// OpenLog opens the file of a directory, or makes it. A spoilt one is put aside: whoever kept it begins anew, as if the
+// OpenLog opens the file of a directory, or makes it. A corrupt one is put aside: whoever kept it begins anew, as if the
 // directory were lost. It waits so long for a process that still holds the directory.
-func OpenLog(dir string, wait time.Duration, log zerolog.Logger) (*Log, LogKept, error) {
-	l, kept := &Log{in: eventqueue.New[logJob](), ended: make(chan struct{})}, LogKept{}
+func OpenLog(dir string, wait time.Duration, log zerolog.Logger) (*Log, LogContents, error) {
+	l, kept := &Log{in: eventqueue.New[logJob](), ended: make(chan struct{})}, LogContents{}
 	var err error
 	if l.lock, err = locked(dir, logLockName, wait); err != nil {
 		return nil, kept, err
@@ -92,7 +92,7 @@
 	if err == nil {
 		err = l.db.View(kept.read)
 	}
-	if spoilt := (*spoiltError)(nil); errors.As(err, &spoilt) {
+	if spoilt := (*corruptError)(nil); errors.As(err, &spoilt) {
 		l.db.Close()
 		l.lock.Close()
 		path := filepath.Join(dir, logName)
@@ -110,12 +110,12 @@
 	return l, kept, nil
 }
 
-func (k *LogKept) read(tx *bolt.Tx) error {
-	*k = LogKept{Values: map[string][]byte{}}
+func (k *LogContents) read(tx *bolt.Tx) error {
+	*k = LogContents{Values: map[string][]byte{}}
 	meta, values, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketValues), tx.Bucket(bucketLog)
 	switch {
 	case meta == nil || values == nil || entries == nil || len(meta.Get(keyID)) != 8:
-		return &spoiltError{errors.New("no number, or a bucket is missing")}
+		return &corruptError{errors.New("no number, or a bucket is missing")}
 	case stated(meta.Get(keyVersion)) != logVersion:
 		return fmt.Errorf("is of version %d, expected %d", stated(meta.Get(keyVersion)), logVersion)
 	}
@@ -131,7 +131,7 @@
 	return entries.ForEach(func(index, v []byte) error {
 		data, err := checked(v)
 		if n := len(k.Entries); n > 0 && stated(index) != k.Entries[n-1].Index+1 {
-			return &spoiltError{fmt.Errorf("entry %d follows %d", stated(index), k.Entries[n-1].Index)}
+			return &corruptError{fmt.Errorf("entry %d follows %d", stated(index), k.Entries[n-1].Index)}
 		}
 		k.Entries = append(k.Entries, Entry{stated(index), data})
 		return err
@@ -143,7 +143,7 @@
 
 func checked(b []byte) ([]byte, error) {
 	if len(b) < 8 || xxh3.Hash(b[8:]) != binary.BigEndian.Uint64(b) {
-		return nil, &spoiltError{errors.New("a record's checksum is wrong")}
+		return nil, &corruptError{errors.New("a record's checksum is wrong")}
 	}
 	return append([]byte{}, b[8:]...), nil
 }
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -11,7 +11,7 @@
 )
 
 // The library's own check of a file runs in a goroutine of its own, and a page that leads back to itself ends the process
-// there: a spoilt file would keep a mixer from starting. So pages are checked here before the library sees any of them, by
+// there: a corrupt file would keep a mixer from starting. So pages are checked here before the library sees any of them, by
 // the layout that it documents. What the records hold is checked by their own sums.
 const (
 	pageHead    = 16
@@ -63,7 +63,7 @@
 		err = p.free(m.free)
 	}
 	if err != nil {
-		return &spoiltError{err}
+		return &corruptError{err}
 	}
 	return nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/internal/operators/override"
@@ -43,12 +44,12 @@
 	keyAudited  = []byte("audited") // how many records the audit trail has
 )
 
-// Kept is what a file held at its opening.
-type Kept struct {
+// Contents is what a file held at its opening.
+type Contents struct {
 	Revision override.Revision
 	Held     []override.Override
 	Recent   []override.Change // oldest first
-	Aside    string            // where a spoilt file was put, "" for none
+	Aside    string            // where a corrupt file was put, "" for none
 }
 
 type job struct {
@@ -61,18 +62,18 @@
 type Store struct {
 	db     *bolt.DB
 	lock   *os.File // nobody else reads or writes the directory while it is held
-	in     *eventqueue.Box[job]
+	in     *eventqueue.Queue[job]
 	ended  chan struct{}
 	failed error // opened without a file: every change is refused with it
 }
 
-// Open opens the file in a directory, or makes it. A spoilt one is put aside under another name and a new one begun. Its
+// Open opens the file in a directory, or makes it. A corrupt one is put aside under another name and a new one begun. Its
 // error says that nothing can be kept there; the Store then refuses every change with it.
-func Open(dir string, log zerolog.Logger) (s *Store, kept Kept, err error) {
+func Open(dir string, log zerolog.Logger) (s *Store, kept Contents, err error) {
 	return openWithin(dir, lockWait, log)
 }
 
-func openWithin(dir string, wait time.Duration, log zerolog.Logger) (s *Store, kept Kept, err error) {
+func openWithin(dir string, wait time.Duration, log zerolog.Logger) (s *Store, kept Contents, err error) {
 	s = &Store{in: eventqueue.New[job](), ended: make(chan struct{})}
 	defer func() {
 		s.failed = err
@@ -84,17 +85,17 @@
 	aside := ""
 	s.db, aside, err = openAside(filepath.Join(dir, fileName), log, prepare, func(tx *bolt.Tx) error { return kept.read(tx) })
 	if aside != "" || err != nil { // what was read of it before the fault counts no more
-		kept = Kept{Aside: aside}
+		kept = Contents{Aside: aside}
 	}
 	return s, kept, err
 }
 
-// openAside opens a file and reads all of it; a spoilt one is put aside, and a new one begun.
+// openAside opens a file and reads all of it; a corrupt one is put aside, and a new one begun.
 func openAside(path string, log zerolog.Logger, prepare, read func(*bolt.Tx) error) (db *bolt.DB, aside string, err error) {
 	if db, err = open(path, prepare, read); err == nil {
 		return db, "", nil
 	}
-	if spoilt := (*spoiltError)(nil); !errors.As(err, &spoilt) {
+	if spoilt := (*corruptError)(nil); !errors.As(err, &spoilt) {
 		return nil, "", fmt.Errorf("%s: %w", path, err)
 	}
 	aside = fmt.Sprintf("%s.spoilt-%d", path, time.Now().UnixNano())
@@ -129,18 +130,18 @@
 	}
 }
 
-// spoiltError says that a file is there and can be read, but not be trusted.
-type spoiltError struct{ err error }
+// corruptError says that a file is there and can be read, but not be trusted.
+type corruptError struct{ err error }
 
-func (e *spoiltError) Error() string { return "spoilt: " + e.err.Error() }
-func (e *spoiltError) Unwrap() error { return e.err }
+func (e *corruptError) Error() string { return "spoilt: " + e.err.Error() }
+func (e *corruptError) Unwrap() error { return e.err }
 
 // open opens one file and reads all of it. A fault in mapped memory, as where the file was cut off, is an error too.
 func open(path string, prepare, read func(*bolt.Tx) error) (db *bolt.DB, err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if p := recover(); p != nil {
-			err = &spoiltError{fmt.Errorf("%v", p)}
+			err = &corruptError{fmt.Errorf("%v", p)}
 		}
 		if err != nil && db != nil {
 			func() {
@@ -155,8 +156,8 @@
 	}
 	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait, FreelistType: bolt.FreelistMapType})
 	switch {
-	case errors.Is(err, bolt.ErrInvalid), errors.Is(err, bolt.ErrVersionMismatch), errors.Is(err, bolt.ErrChecksum):
-		return db, &spoiltError{err}
+	case errors.Is(err, bolterrors.ErrInvalid), errors.Is(err, bolterrors.ErrVersionMismatch), errors.Is(err, bolterrors.ErrChecksum):
+		return db, &corruptError{err}
 	case err != nil:
 		return db, err
 	}
@@ -208,15 +209,15 @@
 		return err
 	}
 	if err := json.Unmarshal(text, record); err != nil {
-		return &spoiltError{err}
+		return &corruptError{err}
 	}
 	return nil
 }
 
-func (k *Kept) read(tx *bolt.Tx) error {
+func (k *Contents) read(tx *bolt.Tx) error {
 	switch had := tx.Bucket(bucketMeta).Get(keyVersion); {
 	case len(had) != 8 || tx.Bucket(bucketHeld) == nil || tx.Bucket(bucketAudit) == nil:
-		return &spoiltError{errors.New("no version, or a bucket is missing")}
+		return &corruptError{errors.New("no version, or a bucket is missing")}
 	case stated(had) != version:
 		return fmt.Errorf("is of version %d, expected %d", stated(had), version)
 	}
@@ -227,7 +228,7 @@
 			return err
 		}
 		if stated(id) != uint64(o.ID) {
-			return &spoiltError{fmt.Errorf("override %d stands under %d", o.ID, stated(id))}
+			return &corruptError{fmt.Errorf("override %d stands under %d", o.ID, stated(id))}
 		}
 		k.Held = append(k.Held, o)
 		return nil
@@ -242,20 +243,20 @@
 			return err
 		}
 		if stated(key) != uint64(change.Revision) {
-			return &spoiltError{fmt.Errorf("revision %d stands under %d", change.Revision, stated(key))}
+			return &corruptError{fmt.Errorf("revision %d stands under %d", change.Revision, stated(key))}
 		}
 		k.Recent = append(k.Recent, change)
 	}
 	slices.Reverse(k.Recent)
 	if n := len(k.Recent); n > 0 && k.Recent[n-1].Revision != k.Revision {
-		return &spoiltError{fmt.Errorf("revision is %d, the last change %d", k.Revision, k.Recent[n-1].Revision)}
+		return &corruptError{fmt.Errorf("revision is %d, the last change %d", k.Revision, k.Recent[n-1].Revision)}
 	}
 	return nil
 }
 
-// Keep writes changes, all or none, and tells when they are on disk or why they are not. It never blocks; done is
+// Save writes changes, all or none, and tells when they are on disk or why they are not. It never blocks; done is
 // called from another goroutine, in the order of the calls.
-func (s *Store) Keep(changes []override.Change, done func(error)) {
+func (s *Store) Save(changes []override.Change, done func(error)) {
 	s.in.Put(job{changes: changes, done: done})
 }
 
@@ -289,7 +290,7 @@
 		return s.failed
 	}
 	defer func() {
-		if p := recover(); p != nil { // a file spoilt under us: from here on nothing is kept
+		if p := recover(); p != nil { // a file corrupt under us: from here on nothing is kept
 			err = fmt.Errorf("%v", p)
 			s.failed, s.db = err, nil
 		}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -36,7 +36,7 @@
 // keepNow keeps changes and waits.
 func keepNow(s *Store, changes ...override.Change) error {
 	done := make(chan error, 1)
-	s.Keep(changes, func(err error) { done <- err })
+	s.Save(changes, func(err error) { done <- err })
 	return <-done
 }
 
@@ -202,7 +202,7 @@
 }
 
 // Whatever is done to a file, it is read right or put aside under another name, and a new one is begun.
-func TestSpoiltFilesArePutAside(t *testing.T) {
+func TestCorruptFilesArePutAside(t *testing.T) {
 	dir, revision := filled(t)
 	good, err := os.ReadFile(filepath.Join(dir, fileName))
 	if err != nil {
--- a/internal/tools/plan/site.go
+++ b/internal/tools/plan/site.go
@@ -20,7 +20,7 @@
 	Cores       int     // parts that it works on at once
 	Speed       float64 // 1 takes an index's work as stated, 2 half as long
 	Queue       int     // parts that may wait beyond those; more are turned away. 0 for no limit
-	Connections int     // lines that it takes; 0 for no limit
+	Connections int     // connections that it takes; 0 for no limit
 	Price       float64
 }
 
@@ -51,7 +51,7 @@
 	MostTries int     // part calls of a part
 	Retries   int     // of a client whose lookup was nacked
 	Backoff   float64 // before each
-	Multiplex int     // calls that one line carries; 0 for no limit
+	Multiplex int     // calls that one connection carries; 0 for no limit
 	Lines     int     // descriptors that a mixer has for searchers; 0 for no limit
 }
 
--- a/internal/tools/systemtest/broken_test.go
+++ b/internal/tools/systemtest/broken_test.go
@@ -9,7 +9,7 @@
 // The judges are seen to fail on copies of the program with one rule left out. Built and played only where all points are.
 func TestJudgesFindBrokenCopies(t *testing.T) {
 	if !all {
-		t.Skip("PUFFINLINK_POINTS_ALL is not set")
+		t.Skip("PUFFINLINK_FAILPOINTS_ALL is not set")
 	}
 	t.Run("floors not subtracted", func(t *testing.T) {
 		t.Parallel()
--- a/internal/tools/systemtest/command_test.go
+++ b/internal/tools/systemtest/command_test.go
@@ -14,7 +14,7 @@
 	m := w.Mixers[(w.grants().no+1)%3]
 	run := func(want string, args ...string) string {
 		t.Helper()
-		cmd := exec.Command(Build(t, "points"), append(append([]string{"fleet"}, args...), "--at", "unix:"+m.socket())...)
+		cmd := exec.Command(Build(t, "failpoints"), append(append([]string{"fleet"}, args...), "--at", "unix:"+m.socket())...)
 		out, _ := cmd.CombinedOutput()
 		if !strings.Contains(string(out), want) {
 			t.Errorf("fleet %s: got %q, expected %q", strings.Join(args, " "), out, want)
--- a/internal/tools/systemtest/failpoints_test.go
+++ b/internal/tools/systemtest/failpoints_test.go
@@ -12,7 +12,7 @@
 )
 
 // all plays every point with every fault, and not the sample that CI plays.
-var all = os.Getenv("PUFFINLINK_POINTS_ALL") != ""
+var all = os.Getenv("PUFFINLINK_FAILPOINTS_ALL") != ""
 
 var faults = []string{"kill", "stop", "drop", "delay", "double", "fail"}
 
@@ -59,8 +59,8 @@
 }
 
 // Each numbered point goes wrong in turn, at whichever mixer passes it first, and every promise holds: CI plays a fixed sample,
-// PUFFINLINK_POINTS_ALL=1 all of them. Which points the workload passes is listed first.
-func TestPointsInTurn(t *testing.T) {
+// PUFFINLINK_FAILPOINTS_ALL=1 all of them. Which points the workload passes is listed first.
+func TestFailpointsInTurn(t *testing.T) {
 	t.Parallel()
 	type one struct {
 		point failpoint.Point
@@ -87,7 +87,7 @@
 		t.Parallel()
 		places <- struct{}{}
 		defer func() { <-places }()
-		workload(t, func(int) []string { return []string{"PUFFINLINK_POINTS_LIST=" + list} })
+		workload(t, func(int) []string { return []string{"PUFFINLINK_FAILPOINTS_LIST=" + list} })
 		text, err := os.ReadFile(list)
 		if err != nil {
 			t.Fatal(err)
@@ -108,7 +108,9 @@
 			places <- struct{}{}
 			defer func() { <-places }()
 			once := filepath.Join(t.TempDir(), "once")
-			workload(t, func(int) []string { return []string{Arming(c.point, c.pass, c.fault), "PUFFINLINK_POINT_ONCE=" + once} })
+			workload(t, func(int) []string {
+				return []string{Arming(c.point, c.pass, c.fault), "PUFFINLINK_FAILPOINT_ONCE=" + once}
+			})
 			if _, err := os.Stat(once); err != nil {
 				t.Errorf("the point was not passed %d times by any mixer", c.pass)
 			}
--- a/internal/tools/systemtest/fleet_test.go
+++ b/internal/tools/systemtest/fleet_test.go
@@ -235,7 +235,7 @@
 	w.Rules()
 }
 
-// A tenant asks for twice its quota at all mixers at once, while links drop a fifth of all letters, double and reorder
+// A tenant asks for twice its quota at all mixers at once, while links drop a fifth of all messages, double and reorder
 // others; then everything takes 2 s longer. The quota holds, lookups of others wait for nothing.
 func TestLossyAndSlowLinks(t *testing.T) {
 	t.Parallel()
--- a/internal/tools/systemtest/relay_test.go
+++ b/internal/tools/systemtest/relay_test.go
@@ -19,8 +19,8 @@
 	Mix    time.Duration // more delay, drawn anew for each datagram, so that they change places
 }
 
-// Relay stands before one address for one other process: datagrams and lines that come to it go on there, as its fault
-// allows. It goes one way: what is said back on a line is let through, and datagrams back take the other one's relay.
+// Relay stands before one address for one other process: datagrams and connections that come to it go on there, as its fault
+// allows. It goes one way: what is said back on a connection is let through, and datagrams back take the other one's relay.
 type Relay struct {
 	to    string
 	udp   *net.UDPConn
@@ -32,7 +32,7 @@
 	rng   *rand.Rand
 }
 
-// NewRelay listens on loopback, on one port for both. Lines alone where no datagrams are wanted.
+// NewRelay listens on loopback, on one port for both. Connections alone where no datagrams are wanted.
 func NewRelay(to string, datagrams bool, seed uint64) (*Relay, error) {
 	r := &Relay{to: to, lines: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1))}
 	r.fault.Store(&Fault{})
@@ -62,7 +62,7 @@
 // Address is where it listens.
 func (r *Relay) Address() string { return r.tcp.Addr().String() }
 
-// Set changes its fault. A cut ends all lines.
+// Set changes its fault. A cut ends all connections.
 func (r *Relay) Set(f Fault) {
 	r.fault.Store(&f)
 	if f.Cut {
@@ -140,7 +140,7 @@
 	}
 }
 
-// join carries one line both ways. Delay holds up what is said towards the address, each piece for as long.
+// join carries one connection both ways. Delay holds up what is said towards the address, each piece for as long.
 func (r *Relay) join(c net.Conn) {
 	out, err := net.DialTimeout("tcp", r.to, time.Second)
 	if err != nil {
--- a/internal/tools/systemtest/stop_test.go
+++ b/internal/tools/systemtest/stop_test.go
@@ -14,9 +14,9 @@
 	"time"
 )
 
-// After SIGTERM clients send on every line that stays open, up to SIGKILL: each lookup gets its final answer, the last one on
-// a line says that it closes, and no line ends under a lookup.
-func TestStopWithOpenLines(t *testing.T) {
+// After SIGTERM clients send on every connection that stays open, up to SIGKILL: each lookup gets its final answer, the last one on
+// a connection says that it closes, and no connection ends under a lookup.
+func TestStopWithOpenConnections(t *testing.T) {
 	t.Parallel()
 	w := Start(t, Options{Mixers: 1, NoFleet: true, Plain: true, Service: 5 * time.Millisecond})
 	m := w.Mixers[0]
--- a/internal/tools/systemtest/systemtest_test.go
+++ b/internal/tools/systemtest/systemtest_test.go
@@ -342,7 +342,7 @@
 	config, file := w.path(m.Name+m.twin+".json"), w.path(m.Name+m.twin+".json5")
 	w.must(os.WriteFile(config, w.Site.Config(m.Name, m.Listen, m.register, m.no), 0o600))
 	w.must(os.WriteFile(file, []byte(m.file()), 0o600))
-	tags := "points"
+	tags := "failpoints"
 	if w.Plain {
 		tags = ""
 	}
@@ -467,7 +467,7 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// Client is its operators' client, one for all: the listener takes few lines.
+// Client is its operators' client, one for all: the listener takes few connections.
 func (m *Mixer) Client() *api.Client {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -545,7 +545,7 @@
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Listen+"/"+index, strings.NewReader(body.String()))
 	req.Header = http.Header{"Req-Id": {fmt.Sprintf("%016x", id)}, "Req-Kind": {index}, "Req-Owner": {tenant}, "Req-Deadline": {"2"},
-		"Idempotency-Key": {}} // not sent: it lets the client ask once more on a new line, where the mixer closed an idle one meanwhile
+		"Idempotency-Key": {}} // not sent: it lets the client ask once more on a new connection, where the mixer closed an idle one meanwhile
 	sent := time.Now()
 	res, err := w.client.Do(req)
 	if err != nil {
@@ -583,7 +583,7 @@
 
 // Arming is the variable that arms a point.
 func Arming(p failpoint.Point, pass int, fault string) string {
-	return "PUFFINLINK_POINT=" + strconv.Itoa(int(p)) + ":" + strconv.Itoa(pass) + ":" + fault
+	return "PUFFINLINK_FAILPOINT=" + strconv.Itoa(int(p)) + ":" + strconv.Itoa(pass) + ":" + fault
 }
 
 // Rules checks what holds in every scenario: each lookup of a mixer that was not killed got its answer, no order ran twice,
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-func TestBudgetBooksHoldNoMoreThanTheyCount(t *testing.T) {
+func TestBudgetRecordsHoldNoMoreThanTheyCount(t *testing.T) {
 	s := newScene(t, func(set *Settings) { set.Rules.Budget, set.Rules.BudgetS = true, 1 }, Entry{Searcher: 1, Share: 1})
 	for range 2000 {
 		parts, _ := s.take(4, 0)
@@ -266,7 +266,7 @@
 	t.Error("the lost call was never taken back")
 }
 
-// One that says nothing is asked at once, apart from the calls it may have lost with their line; should it answer, it
+// One that says nothing is asked at once, apart from the calls it may have lost with their connection; should it answer, it
 // is in reach at once.
 func TestSilentSearcherIsAskedApart(t *testing.T) {
 	s := newScene(t, func(set *Settings) { set.Limits.Probe = true }, Entry{Searcher: 1})
@@ -348,9 +348,9 @@
 	}
 }
 
-// Lines that die when idle: calls after a pause are lost, so such a line is closed before it is used.
-func TestLineIdleTooLongIsClosed(t *testing.T) {
-	for _, alive := range []bool{true, false} { // no probe answered: the searcher, not its line, is to blame
+// Connections that die when idle: calls after a pause are lost, so such a connection is closed before it is used.
+func TestConnectionIdleTooLongIsClosed(t *testing.T) {
+	for _, alive := range []bool{true, false} { // no probe answered: the searcher, not its connection, is to blame
 		s := newScene(t, func(set *Settings) { set.Limits.Probe = true }, Entry{Searcher: 1}, Entry{Searcher: 2})
 		warm(s)
 		closed := false
@@ -453,8 +453,8 @@
 	}
 }
 
-// Lines that break at once after a pause: once that was taken for a fault of every searcher.
-func TestLineThatBreaksAfterPauseIsClosed(t *testing.T) {
+// Connections that break at once after a pause: once that was taken for a fault of every searcher.
+func TestConnectionThatBreaksAfterPauseIsClosed(t *testing.T) {
 	s := newScene(t, nil, Entry{Searcher: 1})
 	warm(s)
 	closed := 0
@@ -465,7 +465,7 @@
 		if len(only(CloseIdle, done)) > 0 {
 			closed, outcome = closed+1, Answered
 		}
-		s.serve(s.end(0.005, p[0], 1, outcome, 0.005), 0.1, 0.1) // the further call, at once, finds a new line
+		s.serve(s.end(0.005, p[0], 1, outcome, 0.005), 0.1, 0.1) // the further call, at once, finds a new connection
 	}
 	if f := s.m.searchers[1].fault[0].sum; closed < 15 || f > 0.1 {
 		t.Errorf("closed %d times of 20, fault %.2f", closed, f)
--- a/logic/override_test.go
+++ b/logic/override_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// overrides keeps a test's own books of what it told an instance, and checks what goes out against them.
+// overrides keeps a test's own records of what it told an instance, and checks what goes out against them.
 type overrides struct {
 	out  map[SearcherID]map[IndexID]bool
 	pins map[pinned]PinOverride
--- a/logic/policy.go
+++ b/logic/policy.go
@@ -10,7 +10,7 @@
 	usualMost    = 0.17  // of the shortest soft deadline
 	smoothing    = 0.2   // weight of a new latency: about the last ten answers count
 	forgetAfter  = 4.0   // soft deadlines in which an estimate not renewed goes back to the average
-	longMemory   = 16.0  // soft deadlines in which faults fade, and doubt in idle lines
+	longMemory   = 16.0  // soft deadlines in which faults fade, and doubt in idle connections
 	crossCost    = 8.0   // what a price of 1 for crossing locations adds to a replica's cost
 	crossIdle    = 40.0  // and adds, in usual latencies: counts among idle replicas, fades with load
 	crossFault   = 20.0  // of that, times fault cost and share squared: no crossing saved is worth a fault
@@ -21,10 +21,10 @@
 	lookFresh    = 0.25  // for so long a sign of life serves
 	scoutFrom    = 0.005 // share of calls that end with their searcher from which a lookup sends a part ahead
 	lookCost     = 4.0   // what a searcher counts that has given none, or where the part's last call failed
-	idleLeast    = 0.2   // pauses of a line that are looked at
-	idleDoubt    = 1.0   // calls lost after such pauses, before lines are thought to die
+	idleLeast    = 0.2   // pauses of a connection that are looked at
+	idleDoubt    = 1.0   // calls lost after such pauses, before connections are thought to die
 	idleTrust    = 0.05  // of a lost call, made good by one that was answered after a pause
-	idleShare    = 0.8   // of the pause after which a call was lost: from there lines are closed before use
+	idleShare    = 0.8   // of the pause after which a call was lost: from there they are closed before use
 	sweepTimer   = TimerID(1)
 
 	faultMost, faultPrior    = 4.0, 1.0    // calls that weigh in a searcher's share of faults; its location's
@@ -84,7 +84,7 @@
 	TurnedAway:   {never: true, full: true},
 	TimedOut:     {slow: true},
 	NotConnected: {never: true, away: true},
-	Broken:       {fault: true}, // no sign of a new process: lines break without that
+	Broken:       {fault: true}, // no sign of a new process: connections break without that
 	Withdrawn:    {slow: true},
 	NotSent:      {never: true},
 }
--- a/logic/policy_release.go
+++ b/logic/policy_release.go
@@ -43,7 +43,7 @@
 		m.ask(s, false)
 		return
 	case m.deep && c.at.alive > c.sent && c.at.answeredAt < c.sent: // it waits no longer than a probe
-		m.lineLost(c)
+		m.connectionLost(c)
 	}
 	if m.set.Limits.SecondCopy {
 		p.at = s
@@ -167,7 +167,7 @@
 	}
 	a := Action{Kind: Send, Part: p.id, Searcher: s.id, StopAt: m.stop(p.lk)}
 	if m.index[p.lk.k].effect == Fingerprinted && p.maybe() {
-		a.BeginBy = p.first + m.index[p.lk.k].repeat // also where it waits for a line until then
+		a.BeginBy = p.first + m.index[p.lk.k].repeat // also where it waits for a connection until then
 	}
 	m.begin(p, s).idle = idle
 	if m.warmth(s) < 1 {
--- a/logic/policy_searchers.go
+++ b/logic/policy_searchers.go
@@ -14,7 +14,7 @@
 }
 
 // listen guards against a searcher that answers nothing, dead, cut off, stuck: out of reach until it answers
-// a probe, asked at once, and apart: a line may have died. Under overload the average says how long to wait.
+// a probe, asked at once, and apart: a connection may have died. The average says how long in overload.
 func (m *Mixer) listen(s *searcher) {
 	if !s.ready || s.shut || m.now < s.downUntil {
 		return
@@ -51,9 +51,9 @@
 
 func (m *Mixer) fresh(s *searcher) bool { return m.now-s.alive < lookFresh }
 
-// lineLost guards against lines that die idle: calls on them never end or break at once. They tell which
-// pause is too long; a line idle for that long is closed before use. Calls lost on other lines clear it.
-func (m *Mixer) lineLost(c *call) {
+// connectionLost guards against connections that die idle: calls on them never end or break at once. They
+// tell which pause is too long; from there one is closed before use. Calls lost on others clear it.
+func (m *Mixer) connectionLost(c *call) {
 	if c.idle < idleLeast {
 		m.doubt.shift(-1, m.now, longMemory*m.longSoft)
 		return
@@ -104,7 +104,7 @@
 	s, k, what := c.at, c.part.lk.k, outcomeTable[e.Outcome]
 	sample := e.Elapsed / c.part.size
 	if m.idled(c, e) {
-		m.lineLost(c) // it tells nothing of the searcher
+		m.connectionLost(c) // it tells nothing of the searcher
 		return
 	}
 	stuck := what.slow && s.answeredAt < c.sent // whatever a probe was told: it may not have waited
@@ -135,7 +135,7 @@
 	}
 }
 
-// idled tells whether a call broke with a line that had died idle, and not with its searcher.
+// idled tells whether a call broke with a connection that had died idle, and not with its searcher.
 func (m *Mixer) idled(c *call, e *Event) bool {
 	return e.Outcome == Broken && c.idle >= idleLeast && e.Elapsed < deepFrom*m.usual
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -217,7 +217,7 @@
 	recent    gauge                  // latency of late, over all searchers
 	deep      bool                   // probes wait in the searchers' queues
 	doubt     fading                 // calls lost after a pause, less those answered
-	idle      float64                // a line idle for longer may be dead
+	idle      float64                // a connection idle for longer may be dead
 	taken     []float64              // times of what the budget counts as taken
 	further   []float64              // and as further calls
 	owed      int
--- a/logic/state_calls.go
+++ b/logic/state_calls.go
@@ -4,7 +4,7 @@
 	"slices"
 )
 
-// The books of calls that are out.
+// Records of calls that are out.
 
 // begin books a call of p to s, on the trip of this step if that has a place.
 func (m *Mixer) begin(p *part, s *searcher) *call {
@@ -17,7 +17,7 @@
 	if p.made == 0 {
 		p.first = m.now
 	} else {
-		m.books(&m.further)
+		m.record(&m.further)
 		m.owe(p, false)
 	}
 	s.usedAt = m.now
@@ -33,7 +33,7 @@
 	return s.trip != nil && s.trip.step == m.step && s.trip.parts < m.set.Layout.CallParts
 }
 
-// finish takes a call off the books; nil if it is not on them.
+// finish takes a call off the records; nil if it is not among them.
 func (m *Mixer) finish(id PartID, no CallNo) *call {
 	p := m.parts[id]
 	if p == nil {
--- a/logic/state_lookups.go
+++ b/logic/state_lookups.go
@@ -4,12 +4,12 @@
 	"slices"
 )
 
-// The books of lookups and of parts that are held.
+// Records of lookups and of parts that are held.
 
 // opened enters a lookup that was taken; added enters a part of it.
 func (m *Mixer) opened(e *Event) *lookup {
 	x := &m.index[e.Index]
-	m.books(&m.taken)
+	m.record(&m.taken)
 	lk := &lookup{id: e.Lookup, no: e.No, k: e.Index, expect: e.Parts, deadline: m.now + e.Left,
 		soft: m.now + x.soft, need: x.need, state: last, zones: e.Zones}
 	if x.second > 0 {
@@ -21,7 +21,7 @@
 }
 
 func (m *Mixer) added(lk *lookup, e *Event) *part {
-	m.books(&m.taken)
+	m.record(&m.taken)
 	p := &part{id: e.Part, lk: lk, shard: e.Shard, weight: e.Weight, size: 1, lot: m.chance.unit(), state: held}
 	lk.parts = append(lk.parts, p)
 	lk.pending++
--- a/logic/state_mixer.go
+++ b/logic/state_mixer.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// The start of an instance, and its books of customers, of the budget and of overrides.
+// The start of an instance, and its records of customers, of the budget and of overrides.
 
 // New starts an instance.
 func New(set Settings, now float64) *Mixer {
@@ -110,8 +110,8 @@
 	return false
 }
 
-// books notes the time of what the budget counts, where there is one.
-func (m *Mixer) books(times *[]float64) {
+// record notes the time of what the budget counts, where there is one.
+func (m *Mixer) record(times *[]float64) {
 	if !m.set.Rules.Budget {
 		return
 	}
--- a/logic/state_searchers.go
+++ b/logic/state_searchers.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// The books of searchers: naming, overrides, signs of life.
+// Records of searchers: naming, overrides, signs of life.
 
 // weighed tells whether some weight is on s.
 func (s *searcher) weighed() bool { return s.scopes != nil }
@@ -44,7 +44,7 @@
 	return p.pin
 }
 
-// starts notes a start of s, which empties the books of what it was sent while cold.
+// starts notes a start of s, which empties the records of what it was sent while cold.
 func (m *Mixer) starts(s *searcher, at float64) {
 	s.started, s.sent, s.lot = max(s.started, at), s.sent[:0], m.chance.unit()
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -284,7 +284,7 @@
 	Kind     ActionKind
 	Whole    bool
 	On       bool
-	Apart    bool // where nothing else is out: whether the searcher lives, and not a line to it
+	Apart    bool // where nothing else is out: whether the searcher lives, and not a connection to it
 	Lookup   LookupID
 	Part     PartID
 	Searcher SearcherID
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-// contracts keeps a test's own books of which zones each lookup is kept to, and of searchers that moved.
+// contracts keeps a test's own records of which zones each lookup is kept to, and of searchers that moved.
 type contracts struct {
 	zones map[LookupID]*Zones
 	moved map[SearcherID]bool
