--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog/diode"
 
 	"puffinlink.example/puffinlink/internal/counters"
-	"puffinlink.example/puffinlink/internal/node"
-	"puffinlink.example/puffinlink/internal/opfile"
+	"puffinlink.example/puffinlink/internal/dataplane/node"
+	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
 
 const (
@@ -26,7 +26,7 @@
 	heapShare = 0.6
 	// growth lets the heap grow to so many percent beyond what lives, as what lives is small: fewer collections.
 	growth = 400
-	// logLines may wait for whoever reads the log: those of all lines that a mixer may have, ending at once.
+	// logLines may wait for whoever reads the log: those of all connections that a mixer may have, ending at once.
 	logLines = 1024
 )
 
@@ -36,7 +36,7 @@
 
 func (s *serveCmd) Run() error { return run(s.Operator) }
 
-// The log's times, set once and before anything runs: lines of a mixer that stops may still read it.
+// The log's times, set once and before anything runs: connections of a mixer that stops may still read it.
 func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs }
 
 // limit keeps Go within the machine's share.
@@ -105,9 +105,9 @@
 	if err != nil {
 		return err
 	}
-	file := opfile.Defaults()
+	file := operatorfile.Defaults()
 	if operatorFile != "" {
-		if file, err = opfile.Read(operatorFile); err != nil {
+		if file, err = operatorfile.Read(operatorFile); err != nil {
 			return err
 		}
 	}
@@ -156,7 +156,7 @@
 }
 
 func (c *checkCmd) Run() error {
-	f, err := opfile.Read(c.File)
+	f, err := operatorfile.Read(c.File)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/ask.go
+++ b/internal/controlplane/fleet/ask.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
 )
 
 // mostAsked askings may wait for an answer.
@@ -21,12 +21,12 @@
 	if len(f.asked) > mostAsked {
 		f.asked = slices.Delete(f.asked, 0, len(f.asked)-mostAsked)
 	}
-	fault := points.Pass(points.AskGranter)
+	fault := failpoint.Pass(failpoint.AskGranter)
 	for range fault.Times() {
 		if to == f.set.Self {
 			f.granted_(to, f.answered(to, a))
 		} else {
-			f.send(to, letterAsk, a)
+			f.send(to, messageAsk, a)
 		}
 	}
 }
@@ -47,14 +47,14 @@
 }
 
 // granted_ takes an answer. It counts from when we asked, however long it took: so a granter that stood still, and
-// letters that were held up, lengthen nothing.
+// messages that were held up, lengthen nothing.
 func (f *Fleet) granted_(from roster.Name, g *granting) {
 	i := slices.IndexFunc(f.asked, func(o out) bool { return o.no == g.No && o.to == from })
 	if i < 0 {
 		f.count.Add("fleet_dropped", "unasked", 1)
 		return
 	}
-	if points.Pass(points.TakeGrant).Drop {
+	if failpoint.Pass(failpoint.TakeGrant).Drop {
 		return
 	}
 	at, no := f.asked[i].at, f.asked[i].no
@@ -71,7 +71,7 @@
 	}
 	f.adopt(g)
 	if f.has.Contracts == g.Versions.Contracts {
-		points.Pass(points.Renew)
+		failpoint.Pass(failpoint.Renew)
 		f.lease.Renew(at)
 		f.setSure(f.lease.Until())
 	}
--- a/internal/fleet/command.go
+++ b/internal/controlplane/fleet/command.go
@@ -7,12 +7,12 @@
 	"math"
 	"slices"
 
-	"puffinlink.example/puffinlink/internal/fleet/council"
-	"puffinlink.example/puffinlink/internal/fleet/points"
-	"puffinlink.example/puffinlink/internal/fleet/quota"
-	"puffinlink.example/puffinlink/internal/fleet/residency"
-	"puffinlink.example/puffinlink/internal/fleet/roster"
-	"puffinlink.example/puffinlink/internal/fleet/shared"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
 // Result is what became of a command.
@@ -31,7 +31,7 @@
 const (
 	// againEvery is how often a command is sent anew where its answer may be lost.
 	againEvery  = 0.5
-	mostWaiting = 64 // as many as operators have lines, and those of other mixers
+	mostWaiting = 64 // as many as operators have connections, and those of other mixers
 )
 
 // command is one on its way, ours or another mixer's.
@@ -115,8 +115,8 @@
 	case f.leads():
 		f.lead(c)
 	case c.from == "" && to != f.set.Self:
-		for range points.Pass(points.ForwardCommand).Times() {
-			f.send(to, letterCommand, c.handed)
+		for range failpoint.Pass(failpoint.ForwardCommand).Times() {
+			f.send(to, messageCommand, c.handed)
 		}
 	}
 }
@@ -130,7 +130,7 @@
 			unlike = unlike || differs
 		}
 		p := f.spread.Progress(f.now, cmp.Or(q.Version, state.Contracts.Version), f.set.strict(q.Tenant) && !unlike)
-		points.Pass(points.TellHeld)
+		failpoint.Pass(failpoint.TellHeld)
 		f.finish(c, answer{progress: &p})
 		return
 	}
@@ -160,7 +160,7 @@
 		c.reply <- a
 		return
 	}
-	f.send(c.from, letterResult, handedBack{c.No, a.result, a.progress})
+	f.send(c.from, messageResult, handedBack{c.No, a.result, a.progress})
 }
 
 // handed takes another mixer's command.
--- /dev/null
+++ b/internal/controlplane/fleet/fleet.go
@@ -0,0 +1,261 @@
+// Package fleet lets the mixers of a fleet act together: quotas of tenants, contracts on zones, and what they tell each
+// other of searchers. One goroutine owns all control state and runs the pure modules below this package; traffic reads
+// a view through an atomic pointer and never waits for it, let alone for another mixer. With the operator's file silent
+// none of it exists.
+//
+// docs/fleet-design.md has the promises and what they rest on.
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/sockets"
+	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/internal/store"
+)
+
+const (
+	messagesPerTurn = 256 // or a flood would hold up what is due
+
+	turn        = 50 * time.Millisecond // of the control goroutine, where nothing comes sooner
+	askEvery    = 0.2                   // a lease is renewed some twenty times while it lasts
+	askSoonest  = 0.02                  // where a lookup found no token
+	readEvery   = 0.2                   // whether we still lead
+	reportEvery = 1.0
+	passEvery   = 0.25
+	introEvery  = 0.25
+	nonceFor    = 5.0 // a message and its answer, with links of 2 s
+	answerWait  = 0.6 // for the granter's answer, before another voter is asked who grants
+	commandWait = 10.0
+	muteFor     = 5.0  // a voter whose directory took nothing
+	reopenEvery = 0.25 // where another process still has our address or directory
+	mostReports = 2    // in a message: a datagram's worth
+	// Shares of the settings' lease: how long a confirmed granter may act on that, and how long tokens and contracts last.
+	// With both, the clocks' slack and an election of 2 s the next granter is ready within a lease of 8 s or more.
+	authorityShare, tokenShare, contractShare = 0.15, 0.4, 0.5
+	// LeastLease is the shortest lease for which that holds.
+	LeastLease = 8.0
+)
+
+// out is an asking on its way.
+type out struct {
+	no uint64
+	at float64
+	to roster.Name
+}
+
+// Fleet is the actor.
+type Fleet struct {
+	set   Settings
+	tell  *eventqueue.Queue[mixer.Event]
+	log   zerolog.Logger
+	count *counters.Set
+	in    *eventqueue.Queue[note]
+	start time.Time
+	unix  float64
+
+	// What traffic reads.
+	view atomic.Pointer[view]
+	sure atomic.Uint64 // until when contracts are sure, as bits of a float
+	// What the module's actor alone uses.
+	observed *shared.Observed
+	cutAt    float64
+
+	// What follows belongs to the goroutine of control state.
+	now        float64
+	others     []roster.Name
+	strictHash uint64
+	sockets    *sockets.Sockets
+	store      *store.Log
+	stored     store.LogContents
+	sealer     *link.Sealer
+	members    *members.Machine
+	council    *council.Machine // nil where this one does not vote
+	saving     bool             // the council's work waits for the disk
+	failed     bool             // the directory took nothing: no vote any more
+	holder     *quota.Holder
+	granter    *quota.Granter
+	spread     *residency.Spread
+	store_     *shared.Store
+	lease      *residency.Lease
+	table      *residency.Table
+	quotas     map[quota.Tenant]quota.Quota
+	has        versions
+	holds      residency.Version
+	leader     roster.Name // who is asked
+	answeredAt float64
+	asked      []out
+	askNo      uint64
+	reads      map[council.ReadNo]float64
+	readNo     council.ReadNo
+	sureTo     float64 // until when we lead for sure
+	granted    bool    // we began to grant
+	term       uint64
+	nonce      uint64
+	heard      bool                                  // the council was heard, in this process or before
+	quotaOf    map[roster.Name]council.QuotasVersion // whose floors they go by
+	floorsAt   council.QuotasVersion                 // the same of us
+	quiet      float64                               // until when one that led before may hand out older tables
+	unlike     map[roster.Name]bool                  // their file refuses other tenants where contracts are not sure
+	version    shared.Version
+	judged     map[shared.Searcher]float64
+	holders    shared.Holders
+	trouble    map[roster.Name]float64 // when a mixer was last told of its incarnation
+	waiting    []*command
+	deaf       bool
+	opening    string // why it is not open yet, as logged
+	due        struct{ council, ask, read, report, pass, intro, open, members, file, nonce, again float64 }
+
+	released chan struct{}
+	stopping chan struct{}
+	stopped  chan struct{}
+	once     sync.Once
+}
+
+// New makes the actor. Until its directory and address are open, and another process may hold both, it knows no contract
+// for sure and has neither tokens nor floors.
+func New(set Settings, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	f := &Fleet{set: set, tell: tell, log: log, count: count, in: eventqueue.New[note](), start: now, unix: float64(now.UnixNano()) / 1e9,
+		observed: shared.NewObserved(), others: set.Roster.Others(set.Self), granter: quota.NewGranter(set.Lease * tokenShare),
+		lease: residency.NewLease(set.Lease*contractShare, set.Longest), reads: map[council.ReadNo]float64{}, trouble: map[roster.Name]float64{},
+		judged: map[shared.Searcher]float64{}, quotaOf: map[roster.Name]council.QuotasVersion{}, unlike: map[roster.Name]bool{}, strictHash: set.strictHash(),
+		released: make(chan struct{}), stopping: make(chan struct{}), stopped: make(chan struct{})}
+	f.now = f.Now()
+	f.holder = quota.NewHolder(set.Lease*tokenShare, len(set.Roster.Members))
+	var names []roster.Name
+	for _, m := range set.Roster.Members {
+		names = append(names, m.Name)
+	}
+	f.spread = residency.NewSpread(set.Lease*contractShare, names)
+	f.table = f.emptyTable()
+	f.publish()
+	f.open()
+	return f, nil
+}
+
+// Now is the clock in Unix seconds, by its monotonic reading since the start.
+func (f *Fleet) Now() float64 { return f.seconds(time.Now()) }
+
+func (f *Fleet) seconds(t time.Time) float64 { return f.unix + t.Sub(f.start).Seconds() }
+
+// open opens directory and address, where that was not done. The process before this one lets go of both as it begins to
+// stop.
+func (f *Fleet) open() {
+	err := f.tryOpen()
+	if err == nil {
+		if f.opening != "" {
+			f.log.Info().Msg("fleet: address and directory are ours")
+		}
+		f.opening = ""
+		return
+	}
+	f.due.open = f.now + reopenEvery
+	if text := err.Error(); text != f.opening {
+		f.opening = text
+		f.log.Error().Str("text", text).Msg("fleet: not open, no floors and no leases until it is")
+	}
+}
+
+func (f *Fleet) tryOpen() (err error) {
+	if f.set.Directory != "" && f.store == nil {
+		if f.store, f.stored, err = store.OpenLog(f.set.Directory, 0, f.log); err != nil {
+			return err
+		}
+	}
+	if f.sockets == nil {
+		addresses := map[roster.Name]string{}
+		for _, name := range f.others {
+			addresses[name] = f.set.Roster.Find(name).Address
+		}
+		if f.sockets, err = sockets.Listen(f.set.Roster.Find(f.set.Self).Address, addresses, f.count); err != nil {
+			return err
+		}
+	}
+	return f.begin()
+}
+
+// begin makes the machines from what was kept.
+func (f *Fleet) begin() (err error) {
+	incarnation := link.Incarnation(f.unix * 1e9)
+	kept := f.readTables()
+	incarnation = max(incarnation, kept.Incarnation+1)
+	lim := link.Limits{BytesPerS: mostBytes, Burst: 2 * link.MostLong}
+	if f.sealer, err = link.New(f.set.Self, incarnation, f.set.Key, f.others, lim); err != nil {
+		return err
+	}
+	f.members = members.New(members.Defaults(), f.set.Self, members.Incarnation(incarnation), f.others, f.set.Seed, f.now)
+	f.store_ = shared.NewStore(f.set.Self, f.others, f.set.Seed^0x5bd1e995)
+	f.version = shared.Version(incarnation)
+	if kept.Table != nil {
+		f.table, f.has.Contracts = kept.Table, kept.Table.Version
+	}
+	// The file's quotas are the council's to hear: a floor counts only once all others know that it is this mixer's.
+	f.quotas, f.has.Quotas = kept.Quotas, kept.QuotasAt
+	f.saveTables()
+	if f.set.Roster.Find(f.set.Self).Votes {
+		if err := f.seat(&f.stored); err != nil { // the mixer takes part all the same, but for its vote
+			f.mute(err)
+		}
+	}
+	f.stored = store.LogContents{ID: f.stored.ID}
+	f.publish()
+	f.rezone()
+	return nil
+}
+
+// Release lets go of address and directory, and ends all talk: another process of this mixer may begin. What tokens and
+// contracts this one has it keeps until they run out, but no floors, which are the other's from now on.
+func (f *Fleet) Release() {
+	f.once.Do(func() { f.in.Put(note{kind: released}) })
+	select {
+	case <-f.released:
+	case <-f.stopped:
+	}
+}
+
+// Stop ends the actor.
+func (f *Fleet) Stop() {
+	close(f.stopping)
+	<-f.stopped
+}
+
+func (f *Fleet) close() {
+	if f.sockets != nil {
+		f.sockets.Close()
+		f.sockets = nil
+	}
+	if f.store != nil {
+		f.store.Stop()
+		f.store = nil
+	}
+	f.refuseAll("the mixer stops")
+}
+
+func (f *Fleet) isReleased() bool {
+	select {
+	case <-f.released:
+		return true
+	default:
+		return false
+	}
+}
+
+// mostBytes a second that one other mixer may send us: some hundred askings, and a table of contracts now and then.
+const mostBytes = 512 << 10
--- /dev/null
+++ b/internal/controlplane/fleet/receive.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
+)
+
+// receive opens one and hands it on.
+func (f *Fleet) receive(sealed []byte) {
+	if f.members == nil {
+		return
+	}
+	l, why := f.sealer.Open(f.now, sealed)
+	if why != link.Good {
+		f.count.Add("fleet_dropped", why.String(), 1)
+		if why == link.Old && f.now-f.trouble[l.From] >= 1 {
+			f.trouble[l.From] = f.now
+			f.send(l.From, messageNewer, newer{f.sealer.Known(l.From)})
+		}
+		return
+	}
+	f.members.Heard(f.now, l.From)
+	handle := handlers[l.Kind]
+	if handle == nil {
+		f.count.Add("fleet_dropped", "unknown_kind", 1)
+		return
+	}
+	if err := handle(f, l.From, l.Body); err != nil {
+		f.count.Add("fleet_dropped", "unreadable", 1)
+		f.log.Warn().Str("from", string(l.From)).Uint8("kind", uint8(l.Kind)).Str("text", err.Error()).Msg("fleet: letter dropped")
+	}
+}
+
+// handled reads a body before it is handed on.
+func handled[T any](do func(*Fleet, roster.Name, *T)) func(*Fleet, roster.Name, []byte) error {
+	return func(f *Fleet, from roster.Name, body []byte) error {
+		v, err := unpacked[T](body)
+		if err == nil {
+			do(f, from, &v)
+		}
+		return err
+	}
+}
+
+var handlers map[link.Kind]func(*Fleet, roster.Name, []byte) error
+
+func init() {
+	handlers = map[link.Kind]func(*Fleet, roster.Name, []byte) error{
+		messageMembers: handled(func(f *Fleet, from roster.Name, m *members.Message) {
+			f.members.Hear(f.now, from, m)
+			f.sendMembers()
+		}),
+		messageCouncil: func(f *Fleet, from roster.Name, body []byte) error {
+			if f.council == nil || f.failed {
+				return nil
+			}
+			var err error
+			f.safely(func() { err = f.council.Step(from, body) })
+			return err
+		},
+		messageIntro:   handled((*Fleet).introduced),
+		messageAsk:     handled((*Fleet).answer),
+		messageGrant:   handled((*Fleet).granted_),
+		messageReports: handled((*Fleet).reported),
+		messageCommand: handled((*Fleet).handed),
+		messageResult:  handled((*Fleet).handedBack),
+		messageNewer: handled(func(f *Fleet, from roster.Name, n *newer) {
+			f.log.Error().Str("from", string(from)).Msg("fleet: another process spoke under this name, or the clock went back")
+			f.sealer.Rise(n.Known)
+			f.saveTables()
+		}),
+	}
+}
+
+func (f *Fleet) send(to roster.Name, kind link.Kind, v any) { f.sendBody(to, kind, packed(v)) }
+
+func (f *Fleet) sendBody(to roster.Name, kind link.Kind, body []byte) {
+	if f.sockets != nil {
+		f.sockets.Send(to, f.sealer.Seal(to, kind, body))
+	}
+}
+
+func (f *Fleet) sendMembers() {
+	list, changes := f.members.Taken()
+	for _, s := range list {
+		fault := failpoint.Pass(failpoint.ProbeMember)
+		for range fault.Times() {
+			f.send(s.To, messageMembers, s.Message)
+		}
+	}
+	for _, c := range changes {
+		f.count.Add("fleet_members", c.Now.String(), 1)
+		f.log.Info().Str("mixer", string(c.Name)).Str("was", c.Was.String()).Str("now", c.Now.String()).Msg("fleet: mixer")
+	}
+}
--- /dev/null
+++ b/internal/dataplane/searchers/actor.go
@@ -0,0 +1,221 @@
+package searchers
+
+import (
+	"sync/atomic"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/internal/eventqueue"
+	"puffinlink.example/puffinlink/logic"
+)
+
+type noteKind uint8
+
+const (
+	named noteKind = iota
+	send
+	withdraw
+	probe
+	closeIdle
+	stop
+	dialled         // era, connection, or why and text
+	frameWritten    // connection, frameType, calls: written to the last byte; at: when that began
+	notBegun        // connection, calls: not written and not to be any more
+	framePartial    // connection: a frame that is not here to its end
+	frameReceived   // connection, frameType, answer or text, at
+	corrupted       // connection, name of the call it may mean, at: nothing after it is read
+	connectionEnded // connection, why, text
+)
+
+// note is what an actor hears, from the module's or from its own connections.
+type note struct {
+	kind       noteKind
+	frameType  byte
+	entry      logic.Entry
+	address    string
+	apart      bool
+	era        int
+	new        []mixer.Call
+	calls      []*call
+	part       logic.PartID
+	no         logic.CallNo
+	connection *connection
+	answer     answer
+	name       string
+	why        reason
+	text       string
+	at         time.Time
+}
+
+// actor speaks with one searcher.
+type actor struct {
+	hub          *Hub
+	id           logic.SearcherID
+	in           *eventqueue.Queue[note]
+	address      string
+	stopped      bool
+	closed       bool        // the list says that it wants nothing new
+	gone         bool        // the list no longer names it
+	over         atomic.Bool // it has ended
+	era          int         // of the address
+	connections  []*connection
+	dials        int     // connects to this address
+	dialling     int     // connects to any
+	waiting      []*trip // for a connection with room
+	calls        map[string]*call
+	pendingProbe *pendingProbe
+	heard        time.Time // last frame that came on any connection
+}
+
+func (a *actor) run() {
+	var notes []note
+	timer := time.NewTimer(0)
+	defer a.over.Store(true)
+	for !a.stopped && !a.gone || a.dialling > 0 || len(a.connections) > 0 || a.gone && len(a.calls) > 0 {
+		select {
+		case <-a.in.Ready():
+		case <-timer.C:
+		}
+		notes = a.in.Take(notes)
+		for i := range notes {
+			a.hear(&notes[i])
+		}
+		if a.gone {
+			a.closeIdle(whyUnnamed)
+		}
+		timer.Reset(time.Until(a.watch(time.Now())))
+	}
+}
+
+func (a *actor) hear(n *note) {
+	switch n.kind {
+	case named:
+		a.named(n)
+	case send:
+		a.send(n.new)
+	case withdraw:
+		for _, c := range a.calls {
+			if c.Part == n.part && c.No == n.no {
+				a.giveUp(c, logic.Withdrawn)
+				break
+			}
+		}
+	case probe:
+		a.probe(n.at, n.apart)
+	case closeIdle:
+		a.closeIdle(whyAsked)
+	case stop:
+		a.stopped = true
+		for _, conn := range a.connections {
+			a.close(conn, whyShutdown)
+		}
+	case dialled:
+		a.dialled(n)
+	case frameWritten:
+		n.connection.used = n.at
+		switch {
+		case n.frameType == frameCall:
+			for _, c := range n.calls {
+				c.written = true
+			}
+		case n.frameType == frameCancel:
+			a.gaveUp(n.connection, n.calls[0])
+		case a.pendingProbe != nil && a.pendingProbe.connection == n.connection:
+			a.pendingProbe.written = true
+		}
+	case notBegun:
+		for _, c := range n.calls {
+			if a.calls[c.name] == c {
+				a.end(c, logic.NotSent, time.Now(), answer{})
+			}
+		}
+	case framePartial:
+		n.connection.half = true
+	case frameReceived:
+		n.connection.used, n.connection.heard, n.connection.half = n.at, n.at, false
+		n.connection.silentSince, a.heard = time.Time{}, n.at
+		if !n.connection.asked.After(n.at) {
+			n.connection.asked = time.Time{}
+		}
+		if n.frameType == frameAnswer {
+			a.answered(n)
+		} else {
+			a.alive(n)
+		}
+	case corrupted:
+		a.corrupted(n.connection, n.name, n.why, n.at)
+	case connectionEnded:
+		a.connectionEnded(n)
+	}
+}
+
+// named takes what the list says. Connections to another address, or older than the searcher's last start, lead to a
+// process that is no more.
+func (a *actor) named(n *note) {
+	if a.closed = n.entry.Phase != logic.Ready; a.closed {
+		a.unsend()
+	}
+	if a.gone = n.entry.Phase == logic.Gone; a.gone {
+		return
+	}
+	if n.address != a.address { // connects to the old one are no use
+		a.address, a.dials = n.address, 0
+		a.era++
+		defer a.assign()
+	}
+	for _, conn := range a.connections {
+		switch {
+		case conn.address != a.address:
+			a.close(conn, whyMoved)
+		case float64(conn.opened.UnixNano())/1e9 < n.entry.StartedAt:
+			a.close(conn, whyRestarted)
+		}
+	}
+}
+
+// watch ends what has waited its time, and tells when to look again.
+func (a *actor) watch(now time.Time) time.Time {
+	next := now.Add(time.Hour)
+	due := func(at time.Time) bool {
+		if at.After(now) {
+			if at.Before(next) {
+				next = at
+			}
+			return false
+		}
+		return true
+	}
+	for _, c := range a.calls {
+		if !c.back && due(c.Stop) {
+			a.giveUp(c, logic.TimedOut)
+		}
+	}
+	if p := a.pendingProbe; p != nil && due(p.since.Add(seconds(a.hub.set.Connect))) {
+		how := logic.TimedOut
+		if p.connection == nil { // the connect that it waits for has as long, and may be told a moment later
+			how = logic.NotConnected
+		} else if p.written {
+			a.unanswered(p.connection, p.since, now)
+		}
+		a.probed(how, now, logic.Load{})
+	}
+	for _, conn := range a.connections {
+		switch {
+		case conn.closing != "":
+		case !conn.silentSince.IsZero():
+			// Its searcher lives, and has had as long again as a probe to say something here: nobody waits any more.
+			if a.idle(conn) || !a.heard.Before(conn.silentSince) && due(conn.silentSince.Add(seconds(a.hub.set.Connect))) {
+				a.close(conn, whySilent) // before any end on it is told
+				for _, c := range a.calls {
+					if c.connection == conn {
+						a.end(c, logic.TimedOut, now, answer{})
+					}
+				}
+			}
+		case !a.idle(conn):
+		case a.hub.set.Idle > 0 && due(conn.used.Add(a.idleLimit())):
+			a.close(conn, whyIdle)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/dataplane/searchers/calls.go
@@ -0,0 +1,160 @@
+package searchers
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/dataplane/mixer"
+	"puffinlink.example/puffinlink/logic"
+)
+
+// unsend takes back all calls that are not on their way to a searcher that wants nothing new: none of them begins any
+// more, be it that a connect or a write holds it up for longer than the grace.
+func (a *actor) unsend() {
+	for _, c := range a.calls {
+		switch {
+		case c.takeBack():
+			a.end(c, logic.NotSent, time.Now(), answer{})
+		case !c.written && c.connection.closing == "":
+			c.connection.socket.SetWriteDeadline(time.Now().Add(hurry))
+		}
+	}
+}
+
+func (a *actor) send(calls []mixer.Call) {
+	t := &trip{}
+	for _, c := range calls {
+		t.calls = append(t.calls, &call{Call: c, name: partName(&c), trip: t})
+	}
+	t.live = len(t.calls)
+	for _, c := range slices.Clone(t.calls) {
+		if a.closed || a.calls[c.name] != nil { // its answer could not be told from the other's
+			a.end(c, logic.NotSent, time.Now(), answer{})
+			continue
+		}
+		a.calls[c.name] = c
+	}
+	if t.live == 0 {
+		return
+	}
+	a.waiting = append(a.waiting, t)
+	a.assign()
+}
+
+// assign puts what waits on the first connection that can take it, and opens more connections where there are too few.
+func (a *actor) assign() {
+	var rest []*trip
+	for _, t := range a.waiting {
+		conn := a.room(t)
+		if conn == nil {
+			rest = append(rest, t)
+			continue
+		}
+		conn.trips++
+		conn.ask(time.Now())
+		for _, c := range t.calls {
+			c.connection = conn
+		}
+		conn.out.Put(outgoing{frameType: frameCall, calls: t.calls})
+	}
+	a.waiting = rest
+	if p := a.pendingProbe; p != nil && p.connection == nil {
+		for _, conn := range a.connections {
+			if a.takes(conn) && (!p.apart || a.idle(conn) && conn.asked.IsZero()) {
+				a.ask(conn)
+				break
+			}
+		}
+	}
+	for need := a.dialsNeeded(); a.dials < need; {
+		a.dial()
+	}
+}
+
+// end takes a call off the records and tells the module how it ended.
+func (a *actor) end(c *call, how logic.Outcome, at time.Time, with answer) {
+	if a.calls[c.name] == c {
+		delete(a.calls, c.name)
+	}
+	t := c.trip
+	t.live--
+	switch {
+	case c.connection == nil: // not handed to a connection yet
+		t.calls = slices.DeleteFunc(t.calls, func(o *call) bool { return o == c })
+		if t.live == 0 {
+			a.waiting = slices.DeleteFunc(a.waiting, func(o *trip) bool { return o == t })
+		}
+	case t.live == 0:
+		c.connection.trips--
+	}
+	a.hub.ended(&c.Call, a.id, how, at, with)
+}
+
+// giveUp gives up a call that nobody waits for any more. Its end is told once its searcher was: until then another call of
+// its part would be a second copy. An answer that comes before that is taken.
+func (a *actor) giveUp(c *call, how logic.Outcome) {
+	conn, now := c.connection, time.Now()
+	switch {
+	case c.back:
+		return
+	case c.takeBack() || conn.closing != "":
+		a.end(c, how, now, answer{})
+		return
+	case c.written && how == logic.TimedOut:
+		a.unanswered(conn, c.Sent, now)
+	}
+	c.back, c.how = true, how
+	conn.out.Put(outgoing{frameType: frameCancel, calls: []*call{c}})
+}
+
+// gaveUp ends a call that its searcher was told is given up; what it may still say is dropped.
+func (a *actor) gaveUp(conn *connection, c *call) {
+	if a.calls[c.name] != c {
+		return // answered meanwhile
+	}
+	now := time.Now()
+	maps.DeleteFunc(conn.abandoned, func(_ string, until time.Time) bool { return until.Before(now) })
+	conn.abandoned[c.name] = now.Add(lateAnswer)
+	a.end(c, c.how, now, answer{})
+}
+
+// answered takes an answer that can be read. One to a call given up is late, the last one may come twice; any other
+// that names no call of this connection is meant for one that it does not name.
+func (a *actor) answered(n *note) {
+	conn, name := n.connection, n.answer.name
+	c := a.calls[name]
+	switch _, abandoned := conn.abandoned[name]; {
+	case c != nil && c.connection == conn:
+		conn.last = name
+		a.end(c, n.answer.outcome, n.at, n.answer)
+	case abandoned, name == conn.last:
+		conn.last = name
+		delete(conn.abandoned, name)
+		a.hub.count.Add("late", "answers", 1)
+	default:
+		a.corrupted(conn, name, whyUnknownID, n.at)
+	}
+}
+
+// corrupted gives a connection up of which nothing can be trusted any more. The call that the bad answer names, or else the
+// only one that is out there, has run and failed; what becomes of the others is told by the connection's end.
+func (a *actor) corrupted(conn *connection, name string, why reason, at time.Time) {
+	a.hub.count.Add("late", "spoilt", 1)
+	meant := a.calls[name]
+	if meant == nil || meant.connection != conn {
+		meant = nil
+		for _, c := range a.calls {
+			if c.connection == conn && meant != nil {
+				meant = nil
+				break
+			} else if c.connection == conn {
+				meant = c
+			}
+		}
+	}
+	a.close(conn, why) // before its call's end is told, as another call of that part may go out then
+	if meant != nil {
+		a.end(meant, logic.Errored, at, answer{})
+	}
+}
--- a/internal/keep/keep_test.go
+++ b/internal/store/store_test.go
@@ -1,4 +1,4 @@
-package keep
+package store
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"github.com/rs/zerolog"
 
-	"puffinlink.example/puffinlink/internal/override"
+	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
 // A test that starts this binary as its child names the child's part in this variable.
@@ -36,7 +36,7 @@
 // keepNow keeps changes and waits.
 func keepNow(s *Store, changes ...override.Change) error {
 	done := make(chan error, 1)
-	s.Keep(changes, func(err error) { done <- err })
+	s.Save(changes, func(err error) { done <- err })
 	return <-done
 }
 
@@ -202,7 +202,7 @@
 }
 
 // Whatever is done to a file, it is read right or put aside under another name, and a new one is begun.
-func TestSpoiltFilesArePutAside(t *testing.T) {
+func TestCorruptFilesArePutAside(t *testing.T) {
 	dir, revision := filled(t)
 	good, err := os.ReadFile(filepath.Join(dir, fileName))
 	if err != nil {
