--- /dev/null
+++ b/internal/controlplane/operations/fixture_test.go
@@ -0,0 +1,173 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"slices"
+	"sync"
+
+	"github.com/go-json-experiment/json"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+var (
+	errNotLeader = verdict.Unexecuted(errors.New("this mixer does not lead the group"), 0)
+	errCut       = verdict.Unclear(errors.New("connection reset"))
+)
+
+const (
+	priceJob  = "00000000000000aa"
+	stressJob = "00000000000000bb"
+	bothJob   = "00000000000000cc"
+)
+
+// core plays the other mixers: it answers calls as the leaders would, and knows who leads.
+type core struct {
+	mutex    sync.Mutex
+	leaders  map[string]feed.Leader
+	changed  chan struct{}
+	jobs     map[string][]string // IDs by group
+	searcher map[string]string   // ID by group
+	fail     func(address, path string) error
+	calls    []string // address and path
+	drains   []jobreport.DrainRequest
+	cancels  []jobapi.Cancel
+	hold     chan struct{} // calls wait until it is closed, if set
+	held     chan struct{} // receives one value for each call that waits
+}
+
+func newCore() *core {
+	return &core{
+		leaders: map[string]feed.Leader{
+			"jobs/pricing": {Address: "10.0.0.1:7660", Epoch: 3}, "jobs/stress": {Address: "10.0.0.2:7660", Epoch: 5},
+		},
+		changed:  make(chan struct{}),
+		jobs:     map[string][]string{"jobs/pricing": {priceJob, bothJob}, "jobs/stress": {stressJob, bothJob}},
+		searcher: map[string]string{"jobs/pricing": "i-price", "jobs/stress": "i-stress"},
+	}
+}
+
+// lead makes an address the leader of a group.
+func (c *core) lead(group, address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	leaders := map[string]feed.Leader{}
+	for name, leader := range c.leaders {
+		leaders[name] = leader
+	}
+	leaders[group] = feed.Leader{Address: address, Epoch: leaders[group].Epoch + 1}
+	c.leaders = leaders
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *core) sources() Sources {
+	return Sources{
+		View: func() replicaset.View {
+			return replicaset.View{Version: 1, Members: []string{"10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660"}}
+		},
+		Members: func() []replication.Liveness {
+			return []replication.Liveness{{Address: "10.0.0.1:7660", Alive: true, Ready: true, Heard: true}, {Address: "10.0.0.2:7660"}}
+		},
+		Groups: func() []string { return []string{"jobs/pricing", "jobs/stress"} },
+		Leaders: func() map[string]feed.Leader {
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			return c.leaders
+		},
+		Changed: func() <-chan struct{} {
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			return c.changed
+		},
+		Configuration: func() (uint64, []byte) { return 7, nil },
+		InContact:     func() bool { return true },
+		Rebuilt:       func() bool { return true },
+		Agents:        func() []string { return []string{"10.0.1.1:7661"} },
+	}
+}
+
+// Call implements transport.Caller.
+func (c *core) Call(ctx context.Context, address, path string, request, reply any) error {
+	if c.hold != nil {
+		c.held <- struct{}{}
+		select {
+		case <-c.hold:
+		case <-ctx.Done():
+			return verdict.Unclear(ctx.Err())
+		}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.calls = append(c.calls, address+path)
+	if c.fail != nil {
+		if err := c.fail(address, path); err != nil {
+			return err
+		}
+	}
+	content, err := c.answer(request)
+	if err != nil {
+		return err
+	}
+	reflect.ValueOf(reply).Elem().Set(reflect.ValueOf(content))
+	return nil
+}
+
+func (c *core) answer(request any) (any, error) {
+	switch asked := request.(type) {
+	case jobreport.SummaryRequest:
+		return jobreport.SummaryReply{Summary: jobreport.Summary{Running: 2}}, nil
+	case jobreport.SearchersRequest:
+		return jobreport.SearchersReply{Searchers: []jobreport.Searcher{{ID: c.searcher[asked.Group], State: jobreport.SearcherReady}}}, nil
+	case jobreport.DrainRequest:
+		c.drains = append(c.drains, asked)
+		known := c.searcher[asked.Group] == asked.Searcher
+		return jobreport.DrainReply{Known: known, Searcher: jobreport.Searcher{ID: asked.Searcher, OperatorDraining: asked.Draining}}, nil
+	case jobreport.JobsRequest:
+		return c.list(asked), nil
+	case jobreport.JobRequest:
+		known := slices.Contains(c.jobs[asked.Group], string(asked.ID))
+		return jobreport.JobReply{Known: known, Job: jobreport.JobDetail{Job: jobreport.Job{ID: asked.ID, State: job.Running}}}, nil
+	case jobreport.WhyRequest:
+		return jobreport.WhyReply{Known: true, Why: jobreport.Why{ID: asked.ID, State: job.Running}}, nil
+	case jobapi.Cancel:
+		c.cancels = append(c.cancels, asked)
+		return jobapi.Cancelled{Known: true}, nil
+	}
+	return nil, errors.New("unknown request")
+}
+
+func (c *core) list(asked jobreport.JobsRequest) jobreport.JobsReply {
+	reply := jobreport.JobsReply{Total: len(c.jobs[asked.Group])}
+	for _, id := range c.jobs[asked.Group] {
+		reply.Jobs = append(reply.Jobs, jobreport.Job{ID: job.ID(id), State: job.Running})
+	}
+	return reply
+}
+
+func (c *core) handler() *Handler {
+	next := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { http.Error(w, "next "+r.URL.Path, http.StatusTeapot) })
+	return New(Options{Mixer: Identity{Name: "core-1"}, Sources: c.sources(), Caller: c, Next: next, Logger: zap.NewNop()})
+}
+
+// ask makes one request and reads the answer into a report, if there is one to read.
+func ask(handler http.Handler, method, path string, report any) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(method, path, nil))
+	if report != nil {
+		So(json.Unmarshal(recorder.Body.Bytes(), report), ShouldBeNil)
+	}
+	return recorder
+}
--- /dev/null
+++ b/internal/controlplane/operations/jobs_test.go
@@ -0,0 +1,140 @@
+package operations
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+)
+
+// failAt makes the calls to one address fail.
+func failAt(address string, err error) func(string, string) error {
+	return func(called, _ string) error {
+		if called == address {
+			return err
+		}
+		return nil
+	}
+}
+
+func TestJobLists(t *testing.T) { synctest.Test(t, checkJobLists) }
+
+func checkJobLists(t *testing.T) {
+	Convey("Given two services with jobs", t, func() {
+		c := newCore()
+		var list Jobs
+
+		Convey("the list takes them in turn, names their services and tells how many there are", func() {
+			So(ask(c.handler(), "GET", JobsPath+"?limit=3", &list).Code, ShouldEqual, http.StatusOK)
+			So(list.Total, ShouldEqual, 4)
+			So(list.Jobs, ShouldHaveLength, 3)
+			So(list.Jobs[0].Service, ShouldEqual, "pricing")
+			So(list.Jobs[1].Service, ShouldEqual, "stress")
+			So(list.Jobs[1].ID, ShouldEqual, job.ID(stressJob))
+		})
+		Convey("a state or a limit that is not one is refused", func() {
+			for _, query := range []string{"state=none", "limit=0", "limit=x", fmt.Sprint("limit=", jobreport.MostJobs+1)} {
+				So(ask(c.handler(), "GET", JobsPath+"?"+query, nil).Code, ShouldEqual, http.StatusBadRequest)
+			}
+		})
+		Convey("a leader that gives no answer is named", func() {
+			c.fail = failAt("10.0.0.1:7660", errNotLeader)
+			So(ask(c.handler(), "GET", JobsPath, &list).Code, ShouldEqual, http.StatusOK)
+			So(list.Jobs, ShouldHaveLength, 2)
+			So(list.Unanswered, ShouldHaveLength, 1)
+			So(list.Unanswered[0].Service, ShouldEqual, "pricing")
+		})
+		Convey("no answer at all is an error", func() {
+			c.fail = func(string, string) error { return errNotLeader }
+			So(ask(c.handler(), "GET", JobsPath, nil).Code, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	})
+}
+
+func TestOneJob(t *testing.T) { synctest.Test(t, checkOneJob) }
+
+func checkOneJob(t *testing.T) {
+	Convey("Given two services with jobs", t, func() {
+		c := newCore()
+		var detail jobreport.JobDetail
+		var failure Failure
+
+		Convey("a job is found wherever it is", func() {
+			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob, &detail).Code, ShouldEqual, http.StatusOK)
+			So(detail.Service, ShouldEqual, "stress")
+			var why jobreport.Why
+			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob+"/why", &why).Code, ShouldEqual, http.StatusOK)
+			So(why.ID, ShouldEqual, job.ID(stressJob))
+		})
+		Convey("an ID of another form is refused, and an unknown one is not found", func() {
+			So(ask(c.handler(), "GET", JobsPath+"/abc", nil).Code, ShouldEqual, http.StatusBadRequest)
+			So(ask(c.handler(), "GET", JobsPath+"/ffffffffffffffff", nil).Code, ShouldEqual, http.StatusNotFound)
+		})
+		Convey("an unknown one may be known to a leader that gives no answer", func() {
+			c.fail = failAt("10.0.0.2:7660", errNotLeader)
+			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob, nil).Code, ShouldEqual, http.StatusServiceUnavailable)
+		})
+		Convey("an ID that two services know needs a service", func() {
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+bothJob, &failure).Code, ShouldEqual, http.StatusConflict)
+			So(failure.Error, ShouldContainSubstring, "?service=")
+			So(c.cancels, ShouldBeEmpty)
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+bothJob+"?service=pricing", nil).Code, ShouldEqual, http.StatusOK)
+			So(c.cancels, ShouldHaveLength, 1)
+			So(c.cancels[0].Group, ShouldEqual, "jobs/pricing")
+		})
+		Convey("a job is cancelled where it is", func() {
+			var cancelled Cancelled
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+priceJob, &cancelled).Code, ShouldEqual, http.StatusOK)
+			So(cancelled, ShouldResemble, Cancelled{ID: priceJob, Service: "pricing"})
+			So(c.cancels, ShouldHaveLength, 1)
+		})
+	})
+}
+
+func TestForwarding(t *testing.T) { synctest.Test(t, checkForwarding) }
+
+func checkForwarding(t *testing.T) {
+	Convey("Given a service whose leader changes", t, func() {
+		c := newCore()
+
+		Convey("a request that the old leader refuses is sent to the new one", func() {
+			c.fail = func(address, _ string) error {
+				if address != "10.0.0.2:7660" {
+					return nil
+				}
+				go c.lead("jobs/stress", "10.0.0.3:7660")
+				return errNotLeader
+			}
+			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob+"?service=stress", nil).Code, ShouldEqual, http.StatusOK)
+			So(c.calls[len(c.calls)-1], ShouldEqual, "10.0.0.3:7660"+jobreport.JobPath)
+		})
+		Convey("a request during a change waits for the new leader", func() {
+			delete(c.leaders, "jobs/stress")
+			go c.lead("jobs/stress", "10.0.0.3:7660")
+			So(ask(c.handler(), "GET", SearchersPath+"?service=stress", nil).Code, ShouldEqual, http.StatusOK)
+		})
+		Convey("an unclear failure is tried again, as a repetition does no harm", func() {
+			failures := 1
+			c.fail = func(string, string) error {
+				if failures--; failures >= 0 {
+					return errCut
+				}
+				return nil
+			}
+			So(ask(c.handler(), "POST", SearchersPath+"/i-stress/drain?service=stress", nil).Code, ShouldEqual, http.StatusOK)
+			So(c.drains, ShouldHaveLength, 1)
+		})
+		Convey("one that stays unclear is reported as such", func() {
+			c.fail = func(string, string) error { return errCut }
+			var failure Failure
+			answer := ask(c.handler(), "POST", SearchersPath+"/i-stress/drain?service=stress", &failure)
+			So(answer.Code, ShouldEqual, http.StatusGatewayTimeout)
+			So(failure.Error, ShouldContainSubstring, "it may have been done")
+		})
+	})
+}
--- /dev/null
+++ b/internal/controlplane/operations/main_test.go
@@ -0,0 +1,9 @@
+package operations
+
+import (
+	"testing"
+
+	"puffinlink.example/puffinlink/internal/leaktest"
+)
+
+func TestMain(m *testing.M) { leaktest.Main(m) }
--- /dev/null
+++ b/internal/controlplane/operations/operations_test.go
@@ -0,0 +1,141 @@
+package operations
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/control"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+)
+
+func TestStatus(t *testing.T) { synctest.Test(t, checkStatus) }
+
+func checkStatus(t *testing.T) {
+	Convey("Given a mixer", t, func() {
+		c := newCore()
+		var status Status
+
+		Convey("its status has members, leaders and summaries", func() {
+			So(ask(c.handler(), "GET", StatusPath, &status).Code, ShouldEqual, http.StatusOK)
+			So(status.Mixer.Name, ShouldEqual, "core-1")
+			So(status.ConfigurationVersion, ShouldEqual, 7)
+			So(status.View.Members, ShouldHaveLength, 3)
+			So(status.Members[0].Alive, ShouldBeTrue)
+			So(status.Members[1].Heard, ShouldBeFalse)
+			So(status.Agents, ShouldResemble, []string{"10.0.1.1:7661"})
+			So(status.Groups, ShouldHaveLength, 2)
+			So(status.Groups[1].Service, ShouldEqual, "stress")
+			So(status.Groups[1].Leader, ShouldEqual, "10.0.0.2:7660")
+			So(status.Groups[1].Epoch, ShouldEqual, 5)
+			So(status.Groups[1].Summary.Running, ShouldEqual, 2)
+		})
+		Convey("a leader that does not answer is named with the error", func() {
+			c.fail = func(address, _ string) error {
+				if address == "10.0.0.1:7660" {
+					return errCut
+				}
+				return nil
+			}
+			So(ask(c.handler(), "GET", StatusPath, &status).Code, ShouldEqual, http.StatusOK)
+			So(status.Groups[0].Summary, ShouldBeNil)
+			So(status.Groups[0].Error, ShouldContainSubstring, "connection reset")
+			So(status.Groups[1].Summary, ShouldNotBeNil)
+		})
+		Convey("so is a service without a leader", func() {
+			delete(c.leaders, "jobs/pricing")
+			ask(c.handler(), "GET", StatusPath, &status)
+			So(status.Groups[0].Leader, ShouldBeEmpty)
+			So(status.Groups[0].Error, ShouldEqual, errNoLeader.Error())
+		})
+	})
+}
+
+func TestSearchers(t *testing.T) { synctest.Test(t, checkSearchers) }
+
+func checkSearchers(t *testing.T) {
+	Convey("Given two services", t, func() {
+		c := newCore()
+		var list Searchers
+
+		Convey("all searchers are listed", func() {
+			So(ask(c.handler(), "GET", SearchersPath, &list).Code, ShouldEqual, http.StatusOK)
+			So(list.Searchers, ShouldHaveLength, 2)
+			So(list.Unanswered, ShouldBeEmpty)
+		})
+		Convey("or those of one service", func() {
+			ask(c.handler(), "GET", SearchersPath+"?service=stress", &list)
+			So(list.Searchers, ShouldHaveLength, 1)
+			So(list.Searchers[0].ID, ShouldEqual, "i-stress")
+		})
+		Convey("an unknown service is refused with the names of those that exist", func() {
+			var failure Failure
+			So(ask(c.handler(), "GET", SearchersPath+"?service=x", &failure).Code, ShouldEqual, http.StatusNotFound)
+			So(failure.Error, ShouldContainSubstring, "pricing, stress")
+		})
+		Convey("a drain reaches the leader that knows the searcher", func() {
+			var searcher jobreport.Searcher
+			So(ask(c.handler(), "POST", SearchersPath+"/i-stress/drain", &searcher).Code, ShouldEqual, http.StatusOK)
+			So(searcher.OperatorDraining, ShouldBeTrue)
+			So(c.drains, ShouldHaveLength, 2)
+			So(ask(c.handler(), "DELETE", SearchersPath+"/i-stress/drain?service=stress", &searcher).Code, ShouldEqual, http.StatusOK)
+			So(searcher.OperatorDraining, ShouldBeFalse)
+			So(c.drains[2], ShouldResemble, jobreport.DrainRequest{Group: "jobs/stress", Searcher: "i-stress"})
+		})
+		Convey("a searcher that nobody knows is not found", func() {
+			So(ask(c.handler(), "POST", SearchersPath+"/i-none/drain", nil).Code, ShouldEqual, http.StatusNotFound)
+		})
+		Convey("unless a leader that may know it gives no answer", func() {
+			c.fail = failAt("10.0.0.1:7660", errNotLeader)
+			answer := ask(c.handler(), "POST", SearchersPath+"/i-none/drain", nil)
+			So(answer.Code, ShouldEqual, http.StatusServiceUnavailable)
+			So(answer.Header().Get("Retry-After"), ShouldEqual, retryAfter)
+		})
+	})
+}
+
+func TestOtherPaths(t *testing.T) { synctest.Test(t, checkOtherPaths) }
+
+func checkOtherPaths(t *testing.T) {
+	Convey("All other paths, and the configuration, go on to the next handler", t, func() {
+		handler := newCore().handler()
+		for _, path := range []string{control.Path, "/", "/-/other", "/-/searchers/i-1"} {
+			So(ask(handler, "GET", path, nil).Code, ShouldEqual, http.StatusTeapot)
+		}
+		So(ask(handler, "PUT", control.Path, nil).Code, ShouldEqual, http.StatusTeapot)
+		So(ask(handler, "POST", StatusPath, nil).Code, ShouldEqual, http.StatusTeapot)
+	})
+}
+
+func TestRequestsAreBounded(t *testing.T) { synctest.Test(t, checkRequestsAreBounded) }
+
+func checkRequestsAreBounded(t *testing.T) {
+	Convey("Too many requests at once are turned away, and later ones are served again", t, func() {
+		c := newCore()
+		c.hold, c.held = make(chan struct{}), make(chan struct{}, 2*maxRequests)
+		handler := c.handler()
+		answers := make(chan int, maxRequests)
+		for range maxRequests {
+			go func() {
+				recorder := httptest.NewRecorder()
+				handler.ServeHTTP(recorder, httptest.NewRequest("GET", SearchersPath+"?service=stress", nil))
+				answers <- recorder.Code
+			}()
+		}
+		for range maxRequests {
+			<-c.held
+		}
+		answer := ask(handler, "GET", StatusPath, nil)
+		So(answer.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(answer.Header().Get("Retry-After"), ShouldEqual, retryAfter)
+		So(ask(handler, "GET", control.Path, nil).Code, ShouldEqual, http.StatusTeapot)
+		close(c.hold)
+		for range maxRequests {
+			So(<-answers, ShouldEqual, http.StatusOK)
+		}
+		So(ask(handler, "GET", StatusPath, nil).Code, ShouldEqual, http.StatusOK)
+	})
+}
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -95,6 +96,7 @@
 		for _, member := range []string{"member-1", "member-2"} {
 			c.network.AddRule(networktest.Rule{From: "member-0", To: member, Path: "/accept", Lose: true, Times: 1})
 		}
+		c.network.AddRule(networktest.Rule{From: "member-0", To: "member-2", Path: "/prepare", Lose: true}) // so member 0 is heard
 		value, err = c.process("member-0").register.Change(c.ctx, func(current []byte) ([]byte, error) {
 			calls++
 			return append(append([]byte{}, current...), 'x'), nil
@@ -107,6 +109,30 @@
 	})
 }
 
+// While an accept round is lost, the others change the register more often than its history reaches back.
+func TestAnOutcomeThatNobodyKnowsIsUnclear(t *testing.T) {
+	var err error
+	inCluster(t, func(c *cluster) {
+		c.network.AddRule(networktest.Rule{From: outsider, Path: "/accept", Lose: true, Times: 3})
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.proposer(outsider, nil).Change(c.ctx, to("a"))
+			ended <- err
+		}()
+		synctest.Wait() // the accept round is open
+		for i := range historyLength + 2 {
+			if _, err := c.process("member-0").register.Change(c.ctx, to(fmt.Sprint(i))); err != nil {
+				t.Error(err)
+			}
+		}
+		err = <-ended
+	})
+	convey.Convey("The change may have run", t, func() {
+		convey.So(err, convey.ShouldWrap, errUnknownOutcome)
+		convey.So(verdict.Of(err), convey.ShouldEqual, verdict.MayHaveRun)
+	})
+}
+
 func TestARefusalRestsOnACommittedValue(t *testing.T) {
 	var refusedAt string
 	var value []byte
--- a/internal/controlplane/replication/failover_test.go
+++ b/internal/controlplane/replication/failover_test.go
@@ -183,3 +183,44 @@
 		})
 	})
 }
+
+func TestOldAnswersCommitNothing(t *testing.T) {
+	Convey("Given a leader whose newest batch only one follower has answered", t, func() {
+		s := calm(5, 3)
+		s.busy = false
+		So(s.run(time.Second), ShouldBeNil)
+		l := s.leader("jobs/a").core.group("jobs/a").leading
+		So(l.committed, ShouldEqual, l.latest.Sequence)
+		l.committed--
+		for _, follower := range l.followers {
+			follower.voted = 0
+		}
+		for _, follower := range l.followers {
+			follower.voted, follower.votedAt = l.latest.Sequence, l.core.now-l.core.timing.Round-time.Millisecond
+			break
+		}
+		Convey("an answer to a request sent longer ago than a round lasts does not count", func() {
+			l.count()
+			So(l.committed, ShouldEqual, l.latest.Sequence-1)
+		})
+		Convey("one to a later request does", func() {
+			for _, follower := range l.followers {
+				follower.votedAt += 2 * time.Millisecond
+			}
+			l.count()
+			So(l.committed, ShouldEqual, l.latest.Sequence)
+		})
+	})
+	Convey("A campaign fails when the votes come later than a round lasts", t, func() {
+		s := newSimulation(5, 3, defects{}, Timing{})
+		n := s.nodes[s.view.Members[0]]
+		n.start()
+		g := n.core.group("jobs/a")
+		g.campaign()
+		c := g.campaigning
+		n.core.now += n.core.timing.Round + time.Millisecond
+		c.take(s.view.Members[1], prepareRequest{Probe: true}, prepareReply{Granted: true}, nil)
+		So(c.over, ShouldBeTrue)
+		So(g.leading == nil, ShouldBeTrue)
+	})
+}
--- a/internal/controlplane/replication/group.go
+++ b/internal/controlplane/replication/group.go
@@ -46,9 +46,17 @@
 // exists tells whether anything is known that is worth a leader.
 func (g *group) exists() bool { return g.ensured || g.replica.promised > 0 }
 
+// returned tells whether this mixer led the group when its process ended, and nobody has led since.
+func (g *group) returned() bool {
+	return g.replica.candidate == g.core.self && g.replica.lease.epoch == 0 && g.replica.mute > 0
+}
+
 // due is when to campaign next unless a leader is heard.
 func (g *group) due() time.Duration {
 	timing := g.core.timing
+	if g.returned() {
+		return g.retryAt
+	}
 	wait := timing.Silence
 	if g.vacant || g.replica.position == (Position{}) && g.replica.lease.epoch == 0 {
 		wait = timing.Vacancy
--- a/internal/controlplane/replication/merge.go
+++ b/internal/controlplane/replication/merge.go
@@ -8,9 +8,10 @@
 
 // GroupCopy is what one replica holds of a group.
 type GroupCopy struct {
-	Promised uint64
-	Position Position
-	State    map[string][]byte
+	Promised  uint64
+	Candidate string // to whom the promise was given
+	Position  Position
+	State     map[string][]byte
 }
 
 // MergeGroup makes the copy from which a replica that has lost its disk goes on: the state of the newest position and
@@ -18,7 +19,9 @@
 func MergeGroup(copies []GroupCopy) GroupCopy {
 	var merged GroupCopy
 	for i, one := range copies {
-		merged.Promised = max(merged.Promised, one.Promised)
+		if one.Promised > merged.Promised {
+			merged.Promised, merged.Candidate = one.Promised, one.Candidate
+		}
 		if i == 0 || merged.Position.Before(one.Position) {
 			merged.Position, merged.State = one.Position, one.State
 		}
@@ -34,12 +37,13 @@
 		groupCopies := make([]GroupCopy, 0, len(copies))
 		for _, tables := range copies {
 			m := decodeMeta(tables[metaTable(group)])
-			groupCopies = append(groupCopies, GroupCopy{m.promised, m.position, tables[stateTable(group)]})
+			groupCopies = append(groupCopies, GroupCopy{m.promised, m.candidate, m.position, tables[stateTable(group)]})
 		}
 		one := MergeGroup(groupCopies)
 		merged[metaTable(group)] = map[string][]byte{
-			promisedKey: encodeEpoch(one.Promised),
-			positionKey: encodePosition(one.Position),
+			promisedKey:  encodeEpoch(one.Promised),
+			candidateKey: []byte(one.Candidate),
+			positionKey:  encodePosition(one.Position),
 		}
 		if len(one.State) > 0 {
 			merged[stateTable(group)] = one.State
--- a/internal/controlplane/replication/replica.go
+++ b/internal/controlplane/replication/replica.go
@@ -9,15 +9,16 @@
 // replica holds one group's state on this machine and votes in its elections. Its writes are serial: while one is on
 // its way to the disk, what needs the state waits in a queue.
 type replica struct {
-	core     *core
-	group    *group
-	promised uint64   // no epoch below is followed
-	synced   uint64   // the promise that is on disk
-	position Position // of the state on disk
-	lease    lease
-	mute     time.Duration // no vote before that time, as a lease may have been forgotten
-	writing  bool
-	queue    []func()
+	core      *core
+	group     *group
+	promised  uint64   // no epoch below is followed
+	candidate string   // to whom the promise was given
+	synced    uint64   // the promise that is on disk
+	position  Position // of the state on disk
+	lease     lease
+	mute      time.Duration // no vote before that time, as a lease may have been forgotten
+	writing   bool
+	queue     []func()
 }
 
 // lease is a replica's word to a leader that it elects no other until then.
@@ -30,7 +31,7 @@
 // load takes over what the store holds; the replica must have no write under way.
 func (r *replica) load(mute time.Duration) {
 	m := decodeMeta(r.core.store.Table(metaTable(r.group.name)))
-	r.promised, r.synced, r.position = m.promised, m.promised, m.position
+	r.promised, r.candidate, r.synced, r.position = m.promised, m.candidate, m.promised, m.position
 	if m.promised > 0 {
 		r.mute = mute
 	}
@@ -62,10 +63,13 @@
 	})
 }
 
-// free tells whether the replica may vote for a candidate as far as leases go.
+// free tells whether the replica may vote for a candidate as far as leases go. A lease that was forgotten in a restart
+// can only be that of the mixer to which the newest promise was given. If that mixer is the candidate, it leads no more:
+// a mixer campaigns only after its own term has ended, or in a new process.
 func (r *replica) free(candidate string) bool {
 	now := r.core.now
-	return now >= r.mute && (now >= r.lease.until || r.lease.holder == candidate) && !r.group.ledByOther(candidate)
+	remembers := now >= r.mute || r.candidate == candidate && candidate != ""
+	return remembers && (now >= r.lease.until || r.lease.holder == candidate) && !r.group.ledByOther(candidate)
 }
 
 // prepare votes, or refuses to.
@@ -83,20 +87,22 @@
 		reply(prepareReply{Promised: r.promised, Position: r.position})
 		return
 	}
-	r.raise(request.Epoch)
+	r.raise(request.Epoch, request.Candidate)
 	answer := prepareReply{Granted: true, Promised: r.promised, Position: r.position}
 	if request.Position.Before(r.position) {
 		answer.State = r.core.store.Table(stateTable(r.group.name))
 	}
-	r.persist([]storage.Change{promisedChange(r.group.name, request.Epoch)}, func() {
+	r.persist(promiseChanges(r.group.name, request.Epoch, request.Candidate), func() {
 		r.synced = request.Epoch
 		reply(answer)
 	})
 }
 
 // raise promises to follow no lower epoch; a leader on this machine with a lower one ends.
-func (r *replica) raise(epoch uint64) {
-	r.promised = max(r.promised, epoch)
+func (r *replica) raise(epoch uint64, candidate string) {
+	if epoch > r.promised {
+		r.promised, r.candidate = epoch, candidate
+	}
 	if leading := r.group.leading; leading != nil && leading.epoch < epoch {
 		leading.end("a higher epoch was promised")
 	}
@@ -104,7 +110,7 @@
 
 // follow takes a message of a leader whose epoch is not below the promise as a sign of life.
 func (r *replica) follow(epoch uint64, leader string) {
-	r.raise(epoch)
+	r.raise(epoch, leader)
 	if r.lease.epoch <= epoch {
 		r.lease = lease{epoch, leader, r.core.now + r.core.timing.ReplicaLease}
 	}
@@ -172,7 +178,7 @@
 		return
 	}
 	promised := r.promised
-	r.persist([]storage.Change{promisedChange(r.group.name, promised)}, func() {
+	r.persist(promiseChanges(r.group.name, promised, r.candidate), func() {
 		r.synced = promised
 		done()
 	})
@@ -188,7 +194,7 @@
 		changes = append(changes, storage.Change{Table: table, Key: entry.Key, Value: entry.Value})
 	}
 	if r.synced != request.Epoch {
-		changes = append(changes, promisedChange(r.group.name, request.Epoch))
+		changes = append(changes, promiseChanges(r.group.name, request.Epoch, request.Leader)...)
 	}
 	return append(changes, positionChange(r.group.name, request.Position))
 }
--- /dev/null
+++ b/internal/controlplane/replication/simulatednode_test.go
@@ -0,0 +1,303 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/chance"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+type pendingWrite struct {
+	changes []storage.Change
+	applied bool
+}
+
+type simulatedNode struct {
+	simulation  *simulation
+	address     string
+	view        replicaset.View // known here
+	disk        disk
+	core        *core
+	terms       map[string]*Term // by group, as the handler knows them
+	pending     []*pendingWrite
+	up, ready   bool
+	lost        bool // the disk was lost and is not rebuilt
+	incarnation int
+	frozenUntil time.Duration
+	tickNumber  int
+}
+
+func (n *simulatedNode) start() {
+	s := n.simulation
+	if n.up {
+		return
+	}
+	n.incarnation++
+	n.up, n.ready = true, !n.lost || s.defects.noRebuild
+	n.terms, n.pending = make(map[string]*Term), nil
+	n.core = newCore(Config{
+		Self: n.address, Store: nil, Handler: n, Log: zap.NewNop(), Clock: s, Timing: s.timing,
+	}, chance.PCG(s.random.Uint64()))
+	n.core.store = n.disk
+	n.core.enter = n.step
+	n.core.spawn = func(run func()) { n.later(s.between(0, time.Millisecond), run) }
+	n.core.restore()
+	if s.defects.forgetLeases {
+		n.later(0, func() {
+			for _, g := range n.core.groups {
+				g.replica.mute = 0
+			}
+		})
+	}
+	n.step(func() {
+		for _, group := range s.groups {
+			n.core.ensure(group)
+		}
+	})
+	if n.lost && !s.defects.noRebuild {
+		n.later(2200*time.Millisecond, n.rebuild)
+	}
+	n.tick()
+}
+
+// rebuild copies the tables of a majority of the others, each at its own moment.
+func (n *simulatedNode) rebuild() {
+	s := n.simulation
+	var copies []map[string]map[string][]byte
+	for _, address := range n.view.Members {
+		if address == n.address {
+			continue
+		}
+		n.later(s.between(0, 20*time.Millisecond), func() {
+			other := s.nodes[address]
+			if !other.up || !other.ready || other.view.Version < n.view.Version || other.frozenUntil > s.now || s.cuts[link{n.address, address}] || s.cuts[link{address, n.address}] {
+				return
+			}
+			copies = append(copies, other.disk.clone())
+		})
+	}
+	n.later(40*time.Millisecond, func() {
+		if len(copies) < n.view.Quorum() {
+			n.later(100*time.Millisecond, n.rebuild)
+			return
+		}
+		for name, table := range MergeTables(copies) {
+			n.disk[name] = table
+		}
+		n.lost, n.ready = false, true
+		n.step(func() {})
+	})
+}
+
+// later runs something on this incarnation, after a freeze if there is one.
+func (n *simulatedNode) later(delay time.Duration, run func()) {
+	incarnation := n.incarnation
+	var attempt func()
+	attempt = func() {
+		if !n.up || n.incarnation != incarnation {
+			return
+		}
+		if wait := n.frozenUntil - n.simulation.now; wait > 0 {
+			n.simulation.at(wait, attempt)
+			return
+		}
+		run()
+	}
+	n.simulation.at(delay, attempt)
+}
+
+// kill ends the process. Writes under way have reached the disk or not.
+func (n *simulatedNode) kill(loseDisk bool) {
+	for _, one := range n.pending {
+		if !one.applied && n.simulation.random.IntN(2) == 0 {
+			n.disk.apply(one.changes, n.simulation.defects.forgetPromises)
+		}
+	}
+	n.up, n.ready, n.frozenUntil = false, false, 0
+	if loseDisk {
+		n.disk, n.lost = make(disk), true
+	}
+}
+
+func (n *simulatedNode) tick() {
+	n.tickNumber++
+	number := n.tickNumber
+	var next time.Duration
+	n.step(func() { next = n.core.tick() })
+	if n.tickNumber != number {
+		return
+	}
+	n.later(max(next-n.simulation.now, time.Millisecond), func() {
+		if n.tickNumber == number {
+			n.tick()
+		}
+	})
+}
+
+func (n *simulatedNode) step(step func()) {
+	n.core.observe(n.simulation.now, n.view, n.ready)
+	step()
+	work := n.core.take()
+	if n.core.replan {
+		n.core.replan = false
+		n.later(0, n.tick)
+	}
+	for _, one := range work.writes {
+		n.write(one)
+	}
+	for _, one := range work.calls {
+		n.call(one)
+	}
+}
+
+func (n *simulatedNode) write(one write) {
+	s := n.simulation
+	pending := &pendingWrite{changes: one.changes}
+	n.pending = slices.DeleteFunc(n.pending, func(p *pendingWrite) bool { return p.applied })
+	n.pending = append(n.pending, pending)
+	delay := s.between(time.Millisecond, 8*time.Millisecond) + s.slowDisks[n.address]
+	n.later(delay, func() {
+		pending.applied = true
+		n.disk.apply(one.changes, s.defects.forgetPromises)
+		n.step(func() { one.done(nil) })
+	})
+}
+
+func (s *simulation) delay() time.Duration {
+	if s.random.IntN(50) == 0 {
+		return s.between(time.Millisecond, 250*time.Millisecond)
+	}
+	return s.between(500*time.Microsecond, 3*time.Millisecond)
+}
+
+func (s *simulation) drops(from, to string) bool {
+	return s.cuts[link{from, to}] || s.random.Float64() < s.loss
+}
+
+func (n *simulatedNode) call(one call) {
+	s := n.simulation
+	ended := false
+	finish := func(err error) {
+		if !ended {
+			ended = true
+			n.step(func() { one.done(err) })
+		}
+	}
+	n.later(one.limit, func() { finish(errTimeout) })
+	body := encode(one.request)
+	if s.drops(n.address, one.address) {
+		n.forge(one, finish)
+		return
+	}
+	arrive := func() {
+		target := s.nodes[one.address]
+		if target == nil || !target.up {
+			n.later(s.delay(), func() { finish(errRefused) })
+			return
+		}
+		target.later(0, func() { target.serve(n, one, body, finish) })
+	}
+	s.at(s.delay(), arrive)
+	if s.random.Float64() < s.duplicates {
+		s.at(s.between(0, 1200*time.Millisecond), func() {
+			if target := s.nodes[one.address]; target != nil && target.up {
+				target.later(0, func() { target.serve(n, one, body, func(error) {}) })
+			}
+		})
+	}
+}
+
+// forge answers a lost append as if it had been synced, when the defect is on.
+func (n *simulatedNode) forge(one call, finish func(error)) {
+	request, isAppend := one.request.(appendRequest)
+	if !isAppend || !n.simulation.defects.forgeAnswers {
+		return
+	}
+	n.later(time.Millisecond, func() {
+		*one.reply.(*appendReply) = appendReply{Outcome: accepted, Promised: request.Epoch, Position: request.Position}
+		finish(nil)
+	})
+}
+
+func encode(message any) []byte {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func decode[Message any](body []byte) Message {
+	var message Message
+	if err := msgpack.Unmarshal(body, &message); err != nil {
+		panic(err)
+	}
+	return message
+}
+
+// serve handles a request on the target, and brings the reply to the caller.
+func (n *simulatedNode) serve(from *simulatedNode, one call, body []byte, finish func(error)) {
+	reply := func(answer any) {
+		content := encode(answer)
+		if n.simulation.drops(n.address, from.address) {
+			return
+		}
+		from.later(n.simulation.delay(), func() {
+			if err := msgpack.Unmarshal(content, one.reply); err != nil {
+				panic(err)
+			}
+			finish(nil)
+		})
+	}
+	n.step(func() {
+		switch one.path {
+		case preparePath:
+			request := decode[prepareRequest](body)
+			n.disguise(&request.View)
+			n.core.prepare(request, func(r prepareReply) { reply(r) })
+		case appendPath:
+			request := decode[appendRequest](body)
+			n.spoil(request)
+			n.disguise(&request.View)
+			n.core.append(request, func(r appendReply) { reply(r) })
+		case pingPath:
+			request := decode[pingRequest](body)
+			n.disguise(&request.View)
+			n.core.ping(request, func(r pingReply) { reply(r) })
+		case resignPath:
+			n.core.resigned(decode[resignRequest](body))
+			reply(resignReply{})
+		}
+	})
+}
+
+// spoil makes the replica take what it must refuse, when the defect is on.
+func (n *simulatedNode) spoil(request appendRequest) {
+	r := &n.core.group(request.Group).replica
+	if r.writing || request.Epoch != r.promised {
+		return
+	}
+	if n.simulation.defects.acceptStale && request.Snapshot {
+		r.position = Position{}
+	}
+	if n.simulation.defects.keepOldBatches && !request.Snapshot {
+		r.position = request.Previous
+	}
+}
+
+// disguise makes a request seem to be of this replica's view, when the defect is on.
+func (n *simulatedNode) disguise(view *uint64) {
+	if n.simulation.defects.ignoreViews {
+		*view = max(*view, n.view.Version)
+	}
+}
+
+func (n *simulatedNode) valid(group string) bool {
+	term := n.terms[group]
+	return term != nil && term.Valid()
+}
--- a/internal/controlplane/replication/tables.go
+++ b/internal/controlplane/replication/tables.go
@@ -15,8 +15,9 @@
 
 // Keys of a meta table.
 const (
-	promisedKey = "promised"
-	positionKey = "position"
+	promisedKey  = "promised"
+	candidateKey = "candidate"
+	positionKey  = "position"
 )
 
 const wordBytes = 8
@@ -26,12 +27,18 @@
 
 // meta is the durable part of a replica beside its state.
 type meta struct {
-	promised uint64
-	position Position
+	promised  uint64
+	candidate string // to whom the promise was given
+	position  Position
 }
 
-func promisedChange(group string, epoch uint64) storage.Change {
-	return storage.Change{Table: metaTable(group), Key: promisedKey, Value: encodeEpoch(epoch)}
+// promiseChanges make a promise durable, together with whom it was given to.
+func promiseChanges(group string, epoch uint64, candidate string) []storage.Change {
+	table := metaTable(group)
+	return []storage.Change{
+		{Table: table, Key: promisedKey, Value: encodeEpoch(epoch)},
+		{Table: table, Key: candidateKey, Value: []byte(candidate)},
+	}
 }
 
 func positionChange(group string, position Position) storage.Change {
@@ -54,7 +61,10 @@
 		m.position.Epoch = binary.BigEndian.Uint64(value)
 		m.position.Sequence = binary.BigEndian.Uint64(value[wordBytes:])
 	}
-	m.promised = max(m.promised, m.position.Epoch)
+	m.candidate = string(table[candidateKey])
+	if m.position.Epoch > m.promised {
+		m.promised, m.candidate = m.position.Epoch, ""
+	}
 	return m
 }
 
--- a/internal/controlplane/storage/failure_test.go
+++ b/internal/controlplane/storage/failure_test.go
@@ -131,6 +131,15 @@
 		checkContent(t, store, 1)
 		store.Close()
 	})
+	convey.Convey("A damaged byte in a file that nothing was written to is an error, as the file had been synced", t, func() {
+		disk := storagetest.NewDisk()
+		store, _ := mustOpen(t, disk, directory, storage.Options{})
+		store.Close()
+		for position := range disk.ReadFile(logFile) {
+			_, _, err := damage(disk.ReadFile(logFile), position)
+			convey.So(errors.Is(err, storage.ErrDamaged), convey.ShouldBeTrue)
+		}
+	})
 	convey.Convey("A file without a header is an error", t, func() {
 		disk := storagetest.NewDisk()
 		disk.WriteFile(logFile, []byte("short"))
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -38,7 +38,7 @@
 // Request is one request of an operator. It must be such that it may be carried out twice.
 type Request struct {
 	Method  string
-	Path    string
+	Path    string // with names in it escaped
 	Query   url.Values
 	IfMatch string // sent if it is not empty
 	Body    []byte
@@ -156,8 +156,10 @@
 func (c *Client) try(ctx context.Context, address string, request Request) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTime)
 	defer cancel()
-	location := url.URL{Scheme: "http", Host: address, Path: request.Path, RawQuery: request.Query.Encode()}
-	target := location.String()
+	target := "http://" + address + request.Path
+	if len(request.Query) > 0 {
+		target += "?" + request.Query.Encode()
+	}
 	for range maxRedirects + 1 {
 		answer, next, err := c.send(ctx, target, request)
 		if err != nil || next == "" {
--- /dev/null
+++ b/internal/operatorclient/client_test.go
@@ -0,0 +1,148 @@
+package operatorclient
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/leaktest"
+)
+
+func TestMain(m *testing.M) { leaktest.Main(m) }
+
+// mixer serves a handler until the Convey scope ends, and returns its address.
+func mixer(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	Reset(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// says answers with a status and a text.
+func says(status int, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		io.WriteString(w, text)
+	}
+}
+
+// closedAddress is one at which nobody listens.
+const closedAddress = "127.0.0.1:1"
+
+func do(limit time.Duration, request Request, addresses ...string) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	client := Client{Addresses: addresses, HTTP: NewHTTPClient()}
+	defer client.HTTP.CloseIdleConnections()
+	return client.Do(ctx, request)
+}
+
+const (
+	enough = time.Minute
+	little = 50 * time.Millisecond
+)
+
+func TestTriesMixersInTurn(t *testing.T) {
+	read := Request{Method: http.MethodGet, Path: "/-/status", Query: url.Values{"service": {"a b"}}}
+	Convey("The next mixer is asked after a failure, and after an answer that settles nothing", t, func() {
+		good := mixer(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("ETag", `"7"`)
+			io.WriteString(w, r.URL.Path+" "+r.URL.Query().Get("service"))
+		})
+		for _, bad := range []string{
+			closedAddress, mixer(says(503, "")), mixer(says(500, "")), mixer(says(408, "")), mixer(says(429, "")),
+			mixer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
+		} {
+			answer, err := do(enough, read, bad, good)
+			So(err, ShouldBeNil)
+			So(string(answer.Body), ShouldEqual, "/-/status a b")
+			So(answer.Version, ShouldEqual, `"7"`)
+			So(answer.Address, ShouldEqual, good)
+		}
+	})
+	Convey("All are asked again while there is time", t, func() {
+		var calls atomic.Int32
+		late := mixer(func(w http.ResponseWriter, _ *http.Request) {
+			if calls.Add(1) < 3 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		_, err := do(enough, read, closedAddress, late)
+		So(err, ShouldBeNil)
+		So(calls.Load(), ShouldEqual, 3)
+	})
+	Convey("Redirects are followed twice", t, func() {
+		good := mixer(says(200, "there"))
+		redirects := func(to string) string {
+			return mixer(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Location", "http://"+to+r.URL.RequestURI())
+				w.WriteHeader(http.StatusTemporaryRedirect)
+			})
+		}
+		second := redirects(good)
+		answer, err := do(enough, read, redirects(second))
+		So(err, ShouldBeNil)
+		So(string(answer.Body), ShouldEqual, "there")
+		_, err = do(little, read, redirects(redirects(second)))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "too many redirects")
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	Convey("A clear refusal ends the request, with the mixer's text", t, func() {
+		var asked atomic.Int32
+		other := mixer(func(http.ResponseWriter, *http.Request) { asked.Add(1) })
+		for _, status := range []int{400, 404, 409, 412, 422} {
+			_, err := do(enough, Request{Method: http.MethodDelete, Path: "/"}, mixer(says(status, `{"error":"no"}`)), other)
+			var refused *RefusedError
+			So(errors.As(err, &refused), ShouldBeTrue)
+			So(refused.Status, ShouldEqual, status)
+			So(refused.Text, ShouldEqual, "no")
+		}
+		So(asked.Load(), ShouldEqual, 0)
+	})
+	Convey("A text that is not the mixer's form of an error is shown as it is", t, func() {
+		_, err := do(enough, Request{Method: http.MethodGet, Path: "/"}, mixer(says(404, "page not found\n")))
+		So(err.Error(), ShouldEqual, "answered 404: page not found")
+	})
+}
+
+func TestNoAnswer(t *testing.T) {
+	mute := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	cases := []struct {
+		name    string
+		method  string
+		address func() string
+		unclear bool
+	}{
+		{"nobody listens", http.MethodPost, func() string { return closedAddress }, false},
+		{"a read", http.MethodGet, func() string { return mixer(mute) }, false},
+		{"a drain without an answer", http.MethodPost, func() string { return mixer(mute) }, true},
+		{"a drain that was not done", http.MethodPost, func() string { return mixer(says(503, "")) }, false},
+		{"a drain that may have been done", http.MethodPost, func() string { return mixer(says(504, "")) }, true},
+		{"a configuration that may have been taken", http.MethodPut, func() string { return mixer(says(503, "")) }, true},
+	}
+	for _, c := range cases {
+		Convey("It is said whether the request may have been carried out: "+c.name, t, func() {
+			_, err := do(little, Request{Method: c.method, Path: "/"}, c.address())
+			var unreachable *UnreachableError
+			So(errors.As(err, &unreachable), ShouldBeTrue)
+			So(unreachable.Unclear, ShouldEqual, c.unclear)
+			So(unreachable.Failures, ShouldHaveLength, 1)
+			if c.unclear {
+				So(err.Error(), ShouldContainSubstring, "may have been carried out")
+			} else {
+				So(err.Error(), ShouldContainSubstring, "nothing was done")
+			}
+		})
+	}
+}
--- a/internal/systemdemo/machines.go
+++ b/internal/systemdemo/machines.go
@@ -20,6 +20,9 @@
 	searchersPerRack = 3
 	searcherFault    = 0.3 // when a searcher is killed, as a share of the load's time
 	leaderFault      = 0.55
+	victimTime       = 2 * time.Second // for a searcher to be at work
+	victimPause      = 50 * time.Millisecond
+	leaderTime       = 10 * time.Second // for the jobs of a service to have a leader
 )
 
 func (d *demo) startSearchers() {
@@ -85,37 +88,61 @@
 	if !pause(ctx, time.Duration(searcherFault*float64(d.options.For))) {
 		return
 	}
-	d.killSearcher()
+	d.killSearcher(ctx)
 	if !pause(ctx, time.Duration((leaderFault-searcherFault)*float64(d.options.For))) {
 		return
 	}
-	number, err := d.findLeader(ctx)
+	number, err := d.awaitLeader(ctx)
 	if err != nil {
 		d.say("no leader to kill: %v", err)
 		return
 	}
 	d.killCoordinator(number)
-	pause(context.WithoutCancel(ctx), restartTime)
-	d.restartCoordinator(number)
+	if pause(ctx, restartTime) {
+		d.restartCoordinator(number)
+	}
 }
 
 // killSearcher kills one that is at work, with all that runs there.
-func (d *demo) killSearcher() {
+func (d *demo) killSearcher(ctx context.Context) {
+	waiting, cancel := context.WithTimeout(ctx, victimTime)
+	defer cancel()
+	victim, runs := d.busiest()
+	for runs == 0 && pause(waiting, victimPause) {
+		victim, runs = d.busiest()
+	}
+	id := victim.ID()
+	victim.Crash(id + "-again")
+	d.note("killed searcher %s with %d runs; it is back as %s", id, runs, victim.ID())
+}
+
+// busiest is the searcher with the most runs under way.
+func (d *demo) busiest() (victim *cluster.Searcher, runs int) {
 	busy := map[string]int{}
 	for _, record := range d.cluster.Runs() {
 		if record.EndedAt.IsZero() {
 			busy[record.Searcher]++
 		}
 	}
-	victim := d.searcher[0]
+	victim = d.searcher[0]
 	for _, searcher := range d.searcher {
 		if busy[searcher.ID()] > busy[victim.ID()] {
 			victim = searcher
 		}
 	}
-	id := victim.ID()
-	victim.Crash(id + "-again")
-	d.note("killed searcher %s with %d runs; it is back as %s", id, busy[id], victim.ID())
+	return victim, busy[victim.ID()]
+}
+
+// awaitLeader waits until the jobs of the first service have a leader.
+func (d *demo) awaitLeader(ctx context.Context) (number int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTime)
+	defer cancel()
+	for {
+		number, err = d.findLeader(ctx)
+		if err == nil || !pause(ctx, askPause) {
+			return number, err
+		}
+	}
 }
 
 // findLeader finds the coordinator that leads the jobs of the first service.
--- /dev/null
+++ b/internal/systemdemo/main_test.go
@@ -0,0 +1,9 @@
+package systemdemo
+
+import (
+	"testing"
+
+	"puffinlink.example/puffinlink/internal/leaktest"
+)
+
+func TestMain(m *testing.M) { leaktest.Main(m) }
--- a/internal/systemdemo/systemdemo.go
+++ b/internal/systemdemo/systemdemo.go
@@ -102,10 +102,11 @@
 	loading, endLoad := context.WithTimeout(ctx, options.For)
 	defer endLoad()
 	running, stop := context.WithCancel(ctx)
-	var watching sync.WaitGroup
+	var watching, playing sync.WaitGroup
 	watching.Go(func() { d.showProgress(running) })
-	watching.Go(func() { d.playFaults(loading) })
+	playing.Go(func() { d.playFaults(ctx) })
 	d.load.run(loading, ctx, options.PerS)
+	playing.Wait()
 	settled := d.load.wait(ctx, settleTime)
 	stop()
 	watching.Wait()
--- /dev/null
+++ b/internal/systemtest/all_test.go
@@ -0,0 +1,61 @@
+package systemtest
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	atOnce       = 3 // systems that run side by side
+	allVariable  = "PUFFINLINK_SYSTEMTEST_ALL"
+	seedVariable = "PUFFINLINK_SYSTEMTEST_SEED"
+	onlyVariable = "PUFFINLINK_SYSTEMTEST_ONLY"
+	pairCount    = 60
+)
+
+// chosen are the scenarios that the environment asks for.
+func chosen() []scenario {
+	scenarios := ordinary
+	if os.Getenv(allVariable) != "" {
+		seed, _ := strconv.ParseUint(os.Getenv(seedVariable), 10, 64)
+		scenarios = append(append(append([]scenario{}, ordinary...), further...), append(everyPoint(), pairs(seed, pairCount)...)...)
+	}
+	only := os.Getenv(onlyVariable)
+	if only == "" {
+		return scenarios
+	}
+	var matching []scenario
+	for _, sc := range scenarios {
+		if sc.matches(only) {
+			matching = append(matching, sc)
+		}
+	}
+	return matching
+}
+
+func TestScenarios(t *testing.T) {
+	scenarios := chosen()
+	places := make(chan struct{}, atOnce)
+	outcomes := make([]chan outcome, len(scenarios))
+	for i, sc := range scenarios {
+		outcomes[i] = make(chan outcome, 1)
+		folder := scenarioFolder(t, sc.name)
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			outcomes[i] <- sc.run(folder)
+		}()
+	}
+	for i, sc := range scenarios {
+		result := <-outcomes[i]
+		t.Logf("%s: %d jobs accepted, %v, %d violations, %d failures", sc.name, result.accepted, result.took, len(result.violations), len(result.failures))
+		Convey("No rule is broken: "+sc.name, t, func() {
+			So(result.failures, ShouldBeEmpty)
+			So(result.violations, ShouldBeEmpty)
+			So(result.accepted, ShouldBeGreaterThan, 0)
+		})
+	}
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -66,6 +66,7 @@
 	clients      *http.Client
 	logs         []*os.File
 	configured   *configurations
+	repairs      sync.WaitGroup
 
 	mu       sync.Mutex
 	troubles []judge.Trouble
@@ -328,6 +329,12 @@
 	s.finish(one.relay.to)
 }
 
+// drain lists a searcher as about to leave.
+func (s *system) drain(one *searcher) {
+	s.addTrouble(judge.SearcherTrouble, one.relay.to)
+	one.Drain(drainTime)
+}
+
 // history is what was seen until now.
 func (s *system) history(endedAt time.Time) judge.History {
 	s.mu.Lock()
