--- a/internal/jobs/manager/lead.go
+++ b/internal/jobs/manager/lead.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 	"puffinlink.example/puffinlink/internal/verdict"
@@ -170,6 +171,7 @@
 	if l.ctx.Err() != nil {
 		return
 	}
+	l.traceJobs(&effects)
 	for i := range effects.Orders {
 		l.order(&effects.Orders[i])
 	}
@@ -186,14 +188,26 @@
 		return
 	}
 	if order.Stop != nil {
+		l.traceOrder(order)
 		link.Stop(*order.Stop)
 		return
 	}
 	if l.scheduler.Wanted(order.Searcher, order.Start) {
+		l.traceOrder(order)
 		link.Start(*order.Start)
 	}
 }
 
+// trace logs one step of a run at debug level; a job can be followed by its ID, with which its tasks' names begin.
+func (l *lead) trace(step string, searcher worker.SearcherID, task job.TaskID, execution uint64, more ...zap.Field) {
+	entry := l.config.Log.Check(zap.DebugLevel, step)
+	if entry == nil {
+		return
+	}
+	fields := []zap.Field{zap.Stringer("task", task), zap.Uint64("execution", execution), zap.String("searcher", string(searcher))}
+	entry.Write(append(fields, more...)...)
+}
+
 // durably runs an event and waits until it, and all before it, is durable.
 func (l *lead) durably(ctx context.Context, event func(scheduler.Now)) error {
 	done := make(chan struct{})
@@ -269,8 +283,13 @@
 
 // Listing implements worker.Events.
 func (e events) Listing(report worker.Listing) {
+	e.lead.traceEnds(&report)
 	e.lead.step(func(now scheduler.Now) {
 		delete(e.lead.unheard, report.Searcher)
+		for i := range report.Finished {
+			end := &report.Finished[i]
+			e.lead.trace("run ended", report.Searcher, end.Task, end.Execution, zap.String("how", string(end.How)))
+		}
 		e.lead.scheduler.Listing(now, &report)
 	})
 }
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -149,6 +149,7 @@
 	if err != nil {
 		return jobapi.Submitted{}, err
 	}
+	led.traceSubmit(&request)
 	return jobapi.Submitted{}, led.durably(ctx, func(now scheduler.Now) { led.scheduler.Submit(now, &request) })
 }
 
--- /dev/null
+++ b/internal/jobs/manager/trace_test.go
@@ -0,0 +1,57 @@
+package manager
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/jobs/worker"
+)
+
+// trace writes one line of each kind at a level, and returns what was logged.
+func trace(level zapcore.Level) []observer.LoggedEntry {
+	core, logged := observer.New(level)
+	l := &lead{config: Config{Log: zap.New(core)}, term: &replication.Term{}}
+	id := job.ID("00000000000000aa")
+	task := job.TaskID{Job: id, Stage: 1, Index: 2}
+	l.traceSubmit(&jobapi.Submit{ID: id})
+	l.traceOrder(&scheduler.Order{Searcher: "i-1", Start: &worker.StartOrder{Task: task, Execution: 1}})
+	l.traceOrder(&scheduler.Order{Searcher: "i-1", Stop: &worker.StopOrder{Task: task, Execution: 1}})
+	l.traceEnds(&worker.Listing{Searcher: "i-1", Finished: []worker.FinishedTask{{Task: task, Execution: 1, How: job.Done}}})
+	jobs, err := scheduler.New(scheduler.Settings{}, scheduler.Now{}, nil)
+	So(err, ShouldBeNil)
+	jobs.Submit(scheduler.Now{}, &jobapi.Submit{ID: id, Specification: job.Specification{Stages: []job.Stage{{Count: 1}}}})
+	jobs.Cancel(scheduler.Now{}, id)
+	effects := jobs.Take()
+	l.traceJobs(&effects)
+	return logged.All()
+}
+
+func TestTraces(t *testing.T) {
+	Convey("At the level debug, a job and its tasks can be followed by their names", t, func() {
+		var texts []string
+		for _, entry := range trace(zapcore.DebugLevel) {
+			fields := entry.ContextMap()
+			for _, name := range []string{"job", "task"} {
+				if value, found := fields[name]; found {
+					texts = append(texts, entry.Message+" "+value.(string))
+				}
+			}
+		}
+		So(texts, ShouldResemble, []string{
+			"job handed in 00000000000000aa",
+			"start ordered 00000000000000aa.0.1.2",
+			"stop ordered 00000000000000aa.0.1.2",
+			"run ended 00000000000000aa.0.1.2",
+			"job ended 00000000000000aa",
+		})
+	})
+	Convey("At the level info nothing is written", t, func() { So(trace(zapcore.InfoLevel), ShouldBeEmpty) })
+}
