--- a/cmd/puffinlink/demo.go
+++ b/cmd/puffinlink/demo.go
@@ -24,6 +24,7 @@
 	JSON      bool          `name:"json" help:"The summary alone, as JSON."`
 	System    bool          `help:"Run the cluster scheduler instead: 3 coordinators, 2 fronts, stand-in searchers of 2 services and jobs."`
 	JobsPerS  float64       `name:"jobs-per-s" default:"6" help:"With --system: jobs a second."`
+	LogLevel  string        `name:"log-level" enum:"debug,info,warn,error" default:"info" help:"With --system: least level of the lines in the file of --log."`
 }
 
 func (c *demoCmd) Run() error {
--- a/cmd/puffinlink/demosystem.go
+++ b/cmd/puffinlink/demosystem.go
@@ -39,7 +39,7 @@
 	defer closeLog()
 	options := systemdemo.Options{
 		For: c.For, Every: c.Every, Searchers: c.Searchers, PerS: c.JobsPerS, Directory: directory, Out: stdout, Log: log,
-		Launcher: systemdemo.Launcher{Coordinator: startCoordinatorProcess, Front: startFrontInside},
+		Launcher: launcher{c.LogLevel}.functions(),
 	}
 	if options.For == 0 {
 		options.For = systemDemoTime
@@ -92,13 +92,20 @@
 	return file, func() { file.Close() }, nil
 }
 
-// startCoordinatorProcess starts a coordinator as a process of its own, so that it can be killed.
-func startCoordinatorProcess(settingsFile string, log io.Writer) (*systemdemo.Process, error) {
+// launcher starts the processes of the demo.
+type launcher struct{ logLevel string }
+
+func (l launcher) functions() systemdemo.Launcher {
+	return systemdemo.Launcher{Coordinator: l.startCoordinator, Front: l.startFront}
+}
+
+// startCoordinator starts a coordinator as a process of its own, so that it can be killed.
+func (l launcher) startCoordinator(settingsFile string, log io.Writer) (*systemdemo.Process, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	command := exec.Command(program, "coordinator")
+	command := exec.Command(program, "coordinator", "--log-level", l.logLevel)
 	command.Env = append(os.Environ(), nodesettings.PathVariable+"="+settingsFile)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // an interrupt at the terminal reaches the demo alone
@@ -117,19 +124,19 @@
 	}, nil
 }
 
-// startFrontInside runs the proxy and the agent of a front machine in this process.
-func startFrontInside(settingsFile, localAddress string, log io.Writer) (*systemdemo.Process, error) {
+// startFront runs the proxy and the agent of a front machine in this process.
+func (l launcher) startFront(settingsFile, localAddress string, log io.Writer) (*systemdemo.Process, error) {
 	settings, err := nodesettings.LoadFile(settingsFile)
 	if err != nil {
 		return nil, err
 	}
-	return startInside(settings, localAddress, log, runAgent, runProxy), nil
+	return l.startInside(settings, localAddress, log, runAgent, runProxy), nil
 }
 
 // startInside runs processes of one machine on goroutines.
-func startInside(settings nodesettings.Settings, localAddress string, log io.Writer, runs ...func(context.Context, *systemNode) error) *systemdemo.Process {
+func (l launcher) startInside(settings nodesettings.Settings, localAddress string, log io.Writer, runs ...func(context.Context, *systemNode) error) *systemdemo.Process {
 	ctx, stop := context.WithCancel(context.Background())
-	logger := newInsideLog(settings.NodeName, log)
+	logger := l.newLog(settings.NodeName, log)
 	var running sync.WaitGroup
 	for _, run := range runs {
 		changes := make(chan nodesettings.Settings)
@@ -150,12 +157,9 @@
 	return &systemdemo.Process{Kill: stop, Stop: stop, Ended: ended}
 }
 
-func newInsideLog(node string, log io.Writer) *zap.Logger {
+func (l launcher) newLog(node string, log io.Writer) *zap.Logger {
 	if log == io.Discard {
 		return zap.NewNop()
 	}
-	configuration := zap.NewProductionEncoderConfig()
-	configuration.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(configuration), zapcore.Lock(zapcore.AddSync(log)), zapcore.InfoLevel)
-	return zap.New(core).With(zap.String("node", node))
+	return newLog(zapcore.AddSync(log), l.logLevel).With(zap.String("node", node))
 }
--- a/cmd/puffinlink/demosystem_test.go
+++ b/cmd/puffinlink/demosystem_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return startInside(settings, "", log, runCoordinator), nil
+	return launcher{"info"}.startInside(settings, "", log, runCoordinator), nil
 }
 
 // someRuns is found in what the demo prints once tasks have started.
@@ -59,7 +59,7 @@
 			defer close(ended)
 			summary, failed = systemdemo.Run(context.Background(), systemdemo.Options{
 				For: 3 * time.Second, Every: 100 * time.Millisecond, Searchers: 3, PerS: 5, Directory: t.TempDir(), Out: shown, Log: io.Discard,
-				Launcher: systemdemo.Launcher{Coordinator: startCoordinatorInside, Front: startFrontInside},
+				Launcher: systemdemo.Launcher{Coordinator: startCoordinatorInside, Front: launcher{"info"}.startFront},
 			})
 		}()
 		defer func() { <-ended }()
--- a/cmd/puffinlink/operationsprint.go
+++ b/cmd/puffinlink/operationsprint.go
@@ -54,7 +54,7 @@
 	rows := [][]string{{"SEARCHER", "SERVICE", "STATE", "ZONE", "RACK", "RUNS", "WINDOW", "LATENCY", "FAULTS", "FREE", "CAPACITY"}}
 	for _, one := range s.Searchers {
 		rows = append(rows, []string{one.ID, one.Service, string(one.State), orNone(one.Zone), orNone(one.Rack), fmt.Sprint(one.Runs), fmt.Sprint(one.Window),
-			fmt.Sprintf("%.0fms", one.LatencyMS), fmt.Sprintf("%.0f%%", 100*one.FaultShare), resources(one.Free), resources(one.Capacity)})
+			choose(one.LatencyMS == 0, "-", fmt.Sprintf("%.0fms", one.LatencyMS)), fmt.Sprintf("%.0f%%", 100*one.FaultShare), resources(one.Free), resources(one.Capacity)})
 	}
 	printTable(rows)
 	printUnanswered(s.Unanswered)
--- a/cmd/puffinlink/system.go
+++ b/cmd/puffinlink/system.go
@@ -136,16 +136,20 @@
 	return 0, false
 }
 
-// newSystemLog makes a log of JSON lines on standard output.
+// newSystemLog makes the log of a process, on standard output.
 func newSystemLog(level, process, node string) *zap.Logger {
+	return newLog(zapcore.AddSync(stdout), level).With(zap.String("node", node), zap.String("process", process))
+}
+
+// newLog makes a log of JSON lines.
+func newLog(out zapcore.WriteSyncer, level string) *zap.Logger {
 	least, err := zapcore.ParseLevel(level)
 	if err != nil {
 		least = zapcore.InfoLevel // the flag's choices are all levels
 	}
 	configuration := zap.NewProductionEncoderConfig()
 	configuration.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(configuration), zapcore.Lock(zapcore.AddSync(stdout)), least)
-	return zap.New(core).With(zap.String("node", node), zap.String("process", process))
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(configuration), zapcore.Lock(out), least))
 }
 
 // runSystemProcess runs a process until it fails or is told to stop by a signal.
--- a/cmd/puffinlink/whyprint.go
+++ b/cmd/puffinlink/whyprint.go
@@ -63,6 +63,9 @@
 	if len(w.Open) > 0 {
 		fmt.Fprintf(stdout, "  could take one: %s\n", strings.Join(w.Open, " "))
 	}
+	if w.Reason == jobreport.ReasonNoSearcher && len(w.RuledOut) == 0 {
+		fmt.Fprintln(stdout, "  no searcher of the service is known: look at the platform's list")
+	}
 	for _, ruled := range w.RuledOut {
 		more := choose(ruled.Count > len(ruled.Searchers), " ...", "")
 		fmt.Fprintf(stdout, "  %d %s (%s): %s%s\n", ruled.Count, causeTexts[ruled.Cause], ruled.Cause, strings.Join(ruled.Searchers, " "), more)
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -87,16 +87,16 @@
 
 func (c *Coordinator) assemble() error {
 	self := c.settings.InternalAddress(0)
+	if err := c.assembleViews(self); err != nil {
+		return err
+	}
 	var err error
 	c.rebuilder, err = rebuild.New(rebuild.Config{
-		Self: self, FirstStart: c.settings.FirstStart, Store: c.store, Caller: c.caller, Logger: c.log,
+		Self: self, FirstStart: c.settings.FirstStart, Views: c.views, Store: c.store, Caller: c.caller, Logger: c.log,
 	})
 	if err != nil {
 		return fmt.Errorf("rebuild: %w", err)
 	}
-	if err := c.assembleViews(self); err != nil {
-		return err
-	}
 	c.assembleConfiguration(self)
 	if err := c.assembleJobs(self); err != nil {
 		return err
@@ -109,23 +109,41 @@
 }
 
 func (c *Coordinator) assembleViews(self string) error {
+	ready := func() bool { return c.rebuilder.Ready() }
 	founding := register.NewFounding(register.FoundingConfig{
-		Self: self, Store: c.store, Ready: c.rebuilder.Ready, Caller: c.caller,
+		Self: self, Store: c.store, Ready: ready, Caller: c.caller,
 		Founders: func() []string { return c.views.Founders() },
 	})
+	succession := register.NewSuccession(register.SuccessionConfig{
+		Self: self, Store: c.store, Ready: ready, Caller: c.caller,
+		View: func() replicaset.View { return c.views.View() },
+	})
 	var err error
 	c.views, err = replicaset.NewManager(replicaset.Config{
-		Self: self, Seeds: c.settings.SeedInternalAddresses(), FirstStart: c.settings.FirstStart,
-		CountsForQuorum: true, Store: c.store, Caller: c.caller, Founding: founding, Logger: c.log,
+		Self: self, Zone: c.settings.Zone, Seeds: c.settings.SeedInternalAddresses(), FirstStart: c.settings.FirstStart,
+		CountsForQuorum: true, Store: c.store, Caller: c.caller, Logger: c.log,
+		Founding: founding, Succession: succession, Contacts: c.contacts,
 	})
 	if err != nil {
 		return fmt.Errorf("replica set: %w", err)
 	}
 	founding.Serve(c.mux)
+	succession.Serve(c.mux)
 	c.views.Serve(c.mux)
 	return nil
 }
 
+// contacts tells how long the other members have been silent.
+func (c *Coordinator) contacts() replicaset.Contacts {
+	contacts := replicaset.Contacts{Majority: c.node.InContact(), Silence: make(map[string]time.Duration)}
+	for _, member := range c.node.Members() {
+		if member.Heard {
+			contacts.Silence[member.Address] = member.HeardAgo
+		}
+	}
+	return contacts
+}
+
 func (c *Coordinator) assembleConfiguration(self string) {
 	acceptor := register.NewAcceptor(register.AcceptorConfig{
 		Name: configurationRegister, Store: c.store, Ready: c.rebuilder.Ready, View: c.views.View,
@@ -202,7 +220,8 @@
 	go func() { report("internal calls", internal.Serve(listeners.Internal)) }()
 	go func() { report("operator's API", operator.Serve(listeners.Control)) }()
 	go func() { report("replica set", c.views.Run(lifetime)) }()
-	go func() { report("rebuild", c.rebuilder.Run(lifetime, c.views)) }()
+	go func() { report("rebuild", c.rebuilder.Run(lifetime)) }()
+	go func() { report("replica set", c.rebuilder.Watch(lifetime)) }()
 	go c.configurator.Run(lifetime)
 	go c.feed.Run(lifetime)
 	go c.ensureGroups(lifetime)
@@ -214,6 +233,7 @@
 		c.node.Run(leading)
 	}()
 	err := c.wait(ctx, failures)
+	go c.views.Leave(lifetime)
 	resign()
 	<-resigned
 	c.jobs.Stop()
--- a/internal/controlplane/operations/jobs_test.go
+++ b/internal/controlplane/operations/jobs_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -113,10 +114,12 @@
 			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob+"?service=stress", nil).Code, ShouldEqual, http.StatusOK)
 			So(c.calls[len(c.calls)-1], ShouldEqual, "10.0.0.3:7660"+jobreport.JobPath)
 		})
-		Convey("a request during a change waits for the new leader", func() {
+		Convey("a request during a change waits for the new leader, and no longer", func() {
 			delete(c.leaders, "jobs/stress")
-			go c.lead("jobs/stress", "10.0.0.3:7660")
+			begin := time.Now()
+			time.AfterFunc(leaderPause/4, func() { c.lead("jobs/stress", "10.0.0.3:7660") })
 			So(ask(c.handler(), "GET", SearchersPath+"?service=stress", nil).Code, ShouldEqual, http.StatusOK)
+			So(time.Since(begin), ShouldEqual, leaderPause/4)
 		})
 		Convey("an unclear failure is tried again, as a repetition does no harm", func() {
 			failures := 1
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,13 +18,21 @@
 // notReadyRetry is when a member that refuses a dump may be asked again.
 const notReadyRetry = 250 * time.Millisecond
 
-// errNotReady is the refusal of a member that is itself incomplete.
-var errNotReady = errors.New("this member is being rebuilt itself")
+var (
+	// errNotReady is the refusal of a member that is itself incomplete.
+	errNotReady = errors.New("this member is being rebuilt itself")
+	// errOtherView is the refusal of a member that works with another view than the one who asks, or with one that the one
+	// who asks is no part of: it might still vote in rounds that the copy would lack.
+	errOtherView = errors.New("this member works with another view of the replicas")
+)
 
 // dumpRequest asks for a copy of all replicated tables.
-type dumpRequest struct{}
+type dumpRequest struct {
+	Member string          `msgpack:"m"` // who asks
+	View   replicaset.View `msgpack:"v"` // that it works with
+}
 
-// dumpReply is that copy, as of one moment.
+// dumpReply is that copy, as of one moment after its giver learned the view.
 type dumpReply struct {
 	Tables storage.Tables `msgpack:"t"`
 }
@@ -30,55 +40,77 @@
 // Serve registers the internal call by which others rebuild.
 func (r *Rebuilder) Serve(mux *transport.Mux) { transport.Handle(mux, dumpPath, r.dump) }
 
-func (r *Rebuilder) dump(context.Context, dumpRequest) (dumpReply, error) {
+func (r *Rebuilder) dump(_ context.Context, request dumpRequest) (dumpReply, error) {
 	if !r.Ready() {
 		return dumpReply{}, verdict.Unexecuted(errNotReady, notReadyRetry)
 	}
+	if err := r.admit(request); err != nil {
+		return dumpReply{}, verdict.Unexecuted(err, notReadyRetry)
+	}
 	tables := r.config.Store.Snapshot()
 	delete(tables, TableName)
 	delete(tables, replicaset.TableName)
 	return dumpReply{Tables: tables}, nil
 }
 
-// fetched is a member's copy, or why there is none.
-type fetched struct {
-	member string
-	tables storage.Tables
-	err    error
+// admit learns the view of the one who asks, and checks that this member works with the same.
+func (r *Rebuilder) admit(request dumpRequest) error {
+	if request.View.Version > r.config.Views.View().Version {
+		if err := r.config.Views.Learn(request.View); err != nil {
+			return err
+		}
+	}
+	view := r.config.Views.View()
+	if view.Version != request.View.Version || !view.Has(request.Member) || !r.Ready() {
+		return fmt.Errorf("%w: version %d", errOtherView, view.Version)
+	}
+	return nil
 }
 
-// fetchMissing asks all members that gave no copy yet, until there are enough copies or all have answered.
-func (r *Rebuilder) fetchMissing(ctx context.Context, view replicaset.View, copies map[string]storage.Tables) {
-	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
+// collectFrom asks the other members of a view until there are enough copies. It returns nil when the view changes or the
+// context ends before. A member that does not answer holds up no other.
+func (r *Rebuilder) collectFrom(ctx context.Context, view replicaset.View, changed <-chan struct{}, needed int) []storage.Tables {
+	ctx, cancel := context.WithCancel(ctx)
+	var asking sync.WaitGroup
+	defer asking.Wait()
 	defer cancel()
-	missing := r.missing(view, copies)
-	answers := make(chan fetched, len(missing))
-	for _, member := range missing {
-		go func() { answers <- r.fetch(ctx, member) }()
+	answers := make(chan storage.Tables, len(view.Members))
+	for _, member := range view.Members {
+		if member != r.config.Self {
+			asking.Go(func() { r.fetchUntilDone(ctx, member, view, answers) })
+		}
 	}
-	for open := len(missing); open > 0 && len(copies) < majorityOfOthers(view); open-- {
-		answer := <-answers
-		if answer.err != nil {
-			r.config.Logger.Debug("copy of a member's tables", zap.String("member", answer.member), zap.Error(answer.err))
-			continue
+	copies := make([]storage.Tables, 0, needed)
+	for len(copies) < needed {
+		select {
+		case tables := <-answers:
+			copies = append(copies, tables)
+		case <-changed:
+			return nil
+		case <-ctx.Done():
+			return nil
 		}
-		copies[answer.member] = answer.tables
 	}
+	return copies
 }
 
-// missing lists the other members that gave no copy yet.
-func (r *Rebuilder) missing(view replicaset.View, copies map[string]storage.Tables) []string {
-	var missing []string
-	for _, member := range view.Members {
-		if _, found := copies[member]; !found && member != r.config.Self {
-			missing = append(missing, member)
+// fetchUntilDone asks one member until it gives a copy.
+func (r *Rebuilder) fetchUntilDone(ctx context.Context, member string, view replicaset.View, answers chan<- storage.Tables) {
+	for ctx.Err() == nil {
+		tables, err := r.fetch(ctx, member, view)
+		if err == nil {
+			answers <- tables
+			return
 		}
+		r.config.Logger.Debug("copy of a member's tables", zap.String("member", member), zap.Error(err))
+		sleep(ctx, askInterval)
 	}
-	return missing
 }
 
-func (r *Rebuilder) fetch(ctx context.Context, member string) fetched {
+func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
+	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
+	defer cancel()
 	var reply dumpReply
-	err := r.config.Caller.Call(ctx, member, dumpPath, dumpRequest{}, &reply)
-	return fetched{member, reply.Tables, err}
+	err := r.config.Caller.Call(ctx, member, dumpPath, dumpRequest{Member: r.config.Self, View: view}, &reply)
+	return reply.Tables, err
 }
--- a/internal/controlplane/rebuild/merge.go
+++ b/internal/controlplane/rebuild/merge.go
@@ -72,8 +72,8 @@
 }
 
 // install replaces all replicated tables by the merged copies and marks this member complete, in one write. So a crash
-// leaves it incomplete, and it starts over.
-func (r *Rebuilder) install(copies []storage.Tables) error {
+// leaves it incomplete, and it starts over. absences is this process's number of them when the copies were taken.
+func (r *Rebuilder) install(copies []storage.Tables, absences uint64) error {
 	merged, err := r.mergers.merge(copies)
 	if err != nil {
 		return err
@@ -89,5 +89,5 @@
 			changes = append(changes, storage.Change{Table: name, Key: key, Value: value})
 		}
 	}
-	return r.config.Store.Write(append(changes, completeChange())...)
+	return r.config.Store.Write(append(changes, completeChange(absences))...)
 }
--- a/internal/controlplane/rebuild/rebuild_test.go
+++ b/internal/controlplane/rebuild/rebuild_test.go
@@ -29,8 +29,10 @@
 // views is a fixed view.
 type views struct{ view replicaset.View }
 
-func (v *views) View() replicaset.View    { return v.view }
-func (v *views) Changed() <-chan struct{} { return nil }
+func (v *views) View() replicaset.View       { return v.view }
+func (v *views) Changed() <-chan struct{}    { return nil }
+func (v *views) Learn(replicaset.View) error { return nil }
+func (v *views) Absences() uint64            { return 0 }
 
 // members are core mixers on a network in memory, to be run in simulated time.
 type members struct {
@@ -71,6 +73,7 @@
 	rebuilder, err := rebuild.New(rebuild.Config{
 		Self:       self,
 		FirstStart: firstStart,
+		Views:      m.views,
 		Store:      store,
 		Caller:     m.network.Caller(self),
 		Logger:     zap.NewNop(),
@@ -88,7 +91,7 @@
 // run rebuilds in the background.
 func (m *members) run(rebuilder *rebuild.Rebuilder) <-chan error {
 	ended := make(chan error, 1)
-	go func() { ended <- rebuilder.Run(m.ctx, m.views) }()
+	go func() { ended <- rebuilder.Run(m.ctx) }()
 	return ended
 }
 
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -41,8 +41,8 @@
 // Acceptor is one member's replica of a register.
 type Acceptor struct {
 	config AcceptorConfig
-	table  string
-	voting sync.Mutex // held while a vote is decided and stored
+	table  func(viewVersion uint64) string // the store's table for a round in a view
+	voting sync.Mutex                      // held while a vote is decided and stored
 }
 
 // acceptedState is a state with the ballot under which it was accepted.
@@ -59,7 +59,8 @@
 
 // NewAcceptor makes the acceptor of a register.
 func NewAcceptor(config AcceptorConfig) *Acceptor {
-	return &Acceptor{config: config, table: TablePrefix + config.Name}
+	table := TablePrefix + config.Name
+	return &Acceptor{config: config, table: func(uint64) string { return table }}
 }
 
 // Serve registers the acceptor's internal calls.
@@ -81,13 +82,16 @@
 		answer.Outcome = conflict
 		return answer, nil
 	}
-	promise, err := a.encode(promisedKey, request.Ballot)
+	promise, err := a.encode(request.ViewVersion, promisedKey, request.Ballot)
 	if err != nil {
 		return reply{}, err
 	}
 	if err := a.config.Store.Write(promise); err != nil {
 		return reply{}, verdict.Unclear(err)
 	}
+	if now, err := a.admit(request.ViewVersion); err != nil || now.Outcome != granted {
+		return now, err
+	}
 	answer.Promised = request.Ballot
 	answer.State = held.accepted.State
 	return answer, nil
@@ -105,14 +109,17 @@
 		answer.Outcome = conflict
 		return answer, nil
 	}
-	promise, promiseErr := a.encode(promisedKey, request.Ballot)
-	accepted, acceptedErr := a.encode(acceptedKey, acceptedState{Ballot: request.Ballot, State: request.State})
+	promise, promiseErr := a.encode(request.ViewVersion, promisedKey, request.Ballot)
+	accepted, acceptedErr := a.encode(request.ViewVersion, acceptedKey, acceptedState{Ballot: request.Ballot, State: request.State})
 	if err := errors.Join(promiseErr, acceptedErr); err != nil {
 		return reply{}, err
 	}
 	if err := a.config.Store.Write(promise, accepted); err != nil {
 		return reply{}, verdict.Unclear(err)
 	}
+	if now, err := a.admit(request.ViewVersion); err != nil || now.Outcome != granted {
+		return now, err
+	}
 	answer.Promised = request.Ballot
 	answer.Accepted = request.Ballot
 	return answer, nil
@@ -127,33 +134,40 @@
 	return answer, err
 }
 
-// begin checks that this member may answer a proposer and loads what it holds.
-func (a *Acceptor) begin(viewVersion uint64) (reply, replica, error) {
+// admit checks that this member may answer a proposer that works with a view. It is called again once a vote is stored:
+// a vote that was stored after this member learned the next view counts for nothing, as newcomers may have copied this
+// member's tables without it.
+func (a *Acceptor) admit(viewVersion uint64) (reply, error) {
 	if !a.config.Ready() {
-		return reply{}, replica{}, verdict.Unexecuted(ErrNotReady, notReadyRetry)
+		return reply{}, verdict.Unexecuted(ErrNotReady, notReadyRetry)
 	}
 	view := a.config.View()
 	if view.Version != viewVersion {
-		return reply{Outcome: viewMismatch, View: view}, replica{}, nil
+		return reply{Outcome: viewMismatch, View: view}, nil
+	}
+	return reply{Outcome: granted, View: replicaset.View{Version: view.Version}}, nil
+}
+
+// begin checks that this member may answer a proposer and loads what it holds.
+func (a *Acceptor) begin(viewVersion uint64) (reply, replica, error) {
+	answer, err := a.admit(viewVersion)
+	if err != nil || answer.Outcome != granted {
+		return answer, replica{}, err
 	}
-	held, err := decodeReplica(a.config.Store.Table(a.table))
+	held, err := decodeReplica(a.config.Store.Table(a.table(viewVersion)))
 	if err != nil {
 		return reply{}, replica{}, fmt.Errorf("register %s: %w", a.config.Name, err)
 	}
-	return reply{
-		Outcome:  granted,
-		View:     replicaset.View{Version: view.Version},
-		Promised: held.promised,
-		Accepted: held.accepted.Ballot,
-	}, held, nil
+	answer.Promised, answer.Accepted = held.promised, held.accepted.Ballot
+	return answer, held, nil
 }
 
-func (a *Acceptor) encode(key string, value any) (storage.Change, error) {
+func (a *Acceptor) encode(viewVersion uint64, key string, value any) (storage.Change, error) {
 	encoded, err := msgpack.Marshal(value)
 	if err != nil {
 		return storage.Change{}, fmt.Errorf("encode %s of register %s: %w", key, a.config.Name, err)
 	}
-	return storage.Change{Table: a.table, Key: key, Value: encoded}, nil
+	return storage.Change{Table: a.table(viewVersion), Key: key, Value: encoded}, nil
 }
 
 func decodeReplica(table map[string][]byte) (replica, error) {
--- a/internal/controlplane/register/cluster_test.go
+++ b/internal/controlplane/register/cluster_test.go
@@ -86,9 +86,11 @@
 	return !s.dead
 }
 
-// View and Changed implement rebuild.Views with a fixed view.
-func (c *cluster) View() replicaset.View    { return c.view }
-func (c *cluster) Changed() <-chan struct{} { return nil }
+// View, Changed, Learn and Absences implement rebuild.Views with a fixed view.
+func (c *cluster) View() replicaset.View       { return c.view }
+func (c *cluster) Changed() <-chan struct{}    { return nil }
+func (c *cluster) Learn(replicaset.View) error { return nil }
+func (c *cluster) Absences() uint64            { return 0 }
 
 func newCluster(seed uint64, size int, broken *mutant) *cluster {
 	c := &cluster{
@@ -117,6 +119,7 @@
 	p.rebuilder, _ = rebuild.New(rebuild.Config{
 		Self:       address,
 		FirstStart: firstStart || c.mutant.noRebuild,
+		Views:      c,
 		Store:      p.store,
 		Caller:     c.network.Caller(address),
 		Logger:     zap.NewNop(),
@@ -131,7 +134,7 @@
 	defer c.mutex.Unlock()
 	c.members[address] = p
 	c.network.Serve(address, mux)
-	go p.rebuilder.Run(p.ctx, c)
+	go p.rebuilder.Run(p.ctx)
 }
 
 func (c *cluster) acceptor(p *process) *Acceptor {
--- a/internal/controlplane/register/founding.go
+++ b/internal/controlplane/register/founding.go
@@ -54,12 +54,7 @@
 		return replicaset.View{}, fmt.Errorf("encode first view: %w", err)
 	}
 	register := New(Config{Name: foundingName, Self: f.self, Acceptor: f.acceptor, View: f.view, Caller: f.caller})
-	value, err := register.Change(ctx, func(current []byte) ([]byte, error) {
-		if current != nil {
-			return current, nil
-		}
-		return proposed, nil
-	})
+	value, err := register.Change(ctx, writeOnce(proposed))
 	if err != nil {
 		return replicaset.View{}, fmt.Errorf("settle first view: %w", err)
 	}
--- a/internal/controlplane/register/mutants_test.go
+++ b/internal/controlplane/register/mutants_test.go
@@ -29,7 +29,7 @@
 func acceptBelowPromise(acceptor *Acceptor) func(context.Context, acceptRequest) (reply, error) {
 	return func(ctx context.Context, request acceptRequest) (reply, error) {
 		if acceptor.config.Ready() {
-			acceptor.config.Store.Write(storage.Change{Table: acceptor.table, Key: promisedKey})
+			acceptor.config.Store.Write(storage.Change{Table: acceptor.table(request.ViewVersion), Key: promisedKey})
 		}
 		return acceptor.accept(ctx, request)
 	}
--- /dev/null
+++ b/internal/controlplane/register/succession.go
@@ -0,0 +1,89 @@
+package register
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/transport"
+)
+
+const (
+	successionName  = "replicaset/next" // in the paths of the calls
+	successionTable = TablePrefix + "replicaset/"
+)
+
+// Succession settles which view follows the current one, in a write-once register for each version. Its acceptors are
+// the members of the current view, so that two of them cannot settle different ones. It implements
+// replicaset.Succession.
+type Succession struct {
+	config   SuccessionConfig
+	acceptor *Acceptor
+}
+
+// SuccessionConfig names what a Succession works with.
+type SuccessionConfig struct {
+	Self   string // this process's internal address
+	Store  storage.Store
+	Ready  func() bool            // whether this member may vote
+	View   func() replicaset.View // the current view
+	Caller transport.Caller
+}
+
+// NewSuccession makes the acceptor and the proposer of the next view.
+func NewSuccession(config SuccessionConfig) *Succession {
+	acceptor := NewAcceptor(AcceptorConfig{Name: successionName, Store: config.Store, Ready: config.Ready, View: config.View})
+	acceptor.table = func(viewVersion uint64) string {
+		return successionTable + strconv.FormatUint(viewVersion+1, 10)
+	}
+	return &Succession{config: config, acceptor: acceptor}
+}
+
+// Serve registers the internal calls.
+func (s *Succession) Serve(mux *transport.Mux) { s.acceptor.Serve(mux) }
+
+// Settle proposes the view that follows current and returns the one that was settled, by this or an earlier proposal. It
+// fails with ErrNoView once this process knows a newer view than current.
+func (s *Succession) Settle(ctx context.Context, current, next replicaset.View) (replicaset.View, error) {
+	proposed, err := msgpack.Marshal(next)
+	if err != nil {
+		return replicaset.View{}, fmt.Errorf("encode view %d: %w", next.Version, err)
+	}
+	var newer replicaset.View
+	register := New(Config{
+		Name: successionName, Self: s.config.Self, Acceptor: s.acceptor, Caller: s.config.Caller,
+		View: func() replicaset.View {
+			if newer.Version > current.Version || s.config.View().Version != current.Version {
+				return replicaset.View{}
+			}
+			return current
+		},
+		Newer: func(view replicaset.View) { newer = view },
+	})
+	value, err := register.Change(ctx, writeOnce(proposed))
+	if newer.Version > current.Version {
+		return newer, nil
+	}
+	if err != nil {
+		return replicaset.View{}, fmt.Errorf("settle view %d: %w", next.Version, err)
+	}
+	var settled replicaset.View
+	if err := msgpack.Unmarshal(value, &settled); err != nil {
+		return replicaset.View{}, fmt.Errorf("decode view %d: %w", next.Version, err)
+	}
+	return settled, nil
+}
+
+// writeOnce leaves a value that is there.
+func writeOnce(proposed []byte) func(current []byte) ([]byte, error) {
+	return func(current []byte) ([]byte, error) {
+		if current != nil {
+			return current, nil
+		}
+		return proposed, nil
+	}
+}
--- /dev/null
+++ b/internal/controlplane/replicaset/core_test.go
@@ -0,0 +1,359 @@
+package replicaset_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/rebuild"
+	"puffinlink.example/puffinlink/internal/controlplane/register"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/transport"
+)
+
+const (
+	testRegister = "test"
+	restartTime  = 200 * time.Millisecond // until a process that ended by itself is started again
+	firstViewIn  = 2500 * time.Millisecond
+)
+
+// mutant breaks one rule in a test; the zero value breaks none.
+type mutant struct {
+	name           string
+	noRebuild      bool // a newcomer votes before it is rebuilt
+	servesOld      bool // a member votes for a while in the view before the one that it has learned
+	dumpsOld       bool // a member gives a copy of its tables without having learned the view of the one who asks
+	keepsOldVotes  bool // a member that was replaced and comes back votes by what its disk holds
+	ownSuccessions bool // the next view is what a single member decides
+}
+
+// cluster is a set of core mixers on a network in memory, each with all that takes part in the change of members, and with
+// a register that they replicate. It is to be run in simulated time.
+type cluster struct {
+	t       *testing.T
+	network *networktest.Network
+	seeds   []string
+	mutant  mutant
+	tasks   sync.WaitGroup
+
+	mutex   sync.Mutex // guards what follows
+	running map[string]*core
+	ending  bool
+}
+
+// core is one incarnation of a core mixer.
+type core struct {
+	address   string
+	zone      string
+	start     time.Time
+	disk      *storage.Memory
+	store     *mortalStore
+	manager   *replicaset.Manager
+	rebuilder *rebuild.Rebuilder
+	register  *register.Register
+	node      *replication.Node
+	ctx       context.Context
+	kill      context.CancelFunc
+}
+
+// mortalStore lets a process write to a disk until the process is killed.
+type mortalStore struct {
+	*storage.Memory
+	mutex sync.Mutex
+	dead  bool
+}
+
+var errDead = errors.New("the process was killed")
+
+// Write implements storage.Store.
+func (s *mortalStore) Write(changes ...storage.Change) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.dead {
+		return errDead
+	}
+	return s.Memory.Write(changes...)
+}
+
+func (s *mortalStore) end() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.dead = true
+}
+
+func (s *mortalStore) alive() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.dead
+}
+
+// inCluster runs a test in simulated time, after the given members have founded the first view.
+func inCluster(t *testing.T, seed uint64, broken mutant, members []string, test func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, network: networktest.New(seed), seeds: members, mutant: broken, running: make(map[string]*core)}
+		c.network.SetFaults(networktest.Faults{Delay: 5 * time.Millisecond})
+		for _, address := range members {
+			c.start(address, "zone of "+address, storage.NewMemory(), true)
+		}
+		<-time.After(firstViewIn)
+		test(c)
+		c.end()
+	})
+}
+
+// start starts a process.
+func (c *cluster) start(address, zone string, disk *storage.Memory, firstStart bool) *core {
+	p := &core{address: address, zone: zone, start: time.Now(), disk: disk, store: &mortalStore{Memory: disk}}
+	p.ctx, p.kill = context.WithCancel(context.Background())
+	mux := transport.NewMux()
+	c.assembleViews(p, mux, firstStart)
+	c.assembleRebuilder(p, mux, firstStart)
+	c.assembleRegister(p, mux)
+	c.assembleNode(p, mux)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ending {
+		return p
+	}
+	c.running[address] = p
+	c.network.Serve(address, mux)
+	c.tasks.Go(func() { p.manager.Run(p.ctx) })
+	c.tasks.Go(func() { p.rebuilder.Run(p.ctx) })
+	c.tasks.Go(func() { p.node.Run(p.ctx) })
+	c.tasks.Go(func() { c.watch(p) })
+	return p
+}
+
+func (c *cluster) assembleViews(p *core, mux *transport.Mux, firstStart bool) {
+	ready := func() bool { return p.store.alive() && p.rebuilder.Ready() }
+	founding := register.NewFounding(register.FoundingConfig{
+		Self: p.address, Store: p.store, Ready: ready, Caller: c.network.Caller(p.address),
+		Founders: func() []string { return p.manager.Founders() },
+	})
+	succession := register.NewSuccession(register.SuccessionConfig{
+		Self: p.address, Store: p.store, Ready: ready, Caller: c.network.Caller(p.address),
+		View: func() replicaset.View { return p.manager.View() },
+	})
+	config := replicaset.Config{
+		Self: p.address, Zone: p.zone, Seeds: c.seeds, FirstStart: firstStart, CountsForQuorum: true,
+		Store: p.store, Caller: c.network.Caller(p.address), Logger: zap.NewNop(),
+		Founding: founding, Succession: succession, Contacts: p.contacts,
+	}
+	if c.mutant.ownSuccessions {
+		config.Succession = ownSuccession{}
+	}
+	manager, err := replicaset.NewManager(config)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p.manager = manager
+	founding.Serve(mux)
+	succession.Serve(mux)
+	manager.Serve(mux)
+}
+
+func (p *core) contacts() replicaset.Contacts {
+	contacts := replicaset.Contacts{Majority: p.node.InContact(), Silence: make(map[string]time.Duration)}
+	for _, member := range p.node.Members() {
+		if member.Heard {
+			contacts.Silence[member.Address] = member.HeardAgo
+		}
+	}
+	return contacts
+}
+
+func (c *cluster) assembleRebuilder(p *core, mux *transport.Mux, firstStart bool) {
+	var views rebuild.Views = p.manager
+	if c.mutant.dumpsOld {
+		views = &creditingViews{Manager: p.manager}
+	}
+	if c.mutant.keepsOldVotes {
+		views = forgetfulViews{p.manager}
+	}
+	rebuilder, err := rebuild.New(rebuild.Config{
+		Self: p.address, FirstStart: firstStart || c.mutant.noRebuild, Views: views,
+		Store: p.store, Caller: c.network.Caller(p.address), Logger: zap.NewNop(),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	rebuilder.Register(register.Merge, register.TablePrefix)
+	rebuilder.Serve(mux)
+	p.rebuilder = rebuilder
+}
+
+func (c *cluster) assembleRegister(p *core, mux *transport.Mux) {
+	acceptorView := p.manager.View
+	if c.mutant.servesOld {
+		acceptorView = laggingView(p.manager.View)
+	}
+	acceptor := register.NewAcceptor(register.AcceptorConfig{
+		Name: testRegister, Store: p.store, View: acceptorView,
+		Ready: func() bool { return p.store.alive() && (c.mutant.noRebuild || p.rebuilder.Ready()) },
+	})
+	acceptor.Serve(mux)
+	p.register = register.New(register.Config{
+		Name: testRegister, Self: p.address, Acceptor: acceptor, View: p.manager.View, Caller: c.network.Caller(p.address),
+		Newer: func(view replicaset.View) { p.manager.Learn(view) },
+	})
+}
+
+// assembleNode makes the part that pings the other members.
+func (c *cluster) assembleNode(p *core, mux *transport.Mux) {
+	node, err := replication.NewNode(replication.Config{
+		Self: p.address, Store: storage.NewMemory(), Caller: c.network.Caller(p.address), View: p.manager.View,
+		Ready: p.rebuilder.Ready, Handler: noGroups{},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	node.Serve(mux)
+	p.node = node
+}
+
+// noGroups implements replication.Handler where there are no groups.
+type noGroups struct{}
+
+// Elected and Deposed implement replication.Handler.
+func (noGroups) Elected(*replication.Term, map[string][]byte) {}
+func (noGroups) Deposed(*replication.Term)                    {}
+
+// watch starts a process again, on its disk, when it has ended because it was replaced.
+func (c *cluster) watch(p *core) {
+	if err := p.rebuilder.Watch(p.ctx); !errors.Is(err, rebuild.ErrReplaced) || !c.stop(p) {
+		return
+	}
+	<-time.After(restartTime)
+	c.start(p.address, p.zone, p.disk, false)
+}
+
+// stop kills a process; false if it was dead already.
+func (c *cluster) stop(p *core) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.running[p.address] != p {
+		return false
+	}
+	delete(c.running, p.address)
+	c.network.Serve(p.address, nil)
+	p.store.end()
+	p.kill()
+	return true
+}
+
+// at returns the process at an address; nil while there is none.
+func (c *cluster) at(address string) *core {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.running[address]
+}
+
+// all lists the running processes.
+func (c *cluster) all() []*core {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var all []*core
+	for _, p := range c.running {
+		all = append(all, p)
+	}
+	return all
+}
+
+func (c *cluster) end() {
+	c.mutex.Lock()
+	c.ending = true
+	c.mutex.Unlock()
+	for _, p := range c.all() {
+		c.stop(p)
+	}
+	c.tasks.Wait()
+	<-time.After(aftermath)
+}
+
+// member waits until a process is a member that may vote, and returns how long that took from its start.
+func (p *core) member(limit time.Duration) time.Duration {
+	for deadline := time.After(limit); ; {
+		changed := p.manager.Changed()
+		if p.manager.View().Has(p.address) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return limit
+		}
+	}
+	select {
+	case <-p.rebuilder.Complete():
+	case <-time.After(limit):
+	}
+	return time.Since(p.start)
+}
+
+// ownSuccession decides alone.
+type ownSuccession struct{}
+
+// Settle implements replicaset.Succession.
+func (ownSuccession) Settle(_ context.Context, _, next replicaset.View) (replicaset.View, error) {
+	return next, nil
+}
+
+// forgetfulViews says that this process has always been a member.
+type forgetfulViews struct{ *replicaset.Manager }
+
+// Absences implements rebuild.Views.
+func (forgetfulViews) Absences() uint64 { return 0 }
+
+// creditingViews answers as if each view that it was told were learned.
+type creditingViews struct {
+	*replicaset.Manager
+	mutex sync.Mutex
+	told  replicaset.View
+}
+
+// Learn implements rebuild.Views.
+func (v *creditingViews) Learn(view replicaset.View) error {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.told = view
+	return nil
+}
+
+// View implements rebuild.Views.
+func (v *creditingViews) View() replicaset.View {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if known := v.Manager.View(); known.Version >= v.told.Version {
+		return known
+	}
+	return v.told
+}
+
+// lag is how long a member serves the old view in a mutant.
+const lag = 4 * time.Second
+
+// laggingView returns a view some time after it became the current one.
+func laggingView(current func() replicaset.View) func() replicaset.View {
+	var mutex sync.Mutex
+	var served, newest replicaset.View
+	var since time.Time
+	return func() replicaset.View {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if view := current(); view.Version != newest.Version {
+			served, newest, since = newest, view, time.Now()
+		}
+		if served.Version == 0 || time.Since(since) >= lag {
+			served = newest
+		}
+		return served
+	}
+}
--- a/internal/controlplane/replicaset/exchange.go
+++ b/internal/controlplane/replicaset/exchange.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,22 +15,23 @@
 const (
 	viewPath     = "/replicaset/view"
 	announcePath = "/replicaset/announce"
+	leavePath    = "/replicaset/leave"
 )
 
-const (
-	askInterval      = 200 * time.Millisecond // between attempts to learn the first view
-	exchangeInterval = 5 * time.Second        // between exchanges with a random member
-	callLimit        = time.Second
-)
+// callLimit bounds each of the internal calls.
+const callLimit = time.Second
 
 // viewRequest asks for the receiver's view and tells it the sender's.
 type viewRequest struct {
 	View View `msgpack:"v"`
 }
 
-// announceRequest tells that the sender is a core mixer, which may become a replica.
+// announceRequest tells that the sender is a core mixer: before the first view one that may become a replica, later one
+// that is no member of the view.
 type announceRequest struct {
 	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z,omitempty"`
+	View    View   `msgpack:"v"` // the newest that the sender knows
 }
 
 // viewReply is the answer to both; the version is 0 while the receiver knows no view.
@@ -41,6 +39,13 @@
 	View View `msgpack:"v"`
 }
 
+// leaveRequest tells that a member is stopping.
+type leaveRequest struct {
+	Address string `msgpack:"a"`
+}
+
+type leaveReply struct{}
+
 // Ask returns the view that another process knows; its version is 0 while it knows none.
 func Ask(ctx context.Context, caller transport.Caller, address string) (View, error) {
 	return exchange(ctx, caller, address, View{})
@@ -58,6 +63,7 @@
 func (m *Manager) Serve(mux *transport.Mux) {
 	transport.Handle(mux, viewPath, m.handleView)
 	transport.Handle(mux, announcePath, m.handleAnnounce)
+	transport.Handle(mux, leavePath, m.handleLeave)
 }
 
 func (m *Manager) handleView(_ context.Context, request viewRequest) (viewReply, error) {
@@ -68,105 +74,89 @@
 }
 
 func (m *Manager) handleAnnounce(_ context.Context, request announceRequest) (viewReply, error) {
+	if err := m.learnIfNewer(request.View); err != nil {
+		return viewReply{}, err
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.view.Version == 0 {
-		m.announcements.add(request.Address, time.Now())
+	now := time.Now()
+	switch {
+	case m.view.Version == 0:
+		m.announcements.add(request.Address, request.Zone, now)
+	case request.View.Version == m.view.Version && !m.view.Has(request.Address):
+		m.newcomers.add(newcomer{address: request.Address, zone: request.Zone}, now)
+		m.signal()
 	}
 	return viewReply{View: m.view}, nil
 }
 
-func (m *Manager) learnIfNewer(view View) error {
-	if view.Version <= m.View().Version {
-		return nil
+// signal lets Run look at the newcomers.
+func (m *Manager) signal() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
 	}
-	return m.Learn(view)
 }
 
-// Run learns the view, or takes part in founding the first one, and then exchanges it now and then until the context
-// ends. It returns an error only if the store fails.
-func (m *Manager) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		}
-		if err := m.step(ctx); err != nil {
-			return err
-		}
-		timer.Reset(m.interval())
+func (m *Manager) handleLeave(_ context.Context, request leaveRequest) (leaveReply, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.view.Has(request.Address) {
+		m.leaving[request.Address] = time.Now()
+		m.signal()
 	}
+	return leaveReply{}, nil
 }
 
-func (m *Manager) interval() time.Duration {
-	if m.View().Version == 0 {
-		return askInterval
+func (m *Manager) learnIfNewer(view View) error {
+	if view.Version <= m.View().Version {
+		return nil
 	}
-	return exchangeInterval
+	return m.Learn(view)
 }
 
-func (m *Manager) step(ctx context.Context) error {
-	view := m.View()
-	if view.Version > 0 {
-		return m.exchangeWithOne(ctx, view)
-	}
-	if err := m.askAll(ctx); err != nil || m.View().Version > 0 {
-		return err
+// exchangeWith exchanges views with another process, so that each learns a newer one.
+func (m *Manager) exchangeWith(ctx context.Context, address string) {
+	theirs, err := exchange(ctx, m.config.Caller, address, m.View())
+	if err != nil {
+		m.config.Logger.Debug("exchange of views", zap.Error(err))
+		return
 	}
-	return m.found(ctx)
+	m.learned(theirs)
 }
 
-// exchangeWithOne exchanges views with a random other member, so that each learns a newer one, and so that a member that
-// lost its disk hears of the view though it reaches no seed.
-func (m *Manager) exchangeWithOne(ctx context.Context, view View) error {
-	others := m.without(view.Members)
+// exchangeWithNext exchanges views with the other members in turn. So one that was cut off, or lost its disk, hears of the
+// view soon, though it reaches no seed.
+func (m *Manager) exchangeWithNext(ctx context.Context) {
+	others := m.without(m.View().Members)
 	if len(others) == 0 {
-		return nil
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	m.exchanges++
+	limited, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
-	theirs, err := exchange(ctx, m.config.Caller, others[rand.IntN(len(others))], view)
-	if err != nil {
-		m.config.Logger.Debug("exchange of views", zap.Error(err))
-		return nil
-	}
-	return m.learnIfNewer(theirs)
+	m.exchangeWith(limited, others[m.exchanges%len(others)])
 }
 
-// askAll announces this process to the seeds and founders, or asks them for the view, and takes the newest answer.
-func (m *Manager) askAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	targets := m.without(slices.Concat(m.founders, m.config.Seeds))
-	answers := make([]View, len(targets))
-	var calls sync.WaitGroup
-	for i, target := range targets {
-		calls.Go(func() { answers[i] = m.askOne(ctx, target) })
-	}
-	calls.Wait()
-	var failures []error
-	for _, view := range answers {
-		failures = append(failures, m.learnIfNewer(view))
+// announceTo tells another process of this one, and takes its view.
+func (m *Manager) announceTo(ctx context.Context, address string) {
+	var reply viewReply
+	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, View: m.View()}
+	if err := m.config.Caller.Call(ctx, address, announcePath, request, &reply); err != nil {
+		m.config.Logger.Debug("announce", zap.String("to", address), zap.Error(err))
+		return
 	}
-	return errors.Join(failures...)
+	m.learned(reply.View)
 }
 
-func (m *Manager) askOne(ctx context.Context, target string) View {
-	if len(m.founders) == 0 {
-		view, err := Ask(ctx, m.config.Caller, target)
-		if err != nil {
-			m.config.Logger.Debug("replicas are not known yet", zap.Error(err))
+// learned takes a view from an answer. A failure of the store ends Run.
+func (m *Manager) learned(view View) {
+	if err := m.learnIfNewer(view); err != nil {
+		select {
+		case m.failures <- err:
+		default:
 		}
-		return view
-	}
-	var reply viewReply
-	if err := m.config.Caller.Call(ctx, target, announcePath, announceRequest{Address: m.config.Self}, &reply); err != nil {
-		m.config.Logger.Debug("announce to a seed", zap.Error(err))
 	}
-	return reply.View
 }
 
 // without returns the addresses that are not this process's own, sorted, each once.
--- a/internal/controlplane/replicaset/founding.go
+++ b/internal/controlplane/replicaset/founding.go
@@ -23,13 +23,17 @@
 	start   time.Time
 	lastNew time.Time            // when an address was heard for the first time
 	heard   map[string]time.Time // by address, the latest
+	zones   map[string]string    // by address, where told
 }
 
 func newAnnouncements(start time.Time) announcements {
-	return announcements{start: start, lastNew: start, heard: make(map[string]time.Time)}
+	return announcements{start: start, lastNew: start, heard: make(map[string]time.Time), zones: make(map[string]string)}
 }
 
-func (a *announcements) add(address string, now time.Time) {
+func (a *announcements) add(address, zone string, now time.Time) {
+	if zone != "" {
+		a.zones[address] = zone
+	}
 	if _, found := a.heard[address]; !found {
 		a.lastNew = now
 	}
@@ -69,19 +73,19 @@
 }
 
 // found settles the first view if that is this founder's turn.
-func (m *Manager) found(ctx context.Context) error {
+func (m *Manager) found(ctx context.Context) {
 	proposed, due := m.firstView()
 	if !due {
-		return nil
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	settled, err := m.config.Founding.Settle(ctx, proposed)
 	if err != nil {
 		m.config.Logger.Warn("settle the first view", zap.Error(err))
-		return nil
+		return
 	}
-	return m.learnIfNewer(settled)
+	m.learned(settled)
 }
 
 // firstView returns the view to propose and whether it is time to.
@@ -91,5 +95,12 @@
 	if m.config.Founding == nil || !m.announcements.due(m.config.Self, m.founders, time.Now()) {
 		return View{}, false
 	}
-	return View{Version: 1, Members: m.announcements.members(m.founders)}, true
+	if m.config.Zone != "" {
+		m.announcements.zones[m.config.Self] = m.config.Zone
+	}
+	view := View{Version: 1, Members: m.announcements.members(m.founders)}
+	if len(m.announcements.zones) > 0 {
+		view.Zones = maps.Clone(m.announcements.zones)
+	}
+	return view, true
 }
--- /dev/null
+++ b/internal/controlplane/replicaset/history_test.go
@@ -0,0 +1,74 @@
+package replicaset_test
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"puffinlink.example/puffinlink/internal/controlplane/register"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// operation is what a client asks of the register: to append a token, or to read where that is empty.
+type operation struct{ token string }
+
+// result is what the client heard.
+type result struct {
+	unknown bool // whether the operation ran
+	value   string
+}
+
+// appending is the register as porcupine checks it: the state is the value.
+var appending = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		next := state.(string) + in.(operation).token
+		heard := out.(result)
+		return heard.unknown || heard.value == next, next
+	},
+}
+
+// history records operations.
+type history struct {
+	clock      atomic.Int64
+	mutex      sync.Mutex
+	operations []porcupine.Operation
+	succeeded  int
+}
+
+// run carries out one operation and records it unless it certainly did not run.
+func (h *history) run(ctx context.Context, client int, by *register.Register, do operation) {
+	call := h.clock.Add(1)
+	value, err := do.perform(ctx, by)
+	back := h.clock.Add(1)
+	if err != nil && (verdict.Of(err) == verdict.NotRun || do.token == "") {
+		return
+	}
+	if err != nil {
+		back = math.MaxInt64
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if err == nil {
+		h.succeeded++
+	}
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: client, Input: do, Output: result{unknown: err != nil, value: string(value)}, Call: call, Return: back,
+	})
+}
+
+func (o operation) perform(ctx context.Context, by *register.Register) ([]byte, error) {
+	if o.token == "" {
+		return by.Read(ctx)
+	}
+	return by.Change(ctx, func(current []byte) ([]byte, error) { return append([]byte(string(current)), o.token...), nil })
+}
+
+// check tells whether the history is linearizable.
+func (h *history) check() porcupine.CheckResult {
+	return porcupine.CheckOperationsTimeout(appending, h.operations, 20*time.Second)
+}
--- a/internal/controlplane/replicaset/manager.go
+++ b/internal/controlplane/replicaset/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -22,6 +23,7 @@
 const (
 	viewKey     = "view"
 	foundersKey = "founders"
+	absencesKey = "absences"
 )
 
 // ErrInvalidView is the refusal of a view without a version or without members.
@@ -33,29 +35,52 @@
 	Settle(ctx context.Context, view View) (View, error)
 }
 
+// Succession settles the view after the current one once and for all, on the members of the current one.
+type Succession interface {
+	// Settle proposes the view that follows current and returns the settled one, which may be another.
+	Settle(ctx context.Context, current, next View) (View, error)
+}
+
+// Contacts is what this process knows of the other members by its own contact with them.
+type Contacts struct {
+	Majority bool                     // a majority of the view, this process included, has answered of late
+	Silence  map[string]time.Duration // by address, since a member was heard; absent where it never was
+}
+
 // Config names what a Manager works with.
 type Config struct {
 	Self            string   // this process's internal address
+	Zone            string   // of this process; may be empty
 	Seeds           []string // internal addresses of the seeds
 	FirstStart      bool     // whether the system starts for the very first time
 	CountsForQuorum bool     // whether this process is a core mixer, which announces itself as a replica
 	Store           storage.Store
 	Caller          transport.Caller
-	Founding        Founding // nil at processes that are no core mixers
+	Founding        Founding        // nil at processes that are no core mixers
+	Succession      Succession      // nil where no member is ever replaced
+	Contacts        func() Contacts // needed with Succession
 	Logger          *zap.Logger
 }
 
-// Manager knows the current view: it takes part in founding the first one, keeps the view in the store, and exchanges it
-// with other processes.
+// Manager knows the current view: it takes part in founding the first one and in replacing members, keeps the view in
+// the store, and exchanges it with other processes.
 type Manager struct {
-	config   Config
-	start    time.Time
-	founders []string // sorted; empty where this process may not found
+	config    Config
+	start     time.Time
+	founders  []string      // sorted; empty where this process may not found
+	wake      chan struct{} // a newcomer was heard
+	failures  chan error    // of the store
+	observed  observation   // belongs to Run
+	exchanges int           // made by Run
 
 	mutex         sync.Mutex // guards what follows
 	view          View
-	changed       chan struct{} // closed and replaced at each change of the view
+	entered       map[string]time.Time // when each member was first seen in the view
+	absences      uint64               // views learned that this process left, or was not part of at first
+	changed       chan struct{}        // closed and replaced at each change of the view
 	announcements announcements
+	newcomers     newcomers
+	leaving       map[string]time.Time // when members said goodbye
 
 	storing sync.Mutex // held while a view is stored
 }
@@ -63,7 +88,11 @@
 // NewManager loads the view from the store. At the first start of a core mixer it also stores who the founders are, so
 // that the founding goes on if the process is killed in its midst.
 func NewManager(config Config) (*Manager, error) {
-	m := &Manager{config: config, start: time.Now(), changed: make(chan struct{})}
+	m := &Manager{
+		config: config, start: time.Now(), wake: make(chan struct{}, 1), failures: make(chan error, 1),
+		entered: make(map[string]time.Time), changed: make(chan struct{}),
+		newcomers: make(newcomers), leaving: make(map[string]time.Time),
+	}
 	if err := m.load(); err != nil {
 		return nil, err
 	}
@@ -73,6 +102,7 @@
 		}
 	}
 	m.announcements = newAnnouncements(m.start)
+	m.noteEntered(m.start)
 	return m, nil
 }
 
@@ -88,27 +118,29 @@
 			return fmt.Errorf("decode founders: %w", err)
 		}
 	}
+	if encoded, found := table[absencesKey]; found {
+		if len(encoded) != absencesBytes {
+			return fmt.Errorf("decode absences: %d bytes", len(encoded))
+		}
+		m.absences = binary.BigEndian.Uint64(encoded)
+	}
 	return nil
 }
 
+// absencesBytes is the length of the stored number of absences.
+const absencesBytes = 8
+
 func (m *Manager) storeFounders() error {
 	founders := slices.Sorted(slices.Values(m.config.Seeds))
 	founders = slices.Compact(founders)
-	if err := m.store(foundersKey, founders); err != nil {
-		return err
-	}
-	m.founders = founders
-	return nil
-}
-
-func (m *Manager) store(key string, value any) error {
-	encoded, err := msgpack.Marshal(value)
+	encoded, err := msgpack.Marshal(founders)
 	if err != nil {
-		return fmt.Errorf("encode %s: %w", key, err)
+		return fmt.Errorf("encode founders: %w", err)
 	}
-	if err := m.config.Store.Write(storage.Change{Table: TableName, Key: key, Value: encoded}); err != nil {
-		return fmt.Errorf("store %s: %w", key, err)
+	if err := m.config.Store.Write(storage.Change{Table: TableName, Key: foundersKey, Value: encoded}); err != nil {
+		return fmt.Errorf("store founders: %w", err)
 	}
+	m.founders = founders
 	return nil
 }
 
@@ -126,6 +158,14 @@
 	return m.changed
 }
 
+// Absences returns how often this process's store has learned a view that this process had left, or, as the first one,
+// a view that it was no part of. While the number stays the same, a member has been one without interruption.
+func (m *Manager) Absences() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.absences
+}
+
 // Founders returns the sorted internal addresses on which the first view is settled; none where this process did not see
 // the first start. They must not be modified.
 func (m *Manager) Founders() []string { return m.founders }
@@ -137,17 +177,56 @@
 	}
 	m.storing.Lock()
 	defer m.storing.Unlock()
-	if view.Version <= m.View().Version {
+	known := m.View()
+	if view.Version <= known.Version {
 		return nil
 	}
-	if err := m.store(viewKey, view); err != nil {
+	absences := m.Absences()
+	if !view.Has(m.config.Self) && (known.Version == 0 || known.Has(m.config.Self)) {
+		absences++
+	}
+	if err := m.storeView(view, absences); err != nil {
 		return err
 	}
+	m.adopt(view, absences)
+	m.config.Logger.Info("view of the replicas", zap.Uint64("version", view.Version), zap.Strings("members", view.Members))
+	return nil
+}
+
+// storeView stores the view together with the number of absences, in one write.
+func (m *Manager) storeView(view View, absences uint64) error {
+	encoded, err := msgpack.Marshal(view)
+	if err != nil {
+		return fmt.Errorf("encode view: %w", err)
+	}
+	err = m.config.Store.Write(
+		storage.Change{Table: TableName, Key: viewKey, Value: encoded},
+		storage.Change{Table: TableName, Key: absencesKey, Value: binary.BigEndian.AppendUint64(nil, absences)},
+	)
+	if err != nil {
+		return fmt.Errorf("store view: %w", err)
+	}
+	return nil
+}
+
+func (m *Manager) adopt(view View, absences uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.view = view
+	m.view, m.absences = view, absences
+	m.noteEntered(time.Now())
+	clear(m.newcomers)
 	close(m.changed)
 	m.changed = make(chan struct{})
-	m.config.Logger.Info("view of the replicas", zap.Uint64("version", view.Version), zap.Strings("members", view.Members))
-	return nil
+}
+
+// noteEntered remembers since when each member has been in the view. The caller holds the mutex.
+func (m *Manager) noteEntered(now time.Time) {
+	entered := make(map[string]time.Time, len(m.view.Members))
+	for _, address := range m.view.Members {
+		entered[address] = now
+		if before, found := m.entered[address]; found {
+			entered[address] = before
+		}
+	}
+	m.entered = entered
 }
--- /dev/null
+++ b/internal/controlplane/replicaset/replacement.go
@@ -0,0 +1,145 @@
+package replicaset
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	observationGap = time.Second            // between looks; after a longer one, this process may have been frozen
+	leaveGrace     = 500 * time.Millisecond // in which a member that said goodbye is still heard
+	tellLimit      = 400 * time.Millisecond // for telling others of a new view; who misses it hears of it otherwise
+)
+
+// observation tells since when this process has been in contact with a majority, and since when a replacement is due.
+type observation struct {
+	looked time.Time // newest look
+	since  time.Time // in contact without interruption; zero while it is not
+	due    time.Time // zero while nothing is due
+}
+
+// look takes note of the contact at a time.
+func (o *observation) look(now time.Time, inContact bool) {
+	if !inContact || o.since.IsZero() || now.Sub(o.looked) > observationGap {
+		o.since, o.due = time.Time{}, time.Time{}
+	}
+	if inContact && o.since.IsZero() {
+		o.since = now
+	}
+	o.looked = now
+}
+
+// waited returns how long a replacement has been due, given whether it is now.
+func (o *observation) waited(now time.Time, due bool) time.Duration {
+	if !due {
+		o.due = time.Time{}
+		return 0
+	}
+	if o.due.IsZero() {
+		o.due = now
+	}
+	return now.Sub(o.due)
+}
+
+// newcomersWait tells whether somebody waits to become a member.
+func (m *Manager) newcomersWait() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.newcomers.forget(time.Now())
+	return m.config.Succession != nil && m.view.Has(m.config.Self) && len(m.newcomers) > 0
+}
+
+// considerReplacing settles the next view if a member is to be replaced, and it is this process's turn.
+func (m *Manager) considerReplacing(ctx context.Context) {
+	observed := &m.observed
+	contacts := m.config.Contacts()
+	now := time.Now()
+	observed.look(now, contacts.Majority)
+	if observed.since.IsZero() {
+		return
+	}
+	current, silent, entering := m.situation(now, now.Sub(observed.since), contacts.Silence)
+	next, due := successor(current, entering, silent)
+	turn := time.Duration(rank(current, m.config.Self, silent)) * rankDelay
+	if waited := observed.waited(now, due); !due || waited < turn {
+		return
+	}
+	m.replace(ctx, current, next)
+}
+
+// situation returns the view, its members that may be replaced, and the newcomers that may enter.
+func (m *Manager) situation(now time.Time, observed time.Duration, heard map[string]time.Duration) (View, []silentMember, []newcomer) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var silent []silentMember
+	for _, address := range m.without(m.view.Members) {
+		silence, found := heard[address]
+		if !found {
+			silence = now.Sub(m.entered[address])
+		}
+		if observed >= deadAfter && silence >= deadAfter || m.left(address, silence, now) {
+			silent = append(silent, silentMember{address, silence})
+		}
+	}
+	return m.view, silent, m.newcomers.due(now)
+}
+
+// left tells whether a member said goodbye and was not heard since. The caller holds the mutex.
+func (m *Manager) left(address string, silence time.Duration, now time.Time) bool {
+	goodbye, found := m.leaving[address]
+	if !found {
+		return false
+	}
+	if now.Sub(goodbye)-silence > leaveGrace {
+		delete(m.leaving, address)
+		return false
+	}
+	return true
+}
+
+// replace settles the next view, and tells it to all whom it concerns.
+func (m *Manager) replace(ctx context.Context, current, next View) {
+	limited, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	settled, err := m.config.Succession.Settle(limited, current, next)
+	if err != nil {
+		m.config.Logger.Warn("settle the next view of the replicas", zap.Error(err))
+		m.tell(ctx, current.Members)
+		return
+	}
+	m.learned(settled)
+	m.tell(ctx, slices.Concat(current.Members, settled.Members))
+}
+
+// tell exchanges views with several processes at once. It returns when all have answered, or after the limit.
+func (m *Manager) tell(ctx context.Context, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range m.without(addresses) {
+		calls.Go(func() { m.exchangeWith(ctx, address) })
+	}
+	calls.Wait()
+}
+
+// Leave tells the other members that this process is stopping, so that a newcomer takes its place at once if there is
+// one. It returns when all have answered, or the context ends.
+func (m *Manager) Leave(ctx context.Context) {
+	view := m.View()
+	if !view.Has(m.config.Self) {
+		return
+	}
+	var calls sync.WaitGroup
+	for _, address := range m.without(view.Members) {
+		calls.Go(func() {
+			if err := m.config.Caller.Call(ctx, address, leavePath, leaveRequest{Address: m.config.Self}, &leaveReply{}); err != nil {
+				m.config.Logger.Debug("goodbye", zap.String("to", address), zap.Error(err))
+			}
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/internal/controlplane/replicaset/replacement_test.go
@@ -0,0 +1,250 @@
+package replicaset_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+// catchUp is how long a newcomer may take from its start until it is a full member.
+const catchUp = 4 * time.Second
+
+// viewOf returns the view that a process works with, without the zones.
+func (c *cluster) viewOf(address string) replicaset.View {
+	view := c.at(address).manager.View()
+	view.Zones = nil
+	return view
+}
+
+// enter starts a newcomer and returns how long it takes to become a full member.
+func (c *cluster) enter(address, zone string) time.Duration {
+	return c.start(address, zone, storage.NewMemory(), false).member(time.Minute)
+}
+
+func (c *cluster) write(address, value string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := c.at(address).register.Change(ctx, func([]byte) ([]byte, error) { return []byte(value), nil })
+	return err
+}
+
+func (c *cluster) read(address string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	value, err := c.at(address).register.Read(ctx)
+	if err != nil {
+		return err.Error()
+	}
+	return string(value)
+}
+
+func TestADeadMemberIsReplaced(t *testing.T) {
+	members := addresses(3)
+	for _, gone := range []time.Duration{0, time.Second, 10 * time.Second} {
+		var took time.Duration
+		var views []replicaset.View
+		var value string
+		inCluster(t, 1, mutant{}, members, func(c *cluster) {
+			if err := c.write(members[0], "kept"); err != nil {
+				t.Error(err)
+			}
+			c.stop(c.at(members[1]))
+			<-time.After(gone)
+			took = c.enter("new", "elsewhere")
+			for _, address := range []string{members[0], members[2], "new"} {
+				views = append(views, c.viewOf(address))
+			}
+			c.stop(c.at(members[0]))
+			value = c.read(members[2])
+		})
+		convey.Convey(fmt.Sprintf("A newcomer comes %v after a member is gone", gone), t, func() {
+			convey.So(took, convey.ShouldBeLessThan, catchUp)
+			expected := replicaset.View{Version: 2, Members: []string{members[0], members[2], "new"}}
+			convey.So(views, convey.ShouldResemble, []replicaset.View{expected, expected, expected})
+			convey.So(value, convey.ShouldEqual, "kept")
+		})
+	}
+}
+
+func TestMembersAreReplacedOneAfterAnother(t *testing.T) {
+	members := addresses(3)
+	var slowest time.Duration
+	var last replicaset.View
+	var value string
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		if err := c.write(members[0], "kept"); err != nil {
+			t.Error(err)
+		}
+		for i, address := range members {
+			c.seeds = c.at(address).manager.View().Members // as the operator's list stands by then
+			c.stop(c.at(address))
+			<-time.After(time.Second)
+			slowest = max(slowest, c.enter(fmt.Sprintf("new-%d", i), "elsewhere"))
+		}
+		last = c.viewOf("new-2")
+		value = c.read("new-0")
+	})
+	convey.Convey("After all members were replaced in turn, the newcomers hold what the first ones did", t, func() {
+		convey.So(slowest, convey.ShouldBeLessThan, catchUp)
+		convey.So(last, convey.ShouldResemble, replicaset.View{Version: 4, Members: []string{"new-0", "new-1", "new-2"}})
+		convey.So(value, convey.ShouldEqual, "kept")
+	})
+}
+
+func TestANewcomerWaitsWhileAllMembersLive(t *testing.T) {
+	members := addresses(3)
+	var before, after replicaset.View
+	var took time.Duration
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		newcomer := c.start("new", "elsewhere", storage.NewMemory(), false)
+		<-time.After(20 * time.Second)
+		before = c.viewOf(members[0])
+		leaving := c.at(members[0])
+		told := time.Now()
+		leaving.manager.Leave(leaving.ctx)
+		newcomer.member(time.Minute)
+		took = time.Since(told)
+		after = c.viewOf(members[2])
+	})
+	convey.Convey("Nothing happens while all members are heard", t, func() {
+		convey.So(before, convey.ShouldResemble, replicaset.View{Version: 1, Members: members})
+	})
+	convey.Convey("A member that says goodbye is replaced at once, while it is still there", t, func() {
+		convey.So(after, convey.ShouldResemble, replicaset.View{Version: 2, Members: []string{members[1], members[2], "new"}})
+		convey.So(took, convey.ShouldBeLessThan, 1500*time.Millisecond)
+	})
+}
+
+func TestAMemberThatComesBackAfterItsGoodbyeStays(t *testing.T) {
+	members := addresses(3)
+	var view replicaset.View
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		leaving := c.at(members[0])
+		leaving.manager.Leave(leaving.ctx)
+		c.stop(leaving)
+		<-time.After(300 * time.Millisecond)
+		c.start(members[0], leaving.zone, leaving.disk, false)
+		<-time.After(time.Second)
+		c.start("new", "elsewhere", storage.NewMemory(), false)
+		<-time.After(10 * time.Second)
+		view = c.viewOf(members[1])
+	})
+	convey.Convey("A restart in place, followed by a newcomer, replaces nobody", t, func() {
+		convey.So(view.Version, convey.ShouldEqual, 1)
+	})
+}
+
+func TestAReplacedMemberComesBack(t *testing.T) {
+	members := addresses(3)
+	var outside, inside replicaset.View
+	var ready bool
+	var value string
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		c.write(members[0], "old")
+		c.network.Cut(members[0], true)
+		c.enter("new", "elsewhere")
+		c.write(members[1], "young")
+		c.network.Cut(members[0], false)
+		<-time.After(5 * time.Second)
+		outside, ready = c.viewOf(members[0]), c.at(members[0]).rebuilder.Ready()
+		c.stop(c.at(members[1]))
+		c.at(members[0]).member(time.Minute)
+		inside = c.viewOf(members[0])
+		c.stop(c.at("new"))
+		value = c.read(members[0])
+	})
+	convey.Convey("A member that was cut off and replaced", t, func() {
+		convey.Convey("is a newcomer without a vote when it is back", func() {
+			convey.So(outside, convey.ShouldResemble, replicaset.View{Version: 2, Members: []string{members[1], members[2], "new"}})
+			convey.So(ready, convey.ShouldBeFalse)
+		})
+		convey.Convey("replaces the next one that dies, and then holds what is in force", func() {
+			convey.So(inside, convey.ShouldResemble, replicaset.View{Version: 3, Members: []string{members[0], members[2], "new"}})
+			convey.So(value, convey.ShouldEqual, "young")
+		})
+	})
+}
+
+func TestTwoNewcomersAtOnce(t *testing.T) {
+	members := addresses(5)
+	var views []replicaset.View
+	var first, second time.Duration
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		c.stop(c.at(members[0]))
+		c.stop(c.at(members[1]))
+		<-time.After(time.Second)
+		one := c.start("new-0", "elsewhere", storage.NewMemory(), false)
+		other := c.start("new-1", "zone of "+members[1], storage.NewMemory(), false)
+		first, second = one.member(time.Minute), other.member(time.Minute)
+		<-time.After(2 * time.Second)
+		for _, address := range append(members[2:], "new-0", "new-1") {
+			views = append(views, c.viewOf(address))
+		}
+	})
+	convey.Convey("Two of five members are replaced by two newcomers, and all agree", t, func() {
+		for _, view := range views {
+			convey.So(view, convey.ShouldResemble, replicaset.View{Version: 3, Members: append(slices.Clone(members[2:]), "new-0", "new-1")})
+		}
+		convey.So(first, convey.ShouldBeLessThan, catchUp)
+		convey.So(second, convey.ShouldBeLessThan, catchUp)
+	})
+}
+
+// The member that settles the next view is killed with its proposal at one other member only.
+func TestAProposerDiesMidway(t *testing.T) {
+	members := addresses(5)
+	for _, proposer := range members[1:] {
+		var views []replicaset.View
+		inCluster(t, 1, mutant{}, members, func(c *cluster) {
+			c.network.AddRule(networktest.Rule{From: proposer, To: members[0], Path: "/register/replicaset/next/accept"})
+			for _, address := range members[2:] {
+				c.network.AddRule(networktest.Rule{From: proposer, To: address, Path: "/register/replicaset/next/accept", Lose: true})
+			}
+			c.stop(c.at(members[0]))
+			c.start("new-0", "elsewhere", storage.NewMemory(), false)
+			<-time.After(2 * time.Second)
+			c.stop(c.at(proposer))
+			c.start("new-1", "elsewhere", storage.NewMemory(), false)
+			<-time.After(10 * time.Second)
+			for _, p := range c.all() {
+				views = append(views, c.viewOf(p.address))
+			}
+		})
+		convey.Convey("The others go on from what "+proposer+" began, and agree", t, func() {
+			convey.So(views, convey.ShouldHaveLength, 5)
+			for _, view := range views {
+				convey.So(view.Version, convey.ShouldEqual, 3)
+				convey.So(view, convey.ShouldResemble, views[0])
+			}
+		})
+	}
+}
+
+func TestAMemberThatIsCutOffReplacesNobody(t *testing.T) {
+	members := addresses(3)
+	var version uint64
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		newcomer := c.start("new", "elsewhere", storage.NewMemory(), false)
+		<-time.After(time.Second)
+		// The newcomer and one member reach each other, and nobody else.
+		c.network.AddRule(networktest.Rule{From: members[0], To: members[1], Lose: true})
+		c.network.AddRule(networktest.Rule{From: members[0], To: members[2], Lose: true})
+		c.network.AddRule(networktest.Rule{From: members[1], To: members[0], Lose: true})
+		c.network.AddRule(networktest.Rule{From: members[2], To: members[0], Lose: true})
+		c.network.AddRule(networktest.Rule{From: "new", To: members[1], Lose: true})
+		c.network.AddRule(networktest.Rule{From: "new", To: members[2], Lose: true})
+		<-time.After(20 * time.Second)
+		version = newcomer.manager.View().Version
+	})
+	convey.Convey("Without a majority there is no next view", t, func() {
+		convey.So(version, convey.ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/controlplane/replicaset/simulation_test.go
@@ -0,0 +1,209 @@
+package replicaset_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+// Extent of a simulation, in simulated time.
+const (
+	clients         = 3
+	simulationTime  = 40 * time.Second
+	operationLimit  = 3 * time.Second
+	betweenClients  = 400 * time.Millisecond // upper bound of the time between a client's operations
+	betweenTroubles = 2500 * time.Millisecond
+)
+
+var schedules = flag.Int("schedules", 6, "number of simulated schedules of each kind")
+
+var simulationFaults = networktest.Faults{
+	Lose:   0.03,
+	Double: 0.05,
+	Delay:  20 * time.Millisecond,
+	Late:   0.04,
+	LateBy: 2500 * time.Millisecond,
+}
+
+// simulation is a cluster in trouble.
+type simulation struct {
+	*cluster
+	random   *rand.Rand
+	history  *history
+	machines int // started so far
+	cut      map[string]bool
+	newest   replicaset.View
+	views    map[uint64][]string // members of each view seen
+}
+
+// simulate runs clients at all processes while messages are lost, doubled and late, and members are killed, cut off and
+// replaced.
+func simulate(t *testing.T, seed uint64, size int, broken mutant) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), history: &history{}, machines: size,
+		cut: make(map[string]bool), views: make(map[uint64][]string),
+	}
+	inCluster(t, seed, broken, addresses(size), func(c *cluster) {
+		s.cluster = c
+		c.network.SetFaults(simulationFaults)
+		ctx, cancel := context.WithTimeout(context.Background(), simulationTime)
+		defer cancel()
+		var running sync.WaitGroup
+		for client := range clients {
+			running.Go(func() { s.runClient(ctx, client, rand.New(rand.NewPCG(seed, uint64(client)+2))) })
+		}
+		for ctx.Err() == nil {
+			s.wait(betweenTroubles)
+			s.trouble()
+			s.look()
+		}
+		running.Wait()
+	})
+	return s
+}
+
+func (s *simulation) wait(bound time.Duration) {
+	<-time.After(time.Duration(s.random.Int64N(int64(bound))))
+}
+
+func (s *simulation) runClient(ctx context.Context, client int, random *rand.Rand) {
+	for i := 0; ctx.Err() == nil; i++ {
+		if all := s.sorted(); len(all) > 0 {
+			p := all[random.IntN(len(all))]
+			limited, cancel := context.WithTimeout(p.ctx, operationLimit)
+			do := operation{}
+			if random.IntN(2) == 0 {
+				do.token = fmt.Sprintf("%d-%d.", client, i)
+			}
+			s.history.run(limited, client, p.register, do)
+			cancel()
+		}
+		<-time.After(time.Duration(random.Int64N(int64(betweenClients))))
+	}
+}
+
+// sorted lists the running processes by address.
+func (s *simulation) sorted() []*core {
+	all := s.all()
+	slices.SortFunc(all, func(a, b *core) int { return compareAddresses(a.address, b.address) })
+	return all
+}
+
+func compareAddresses(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// look notes the views of all processes, and fails the test where there are two of one version.
+func (s *simulation) look() {
+	for _, p := range s.all() {
+		view := p.manager.View()
+		if known, found := s.views[view.Version]; found && view.Version > 0 && !slices.Equal(known, view.Members) {
+			s.t.Errorf("two views of version %d: %v and %v", view.Version, known, view.Members)
+		}
+		s.views[view.Version] = view.Members
+		if view.Version > s.newest.Version {
+			s.newest = view
+		}
+	}
+}
+
+// trouble lets one thing happen to a member.
+func (s *simulation) trouble() {
+	s.look()
+	address := s.newest.Members[s.random.IntN(len(s.newest.Members))]
+	p := s.at(address)
+	if p == nil {
+		return
+	}
+	switch kind := s.random.IntN(8); {
+	case kind < 3 && s.allWell():
+		s.stop(p)
+		s.wait(1500 * time.Millisecond)
+		s.enter()
+	case kind == 3 && s.allWell():
+		s.enter()
+		s.wait(3 * time.Second)
+		p.manager.Leave(p.ctx)
+		s.stop(p)
+	case kind == 4 && s.allWell():
+		s.stop(p)
+		s.wait(300 * time.Millisecond)
+		s.start(address, p.zone, storage.NewMemory(), false)
+	case kind == 5:
+		s.stop(p)
+		s.wait(time.Second)
+		s.start(address, p.zone, p.disk, false)
+	case !s.cut[address]:
+		s.cutOff(address)
+	}
+}
+
+// enter starts a newcomer unless some wait already.
+func (s *simulation) enter() {
+	if waiting := len(s.all()) - len(s.newest.Members); waiting > 0 {
+		return
+	}
+	s.machines++
+	s.seeds = s.newest.Members
+	s.start(fmt.Sprintf("core-%d", s.machines), "elsewhere", storage.NewMemory(), false)
+}
+
+// cutOff cuts a process off for some time, while a newcomer may come.
+func (s *simulation) cutOff(address string) {
+	s.cut[address] = true
+	s.network.Cut(address, true)
+	if s.random.IntN(2) == 0 {
+		s.enter()
+	}
+	s.wait(5 * time.Second)
+	s.network.Cut(address, false)
+	delete(s.cut, address)
+}
+
+// allWell tells whether one more member may be lost: all others are there and may vote.
+func (s *simulation) allWell() bool {
+	for _, address := range s.newest.Members {
+		p := s.at(address)
+		if p == nil || s.cut[address] || !p.rebuilder.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func TestTheRegisterIsLinearizableWhileMembersAreReplaced(t *testing.T) {
+	for _, size := range []int{3, 4, 5} {
+		succeeded, replaced := 0, uint64(0)
+		for seed := range uint64(*schedules) {
+			s := simulate(t, seed, size, mutant{})
+			if checked := s.history.check(); checked != porcupine.Ok {
+				t.Fatalf("%d members, seed %d: %d operations are %v", size, seed, len(s.history.operations), checked)
+			}
+			succeeded += s.history.succeeded
+			replaced += s.newest.Version - 1
+		}
+		convey.Convey(fmt.Sprintf("Most operations at %d members come to their end, and members are replaced", size), t, func() {
+			convey.So(succeeded, convey.ShouldBeGreaterThan, 40**schedules)
+			convey.So(replaced, convey.ShouldBeGreaterThan, 2**schedules)
+		})
+		t.Logf("%d members: %d operations succeeded, %d replacements", size, succeeded, replaced)
+	}
+}
--- a/internal/controlplane/replicaset/view.go
+++ b/internal/controlplane/replicaset/view.go
@@ -1,12 +1,15 @@
-// Package replicaset knows which core mixers replicate the control state.
 package replicaset
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // View is one version of the set of replicas.
 type View struct {
-	Version uint64   `msgpack:"v"` // 0 while no set is known
-	Members []string `msgpack:"m"` // internal addresses, sorted
+	Version uint64            `msgpack:"v"`           // 0 while no set is known
+	Members []string          `msgpack:"m"`           // internal addresses, sorted
+	Zones   map[string]string `msgpack:"z,omitempty"` // zones of the members, as far as known
 }
 
 // Quorum is the number of members of every majority.
@@ -14,3 +17,19 @@
 
 // Has tells whether an address is a member.
 func (v View) Has(address string) bool { return slices.Contains(v.Members, address) }
+
+// replace returns the next view, in which one member has given its place to a newcomer.
+func (v View) replace(member string, entering newcomer) View {
+	members := slices.DeleteFunc(slices.Clone(v.Members), func(address string) bool { return address == member })
+	members = append(members, entering.address)
+	slices.Sort(members)
+	zones := maps.Clone(v.Zones)
+	delete(zones, member)
+	if entering.zone != "" {
+		if zones == nil {
+			zones = make(map[string]string)
+		}
+		zones[entering.address] = entering.zone
+	}
+	return View{Version: v.Version + 1, Members: members, Zones: zones}
+}
--- a/internal/controlplane/replication/mutants_test.go
+++ b/internal/controlplane/replication/mutants_test.go
@@ -19,13 +19,13 @@
 		first uint64
 	}{
 		{"promises are not on disk", 5, defects{forgetPromises: true}, Timing{}, false, 188},
-		{"a minority commits", 3, defects{forgeAnswers: true}, Timing{}, false, 2},
+		{"a minority commits", 3, defects{forgeAnswers: true}, Timing{}, false, 3},
 		{"the lease outlasts the replicas' word", 3, defects{}, long, false, 16},
-		{"stale snapshots are accepted", 3, defects{acceptStale: true}, Timing{}, false, 40},
-		{"batches are accepted on any state", 3, defects{keepOldBatches: true}, Timing{}, false, 14},
-		{"a lost disk votes without a rebuild", 3, defects{noRebuild: true}, Timing{}, false, 7},
-		{"leases are forgotten in a restart", 3, defects{forgetLeases: true}, Timing{}, false, 231},
-		{"rounds of an old view count", 3, defects{ignoreViews: true}, Timing{}, true, 21},
+		{"stale snapshots are accepted", 3, defects{acceptStale: true}, Timing{}, false, 196},
+		{"batches are accepted on any state", 3, defects{keepOldBatches: true}, Timing{}, false, 27},
+		{"a lost disk votes without a rebuild", 3, defects{noRebuild: true}, Timing{}, false, 18},
+		{"leases are forgotten in a restart", 3, defects{forgetLeases: true}, Timing{}, false, 533},
+		{"rounds of an old view count", 3, defects{ignoreViews: true}, Timing{}, true, 41},
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
--- a/internal/controlplane/replication/timing.go
+++ b/internal/controlplane/replication/timing.go
@@ -30,16 +30,16 @@
 
 // DefaultTiming are the intervals used in service.
 var DefaultTiming = Timing{
-	Beat:          250 * time.Millisecond,
-	LeaderLease:   1000 * time.Millisecond,
-	ReplicaLease:  1300 * time.Millisecond,
-	Silence:       1400 * time.Millisecond,
-	Vacancy:       600 * time.Millisecond,
-	RankDelay:     250 * time.Millisecond,
-	RetryShortest: 100 * time.Millisecond,
-	RetryLongest:  400 * time.Millisecond,
+	Beat:          200 * time.Millisecond,
+	LeaderLease:   750 * time.Millisecond,
+	ReplicaLease:  900 * time.Millisecond,
+	Silence:       950 * time.Millisecond,
+	Vacancy:       400 * time.Millisecond,
+	RankDelay:     150 * time.Millisecond,
+	RetryShortest: 60 * time.Millisecond,
+	RetryLongest:  250 * time.Millisecond,
 	Round:         1500 * time.Millisecond,
-	Alive:         900 * time.Millisecond,
+	Alive:         800 * time.Millisecond,
 	Transfer:      10 * time.Second,
 }
 
--- a/internal/controlplane/storage/filestore.go
+++ b/internal/controlplane/storage/filestore.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"sync"
+	"time"
 )
 
 const (
@@ -27,9 +28,10 @@
 
 // Options tune a FileStore. The zero value is the default.
 type Options struct {
-	// RewriteAbove is the length in bytes below which the file is not rewritten.
+	// RewriteAbove is the length in bytes below which the file is not rewritten, unless that is too long for Limit.
 	RewriteAbove int64
-	// Limit is what the file and its next version may take together, in bytes.
+	// Limit is what the file and its next version should take together, in bytes. It can be kept while the live data is
+	// less than three eighths of it.
 	Limit int64
 }
 
@@ -42,8 +44,8 @@
 }
 
 // FileStore is the Store that keeps one append-only file. Concurrent writes are gathered, written and synced together. A
-// write that the disk refuses, or fails to sync, ends the store: later writes fail with the same error, and a new
-// process has to open the file again.
+// write that the disk refuses is undone, and the store goes on. A failed sync ends the store, as does a failure to undo:
+// later writes fail with the same error, and a new process has to open the file again.
 type FileStore struct {
 	files     FileSystem
 	directory string
@@ -53,18 +55,20 @@
 	contents *contents
 
 	queue  commitQueue
-	failed chan struct{} // closed at the first failed write
+	failed chan struct{} // closed when the store fails for good
 	ended  chan struct{} // closed when the writer has ended
 
 	// The writer's own.
-	file       File
-	fileNumber uint64
-	length     int64
-	buffer     []byte
+	file         File
+	fileNumber   uint64
+	length       int64
+	buffer       []byte
+	refusal      refusal
+	rewriteAfter time.Time // no rewriting before
 }
 
 // Open opens the store in a folder, which it makes if it is missing. What it returns is synced: nothing that a reader
-// sees can be taken back by a loss of power.
+// sees can be taken back by a loss of power. A store that exists is opened without writing, also on a full disk.
 func Open(files FileSystem, directory string, options Options) (*FileStore, Opened, error) {
 	store := &FileStore{
 		files:     files,
@@ -133,7 +137,7 @@
 	return <-c.done
 }
 
-// Failed is closed at the first write that failed.
+// Failed is closed when the store has failed for good; a refused write is no such failure.
 func (s *FileStore) Failed() <-chan struct{} { return s.failed }
 
 // Close finishes the writes that have begun and closes the file.
@@ -168,15 +172,18 @@
 	for _, c := range batch {
 		c.done <- err
 	}
-	if err == nil && s.length > s.rewriteThreshold() {
-		err = s.rewrite()
+	if err == nil {
+		err = s.shorten()
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrRefused) {
 		s.fail(err)
 	}
 }
 
 func (s *FileStore) append(batch []*commit) error {
+	if err := s.refusal.current(); err != nil {
+		return err
+	}
 	var payload []byte
 	if len(batch) == 1 {
 		payload = batch[0].encoded
@@ -187,14 +194,13 @@
 	}
 	s.buffer = appendRecordHead(s.buffer[:0], s.fileNumber, s.length, writeRecord, payload)
 	s.buffer = append(s.buffer, payload...)
-	written := int64(len(s.buffer))
-	if _, err := s.file.Write(s.buffer); err != nil {
-		return fmt.Errorf("write store: %w", err)
+	if written, err := s.file.Write(s.buffer); err != nil {
+		return s.undo(written, err)
 	}
 	if err := s.file.Sync(); err != nil {
 		return fmt.Errorf("sync store: %w", err)
 	}
-	s.length += written
+	s.length += int64(len(s.buffer))
 	if len(s.buffer) > maxBatch {
 		s.buffer = nil
 	}
--- a/internal/controlplane/storage/memory.go
+++ b/internal/controlplane/storage/memory.go
@@ -45,7 +45,7 @@
 	return nil
 }
 
-// Fail makes every later Write return an error, as a broken disk would.
+// Fail makes every later Write return an error, as a broken disk would; nil mends it.
 func (m *Memory) Fail(err error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/controlplane/storage/rewrite.go
+++ b/internal/controlplane/storage/rewrite.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // snapshotPiece is the length in bytes at which a snapshot record is ended.
@@ -12,21 +13,41 @@
 // a bounded part of all writing, and keeps the file and its next version within the limit while that is possible.
 func (s *FileStore) rewriteThreshold() int64 {
 	live := s.contents.bytes // only this goroutine changes it
-	threshold := min(rewriteGrowth*live, s.options.Limit-live)
+	limit := s.options.Limit
+	margin := min(maxBatch, limit/8) // the file is longer than the threshold by up to one batch
+	threshold := min(rewriteGrowth*live, limit-live-margin)
 	threshold = max(threshold, live+live/4)
-	return max(threshold, s.options.RewriteAbove)
+	return max(threshold, min(s.options.RewriteAbove, limit/4))
+}
+
+// shorten rewrites the file if it is too long. Where there is no room for that the file stays in use as it is.
+func (s *FileStore) shorten() error {
+	if s.length <= s.rewriteThreshold() || time.Now().Before(s.rewriteAfter) {
+		return nil
+	}
+	err := s.rewrite()
+	if errors.Is(err, ErrRefused) {
+		s.rewriteAfter = time.Now().Add(RewritePause)
+		return nil
+	}
+	return err
 }
 
 // rewrite replaces the file by one that holds only the live data. The new file has all of it synced before it takes the
 // name, and nothing is written to it before the name is synced; so whichever of the two files a loss of power leaves
-// under the name, it holds every acknowledged write.
+// under the name, it holds every acknowledged write. After ErrRefused the present file stays the store's.
 func (s *FileStore) rewrite() error {
 	next, err := s.files.Create(s.path(temporaryName))
 	if err != nil {
-		return fmt.Errorf("rewrite store: %w", err)
+		return refused(fmt.Errorf("rewrite store: %w", err))
 	}
 	writer := snapshotWriter{file: next, fileNumber: newFileNumber()}
 	if err := s.writeSnapshot(&writer); err != nil {
+		next.Close()
+		s.files.Remove(s.path(temporaryName)) // to make room; what stays is emptied by the next attempt
+		return refused(fmt.Errorf("rewrite store: %w", err))
+	}
+	if err := s.install(next); err != nil {
 		next.Close()
 		return fmt.Errorf("rewrite store: %w", err)
 	}
@@ -50,10 +71,15 @@
 			}
 		}
 	}
-	if err := errors.Join(writer.flush(), writer.record(snapshotEnd, nil)); err != nil {
+	if err := writer.flush(); err != nil {
 		return err
 	}
-	if err := writer.file.Sync(); err != nil {
+	return writer.record(snapshotEnd, nil)
+}
+
+// install syncs the new file and gives it the name.
+func (s *FileStore) install(next File) error {
+	if err := next.Sync(); err != nil {
 		return err
 	}
 	if err := s.files.Rename(s.path(temporaryName), s.path(fileName)); err != nil {
--- a/internal/jobs/jobreport/jobreport.go
+++ b/internal/jobs/jobreport/jobreport.go
@@ -89,9 +89,9 @@
 	Route    string     `msgpack:"r" json:"route,omitempty"` // absent for jobs that have ended
 	Priority int        `msgpack:"p" json:"priority"`
 	State    job.State  `msgpack:"t" json:"state"`
-	Arrival  uint64     `msgpack:"a" json:"arrival,omitempty"` // position in the order of arrival of the service's jobs
-	Tasks    TaskCounts `msgpack:"k" json:"tasks"`             // of the repetitions that have begun and are not complete
-	EndedMS  int64      `msgpack:"e" json:"endedMs,omitempty"` // milliseconds since 1970
+	Arrival  uint64     `msgpack:"a" json:"arrival,omitzero"` // position in the order of arrival of the service's jobs
+	Tasks    TaskCounts `msgpack:"k" json:"tasks"`            // of the repetitions that have begun and are not complete
+	EndedMS  int64      `msgpack:"e" json:"endedMs,omitzero"` // milliseconds since 1970
 }
 
 // Run is one run of a task that may be under way.
@@ -124,12 +124,12 @@
 type JobDetail struct {
 	Job
 	Specification       string    `msgpack:"f" json:"specification,omitempty"`
-	MaxAttempts         int       `msgpack:"m" json:"maxAttempts,omitempty"`
+	MaxAttempts         int       `msgpack:"m" json:"maxAttempts,omitzero"`
 	Repetitions         int       `msgpack:"n" json:"repetitions"`         // how often its stages run
 	CompleteRepetitions int       `msgpack:"c" json:"completeRepetitions"` // and how often they did
-	NextDueMS           int64     `msgpack:"d" json:"nextDueMs,omitempty"` // when the next repetition begins, milliseconds since 1970
+	NextDueMS           int64     `msgpack:"d" json:"nextDueMs,omitzero"`  // when the next repetition begins, milliseconds since 1970
 	Stages              []Stage   `msgpack:"l" json:"stages,omitempty"`
 	Runs                []Run     `msgpack:"u" json:"runs,omitempty"`
 	Failures            []Failure `msgpack:"b" json:"failures,omitempty"`
-	Truncated           bool      `msgpack:"y" json:"truncated,omitempty"` // the lists are cut off at their limits
+	Truncated           bool      `msgpack:"y" json:"truncated,omitzero"` // the lists are cut off at their limits
 }
--- a/internal/jobs/jobreport/why.go
+++ b/internal/jobs/jobreport/why.go
@@ -50,9 +50,9 @@
 	Tasks      int           `msgpack:"t" json:"tasks"`
 	Reason     Reason        `msgpack:"w" json:"reason"`
 	DependsOn  []int         `msgpack:"d" json:"dependsOn,omitempty"` // earlier stages that are not complete
-	DueMS      int64         `msgpack:"m" json:"dueMs,omitempty"`     // milliseconds since 1970
-	AgeMS      int64         `msgpack:"a" json:"ageMs,omitempty"`     // since the first of them has waited
-	Ahead      int           `msgpack:"h" json:"ahead,omitempty"`     // stages that come before this one in the present order
+	DueMS      int64         `msgpack:"m" json:"dueMs,omitzero"`      // milliseconds since 1970
+	AgeMS      int64         `msgpack:"a" json:"ageMs,omitzero"`      // since the first of them has waited
+	Ahead      int           `msgpack:"h" json:"ahead,omitzero"`      // stages that come before this one in the present order
 	Request    job.Resources `msgpack:"q" json:"request"`             // of one task
 	Open       []string      `msgpack:"o" json:"open,omitempty"`      // the first few searchers that could take one
 	RuledOut   []RuledOut    `msgpack:"x" json:"ruledOut,omitempty"`
@@ -63,5 +63,5 @@
 	ID        job.ID    `msgpack:"i" json:"id"`
 	State     job.State `msgpack:"s" json:"state"`
 	Waiting   []Waiting `msgpack:"w" json:"waiting"`
-	Truncated bool      `msgpack:"y" json:"truncated,omitempty"` // further stages wait
+	Truncated bool      `msgpack:"y" json:"truncated,omitzero"` // further stages wait
 }
--- a/internal/jobs/scheduler/explain_test.go
+++ b/internal/jobs/scheduler/explain_test.go
@@ -133,6 +133,25 @@
 			So(waiting.Reason, ShouldEqual, jobreport.ReasonNotDue)
 			So(waiting.DueMS, ShouldEqual, facts.request.Specification.FirstRunMS)
 		})
+		Convey("a searcher rests after it called itself unhealthy, and takes nothing beside runs that nobody wants", func() {
+			id := w.submitStages(1, small(1))
+			report, _ := w.scheduler.Job(w.clock(), id)
+			unhealthy := worker.SearcherID(report.Runs[0].Searcher)
+			unwanted := []worker.RunningTask{{Task: job.TaskID{Job: "ffffffffffffffff"}, Execution: 1}}
+			for _, m := range w.machines {
+				if m.ID != unhealthy {
+					w.scheduler.Listing(w.clock(), &worker.Listing{Searcher: m.ID, SentAt: w.clock().Steady, Running: unwanted})
+				}
+			}
+			order := worker.StartOrder{Task: job.TaskID{Job: id}, Execution: 1}
+			w.scheduler.StartResult(w.clock(), &worker.StartResult{Searcher: unhealthy, Order: order, Outcome: worker.Unhealthy, At: w.clock().Steady})
+			waiting := whyOf(w, id)
+			So(waiting.Reason, ShouldEqual, jobreport.ReasonPause)
+			So(countOf(waiting, jobreport.CauseUnwantedRuns), ShouldEqual, 8)
+			So(countOf(waiting, jobreport.CauseResting), ShouldEqual, 1)
+			resting, _ := w.scheduler.Searcher(w.clock(), unhealthy)
+			So(resting.State, ShouldEqual, jobreport.SearcherResting)
+		})
 		Convey("an unknown job has no answer, and one that has ended waits for nothing", func() {
 			_, known := w.scheduler.Why(w.clock(), "ffffffffffffffff")
 			So(known, ShouldBeFalse)
@@ -311,6 +330,15 @@
 			there, _ := startsAt(w, "s00")
 			So(there, ShouldBeGreaterThan, 0)
 		})
+		Convey("tasks that waited for it wait for others", func() {
+			stage.Count = 200
+			w.submitStages(1, stage)
+			before, _ := w.scheduler.Searcher(w.clock(), "s01")
+			So(before.WaitingTasks, ShouldBeGreaterThan, 0)
+			w.scheduler.SetOperatorDrain(w.clock(), "s01", true)
+			after, _ := w.scheduler.Searcher(w.clock(), "s01")
+			So(after.WaitingTasks, ShouldEqual, 0)
+		})
 		Convey("the same order again writes nothing", func() {
 			w.scheduler.Take()
 			So(w.scheduler.SetOperatorDrain(w.clock(), "s00", true), ShouldBeTrue)
--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -209,7 +209,6 @@
 	switch {
 	case g == nil:
 	case err == nil:
-		received = later(received, l.clock.lower.at) // the bound does not reach back
 		l.grants.answered(g, received, l.clock.untilPassed(validUntil, received))
 	case verdict.Of(err) == verdict.NotRun:
 		l.grants.withdrawn(g)
--- a/internal/jobs/worker/hold_test.go
+++ b/internal/jobs/worker/hold_test.go
@@ -30,7 +30,9 @@
 			convey.So(look.request.waitMS, convey.ShouldEqual, 0)
 			convey.So(look.grant, convey.ShouldBeNil)
 			convey.So(link.startable(now), convey.ShouldBeFalse)
+			convey.So(link.roundTrips.measured, convey.ShouldBeFalse)
 			answered(look)
+			convey.So(link.roundTrips.measured, convey.ShouldBeTrue)
 
 			convey.Convey("the second grants at once, and starts may go out from then on", func() {
 				short := link.beginHold()
--- a/internal/jobs/worker/look_test.go
+++ b/internal/jobs/worker/look_test.go
@@ -34,6 +34,7 @@
 	for b.searcher.Calls(cluster.HoldCall) == calls {
 		time.Sleep(time.Millisecond)
 	}
+	synctest.Wait() // until the searcher has carried it out
 }
 
 // acknowledgeAll acknowledges every end as soon as it is heard.
@@ -164,6 +165,24 @@
 	})
 }
 
+func TestSilenceAfterAStart(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		b.searcher.SetFaults(cluster.Always(cluster.Fault{Kind: cluster.Silent}))
+		b.awaitHold()
+		silent := time.Now()
+		starts := b.searcher.Calls(cluster.StartCall)
+		convey.So(b.start(order(1, 1)), convey.ShouldEqual, Unclear)
+		convey.So(b.start(order(2, 1)), convey.ShouldEqual, NotSent) // waited for a look's answer
+		convey.So(b.searcher.Calls(cluster.StartCall), convey.ShouldEqual, starts+1)
+		convey.So(unheardSince(b), convey.ShouldBeTrue)
+		looks := shortestOrderLimit + 2*shortestLookLimit // those after the start
+		convey.So(time.Since(silent), convey.ShouldBeLessThan, looks+10*time.Millisecond)
+		b.searcher.SetFaults(nil)
+		awaitAfter(t, b.events, 2, func(r Reachability) bool { return r.Reachable }) // the hold was given up
+		convey.So(time.Since(silent), convey.ShouldBeLessThan, looks+firstPause+20*time.Millisecond)
+	})
+}
+
 func TestLostLookIsRepeated(t *testing.T) {
 	simulate(t, calmWay, func(t *testing.T, b *bench) {
 		b.searcher.SetFaults(first(1, cluster.HoldCall, cluster.Fault{Kind: cluster.Silent}))
--- a/internal/jobs/worker/orders.go
+++ b/internal/jobs/worker/orders.go
@@ -192,9 +192,11 @@
 	defer l.mu.Unlock()
 	l.observe(a, c.sentAt, received)
 	l.settle(c.grant, c.validUntil, err, received)
-	if err == nil {
-		l.roundTrips.observe(received.Sub(c.sentAt))
+	if err != nil {
+		l.doubtful = true // before the outcome is reported, as that may bring further starts
+		return
 	}
+	l.roundTrips.observe(received.Sub(c.sentAt))
 }
 
 // startBytes is about how long a start call's body is.
--- a/internal/systemtest/all_test.go
+++ b/internal/systemtest/all_test.go
@@ -51,7 +51,8 @@
 	}
 	for i, sc := range scenarios {
 		result := <-outcomes[i]
-		t.Logf("%s: %d jobs accepted, %v, %d violations, %d failures", sc.name, result.accepted, result.took, len(result.violations), len(result.failures))
+		t.Logf("%s: %d jobs accepted, %v, %d violations, %d failures; seen %+v",
+			sc.name, result.accepted, result.took, len(result.violations), len(result.failures), result.seen)
 		Convey("No rule is broken: "+sc.name, t, func() {
 			So(result.failures, ShouldBeEmpty)
 			So(result.violations, ShouldBeEmpty)
--- a/internal/systemtest/faults_test.go
+++ b/internal/systemtest/faults_test.go
@@ -135,6 +135,21 @@
 	return nil
 }
 
+// rollAll stops and starts all machines in turn.
+func rollAll(ctx context.Context, s *system) error { return s.roll(ctx, s.machines()) }
+
+// slowCore makes all that the core machines say to each other take longer.
+func slowCore(ctx context.Context, s *system) error {
+	const slow = 120 * time.Millisecond
+	for _, from := range s.core {
+		s.begin(from.name)
+		for _, to := range s.core {
+			s.network.setDelay(from.name, to.name, slow)
+		}
+	}
+	return nil
+}
+
 // together makes several faults one after the other.
 func together(faults ...faultFunc) faultFunc {
 	return func(ctx context.Context, s *system) error {
@@ -190,5 +205,8 @@
 	{name: "searchers-and-killed-leader", seed: 17, faults: together(killLeader(false), searcherTrouble)},
 	{name: "searchers-and-frozen-leader", seed: 18, faults: together(freezeLeader, searcherTrouble)},
 	{name: "leaders-killed-in-turn", seed: 19, faults: together(killLeader(false), afterRepair(killLeader(false)), afterRepair(killLeader(true)))},
+	{name: "rolled", seed: 21, faults: rollAll},
+	{name: "slow-core", seed: 22, faults: slowCore},
+	{name: "slow-core-and-killed-leader", seed: 23, faults: together(slowCore, killLeader(false))},
 	{name: "final", seed: 20, faults: finalCore},
 }
--- a/internal/systemtest/judge/ends.go
+++ b/internal/systemtest/judge/ends.go
@@ -108,6 +108,24 @@
 	return executions
 }
 
+// checkCuts looks for requests that a machine gave up while it was stopped in order.
+func (c *checker) checkCuts() {
+	const forceSlack = time.Second
+	for _, cut := range c.Cuts {
+		if cut.At.Sub(cut.SentAt) <= c.Bounds.LossSlack {
+			continue
+		}
+		stopped, unplanned := false, false
+		for _, trouble := range c.Troubles {
+			unplanned = unplanned || !trouble.Planned && trouble.over(cut.SentAt.Add(-c.Bounds.Contact), cut.At)
+			stopped = stopped || trouble.Planned && trouble.Machine == cut.Machine && within(cut.At, trouble.From, trouble.From.Add(c.Bounds.Grace+forceSlack))
+		}
+		if stopped && !unplanned {
+			c.report(Lost, cut.Path, cut.At, cut.Machine+" closed the connection of a request that it had read")
+		}
+	}
+}
+
 // checkFinished looks for accepted jobs whose last answer, long after the load, is not a final state.
 func (c *checker) checkFinished(j *jobRecord) {
 	if j.accepted.IsZero() || j.lasting() {
--- a/internal/systemtest/judge/history.go
+++ b/internal/systemtest/judge/history.go
@@ -15,6 +15,8 @@
 	Stop               time.Duration
 	Visible            time.Duration
 	Early              time.Duration
+	LossSlack          time.Duration // from a request's last byte until a stop in order must answer it
+	Grace              time.Duration // from a stop in order until its end by force
 	Note               time.Duration // from an end's acknowledgement or a job's completion until nothing starts any more
 }
 
@@ -30,6 +32,7 @@
 	Lists       []List
 	Requests    []Request
 	Orders      []Order
+	Cuts        []Cut
 	EndedAt     time.Time // when the load ended; what is asked after it must show jobs that can end as ended
 	SeenUntil   time.Time // when the history ends
 }
@@ -50,6 +53,7 @@
 	Machine string // or the searcher's identifier
 	From    time.Time
 	To      time.Time // the zero time while it lasts
+	Planned bool      // a stop in order, and the start after it
 }
 
 // Resources are what a task asks for and what a searcher has.
@@ -116,6 +120,14 @@
 	Answer      []byte
 }
 
+// Cut is a client's request that a machine had read whole, and whose connection it closed without a whole answer.
+type Cut struct {
+	Machine string
+	Path    string
+	SentAt  time.Time
+	At      time.Time
+}
+
 // Order is one call of an operator to one machine.
 type Order struct {
 	Machine    string
--- a/internal/systemtest/judge/judge.go
+++ b/internal/systemtest/judge/judge.go
@@ -60,6 +60,7 @@
 		c.checkRun(r)
 	}
 	c.checkJobs()
+	c.checkCuts()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Rule, b.Rule)) })
 	return c.violations
 }
--- a/internal/systemtest/judge/judge_test.go
+++ b/internal/systemtest/judge/judge_test.go
@@ -31,7 +31,7 @@
 var testBounds = Bounds{
 	Contact: 3 * time.Second, ConfigurationApply: 2 * time.Second, RollbackSlack: 250 * time.Millisecond, Drain: 3 * time.Second,
 	Cancel: 3 * time.Second, Stop: 400 * time.Millisecond, Visible: 3 * time.Second, Early: 250 * time.Millisecond,
-	Note: time.Second,
+	Note: time.Second, LossSlack: 200 * time.Millisecond, Grace: 6 * time.Second,
 }
 
 // body is a job with the given stages, and perhaps more fields.
@@ -306,6 +306,22 @@
 		{"Cancelled by nobody", func(h *History) { h.Requests[2] = asked(jobName, 30, 200, "cancelled") }, Lost},
 		{"Not ended at the end", func(h *History) { h.Requests[2] = asked(jobName, 30, 200, "running") }, Lost},
 		{"Not known at the end", func(h *History) { h.Requests[2] = asked(jobName, 30, 410, "") }, Lost},
+		{"A request cut by a stop in order", func(h *History) {
+			h.Troubles = []Trouble{{Machine: "front-1", From: at(20), To: at(25), Planned: true}}
+			h.Cuts = []Cut{{"front-1", prefix + jobName, at(20), at(21)}}
+		}, Lost},
+		{"A request cut by a stop in order before it was read", func(h *History) {
+			h.Troubles = []Trouble{{Machine: "front-1", From: at(20), To: at(25), Planned: true}}
+			h.Cuts = []Cut{{"front-1", prefix + jobName, at(20), at(20.1)}}
+		}, ""},
+		{"A request cut by a stop in order and by trouble", func(h *History) {
+			h.Troubles = []Trouble{{Machine: "front-1", From: at(20), To: at(25), Planned: true}, {Machine: "core-1", From: at(19)}}
+			h.Cuts = []Cut{{"front-1", prefix + jobName, at(20), at(21)}}
+		}, ""},
+		{"A request cut by a kill", func(h *History) {
+			h.Troubles = []Trouble{{Machine: "front-1", From: at(20), To: at(25)}}
+			h.Cuts = []Cut{{"front-1", prefix + jobName, at(20), at(21)}}
+		}, ""},
 		{"No answer at the end", func(h *History) { h.Requests[2].Status = 0 }, Lost},
 	})
 }
--- a/internal/systemtest/machine_test.go
+++ b/internal/systemtest/machine_test.go
@@ -8,6 +8,9 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/systemtest/judge"
 )
 
 // Offsets from the first internal port, and to the ports at which processes listen behind their relays.
@@ -58,6 +61,9 @@
 		if offset != frontOffset && offset != controlOffset {
 			r.caller = m.system.callerName
 		}
+		if offset == frontOffset {
+			r.lost = m.system.noteCut
+		}
 		m.relays[p] = append(m.relays[p], r)
 	}
 	return nil
@@ -76,10 +82,10 @@
 	return nil
 }
 
-// startAll starts the machine's processes.
-func (m *machine) startAll() error {
+// startAll starts the machine's processes; planned tells whether they had been stopped in order.
+func (m *machine) startAll(planned bool) error {
 	var failures []error
-	m.system.begin(m.name)
+	m.system.addTrouble(judge.Trouble{Machine: m.name, Planned: planned})
 	m.addLife()
 	for _, p := range m.processes {
 		failures = append(failures, m.start(p))
@@ -111,6 +117,23 @@
 	}
 }
 
+// shutDown ends all processes of the machine in order, and by force after the grace period.
+func (m *machine) shutDown() {
+	m.system.addTrouble(judge.Trouble{Machine: m.name, Planned: true})
+	var all sync.WaitGroup
+	for _, p := range m.processes {
+		all.Go(func() {
+			force := time.AfterFunc(gracePeriod, func() { p.signal(syscall.SIGKILL) })
+			defer force.Stop()
+			p.end(syscall.SIGTERM)
+			for _, r := range m.relays[p] {
+				r.close()
+			}
+		})
+	}
+	all.Wait()
+}
+
 // kill ends all processes of the machine at once.
 func (m *machine) kill() {
 	for _, p := range m.processes {
@@ -119,11 +142,11 @@
 }
 
 // restart starts the machine's processes anew, on the disk that it has.
-func (m *machine) restart() error {
+func (m *machine) restart(planned bool) error {
 	for _, p := range m.processes {
 		p.spec.Settings = m.system.settings(m, false)
 	}
-	return m.startAll()
+	return m.startAll(planned)
 }
 
 // wipe empties the disk of a machine that does not run.
--- a/internal/systemtest/points_test.go
+++ b/internal/systemtest/points_test.go
@@ -119,13 +119,16 @@
 	}
 }
 
+// fewest is how many calls come to any place at least.
+const fewest = 2
+
 // everyPoint is a scenario for each place and kind of damage.
 func everyPoint() []scenario {
 	var all []scenario
 	for i, at := range places {
 		for j, by := range damages {
 			name := at.name + "-" + by.name
-			all = append(all, scenario{name: name, seed: uint64(1000 + 10*i + j), faults: strikeAt(at, by, 1+j%3)})
+			all = append(all, scenario{name: name, seed: uint64(1000 + 10*i + j), faults: strikeAt(at, by, 1+j%fewest)})
 		}
 	}
 	return all
@@ -139,7 +142,7 @@
 		one, other := places[random.IntN(len(places))], places[random.IntN(len(places))]
 		by, then := damages[random.IntN(len(damages))], damages[random.IntN(len(damages))]
 		name := fmt.Sprintf("pair-%d-%d-%s-%s-%s-%s", seed, i, one.name, by.name, other.name, then.name)
-		all = append(all, scenario{name: name, seed: seed + uint64(i), faults: together(strikeAt(one, by, 1+random.IntN(3)), strikeAt(other, then, 1+random.IntN(3)))})
+		all = append(all, scenario{name: name, seed: seed + uint64(i), faults: together(strikeAt(one, by, 1+random.IntN(fewest)), strikeAt(other, then, 1+random.IntN(fewest)))})
 	}
 	return all
 }
--- a/internal/systemtest/relay_test.go
+++ b/internal/systemtest/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	caller  func(net.Conn) string    // names who calls; nil for outside
 	seen    func(call)               // takes each call that was answered; may be nil
 	sent    func(call)               // takes each call that is delivered; may be nil
+	lost    func(call)               // takes each call that was delivered and got no answer; may be nil
 	rewrite func(body []byte) []byte // changes answers; may be nil
 	client  *http.Transport
 
@@ -77,6 +79,7 @@
 	}
 	answer, err := r.carry(request, body)
 	if err != nil {
+		r.noteLost(request.Context(), c, err)
 		panic(http.ErrAbortHandler)
 	}
 	c.status, c.answer = answer.StatusCode, answer.body
@@ -92,6 +95,15 @@
 	w.Write(answer.body)
 }
 
+// noteLost reports a call whose connection the callee has closed, unless the caller gave up or no connection came up.
+func (r *relay) noteLost(ctx context.Context, c call, err error) {
+	var operation *net.OpError
+	refused := errors.As(err, &operation) && operation.Op == "dial"
+	if r.lost != nil && !refused && ctx.Err() == nil {
+		r.lost(c)
+	}
+}
+
 // guard lets a call or its answer pass, or ends it without an answer.
 func (r *relay) guard(ctx context.Context, c call, at phase) {
 	from, to := c.from, c.to
--- a/internal/systemtest/repair_test.go
+++ b/internal/systemtest/repair_test.go
@@ -23,7 +23,7 @@
 	m.down = false
 }
 
-// crash kills a machine at once and brings it back after a while, perhaps with an empty disk.
+// crashMachine kills a machine at once and brings it back after a while, perhaps with an empty disk.
 func (s *system) crashMachine(ctx context.Context, m *machine, away time.Duration, wipe bool) {
 	if m == nil || !m.take() {
 		return
@@ -35,7 +35,7 @@
 	s.repairs.Go(func() {
 		defer m.release()
 		if pause(ctx, away) == nil {
-			s.fail(m.restart())
+			s.fail(m.restart(false))
 		}
 	})
 }
@@ -61,6 +61,25 @@
 	}
 }
 
+// roll stops the machines in order and starts them again, one after the other.
+func (s *system) roll(ctx context.Context, machines []*machine) error {
+	for _, m := range machines {
+		if !m.take() {
+			continue
+		}
+		m.shutDown()
+		err := m.restart(true)
+		m.release()
+		if err != nil {
+			return err
+		}
+		if err := pause(ctx, shortly); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stopMachine freezes a machine and wakes it after a while.
 func (s *system) stopMachine(ctx context.Context, m *machine, away time.Duration) {
 	if m == nil || !m.take() {
--- a/internal/systemtest/scenario_test.go
+++ b/internal/systemtest/scenario_test.go
@@ -38,6 +38,34 @@
 	failures   []error       // of the test itself, or of processes
 	accepted   int           // jobs
 	took       time.Duration // from the start of the first process
+	seen       summary
+}
+
+// summary counts what a history holds, to see that there was something to judge.
+type summary struct {
+	Runs, Noted, Unsent, Lapses, Checkpoints, Lists, Requests, Orders, Cuts int
+	Ends                                                                    map[string]int // of runs
+	Answers                                                                 map[int]int    // to clients, by status
+}
+
+func summarize(h judge.History) summary {
+	result := summary{
+		Runs: len(h.Runs), Lapses: len(h.Lapses), Checkpoints: len(h.Checkpoints), Lists: len(h.Lists), Requests: len(h.Requests),
+		Orders: len(h.Orders), Cuts: len(h.Cuts), Ends: map[string]int{}, Answers: map[int]int{},
+	}
+	for _, run := range h.Runs {
+		result.Ends[run.How]++
+		if !run.NotedAt.IsZero() {
+			result.Noted++
+		}
+		if run.Sender == "" {
+			result.Unsent++
+		}
+	}
+	for _, request := range h.Requests {
+		result.Answers[request.Status]++
+	}
+	return result
 }
 
 // matches tells whether a scenario's name has one of the parts that are joined by commas.
@@ -163,6 +191,7 @@
 func (s *system) judged(result outcome) outcome {
 	h := s.history(s.endedAt)
 	result.violations = judge.Check(h)
+	result.seen = summarize(h)
 	result.failures = append(result.failures, s.failures...)
 	for _, m := range s.machines() {
 		for _, p := range m.processes {
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -26,6 +26,8 @@
 	saveEvery    = 500 * time.Millisecond
 	restoreTime  = 50 * time.Millisecond
 	drainTime    = 3 * time.Second
+	gracePeriod  = 6 * time.Second
+	lossSlack    = time.Second // busy machines deliver late
 	busySlack    = 2 * time.Second
 	coreMachines = 3
 )
@@ -72,6 +74,7 @@
 	troubles []judge.Trouble
 	requests []judge.Request
 	orders   []judge.Order
+	cuts     []judge.Cut
 	lives    map[string]judge.Searcher // by identifier
 	failures []error
 	jobs     []jobPlan
@@ -251,7 +254,7 @@
 func (s *system) start() error {
 	failures := make(chan error)
 	for _, m := range s.machines() {
-		go func() { failures <- m.startAll() }()
+		go func() { failures <- m.startAll(false) }()
 	}
 	var joined error
 	for range s.machines() {
@@ -280,12 +283,25 @@
 }
 
 // begin notes that trouble with a machine begins.
-func (s *system) begin(machine string) { s.addTrouble(judge.MachineTrouble, machine) }
+func (s *system) begin(machine string) { s.addTrouble(judge.Trouble{Machine: machine}) }
 
-func (s *system) addTrouble(kind judge.TroubleKind, name string) {
+// beginSearcher notes that trouble with a searcher begins.
+func (s *system) beginSearcher(one *searcher) {
+	s.addTrouble(judge.Trouble{Kind: judge.SearcherTrouble, Machine: one.relay.to})
+}
+
+func (s *system) addTrouble(trouble judge.Trouble) {
+	trouble.From = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.troubles = append(s.troubles, trouble)
+}
+
+// noteCut notes a client's request that a machine has given up.
+func (s *system) noteCut(c call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.troubles = append(s.troubles, judge.Trouble{Kind: kind, Machine: name, From: time.Now()})
+	s.cuts = append(s.cuts, judge.Cut{Machine: c.to, Path: c.path, SentAt: c.sentAt, At: time.Now()})
 }
 
 // finish notes that all trouble with a machine or a searcher is over.
@@ -311,7 +327,7 @@
 
 // crash ends a searcher's life and begins another.
 func (s *system) crash(one *searcher) {
-	s.addTrouble(judge.SearcherTrouble, one.relay.to)
+	s.beginSearcher(one)
 	one.lives++
 	one.Crash(fmt.Sprintf("%s-life-%d", one.relay.to, one.lives))
 	s.noteLife(one)
@@ -320,7 +336,7 @@
 
 // disturb lets the calls to a searcher go wrong until calm is called.
 func (s *system) disturb(one *searcher, faults func(cluster.Call) cluster.Fault) {
-	s.addTrouble(judge.SearcherTrouble, one.relay.to)
+	s.beginSearcher(one)
 	one.SetFaults(faults)
 }
 
@@ -331,7 +347,7 @@
 
 // drain lists a searcher as about to leave.
 func (s *system) drain(one *searcher) {
-	s.addTrouble(judge.SearcherTrouble, one.relay.to)
+	s.beginSearcher(one)
 	one.Drain(drainTime)
 }
 
@@ -343,9 +359,9 @@
 		Bounds: judge.Bounds{
 			Contact: 3*time.Second + busySlack, ConfigurationApply: 2*time.Second + busySlack, RollbackSlack: 250*time.Millisecond + busySlack,
 			Drain: drainTime + busySlack, Cancel: 3*time.Second + busySlack, Stop: stopTime + busySlack, Visible: 3*time.Second + busySlack,
-			Early: 250 * time.Millisecond, Note: time.Second + busySlack,
+			Early: 250 * time.Millisecond, Note: time.Second + busySlack, LossSlack: lossSlack, Grace: gracePeriod,
 		},
-		Troubles: s.troubles, Requests: s.requests, Orders: s.orders, EndedAt: endedAt, SeenUntil: time.Now(),
+		Troubles: s.troubles, Requests: s.requests, Orders: s.orders, Cuts: s.cuts, EndedAt: endedAt, SeenUntil: time.Now(),
 	}
 	for _, m := range s.core {
 		h.Core = append(h.Core, m.name)
--- a/scripts/days/__main__.py
+++ b/scripts/days/__main__.py
@@ -21,6 +21,9 @@
 WORTH_FAR_BELOW = 0.15
 """A day this far below the median worth is listed as weak."""
 
+DAYS_OF_DEPLOYMENT = 3
+"""Days played on each further deployment: a quiet one, the others with trouble."""
+
 
 def main() -> int:
     arguments = _parse_arguments()
@@ -36,7 +39,7 @@
     parser.add_argument("--bench", required=True, help="path of the bench program")
     parser.add_argument("--site", required=True, type=Path, help="site file of the deployment")
     parser.add_argument("--scratch", required=True, type=Path, help="folder for day files, site files and output")
-    parser.add_argument("--only", default="", help="play only days, or deployments, whose name contains this text")
+    parser.add_argument("--only", default="", help="play only days, or deployments, whose name contains this text; in mixes, one trouble's")
     parser.add_argument("--seed", type=int, default=1, help="seed of the first day")
     parser.add_argument("--count", type=int, default=20, help="number of mixes")
     parser.add_argument("--size", type=int, default=2, help="troubles in one mix")
@@ -65,7 +68,7 @@
 def _mixes(arguments: argparse.Namespace, site: dict) -> list[troubles.Day]:
     entries = _entries(site)
     seeds = range(arguments.seed, arguments.seed + arguments.count)
-    return [troubles.mixed_day(entries, seed, arguments.size, arguments.spread) for seed in seeds]
+    return [troubles.mixed_day(entries, seed, arguments.size, arguments.spread, arguments.only) for seed in seeds]
 
 
 def _entries(site: dict) -> list[troubles.Entry]:
@@ -77,14 +80,15 @@
 def _deployment_results(arguments: argparse.Namespace) -> list[Result]:
     site = tomllib.loads(arguments.site.read_text())
     results = []
-    for name in deployments.CHANGES:
+    for index, name in enumerate(deployments.CHANGES):
         if arguments.only not in name:
             continue
+        seed = arguments.seed + index * DAYS_OF_DEPLOYMENT
         path = deployments.write_site(site, arguments.site, name, arguments.scratch)
         changed = tomllib.loads(path.read_text())
         entries = _entries(changed)
-        days = [troubles.quiet_day(arguments.seed)]
-        days += [troubles.mixed_day(entries, arguments.seed + 1 + index, 3, 4.0) for index in range(2)]
+        days = [troubles.quiet_day(seed)]
+        days += [troubles.mixed_day(entries, seed + later, 3, 4.0) for later in range(1, DAYS_OF_DEPLOYMENT)]
         results += _player(arguments, path, changed, arguments.scratch / path.stem).play_all(days)
     return results
 
--- a/scripts/days/troubles.py
+++ b/scripts/days/troubles.py
@@ -181,10 +181,14 @@
     return _day(name, seed, [], closing)
 
 
-def mixed_day(entries: list[Entry], seed: int, size: int, spread_s: float) -> Day:
-    """Return a day with several troubles drawn by the seed, at nearly the same time, with any closing."""
+def mixed_day(entries: list[Entry], seed: int, size: int, spread_s: float, wanted: str = "") -> Day:
+    """Return a day with several troubles drawn by the seed, at nearly the same time, with any closing.
+
+    If a text is wanted, the label of one trouble contains it.
+    """
     dice = random.Random(seed)
-    drawn = dice.sample(entries, size)
+    drawn = [dice.choice([entry for entry in entries if wanted in entry.label()])]
+    drawn += dice.sample([entry for entry in entries if entry not in drawn], size - 1)
     timed = [(TROUBLE_START_S + dice.uniform(0.0, spread_s), entry) for entry in drawn]
     closing = dice.choice(closings() + [None] * 4)
     name = "+".join(entry.label() for entry in drawn)
