A leader's tick is not put off by each request

The loop's timer began anew at every request, so under load the tick came each 2 s. Change: the pause runs from the last tick; requests wake the loop only for an earlier due time.

--- a/cmd/puffinlink/operations_test.go
+++ b/cmd/puffinlink/operations_test.go
@@ -168,6 +168,18 @@
 			So(strings.Join(strings.Fields(out), ""), ShouldEqual, strings.Join(strings.Fields(c.answer), ""))
 		})
 	}
+	Convey("The status tells the part that a mixer has among the replicas", t, func() {
+		for answer, says := range map[string]string{
+			`{"mixer":{"address":"a:1"},"rebuilt":true,"view":{"version":1,"members":["a:1"]}}`:  "its disk is complete",
+			`{"mixer":{"address":"a:1"},"rebuilt":false,"view":{"version":1,"members":["a:1"]}}`: "its disk is being rebuilt",
+			`{"mixer":{"address":"a:1"},"rebuilt":false,"view":{"version":2,"members":["b:1"]}}`: "stands by as no member of the view",
+			`{"mixer":{"address":"a:1"},"rebuilt":true,"view":{}}`:                               "its disk is complete",
+		} {
+			stub := &controlStub{text: answer}
+			_, out := said(t, "status", "--at", stub.serve())
+			So(out, ShouldContainSubstring, says)
+		}
+	})
 	Convey("Refusals have exit codes of their own", t, func() {
 		for status, code := range map[int]int{404: exitRefused, 400: exitRefused, 409: exitConflict} {
 			stub := &controlStub{status: status, text: `{"error":"no"}`}
--- a/cmd/puffinlink/operationsprint.go
+++ b/cmd/puffinlink/operationsprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -21,8 +22,8 @@
 }
 
 func printStatus(s *control.Status) {
-	fmt.Fprintf(stdout, "mixer %s (%s, zone %s): up %v, disk %s, contact to a majority: %s\n", s.Mixer.Name, s.Mixer.Address, orNone(s.Mixer.Zone),
-		milliseconds(s.UptimeMS).Round(time.Second), choose(s.Rebuilt, "complete", "being rebuilt"), yesNo(s.InContact))
+	fmt.Fprintf(stdout, "mixer %s (%s, zone %s): up %v, %s, contact to a majority: %s\n", s.Mixer.Name, s.Mixer.Address, orNone(s.Mixer.Zone),
+		milliseconds(s.UptimeMS).Round(time.Second), part(s), yesNo(s.InContact))
 	fmt.Fprintf(stdout, "configuration: version %d\n", s.ConfigurationVersion)
 	fmt.Fprintf(stdout, "view of the replicas: version %d, %s\n", s.View.Version, strings.Join(s.View.Members, " "))
 	fmt.Fprintf(stdout, "agents: %s\n\n", orNone(strings.Join(s.Agents, " ")))
@@ -50,6 +51,17 @@
 	printTable(rows)
 }
 
+// part is the part that the answering mixer has among the replicas.
+func part(s *control.Status) string {
+	switch {
+	case s.View.Version > 0 && !slices.Contains(s.View.Members, s.Mixer.Address):
+		return "stands by as no member of the view"
+	case !s.Rebuilt:
+		return "its disk is being rebuilt"
+	}
+	return "its disk is complete"
+}
+
 func printSearchers(s *control.Searchers) {
 	rows := [][]string{{"SEARCHER", "SERVICE", "STATE", "ZONE", "RACK", "RUNS", "WINDOW", "LATENCY", "FAULTS", "FREE", "CAPACITY"}}
 	for _, one := range s.Searchers {
--- a/internal/jobs/manager/lead.go
+++ b/internal/jobs/manager/lead.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
-	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 	"puffinlink.example/puffinlink/internal/verdict"
@@ -35,6 +34,7 @@
 	committed    uint64                     // and of those that are durable
 	nextDispatch time.Time                  // no dispatch before
 	ticked       time.Time
+	planned      int64 // next due time that the loop knows, milliseconds since 1970; 0 for none
 	reported     time.Time
 	wake         chan struct{} // a repetition may be due earlier than the loop thinks
 }
@@ -94,11 +94,12 @@
 func (l *lead) pause() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pause := tickInterval
+	pause := time.Until(l.ticked.Add(tickInterval)) // a wake-up must not put the tick off
 	if l.scheduler.Unplaced() {
 		pause = min(pause, time.Until(l.nextDispatch))
 	}
-	if due := l.scheduler.NextDue(); due != 0 {
+	if l.planned = l.scheduler.NextDue(); l.planned != 0 {
+		due := l.planned
 		pause = min(pause, time.Duration(due-time.Now().UnixMilli())*time.Millisecond)
 	}
 	return max(time.Millisecond, pause)
@@ -138,6 +139,10 @@
 // dispatch lets waiting tasks start. Where that is much work it is done less often, so that it leaves most of the
 // processor to the rest; the loop then comes back to it. The lock is held.
 func (l *lead) dispatch() {
+	if due := l.scheduler.NextDue(); due != 0 && (l.planned == 0 || due < l.planned) {
+		l.planned = due
+		l.hasten()
+	}
 	if !l.scheduler.Unplaced() {
 		return
 	}
@@ -198,16 +203,6 @@
 	}
 }
 
-// trace logs one step of a run at debug level; a job can be followed by its ID, with which its tasks' names begin.
-func (l *lead) trace(step string, searcher worker.SearcherID, task job.TaskID, execution uint64, more ...zap.Field) {
-	entry := l.config.Log.Check(zap.DebugLevel, step)
-	if entry == nil {
-		return
-	}
-	fields := []zap.Field{zap.Stringer("task", task), zap.Uint64("execution", execution), zap.String("searcher", string(searcher))}
-	entry.Write(append(fields, more...)...)
-}
-
 // durably runs an event and waits until it, and all before it, is durable.
 func (l *lead) durably(ctx context.Context, event func(scheduler.Now)) error {
 	done := make(chan struct{})
@@ -225,7 +220,6 @@
 	}
 	l.term.Propose(nil, func() { close(done) })
 	l.mu.Unlock()
-	l.hasten()
 	select {
 	case <-done:
 		return nil
@@ -286,10 +280,6 @@
 	e.lead.traceEnds(&report)
 	e.lead.step(func(now scheduler.Now) {
 		delete(e.lead.unheard, report.Searcher)
-		for i := range report.Finished {
-			end := &report.Finished[i]
-			e.lead.trace("run ended", report.Searcher, end.Task, end.Execution, zap.String("how", string(end.How)))
-		}
 		e.lead.scheduler.Listing(now, &report)
 	})
 }
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -13,6 +13,7 @@
 		due := j.dueMS(len(j.times))
 		if due > now.WallMS {
 			j.nextDue = due
+			s.scheduled[j] = true
 			return
 		}
 		repetition := newRepetition(j, len(j.times))
@@ -20,6 +21,7 @@
 		s.openStages(now, repetition)
 	}
 	j.nextDue = 0
+	delete(s.scheduled, j)
 }
 
 func newRepetition(j *jobState, number int) *repetition {
@@ -159,6 +161,7 @@
 // endJob ends a job for good and stops what still runs of it.
 func (s *Scheduler) endJob(now Now, j *jobState, state job.State) {
 	j.over = true
+	delete(s.scheduled, j)
 	for number, r := range j.times {
 		if r == nil {
 			s.erase(repetitionKey(j.id, number))
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	searchers map[worker.SearcherID]*searcher
 	list      []*searcher                // the same, in a stable order
 	gone      map[worker.SearcherID]bool // lives that are over
+	scheduled map[*jobState]bool         // jobs with repetitions that have not begun
 	stages    []*stageRun                // with tasks that wait for a start
 	pending   map[string]int
 	arrivals  uint64
@@ -92,6 +93,7 @@
 		searchers: map[worker.SearcherID]*searcher{},
 		pending:   map[string]int{},
 		gone:      map[worker.SearcherID]bool{},
+		scheduled: map[*jobState]bool{},
 	}
 	var err error
 	if s.operatorDrains, err = restoreOperatorDrains(state); err != nil {
@@ -165,8 +167,8 @@
 // Tick does what is due by time alone.
 func (s *Scheduler) Tick(now Now) {
 	s.forgetEnded(now)
-	for _, j := range s.jobs {
-		if j.nextDue != 0 && j.nextDue <= now.WallMS {
+	for j := range s.scheduled {
+		if j.nextDue <= now.WallMS {
 			s.advance(now, j)
 		}
 	}
@@ -177,8 +179,8 @@
 // NextDue is the earliest time (milliseconds since 1970) at which a scheduled repetition begins; 0 when none waits.
 func (s *Scheduler) NextDue() int64 {
 	next := int64(0)
-	for _, j := range s.jobs {
-		if j.nextDue != 0 && (next == 0 || j.nextDue < next) {
+	for j := range s.scheduled {
+		if next == 0 || j.nextDue < next {
 			next = j.nextDue
 		}
 	}
