--- /dev/null
+++ b/internal/jobs/scheduler/place.go
@@ -0,0 +1,356 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/worker"
+)
+
+const (
+	faultCost     = 8.0             // how much costlier a searcher is all of whose runs fail
+	patienceShare = 0.7             // of the time lost by running far from the data or across racks
+	mostPatience  = 2 * time.Second // wait for room near the data
+)
+
+// suits tells whether a searcher may ever take tasks of a stage: the label, the size, and that it stays.
+func (s *Scheduler) suits(stage *stageRun, sr *searcher) bool {
+	if sr.Draining || !sr.listed || s.operatorDrains.has(sr.ID) || !sr.Capacity.Fits(stage.Resources) {
+		return false
+	}
+	for _, label := range stage.Requirements {
+		if !sr.hasLabel(label) {
+			return false
+		}
+	}
+	return true
+}
+
+// cost ranks searchers for a task: smoothed latency times one plus our runs and waiting tasks there.
+func (s *Scheduler) cost(stage *stageRun, sr *searcher) float64 {
+	load := 1 + float64(len(sr.runs)+sr.held)
+	return s.latency(stage.job, sr) * load * s.distance(stage, sr) * (1 + faultCost*sr.faults) * s.slowdown(sr)
+}
+
+// bind chooses the searcher where a task waits: the least cost among the eligible.
+func (s *Scheduler) bind(now Now, t *task) {
+	s.unbind(t)
+	var best *searcher
+	bestCost := math.Inf(1)
+	for _, sr := range s.list {
+		if !sr.reachable || !s.suits(t.stage, sr) {
+			continue
+		}
+		cost := s.cost(t.stage, sr)
+		if slices.Contains(t.avoid, sr.ID) {
+			cost *= 1 + faultCost
+		}
+		if cost < bestCost {
+			best, bestCost = sr, cost
+		}
+	}
+	if best != nil {
+		t.bound = best
+		best.held++
+	}
+}
+
+func (s *Scheduler) unbind(t *task) {
+	if t.bound != nil {
+		t.bound.held--
+		t.bound = nil
+	}
+}
+
+// rebind binds the tasks anew that wait at a searcher which cannot take them any more.
+func (s *Scheduler) rebind(now Now, sr *searcher) {
+	for _, stage := range s.stages {
+		for _, t := range stage.waiting {
+			if t.bound == sr {
+				s.bind(now, t)
+			}
+		}
+	}
+	s.unsorted = true
+}
+
+// bindAll binds the tasks that found no eligible searcher before.
+func (s *Scheduler) bindAll(now Now) {
+	for _, stage := range s.stages {
+		for _, t := range stage.waiting {
+			if t.bound == nil {
+				s.bind(now, t)
+			}
+		}
+	}
+	s.unsorted = true
+}
+
+// isOpen tells whether a searcher takes starts right now.
+func (s *Scheduler) isOpen(now Now, sr *searcher) bool {
+	if !sr.reachable || !sr.listed || sr.Draining || s.operatorDrains.has(sr.ID) || sr.fencedAt.IsZero() || len(sr.strays) > 0 {
+		return false
+	}
+	if float64(len(sr.runs)) >= sr.window {
+		return false
+	}
+	return !now.Steady.Before(sr.restUntil) && !now.Steady.Before(sr.fullUntil)
+}
+
+// admits tells whether an open searcher can take one more task of a stage, beside so many more that are planned there.
+func (s *Scheduler) admits(stage *stageRun, sr *searcher, planned int) bool {
+	if float64(len(sr.runs)+planned) >= sr.window {
+		return false
+	}
+	free := sr.free()
+	if planned > 0 {
+		free = free.Subtract(stage.Resources.Times(int64(planned)))
+	}
+	if !free.Fits(stage.Resources) || !s.suits(stage, sr) {
+		return false
+	}
+	return stage.AntiAffinity == 0 || sr.tasksOf(stage)+planned < stage.AntiAffinity
+}
+
+// tasksOf counts a stage's runs at a searcher.
+func (sr *searcher) tasksOf(stage *stageRun) int {
+	count := 0
+	for _, r := range sr.runs {
+		if r.task.stage == stage {
+			count++
+		}
+	}
+	return count
+}
+
+// Dispatch starts waiting tasks in their order, wherever there is room.
+func (s *Scheduler) Dispatch(now Now) {
+	s.unplaced = false
+	s.reorder(now)
+	s.open = s.open[:0]
+	for _, sr := range s.list {
+		if s.isOpen(now, sr) {
+			s.open = append(s.open, sr)
+		}
+	}
+	var refused refusals
+	for _, stage := range s.stages {
+		if len(s.open) == 0 {
+			return
+		}
+		if len(stage.waiting) == 0 || refused.covers(stage) {
+			continue
+		}
+		if stage.GangScheduled {
+			s.startGang(now, stage)
+			continue
+		}
+		s.startTasks(now, stage, &refused)
+	}
+}
+
+// refusals are requests that found no room during one dispatch: whoever asks for as much finds none either.
+type refusals struct {
+	anywhere []job.Resources            // of stages that any searcher may take
+	labelled map[string][]job.Resources // of those that need a label
+}
+
+func (r *refusals) covers(stage *stageRun) bool {
+	if dominated(r.anywhere, stage.Resources) {
+		return true
+	}
+	for _, label := range stage.Requirements {
+		if dominated(r.labelled[label], stage.Resources) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *refusals) add(stage *stageRun) {
+	switch {
+	case stage.AntiAffinity > 0:
+	case len(stage.Requirements) == 0:
+		r.anywhere = append(r.anywhere, stage.Resources)
+	case len(stage.Requirements) == 1:
+		if r.labelled == nil {
+			r.labelled = map[string][]job.Resources{}
+		}
+		label := stage.Requirements[0]
+		r.labelled[label] = append(r.labelled[label], stage.Resources)
+	}
+}
+
+// dominated tells whether a request is at least as large as one of those refused.
+func dominated(refused []job.Resources, request job.Resources) bool {
+	for _, smaller := range refused {
+		if request.Fits(smaller) {
+			return true
+		}
+	}
+	return false
+}
+
+// startTasks starts as many of a stage's tasks as there is room for.
+func (s *Scheduler) startTasks(now Now, stage *stageRun, refused *refusals) {
+	near := s.staysNear(now, stage)
+	for _, t := range slices.Clone(stage.waiting) {
+		if now.Steady.Before(t.notBefore) {
+			continue
+		}
+		sr := s.choose(t, near)
+		if sr != nil {
+			s.assign(now, t, sr, t.execution+1)
+			continue
+		}
+		if len(t.runs) == 0 {
+			if !near {
+				refused.add(stage)
+			}
+			return // its siblings ask for the same
+		}
+	}
+}
+
+// patience is how long tasks wait for room near their data rather than run elsewhere: a part of what that would cost.
+func (s *Scheduler) patience(stage *stageRun) time.Duration {
+	extra := (max(1, s.settings.FarFactor) - 1) * float64(stage.EstimatedDurationMS)
+	return min(mostPatience, time.Duration(patienceShare*extra)*time.Millisecond)
+}
+
+// staysNear tells whether a stage still waits for room near its data. It does not where nothing near could take it.
+func (s *Scheduler) staysNear(now Now, stage *stageRun) bool {
+	if stage.Affinity == "" || now.Steady.Sub(stage.readyAt) >= s.patience(stage) {
+		return false
+	}
+	for _, sr := range s.list {
+		if sr.reachable && s.suits(stage, sr) && s.distance(stage, sr) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// choose picks an open searcher with room: the one where the task is bound, else the least costly sibling.
+func (s *Scheduler) choose(t *task, near bool) *searcher {
+	var best *searcher
+	bestCost := math.Inf(1)
+	for _, sr := range s.open {
+		if near && s.distance(t.stage, sr) > 1 || sr.runs[t.id] != nil || !s.admits(t.stage, sr, 0) {
+			continue
+		}
+		avoided := slices.Contains(t.avoid, sr.ID)
+		if sr == t.bound && !avoided {
+			return sr
+		}
+		cost := s.cost(t.stage, sr)
+		if avoided {
+			cost *= 1 + faultCost
+		}
+		if cost < bestCost {
+			best, bestCost = sr, cost
+		}
+	}
+	return best
+}
+
+// assign gives a task to a searcher.
+func (s *Scheduler) assign(now Now, t *task, sr *searcher, execution uint64) {
+	s.unwait(t)
+	t.execution = execution
+	r := &run{task: t, at: sr, execution: execution, orderedAt: now.Steady}
+	t.runs = append(t.runs, r)
+	sr.runs[t.id] = r
+	sr.used = sr.used.Add(t.stage.Resources)
+	t.stage.job.started = true
+	s.writeTask(t)
+	order := &worker.StartOrder{Task: t.id, Execution: execution, Specification: t.stage.job.Specification.Text, Checkpoint: t.checkpoint}
+	s.effects.Orders = append(s.effects.Orders, Order{Searcher: sr.ID, Start: order})
+}
+
+// startGang starts all members at once or none.
+func (s *Scheduler) startGang(now Now, stage *stageRun) {
+	if len(stage.waiting) < stage.left || len(stage.waiting) < stage.Count {
+		return // a member's last run is not over yet
+	}
+	execution := uint64(0)
+	for _, t := range stage.tasks {
+		execution = max(execution, t.execution)
+		if now.Steady.Before(t.notBefore) {
+			return
+		}
+	}
+	placed := s.planGang(now, stage)
+	if placed == nil {
+		return
+	}
+	for i, t := range stage.tasks {
+		s.assign(now, t, placed[i], execution+1)
+	}
+}
+
+// planGang finds room for all members: on one rack if they want that and one has room, else anywhere.
+func (s *Scheduler) planGang(now Now, stage *stageRun) []*searcher {
+	if stage.SameRack {
+		for _, rack := range s.racks() {
+			if placed := s.planOn(stage, rack); placed != nil {
+				return placed
+			}
+		}
+		if now.Steady.Sub(stage.readyAt) < s.patience(stage) && s.fitsOneRack(stage) {
+			return nil
+		}
+	}
+	return s.planOn(stage, "")
+}
+
+// fitsOneRack tells whether some rack could take a whole gang if it were idle.
+func (s *Scheduler) fitsOneRack(stage *stageRun) bool {
+	room := map[string]int64{}
+	for _, sr := range s.list {
+		if sr.reachable && s.suits(stage, sr) {
+			room[sr.rack] += sr.Capacity.Holds(stage.Resources)
+		}
+	}
+	for rack, count := range room {
+		if rack != "" && count >= int64(stage.Count) {
+			return true
+		}
+	}
+	return false
+}
+
+// racks lists the racks of open searchers.
+func (s *Scheduler) racks() []string {
+	var racks []string
+	for _, sr := range s.open {
+		if sr.rack != "" && !slices.Contains(racks, sr.rack) {
+			racks = append(racks, sr.rack)
+		}
+	}
+	return racks
+}
+
+// planOn places a gang on a rack ("" for all of them), filling the least costly searchers first.
+func (s *Scheduler) planOn(stage *stageRun, rack string) []*searcher {
+	var candidates []*searcher
+	for _, sr := range s.open {
+		if (rack == "" || sr.rack == rack) && s.admits(stage, sr, 0) {
+			candidates = append(candidates, sr)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *searcher) int { return cmp.Compare(s.cost(stage, a), s.cost(stage, b)) })
+	var placed []*searcher
+	for _, sr := range candidates {
+		for planned := 0; len(placed) < stage.Count && s.admits(stage, sr, planned); planned++ {
+			placed = append(placed, sr)
+		}
+	}
+	if len(placed) < stage.Count {
+		return nil
+	}
+	return placed
+}
