Tests: a reload in the moment of a start, and nine in ten mixers ready after a restart

Change: TestAReloadWhileStarting changes the file once it was read, while the mixer still waits for its address, and sends SIGHUP; the mixer then watches at the new address. TestNineInTenAreReadyAfterARestart kills ten mixers under load and starts them anew, with discovery in reach and out of it: nine have to serve within 6 s.

--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -276,3 +276,65 @@
 		}
 	}
 }
+
+// A reload in the very moment of a start: the file changes once it was read, while the mixer still waits for its address. It
+// goes by the new file once it runs, and is not ended by the signal.
+func TestAReloadWhileStarting(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	watched := make(chan string, 100)
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		watched <- q.URL.String()
+		http.NotFound(w, q)
+	}))
+	defer moved.Close()
+	const before = "127.0.0.1:1"
+	configured(t, held.Addr().String(), before, "127.0.0.1:1", goodSettings)
+	path := os.Getenv("LB_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The file is a pipe first: its text is taken only once the mixer reads it, and by then it listens for signals.
+	pipe := path + ".pipe"
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("LB_CONFIG", pipe)
+	ended := make(chan error, 1)
+	go func() { ended <- run("") }()
+	if err := os.WriteFile(pipe, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text = bytes.Replace(text, []byte(`"discovery":"`+before), []byte(`"discovery":"`+moved.Listener.Addr().String()), 1)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path, pipe); err != nil {
+		t.Fatal(err)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	held.Close()
+	select {
+	case got := <-watched:
+		if got != "/discovery/hosts?stream=1&index=4" {
+			t.Errorf("watches %q", got)
+		}
+	case err := <-ended:
+		t.Fatalf("ended: %v", err)
+	case <-time.After(time.Minute):
+		t.Fatal("the new file was not taken")
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("did not end")
+	}
+}
--- /dev/null
+++ b/internal/tools/systemtest/restart_test.go
@@ -0,0 +1,56 @@
+package systemtest
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// readyWithin is the longest time that nine in ten mixers may take until they serve again.
+const readyWithin = 6 * time.Second
+
+// All mixers die at once under load and come back: nine in ten serve within the bound, also where no list can be had, and none breaks a rule.
+func TestNineInTenAreReadyAfterARestart(t *testing.T) {
+	t.Parallel()
+	for name, reachable := range map[string]bool{"discovery in reach": true, "discovery out of reach": false} {
+		t.Run(name, func(t *testing.T) {
+			w := Start(t, Options{Mixers: 10, NoFleet: true, Plain: true})
+			stop := w.Load(50, OrdersOf, "reads", w.All)
+			w.Until("lookups are answered", func() bool { return w.Judge.Statuses(OrdersOf, "", time.Time{})[200] > 20 })
+			for _, m := range w.Mixers {
+				m.Kill()
+				if !reachable {
+					m.register.Close()
+				}
+			}
+			took := w.restartAll()
+			stop()
+			t.Logf("serving again after %s", took)
+			if most := took[len(took)*9/10-1]; most > readyWithin {
+				t.Errorf("nine in ten serve again after %s, expected %s at most", most, readyWithin)
+			}
+			w.Rules(w.Mixers...)
+		})
+	}
+}
+
+// restartAll starts all processes at once, and tells how long each took until it served, the shortest first.
+func (w *World) restartAll() (took []time.Duration) {
+	began := time.Now()
+	for _, m := range w.Mixers {
+		m.Start()
+	}
+	took = make([]time.Duration, len(w.Mixers))
+	var all sync.WaitGroup
+	for i, m := range w.Mixers {
+		all.Go(func() {
+			for late := began.Add(Patience); !m.up() && time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+			}
+			took[i] = time.Since(began)
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	return took
+}
--- a/internal/tools/systemtest/stop_test.go
+++ b/internal/tools/systemtest/stop_test.go
@@ -22,9 +22,9 @@
 	m := w.Mixers[0]
 	var answered, closed, after atomic.Int64
 	var stopping atomic.Bool
-	var lines sync.WaitGroup
+	var connections sync.WaitGroup
 	for i := range 24 {
-		lines.Go(func() {
+		connections.Go(func() {
 			c, err := net.Dial("tcp", m.Listen)
 			if err != nil {
 				t.Error(err)
@@ -39,7 +39,7 @@
 				sent := time.Now()
 				res, err2 := http.ReadResponse(in, nil)
 				if err != nil || err2 != nil {
-					t.Errorf("line %d, lookup %d, sent %s before: no answer: %v %v", i, n, time.Since(sent), err, err2)
+					t.Errorf("connection %d, lookup %d, sent %s before: no answer: %v %v", i, n, time.Since(sent), err, err2)
 					return
 				}
 				io.Copy(io.Discard, res.Body)
@@ -59,10 +59,10 @@
 	w.Until("lookups are answered", func() bool { return answered.Load() > 200 })
 	stopping.Store(true)
 	m.Signal(syscall.SIGTERM)
-	lines.Wait()
+	connections.Wait()
 	w.Until("the process ends", m.Ended)
 	if t.Logf("%d lookups answered after SIGTERM", after.Load()); after.Load() < 24 || closed.Load() != 24 {
-		t.Errorf("%d answered after SIGTERM, %d of 24 lines told that they close", after.Load(), closed.Load())
+		t.Errorf("%d answered after SIGTERM, %d of 24 connections told that they close", after.Load(), closed.Load())
 	}
 	w.Rules()
 }
