--- a/internal/controlplane/fleet/link/link_test.go
+++ b/internal/controlplane/fleet/link/link_test.go
@@ -11,7 +11,7 @@
 
 var key = [KeyBytes]byte{1, 2, 3}
 
-func books(t testing.TB, lim Limits) (a, s *Sealer) {
+func sealers(t testing.TB, lim Limits) (a, s *Sealer) {
 	t.Helper()
 	a, err := New("a", 10, key, []roster.Name{"b", "c"}, lim)
 	if err != nil {
@@ -26,7 +26,7 @@
 var wide = Limits{BytesPerS: 1e9, Burst: 1e9}
 
 func TestMessagesAreOpenedOnce(t *testing.T) {
-	a, s := books(t, wide)
+	a, s := sealers(t, wide)
 	sealed := a.Seal("b", 3, []byte("body"))
 	l, why := s.Open(1, sealed)
 	if why != Good || l.From != "a" || l.Kind != 3 || string(l.Body) != "body" || l.Incarnation != 10 || l.Number != 1 {
@@ -43,9 +43,9 @@
 		t.Errorf("a letter to another: %v", why)
 	}
 	for i := range sealed {
-		spoilt := bytes.Clone(sealed)
-		spoilt[i] ^= 1
-		if _, why := s.Open(1, spoilt); why == Good {
+		altered := bytes.Clone(sealed)
+		altered[i] ^= 1
+		if _, why := s.Open(1, altered); why == Good {
 			t.Errorf("byte %d altered, and opened", i)
 		}
 	}
@@ -64,7 +64,7 @@
 // A process that comes after another of its name ends what that one sent; its own messages begin at 1 again. One whose clock
 // went back is told, and rises.
 func TestIncarnations(t *testing.T) {
-	a, s := books(t, wide)
+	a, s := sealers(t, wide)
 	old := a.Seal("b", 1, nil)
 	next, _ := New("a", 11, key, []roster.Name{"b"}, wide)
 	if _, why := s.Open(1, next.Seal("b", 1, nil)); why != Good {
@@ -81,7 +81,7 @@
 
 // Whoever sends too much is not heard for a while; others are.
 func TestBytesASecond(t *testing.T) {
-	a, s := books(t, Limits{BytesPerS: 1000, Burst: 1000})
+	a, s := sealers(t, Limits{BytesPerS: 1000, Burst: 1000})
 	c, _ := New("c", 1, key, []roster.Name{"b"}, wide)
 	opened := 0
 	for range 100 {
@@ -122,10 +122,10 @@
 }
 
 func FuzzOpen(f *testing.F) {
-	a, _ := books(f, wide)
+	a, _ := sealers(f, wide)
 	f.Add(a.Seal("b", 1, []byte("x")))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		a, s := books(t, wide)
+		a, s := sealers(t, wide)
 		genuine := a.Seal("b", 1, []byte("x"))
 		if _, why := s.Open(1, in); why == Good && !bytes.Equal(in, genuine) {
 			t.Errorf("opened what nobody sealed: %x", in)
--- a/internal/controlplane/fleet/quota/quota_test.go
+++ b/internal/controlplane/fleet/quota/quota_test.go
@@ -35,7 +35,7 @@
 	rate      float64
 	holder    *Holder
 	granter   *Granter
-	purse     *Bucket
+	bucket    *Bucket
 	stopped   float64 // until when the process stands still
 	epoch     uint64  // in which it believes to lead, 0 for none
 	no        uint64
@@ -92,9 +92,9 @@
 		lease *= 20
 	}
 	m.holder, m.asked, m.epoch = NewHolder(lease, len(s.mixers)), map[uint64]float64{}, 0
-	m.purse = m.holder.Set(m.clock(s.now), map[Tenant]Quota{"t": s.quota})["t"]
+	m.bucket = m.holder.Set(m.clock(s.now), map[Tenant]Quota{"t": s.quota})["t"]
 	if s.broken.refilled {
-		m.purse.full.Store(math.Float64bits(m.clock(s.now)))
+		m.bucket.full.Store(math.Float64bits(m.clock(s.now)))
 	}
 	m.granter.End()
 }
@@ -190,7 +190,7 @@
 			}
 		}
 		for want := perS * simStep * m.weight / total; want > 0; want-- {
-			if (want >= 1 || s.Unit() < want) && m.purse.Spend(now) {
+			if (want >= 1 || s.Unit() < want) && m.bucket.Spend(now) {
 				s.admitted++
 				if err := s.judge(); err != nil {
 					return err
@@ -339,7 +339,7 @@
 		}
 		m.weightDue += perS * simStep * m.weight / total
 		for ; m.weightDue >= 1; m.weightDue-- {
-			if m.purse.Spend(now) {
+			if m.bucket.Spend(now) {
 				s.admitted++
 				if err := s.judge(); err != nil {
 					return 0, err
--- a/internal/dataplane/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -64,7 +64,7 @@
 	r.Helper()
 	for late := time.Now().Add(patience); r.count.Get("client_lines", string(why)) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(late) {
-			r.Fatalf("no line ended by %s", why)
+			r.Fatalf("no connection ended by %s", why)
 		}
 	}
 }
@@ -82,7 +82,7 @@
 		}
 		r.connections.mu.Unlock()
 		if time.Now().After(late) {
-			r.Fatal("the line is never idle")
+			r.Fatal("the connection is never idle")
 		}
 	}
 }
@@ -231,7 +231,7 @@
 				t.Errorf("%q: got status %d", head, status)
 			}
 			if status, _, _ := l.answer(); status != 0 {
-				t.Errorf("%q: the line goes on with status %d", head, status)
+				t.Errorf("%q: the connection goes on with status %d", head, status)
 			}
 		}
 	}
@@ -332,7 +332,7 @@
 		t.Fatalf("got %v", head)
 	}
 	if status, _, _ := idle.answer(); status != 0 {
-		t.Fatalf("the idle line got status %d", status)
+		t.Fatalf("the idle connection got status %d", status)
 	}
 }
 
@@ -439,11 +439,11 @@
 		c.expect(500)
 	}
 	if time.Since(began) < unread {
-		t.Fatal("lines were closed that may have asked")
+		t.Fatal("connections were closed that may have asked")
 	}
 	for _, c := range []*client{silent, half} {
 		if status, _, _ := c.answer(); status != 0 {
-			t.Fatalf("a line that asked nothing got status %d", status)
+			t.Fatalf("a connection that asked nothing got status %d", status)
 		}
 	}
 	served.ask()
@@ -501,11 +501,11 @@
 		}
 		lk.Done <- mixer.Reply{End: mixer.Nacked}
 		if head, _ := c.expect(429); head.Get("Connection") == "close" {
-			t.Fatal("the line closes with others perhaps not there yet")
+			t.Fatal("the connection closes with others perhaps not there yet")
 		}
 	}
 	if status, _, _ := idle.answer(); status != 0 {
-		t.Fatalf("the idle line got status %d", status)
+		t.Fatalf("the idle connection got status %d", status)
 	}
 	if _, err := net.Dial("tcp", r.address); err == nil {
 		t.Fatal("still accepting")
--- a/internal/dataplane/mixer/capture_test.go
+++ b/internal/dataplane/mixer/capture_test.go
@@ -13,7 +13,7 @@
 
 // What the actor tells a recorder is what came and what became of it.
 func TestTheLoadIsCaptured(t *testing.T) {
-	r := newRig(nil)
+	r := newFixture(nil)
 	var got []capture.Interval
 	r.Capture(capture.New("n1", recorderNames, 0.1), func(i capture.Interval) { got = append(got, i) })
 	r.put(Event{Event: logic.Event{Kind: logic.ListChanged, Entries: []logic.Entry{{Searcher: 1}}}, Addresses: []string{"x:1"}, Names: []Name{{"s-1", "north"}}})
@@ -47,7 +47,7 @@
 // BenchmarkCapture tells, by turns in one run, what the actor's work for a lookup of four parts costs with a recorder against
 // without. It is the actor's work alone: sockets, heads and bodies, several times as much, are not in it.
 func BenchmarkCapture(b *testing.B) {
-	with, without := newRig(nil), newRig(nil)
+	with, without := newFixture(nil), newFixture(nil)
 	with.Capture(capture.New("n1", recorderNames, 10), func(capture.Interval) {})
 	var took [2]time.Duration
 	n := 0
--- a/internal/dataplane/mixer/crossings_test.go
+++ b/internal/dataplane/mixer/crossings_test.go
@@ -39,7 +39,7 @@
 			for _, second := range outcomes {
 				for _, late := range []time.Duration{0, 3 * time.Second} { // past the wait: its timers come behind
 					orders(3, func(order []int) {
-						r := newRig(nil)
+						r := newFixture(nil)
 						e := r.lookup("aa", index, 2)
 						r.put(e)
 						if len(r.sent) != 2 {
@@ -81,7 +81,7 @@
 
 // A client that left while its lookup waited in the queue, or for a searcher to have room: nothing of it is sent, neither then nor later.
 func TestNothingOfAClientThatLeftIsSent(t *testing.T) {
-	r := newRig(func(s *settings.Settings) { s.Rules.ColdShare = 0.2 })
+	r := newFixture(func(s *settings.Settings) { s.Rules.ColdShare = 0.2 })
 	e := r.lookup("aa", 0, 4)
 	r.put(e, Event{Event: logic.Event{Kind: logic.ClientGone}, Taken: e.Taken})
 	if len(r.sent) != 0 {
--- a/internal/dataplane/mixer/mixer_test.go
+++ b/internal/dataplane/mixer/mixer_test.go
@@ -45,7 +45,7 @@
 	r.back = append(r.back, part)
 }
 
-func newRig(change func(*settings.Settings)) *fixture {
+func newFixture(change func(*settings.Settings)) *fixture {
 	set := settings.Settings{Settings: logic.Settings{Seed: 5, Mixers: 2, Step: 0.005,
 		Indexes: []logic.IndexSettings{{Soft: 1, Hard: 4, Gain: 1, LateGain: 0.1}, {Soft: 1, Hard: 4, Gain: 3, Effect: logic.OnceOnly}},
 		Layout:  logic.Layout{Cells: 4, Width: 2, CallParts: 1},
@@ -98,7 +98,7 @@
 }
 
 func TestALookupFromEndToEnd(t *testing.T) {
-	r := newRig(nil)
+	r := newFixture(nil)
 	e := r.lookup("aa", 0, 2)
 	lk := e.Taken
 	lk.Arrived = r.now.Add(-time.Second / 4) // it waited for its turn
@@ -141,7 +141,7 @@
 }
 
 func TestTheMostHeldAndTwins(t *testing.T) {
-	r := newRig(func(s *settings.Settings) { s.Limits.MaxHeld = 4 })
+	r := newFixture(func(s *settings.Settings) { s.Limits.MaxHeld = 4 })
 	first, twin, second, third := r.lookup("aa", 0, 2), r.lookup("aa", 0, 2), r.lookup("bb", 0, 1), r.lookup("cc", 0, 1)
 	r.put(first, twin, second, third)
 	if reply := twin.Taken.reply(t); reply.End != Twice {
@@ -163,7 +163,7 @@
 }
 
 func TestPartsOfAStepShareCalls(t *testing.T) {
-	r := newRig(func(s *settings.Settings) {
+	r := newFixture(func(s *settings.Settings) {
 		s.Layout = logic.Layout{Cells: 1, Width: 1, CallParts: 2}
 	})
 	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}, Addresses: []string{""}}
@@ -177,7 +177,7 @@
 
 // A timer set again in its own step keeps its beat, however late steps come; one that is far too late starts anew.
 func TestTimersDoNotDrift(t *testing.T) {
-	r := newRig(nil)
+	r := newFixture(nil)
 	begin := r.timers[0].due
 	for i := 1; i <= 50; i++ {
 		r.now = r.timers[0].due.Add(time.Duration(i%3) * time.Millisecond)
@@ -194,7 +194,7 @@
 }
 
 func TestTheClockIsUnixTimeAndTakesBackWhatItGives(t *testing.T) {
-	r := newRig(nil)
+	r := newFixture(nil)
 	at := time.Now()
 	if s := r.seconds(at); s < float64(at.UnixNano())/1e9-1 || s > float64(at.UnixNano())/1e9+1 {
 		t.Fatalf("%v is %f", at, s)
@@ -205,7 +205,7 @@
 }
 
 func TestStepsKeepTheirDistance(t *testing.T) {
-	r := newRig(nil)
+	r := newFixture(nil)
 	go r.Run(r, r)
 	begin := time.Now()
 	for i := range 40 {
@@ -241,7 +241,7 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		r := newRig(func(s *settings.Settings) {
+		r := newFixture(func(s *settings.Settings) {
 			s.Seed, s.Limits.MaxHeld, s.Layout.CallParts = seed, 60, 1+rng.IntN(3)
 			s.Limits.SecondCopy = rng.IntN(2) == 0
 		})
--- a/internal/dataplane/searchers/searchers_test.go
+++ b/internal/dataplane/searchers/searchers_test.go
@@ -89,17 +89,17 @@
 	r  *fixture
 }
 
-func (p *peerConnection) expect(letter byte, start string) string {
+func (p *peerConnection) expect(frameType byte, start string) string {
 	p.r.Helper()
 	got, rest, err := readFrame(p.in)
-	if err != nil || got != letter || !strings.HasPrefix(string(rest), start) {
-		p.r.Fatalf("got frame %c %q, %v; expected %c %q", got, rest, err, letter, start)
+	if err != nil || got != frameType || !strings.HasPrefix(string(rest), start) {
+		p.r.Fatalf("got frame %c %q, %v; expected %c %q", got, rest, err, frameType, start)
 	}
 	return string(rest)
 }
 
-func (p *peerConnection) say(letter byte, rest string) {
-	p.Write(appendFrame(nil, letter, []byte(rest)...))
+func (p *peerConnection) say(frameType byte, rest string) {
+	p.Write(appendFrame(nil, frameType, []byte(rest)...))
 }
 
 // event waits for the next thing told.
@@ -264,10 +264,10 @@
 				t.Fatalf("known after %v", took)
 			}
 			if _, _, err := readFrame(p.in); err == nil {
-				t.Fatal("the line stays open")
+				t.Fatal("the connection stays open")
 			}
 			if r.hub.count.Get("lines", string(whyReset)) > 0 {
-				t.Fatal("the line is said to have broken")
+				t.Fatal("the connection is said to have broken")
 			}
 		})
 	}
@@ -387,7 +387,7 @@
 	r.ended(lost[0].Part, logic.TimedOut) // long before its deadline
 	p.expect('M', "")
 	if _, _, err := readFrame(p.in); err != io.EOF {
-		t.Fatalf("the silent line goes on: %v", err)
+		t.Fatalf("the silent connection goes on: %v", err)
 	}
 }
 
@@ -401,7 +401,7 @@
 	p.say('R', "aa.0 done 0 -\n")
 	r.ended(calls[0].Part, logic.Answered)
 	if _, _, err := readFrame(p.in); err != io.EOF {
-		t.Fatalf("the line goes on: %v", err)
+		t.Fatalf("the connection goes on: %v", err)
 	}
 	for late := time.Now().Add(patience); len(r.hub.actors) > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(late) {
@@ -498,7 +498,7 @@
 	r.send("b0", "q", time.Minute, 1) // on a connection that is there: no third is accepted
 	r.peer.(*net.TCPListener).SetDeadline(time.Now().Add(50 * time.Millisecond))
 	if c, err := r.peer.Accept(); err == nil {
-		t.Fatalf("a third line from %v", c.RemoteAddr())
+		t.Fatalf("a third connection from %v", c.RemoteAddr())
 	}
 }
 
--- a/internal/operators/api/handlers.go
+++ b/internal/operators/api/handlers.go
@@ -127,7 +127,7 @@
 	w.Header().Set("Content-Type", "application/jsonl")
 	w.WriteHeader(http.StatusOK)
 	out, enc := http.NewResponseController(w), json.NewEncoder(w)
-	tick := time.NewTicker(s.beat)
+	tick := time.NewTicker(s.heartbeat)
 	defer tick.Stop()
 	for {
 		out.SetWriteDeadline(time.Now().Add(connectionWait))
--- a/internal/operators/api/listener.go
+++ b/internal/operators/api/listener.go
@@ -48,7 +48,7 @@
 	count      *counters.Set
 	limit      *rate.Limiter
 	http       *http.Server
-	beat       time.Duration
+	heartbeat  time.Duration
 	closed     chan struct{}
 }
 
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	s := &Server{mixer: mixer, controller: d, fleet: f, door: door, log: log, count: count, limit: rate.NewLimiter(perSecond, burst),
-		beat: heartbeatInterval, closed: make(chan struct{})}
+		heartbeat: heartbeatInterval, closed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/overrides", s.read(s.list))
 	mux.HandleFunc("GET /v1/history", s.read(s.history))
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -92,12 +92,12 @@
 	if err == nil {
 		err = l.db.View(kept.read)
 	}
-	if spoilt := (*corruptError)(nil); errors.As(err, &spoilt) {
+	if corrupt := (*corruptError)(nil); errors.As(err, &corrupt) {
 		l.db.Close()
 		l.lock.Close()
 		path := filepath.Join(dir, logName)
 		if err = os.Rename(path, fmt.Sprintf("%s.spoilt-%x", path, kept.ID)); err == nil {
-			log.Error().Str("file", path).Str("text", spoilt.Error()).Msg("spoilt file put aside, nothing of it holds")
+			log.Error().Str("file", path).Str("text", corrupt.Error()).Msg("spoilt file put aside, nothing of it holds")
 			return OpenLog(dir, wait, log)
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -95,7 +95,7 @@
 	if db, err = open(path, prepare, read); err == nil {
 		return db, "", nil
 	}
-	if spoilt := (*corruptError)(nil); !errors.As(err, &spoilt) {
+	if corrupt := (*corruptError)(nil); !errors.As(err, &corrupt) {
 		return nil, "", fmt.Errorf("%s: %w", path, err)
 	}
 	aside = fmt.Sprintf("%s.spoilt-%d", path, time.Now().UnixNano())
--- a/internal/tools/systemtest/broken_test.go
+++ b/internal/tools/fleettest/broken_test.go
@@ -1,4 +1,4 @@
-package systemtest
+package fleettest
 
 import (
 	"strings"
--- a/internal/tools/systemtest/systemtest_test.go
+++ b/internal/tools/fleettest/fleettest_test.go
@@ -1,6 +1,6 @@
-// Package systemtest starts several real processes of the program on loopback, before stand-ins, with a relay between every two,
+// Package fleettest starts several real processes of the program on loopback, before stand-ins, with a relay between every two,
 // and judges what came of them. Only tests use it. What judges here shares no code with what it judges.
-package systemtest
+package fleettest
 
 import (
 	"bytes"
--- a/internal/tools/systemtest/relay_test.go
+++ b/internal/tools/fleettest/relay_test.go
@@ -1,4 +1,4 @@
-package systemtest
+package fleettest
 
 import (
 	"errors"
@@ -27,14 +27,14 @@
 	tcp   net.Listener
 	fault atomic.Pointer[Fault]
 
-	mu    sync.Mutex
-	lines map[net.Conn]bool
-	rng   *rand.Rand
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+	rng         *rand.Rand
 }
 
 // NewRelay listens on loopback, on one port for both. Connections alone where no datagrams are wanted.
 func NewRelay(to string, datagrams bool, seed uint64) (*Relay, error) {
-	r := &Relay{to: to, lines: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	r := &Relay{to: to, connections: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1))}
 	r.fault.Store(&Fault{})
 	for try := 0; ; try++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -67,7 +67,7 @@
 	r.fault.Store(&f)
 	if f.Cut {
 		r.mu.Lock()
-		for c := range r.lines {
+		for c := range r.connections {
 			c.Close()
 		}
 		r.mu.Unlock()
@@ -148,15 +148,15 @@
 		return
 	}
 	r.mu.Lock()
-	r.lines[c], r.lines[out] = true, true
+	r.connections[c], r.connections[out] = true, true
 	r.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { r.copy(out, c, true) })
 	both.Go(func() { r.copy(c, out, false) })
 	both.Wait()
 	r.mu.Lock()
-	delete(r.lines, c)
-	delete(r.lines, out)
+	delete(r.connections, c)
+	delete(r.connections, out)
 	r.mu.Unlock()
 }
 
