--- a/internal/jobs/scheduler/reports.go
+++ b/internal/jobs/scheduler/reports.go
@@ -36,9 +36,11 @@
 	for i := range report.Finished {
 		s.noteEnd(now, sr, &report.Finished[i])
 	}
-	listed := s.listRunning(now, sr, report)
-	if !report.Partial {
-		s.missing(now, sr, report, listed)
+	if !report.Stale { // a newer report has said what runs there
+		listed := s.listRunning(now, sr, report)
+		if !report.Partial {
+			s.missing(now, sr, report, listed)
+		}
 	}
 	s.unplaced = true
 }
--- /dev/null
+++ b/internal/standin/cluster/memory_test.go
@@ -0,0 +1,44 @@
+package cluster
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestMemoryClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(RealClock{}, Settings{HoldMax: holdMax, InMemory: true})
+		defer c.Close()
+		s := c.AddSearcher(SearcherConfig{ID: "i-1"})
+		client := c.MemoryClient(3 * time.Millisecond)
+		look := func() (*http.Response, error) {
+			request, _ := http.NewRequest(http.MethodPost, "http://"+s.Address()+string(HoldCall), strings.NewReader(`{}`))
+			request.Header.Set("Expect-Instance", "i-1")
+			return client.Do(request)
+		}
+		convey.Convey("Calls reach a searcher without sockets", t, func() {
+			began := time.Now()
+			answer, err := look()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(answer.StatusCode, convey.ShouldEqual, http.StatusOK)
+			convey.So(time.Since(began), convey.ShouldEqual, 3*time.Millisecond)
+
+			s.SetFaults(Always(Fault{Kind: Slow, Delay: time.Second}))
+			_, err = look()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(time.Since(began), convey.ShouldEqual, 1006*time.Millisecond)
+
+			s.SetFaults(Always(Fault{Kind: Reset}))
+			_, err = look()
+			convey.So(err, convey.ShouldWrap, errReset)
+			s.Leave()
+			_, err = look()
+			convey.So(err, convey.ShouldWrap, errRefused)
+		})
+	})
+}
