Runs that stand still are noticed after 0.8 s without progress

Change: 0.8 s (or 0.24 of the expected duration) without progress between two reports; gangs 2 s more.

--- a/internal/jobs/scheduler/health.go
+++ b/internal/jobs/scheduler/health.go
@@ -14,9 +14,10 @@
 	faultWeight   = 0.25 // weight of a new end in a searcher's share of faults
 	usualUpTo     = 3.0  // times the expected duration: an end within widens the window
 
-	stallLeast   = 1500 * time.Millisecond // a run that makes no progress for so long may have stalled
-	stallShare   = 0.24                    // and for this share of its expected duration
-	restOfStalls = 4 * time.Second         // no starts at a searcher on which a run has stalled
+	stallLeast   = 800 * time.Millisecond // a run that makes no progress for so long may have stalled
+	stallOfGang  = 2 * time.Second        // more where the run may not have begun
+	stallShare   = 0.24                   // and for this share of its expected duration
+	restOfStalls = 4 * time.Second        // no starts at a searcher on which a run has stalled
 )
 
 // learn takes a run's end into its searcher's window, latency and share of faults.
@@ -133,7 +134,7 @@
 	}
 	patience := max(stallLeast, time.Duration(stallShare*s.expectedMS(stage, r.at))*time.Millisecond)
 	if stage.GangScheduled && r.percent == 0 {
-		patience += stallLeast // it begins once all members are there
+		patience += stallOfGang // it begins once all members are there
 	}
 	return r.listedAt.Sub(r.percentAt) > patience
 }
