A list of searchers is read whole although the platform refuses calls on the way

Change: a refused page after the first is asked for again within the reader's share of the rate, at most 20 times.

--- a/internal/jobs/inventory/inventory.go
+++ b/internal/jobs/inventory/inventory.go
@@ -27,6 +27,9 @@
 	jitter        = 0.25 // of a pause after a failure, either way
 	shareOfRate   = 0.5  // of the calls that the platform accepts, which others may need too
 	stateDraining = "draining"
+
+	refusalsPerPage = 20 // how often one page is asked for again
+	leastPagePause  = 100 * time.Millisecond
 )
 
 // Reader reads the list at the platform's address.
@@ -85,7 +88,7 @@
 	var token string
 	seen := make(map[string]bool)
 	for pages := 1; pages <= maxPages; pages++ {
-		page, err := r.page(ctx, token)
+		page, err := r.patientPage(ctx, token)
 		if err != nil {
 			return nil, 0, fmt.Errorf("page %d: %w", pages, err)
 		}
@@ -150,6 +153,28 @@
 	return kept
 }
 
+// patientPage asks for a page; one after the first is asked for again when the platform refuses it for its rate.
+func (r *Reader) patientPage(ctx context.Context, token string) (page, error) {
+	for refusals := 0; ; refusals++ {
+		p, err := r.page(ctx, token)
+		if token == "" || !errors.Is(err, ErrTooManyCalls) || refusals == refusalsPerPage {
+			return p, err
+		}
+		sleep(ctx, jittered(r.pagePause()))
+		if ctx.Err() != nil {
+			return page{}, ctx.Err()
+		}
+	}
+}
+
+// pagePause is the time between two calls that stays within this reader's share of the rate.
+func (r *Reader) pagePause() time.Duration {
+	if r.RatePerS <= 0 {
+		return firstBackoff
+	}
+	return max(leastPagePause, time.Duration(float64(time.Second)/(r.RatePerS*shareOfRate)))
+}
+
 func (r *Reader) page(ctx context.Context, token string) (page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
