--- a/internal/controlplane/storage/full_test.go
+++ b/internal/controlplane/storage/full_test.go
@@ -152,6 +152,7 @@
 			if err := store.Write(change); err != nil {
 				t.Fatal(err)
 			}
+			synctest.Wait() // the writer rewrites after it has answered
 		}
 		write()
 		disk.SetRoom(2*value + value/2)
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -7,6 +7,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
@@ -168,13 +170,23 @@
 // Tick does what is due by time alone.
 func (s *Scheduler) Tick(now Now) {
 	s.forgetEnded(now)
+	for _, j := range s.dueJobs(now) {
+		s.advance(now, j)
+	}
+	s.inspectRuns(now)
+	s.unplaced = true
+}
+
+// dueJobs lists the jobs with a repetition that is due, in order of arrival, so that the same events give the same effects.
+func (s *Scheduler) dueJobs(now Now) []*jobState {
+	var due []*jobState
 	for j := range s.scheduled {
 		if j.nextDue <= now.WallMS {
-			s.advance(now, j)
+			due = append(due, j)
 		}
 	}
-	s.inspectRuns(now)
-	s.unplaced = true
+	slices.SortFunc(due, func(a, b *jobState) int { return cmp.Compare(a.Arrival, b.Arrival) })
+	return due
 }
 
 // NextDue is the earliest time (milliseconds since 1970) at which a scheduled repetition begins; 0 when none waits.
