--- a/internal/controlplane/storage/full_test.go
+++ b/internal/controlplane/storage/full_test.go
@@ -34,6 +34,7 @@
 			t.Fatalf("write %d: %v", i, err)
 		}
 	}
+	synctest.Wait() // the writer may rewrite the file after it has answered
 }
 
 // exactly fails unless the store holds so many writes of the script and nothing else.
