--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -215,7 +216,9 @@
 	case http.StatusOK:
 		return msgpack.Unmarshal(answer.Body.Bytes(), reply)
 	case http.StatusServiceUnavailable, http.StatusNotFound:
-		return verdict.Unexecuted(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body), 0)
+		milliseconds, _ := strconv.Atoi(answer.Header().Get(transport.RetryAfterHeader))
+		pause := time.Duration(milliseconds) * time.Millisecond
+		return verdict.Unexecuted(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body), pause)
 	}
 	return verdict.Unclear(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body))
 }
--- /dev/null
+++ b/internal/jobs/job/job_test.go
@@ -0,0 +1,102 @@
+package job
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+func TestSpecifications(t *testing.T) {
+	Convey("A whole specification is read as it was written", t, func() {
+		s, err := ParseSpecification([]byte(`{"specification":"text","stages":[{"count":4,"processors":500,"memoryRequestMb":256,
+			"estimatedDurationMs":900,"affinity":"r1-3","requirements":"a"},{"count":20,"accelerators":2,"dependsOn":[0],"checkpoints":true,
+			"gangScheduled":true,"sameRack":true,"antiAffinity":3}],"repetitions":3,"firstRunMs":1700000000000,"intervalMs":500,"other":1}`))
+		So(err, ShouldBeNil)
+		So(s.Times(), ShouldEqual, 3)
+		So(s.Stages[0].Requirements, ShouldResemble, Labels{"a"})
+		So(s.Stages[0].Resources, ShouldResemble, Resources{Processors: 500, MemoryMB: 256})
+		So(s.Stages[1].DependsOn, ShouldResemble, []int{0})
+		So(s.Stages[1].GangScheduled && s.Stages[1].SameRack && s.Stages[1].Checkpoints, ShouldBeTrue)
+		Convey("and survives the internal protocol", func() {
+			body, err := msgpack.Marshal(s)
+			So(err, ShouldBeNil)
+			var again Specification
+			So(msgpack.Unmarshal(body, &again), ShouldBeNil)
+			So(again, ShouldResemble, s)
+		})
+	})
+	Convey("What is wrong is named", t, func() {
+		for body, says := range map[string]string{
+			`{"stages":[{"count":1}`:                                "job:",
+			`{"stages":[]}`:                                         "stages: 0",
+			`{"stages":[{"count":0}]}`:                              "stages[0].count",
+			`{"stages":[{"count":1,"dependsOn":[0]}]}`:              "stages[0].dependsOn",
+			`{"stages":[{"count":1,"processors":-1}]}`:              "stages[0]: a request below 0",
+			`{"stages":[{"count":100001}]}`:                         "over 100000 tasks",
+			`{"stages":[{"count":1}],"repetitions":-1}`:             "repetitions: -1",
+			`{"stages":[{"count":1,"requirements":{"no":"list"}}]}`: "labels:",
+		} {
+			_, err := ParseSpecification([]byte(body))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, says)
+		}
+	})
+}
+
+func TestTaskNames(t *testing.T) {
+	Convey("A task's name is read back", t, func() {
+		id := TaskID{Job: "5c0e7a21d94b36f8", Repetition: 2, Stage: 1, Index: 17}
+		again, err := ParseTaskID(id.String())
+		So(err, ShouldBeNil)
+		So(again, ShouldResemble, id)
+	})
+	Convey("Other texts are no names", t, func() {
+		for _, text := range []string{"", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.-1", "5c0e7a21d94b36f8.0.1.x", "a.0.1.2.3"} {
+			_, err := ParseTaskID(text)
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("Job IDs have 16 hexadecimal digits", t, func() {
+		So(ID("5c0e7a21d94b36f8").Valid(), ShouldBeTrue)
+		So(ID("5c0e7a21d94b36f").Valid(), ShouldBeFalse)
+		So(ID("5c0e7a21d94b36fg").Valid(), ShouldBeFalse)
+	})
+}
+
+func TestResources(t *testing.T) {
+	Convey("Requests fit and count by each part", t, func() {
+		room := Resources{Processors: 1000, MemoryMB: 600, Accelerators: 1}
+		So(room.Fits(Resources{Processors: 1000, MemoryMB: 600, Accelerators: 1}), ShouldBeTrue)
+		So(room.Fits(Resources{Accelerators: 2}), ShouldBeFalse)
+		So(room.Holds(Resources{Processors: 300, MemoryMB: 300}), ShouldEqual, 2)
+		So(room.Subtract(room), ShouldResemble, Resources{})
+		So(room.Times(3), ShouldResemble, room.Add(room).Add(room))
+	})
+}
+
+// FuzzParseSpecification looks for bodies that end the process, or that pass and break what the scheduler takes for granted.
+func FuzzParseSpecification(f *testing.F) {
+	f.Add([]byte(`{"specification":"text","stages":[{"count":2,"requirements":["a","b"]},{"count":1,"dependsOn":[0]}],"repetitions":2}`))
+	f.Add([]byte(`{"stages":[{"count":1e3}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := ParseSpecification(body)
+		if err != nil {
+			if strings.TrimSpace(err.Error()) == "" {
+				t.Fatal("an error says nothing")
+			}
+			return
+		}
+		for number, stage := range s.Stages {
+			if stage.Count < 1 || stage.Processors < 0 {
+				t.Fatalf("stage %d passed: %+v", number, stage)
+			}
+			for _, earlier := range stage.DependsOn {
+				if earlier >= number {
+					t.Fatalf("stage %d depends on %d", number, earlier)
+				}
+			}
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,9 +20,11 @@
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
+// RetryAfterHeader carries, in milliseconds, when a refused caller should come back.
+const RetryAfterHeader = "Retry-After-Ms"
+
 const (
 	contentType     = "application/msgpack"
-	retryAfterMs    = "Retry-After-Ms"
 	maxBodyBytes    = 64 << 20
 	maxErrorBytes   = 4 << 10
 	dialTimeout     = 800 * time.Millisecond
@@ -110,7 +112,7 @@
 	if answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusNotFound {
 		return verdict.Unclear(err)
 	}
-	milliseconds, _ := strconv.Atoi(answer.Header.Get(retryAfterMs))
+	milliseconds, _ := strconv.Atoi(answer.Header.Get(RetryAfterHeader))
 	return verdict.Unexecuted(err, time.Duration(milliseconds)*time.Millisecond)
 }
 
@@ -152,7 +154,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set(retryAfterMs, strconv.FormatInt(verdict.RetryAfter(err).Milliseconds(), 10))
+	w.Header().Set(RetryAfterHeader, strconv.FormatInt(verdict.RetryAfter(err).Milliseconds(), 10))
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
