--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -171,7 +171,7 @@
 	c.jobs = manager.New(manager.Config{
 		HTTP: c.searchers, Log: c.log,
 		Settings: scheduler.Settings{
-			FarFactor: bounds.FarFactor, StopTime: bounds.Stop, SaveInterval: bounds.Save, RestoreTime: bounds.Restore,
+			FarFactor: bounds.FarFactor, StopTime: bounds.Stop, RestoreTime: bounds.Restore,
 			HoldMax: bounds.HoldMax, DrainTime: bounds.Drain, StatusKept: bounds.Status + statusMargin,
 		},
 	})
--- a/internal/controlplane/replication/mutants_test.go
+++ b/internal/controlplane/replication/mutants_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-
-	"puffinlink.example/puffinlink/internal/raceflag"
 )
 
 // stormsUntilFound bounds the search for a defect. Most are found by one of the first fifty storms.
@@ -15,9 +13,6 @@
 // Each defect that breaks the protocol is found by some storm; so the storms that find nothing mean something. Three
 // defects that take a rare coincidence are brought about by TestReplicaKeepsItsWord instead.
 func TestStormsFindDefects(t *testing.T) {
-	if raceflag.On {
-		t.Skip("nothing is concurrent in a storm, and the search takes ten times as long under the race detector")
-	}
 	cases := []struct {
 		name      string
 		wrong     defects
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -19,13 +19,12 @@
 
 // Settings are a deployment's bounds, from the settings file of the process.
 type Settings struct {
-	FarFactor    float64       // how much longer a task takes away from its data or across racks
-	StopTime     time.Duration // a stop takes at most this long
-	SaveInterval time.Duration // work between two checkpoints
-	RestoreTime  time.Duration // a start from a checkpoint takes this much longer
-	HoldMax      time.Duration // longest time that a searcher keeps tasks without renewal
-	DrainTime    time.Duration // a draining searcher stays at least this long
-	StatusKept   time.Duration // how long an ended job's state is kept
+	FarFactor   float64       // how much longer a task takes away from its data or across racks
+	StopTime    time.Duration // a stop takes at most this long
+	RestoreTime time.Duration // a start from a checkpoint takes this much longer
+	HoldMax     time.Duration // longest time that a searcher keeps tasks without renewal
+	DrainTime   time.Duration // a draining searcher stays at least this long
+	StatusKept  time.Duration // how long an ended job's state is kept
 }
 
 // Now is the time of a call on both clocks.
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -89,7 +89,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), begin: time.Unix(1_700_000_000, 0), durable: map[string][]byte{},
 		tasks: map[job.TaskID]*taskFacts{}, jobs: map[job.ID]*jobFacts{}, epoch: 1,
-		settings: Settings{FarFactor: 2, StopTime: 400 * time.Millisecond, SaveInterval: time.Second, RestoreTime: 200 * time.Millisecond,
+		settings: Settings{FarFactor: 2, StopTime: 400 * time.Millisecond, RestoreTime: 200 * time.Millisecond,
 			HoldMax: 6 * time.Second, DrainTime: 3 * time.Second, StatusKept: time.Hour},
 	}
 	for i := range machines {
