--- /dev/null
+++ b/internal/jobs/manager/fleet_bench_test.go
@@ -0,0 +1,176 @@
+package manager
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/jobs/worker"
+	"puffinlink.example/puffinlink/internal/standin/cluster"
+	"puffinlink.example/puffinlink/internal/transport"
+)
+
+const (
+	fleetVariable  = "PUFFINLINK_TEST_FLEET" // how many searchers the test binary stands in for, as a process of its own
+	fleetService   = "s"
+	fleetTask      = time.Second            // how long each task works
+	fleetHoldMax   = 6 * time.Second        //
+	fleetSettling  = 6 * time.Second        // until all searchers are held
+	fleetMeasured  = 8 * time.Second        // for which the processor time is taken
+	fleetPause     = 50 * time.Millisecond  // between two hand-ins
+	fleetTasksEach = 4                      // of a job
+	fleetListing   = time.Second            // between two lists of the platform
+	fleetPatience  = 100 * time.Millisecond // between two looks for the leadership
+)
+
+// serveFleet stands in for searchers until its standard input ends; it prints the list of them.
+func serveFleet(count int) {
+	searchers := cluster.New(cluster.RealClock{}, cluster.Settings{HoldMax: fleetHoldMax, Describe: func(job.TaskID, string) cluster.Profile {
+		return cluster.Profile{Duration: fleetTask, Resources: fleetNeed}
+	}})
+	instances := make([]worker.Instance, 0, count)
+	for i := range count {
+		id := fmt.Sprintf("i-%05d", i)
+		capacity := job.Resources{Processors: 32000, MemoryMB: 65536}
+		searcher := searchers.AddSearcher(cluster.SearcherConfig{ID: id, Service: fleetService, Capacity: capacity})
+		instances = append(instances, worker.Instance{ID: worker.SearcherID(id), Service: fleetService, Address: searcher.Address(),
+			Slots: 8, Capacity: capacity, Labels: []string{"a", fmt.Sprint("r", i/8)}})
+	}
+	json.NewEncoder(os.Stdout).Encode(instances)
+	bufio.NewReader(os.Stdin).ReadByte()
+}
+
+var fleetNeed = job.Resources{Processors: 3000, MemoryMB: 6000}
+
+// startFleet runs stand-ins in a process of their own, so that their processor time is not the leader's.
+func startFleet(b *testing.B, count int) []worker.Instance {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), fleetVariable+"="+strconv.Itoa(count))
+	input, err := command.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { input.Close(); command.Wait() })
+	var instances []worker.Instance
+	if err := json.NewDecoder(output).Decode(&instances); err != nil {
+		b.Fatal(err)
+	}
+	return instances
+}
+
+// startLeader makes a group of one replica that leads.
+func startLeader(b *testing.B, instances []worker.Instance) *Manager {
+	const self = "127.0.0.1:1"
+	m := New(Config{Settings: scheduler.Settings{FarFactor: 1.5, HoldMax: fleetHoldMax, StatusKept: 5 * time.Minute}, HTTP: worker.NewHTTPClient(), Log: zap.NewNop()})
+	node, err := replication.NewNode(replication.Config{
+		Self: self, Store: storage.NewMemory(), Caller: transport.NewClient(), Handler: m,
+		View:  func() replicaset.View { return replicaset.View{Version: 1, Members: []string{self}} },
+		Ready: func() bool { return true }, Timing: replication.DefaultTiming,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { node.Run(ctx); close(over) }()
+	b.Cleanup(func() { cancel(); <-over; m.Stop() })
+	node.Ensure(feed.GroupOf(fleetService))
+	for leading, _ := m.Leading(); !leading; leading, _ = m.Leading() {
+		time.Sleep(fleetPatience)
+	}
+	go func() {
+		for ctx.Err() == nil {
+			m.Inventory(instances)
+			time.Sleep(fleetListing)
+		}
+	}()
+	return m
+}
+
+// BenchmarkFleet measures what share of a core a leader uses for a service of many searchers. Run it with -benchtime=1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, load := range []struct{ searchers, tasksPerS int }{{250, 0}, {2100, 0}, {250, 160}, {2100, 160}, {2100, 960}} {
+		b.Run(fmt.Sprintf("%d searchers, %d tasks a second", load.searchers, load.tasksPerS), func(b *testing.B) {
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			m := startLeader(b, startFleet(b, load.searchers))
+			for b.Loop() {
+				playFleet(b, m, load.tasksPerS)
+			}
+		})
+	}
+}
+
+func playFleet(b *testing.B, m *Manager, tasksPerS int) {
+	number := 0
+	load := func(span time.Duration) {
+		begin := time.Now()
+		for handed := 0.0; time.Since(begin) < span; time.Sleep(fleetPause) {
+			for ; handed < time.Since(begin).Seconds()*float64(tasksPerS); handed += fleetTasksEach {
+				number++
+				handIn(b, m, number)
+			}
+		}
+	}
+	load(fleetSettling)
+	before, began := used(), time.Now()
+	load(fleetMeasured)
+	b.ReportMetric(100*(used()-before).Seconds()/time.Since(began).Seconds(), "%core")
+	led, err := m.lead(feed.GroupOf(fleetService))
+	if err != nil {
+		b.Fatal(err)
+	}
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	summary := led.scheduler.Summary()
+	b.ReportMetric(float64(summary.ReachableSearchers), "reachable")
+	b.ReportMetric(float64(summary.Ended), "ended")
+}
+
+func handIn(b *testing.B, m *Manager, number int) {
+	request := jobapi.Submit{Group: feed.GroupOf(fleetService), ID: job.ID(fmt.Sprintf("%016x", number)),
+		Queue: jobapi.Queue{Route: "r", MaxAttempts: 3, TargetLatencyMS: 250, Extension: 2},
+		Specification: job.Specification{Text: "text", Stages: []job.Stage{
+			{Count: fleetTasksEach, EstimatedDurationMS: fleetTask.Milliseconds(), Resources: fleetNeed},
+		}}}
+	go m.submit(context.Background(), request)
+}
+
+func used() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func TestMain(m *testing.M) {
+	if count, err := strconv.Atoi(os.Getenv(fleetVariable)); err == nil {
+		serveFleet(count)
+		return
+	}
+	os.Exit(m.Run())
+}
