The scheduler looks at no searcher where nothing waits or runs; the next due time is kept

Cause: each report of an idle searcher led to a look at all searchers, and each event to one at all scheduled jobs.

--- a/internal/jobs/scheduler/health.go
+++ b/internal/jobs/scheduler/health.go
@@ -92,8 +92,10 @@
 func (s *Scheduler) inspectRuns(now Now) {
 	s.settleDrag()
 	for _, sr := range s.list {
-		for _, r := range sr.sortedRuns() {
-			s.inspect(now, r)
+		if len(sr.runs) > 0 {
+			for _, r := range sr.sortedRuns() {
+				s.inspect(now, r)
+			}
 		}
 		if !sr.reachable && sr.fencedAt.IsZero() {
 			s.Lapsed(now, sr.ID)
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -132,6 +132,9 @@
 	s.dispatches++
 	s.reorder(now)
 	s.open = s.open[:0]
+	if len(s.stages) == 0 {
+		return // nothing waits: no look at each searcher
+	}
 	for _, sr := range s.list {
 		if s.isOpen(now, sr) {
 			s.open = append(s.open, sr)
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -12,8 +12,7 @@
 	for len(j.times) < j.Specification.Times() {
 		due := j.dueMS(len(j.times))
 		if due > now.WallMS {
-			j.nextDue = due
-			s.scheduled[j] = true
+			s.schedule(j, due)
 			return
 		}
 		repetition := newRepetition(j, len(j.times))
@@ -21,7 +20,7 @@
 		s.openStages(now, repetition)
 	}
 	j.nextDue = 0
-	delete(s.scheduled, j)
+	s.unschedule(j)
 }
 
 func newRepetition(j *jobState, number int) *repetition {
@@ -161,7 +160,7 @@
 // endJob ends a job for good and stops what still runs of it.
 func (s *Scheduler) endJob(now Now, j *jobState, state job.State) {
 	j.over = true
-	delete(s.scheduled, j)
+	s.unschedule(j)
 	for number, r := range j.times {
 		if r == nil {
 			s.erase(repetitionKey(j.id, number))
--- a/internal/jobs/scheduler/reports.go
+++ b/internal/jobs/scheduler/reports.go
@@ -47,8 +47,12 @@
 
 // listRunning matches the running list with our runs and stops what nobody wants.
 func (s *Scheduler) listRunning(now Now, sr *searcher, report *worker.Listing) map[job.TaskID]bool {
+	if len(report.Running) == 0 {
+		sr.strays = nil
+		return nil
+	}
 	listed := make(map[job.TaskID]bool, len(report.Running))
-	strays := map[stray]bool{}
+	var strays map[stray]bool
 	for i := range report.Running {
 		entry := &report.Running[i]
 		r := sr.runs[entry.Task]
@@ -58,6 +62,9 @@
 			continue
 		}
 		key := stray{entry.Task, entry.Execution}
+		if strays == nil {
+			strays = map[stray]bool{}
+		}
 		strays[key] = true
 		if !sr.strays[key] {
 			order := &worker.StopOrder{Task: entry.Task, Execution: entry.Execution}
@@ -86,6 +93,9 @@
 
 // missing settles the runs that a report should have listed and did not.
 func (s *Scheduler) missing(now Now, sr *searcher, report *worker.Listing, listed map[job.TaskID]bool) {
+	if len(sr.runs) == 0 {
+		return
+	}
 	for _, r := range sr.sortedRuns() {
 		if listed[r.task.id] {
 			continue
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	list       []*searcher                // the same, in a stable order
 	gone       map[worker.SearcherID]bool // lives that are over
 	scheduled  map[*jobState]bool         // jobs with repetitions that have not begun
+	nextDue    int64                      // the earliest of them, milliseconds since 1970; 0 for none
+	dueChanged bool                       // nextDue must be worked out anew
 	stages     []*stageRun                // with tasks that wait for a start
 	pending    map[string]int
 	arrivals   uint64
@@ -190,13 +192,31 @@
 
 // NextDue is the earliest time (milliseconds since 1970) at which a scheduled repetition begins; 0 when none waits.
 func (s *Scheduler) NextDue() int64 {
-	next := int64(0)
+	if !s.dueChanged {
+		return s.nextDue
+	}
+	s.nextDue, s.dueChanged = 0, false
 	for j := range s.scheduled {
-		if next == 0 || j.nextDue < next {
-			next = j.nextDue
+		if s.nextDue == 0 || j.nextDue < s.nextDue {
+			s.nextDue = j.nextDue
 		}
 	}
-	return next
+	return s.nextDue
+}
+
+// schedule notes when a job's next repetition begins.
+func (s *Scheduler) schedule(j *jobState, due int64) {
+	j.nextDue = due
+	s.scheduled[j] = true
+	s.dueChanged = true
+}
+
+// unschedule notes that a job has no repetition left to begin.
+func (s *Scheduler) unschedule(j *jobState) {
+	if s.scheduled[j] {
+		delete(s.scheduled, j)
+		s.dueChanged = true
+	}
 }
 
 func (s *Scheduler) known(id job.ID) bool {
