--- a/internal/jobs/manager/fleet_bench_test.go
+++ b/internal/jobs/manager/fleet_bench_test.go
@@ -119,7 +119,7 @@
 
 // BenchmarkFleet measures what share of a core a leader uses for a service of many searchers. Run it with -benchtime=1x.
 func BenchmarkFleet(b *testing.B) {
-	for _, load := range []struct{ searchers, tasksPerS int }{{250, 0}, {2100, 0}, {250, 160}, {2100, 160}, {2100, 960}} {
+	for _, load := range []struct{ searchers, tasksPerS int }{{250, 0}, {2100, 0}, {250, 160}, {2100, 160}, {2100, 640}, {2100, 960}} {
 		b.Run(fmt.Sprintf("%d searchers, %d tasks a second", load.searchers, load.tasksPerS), func(b *testing.B) {
 			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 			m := startLeader(b, startFleet(b, load.searchers))
--- a/internal/jobs/worker/connections.go
+++ b/internal/jobs/worker/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,7 +31,7 @@
 	waiting  []*turn
 	spare    map[*lane]bool // lanes with an idle connection
 	nextDial time.Time      // by the pace, if none were allowed at once
-	timer    *time.Timer    // for the turns that wait for the pace
+	timed    bool           // a timer will serve those that wait for the pace
 }
 
 // NewConnections makes a budget.
@@ -69,6 +70,7 @@
 	places   int // connections, open or promised
 	promised int // places whose connection is not open yet
 	seeking  int // calls that net/http is giving a connection to
+	waiting  int // calls that wait for their turn
 	idle     map[*connection]bool
 }
 
@@ -118,6 +120,7 @@
 	}
 	t := &turn{lane: l, granted: make(chan struct{})}
 	c.waiting = append(c.waiting, t)
+	l.waiting++
 	c.serve()
 	c.mu.Unlock()
 	select {
@@ -136,6 +139,7 @@
 	defer c.mu.Unlock()
 	l.calls--
 	l.changed()
+	l.serveOwn()
 	c.serve()
 }
 
@@ -204,49 +208,57 @@
 // lanesLookedAt is among how many idle lanes the one to lose a connection is chosen.
 const lanesLookedAt = 16
 
-// serve lets those calls go on that wait and can. The caller holds the lock.
+// serve lets those calls go on that wait and can, in their order. The caller holds the lock.
 func (c *Connections) serve() {
-	left := c.waiting[:0]
-	blocked := false
-	for _, t := range c.waiting {
-		switch {
-		case t.lane.reuse():
-			close(t.granted)
-		case !blocked && t.lane.takePlace():
-			close(t.granted)
-		default:
-			blocked = true
-			left = append(left, t)
+	for len(c.waiting) > 0 {
+		first := c.waiting[0]
+		if !first.lane.reuse() && !first.lane.takePlace() {
+			break
 		}
+		c.grant(0)
 	}
-	clear(c.waiting[len(left):])
-	c.waiting = left
-	if delay := c.dialDelay(); len(left) > 0 && delay > 0 {
-		c.serveAfter(delay)
+	if delay := c.dialDelay(); len(c.waiting) > 0 && delay > 0 && !c.timed {
+		c.timed = true
+		time.AfterFunc(delay, c.serveLater)
 	}
 }
 
-func (c *Connections) serveAfter(delay time.Duration) {
-	if c.timer != nil {
-		c.timer.Reset(delay)
+func (c *Connections) serveLater() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timed = false
+	c.serve()
+}
+
+// serveOwn lets a call of a lane go on with a connection that the lane has to itself. The caller holds the lock.
+func (l *lane) serveOwn() {
+	if l.waiting == 0 || !l.reuse() {
 		return
 	}
-	c.timer = time.AfterFunc(delay, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.serve()
-	})
+	own := slices.IndexFunc(l.owner.waiting, func(t *turn) bool { return t.lane == l })
+	l.owner.grant(own)
+}
+
+// grant lets a call go on. The caller holds the lock.
+func (c *Connections) grant(at int) {
+	t := c.waiting[at]
+	c.remove(at)
+	close(t.granted)
+}
+
+// remove takes a call out of those that wait. The caller holds the lock.
+func (c *Connections) remove(at int) {
+	c.waiting[at].lane.waiting--
+	c.waiting = slices.Delete(c.waiting, at, at+1)
 }
 
 // giveUp takes a call out of those that wait.
 func (c *Connections) giveUp(t *turn) {
 	c.mu.Lock()
-	for i, other := range c.waiting {
-		if other == t {
-			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
-			c.mu.Unlock()
-			return
-		}
+	if at := slices.Index(c.waiting, t); at >= 0 {
+		c.remove(at)
+		c.mu.Unlock()
+		return
 	}
 	c.mu.Unlock()
 	t.lane.end() // it was granted just now
