The searchers on each page of the platform's list are known at once after a takeover; a page without an answer is asked for again

Cause: with 3,000 searchers the list has 60 pages at 30 calls a second, and one page that took over 0.9 s made the reader begin anew: a new leader knew no searcher for seconds.

--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -305,6 +305,7 @@
 func (c *Coordinator) readInventory(ctx context.Context) {
 	reader := inventory.Reader{
 		Address: c.settings.CloudAPI.Address, RatePerS: c.settings.CloudAPI.RatePerS, HTTP: c.platform, Log: c.log,
+		Found: c.jobs.Found,
 	}
 	for ctx.Err() == nil {
 		leading, changed := c.jobs.Leading()
--- a/internal/jobs/inventory/inventory.go
+++ b/internal/jobs/inventory/inventory.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +30,7 @@
 	stateDraining = "draining"
 
 	refusalsPerPage = 20 // how often one page is asked for again
+	failuresPerPage = 3  // and after calls without an answer
 	leastPagePause  = 100 * time.Millisecond
 )
 
@@ -38,6 +40,9 @@
 	RatePerS float64      // how many calls a second the platform accepts from all machines together; 0 when unknown
 	HTTP     *http.Client // http.DefaultClient when nil
 	Log      *zap.Logger  // may be nil
+	// Found takes the searchers of each page until a whole list was read; nil for none. A long list takes seconds.
+	Found func([]worker.Instance)
+	whole bool // one was read
 }
 
 // Run reads the list every interval and delivers each one that came whole, until the context ends. The interval grows with
@@ -47,6 +52,7 @@
 	if log == nil {
 		log = zap.NewNop()
 	}
+	r.whole = false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -92,8 +98,13 @@
 		if err != nil {
 			return nil, 0, fmt.Errorf("page %d: %w", pages, err)
 		}
+		before := len(instances)
 		instances = page.appendTo(instances)
+		if !r.whole && r.Found != nil {
+			r.Found(slices.Clone(instances[before:]))
+		}
 		if page.NextPageToken == nil || *page.NextPageToken == "" {
+			r.whole = true
 			return unique(instances), pages, nil
 		}
 		token = *page.NextPageToken
@@ -153,11 +164,21 @@
 	return kept
 }
 
-// patientPage asks for a page; one after the first is asked for again when the platform refuses it for its rate.
+// patientPage asks for a page; one after the first is asked for again when the platform refuses it for its rate, or leaves
+// it without an answer, as the pages before it need not be read anew for that.
 func (r *Reader) patientPage(ctx context.Context, token string) (page, error) {
-	for refusals := 0; ; refusals++ {
+	refusals, failures := 0, 0
+	for {
 		p, err := r.page(ctx, token)
-		if token == "" || !errors.Is(err, ErrTooManyCalls) || refusals == refusalsPerPage {
+		if err == nil || token == "" {
+			return p, err
+		}
+		if errors.Is(err, ErrTooManyCalls) {
+			refusals++
+		} else {
+			failures++
+		}
+		if refusals > refusalsPerPage || failures > failuresPerPage {
 			return p, err
 		}
 		sleep(ctx, jittered(r.pagePause()))
--- a/internal/jobs/inventory/inventory_test.go
+++ b/internal/jobs/inventory/inventory_test.go
@@ -63,6 +63,28 @@
 			convey.So(instances[7].Draining, convey.ShouldBeTrue)
 			convey.So(instances[7].RemainingMS, convey.ShouldBeBetween, 3_000_000, 3_600_001)
 		})
+		convey.Convey("the searchers of each page are found at once, until the first list was read whole", func() {
+			var found []int
+			reader.Found = func(instances []worker.Instance) { found = append(found, len(instances)) }
+			reader.Read(t.Context())
+			reader.Read(t.Context())
+			convey.So(found, convey.ShouldResemble, []int{3, 3, 1})
+		})
+		convey.Convey("a page without an answer is asked for again, and not the pages before it", func() {
+			calls := 0
+			flaky := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if calls++; calls == 2 || calls == 4 {
+					panic(http.ErrAbortHandler)
+				}
+				platform.ServeHTTP(w, r)
+			}))
+			convey.Reset(flaky.Close)
+			reader.Address, reader.RatePerS = flaky.Listener.Addr().String(), 0
+			instances, _, err := reader.Read(t.Context())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(instances, convey.ShouldHaveLength, 7)
+			convey.So(platform.Calls(), convey.ShouldEqual, 3)
+		})
 		convey.Convey("a refused call is no list", func() {
 			platform.Fail(http.StatusTooManyRequests)
 			_, _, err := reader.Read(t.Context())
--- a/internal/jobs/manager/lead.go
+++ b/internal/jobs/manager/lead.go
@@ -250,6 +250,16 @@
 	})
 }
 
+// found takes some searchers of the group's service, before the whole list is known.
+func (l *lead) found(instances []worker.Instance) {
+	l.step(func(now scheduler.Now) {
+		for i := range instances {
+			l.connect(&instances[i])
+		}
+		l.scheduler.Found(now, instances)
+	})
+}
+
 func (l *lead) connect(instance *worker.Instance) {
 	if l.links[instance.ID] != nil || l.scheduler.Over(instance.ID) {
 		return
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,13 +42,14 @@
 	mu        sync.Mutex
 	leads     map[string]*lead // by group
 	instances []worker.Instance
-	listed    bool // a whole list was read
+	listed    bool                                  // a whole list was read
+	found     map[worker.SearcherID]worker.Instance // on the pages read before the first whole list
 	changed   chan struct{}
 }
 
 // New makes a Manager that leads nothing.
 func New(config Config) *Manager {
-	return &Manager{config: config, leads: map[string]*lead{}, changed: make(chan struct{})}
+	return &Manager{config: config, leads: map[string]*lead{}, found: map[worker.SearcherID]worker.Instance{}, changed: make(chan struct{})}
 }
 
 // Elected implements replication.Handler.
@@ -60,11 +63,17 @@
 	m.mu.Lock()
 	m.leads[term.Group()] = led
 	instances, listed := m.instances, m.listed
+	if !listed {
+		instances = slices.Collect(maps.Values(m.found))
+	}
 	m.signal()
 	m.mu.Unlock()
+	own := serviceInstances(instances, term.Group())
 	m.config.Log.Info("leading", zap.String("group", term.Group()), zap.Uint64("epoch", term.Epoch()))
 	if listed {
-		led.inventory(serviceInstances(instances, term.Group()))
+		led.inventory(own)
+	} else if len(own) > 0 {
+		led.found(own)
 	}
 	go led.run()
 }
@@ -97,14 +106,28 @@
 	return len(m.leads) > 0, m.changed
 }
 
+// Found takes a part of a list of searchers that is being read, so that a leadership need not wait for all of a long list.
+func (m *Manager) Found(instances []worker.Instance) {
+	m.mu.Lock()
+	if !m.listed {
+		for _, instance := range instances {
+			m.found[instance.ID] = instance
+		}
+	}
+	leads := slices.Collect(maps.Values(m.leads))
+	m.mu.Unlock()
+	for _, led := range leads {
+		if own := serviceInstances(instances, led.term.Group()); len(own) > 0 {
+			led.found(own)
+		}
+	}
+}
+
 // Inventory takes a whole list of searchers.
 func (m *Manager) Inventory(instances []worker.Instance) {
 	m.mu.Lock()
-	m.instances, m.listed = instances, true
-	leads := make([]*lead, 0, len(m.leads))
-	for _, led := range m.leads {
-		leads = append(leads, led)
-	}
+	m.instances, m.listed, m.found = instances, true, nil
+	leads := slices.Collect(maps.Values(m.leads))
 	m.mu.Unlock()
 	for _, led := range leads {
 		led.inventory(serviceInstances(instances, led.term.Group()))
--- a/internal/jobs/scheduler/inventory.go
+++ b/internal/jobs/scheduler/inventory.go
@@ -32,6 +32,14 @@
 	s.unplaced = true
 }
 
+// Found takes some of the service's searchers, while the platform's list has not been read whole yet.
+func (s *Scheduler) Found(now Now, instances []worker.Instance) {
+	for i := range instances {
+		s.learnOf(now, &instances[i])
+	}
+	s.unplaced = true
+}
+
 // Knows tells whether a searcher's life is going on as far as is known.
 func (s *Scheduler) Knows(id worker.SearcherID) bool { return s.searchers[id] != nil }
 
