Calls to searchers run on their caller's goroutine, on the budget's own pool of connections

Cause: net/http's transport keeps two goroutines a connection and hands each call through them; with 2,100 searchers that was half of what a leader used. The pool also knows which connection is idle, so none is closed under a call, and nothing is ever repeated by the library.

--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	connectionsPerSearcher = startSlots + 3 // a hold, a look, and one in place of a connection that is being given up
-	idleTimeout            = 2 * time.Minute
+	connectionsPerSearcher = startSlots + 3 // at most: a hold, a look, and one in place of a connection that is being given up
 	maxAnswerBytes         = 16 << 20
 	ordinaryAnswerBytes    = 64 << 10 // larger buffers are not kept
 )
@@ -34,17 +33,16 @@
 // caller sends calls to one life of a searcher.
 type caller struct {
 	http    *http.Client
-	lane    *lane
 	start   *url.URL
 	stop    *url.URL
 	hold    *url.URL
 	headers http.Header // shared by all calls, never changed
 }
 
-func newCaller(client *http.Client, lane *lane, address string, id SearcherID) *caller {
+func newCaller(client *http.Client, address string, id SearcherID) *caller {
 	target := func(path string) *url.URL { return &url.URL{Scheme: "http", Host: address, Path: path} }
 	return &caller{
-		http: client, lane: lane, start: target(startPath), stop: target(stopPath), hold: target(holdPath),
+		http: client, start: target(startPath), stop: target(stopPath), hold: target(holdPath),
 		headers: http.Header{"Content-Type": {"application/json"}, "Expect-Instance": {string(id)}},
 	}
 }
@@ -56,21 +54,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	connected := false
-	var used *connection // nil with a client that keeps no budget
-	c.lane.seek()
-	trace := httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
-		used, _ = got.Conn.(*connection)
-		if connected { // net/http has replaced a connection that was closed before anything was written
-			c.lane.take(used)
-			return
-		}
-		connected = true
-		c.lane.found(used)
-	}}
+	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	response, err := c.http.Do(c.request(httptrace.WithClientTrace(ctx, &trace), target, body))
-	if !connected {
-		c.lane.found(nil)
-	}
 	if err != nil && !connected {
 		return answer{}, verdict.Unexecuted(err, 0)
 	}
@@ -82,9 +67,6 @@
 	if err != nil {
 		return answer{}, verdict.Unclear(fmt.Errorf("%s: %w", target, err))
 	}
-	if used != nil {
-		used.rest()
-	}
 	return result, nil
 }
 
@@ -93,8 +75,6 @@
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: c.headers,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
-		// A connection that was closed before anything was written is replaced by net/http, which needs the body again.
-		GetBody: func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil },
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/jobs/worker/connections.go
+++ b/internal/jobs/worker/connections.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -66,12 +67,11 @@
 	owner    *Connections
 	address  string
 	links    int
-	calls    int // under way, or about to be sent
-	places   int // connections, open or promised
-	promised int // places whose connection is not open yet
-	seeking  int // calls that net/http is giving a connection to
-	waiting  int // calls that wait for their turn
-	idle     map[*connection]bool
+	calls    int           // under way, or about to be sent
+	places   int           // connections, open or promised
+	promised int           // places whose connection is not open yet
+	waiting  int           // calls that wait for their turn
+	idle     []*connection // the newest last
 }
 
 // turn is a call that waits for a connection.
@@ -94,7 +94,7 @@
 func (c *Connections) lane(address string) *lane {
 	l := c.lanes[address]
 	if l == nil {
-		l = &lane{owner: c, address: address, idle: map[*connection]bool{}}
+		l = &lane{owner: c, address: address}
 		c.lanes[address] = l
 	}
 	return l
@@ -198,11 +198,26 @@
 	if chosen == nil {
 		return false
 	}
-	for idle := range chosen.idle {
-		idle.drop()
-		return true
+	chosen.dropIdle()
+	return true
+}
+
+// dropIdle closes the connection that has been idle for longest. The caller holds the lock.
+func (l *lane) dropIdle() {
+	oldest := l.idle[0]
+	l.idle = slices.Delete(l.idle, 0, 1)
+	oldest.drop()
+}
+
+// closeAllIdle closes the connections that no call uses.
+func (c *Connections) closeAllIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range slices.Collect(maps.Values(c.lanes)) {
+		for len(l.idle) > 0 {
+			l.dropIdle()
+		}
 	}
-	return false
 }
 
 // lanesLookedAt is among how many idle lanes the one to lose a connection is chosen.
@@ -272,7 +287,7 @@
 		l.places -= unused
 		c.open -= unused
 	}
-	if l.places > l.calls && l.seeking == 0 && len(l.idle) > 0 {
+	if l.places > l.calls && len(l.idle) > 0 {
 		c.spare[l] = true
 	} else {
 		delete(c.spare, l)
@@ -282,37 +297,6 @@
 	}
 }
 
-// seek keeps the idle connections open while net/http chooses one of them for a call.
-func (l *lane) seek() {
-	c := l.owner
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.seeking++
-	l.changed()
-}
-
-// found notes that the call has got a connection of the budget, or none.
-func (l *lane) found(connection *connection) {
-	c := l.owner
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.seeking--
-	if connection != nil {
-		delete(l.idle, connection)
-	}
-	l.changed()
-	c.serve()
-}
-
-// take notes that the call has got another connection instead.
-func (l *lane) take(connection *connection) {
-	c := l.owner
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(l.idle, connection)
-	l.changed()
-}
-
 // mayWait takes a place for a hold that waits at the searcher, beside the one for its orders, if there is one to spare.
 func (l *lane) mayWait() bool {
 	c := l.owner
--- a/internal/jobs/worker/dial.go
+++ b/internal/jobs/worker/dial.go
@@ -1,44 +1,77 @@
 package worker
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 
 	"puffinlink.example/puffinlink/internal/transport"
 )
 
+const readBufferBytes = 2 << 10 // of a connection; most answers are shorter
+
 var errNoPlace = errors.New("no connection is left for searchers")
 
 // HTTPClient makes the client that all links of a process share, within the budget. Connections that are given up are
 // reset, so that nothing they still hold arrives later.
 func (c *Connections) HTTPClient() *http.Client {
-	dialer := transport.Dialer()
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				return c.dial(address, func() (net.Conn, error) { return dialer.DialContext(ctx, network, address) })
-			},
-			MaxConnsPerHost:     connectionsPerSearcher,
-			MaxIdleConnsPerHost: connectionsPerSearcher,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
+		Transport:     &exchanger{connections: c, dialer: transport.Dialer()},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// connection is an open connection to a searcher.
+type connection struct {
+	net.Conn
+	lane   *lane
+	reader *bufio.Reader
+	used   bool // a call was answered on it
+	gone   bool // it was closed; guarded by the budget's lock
+}
+
+// connect gives a call an idle connection of its lane, or a new one.
+func (c *Connections) connect(ctx context.Context, dialer *net.Dialer, address string) (*connection, error) {
+	for {
+		idle := c.takeIdle(address)
+		if idle == nil {
+			return c.dial(address, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
+		}
+		if idle.alive() {
+			return idle, nil
+		}
+		idle.replace()
+	}
+}
+
+func (c *Connections) takeIdle(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.lane(address)
+	last := len(l.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	taken := l.idle[last]
+	l.idle[last] = nil
+	l.idle = l.idle[:last]
+	l.changed()
+	return taken
+}
+
 // dial opens a connection on a place that a call was promised, or on a free one.
-func (c *Connections) dial(address string, open func() (net.Conn, error)) (net.Conn, error) {
+func (c *Connections) dial(address string, open func() (net.Conn, error)) (*connection, error) {
 	l, err := c.claim(address)
 	if err != nil {
 		return nil, err
 	}
 	opened, err := open()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.free(l)
 		c.serve()
 		return nil, err
@@ -46,10 +79,7 @@
 	if tcp, ok := opened.(*net.TCPConn); ok {
 		tcp.SetLinger(0) // where the system knows no such option, the close sends what is left
 	}
-	connection := &connection{Conn: opened, lane: l}
-	l.idle[connection] = true
-	l.changed()
-	return connection, nil
+	return &connection{Conn: opened, lane: l, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
 // claim takes the place for a connection that is about to be opened. A connection that broke after its call had begun is
@@ -79,26 +109,48 @@
 	l.changed()
 }
 
-// connection is an open connection to a searcher. It counts as idle from its opening to its first call, and between two
-// calls.
-type connection struct {
-	net.Conn
-	lane *lane
-	gone bool // it was closed; guarded by the budget's lock
+// alive tells whether the peer has left an idle connection open and silent, without waiting.
+func (c *connection) alive() bool {
+	holder, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(descriptor), one[:])
+		silent = err == syscall.EAGAIN || err == syscall.EINTR
+		return true
+	})
+	return err == nil && silent
+}
+
+// replace closes a connection whose peer has gone and keeps its place for the call that was about to use it.
+func (c *connection) replace() {
+	c.Conn.Close()
+	owner := c.lane.owner
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	c.gone = true
+	c.lane.promised++
+	owner.noteDial()
 }
 
-// Close implements net.Conn.
-func (c *connection) Close() error {
-	err := c.Conn.Close()
+// abandon closes a connection after a call that was not answered whole.
+func (c *connection) abandon() {
+	c.Conn.Close()
 	owner := c.lane.owner
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
 	c.forget()
 	owner.serve()
-	return err
 }
 
-// drop closes an idle connection while the lock is held, so that no call can be sent on it once its place is given away.
+// drop closes an idle connection. The caller holds the lock, so that no call takes it meanwhile.
 func (c *connection) drop() {
 	c.Conn.Close()
 	c.forget()
@@ -110,17 +162,16 @@
 		return
 	}
 	c.gone = true
-	delete(c.lane.idle, c)
 	c.lane.owner.free(c.lane)
 }
 
-// rest notes that its call was answered whole.
+// rest notes that the call was answered whole: the next one may take the connection.
 func (c *connection) rest() {
+	c.used = true
 	owner := c.lane.owner
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
-	if !c.gone {
-		c.lane.idle[c] = true
-		c.lane.changed()
-	}
+	c.lane.idle = append(c.lane.idle, c)
+	c.lane.changed()
+	owner.serve()
 }
--- /dev/null
+++ b/internal/jobs/worker/exchange.go
@@ -0,0 +1,99 @@
+package worker
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+const writeBufferBytes = 8 << 10 // an order with its specification
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+// exchanger is an http.RoundTripper that makes each call on the goroutine of its caller: thousands of connections that
+// are mostly idle need no goroutine each. It repeats nothing.
+type exchanger struct {
+	connections *Connections
+	dialer      *net.Dialer
+}
+
+// RoundTrip implements http.RoundTripper.
+func (e *exchanger) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := request.Context()
+	c, err := e.connections.connect(ctx, e.dialer, request.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: c.Conn, Reused: c.used})
+	}
+	stop := context.AfterFunc(ctx, func() { c.Conn.SetDeadline(time.Unix(1, 0)) })
+	response, err := c.exchange(request)
+	if err != nil {
+		stop()
+		c.abandon()
+		return nil, errors.Join(ctx.Err(), err)
+	}
+	response.Body = &answerBody{ReadCloser: response.Body, connection: c, stop: stop, reusable: !response.Close}
+	return response, nil
+}
+
+// CloseIdleConnections is what http.Client looks for under this name.
+func (e *exchanger) CloseIdleConnections() { e.connections.closeAllIdle() }
+
+// exchange sends a request and reads the head of its answer.
+func (c *connection) exchange(request *http.Request) (*http.Response, error) {
+	writer := writers.Get().(*bufio.Writer)
+	defer writers.Put(writer)
+	writer.Reset(c.Conn)
+	defer writer.Reset(nil)
+	if err := request.Write(writer); err != nil {
+		return nil, err
+	}
+	if err := writer.Flush(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
+// answerBody gives the connection back once it was read to its end, and closes it otherwise.
+type answerBody struct {
+	io.ReadCloser
+	connection *connection
+	stop       func() bool // ends the watch over the call's context; false if the context is over
+	reusable   bool
+	over       bool
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(to []byte) (int, error) {
+	n, err := b.ReadCloser.Read(to)
+	if err != nil {
+		b.finish(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	b.finish(false)
+	return nil
+}
+
+func (b *answerBody) finish(whole bool) {
+	if b.over {
+		return
+	}
+	b.over = true
+	if b.stop() && whole && b.reusable && b.connection.reader.Buffered() == 0 {
+		b.connection.rest()
+		return
+	}
+	b.connection.abandon()
+}
--- a/internal/jobs/worker/link.go
+++ b/internal/jobs/worker/link.go
@@ -142,7 +142,7 @@
 		l.config.Connections = unlimited()
 	}
 	l.lane = l.config.Connections.join(config.Instance.Address)
-	l.caller = newCaller(config.HTTP, l.lane, config.Instance.Address, config.Instance.ID)
+	l.caller = newCaller(config.HTTP, config.Instance.Address, config.Instance.ID)
 	l.roundTrips.minimum = config.MinimumTimeout
 	if l.log == nil {
 		l.log = zap.NewNop()
