--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -19,8 +19,6 @@
 	acknowledgePatience = 60 * time.Millisecond  // how long the hold after new ends waits for their acknowledgement
 	repeatedHoldPause   = 150 * time.Millisecond // and how long the one after ends that are listed again
 	repeatAge           = time.Second            // ends not acknowledged for so long are delivered again
-
-	pollPause = 250 * time.Millisecond // between two looks at a searcher with runs, where no connection is left for a hold that waits
 )
 
 // holdCall is one call that asks for both lists.
@@ -75,44 +73,6 @@
 	return valid && l.holdOnce()
 }
 
-// restWhileIdle leaves a searcher alone that has nothing to tell, where there are so many that not each can be held by a
-// call that waits. An order ends the rest.
-func (l *Link) restWhileIdle() {
-	pause := l.config.Connections.idlePause(l.pace.longestIdle)
-	if pause == 0 {
-		return
-	}
-	select {
-	case <-l.stir: // of an order that is known by now
-	default:
-	}
-	if pause = l.restFor(pause); pause == 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-l.stir:
-	case <-l.done:
-	}
-}
-
-// restFor is how long the hold loop rests before its next call, if an idle searcher may be left alone for a while.
-func (l *Link) restFor(idle time.Duration) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ending != open || l.granted.validUntil == 0 || l.occupied && l.waited {
-		return 0
-	}
-	pause := idle
-	if l.occupied {
-		pause = pollPause
-	}
-	lead := l.granted.validUntil - l.clock.highest(l.now()) - l.pace.minimumLead // starts may be sent for so long
-	return max(earlyAnswerPause, min(pause, lead))
-}
-
 // setSuspended notes whether orders may be sent at all, and goes through those that wait.
 func (l *Link) setSuspended(suspended bool) {
 	l.mu.Lock()
@@ -175,16 +135,6 @@
 	return c
 }
 
-// mayWait tells whether the searcher may wait for an end before it answers: the grant lasts, and there is a connection for
-// its orders besides. The caller holds the lock.
-func (l *Link) mayWait(sentAt time.Time) bool {
-	if !l.listed || l.granted.validUntil-l.clock.highest(sentAt) < l.pace.minimumLead+l.pace.holdWait {
-		return false
-	}
-	idle := !l.occupied && l.config.Connections.idlePause(l.pace.longestIdle) > 0
-	return !idle && l.lane.mayWait()
-}
-
 // addGrant makes the call hold what runs there as long as is certainly not cut short. The caller holds the lock.
 func (l *Link) addGrant(c *holdCall) {
 	validUntil := (l.clock.lowest(c.sentAt) + l.config.HoldMax).Truncate(time.Millisecond)
