--- a/internal/jobs/worker/connections.go
+++ b/internal/jobs/worker/connections.go
@@ -23,6 +23,7 @@
 type Connections struct {
 	limits Limits
 	now    func() time.Time
+	work   turnstile
 
 	mu       sync.Mutex
 	lanes    map[string]*lane // by address
@@ -37,14 +38,16 @@
 
 // NewConnections makes a budget.
 func NewConnections(limits Limits) *Connections {
-	return &Connections{limits: limits, now: time.Now, lanes: map[string]*lane{}, spare: map[*lane]bool{}}
+	return &Connections{limits: limits, now: time.Now, work: newTurnstile(), lanes: map[string]*lane{}, spare: map[*lane]bool{}}
 }
 
 // unlimited is a budget that never makes a call wait.
 func unlimited() *Connections {
-	return NewConnections(Limits{
+	c := NewConnections(Limits{
 		Connections: math.MaxInt, DialsPerS: math.Inf(1), LooksPerS: math.Inf(1), SearchersHeld: math.MaxInt,
 	})
+	c.work = nil
+	return c
 }
 
 // Usage is the state of a budget.
@@ -110,8 +113,18 @@
 	l.changed()
 }
 
-// begin waits until a call may be sent, and tells whether it may; it may not once done is closed.
+// begin waits until a call may be sent, and tells whether it may; it may not once done is closed. The caller passes the
+// turnstile then, until end.
 func (l *lane) begin(done <-chan struct{}) bool {
+	if !l.await(done) {
+		return false
+	}
+	l.owner.work.enter()
+	return true
+}
+
+// await waits for a connection or a place for one.
+func (l *lane) await(done <-chan struct{}) bool {
 	c := l.owner
 	c.mu.Lock()
 	if l.reuse() || len(c.waiting) == 0 && l.takePlace() {
@@ -134,6 +147,11 @@
 
 // end notes that a call is over.
 func (l *lane) end() {
+	l.owner.work.leave()
+	l.release()
+}
+
+func (l *lane) release() {
 	c := l.owner
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -276,7 +294,7 @@
 		return
 	}
 	c.mu.Unlock()
-	t.lane.end() // it was granted just now
+	t.lane.release() // it was granted just now
 }
 
 // changed brings what is derived from a lane up to date. The caller holds the lock.
--- a/internal/jobs/worker/connections_test.go
+++ b/internal/jobs/worker/connections_test.go
@@ -147,7 +147,7 @@
 			for i := range wanted {
 				l := c.join(fmt.Sprint(i))
 				go func() {
-					if l.begin(done) {
+					if l.await(done) {
 						granted.Add(1)
 					}
 				}()
@@ -177,15 +177,15 @@
 	convey.Convey("A budget of two connections", t, func() {
 		c := NewConnections(Limits{Connections: 2, DialsPerS: math.Inf(1)})
 		first, second, third := c.join("1"), c.join("2"), c.join("3")
-		convey.So(first.begin(never), convey.ShouldBeTrue)
-		convey.So(second.begin(never), convey.ShouldBeTrue)
+		convey.So(first.await(never), convey.ShouldBeTrue)
+		convey.So(second.await(never), convey.ShouldBeTrue)
 		convey.Convey("lets no third call begin", func() {
-			convey.So(third.begin(closed), convey.ShouldBeFalse)
+			convey.So(third.await(closed), convey.ShouldBeFalse)
 			convey.So(c.Usage(), convey.ShouldResemble, Usage{Open: 2, Links: 3})
 		})
 		convey.Convey("takes the place of a connection that was not opened", func() {
-			first.end()
-			convey.So(third.begin(closed), convey.ShouldBeTrue)
+			first.release()
+			convey.So(third.await(closed), convey.ShouldBeTrue)
 			convey.So(c.Usage().Open, convey.ShouldEqual, 2)
 		})
 		convey.Convey("opens none without a place", func() {
@@ -193,7 +193,7 @@
 			convey.So(err, convey.ShouldEqual, errNoPlace)
 		})
 		convey.Convey("forgets an address that nobody uses", func() {
-			first.end()
+			first.release()
 			first.leave()
 			convey.So(c.lanes, convey.ShouldHaveLength, 2)
 		})
--- a/internal/jobs/worker/dial.go
+++ b/internal/jobs/worker/dial.go
@@ -68,7 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
+	c.work.leave()
 	opened, err := open()
+	c.work.enter()
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/jobs/worker/exchange.go
+++ b/internal/jobs/worker/exchange.go
@@ -59,6 +59,13 @@
 	if err := writer.Flush(); err != nil {
 		return nil, err
 	}
+	work := c.lane.owner.work
+	work.leave()
+	_, err := c.reader.Peek(1) // waits for the answer
+	work.enter()
+	if err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, request)
 }
 
--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -52,25 +52,37 @@
 	defer unlink()
 	pause := firstPause
 	for !l.ended() {
-		if !l.holdInTurn() {
+		again, last := l.holdInTurn()
+		if !again {
 			l.sleep(pause)
 			pause = min(2*pause, longestPause)
 			continue
 		}
 		pause = firstPause
+		l.pauseAfter(last)
 		l.restWhileIdle()
 	}
 }
 
+// answered is a call of the hold loop with its answer.
+type answered struct {
+	call     holdCall
+	answer   answer
+	received time.Time
+}
+
 // holdInTurn makes one call once there is a connection for it, and tells whether the next one may follow.
-func (l *Link) holdInTurn() bool {
+func (l *Link) holdInTurn() (again bool, last answered) {
 	if !l.lane.begin(l.done) {
-		return false
+		return false, answered{}
 	}
 	defer l.lane.end()
 	valid := l.config.Valid()
 	l.setSuspended(!valid)
-	return valid && l.holdOnce()
+	if !valid {
+		return false, answered{}
+	}
+	return l.holdOnce()
 }
 
 // setSuspended notes whether orders may be sent at all, and goes through those that wait.
@@ -90,7 +102,7 @@
 }
 
 // holdOnce makes one call and tells whether the next one may follow at once.
-func (l *Link) holdOnce() bool {
+func (l *Link) holdOnce() (again bool, last answered) {
 	c := l.beginHold()
 	a, err := l.postHold(c)
 	if c.request.waitMS > 0 {
@@ -100,18 +112,17 @@
 	l.settleHold(c, a, err, received)
 	if err != nil {
 		l.log.Debug("hold without answer", zap.Error(err))
-		return l.holdFailed(c)
+		return l.holdFailed(c), answered{}
 	}
 	if l.endedBy(a) {
-		return false
+		return false, answered{}
 	}
 	if a.status != http.StatusOK {
 		l.holdRefused(a.status)
-		return false
+		return false, answered{}
 	}
 	l.deliver(c, a, false)
-	l.pauseAfter(c, a, received)
-	return true
+	return true, answered{c, a, received}
 }
 
 // beginHold decides what the next call of the hold loop asks for and notes its grant.
@@ -196,7 +207,9 @@
 		l.suspect()
 	}
 	l.mu.Unlock()
+	l.config.Connections.work.leave()
 	l.awaitLook()
+	l.config.Connections.work.enter()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return pending.superseded
@@ -248,12 +261,12 @@
 
 // pauseAfter waits before the next hold where the searcher would answer it at once: after ends, as it lists them until they
 // are acknowledged, and after an answer that came early for no reason known.
-func (l *Link) pauseAfter(c holdCall, a answer, received time.Time) {
-	if newest := a.newestEnd(); newest > 0 {
+func (l *Link) pauseAfter(last answered) {
+	if newest := last.answer.newestEnd(); newest > 0 {
 		l.awaitAcknowledgement(newest)
 		return
 	}
-	if waited := received.Sub(c.sentAt); c.request.waitMS > 0 && waited < l.pace.holdWait/2 {
+	if waited := last.received.Sub(last.call.sentAt); last.call.request.waitMS > 0 && waited < l.pace.holdWait/2 {
 		l.sleep(earlyAnswerPause)
 	}
 }
--- a/internal/jobs/worker/look.go
+++ b/internal/jobs/worker/look.go
@@ -79,7 +79,9 @@
 	case l.endedBy(a):
 	case a.status != http.StatusOK:
 		l.holdRefused(a.status)
+		l.config.Connections.work.leave()
 		l.sleep(firstPause)
+		l.config.Connections.work.enter()
 		l.wantLook()
 	default:
 		l.deliver(c, a, true)
