--- a/internal/jobs/worker/connections_test.go
+++ b/internal/jobs/worker/connections_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -189,7 +191,8 @@
 			convey.So(c.Usage().Open, convey.ShouldEqual, 2)
 		})
 		convey.Convey("opens none without a place", func() {
-			_, err := c.dial("3", nil)
+			c.work = nil
+			_, err := c.dial("3", func() (net.Conn, error) { return nil, io.EOF })
 			convey.So(err, convey.ShouldEqual, errNoPlace)
 		})
 		convey.Convey("forgets an address that nobody uses", func() {
--- /dev/null
+++ b/internal/jobs/worker/exchange_test.go
@@ -0,0 +1,148 @@
+package worker
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+func budgetedCaller(address string) (*Connections, *caller) {
+	c := NewConnections(Limits{Connections: 2, DialsPerS: math.Inf(1)})
+	c.work = nil // the calls of these tests come from outside of a link
+	return c, newCaller(c.HTTPClient(), address, "i-1")
+}
+
+func TestConnectionsThatThePeerHasClosed(t *testing.T) {
+	convey.Convey("A connection that the searcher closed while it was idle is replaced before a call is sent on it", t, func() {
+		closed := make(chan struct{}, 1)
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `{"clockMs":1}`) }))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed <- struct{}{}
+			}
+		}
+		server.Start()
+		defer server.Close()
+		connections, caller := budgetedCaller(server.Listener.Addr().String())
+		defer connections.closeAllIdle()
+		for range 3 {
+			a, err := caller.post(context.Background(), caller.hold, []byte(`{}`), patience)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+			convey.So(connections.Usage().Open, convey.ShouldEqual, 1)
+			server.CloseClientConnections()
+			<-closed
+		}
+	})
+}
+
+// strayServer answers each call with more than it announces, and counts its connections.
+func strayServer(t *testing.T) (address string, accepted *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted = new(atomic.Int64)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go answerTooMuch(connection)
+		}
+	}()
+	t.Cleanup(func() { listener.Close(); <-served })
+	return listener.Addr().String(), accepted
+}
+
+func answerTooMuch(connection net.Conn) {
+	const stray = "HTTP/1.1 409 Conflict\r\nContent-Length: 18\r\n\r\n{\"reason\":\"fence\"}"
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"+stray)
+	}
+}
+
+func TestAnswersNobodyAskedFor(t *testing.T) {
+	convey.Convey("What comes after an answer is not taken for that of the next call", t, func() {
+		address, accepted := strayServer(t)
+		connections, caller := budgetedCaller(address)
+		defer connections.closeAllIdle()
+		for range 3 {
+			a, err := caller.post(context.Background(), caller.start, []byte(`{}`), patience)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+		}
+		convey.So(accepted.Load(), convey.ShouldEqual, 3)
+	})
+}
+
+func TestCallsGivenUp(t *testing.T) {
+	convey.Convey("A call that is given up after it was sent is unclear, and its connection is not used again", t, func() {
+		arrived, letGo := make(chan struct{}, 1), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) { arrived <- struct{}{}; <-letGo }))
+		defer server.Close()
+		defer close(letGo)
+		connections, caller := budgetedCaller(server.Listener.Addr().String())
+		ctx, giveUp := context.WithCancel(context.Background())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := caller.post(ctx, caller.start, []byte(`{}`), patience)
+			failed <- err
+		}()
+		<-arrived
+		giveUp()
+		err := <-failed
+		convey.So(err, convey.ShouldWrap, context.Canceled)
+		convey.So(verdict.Of(err), convey.ShouldEqual, verdict.MayHaveRun)
+		convey.So(connections.Usage().Open, convey.ShouldBeZeroValue)
+	})
+	convey.Convey("One that could not connect has not run", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		listener.Close()
+		connections, caller := budgetedCaller(listener.Addr().String())
+		_, err = caller.post(context.Background(), caller.start, []byte(`{}`), patience)
+		convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+		convey.So(connections.Usage().Open, convey.ShouldBeZeroValue)
+	})
+}
+
+func TestWaitingHoldsKeepNobodyFromWorking(t *testing.T) {
+	const searchers = 40
+	convey.Convey("Holds that wait are outside of the turnstile, however few may work at once", t, func() {
+		b := newBudgeted(t, searchers, Limits{Connections: 2 * searchers, DialsPerS: math.Inf(1), LooksPerS: 1000, SearchersHeld: searchers})
+		defer b.end()
+		convey.So(cap(b.connections.work), convey.ShouldBeLessThan, searchers)
+		limit := time.After(patience)
+		for b.connections.Usage().Holding < searchers {
+			select {
+			case <-limit:
+				t.Fatalf("%+v", b.connections.Usage())
+			default:
+				awaitAfter(t, b.events, len(eventsOf[Listing](b.events)), any1[Listing])
+			}
+		}
+	})
+}
