--- a/internal/controlplane/coordinator/metrics.go
+++ b/internal/controlplane/coordinator/metrics.go
@@ -37,6 +37,10 @@
 			return float64(version)
 		}),
 		metrics.Gauge("puffinlink_agents", "Agents of front machines heard lately.", func() float64 { return float64(len(c.feed.Agents())) }),
+		metrics.Gauge("puffinlink_searcher_connections", "Connections to searchers, those being opened included.",
+			func() float64 { return float64(c.searchers.Usage().Open) }),
+		metrics.Gauge("puffinlink_searcher_calls_waiting", "Calls to searchers that wait for a connection of the budget.",
+			func() float64 { return float64(c.searchers.Usage().Waiting) }),
 		groupCollector{c},
 	}
 }
