A table of mutants: checks removed on purpose, each with the test that must fail

Faults written in by hand passed unnoticed, as nothing held checks to tests. The table names for each check the text that enforces it and its test; the ordinary tests hold the table to the sources, PUFFINLINK_MUTANTS=1 builds every mutant and runs its test.

--- /dev/null
+++ b/internal/tools/mutants/mutants_test.go
@@ -0,0 +1,157 @@
+package mutants
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	root  = "../../.."
+	table = "testdata"
+
+	// testLimit bounds the run of one mutant's test, its build included.
+	testLimit = 10 * time.Minute
+)
+
+func load(t *testing.T) []Mutant {
+	t.Helper()
+	all, err := Load(table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) == 0 {
+		t.Fatal("the table is empty")
+	}
+	return all
+}
+
+// TestTable holds the table to the sources: each mutant can be made, and its test exists.
+func TestTable(t *testing.T) {
+	names := map[string]bool{}
+	for _, mutant := range load(t) {
+		if names[mutant.Name] {
+			t.Errorf("two mutants are called %q", mutant.Name)
+		}
+		names[mutant.Name] = true
+		if _, err := mutant.Source(root); err != nil {
+			t.Errorf("%s: %v", mutant.Table, err)
+		}
+		if !hasTest(t, &mutant) {
+			t.Errorf("%s: mutant %q: no test of %s matches %q", mutant.Table, mutant.Name, mutant.Package, mutant.Test)
+		}
+	}
+}
+
+var testFunction = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)\w*)\(`)
+
+// hasTest tells whether the mutant's package has a test that its expression selects.
+func hasTest(t *testing.T, mutant *Mutant) bool {
+	t.Helper()
+	top, _, _ := strings.Cut(mutant.Test, "/")
+	selects, err := regexp.Compile(top)
+	if err != nil {
+		t.Errorf("mutant %q: %v", mutant.Name, err)
+		return false
+	}
+	paths, err := filepath.Glob(filepath.Join(root, mutant.Package, "*_test.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, found := range testFunction.FindAllSubmatch(text, -1) {
+			if selects.Match(found[1]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestMutantsAreCaught builds each mutant and runs its test, which must fail. It takes minutes.
+func TestMutantsAreCaught(t *testing.T) {
+	if os.Getenv("PUFFINLINK_MUTANTS") == "" {
+		t.Skip("set PUFFINLINK_MUTANTS=1 to build every mutant and run its test")
+	}
+	only := regexp.MustCompile(os.Getenv("PUFFINLINK_MUTANTS_ONLY"))
+	for _, mutant := range load(t) {
+		if !only.MatchString(mutant.Table + ": " + mutant.Name) {
+			continue
+		}
+		t.Run(mutant.Table+"/"+strings.ReplaceAll(mutant.Name, " ", "-"), func(t *testing.T) {
+			output, caught := run(t, &mutant)
+			if !caught {
+				t.Errorf("nothing notices that %s: %s passes or does not build\n%s", mutant.Rule, mutant.Test, output)
+			}
+		})
+	}
+}
+
+// run tells whether the mutant's test fails, which a failure to build does not count as.
+func run(t *testing.T, mutant *Mutant) (output string, caught bool) {
+	t.Helper()
+	overlay, err := mutant.WriteOverlay(root, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.CommandContext(t.Context(), "go", "test", "-count=1", "-timeout", testLimit.String(),
+		"-overlay", overlay, "-run", mutant.Test, mutant.Package)
+	command.Dir = root
+	var text bytes.Buffer
+	command.Stdout, command.Stderr = &text, &text
+	err = command.Run()
+	output = text.String()
+	built := !strings.Contains(output, "[build failed]") && !strings.Contains(output, "[setup failed]")
+	return output, err != nil && built
+}
+
+func TestLoading(t *testing.T) {
+	Convey("A table with a mistake is refused", t, func() {
+		folder := t.TempDir()
+		write := func(text string) {
+			So(os.WriteFile(filepath.Join(folder, "a.toml"), []byte(text), 0o600), ShouldBeNil)
+		}
+		whole := "[[mutant]]\nname = \"n\"\nrule = \"r\"\nfile = \"f.go\"\nold = \"a\"\nnew = \"b\"\npackage = \"./p\"\ntest = \"T\"\n"
+		Convey("a whole one is not", func() {
+			write(whole)
+			all, err := Load(folder)
+			So(err, ShouldBeNil)
+			So(all, ShouldHaveLength, 1)
+			So(all[0].Table, ShouldEqual, "a.toml")
+		})
+		Convey("an unknown key", func() {
+			write(whole + "tset = \"T\"\n")
+			_, err := Load(folder)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a mutant that changes nothing", func() {
+			write(strings.Replace(whole, `new = "b"`, `new = "a"`, 1))
+			_, err := Load(folder)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("no rule", func() {
+			write(strings.Replace(whole, `rule = "r"`, `rule = ""`, 1))
+			_, err := Load(folder)
+			So(err, ShouldNotBeNil)
+		})
+	})
+	Convey("A source that holds the text twice, or not at all, makes no mutant", t, func() {
+		folder := t.TempDir()
+		So(os.WriteFile(filepath.Join(folder, "f.go"), []byte("a a c"), 0o600), ShouldBeNil)
+		for text, makes := range map[string]bool{"a": false, "b": false, "c": true} {
+			_, err := (&Mutant{File: "f.go", Old: text, New: "d"}).Source(folder)
+			So(err == nil, ShouldEqual, makes)
+		}
+	})
+}
