--- a/scripts/days/__main__.py
+++ b/scripts/days/__main__.py
@@ -4,6 +4,8 @@
     python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER mixes --count 40 --seed 1000
     python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER repeats --only core
     python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER closings --only replace_core
+    python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER worst
+    python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER worst-pairs --count 3
     python3 scripts/days --bench BENCH --site SITE.toml --scratch FOLDER deployments
 
 Each row names a day, its seed, its gate, its worth and what it broke. The day's file and the
@@ -18,6 +20,7 @@
 
 import deployments
 import troubles
+import worst
 from player import HEADING, Player, Result
 
 WORTH_FAR_BELOW = 0.15
@@ -41,14 +44,15 @@
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="days", description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=["singles", "closings", "mixes", "repeats", "deployments"])
+    parser.add_argument("what", choices=["singles", "closings", "mixes", "repeats", "worst", "worst-pairs",
+                                         "deployments"])
     parser.add_argument("--bench", required=True, help="path of the bench program")
     parser.add_argument("--site", required=True, type=Path, help="site file of the deployment")
     parser.add_argument("--scratch", required=True, type=Path, help="folder for day files, site files and output")
     parser.add_argument("--only", default="",
                         help="play only days, or deployments, whose name contains this text; in mixes, one trouble's")
     parser.add_argument("--seed", type=int, default=1, help="seed of the first day")
-    parser.add_argument("--count", type=int, default=20, help="number of mixes")
+    parser.add_argument("--count", type=int, default=20, help="number of mixes, or of days for each pair")
     parser.add_argument("--size", type=int, default=2, help="troubles in one mix")
     parser.add_argument("--spread", type=float, default=3.0, help="seconds over which the troubles of a mix begin")
     parser.add_argument("--jobs", type=int, default=2, help="days played at once")
@@ -66,6 +70,11 @@
         return player.play_all(_closings(arguments, site))
     if arguments.what == "repeats":
         return player.play_all(_repeats(arguments, site))
+    if arguments.what == "worst":
+        return player.play_all([day for day in worst.alone(arguments.seed) if arguments.only in day.name])
+    if arguments.what == "worst-pairs":
+        days = worst.pairs(arguments.seed, arguments.count)
+        return player.play_all([day for day in days if arguments.only in day.name])
     return player.play_all(_singles(arguments, site))
 
 
--- a/scripts/days/troubles.py
+++ b/scripts/days/troubles.py
@@ -6,7 +6,8 @@
 TROUBLE_START_S = 8.0
 """When the trouble of a day begins, in seconds from the start of traffic."""
 
-PLANNED_KINDS = {"scale_in", "roll_term", "seed_turnover", "config_change", "config_race", "bad_config", "hup"}
+PLANNED_KINDS = {"scale_in", "roll_term", "seed_turnover", "config_change", "config_race", "bad_config", "hup",
+                 "config_storm"}
 """Kinds that stand under `plan`; all others stand under `faults`."""
 
 
@@ -212,8 +213,9 @@
     return days
 
 
-def _day(name: str, seed: int, timed: list[tuple[float, Entry]], closing: dict | None) -> Day:
-    plan = _calm_changes([5.0, 9.5, 11.0, 13.0, 25.0])
+def timed_day(name: str, seed: int, timed: list[tuple[float, Entry]], closing: dict | None) -> Day:
+    """Return a day with just the given troubles, each at its time."""
+    plan = []
     faults = []
     for seconds, entry in timed:
         target = plan if entry.is_planned() else faults
@@ -221,5 +223,10 @@
     return Day(name, seed, plan, faults, closing)
 
 
+def _day(name: str, seed: int, timed: list[tuple[float, Entry]], closing: dict | None) -> Day:
+    day = timed_day(name, seed, timed, closing)
+    return Day(name, seed, _calm_changes([5.0, 9.5, 11.0, 13.0, 25.0]) + day.plan, day.faults, closing)
+
+
 def _calm_changes(times: list[float]) -> list[dict]:
     return [Entry("config_change", {"how": "idle"}).at(seconds) for seconds in times]
