A reading is confirmed by a lease that holds, not by a term that has not ended yet

A proposal without entries was called back at once where no batch was under way. It now waits for an answer of a majority or the end of the term.

--- a/internal/controlplane/replication/leadership.go
+++ b/internal/controlplane/replication/leadership.go
@@ -98,6 +98,9 @@
 	if !l.elected || l.committed < l.latest.Sequence || l.group.replica.position != l.latest {
 		return
 	}
+	if len(l.gathering) == 0 && !l.term.Valid() {
+		return // nothing shows that no other leader has been elected; the next answer of a majority does
+	}
 	values := l.gathering
 	l.begun, l.waiting, l.gathering = l.waiting, nil, nil
 	if len(values) == 0 {
