Operators' reports wait for what they tell to be durable, and no leader answers from before a standstill

Reports and counts looked at the lease before they read. A leader that stood still between the two, or while it read, told of jobs from before, 404 for ones that another leader had taken. Reports also told what was not durable: a cancellation was refused with 409 on an end that the next leader may not know. They now go the way of a job's status; counts look at the lease again afterwards. Tests play three mixers in virtual time, with clocks that jump as they do for a process that stood still; a leader without its lease answers none of eleven calls.

--- /dev/null
+++ b/internal/jobs/manager/lease_test.go
@@ -0,0 +1,137 @@
+package manager
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+const (
+	knownJob   = job.ID("00000000000000aa")
+	unknownJob = job.ID("00000000000000bb")
+)
+
+func submission(id job.ID) jobapi.Submit {
+	specification := job.Specification{Text: "x", Stages: []job.Stage{{Count: 1, Resources: job.Resources{Processors: 500}}}}
+	return jobapi.Submit{Group: testGroup, ID: id, Queue: jobapi.Queue{Route: "r", Service: "x", MaxAttempts: 1}, Specification: specification}
+}
+
+// question is one call that a leader answers.
+type question struct {
+	name string
+	ask  func(m *Manager) error
+}
+
+// questions are all calls that a leader answers.
+func questions() []question {
+	ctx := context.Background()
+	return []question{
+		{"submit", func(m *Manager) error { _, err := m.submit(ctx, submission(unknownJob)); return err }},
+		{"submit again", func(m *Manager) error { _, err := m.submit(ctx, submission(knownJob)); return err }},
+		{"cancel", func(m *Manager) error {
+			_, err := m.cancel(ctx, jobapi.Cancel{Group: testGroup, ID: unknownJob})
+			return err
+		}},
+		{"status", func(m *Manager) error {
+			_, err := m.status(ctx, jobapi.Status{Group: testGroup, ID: unknownJob})
+			return err
+		}},
+		{"pending", func(m *Manager) error {
+			_, err := m.pending(ctx, jobapi.Pending{Group: testGroup, Route: "r"})
+			return err
+		}},
+		{"summary", func(m *Manager) error {
+			_, err := m.summary(ctx, jobreport.SummaryRequest{Group: testGroup})
+			return err
+		}},
+		{"searchers", func(m *Manager) error {
+			_, err := m.searchers(ctx, jobreport.SearchersRequest{Group: testGroup})
+			return err
+		}},
+		{"jobs", func(m *Manager) error { _, err := m.jobs(ctx, jobreport.JobsRequest{Group: testGroup}); return err }},
+		{"job", func(m *Manager) error {
+			_, err := m.job(ctx, jobreport.JobRequest{Group: testGroup, ID: unknownJob})
+			return err
+		}},
+		{"why", func(m *Manager) error {
+			_, err := m.why(ctx, jobreport.WhyRequest{Group: testGroup, ID: unknownJob})
+			return err
+		}},
+		{"drain", func(m *Manager) error {
+			_, err := m.drain(ctx, jobreport.DrainRequest{Group: testGroup, Searcher: "i-1"})
+			return err
+		}},
+	}
+}
+
+func TestALeaderWithoutALeaseAnswersNobody(t *testing.T) {
+	for _, question := range questions() {
+		inWorld(t, func(t *testing.T, _ *world, leader *member) {
+			Convey("While it leads it answers: "+question.name, t, func() {
+				_, err := leader.manager.submit(context.Background(), submission(knownJob))
+				So(err, ShouldBeNil)
+				So(question.ask(leader.manager), ShouldBeNil)
+			})
+			Convey("After it stood still it begins nothing, and says so: "+question.name, t, func() {
+				leader.clock.standStill()
+				err := question.ask(leader.manager)
+				So(err, ShouldNotBeNil)
+				So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			})
+		})
+	}
+}
+
+func TestALeaderThatStandsStillWhileItReads(t *testing.T) {
+	reads := map[string]func(*Manager, reading) error{
+		"a report": func(m *Manager, look reading) error { return m.read(context.Background(), testGroup, look) },
+		"a count":  func(m *Manager, look reading) error { return m.glance(testGroup, look) },
+	}
+	for name, read := range reads {
+		inWorld(t, func(t *testing.T, _ *world, leader *member) {
+			Convey("What it had read then is not told: "+name, t, func() {
+				So(read(leader.manager, func(scheduler.Now, *scheduler.Scheduler) {}), ShouldBeNil)
+				err := read(leader.manager, func(scheduler.Now, *scheduler.Scheduler) { leader.clock.standStill() })
+				So(err, ShouldNotBeNil)
+			})
+		})
+	}
+}
+
+func TestNothingIsToldBeforeItIsDurable(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, leader *member) {
+		Convey("A leader that is cut off tells nobody of a job that only it has", t, func() {
+			w.network.Cut(leader.address, true)
+			failures := make(chan error, 2)
+			go func() {
+				_, err := leader.manager.submit(context.Background(), submission(knownJob))
+				failures <- err
+			}()
+			synctest.Wait()
+			go func() {
+				_, err := leader.manager.job(context.Background(), jobreport.JobRequest{Group: testGroup, ID: knownJob})
+				failures <- err
+			}()
+			for range cap(failures) {
+				err := <-failures
+				So(err, ShouldNotBeNil)
+				So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+			}
+		})
+		Convey("The next leader has never heard of it", t, func() {
+			next := w.awaitLeader()
+			So(next, ShouldNotEqual, leader)
+			reply, err := next.manager.job(context.Background(), jobreport.JobRequest{Group: testGroup, ID: knownJob})
+			So(err, ShouldBeNil)
+			So(reply.Known, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -127,6 +127,7 @@
 	transport.Handle(mux, jobapi.PendingPath, m.pending)
 }
 
+// lead returns the leadership of a group. Without a lease that holds right now a request was certainly not begun.
 func (m *Manager) lead(group string) (*lead, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -171,14 +172,8 @@
 }
 
 func (m *Manager) pending(_ context.Context, request jobapi.Pending) (reply jobapi.PendingReply, err error) {
-	led, err := m.lead(request.Group)
-	if err != nil {
-		return reply, err
-	}
-	led.mu.Lock()
-	defer led.mu.Unlock()
-	reply.Count = led.scheduler.Pending(request.Route)
-	return reply, nil
+	err = m.glance(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Count = jobs.Pending(request.Route) })
+	return reply, err
 }
 
 // Stop ends all leaderships' loops; the terms themselves are resigned by replication.
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -9,6 +9,7 @@
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 // ServeReports registers the internal calls by which operators read and steer the groups that this mixer leads.
@@ -21,8 +22,22 @@
 	transport.Handle(mux, jobreport.DrainPath, m.drain)
 }
 
-// read runs a function that only reads the scheduler of a group. What it sees may not be durable yet.
-func (m *Manager) read(group string, look func(now scheduler.Now, jobs *scheduler.Scheduler)) error {
+// reading is a function that only reads a scheduler.
+type reading func(now scheduler.Now, jobs *scheduler.Scheduler)
+
+// read reads the scheduler of a group, and returns once what was seen is durable and it is certain that no other leader had
+// been elected then: an operator's order may be refused on it.
+func (m *Manager) read(ctx context.Context, group string, look reading) error {
+	led, err := m.lead(group)
+	if err != nil {
+		return err
+	}
+	return led.durably(ctx, func(now scheduler.Now) { look(now, led.scheduler) })
+}
+
+// glance reads counts, which may not be durable yet. The lease is looked at again after that: the process may have stood
+// still in between, and another leader's counts may be others.
+func (m *Manager) glance(group string, look reading) error {
 	led, err := m.lead(group)
 	if err != nil {
 		return err
@@ -30,6 +45,9 @@
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	look(steady(), led.scheduler)
+	if !led.term.Valid() {
+		return verdict.Unexecuted(errNotLeader, 0)
+	}
 	return nil
 }
 
@@ -37,7 +55,7 @@
 func (m *Manager) Summaries() map[string]jobreport.Summary {
 	summaries := map[string]jobreport.Summary{}
 	for _, group := range m.ledGroups() {
-		_ = m.read(group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { // one that has just been lost is left out
+		_ = m.glance(group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { // one that has just been lost is left out
 			summaries[group] = jobs.Summary()
 		})
 	}
@@ -54,33 +72,33 @@
 	return groups
 }
 
-func (m *Manager) summary(_ context.Context, request jobreport.SummaryRequest) (reply jobreport.SummaryReply, err error) {
-	err = m.read(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Summary = jobs.Summary() })
+func (m *Manager) summary(ctx context.Context, request jobreport.SummaryRequest) (reply jobreport.SummaryReply, err error) {
+	err = m.read(ctx, request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Summary = jobs.Summary() })
 	return reply, err
 }
 
-func (m *Manager) searchers(_ context.Context, request jobreport.SearchersRequest) (reply jobreport.SearchersReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) { reply.Searchers = jobs.Searchers(now) })
+func (m *Manager) searchers(ctx context.Context, request jobreport.SearchersRequest) (reply jobreport.SearchersReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) { reply.Searchers = jobs.Searchers(now) })
 	return reply, err
 }
 
-func (m *Manager) jobs(_ context.Context, request jobreport.JobsRequest) (reply jobreport.JobsReply, err error) {
+func (m *Manager) jobs(ctx context.Context, request jobreport.JobsRequest) (reply jobreport.JobsReply, err error) {
 	limit := min(max(1, request.Limit), jobreport.MostJobs)
-	err = m.read(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) {
+	err = m.read(ctx, request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Jobs, reply.Total = jobs.Jobs(request.State, limit)
 	})
 	return reply, err
 }
 
-func (m *Manager) job(_ context.Context, request jobreport.JobRequest) (reply jobreport.JobReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
+func (m *Manager) job(ctx context.Context, request jobreport.JobRequest) (reply jobreport.JobReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Job, reply.Known = jobs.Job(now, request.ID)
 	})
 	return reply, err
 }
 
-func (m *Manager) why(_ context.Context, request jobreport.WhyRequest) (reply jobreport.WhyReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
+func (m *Manager) why(ctx context.Context, request jobreport.WhyRequest) (reply jobreport.WhyReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Why, reply.Known = jobs.Why(now, request.ID)
 	})
 	return reply, err
--- /dev/null
+++ b/internal/jobs/manager/world_test.go
@@ -0,0 +1,116 @@
+package manager
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/transport"
+)
+
+const (
+	testGroup = "jobs/x"
+	standing  = 20 * time.Second // how long a process stands still
+	patience  = 10 * time.Second // virtual, for an election
+)
+
+// clock is a member's steady clock. A process that stood still wakes with a clock that is later, before any of its timers
+// has fired.
+type clock struct {
+	begin time.Time
+	stood atomic.Int64
+}
+
+// Now implements replication.Clock.
+func (c *clock) Now() time.Duration { return time.Since(c.begin) + time.Duration(c.stood.Load()) }
+
+func (c *clock) standStill() { c.stood.Add(int64(standing)) }
+
+// member is one core mixer's part in the jobs.
+type member struct {
+	address string
+	clock   *clock
+	manager *Manager
+	node    *replication.Node
+}
+
+// world is some core mixers on a network in memory, in virtual time.
+type world struct {
+	network *networktest.Network
+	members []*member
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// inWorld runs a test in virtual time with three core mixers of which one leads.
+func inWorld(t *testing.T, test func(t *testing.T, w *world, leader *member)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{network: networktest.New(1)}
+		ctx, cancel := context.WithCancel(context.Background())
+		w.cancel = cancel
+		view := replicaset.View{Version: 1}
+		for i := range 3 {
+			view.Members = append(view.Members, fmt.Sprintf("10.0.0.%d:7000", i+1))
+		}
+		for _, address := range view.Members {
+			w.add(t, ctx, address, view)
+		}
+		defer w.stop()
+		leader := w.awaitLeader()
+		if leader == nil {
+			t.Fatal("nobody is elected")
+		}
+		test(t, w, leader)
+	})
+}
+
+func (w *world) add(t *testing.T, ctx context.Context, address string, view replicaset.View) {
+	m := &member{address: address, clock: &clock{begin: time.Now()}}
+	m.manager = New(Config{Settings: scheduler.Settings{HoldMax: 6 * time.Second, StatusKept: time.Hour}, Log: zap.NewNop()})
+	node, err := replication.NewNode(replication.Config{
+		Self: address, Store: storage.NewMemory(), Caller: w.network.Caller(address), Handler: m.manager, Clock: m.clock,
+		View:  func() replicaset.View { return view },
+		Ready: func() bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.node = node
+	mux := transport.NewMux()
+	node.Serve(mux)
+	w.network.Serve(address, mux)
+	node.Ensure(testGroup)
+	w.running.Go(func() { node.Run(ctx) })
+	w.members = append(w.members, m)
+}
+
+// awaitLeader waits for a member whose manager leads; nil if none does.
+func (w *world) awaitLeader() *member {
+	for limit := time.Now().Add(patience); time.Now().Before(limit); <-time.After(10 * time.Millisecond) {
+		for _, m := range w.members {
+			if _, err := m.manager.lead(testGroup); err == nil {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) stop() {
+	w.cancel()
+	w.running.Wait()
+	for _, m := range w.members {
+		m.manager.Stop()
+	}
+}
