An order on top of an old version is refused on a quorum read that began after it came

Put refused it on the state known in the process, which no majority had confirmed since the order arrived: a control machine that was cut off answered 412, and named an old version as the current one. One round without a write; without a majority the answer is 503.

--- a/internal/controlplane/configuration/configurator.go
+++ b/internal/controlplane/configuration/configurator.go
@@ -23,6 +23,8 @@
 	readRetry = 200 * time.Millisecond
 	// readTimeout bounds one quorum read.
 	readTimeout = 1500 * time.Millisecond
+	// FreshAge is the age up to which what is known counts as current. One quorum read may fail meanwhile.
+	FreshAge = readInterval + readTimeout
 )
 
 // Register is the replicated compare-and-swap register that holds the State.
@@ -131,13 +133,22 @@
 	case <-ctx.Done():
 		return Outcome{Kind: Unavailable, Err: fmt.Errorf("wait for earlier changes: %w", ctx.Err())}
 	}
-	if known := c.known(); ifMatch < known.Version {
-		// Versions only rise: an older If-Match cannot become current again, and the history shows whether it was taken.
-		return known.decide(asked)
+	if ifMatch < c.known().Version {
+		return c.decideOld(ctx, asked)
 	}
 	return c.change(ctx, asked)
 }
 
+// decideOld answers an order on top of a version that was replaced. Versions only rise: it cannot be taken any more, and the
+// history shows whether it was. The state comes from a majority after the order has arrived, as every refusal does: a
+// mixer that is cut off refuses nothing. A read, unlike a change, does not compete with the order that may be taken.
+func (c *Configurator) decideOld(ctx context.Context, asked order) Outcome {
+	if _, _, err := c.Read(ctx); err != nil {
+		return Outcome{Kind: Unavailable, RetryAfter: verdict.RetryAfter(err), Err: err}
+	}
+	return c.known().decide(asked)
+}
+
 // change runs an order through the register. A refusal leaves the value as it is instead of ending the change with an
 // error, so that it rests on a value that a majority holds and not on a change that may still be lost.
 func (c *Configurator) change(ctx context.Context, asked order) Outcome {
--- a/internal/controlplane/configuration/put_test.go
+++ b/internal/controlplane/configuration/put_test.go
@@ -54,11 +54,23 @@
 			Convey("another body under the same number conflicts", func() {
 				So(put(0, bodyOf(5, 2000)), ShouldResemble, conflict(5))
 			})
-			Convey("an older If-Match conflicts, without the register", func() {
+			Convey("an older If-Match conflicts after a quorum read, without a change of the register", func() {
 				So(put(5, bodyOf(9, 1000)).Kind, ShouldEqual, Accepted)
-				before := register.changeCount()
+				before, reads := register.changeCount(), register.reads
 				So(put(5, bodyOf(11, 1000)), ShouldResemble, conflict(9))
 				So(register.changeCount(), ShouldEqual, before)
+				So(register.reads, ShouldEqual, reads+1)
+			})
+			Convey("an older If-Match conflicts with the version that a majority holds, not with the one known here", func() {
+				So(newConfigurator(register).Put(ctx, 5, bodyOf(9, 1000)).Kind, ShouldEqual, Accepted)
+				So(put(0, bodyOf(11, 1000)), ShouldResemble, conflict(9))
+			})
+			Convey("a mixer without a majority refuses nothing, and confirms what it knows to be taken", func() {
+				register.refuse = true
+				So(put(0, bodyOf(11, 1000)).Kind, ShouldEqual, Unavailable)
+				So(put(5, bodyOf(11, 1000)).Kind, ShouldEqual, Unavailable)
+				So(put(9, bodyOf(11, 1000)).Kind, ShouldEqual, Unavailable)
+				So(put(0, bodyOf(5, 1000)), ShouldResemble, Outcome{Kind: Accepted, Version: 5})
 			})
 			Convey("an older If-Match conflicts at a mixer that does not know yet", func() {
 				So(newConfigurator(register).Put(ctx, 0, bodyOf(11, 1000)), ShouldResemble, conflict(5))
