A coordinator is current only while a majority confirms its configuration

It called itself current to agents and operators as long as a majority answered its pings. Quorum reads may fail at the same time: members that are being rebuilt or know another view answer pings. Such a coordinator handed out an old configuration as current for as long as that lasted.

--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -160,6 +160,12 @@
 	c.configurator.Mount(c.mux)
 }
 
+// current tells whether what this mixer tells others is of late: a majority has answered its pings, and has confirmed the
+// configuration. Pings may be answered where quorum reads fail, as when members are being rebuilt or know another view.
+func (c *Coordinator) current() bool {
+	return c.node.InContact() && c.configurator.Fresh(configuration.FreshAge)
+}
+
 func (c *Coordinator) learnView(view replicaset.View) {
 	if err := c.views.Learn(view); err != nil {
 		c.log.Warn("view of the replicas not taken", zap.Error(err))
@@ -196,7 +202,7 @@
 			Configuration: c.configurator.Current,
 			Leaders:       c.node.Leaders,
 			Core:          func() []string { return c.views.View().Members },
-			InContact:     c.node.InContact,
+			InContact:     c.current,
 			Changed:       []func() <-chan struct{}{c.configurator.Changed, c.node.Changed, c.views.Changed},
 		},
 	})
--- /dev/null
+++ b/internal/controlplane/coordinator/current_test.go
@@ -0,0 +1,110 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/jobs/manager"
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// unreadable is a register whose reads fail when told to.
+type unreadable struct{ fails bool }
+
+// Read implements configuration.Register.
+func (u *unreadable) Read(context.Context) ([]byte, error) {
+	if u.fails {
+		return nil, verdict.Unexecuted(context.DeadlineExceeded, 0)
+	}
+	return nil, nil
+}
+
+// Change implements configuration.Register.
+func (u *unreadable) Change(ctx context.Context, _ func([]byte) ([]byte, error)) ([]byte, error) {
+	return u.Read(ctx)
+}
+
+// feeding is a coordinator of which only the parts exist that answer agents.
+func feeding(t *testing.T, view *replicaset.View, register configuration.Register) *Coordinator {
+	const address = "10.0.0.1:7000"
+	network := networktest.New(1)
+	c := &Coordinator{log: zap.NewNop(), mux: transport.NewMux()}
+	currentView := func() replicaset.View { return *view }
+	var err error
+	c.node, err = replication.NewNode(replication.Config{
+		Self: address, Store: storage.NewMemory(), Caller: network.Caller(address), View: currentView,
+		Ready: func() bool { return true }, Handler: manager.New(manager.Config{Log: zap.NewNop()}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.configurator = configuration.New(configuration.Options{
+		Register: register, Caller: network.Caller(address), Members: currentView, Address: address, Logger: c.log,
+	})
+	c.assembleFeed(address)
+	return c
+}
+
+// callsItselfCurrent asks as an agent does.
+func callsItselfCurrent(c *Coordinator) bool {
+	body, err := msgpack.Marshal(feed.Watch{})
+	So(err, ShouldBeNil)
+	recorder := httptest.NewRecorder()
+	c.mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, feed.WatchPath, bytes.NewReader(body)))
+	So(recorder.Code, ShouldEqual, http.StatusOK)
+	var reply feed.WatchReply
+	So(msgpack.Unmarshal(recorder.Body.Bytes(), &reply), ShouldBeNil)
+	return reply.Current
+}
+
+func TestACoordinatorIsCurrentWhileItsConfigurationIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := replicaset.View{Version: 1, Members: []string{"10.0.0.1:7000"}}
+		register := &unreadable{}
+		c := feeding(t, &view, register)
+		read := func() error {
+			_, _, err := c.configurator.Read(context.Background())
+			return err
+		}
+		Convey("Before the first quorum read it is not, though a majority answers pings", t, func() {
+			So(c.node.InContact(), ShouldBeTrue)
+			So(callsItselfCurrent(c), ShouldBeFalse)
+		})
+		Convey("After a quorum read it is, for some time", t, func() {
+			So(read(), ShouldBeNil)
+			So(callsItselfCurrent(c), ShouldBeTrue)
+			<-time.After(configuration.FreshAge)
+			So(callsItselfCurrent(c), ShouldBeTrue)
+		})
+		Convey("Once reads have failed for longer it is not, though a majority answers pings", t, func() {
+			register.fails = true
+			<-time.After(time.Millisecond)
+			So(read(), ShouldNotBeNil)
+			So(c.node.InContact(), ShouldBeTrue)
+			So(callsItselfCurrent(c), ShouldBeFalse)
+		})
+		Convey("Nor is it without a majority that answers pings", t, func() {
+			register.fails = false
+			So(read(), ShouldBeNil)
+			So(callsItselfCurrent(c), ShouldBeTrue)
+			view = replicaset.View{Version: 1, Members: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}
+			So(callsItselfCurrent(c), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/controlplane/coordinator/operations.go
+++ b/internal/controlplane/coordinator/operations.go
@@ -19,7 +19,7 @@
 			Leaders:       c.node.Leaders,
 			Changed:       c.node.Changed,
 			Configuration: c.configurator.Current,
-			InContact:     c.node.InContact,
+			InContact:     c.current,
 			Rebuilt:       c.rebuilder.Ready,
 			Agents:        c.feed.Agents,
 		},
--- a/internal/controlplane/feedserver/feedserver.go
+++ b/internal/controlplane/feedserver/feedserver.go
@@ -35,7 +35,7 @@
 	Leaders func() map[string]feed.Leader
 	// Core returns the internal addresses of the core mixers.
 	Core func() []string
-	// InContact tells whether this core mixer is in contact with a majority, so that what it knows is up to date.
+	// InContact tells whether this core mixer is in contact with a majority, which has lately confirmed what it knows.
 	InContact func() bool
 	// Changed holds one function per source of changes. Each returns a channel that is closed at the source's next change.
 	Changed []func() <-chan struct{}
