An answer read after a standstill counts as old, and no job is gone on a feed that may be old

The agent took the lists of members from an answer that it then found too late. A proxy out of contact answered 410 where the groups that it knew of did not know the job; there may be newer ones, as for queues, where it looked at the feed already. It answers 503 with a time to come back.

--- a/internal/dataplane/agent/agent_test.go
+++ b/internal/dataplane/agent/agent_test.go
@@ -172,6 +172,34 @@
 	})
 }
 
+// lateAnswer is a transport.Caller whose process stands still for a while before it reads an answer.
+type lateAnswer struct {
+	answer feed.WatchReply
+	stood  time.Duration
+}
+
+// Call implements transport.Caller.
+func (l lateAnswer) Call(_ context.Context, _, _ string, _, reply any) error {
+	<-time.After(l.stood) // virtual; the context's end does not come between the answer and its reader
+	*reply.(*feed.WatchReply) = l.answer
+	return nil
+}
+
+func TestAnswersReadAfterAStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Their configuration counts, but not their members, and they are no contact", t, func() {
+			news := &feed.Snapshot{ConfigurationVersion: 5, Configuration: []byte("5"), Core: []string{"core-9"}}
+			answer := lateAnswer{feed.WatchReply{Current: true, Changed: true, Snapshot: news}, 20 * time.Second}
+			a := New(Config{Address: "agent-0", Caller: answer, Logger: zap.NewNop()})
+			_, err := a.poll(context.Background(), "core-0", pollWait, pollWait+answerSlack)
+			So(err, ShouldEqual, errLate)
+			So(a.InContact(), ShouldBeFalse)
+			So(a.Snapshot().ConfigurationVersion, ShouldEqual, 5)
+			So(a.Snapshot().Core, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestSeeds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(3, 0)
--- a/internal/dataplane/agent/follow.go
+++ b/internal/dataplane/agent/follow.go
@@ -115,13 +115,15 @@
 	if err := a.config.Caller.Call(bounded, core, feed.WatchPath, ask, &reply); err != nil {
 		return false, err
 	}
-	progress = a.take(reply)
-	if !reply.Current {
-		return progress, errNotCurrent
-	}
 	now := time.Now()
-	if now.Sub(began) > limit { // this process stood still, and the answer is old
+	late := now.Sub(began) > limit // this process stood still, and the answer is old
+	reply.Current = reply.Current && !late
+	progress = a.take(reply)
+	switch {
+	case late:
 		return progress, errLate
+	case !reply.Current:
+		return progress, errNotCurrent
 	}
 	a.confirm(now)
 	return progress || !reply.Changed, nil
--- a/internal/dataplane/proxy/feed_test.go
+++ b/internal/dataplane/proxy/feed_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -55,53 +56,72 @@
 	}
 	Convey("An older configuration or leader is not taken", t, func() {
 		f := newTestFollower()
-		So(f.apply(news(5, second, leaders(3))), ShouldBeTrue)
-		So(f.apply(news(4, first, leaders(2))), ShouldBeFalse)
+		So(f.apply(news(5, second, leaders(3)), f.now()), ShouldBeTrue)
+		So(f.apply(news(4, first, leaders(2)), f.now()), ShouldBeFalse)
 		So(f.newest().router, ShouldResemble, second)
 		So(f.newest().leaders[testGroup].Address, ShouldEqual, "mixer-3")
 		So(f.digest(), ShouldResemble, feed.Digest{ConfigurationVersion: 5, LeaderEpochs: map[string]uint64{testGroup: 3}})
 	})
 	Convey("What an agent that has just started lacks stays", t, func() {
 		f := newTestFollower()
-		f.apply(news(5, second, leaders(3)))
-		f.apply(feed.WatchReply{Changed: true, Snapshot: &feed.Snapshot{}})
+		f.apply(news(5, second, leaders(3)), f.now())
+		f.apply(feed.WatchReply{Changed: true, Snapshot: &feed.Snapshot{}}, f.now())
 		So(f.newest().version, ShouldEqual, 5)
 		So(f.newest().leaders, ShouldHaveLength, 1)
 	})
 	Convey("A group that is gone from a current feed is gone", t, func() {
 		f := newTestFollower()
-		f.apply(news(5, second, leaders(3)))
-		f.apply(news(5, second, nil))
+		f.apply(news(5, second, leaders(3)), f.now())
+		f.apply(news(5, second, nil), f.now())
 		So(f.newest().leaders, ShouldBeEmpty)
 	})
 	Convey("A configuration that cannot be read changes nothing, and the next one is taken", t, func() {
 		f := newTestFollower()
-		f.apply(news(5, first, nil))
+		f.apply(news(5, first, nil), f.now())
 		broken := feed.WatchReply{Current: true, Changed: true, Snapshot: &feed.Snapshot{ConfigurationVersion: 6, Configuration: []byte("{")}}
-		So(f.apply(broken), ShouldBeFalse)
+		So(f.apply(broken, f.now()), ShouldBeFalse)
 		So(f.newest().version, ShouldEqual, 5)
-		So(f.apply(news(7, second, nil)), ShouldBeTrue)
+		So(f.apply(news(7, second, nil), f.now()), ShouldBeTrue)
 		So(f.newest().router, ShouldResemble, second)
 	})
 }
 
+// standingStill is a transport.Caller whose process stands still between the answer's arrival and its reading.
+type standingStill feed.WatchReply
+
+// Call implements transport.Caller.
+func (s standingStill) Call(_ context.Context, _, _ string, _, reply any) error {
+	<-time.After(20 * time.Second) // virtual; the context's end does not come between the answer and its reader
+	*reply.(*feed.WatchReply) = feed.WatchReply(s)
+	return nil
+}
+
 func TestStaleness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A feed that is not heard of is not current any more", t, func() {
 			f := newTestFollower()
 			So(f.ready(), ShouldBeFalse)
-			f.apply(news(5, configurationOf(1000), nil))
+			f.apply(news(5, configurationOf(1000), nil), f.now())
 			So(f.ready(), ShouldBeTrue)
 			time.Sleep(feedStaleness - time.Millisecond)
 			So(f.ready(), ShouldBeTrue)
 			time.Sleep(time.Millisecond)
 			So(f.ready(), ShouldBeFalse)
 			So(f.stale(), ShouldBeTrue)
-			f.apply(feed.WatchReply{Current: true})
+			f.apply(feed.WatchReply{Current: true}, f.now())
 			So(f.ready(), ShouldBeTrue)
-			f.apply(feed.WatchReply{Current: false})
+			f.apply(feed.WatchReply{Current: false}, f.now())
 			So(f.ready(), ShouldBeFalse)
 		})
+		Convey("An answer that was read after this process had stood still is as old as its question", t, func() {
+			f := newTestFollower()
+			f.caller = standingStill(news(5, configurationOf(1000), nil))
+			_, err := f.poll(context.Background())
+			So(err, ShouldBeNil)
+			So(f.newest().version, ShouldEqual, 5)
+			So(f.ready(), ShouldBeFalse)
+			So(f.stale(), ShouldBeTrue)
+		})
 	})
 	Convey("A queue that a stale feed lacks is not said to be missing", t, func() {
 		f := newFixture(t, snapshotOf(configurationOf(1000), "127.0.0.1:1", 1))
@@ -112,6 +132,21 @@
 		So(f.send(http.MethodGet, "/elsewhere/", "").status, ShouldEqual, http.StatusServiceUnavailable)
 		So(f.readinessStatus(), ShouldEqual, http.StatusServiceUnavailable)
 	})
+	Convey("Nor is a job said to be gone that none of its groups knows", t, func() {
+		leader := newLeader(t).knowing(false, "")
+		f := newFixture(t, snapshotOf(configurationOf(1000), leader.address(), 1))
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			So(f.send(method, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
+		}
+		f.agent.setCurrent(false)
+		f.agent.change(func(s *feed.Snapshot) { s.ConfigurationVersion = 2 })
+		f.await(func(v *view) bool { return v.version == 2 })
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			reply := f.send(method, testPrefix+testID, "")
+			So(reply.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(reply.retryAfter, ShouldEqual, "1")
+		}
+	})
 }
 
 func TestLimitsChange(t *testing.T) {
--- a/internal/dataplane/proxy/follower.go
+++ b/internal/dataplane/proxy/follower.go
@@ -47,8 +47,8 @@
 
 	mutex    sync.Mutex
 	view     *view
-	current  bool // as the agent said last
-	heard    time.Time
+	current  bool                        // as the agent said last
+	heard    time.Time                   // the agent was asked then for the newest answer: this process may have stood still since
 	attempts map[*leaderAttempt]struct{} // under way
 }
 
@@ -92,6 +92,7 @@
 
 // poll asks the agent once. Progress is false when it claimed news that the proxy has already.
 func (f *follower) poll(ctx context.Context) (progress bool, err error) {
+	began := f.now()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	watch := feed.Watch{Known: f.digest(), WaitMS: watchWait.Milliseconds(), Current: !f.stale()}
@@ -99,7 +100,7 @@
 	if err := f.caller.Call(ctx, f.agent, feed.LocalPath, watch, &reply); err != nil {
 		return false, fmt.Errorf("ask the agent: %w", err)
 	}
-	return f.apply(reply), nil
+	return f.apply(reply, began), nil
 }
 
 func (f *follower) digest() feed.Digest {
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -101,8 +101,17 @@
 }
 
 // acrossGroups asks the group of the service, and the others if that one does not know the job. The job is gone only if
-// every group says so.
+// every group says so, and the feed, looked at after that, is current: else there may be a group that is not known here.
 func (s *jobService) acrossGroups(service string, ask func(group string) outcome) outcome {
+	found := s.mostTelling(service, ask)
+	if found.status == http.StatusGone && s.leaders.feed.stale() {
+		return outcomeOf(refusal(http.StatusServiceUnavailable, earlyRetryAfter))
+	}
+	return found
+}
+
+// mostTelling asks all groups known, unless that of the service knows the job.
+func (s *jobService) mostTelling(service string, ask func(group string) outcome) outcome {
 	own := feed.GroupOf(service)
 	first := ask(own)
 	if first.status != http.StatusGone {
--- a/internal/dataplane/proxy/merge.go
+++ b/internal/dataplane/proxy/merge.go
@@ -2,14 +2,15 @@
 
 import (
 	"maps"
+	"time"
 
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
 )
 
-// apply takes in an answer of the agent. It returns false when the answer claimed news but had none.
-func (f *follower) apply(reply feed.WatchReply) (progress bool) {
+// apply takes in an answer of the agent, who was asked at a time. It returns false when the answer claimed news but had none.
+func (f *follower) apply(reply feed.WatchReply, asked time.Time) (progress bool) {
 	old := f.newest() // only this goroutine replaces it
 	next := *old
 	if reply.Changed && reply.Snapshot != nil {
@@ -20,7 +21,7 @@
 		f.log.Info("configuration in force", zap.Uint64("version", next.version))
 		f.onLimits(next.router.Limits().withDefaults())
 	}
-	f.publish(&next, changed, reply.Current)
+	f.publish(&next, changed, reply.Current, asked)
 	return changed || !reply.Changed
 }
 
@@ -71,11 +72,11 @@
 }
 
 // publish makes a view the newest one, wakes who waits for it, and ends tries at leaders that it replaces.
-func (f *follower) publish(next *view, changed, current bool) {
+func (f *follower) publish(next *view, changed, current bool, asked time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.current = current
-	f.heard = f.now()
+	f.heard = asked
 	if !changed {
 		return
 	}
