A queue's number of pending jobs is told without its leader for 10 s at most

A proxy that reached no leader told the number known last, however old, and 0 where it had never known one. After 10 s it now answers 503 with a time to come back. TestReadings expected the made-up 0 and now expects the 503.

--- a/internal/dataplane/proxy/client_test.go
+++ b/internal/dataplane/proxy/client_test.go
@@ -225,10 +225,10 @@
 		f := newFixture(t, snapshotOf(configurationOf(600), leader.address(), 1))
 		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusGatewayTimeout)
 	})
-	Convey("The number of pending jobs comes from the leader, or is the one known last", t, func() {
+	Convey("The number of pending jobs comes from the leader, or is the one known a short time ago", t, func() {
 		leader := newLeader(t)
 		f := newFixture(t, snapshotOf(configurationOf(3000), leader.address(), 1))
-		So(f.send(http.MethodGet, testPrefix, "").text, ShouldEqual, `{"pending":0}`)
+		So(f.send(http.MethodGet, testPrefix, "").status, ShouldEqual, http.StatusServiceUnavailable) // 0 would be made up
 		leader.mutex.Lock()
 		leader.count = func(_ context.Context, p jobapi.Pending) (jobapi.PendingReply, error) {
 			if p.Route != "r-1" || p.Group != testGroup {
--- a/internal/dataplane/proxy/feed_test.go
+++ b/internal/dataplane/proxy/feed_test.go
@@ -191,12 +191,23 @@
 			So(found, ShouldBeTrue)
 		})
 	})
-	Convey("Numbers of pending jobs are remembered up to a number of routes", t, func() {
-		p := newPendingCounts()
+	Convey("Numbers of pending jobs are remembered for a time and up to a number of routes", t, func() {
+		begin := time.Now()
+		now := begin
+		p := newPendingCounts(func() time.Time { return now })
 		for i := range 3 * pendingMaxRoutes {
-			p.put(fmt.Sprint(i), i)
+			p.put(fmt.Sprint(i), i, begin)
 		}
 		So(len(p.counts), ShouldBeLessThanOrEqualTo, pendingMaxRoutes)
-		So(p.get(fmt.Sprint(3*pendingMaxRoutes-1)), ShouldEqual, 3*pendingMaxRoutes-1)
+		last := fmt.Sprint(3*pendingMaxRoutes - 1)
+		now = begin.Add(pendingAge)
+		count, found := p.get(last)
+		So(found, ShouldBeTrue)
+		So(count, ShouldEqual, 3*pendingMaxRoutes-1)
+		now = now.Add(1)
+		_, found = p.get(last)
+		So(found, ShouldBeFalse)
+		_, found = p.get("none")
+		So(found, ShouldBeFalse)
 	})
 }
--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -105,7 +105,12 @@
 		answerError(w, http.StatusMethodNotAllowed, "a queue is only read")
 		return
 	}
-	answer(w, http.StatusOK, pendingAnswer{h.jobs.count(h.working, request)})
+	count, known := h.jobs.count(h.working, request)
+	if !known {
+		answerUnavailable(w, "no scheduler can be reached")
+		return
+	}
+	answer(w, http.StatusOK, pendingAnswer{count})
 }
 
 func (h *handler) serveJob(w http.ResponseWriter, r *http.Request, request jobRequest, router Router) {
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -153,14 +153,14 @@
 	}
 }
 
-// count returns how many jobs of a queue are pending: by the leader, or as known last.
-func (s *jobService) count(ctx context.Context, r jobRequest) int {
+// count returns how many jobs of a queue are pending: by the leader, or as known from it a short time ago.
+func (s *jobService) count(ctx context.Context, r jobRequest) (count int, known bool) {
 	group := feed.GroupOf(r.queue.Service)
 	call := leaderCall{path: jobapi.PendingPath, group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
 	var reply jobapi.PendingReply
 	if _, err := s.leaders.try(ctx, call, pendingTryLimit, &reply); err != nil {
 		return s.pending.get(r.queue.Route)
 	}
-	s.pending.put(r.queue.Route, reply.Count)
-	return reply.Count
+	s.pending.put(r.queue.Route, reply.Count, r.begun)
+	return reply.Count, true
 }
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -43,7 +43,7 @@
 func New(config Config) *Proxy {
 	feed := newFollower(config.AgentAddress, config.Caller, config.BuildRouter, config.Log)
 	leaders := &leaderCaller{feed: feed, caller: config.Caller, log: config.Log, now: time.Now}
-	jobs := &jobService{leaders: leaders, ended: newFinalStates(time.Now), pending: newPendingCounts()}
+	jobs := &jobService{leaders: leaders, ended: newFinalStates(time.Now), pending: newPendingCounts(time.Now)}
 	working, giveUp := context.WithCancel(context.Background())
 	proxy := &Proxy{
 		config:  config,
