--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -101,8 +101,17 @@
 }
 
 // acrossGroups asks the group of the service, and the others if that one does not know the job. The job is gone only if
-// every group says so.
+// every group says so, and the feed, looked at after that, is current: else there may be a group that is not known here.
 func (s *jobService) acrossGroups(service string, ask func(group string) outcome) outcome {
+	found := s.mostTelling(service, ask)
+	if found.status == http.StatusGone && s.leaders.feed.stale() {
+		return outcomeOf(refusal(http.StatusServiceUnavailable, earlyRetryAfter))
+	}
+	return found
+}
+
+// mostTelling asks all groups known, unless that of the service knows the job.
+func (s *jobService) mostTelling(service string, ask func(group string) outcome) outcome {
 	own := feed.GroupOf(service)
 	first := ask(own)
 	if first.status != http.StatusGone {
@@ -144,14 +153,14 @@
 	}
 }
 
-// count returns how many jobs of a queue are pending: by the leader, or as known last.
-func (s *jobService) count(ctx context.Context, r jobRequest) int {
+// count returns how many jobs of a queue are pending: by the leader, or as known from it a short time ago.
+func (s *jobService) count(ctx context.Context, r jobRequest) (count int, known bool) {
 	group := feed.GroupOf(r.queue.Service)
 	call := leaderCall{path: jobapi.PendingPath, group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
 	var reply jobapi.PendingReply
 	if _, err := s.leaders.try(ctx, call, pendingTryLimit, &reply); err != nil {
 		return s.pending.get(r.queue.Route)
 	}
-	s.pending.put(r.queue.Route, reply.Count)
-	return reply.Count
+	s.pending.put(r.queue.Route, reply.Count, r.begun)
+	return reply.Count, true
 }
