An order older than the history of taken changes is left unclear, not refused

Cause: the state remembers the last 2,000 changes. An order that was taken before them, sent again, was not found and got 412, which ends the operator's call: a taken order was refused. Now such an order is neither confirmed nor refused; the answer is 503 and says to read the configuration.

--- a/internal/controlplane/configuration/outcome.go
+++ b/internal/controlplane/configuration/outcome.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"errors"
 	"strconv"
 	"time"
 )
@@ -49,6 +50,9 @@
 	return Outcome{Kind: Conflict, Current: current, Err: &ConflictError{Current: current}}
 }
 
+// ErrForgotten is why an order is unclear that builds on a version older than the history of taken changes.
+var ErrForgotten = errors.New("the version in If-Match is so old that nobody can tell any more whether this change was taken; read the configuration and send the change on top of it")
+
 // ConflictError tells which version an order should have been built on.
 type ConflictError struct{ Current uint64 }
 
--- a/internal/controlplane/configuration/state.go
+++ b/internal/controlplane/configuration/state.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// maxTaken bounds the history of taken changes.
+// maxTaken bounds the history of taken changes. An order that is older than all of them is neither confirmed nor refused.
 const maxTaken = 2000
 
 // sumBytes is the length of a checksum: a SHA-256 cut to 128 bits.
@@ -78,10 +78,18 @@
 	if taken, found := s.find(asked); found {
 		return accepted(taken.Version)
 	}
-	if asked.ifMatch != s.Version {
-		return conflict(s.Version)
+	switch {
+	case asked.ifMatch == s.Version:
+		return Outcome{}
+	case s.forgot(asked):
+		return Outcome{Kind: Unclear, Err: ErrForgotten}
 	}
-	return Outcome{}
+	return conflict(s.Version)
+}
+
+// forgot tells whether an order is older than the history, so that nobody can tell whether it was taken.
+func (s State) forgot(asked order) bool {
+	return len(s.Taken) > 0 && asked.ifMatch < s.Taken[0].IfMatch
 }
 
 func notAbove(version, current uint64) error {
--- a/internal/controlplane/control/control.go
+++ b/internal/controlplane/control/control.go
@@ -142,10 +142,18 @@
 		writeError(w, http.StatusPreconditionFailed, outcome.Err.Error())
 	default:
 		h.logger.Info("order without a clear end", zap.Stringer("outcome", outcome.Kind), zap.Error(outcome.Err))
-		writeError(w, http.StatusServiceUnavailable, errUnclear.Error())
+		writeError(w, http.StatusServiceUnavailable, unclearText(outcome.Err))
 	}
 }
 
+// unclearText is what the operator is to do about an order without a clear end.
+func unclearText(err error) string {
+	if errors.Is(err, configuration.ErrForgotten) {
+		return err.Error()
+	}
+	return errUnclear.Error()
+}
+
 // parseIfMatch reads a version, with or without the quotes of an entity tag.
 func parseIfMatch(value string) (uint64, error) {
 	if value == "" {
