Test: a taken order is confirmed before it is checked

Put looks for a taken order before it parses the body. Without that look the later one, before the register is asked, finds the order as well, but for a body that this release's checks refuse: then an order that an earlier release took was refused. Nothing tested that, so the look could be removed without a failure.

--- a/internal/controlplane/configuration/again_test.go
+++ b/internal/controlplane/configuration/again_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -55,3 +56,28 @@
 		So(member.Put(ctx, 0, bodyOf(1, 2000)), ShouldResemble, conflict(maxTaken))
 	})
 }
+
+func TestATakenOrderThatThisReleaseWouldNotTake(t *testing.T) {
+	ctx := context.Background()
+	// An earlier release may have taken what the checks of this one refuse; both run side by side during an update.
+	takenElsewhere := func(asked order) *Configurator {
+		value, err := State{}.after(asked).Encode()
+		So(err, ShouldBeNil)
+		member := newConfigurator(&fakeRegister{value: value})
+		_, _, err = member.Read(ctx)
+		So(err, ShouldBeNil)
+		return member
+	}
+	for name, body := range map[string][]byte{
+		"a route without a time-out": bodyOf(5, 0),
+		"a text that is no JSON":     fmt.Appendf(nil, "version 5"),
+	} {
+		Convey("An order that was taken is confirmed again though the checks refuse it: "+name, t, func() {
+			asked := newOrder(0, body)
+			asked.version = 5
+			member := takenElsewhere(asked)
+			So(member.Put(ctx, 0, body), ShouldResemble, accepted(5))
+			So(member.Put(ctx, 5, body).Kind, ShouldEqual, Invalid)
+		})
+	}
+}
--- a/internal/controlplane/configuration/configurator.go
+++ b/internal/controlplane/configuration/configurator.go
@@ -115,7 +115,7 @@
 func (c *Configurator) Put(ctx context.Context, ifMatch uint64, body []byte) Outcome {
 	asked := newOrder(ifMatch, body)
 	if taken, found := c.known().find(asked); found {
-		return accepted(taken.Version)
+		return accepted(taken.Version) // before the checks: those of an earlier release may have let it pass
 	}
 	parsed, err := Parse(body)
 	if err != nil {
