A cancellation's answer rests on the durable state that it leaves

Cause: an operator's cancellation was judged by what was found before it was sent. A job that ended in between was reported as cancelled, and the same cancellation sent again was then refused with 409. And an end that the leader had heard but not made durable refused a cancellation, though a successor may not know of that end. The leader's answer now tells the state that is left, and the operator's answer rests on that alone; a job forgotten in between is reported as unknown.

--- a/internal/controlplane/operations/fixture_test.go
+++ b/internal/controlplane/operations/fixture_test.go
@@ -1,6 +1,7 @@
 package operations
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -44,8 +45,11 @@
 	calls    []string // address and path
 	drains   []jobreport.DrainRequest
 	cancels  []jobapi.Cancel
-	hold     chan struct{} // calls wait until it is closed, if set
-	held     chan struct{} // receives one value for each call that waits
+	// found is the state that leaders report of jobs, and cancelled what they answer to a cancellation, if set.
+	found     job.State
+	cancelled *jobapi.Cancelled
+	hold      chan struct{} // calls wait until it is closed, if set
+	held      chan struct{} // receives one value for each call that waits
 }
 
 func newCore() *core {
@@ -139,12 +143,15 @@
 		return c.list(asked), nil
 	case jobreport.JobRequest:
 		known := slices.Contains(c.jobs[asked.Group], string(asked.ID))
-		return jobreport.JobReply{Known: known, Job: jobreport.JobDetail{Job: jobreport.Job{ID: asked.ID, State: job.Running}}}, nil
+		return jobreport.JobReply{Known: known, Job: jobreport.JobDetail{Job: jobreport.Job{ID: asked.ID, State: cmp.Or(c.found, job.Running)}}}, nil
 	case jobreport.WhyRequest:
 		return jobreport.WhyReply{Known: true, Why: jobreport.Why{ID: asked.ID, State: job.Running}}, nil
 	case jobapi.Cancel:
 		c.cancels = append(c.cancels, asked)
-		return jobapi.Cancelled{Known: true}, nil
+		if c.cancelled != nil {
+			return *c.cancelled, nil
+		}
+		return jobapi.Cancelled{Known: true, State: job.Cancelled}, nil
 	}
 	return nil, errors.New("unknown request")
 }
--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -127,7 +127,11 @@
 	case failure != nil:
 		return found{}, failure
 	}
-	return found{}, failed(http.StatusNotFound, fmt.Sprintf("no job %s is known: it was never taken, or it ended long ago", id))
+	return found{}, unknownJob(id)
+}
+
+func unknownJob(id job.ID) error {
+	return failed(http.StatusNotFound, fmt.Sprintf("no job %s is known: it was never taken, or it ended long ago", id))
 }
 
 func (h *Handler) job(w http.ResponseWriter, r *http.Request) {
@@ -167,10 +171,18 @@
 	write(w, http.StatusOK, Cancelled{ID: string(match.detail.ID), Service: match.detail.Service})
 }
 
+// cancelJob asks the job's leader. The outcome rests on the durable state in the answer and not on what was found before:
+// the job may have ended since, and what was found may have been lost.
 func (h *Handler) cancelJob(ctx context.Context, match found) error {
-	if match.detail.State.Final() && match.detail.State != job.Cancelled {
-		return failed(http.StatusConflict, fmt.Sprintf("job %s has already ended: it is %s", match.detail.ID, match.detail.State))
-	}
 	var reply jobapi.Cancelled
-	return h.ask(ctx, match.group, jobapi.CancelPath, jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
+	err := h.ask(ctx, match.group, jobapi.CancelPath, jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
+	switch {
+	case err != nil:
+		return err
+	case !reply.Known:
+		return unknownJob(match.detail.ID)
+	case reply.State.Final() && reply.State != job.Cancelled:
+		return failed(http.StatusConflict, fmt.Sprintf("job %s has already ended: it is %s", match.detail.ID, reply.State))
+	}
+	return nil
 }
--- a/internal/controlplane/operations/jobs_test.go
+++ b/internal/controlplane/operations/jobs_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 )
 
@@ -94,6 +95,24 @@
 			So(cancelled, ShouldResemble, Cancelled{ID: priceJob, Service: "pricing"})
 			So(c.cancels, ShouldHaveLength, 1)
 		})
+		Convey("a cancellation that was taken is confirmed again", func() {
+			c.found = job.Cancelled
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+priceJob, nil).Code, ShouldEqual, http.StatusOK)
+		})
+		Convey("a job that ends while its cancellation is under way is not reported as cancelled", func() {
+			c.cancelled = &jobapi.Cancelled{Known: true, State: job.Completed}
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+priceJob, &failure).Code, ShouldEqual, http.StatusConflict)
+			So(failure.Error, ShouldContainSubstring, "it is completed")
+		})
+		Convey("an end that is not durable yet refuses no cancellation", func() {
+			c.found = job.Completed
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+priceJob, nil).Code, ShouldEqual, http.StatusOK)
+			So(c.cancels, ShouldHaveLength, 1)
+		})
+		Convey("a job that is forgotten before its cancellation arrives is not reported as cancelled", func() {
+			c.cancelled = &jobapi.Cancelled{}
+			So(ask(c.handler(), "DELETE", JobsPath+"/"+priceJob, nil).Code, ShouldEqual, http.StatusNotFound)
+		})
 	})
 }
 
--- a/internal/jobs/jobapi/jobapi.go
+++ b/internal/jobs/jobapi/jobapi.go
@@ -53,7 +53,8 @@
 
 // Cancelled is the reply to Cancel, sent once the cancellation is durable.
 type Cancelled struct {
-	Known bool `msgpack:"k"`
+	Known bool      `msgpack:"k"`
+	State job.State `msgpack:"s"` // of a known job afterwards; one that had ended before stays what it was
 }
 
 // Pending asks how many jobs of a route have not ended.
--- /dev/null
+++ b/internal/jobs/manager/again_test.go
@@ -0,0 +1,94 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replication"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+const soleGroup = "jobs/pricing"
+
+var errNobody = errors.New("there is nobody else")
+
+// soleMember is a view of one.
+type soleMember struct{}
+
+// Call implements transport.Caller.
+func (soleMember) Call(context.Context, string, string, any, any) error {
+	return verdict.Unexecuted(errNobody, 0)
+}
+
+var _ transport.Caller = soleMember{}
+
+// leadAlone runs a test with a manager that leads the group as the only member, in simulated time. Its searchers' list
+// has not been read.
+func leadAlone(t *testing.T, test func(m *Manager)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Config{Log: zap.NewNop()})
+		view := replicaset.View{Version: 1, Members: []string{"a"}}
+		node, err := replication.NewNode(replication.Config{
+			Self: "a", Store: storage.NewMemory(), Caller: soleMember{}, Handler: m, Log: zap.NewNop(),
+			View: func() replicaset.View { return view }, Ready: func() bool { return true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); node.Run(ctx) }()
+		node.Ensure(soleGroup)
+		for leading, changed := m.Leading(); !leading; leading, changed = m.Leading() {
+			select {
+			case <-changed:
+			case <-time.After(time.Minute):
+				t.Fatal("nobody leads")
+			}
+		}
+		test(m)
+		stop()
+		<-done
+		m.Stop()
+	})
+}
+
+func TestCancelAgain(t *testing.T) {
+	leadAlone(t, func(m *Manager) {
+		ctx := context.Background()
+		live, unknown := job.ID("00000000000000aa"), job.ID("00000000000000bb")
+		Convey("A cancellation tells the state that it leaves, also when it comes again", t, func() {
+			submit := jobapi.Submit{Group: soleGroup, ID: live, Specification: job.Specification{
+				Text: "text", Stages: []job.Stage{{Count: 1}},
+			}}
+			for range 2 {
+				_, err := m.submit(ctx, submit)
+				So(err, ShouldBeNil)
+			}
+			for range 2 {
+				reply, err := m.cancel(ctx, jobapi.Cancel{Group: soleGroup, ID: live})
+				So(err, ShouldBeNil)
+				So(reply, ShouldResemble, jobapi.Cancelled{Known: true, State: job.Cancelled})
+			}
+			_, err := m.submit(ctx, submit)
+			So(err, ShouldBeNil)
+			status, err := m.status(ctx, jobapi.Status{Group: soleGroup, ID: live})
+			So(err, ShouldBeNil)
+			So(status, ShouldResemble, jobapi.StatusReply{Known: true, State: job.Cancelled})
+			reply, err := m.cancel(ctx, jobapi.Cancel{Group: soleGroup, ID: unknown})
+			So(err, ShouldBeNil)
+			So(reply, ShouldResemble, jobapi.Cancelled{})
+		})
+	})
+}
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -157,7 +157,10 @@
 	if err != nil {
 		return reply, err
 	}
-	err = led.durably(ctx, func(now scheduler.Now) { reply.Known = led.scheduler.Cancel(now, request.ID) })
+	err = led.durably(ctx, func(now scheduler.Now) {
+		reply.Known = led.scheduler.Cancel(now, request.ID)
+		reply.State, _ = led.scheduler.Status(request.ID)
+	})
 	return reply, err
 }
 
