A drain that was taken is confirmed again by a successor

Cause: a leader that had not seen a searcher yet called it unknown. After a change of leaders, or a restart, a drain that was taken and whose answer was lost was refused with 404 when it was sent again. Now a durable drain is known with or without its searcher, and a leader that has not read the platform's list refuses as not run, which the operator's mixer tries again.

--- a/internal/jobs/manager/again_test.go
+++ b/internal/jobs/manager/again_test.go
@@ -15,6 +15,7 @@
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
@@ -92,3 +93,19 @@
 		})
 	})
 }
+
+func TestDrainBeforeTheListIsRead(t *testing.T) {
+	leadAlone(t, func(m *Manager) {
+		ctx := context.Background()
+		request := jobreport.DrainRequest{Group: soleGroup, Searcher: "i-1", Draining: true}
+		Convey("A searcher is not called unknown before the platform's list was read", t, func() {
+			_, err := m.drain(ctx, request)
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			So(verdict.RetryAfter(err), ShouldEqual, noListRetry)
+			m.Inventory(nil)
+			reply, err := m.drain(ctx, request)
+			So(err, ShouldBeNil)
+			So(reply.Known, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,8 +11,15 @@
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
+// noListRetry is when a leader that has not read the platform's list of searchers may be asked again.
+const noListRetry = 500 * time.Millisecond
+
+// errNoList is the refusal to call a searcher unknown before the platform's list was read.
+var errNoList = errors.New("the list of searchers has not been read yet")
+
 // ServeReports registers the internal calls by which operators read and steer the groups that this mixer leads.
 func (m *Manager) ServeReports(mux *transport.Mux) {
 	transport.Handle(mux, jobreport.SummaryPath, m.summary)
@@ -86,6 +95,24 @@
 	return reply, err
 }
 
+// hasList tells whether this mixer has read a whole list of searchers.
+func (m *Manager) hasList() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
+// reportDrained reports a searcher, as far as it is known. The lock is held.
+func (l *lead) reportDrained(now scheduler.Now, id worker.SearcherID) jobreport.Searcher {
+	report, known := l.scheduler.Searcher(now, id)
+	if !known {
+		return jobreport.Searcher{
+			ID: string(id), State: jobreport.SearcherUnreachable, OperatorDraining: l.scheduler.OperatorDrains(id),
+		}
+	}
+	return report
+}
+
 // drain sets or ends an operator's drain, and answers once that is durable.
 func (m *Manager) drain(ctx context.Context, request jobreport.DrainRequest) (reply jobreport.DrainReply, err error) {
 	led, err := m.lead(request.Group)
@@ -95,8 +122,11 @@
 	id := worker.SearcherID(request.Searcher)
 	err = led.durably(ctx, func(now scheduler.Now) {
 		reply.Known = led.scheduler.SetOperatorDrain(now, id, request.Draining)
-		reply.Searcher, _ = led.scheduler.Searcher(now, id)
+		reply.Searcher = led.reportDrained(now, id)
 	})
+	if err == nil && !reply.Known && !m.hasList() {
+		return reply, verdict.Unexecuted(errNoList, noListRetry)
+	}
 	if err == nil && reply.Known {
 		m.config.Log.Info("operator's drain", zap.String("group", request.Group), zap.String("searcher", request.Searcher),
 			zap.Bool("draining", request.Draining))
--- a/internal/jobs/scheduler/operatordrain.go
+++ b/internal/jobs/scheduler/operatordrain.go
@@ -26,11 +26,12 @@
 func operatorDrainKey(id worker.SearcherID) string { return operatorDrainPrefix + string(id) }
 
 // SetOperatorDrain lets a searcher get no new starts, or allows them again; what runs there goes on. It tells whether
-// the searcher is known. The same order again changes nothing.
+// the searcher is known. The same order again changes nothing; a drain that was taken is known also while the searcher is
+// not, as after a change of leaders.
 func (s *Scheduler) SetOperatorDrain(now Now, id worker.SearcherID, draining bool) bool {
 	sr := s.searchers[id]
 	switch {
-	case sr == nil:
+	case sr == nil && !s.operatorDrains.has(id):
 		return false
 	case draining == s.operatorDrains.has(id):
 	case draining:
@@ -46,6 +47,9 @@
 	return true
 }
 
+// OperatorDrains tells whether an operator allows a searcher no new starts.
+func (s *Scheduler) OperatorDrains(id worker.SearcherID) bool { return s.operatorDrains.has(id) }
+
 // operatorDrains are the searchers to which an operator allows no new starts.
 type operatorDrains map[worker.SearcherID]*operatorDrain
 
