A member that is told to stop hands its place and its copy to the newcomer first

A replaced machine counts as lost no more once its successor has had the time to catch up, so others may be down when it goes. It went at once: while one of three was down nobody could settle the next view, as no member accepted a view without itself; if the one that was down then came back without its disk, no majority was left for good. The same loss right after the stop left the newcomer without enough copies.

Now a member that is told to stop while a newcomer waits says goodbye again and again, votes for its own replacement, gives the newcomer its copy as the member that it was, and goes once the newcomer may vote, or at the end of its share of the grace period. A view names who was replaced and the incarnation that entered: only that very process counts the replaced member's copy. A newcomer never takes itself for rebuilt without any copy. Among silent members the one that said goodbye is replaced first.

Tests changed: views are compared by version and members; the scenario of a replaced member that does not hear of the next view now also keeps the newcomer from asking it for its copy, which would tell it.

--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -33,10 +33,8 @@
 	configurationRegister = "configuration"
 	commandsByCall        = "invocation" // value of the settings key commands
 
-	inventoryInterval = time.Second            // between two readings of the platform's list
-	statusMargin      = 3 * time.Minute        // ended jobs are known for longer than clients ask
-	stopPatience      = 2 * time.Second        // for requests under way when the process is told to stop
-	handOver          = 300 * time.Millisecond // in which others hear that leaderships were given up
+	inventoryInterval = time.Second     // between two readings of the platform's list
+	statusMargin      = 3 * time.Minute // ended jobs are known for longer than clients ask
 	registerMerge     = register.TablePrefix
 )
 
@@ -93,7 +91,8 @@
 	}
 	var err error
 	c.rebuilder, err = rebuild.New(rebuild.Config{
-		Self: self, FirstStart: c.settings.FirstStart, Views: c.views, Store: c.store, Caller: c.caller, Logger: c.log,
+		Self: self, Incarnation: c.views.Incarnation(), FirstStart: c.settings.FirstStart, Views: c.views,
+		Store: c.store, Caller: c.caller, Logger: c.log,
 	})
 	if err != nil {
 		return fmt.Errorf("rebuild: %w", err)
@@ -117,7 +116,8 @@
 	})
 	succession := register.NewSuccession(register.SuccessionConfig{
 		Self: self, Store: c.store, Ready: ready, Caller: c.caller,
-		View: func() replicaset.View { return c.views.View() },
+		View:      func() replicaset.View { return c.views.View() },
+		Departing: func() bool { return c.views.Departing() },
 	})
 	var err error
 	c.views, err = replicaset.NewManager(replicaset.Config{
@@ -238,7 +238,7 @@
 		c.node.Run(leading)
 	}()
 	err := c.wait(ctx, failures)
-	go c.views.Leave(lifetime)
+	c.leave(lifetime, err == nil)
 	resign()
 	<-resigned
 	c.jobs.Stop()
@@ -247,28 +247,6 @@
 	return errors.Join(err, c.store.Close())
 }
 
-func (c *Coordinator) wait(ctx context.Context, failures <-chan error) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-c.store.Failed():
-		return errStoreFailed
-	case err := <-failures:
-		return err
-	}
-}
-
-// finish answers what was asked already, and tells callers a little longer that this mixer leads no more.
-func (c *Coordinator) finish(internal, operator *http.Server) {
-	patience, cancel := context.WithTimeout(context.Background(), stopPatience)
-	defer cancel()
-	operator.Shutdown(patience)
-	time.Sleep(handOver)
-	internal.Close()
-	c.caller.Close()
-	c.searchers.CloseIdleConnections()
-}
-
 // ensureGroups makes a replication group for each service of the configuration.
 func (c *Coordinator) ensureGroups(ctx context.Context) {
 	for {
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -1,9 +1,11 @@
 package rebuild
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,11 +39,14 @@
 	Tables storage.Tables `msgpack:"t"`
 }
 
-// Serve registers the internal call by which others rebuild.
-func (r *Rebuilder) Serve(mux *transport.Mux) { transport.Handle(mux, dumpPath, r.dump) }
+// Serve registers the internal calls by which others rebuild, and learn that this member is.
+func (r *Rebuilder) Serve(mux *transport.Mux) {
+	transport.Handle(mux, dumpPath, r.dump)
+	transport.Handle(mux, readyPath, r.tellReady)
+}
 
 func (r *Rebuilder) dump(_ context.Context, request dumpRequest) (dumpReply, error) {
-	if !r.Ready() {
+	if !r.mayGive() {
 		return dumpReply{}, verdict.Unexecuted(errNotReady, notReadyRetry)
 	}
 	if err := r.admit(request); err != nil {
@@ -61,12 +66,38 @@
 		}
 	}
 	view := r.config.Views.View()
-	if view.Version != request.View.Version || !view.Has(request.Member) || !r.Ready() {
+	if view.Version != request.View.Version || !view.Has(request.Member) || !r.mayGive() {
 		return fmt.Errorf("%w: version %d", errOtherView, view.Version)
 	}
 	return nil
 }
 
+// mayGive tells whether this process may give its copy: as a complete member, or as the complete member that the newest
+// view has replaced. The latter votes no more, so that its copy has all that it ever voted for.
+func (r *Rebuilder) mayGive() bool { return r.Ready() || r.gavePlace() }
+
+// gavePlace tells whether this process was complete in the view before the current one and gave its place in this.
+func (r *Rebuilder) gavePlace() bool {
+	view := r.config.Views.View()
+	absences := r.config.Views.Absences()
+	if absences == 0 || view.Replaced != r.config.Self || view.Has(r.config.Self) {
+		return false
+	}
+	mark := r.config.Store.Table(TableName)[completeKey]
+	return bytes.Equal(mark, completeMark(absences-1))
+}
+
+// givers are those that this member asks for copies: the other members, and the one whose place this very process took
+// with the view. A later process at the same address may have voted in the view and have lost that, which the replaced
+// member's copy would lack; so it asks the members alone.
+func (r *Rebuilder) givers(view replicaset.View) []string {
+	givers := slices.DeleteFunc(slices.Clone(view.Members), func(member string) bool { return member == r.config.Self })
+	if view.Replaced != "" && r.config.Incarnation != 0 && view.Entered == r.config.Incarnation {
+		givers = append(givers, view.Replaced)
+	}
+	return givers
+}
+
 // collectFrom asks the other members of a view until there are enough copies. It returns nil when the view changes or the
 // context ends before. A member that does not answer holds up no other.
 func (r *Rebuilder) collectFrom(ctx context.Context, view replicaset.View, changed <-chan struct{}, needed int) []storage.Tables {
@@ -74,11 +105,10 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	defer cancel()
-	answers := make(chan storage.Tables, len(view.Members))
-	for _, member := range view.Members {
-		if member != r.config.Self {
-			asking.Go(func() { r.fetchUntilDone(ctx, member, view, answers) })
-		}
+	givers := r.givers(view)
+	answers := make(chan storage.Tables, len(givers))
+	for _, giver := range givers {
+		asking.Go(func() { r.fetchUntilDone(ctx, giver, view, answers) })
 	}
 	copies := make([]storage.Tables, 0, needed)
 	for len(copies) < needed {
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -35,6 +35,7 @@
 	askInterval = 250 * time.Millisecond
 	dumpLimit   = 10 * time.Second
 	dumpPath    = "/rebuild/dump"
+	readyPath   = "/rebuild/ready"
 )
 
 var (
@@ -67,12 +68,14 @@
 
 // Config names what a Rebuilder works with.
 type Config struct {
-	Self       string // this process's internal address
-	FirstStart bool   // whether the system starts for the very first time; then there is nothing to bring back
-	Views      Views
-	Store      storage.SnapshotStore
-	Caller     transport.Caller
-	Logger     *zap.Logger
+	Self string // this process's internal address
+	// Incarnation is this process's number in the view with which it became a member; 0 where it never does so.
+	Incarnation uint64
+	FirstStart  bool // whether the system starts for the very first time; then there is nothing to bring back
+	Views       Views
+	Store       storage.SnapshotStore
+	Caller      transport.Caller
+	Logger      *zap.Logger
 }
 
 // Rebuilder decides whether this member is complete, and makes it so.
@@ -206,7 +209,7 @@
 // from deciding in the view before.
 func copiesNeeded(view replicaset.View, absences uint64) int {
 	if absences > 0 {
-		return min(view.Quorum(), len(view.Members)-1)
+		return max(1, min(view.Quorum(), len(view.Members)-1))
 	}
 	return len(view.Members) - view.Quorum() + 1
 }
--- a/internal/controlplane/register/succession.go
+++ b/internal/controlplane/register/succession.go
@@ -19,12 +19,12 @@
 )
 
 // errOwnPlace is the refusal of a view in which the member that is asked has no place.
-var errOwnPlace = errors.New("a member accepts no view without itself")
+var errOwnPlace = errors.New("a member that is not about to stop accepts no view without itself")
 
 // Succession settles which view follows the current one, in a write-once register for each version. Its acceptors are
 // the members of the current view, so that two of them cannot settle different ones. None of them accepts a view without
-// itself. So a quorum of members that may vote stays in the next view, and newcomers can be rebuilt from it. It implements
-// replicaset.Succession.
+// itself, unless it is about to stop and stays to give the newcomer its copy. So a quorum of members that may vote gives
+// copies in the next view, and newcomers can be rebuilt from it. It implements replicaset.Succession.
 type Succession struct {
 	config   SuccessionConfig
 	acceptor *Acceptor
@@ -37,6 +37,8 @@
 	Ready  func() bool            // whether this member may vote
 	View   func() replicaset.View // the current view
 	Caller transport.Caller
+	// Departing tells whether this process is about to stop and waits to be replaced; nil where it never does.
+	Departing func() bool
 }
 
 // NewSuccession makes the acceptor and the proposer of the next view.
@@ -58,12 +60,14 @@
 	if err := msgpack.Unmarshal(value, &next); err != nil {
 		return fmt.Errorf("decode the next view: %w", err)
 	}
-	if !next.Has(s.config.Self) {
+	if !next.Has(s.config.Self) && !s.departing() {
 		return errOwnPlace
 	}
 	return nil
 }
 
+func (s *Succession) departing() bool { return s.config.Departing != nil && s.config.Departing() }
+
 // Pending returns the view after current that this member has accepted, as far as there is one; whether it is settled is
 // not known.
 func (s *Succession) Pending(current replicaset.View) (next replicaset.View, found bool, err error) {
--- a/internal/controlplane/replicaset/core_test.go
+++ b/internal/controlplane/replicaset/core_test.go
@@ -33,6 +33,9 @@
 	dumpsOld       bool // a member gives a copy of its tables without having learned the view of the one who asks
 	keepsOldVotes  bool // a member that was replaced and comes back votes by what its disk holds
 	ownSuccessions bool // the next view is what a single member decides
+	goesAtOnce     bool // a member that is told to stop does not wait for its successor
+	keepsItsPlace  bool // a member that is told to stop does not vote for its own replacement
+	takesItsCopy   bool // a member that was replaced gives no copy
 }
 
 // cluster is a set of core mixers on a network in memory, each with all that takes part in the change of members, and with
@@ -141,7 +144,8 @@
 	})
 	succession := register.NewSuccession(register.SuccessionConfig{
 		Self: p.address, Store: p.store, Ready: ready, Caller: c.network.Caller(p.address),
-		View: func() replicaset.View { return p.manager.View() },
+		View:      func() replicaset.View { return p.manager.View() },
+		Departing: func() bool { return !c.mutant.keepsItsPlace && p.manager.Departing() },
 	})
 	config := replicaset.Config{
 		Self: p.address, Zone: p.zone, Seeds: c.seeds, FirstStart: firstStart, CountsForQuorum: true,
@@ -179,8 +183,12 @@
 	if c.mutant.keepsOldVotes {
 		views = forgetfulViews{p.manager}
 	}
+	incarnation := p.manager.Incarnation()
+	if c.mutant.takesItsCopy {
+		incarnation = 0
+	}
 	rebuilder, err := rebuild.New(rebuild.Config{
-		Self: p.address, FirstStart: firstStart, Views: views,
+		Self: p.address, Incarnation: incarnation, FirstStart: firstStart, Views: views,
 		Store: p.store, Caller: c.network.Caller(p.address), Logger: zap.NewNop(),
 	})
 	if err != nil {
@@ -227,9 +235,11 @@
 func (noGroups) Elected(*replication.Term, map[string][]byte) {}
 func (noGroups) Deposed(*replication.Term)                    {}
 
-// watch starts a process again, on its disk, when it has ended because it was replaced.
+// watch starts a process again, on its disk, when it has ended because it was replaced. One that was told to stop ends by
+// itself.
 func (c *cluster) watch(p *core) {
-	if err := p.rebuilder.Watch(p.ctx); !errors.Is(err, rebuild.ErrReplaced) || !c.stop(p) {
+	err := p.rebuilder.Watch(p.ctx)
+	if !errors.Is(err, rebuild.ErrReplaced) || p.manager.Departing() || !c.stop(p) {
 		return
 	}
 	<-time.After(restartTime)
@@ -250,6 +260,21 @@
 	return true
 }
 
+// handOverTime is what a coordinator takes of a grace period of six seconds.
+const handOverTime = 3 * time.Second
+
+// tellToStop lets a process hand over to a newcomer if one waits, and then ends it, as a coordinator does.
+func (c *cluster) tellToStop(p *core) {
+	limited, cancel := context.WithTimeout(p.ctx, handOverTime)
+	defer cancel()
+	if c.mutant.goesAtOnce {
+		limited, cancel = context.WithTimeout(p.ctx, time.Millisecond)
+		defer cancel()
+	}
+	p.rebuilder.HandOver(limited, p.manager.Leave)
+	c.stop(p)
+}
+
 // at returns the process at an address; nil while there is none.
 func (c *cluster) at(address string) *core {
 	c.mutex.Lock()
--- /dev/null
+++ b/internal/controlplane/replicaset/departure.go
@@ -0,0 +1,57 @@
+package replicaset
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	goodbyeInterval = 200 * time.Millisecond // between goodbyes while this member waits to be replaced
+	goodbyeLimit    = 200 * time.Millisecond // for one goodbye; with the interval it stays below leaveGrace
+)
+
+// Departing tells whether this process is about to stop. Only then it accepts a view without itself: it then votes for
+// its own replacement where another member is down, and stays until the newcomer has been rebuilt.
+func (m *Manager) Departing() bool { return m.departing.Load() }
+
+// Leave tells the other members that this process is about to stop, so that a newcomer takes its place at once if there
+// is one. While a newcomer waits it says so again and again, until a view without this process is known or the context
+// ends. It tells whether this process has been replaced. Where no newcomer waits it says goodbye once.
+func (m *Manager) Leave(ctx context.Context) (replaced bool) {
+	m.departing.Store(true)
+	for {
+		changed := m.Changed()
+		view := m.View()
+		if !view.Has(m.config.Self) {
+			return view.Version > 0
+		}
+		m.sayGoodbye(ctx, view)
+		if !m.NewcomersWait() {
+			return !m.View().Has(m.config.Self)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		case <-time.After(goodbyeInterval):
+		}
+	}
+}
+
+// sayGoodbye tells all other members once. It returns when all have answered, or after a while.
+func (m *Manager) sayGoodbye(ctx context.Context, view View) {
+	ctx, cancel := context.WithTimeout(ctx, goodbyeLimit)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range m.without(view.Members) {
+		calls.Go(func() {
+			if err := m.config.Caller.Call(ctx, address, leavePath, leaveRequest{Address: m.config.Self}, &leaveReply{}); err != nil {
+				m.config.Logger.Debug("goodbye", zap.String("to", address), zap.Error(err))
+			}
+		})
+	}
+	calls.Wait()
+}
--- a/internal/controlplane/replicaset/exchange.go
+++ b/internal/controlplane/replicaset/exchange.go
@@ -29,9 +29,10 @@
 // announceRequest tells that the sender is a core mixer: before the first view one that may become a replica, later one
 // that is no member of the view.
 type announceRequest struct {
-	Address string `msgpack:"a"`
-	Zone    string `msgpack:"z,omitempty"`
-	View    View   `msgpack:"v"` // the newest that the sender knows
+	Address     string `msgpack:"a"`
+	Zone        string `msgpack:"z,omitempty"`
+	Incarnation uint64 `msgpack:"i"`
+	View        View   `msgpack:"v"` // the newest that the sender knows
 }
 
 // viewReply is the answer to both; the version is 0 while the receiver knows no view.
@@ -84,7 +85,7 @@
 	case m.view.Version == 0:
 		m.announcements.add(request.Address, request.Zone, now)
 	case request.View.Version == m.view.Version && !m.view.Has(request.Address):
-		m.newcomers.add(newcomer{address: request.Address, zone: request.Zone}, now)
+		m.newcomers.add(newcomer{address: request.Address, zone: request.Zone, incarnation: request.Incarnation}, now)
 		m.signal()
 	}
 	return viewReply{View: m.view}, nil
@@ -141,7 +142,7 @@
 // announceTo tells another process of this one, and takes its view.
 func (m *Manager) announceTo(ctx context.Context, address string) {
 	var reply viewReply
-	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, View: m.View()}
+	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, Incarnation: m.incarnation, View: m.View()}
 	if err := m.config.Caller.Call(ctx, address, announcePath, request, &reply); err != nil {
 		m.config.Logger.Debug("announce", zap.String("to", address), zap.Error(err))
 		return
--- /dev/null
+++ b/internal/controlplane/replicaset/handover_test.go
@@ -0,0 +1,151 @@
+package replicaset_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+// outcome is what is seen at the end of a replacement.
+type outcome struct {
+	stoppedIn time.Duration // from the order to stop until the process has ended
+	value     string
+	written   error // by the write at the end
+	version   uint64
+}
+
+// whole tells whether nothing is lost and writes go on.
+func (o outcome) whole() bool { return o.value == written && o.written == nil }
+
+// replaceWhileDown writes a value, lets the last members fail, and replaces the first by a newcomer that came before. Then
+// those that failed are back, without their disks, and once they have had the time to catch up, as many others fail.
+func replaceWhileDown(c *cluster, members []string, failing int) (seen outcome) {
+	leaving, staying, down := members[0], members[1], members[len(members)-failing:]
+	newcomer := c.start("new", "elsewhere", storage.NewMemory(), false)
+	<-time.After(catchUp)
+	c.write(staying, old)
+	c.network.Cut(staying, true) // so only those that go have the newest value
+	if err := c.write(leaving, written); err != nil {
+		seen.written = err
+		return seen
+	}
+	<-time.After(messagesUnderWay)
+	c.network.Cut(staying, false)
+	<-time.After(catchUp)
+	for _, address := range down {
+		c.stop(c.at(address))
+	}
+	told := time.Now()
+	c.tellToStop(c.at(leaving))
+	seen.stoppedIn = time.Since(told)
+	for _, address := range down {
+		c.start(address, "zone of "+address, storage.NewMemory(), false)
+	}
+	<-time.After(catchUp)
+	for range failing {
+		c.stop(newcomer)
+		newcomer = c.at(staying)
+	}
+	seen.value = c.read(down[0])
+	seen.written = c.write(down[0], "after")
+	seen.version = c.viewOf(down[0]).Version
+	return seen
+}
+
+// A machine that is replaced as planned does not count as lost once its successor has had the time to catch up. So others
+// may be down when it goes, up to the tolerated number, and it may be the only one besides them that holds what is newest.
+func TestAMemberThatStopsHandsOver(t *testing.T) {
+	for _, size := range []int{3, 4, 5, 6} {
+		members := addresses(size)
+		var seen outcome
+		inCluster(t, 1, mutant{}, members, func(c *cluster) { seen = replaceWhileDown(c, members, (size-1)/2) })
+		convey.Convey(fmt.Sprintf("One of %d members stops while %d are down", size, (size-1)/2), t, func() {
+			convey.So(seen.written, convey.ShouldBeNil)
+			convey.So(seen.value, convey.ShouldEqual, written)
+			convey.So(seen.version, convey.ShouldEqual, 2)
+			convey.So(seen.stoppedIn, convey.ShouldBeLessThan, handOverTime)
+		})
+	}
+}
+
+func TestEachRuleOfTheHandOverIsNeeded(t *testing.T) {
+	members := addresses(3)
+	for _, broken := range []mutant{
+		{name: "a member that is told to stop waits for its successor", goesAtOnce: true},
+		{name: "a member that is told to stop votes for its own replacement", keepsItsPlace: true},
+		{name: "a member that was replaced gives its copy to its successor", takesItsCopy: true},
+	} {
+		var seen outcome
+		inCluster(t, 1, broken, members, func(c *cluster) { seen = replaceWhileDown(c, members, 1) })
+		convey.Convey("Shown to be needed: "+broken.name, t, func() {
+			convey.So(seen.whole(), convey.ShouldBeFalse)
+		})
+	}
+}
+
+// The second loss comes right after the member has stopped.
+func TestALossRightAfterAPlannedReplacementIsBorne(t *testing.T) {
+	lossAfter := func(broken mutant, lost int) (value string, err error) {
+		members := addresses(3)
+		inCluster(t, 1, broken, members, func(c *cluster) {
+			c.start("new", "elsewhere", storage.NewMemory(), false)
+			<-time.After(catchUp)
+			c.write(members[1], written)
+			c.tellToStop(c.at(members[0]))
+			c.stop(c.at(members[lost]))
+			value, err = c.read(members[3-lost]), c.write(members[3-lost], "after")
+		})
+		return value, err
+	}
+	convey.Convey("Either of the members that stay may be lost at once", t, func() {
+		for _, lost := range []int{1, 2} {
+			value, err := lossAfter(mutant{}, lost)
+			convey.So(value, convey.ShouldEqual, written)
+			convey.So(err, convey.ShouldBeNil)
+		}
+	})
+	convey.Convey("If the member went without waiting for its successor, no majority would be left", t, func() {
+		_, err := lossAfter(mutant{goesAtOnce: true}, 1)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
+
+func TestAMemberThatStopsWithoutASuccessorGoesAtOnce(t *testing.T) {
+	members := addresses(3)
+	var took time.Duration
+	var view replicaset.View
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		told := time.Now()
+		c.tellToStop(c.at(members[0]))
+		took = time.Since(told)
+		<-time.After(catchUp)
+		view = c.viewOf(members[1])
+	})
+	convey.Convey("Nobody waits to take its place", t, func() {
+		convey.So(took, convey.ShouldBeLessThan, 300*time.Millisecond)
+		convey.So(view, convey.ShouldResemble, replicaset.View{Version: 1, Members: members})
+	})
+}
+
+// A replaced process that still runs must not offer itself as a newcomer.
+func TestAMemberThatStopsOffersItselfNoMore(t *testing.T) {
+	members := addresses(3)
+	var view replicaset.View
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		c.start("new", "elsewhere", storage.NewMemory(), false)
+		<-time.After(catchUp)
+		leaving := c.at(members[0])
+		leaving.manager.Leave(leaving.ctx)
+		c.stop(c.at(members[1]))
+		<-time.After(catchUp)
+		view = c.viewOf(members[2])
+	})
+	convey.Convey("Another member fails before it has gone: that one's place stays free", t, func() {
+		convey.So(view.Version, convey.ShouldEqual, 2)
+	})
+}
--- a/internal/controlplane/replicaset/manager.go
+++ b/internal/controlplane/replicaset/manager.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -68,13 +70,15 @@
 // Manager knows the current view: it takes part in founding the first one and in replacing members, keeps the view in
 // the store, and exchanges it with other processes.
 type Manager struct {
-	config    Config
-	start     time.Time
-	founders  []string      // sorted; empty where this process may not found
-	wake      chan struct{} // a newcomer was heard
-	failures  chan error    // of the store
-	observed  observation   // belongs to Run
-	exchanges int           // made by Run
+	config      Config
+	start       time.Time
+	incarnation uint64        // of this process, drawn at its start
+	departing   atomic.Bool   // this process is about to stop
+	founders    []string      // sorted; empty where this process may not found
+	wake        chan struct{} // a newcomer was heard
+	failures    chan error    // of the store
+	observed    observation   // belongs to Run
+	exchanges   int           // made by Run
 
 	mutex         sync.Mutex // guards what follows
 	view          View
@@ -92,7 +96,7 @@
 // that the founding goes on if the process is killed in its midst.
 func NewManager(config Config) (*Manager, error) {
 	m := &Manager{
-		config: config, start: time.Now(), wake: make(chan struct{}, 1), failures: make(chan error, 1),
+		config: config, start: time.Now(), incarnation: max(1, rand.Uint64()), wake: make(chan struct{}, 1), failures: make(chan error, 1),
 		entered: make(map[string]time.Time), changed: make(chan struct{}),
 		newcomers: make(newcomers), leaving: make(map[string]time.Time),
 	}
@@ -173,6 +177,10 @@
 // the first start. They must not be modified.
 func (m *Manager) Founders() []string { return m.founders }
 
+// Incarnation is this process's own number. It is never 0, and with it a view tells the process that entered from a later
+// one at the same address.
+func (m *Manager) Incarnation() uint64 { return m.incarnation }
+
 // Learn takes a view from another process. Where it is newer it is stored first and then becomes the current one.
 func (m *Manager) Learn(view View) error {
 	if view.Version == 0 || len(view.Members) == 0 {
--- a/internal/controlplane/replicaset/mutants_test.go
+++ b/internal/controlplane/replicaset/mutants_test.go
@@ -30,6 +30,7 @@
 	c.write(proposer, old)
 	c.part(replaced, proposer, "")
 	c.part("new", replaced, "/replicaset/announce")
+	c.part("new", replaced, "/rebuild/dump")
 	for _, address := range []string{replaced, proposer, "new"} {
 		c.part(address, common, "/replicaset/view")
 		c.part(address, common, "/replicaset/announce")
--- a/internal/controlplane/replicaset/newcomers.go
+++ b/internal/controlplane/replicaset/newcomers.go
@@ -13,10 +13,11 @@
 
 // newcomer is a core mixer that is no member and announces itself.
 type newcomer struct {
-	address string
-	zone    string
-	first   time.Time // announcement
-	last    time.Time
+	address     string
+	zone        string
+	incarnation uint64    // of the process that announced itself last
+	first       time.Time // announcement
+	last        time.Time
 }
 
 // newcomers are those that announced themselves with the current view, by address.
--- a/internal/controlplane/replicaset/replacement.go
+++ b/internal/controlplane/replicaset/replacement.go
@@ -45,8 +45,8 @@
 	return now.Sub(o.due)
 }
 
-// newcomersWait tells whether somebody waits to become a member.
-func (m *Manager) newcomersWait() bool {
+// NewcomersWait tells whether this process is a member, and somebody waits to become one.
+func (m *Manager) NewcomersWait() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.newcomers.forget(time.Now())
@@ -97,8 +97,9 @@
 		if !found {
 			silence = now.Sub(m.entered[address])
 		}
-		if observed >= deadAfter && silence >= deadAfter || m.left(address, silence, now) {
-			silent = append(silent, silentMember{address, silence})
+		leaving := m.left(address, silence, now)
+		if leaving || observed >= deadAfter && silence >= deadAfter {
+			silent = append(silent, silentMember{address, silence, leaving})
 		}
 	}
 	return m.view, silent, m.newcomers.due(now)
@@ -141,23 +142,3 @@
 	}
 	calls.Wait()
 }
-
-// Leave tells the other members that this process is stopping, so that a newcomer takes its place at once if there is
-// one. It returns when all have answered, or after a while.
-func (m *Manager) Leave(ctx context.Context) {
-	view := m.View()
-	if !view.Has(m.config.Self) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, address := range m.without(view.Members) {
-		calls.Go(func() {
-			if err := m.config.Caller.Call(ctx, address, leavePath, leaveRequest{Address: m.config.Self}, &leaveReply{}); err != nil {
-				m.config.Logger.Debug("goodbye", zap.String("to", address), zap.Error(err))
-			}
-		})
-	}
-	calls.Wait()
-}
--- a/internal/controlplane/replicaset/replacement_test.go
+++ b/internal/controlplane/replicaset/replacement_test.go
@@ -17,11 +17,10 @@
 // catchUp is how long a newcomer may take from its start until it is a full member.
 const catchUp = 4 * time.Second
 
-// viewOf returns the view that a process works with, without the zones.
+// viewOf returns the view that a process works with: its version and members.
 func (c *cluster) viewOf(address string) replicaset.View {
 	view := c.at(address).manager.View()
-	view.Zones = nil
-	return view
+	return replicaset.View{Version: view.Version, Members: view.Members}
 }
 
 // enter starts a newcomer and returns how long it takes to become a full member.
--- a/internal/controlplane/replicaset/run.go
+++ b/internal/controlplane/replicaset/run.go
@@ -40,7 +40,7 @@
 	case view.Version == 0:
 		m.callAll(ctx, &calls, m.without(slices.Concat(m.founders, m.config.Seeds)), m.firstCall())
 		step, interval = m.found, askInterval
-	case m.config.CountsForQuorum && !view.Has(m.config.Self):
+	case m.config.CountsForQuorum && !view.Has(m.config.Self) && !m.departing.Load():
 		m.callAll(ctx, &calls, view.Members, m.announceTo)
 	default:
 		return m.keepMembership(ctx, changed)
@@ -104,11 +104,11 @@
 		case <-m.wake:
 		case <-timer.C:
 			m.finishPending(ctx)
-			if !m.newcomersWait() {
+			if !m.NewcomersWait() {
 				m.exchangeWithNext(ctx)
 			}
 		}
-		if m.newcomersWait() {
+		if m.NewcomersWait() {
 			m.considerReplacing(ctx)
 			timer.Reset(considerInterval)
 		} else {
--- a/internal/controlplane/replicaset/simulation_test.go
+++ b/internal/controlplane/replicaset/simulation_test.go
@@ -154,8 +154,7 @@
 	case kind == 3 && s.allWell():
 		s.enter()
 		s.wait(3 * time.Second)
-		p.manager.Leave(p.ctx)
-		s.stop(p)
+		s.tellToStop(p)
 	case kind == 4 && s.allWell():
 		s.stop(p)
 		s.wait(300 * time.Millisecond)
--- a/internal/controlplane/replicaset/successor.go
+++ b/internal/controlplane/replicaset/successor.go
@@ -18,10 +18,12 @@
 type silentMember struct {
 	address string
 	silence time.Duration
+	leaving bool // it said goodbye
 }
 
-// successor chooses which newcomer takes the place of which silent member: that of the newcomer's zone, or the only
-// silent one, or else the one that has been silent for the longest time.
+// successor chooses which newcomer takes the place of which silent member: that of the newcomer's zone, or one that said
+// goodbye, or the only silent one, or else the one that has been silent for the longest time. One that said goodbye comes
+// before those that may come back, as it goes within its grace period.
 func successor(view View, entering []newcomer, silent []silentMember) (next View, found bool) {
 	for _, one := range entering {
 		if member, found := placeFor(one, view, silent); found {
@@ -35,17 +37,33 @@
 	if len(silent) == 0 {
 		return "", false
 	}
+	silent = slices.Clone(silent)
+	slices.SortStableFunc(silent, leavingFirst)
 	for _, member := range silent {
 		if zone := view.Zones[member.address]; zone != "" && zone == entering.zone {
 			return member.address, true
 		}
 	}
+	if silent[0].leaving {
+		return silent[0].address, true
+	}
 	longest := slices.MaxFunc(silent, func(a, b silentMember) int {
 		return cmp.Or(cmp.Compare(a.silence, b.silence), cmp.Compare(b.address, a.address))
 	})
 	return longest.address, len(silent) == 1 || longest.silence >= deadElsewhere
 }
 
+// leavingFirst orders those that said goodbye before the others.
+func leavingFirst(a, b silentMember) int {
+	switch {
+	case a.leaving == b.leaving:
+		return 0
+	case a.leaving:
+		return -1
+	}
+	return 1
+}
+
 // rank is the number of live members that come before this process in the order in which members replace others.
 func rank(view View, self string, silent []silentMember) int {
 	rank := 0
--- a/internal/controlplane/replicaset/successor_test.go
+++ b/internal/controlplane/replicaset/successor_test.go
@@ -10,7 +10,7 @@
 func TestWhosePlaceANewcomerTakes(t *testing.T) {
 	view := View{Version: 7, Members: []string{"a", "b", "c"}, Zones: map[string]string{"a": "north", "b": "south", "c": "west"}}
 	south := []newcomer{{address: "new", zone: "south"}}
-	elsewhere := []newcomer{{address: "new", zone: "elsewhere"}}
+	elsewhere := []newcomer{{address: "new", zone: "elsewhere", incarnation: 9}}
 	short, long := 1300*time.Millisecond, 4*time.Second
 
 	convey.Convey("Nobody is silent: nothing happens", t, func() {
@@ -18,27 +18,44 @@
 		convey.So(found, convey.ShouldBeFalse)
 	})
 	convey.Convey("One is silent: that one's, in whichever zone", t, func() {
-		next, found := successor(view, elsewhere, []silentMember{{"a", short}})
+		next, found := successor(view, elsewhere, []silentMember{{address: "a", silence: short}})
 		convey.So(found, convey.ShouldBeTrue)
 		convey.So(next, convey.ShouldResemble, View{
 			Version: 8, Members: []string{"b", "c", "new"}, Zones: map[string]string{"b": "south", "c": "west", "new": "elsewhere"},
+			Replaced: "a", Entered: 9,
 		})
 		convey.So(view.Zones, convey.ShouldContainKey, "a")
 	})
 	convey.Convey("Several are silent: that of the newcomer's zone", t, func() {
-		next, found := successor(view, south, []silentMember{{"a", long}, {"b", short}})
+		next, found := successor(view, south, []silentMember{{address: "a", silence: long}, {address: "b", silence: short}})
 		convey.So(found, convey.ShouldBeTrue)
 		convey.So(next.Members, convey.ShouldResemble, []string{"a", "c", "new"})
 	})
 	convey.Convey("Several are silent, none in the zone: the longest, but only after a while", t, func() {
-		_, early := successor(view, elsewhere, []silentMember{{"a", short}, {"b", short + 1}})
-		next, found := successor(view, elsewhere, []silentMember{{"a", short}, {"b", long}})
+		_, early := successor(view, elsewhere, []silentMember{{address: "a", silence: short}, {address: "b", silence: short + 1}})
+		next, found := successor(view, elsewhere, []silentMember{{address: "a", silence: short}, {address: "b", silence: long}})
 		convey.So(early, convey.ShouldBeFalse)
 		convey.So(found, convey.ShouldBeTrue)
 		convey.So(next.Members, convey.ShouldResemble, []string{"a", "c", "new"})
 	})
 }
 
+func TestWhoSaidGoodbyeIsReplacedFirst(t *testing.T) {
+	view := View{Version: 7, Members: []string{"a", "b", "c"}, Zones: map[string]string{"a": "north", "b": "south", "c": "west"}}
+	silent := []silentMember{{address: "a", silence: 10 * time.Second}, {address: "b", leaving: true}}
+
+	convey.Convey("One is silent, another goes: the newcomer takes the place of the one that goes, without a wait", t, func() {
+		next, found := successor(view, []newcomer{{address: "new", zone: "elsewhere"}}, silent)
+		convey.So(found, convey.ShouldBeTrue)
+		convey.So(next.Replaced, convey.ShouldEqual, "b")
+	})
+	convey.Convey("A newcomer in the zone of the silent one takes that one's place all the same", t, func() {
+		next, found := successor(view, []newcomer{{address: "new", zone: "north"}}, silent)
+		convey.So(found, convey.ShouldBeTrue)
+		convey.So(next.Replaced, convey.ShouldEqual, "a")
+	})
+}
+
 func TestAProcessThatWasFrozenObservesAnew(t *testing.T) {
 	convey.Convey("Contact counts from its newest beginning", t, func() {
 		start := time.Now()
--- a/internal/controlplane/replicaset/view.go
+++ b/internal/controlplane/replicaset/view.go
@@ -10,6 +10,9 @@
 	Version uint64            `msgpack:"v"`           // 0 while no set is known
 	Members []string          `msgpack:"m"`           // internal addresses, sorted
 	Zones   map[string]string `msgpack:"z,omitempty"` // zones of the members, as far as known
+
+	Replaced string `msgpack:"r,omitempty"` // member of the view before that gave its place to a newcomer; empty in the first view
+	Entered  uint64 `msgpack:"e,omitempty"` // incarnation of the newcomer's process
 }
 
 // Quorum is the number of members of every majority.
@@ -31,5 +34,7 @@
 		}
 		zones[entering.address] = entering.zone
 	}
-	return View{Version: v.Version + 1, Members: members, Zones: zones}
+	return View{
+		Version: v.Version + 1, Members: members, Zones: zones, Replaced: member, Entered: entering.incarnation,
+	}
 }
