--- a/internal/controlplane/rebuild/membership_test.go
+++ b/internal/controlplane/rebuild/membership_test.go
@@ -167,3 +167,97 @@
 		})
 	})
 }
+
+// startAs starts a process with an incarnation.
+func startAs(t *testing.T, network *networktest.Network, self string, incarnation uint64, views rebuild.Views, store storage.SnapshotStore) *rebuild.Rebuilder {
+	rebuilder, err := rebuild.New(rebuild.Config{
+		Self: self, Incarnation: incarnation, Views: views, Store: store, Caller: network.Caller(self), Logger: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rebuilder.Register(rebuild.Infallible(union), "data/")
+	mux := transport.NewMux()
+	rebuilder.Serve(mux)
+	network.Serve(self, mux)
+	return rebuilder
+}
+
+// A view in which "new" took the place of "gone".
+var (
+	withGone    = replicaset.View{Version: 1, Members: []string{"a", "b", "gone"}}
+	withoutGone = replicaset.View{Version: 2, Members: []string{"a", "b", "new"}, Replaced: "gone", Entered: 7}
+)
+
+// copyOfTheReplaced tells whether a newcomer is rebuilt while of the members of its view only one can be reached, beside the
+// one that it replaces.
+func copyOfTheReplaced(t *testing.T, incarnation uint64, prepare func(views *changingViews, store *storage.Memory)) (ready bool) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := networktest.New(1)
+		startWith(t, network, "a", newChangingViews(withGone, 0), storage.NewMemory(), true)
+		views, store := newChangingViews(withGone, 0), storage.NewMemory()
+		prepare(views, store)
+		startWith(t, network, "gone", views, store, false)
+		rebuilder := startAs(t, network, "new", incarnation, newChangingViews(withoutGone, 1), storage.NewMemory())
+		go rebuilder.Run(ctx)
+		<-time.After(time.Minute)
+		ready = rebuilder.Ready()
+		cancel()
+		<-time.After(aftermath)
+	})
+	return ready
+}
+
+func TestTheCopyOfAMemberThatWasReplaced(t *testing.T) {
+	complete := func(views *changingViews, store *storage.Memory) {
+		store.Write(set(rebuild.TableName, "complete", "1"))
+		views.set(withoutGone, 1)
+	}
+	cases := []struct {
+		name        string
+		incarnation uint64
+		prepare     func(views *changingViews, store *storage.Memory)
+		counts      bool
+	}{
+		{"of a complete one", 7, complete, true},
+		{"for a later process at the newcomer's address", 8, complete, false},
+		{"of one that was incomplete itself", 7, func(views *changingViews, _ *storage.Memory) { views.set(withoutGone, 1) }, false},
+		{"of one that was replaced earlier", 7, func(views *changingViews, store *storage.Memory) {
+			store.Write(set(rebuild.TableName, "complete", "1"))
+			views.set(withoutGone, 2)
+		}, false},
+		{"of one that still works with the view before", 7, func(views *changingViews, store *storage.Memory) {
+			store.Write(set(rebuild.TableName, "complete", "1"))
+			views.stubborn = true
+		}, false},
+	}
+	for _, one := range cases {
+		ready := copyOfTheReplaced(t, one.incarnation, one.prepare)
+		convey.Convey("The copy "+one.name, t, func() { convey.So(ready, convey.ShouldEqual, one.counts) })
+	}
+}
+
+func TestANewcomerIsNeverRebuiltFromNothing(t *testing.T) {
+	alone := replicaset.View{Version: 2, Members: []string{"new"}, Replaced: "gone", Entered: 7}
+	var early, late bool
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := networktest.New(1)
+		rebuilder := startAs(t, network, "new", 7, newChangingViews(alone, 1), storage.NewMemory())
+		go rebuilder.Run(ctx)
+		<-time.After(time.Minute)
+		early = rebuilder.Ready()
+		store := storage.NewMemory()
+		store.Write(set(rebuild.TableName, "complete", "1"))
+		startWith(t, network, "gone", newChangingViews(alone, 1), store, false)
+		<-time.After(time.Minute)
+		late = rebuilder.Ready()
+		cancel()
+		<-time.After(aftermath)
+	})
+	convey.Convey("The only member is replaced: the newcomer waits for its copy", t, func() {
+		convey.So(early, convey.ShouldBeFalse)
+		convey.So(late, convey.ShouldBeTrue)
+	})
+}
