A group's state travels in parts that fit a slow link

Over 64 MB no call could carry them, so that a lagging replica never caught up and a candidate with an old state never led; and on a link of 3 Mbit/s a state of 0.5 MB did not come within the 1.5 s in which a vote counts. All batches that a replica lacked went as one message of up to 4 MB, again within 1.5 s.

A candidate that finds a newer state too large for a vote fetches it in parts before it stands.

TestStatesInParts runs 2,000 schedules on a virtual clock with real stores that lose power and rewrite their file.

--- a/internal/controlplane/replication/batch.go
+++ b/internal/controlplane/replication/batch.go
@@ -1,11 +1,5 @@
 package replication
 
-// Limits of the batches kept for followers that lag a little.
-const (
-	keptBatches = 4096
-	keptBytes   = 4 << 20
-)
-
 // entryBytes is what an entry costs beside its key and value, roughly.
 const entryBytes = 64
 
@@ -20,13 +14,15 @@
 	b := batch{previous: previous, position: position, entries: make([]Entry, 0, len(values))}
 	for key, value := range values {
 		b.entries = append(b.entries, Entry{key, value})
-		b.bytes += entryBytes + len(key) + len(value)
+		b.bytes += Entry{key, value}.bytes()
 	}
 	return b
 }
 
 // history holds the newest batches of a term, in order.
 type history struct {
+	limits  Limits
+	held    bool // a snapshot is being sent, whose receiver will need what came after it
 	batches []batch
 	bytes   int
 }
@@ -35,11 +31,18 @@
 func (h *history) add(b batch) {
 	h.batches = append(h.batches, b)
 	h.bytes += b.bytes
-	for len(h.batches) > 1 && (len(h.batches) > keptBatches || h.bytes > keptBytes) {
+	for len(h.batches) > 1 && h.full() {
 		h.drop()
 	}
 }
 
+func (h *history) full() bool {
+	if h.held {
+		return h.bytes > h.limits.HeldBytes
+	}
+	return len(h.batches) > h.limits.KeptBatches || h.bytes > h.limits.KeptBytes
+}
+
 func (h *history) drop() {
 	h.bytes -= h.batches[0].bytes
 	h.batches[0] = batch{}
@@ -53,16 +56,30 @@
 	}
 }
 
-// since merges all batches after a position into one. It fails if the position is not one that the history begins at.
+// since merges the batches after a position into one, as many as fit into a message, but at least one. It fails if the
+// position is not one that the history begins at.
 func (h *history) since(position Position) (batch, bool) {
 	for i, b := range h.batches {
 		if b.previous == position {
-			return merge(h.batches[i:]), true
+			return merge(h.batches[i : i+h.fitting(i)]), true
 		}
 	}
 	return batch{}, false
 }
 
+// fitting is how many batches in a row fit into a message, at least one.
+func (h *history) fitting(first int) int {
+	count, sum := 1, h.batches[first].bytes
+	for _, b := range h.batches[first+1:] {
+		sum += b.bytes
+		if sum > h.limits.PartBytes {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 // merge makes one batch of several in a row.
 func merge(batches []batch) batch {
 	if len(batches) == 1 {
--- a/internal/controlplane/replication/campaign.go
+++ b/internal/controlplane/replication/campaign.go
@@ -86,7 +86,7 @@
 	switch {
 	case own && len(c.granted) >= c.view.Quorum():
 		if c.probing {
-			c.stand()
+			c.probed()
 			return
 		}
 		c.win()
@@ -95,14 +95,35 @@
 	}
 }
 
+// probed stands, or where a member has a newer state that does not come with its vote, first fetches that.
+func (c *campaign) probed() {
+	best, newest := "", c.group.replica.position
+	for address, reply := range c.granted {
+		if reply.Large && newest.Before(reply.Position) {
+			best, newest = address, reply.Position
+		}
+	}
+	if best == "" {
+		c.stand()
+		return
+	}
+	c.abandon()
+	c.group.fetch(best, newest)
+}
+
 // fail ends the campaign; the next begins after a random pause.
 func (c *campaign) fail() {
 	c.abandon()
-	timing := c.group.core.timing
+	c.group.retryLater()
+}
+
+// retryLater lets the next campaign begin after a random pause.
+func (g *group) retryLater() {
+	timing := g.core.timing
 	span := float64(timing.RetryLongest - timing.RetryShortest)
-	pause := timing.RetryShortest + time.Duration(c.group.core.random.Unit()*span)
-	c.group.retryAt = c.group.core.now + pause
-	c.group.core.replan = true
+	pause := timing.RetryShortest + time.Duration(g.core.random.Unit()*span)
+	g.retryAt = g.core.now + pause
+	g.core.replan = true
 }
 
 func (c *campaign) abandon() {
@@ -125,5 +146,9 @@
 			newest = reply
 		}
 	}
+	if newest.Large { // it became newer than it was at the probe; the next campaign fetches it
+		c.group.retryLater()
+		return
+	}
 	c.group.lead(c.epoch, newest, c.granted)
 }
--- /dev/null
+++ b/internal/controlplane/replication/catchup_test.go
@@ -0,0 +1,239 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// part sends the machine one part of a snapshot of the leader "x", each with the entry "key N", and returns the answer.
+func (n *simulatedNode) part(epoch, sequence uint64, number, parts uint32) (answer appendReply) {
+	request := appendRequest{
+		Group: "jobs/a", Epoch: epoch, Leader: "x", View: 1, Snapshot: true, Position: Position{epoch, sequence},
+		Part: number, Parts: parts, Entries: []Entry{{fmt.Sprintf("key %d", number), []byte{byte(epoch), byte(sequence)}}},
+	}
+	n.step(func() { n.core.append(request, func(reply appendReply) { answer = reply }) })
+	So(n.simulation.run(50*time.Millisecond), ShouldBeNil)
+	return answer
+}
+
+func (n *simulatedNode) wants(answer appendReply, number uint32) {
+	So(answer.Outcome, ShouldEqual, gathering)
+	So(answer.Wanted, ShouldEqual, number)
+	So(n.disk.Table("group/jobs/a"), ShouldBeEmpty)
+}
+
+func TestPartsOfASnapshot(t *testing.T) {
+	whole := func(n *simulatedNode, epoch, sequence byte, parts int) {
+		state := map[string][]byte{}
+		for number := range parts {
+			state[fmt.Sprintf("key %d", number)] = []byte{epoch, sequence}
+		}
+		So(n.disk.Table("group/jobs/a"), ShouldResemble, state)
+	}
+	Convey("Given a replica without a state", t, func() {
+		s, n := lone(defects{})
+		Convey("nothing is changed before the last part, and all with it", func() {
+			n.wants(n.part(7, 3, 0, 3), 1)
+			n.wants(n.part(7, 3, 1, 3), 2)
+			answer := n.part(7, 3, 2, 3)
+			So(answer.Outcome, ShouldEqual, accepted)
+			So(answer.Position, ShouldResemble, Position{7, 3})
+			whole(n, 7, 3, 3)
+		})
+		Convey("a part that comes twice changes nothing", func() {
+			n.part(7, 3, 0, 3)
+			n.wants(n.part(7, 3, 0, 3), 1)
+			n.wants(n.part(7, 3, 1, 3), 2)
+			n.wants(n.part(7, 3, 1, 3), 2)
+			n.part(7, 3, 2, 3)
+			whole(n, 7, 3, 3)
+		})
+		Convey("where a part is lost, the answer to the next one names it", func() {
+			n.part(7, 3, 0, 3)
+			n.wants(n.part(7, 3, 2, 3), 1)
+			n.part(7, 3, 1, 3)
+			n.part(7, 3, 2, 3)
+			whole(n, 7, 3, 3)
+		})
+		Convey("the last part alone, or first, is nothing", func() {
+			n.wants(n.part(7, 3, 2, 3), 0)
+			n.wants(n.part(7, 3, 1, 3), 0)
+		})
+		Convey("parts of a newer snapshot take the place of an older one's, and are not mixed with them", func() {
+			n.part(7, 3, 0, 2)
+			n.wants(n.part(7, 5, 0, 2), 1)
+			n.wants(n.part(7, 3, 1, 2), 0)
+			n.wants(n.part(7, 3, 0, 2), 0)
+			n.part(7, 5, 1, 2)
+			whole(n, 7, 5, 2)
+		})
+		Convey("parts of an older leader are refused, and its gathered ones are gone", func() {
+			n.part(7, 3, 0, 2)
+			n.wants(n.part(8, 1, 0, 2), 1)
+			So(n.part(7, 3, 1, 2).Outcome, ShouldEqual, superseded)
+			n.part(8, 1, 1, 2)
+			whole(n, 8, 1, 2)
+		})
+		Convey("a vote for another leader in between ends the snapshot", func() {
+			n.part(7, 3, 0, 2)
+			So(s.run(2*s.timing.ReplicaLease), ShouldBeNil)
+			So(n.vote("y", 8).Granted, ShouldBeTrue)
+			So(n.part(7, 3, 1, 2).Outcome, ShouldEqual, superseded)
+			So(n.core.group("jobs/a").replica.assembly == nil, ShouldBeTrue)
+		})
+		Convey("after a restart the parts begin anew", func() {
+			n.part(7, 3, 0, 2)
+			n.restart()
+			n.wants(n.part(7, 3, 1, 2), 0)
+			n.part(7, 3, 0, 2)
+			n.part(7, 3, 1, 2)
+			whole(n, 7, 3, 2)
+		})
+		Convey("the vote that a first part asks for is durable when it is answered", func() {
+			n.part(7, 3, 0, 2)
+			n.restart()
+			So(s.run(2*s.timing.ReplicaLease), ShouldBeNil)
+			So(n.vote("y", 7).Granted, ShouldBeFalse)
+		})
+	})
+}
+
+func TestBatchesThatAreSentTogetherFitIntoAMessage(t *testing.T) {
+	Convey("Given more batches than fit into a message", t, func() {
+		h := history{limits: narrow}
+		h.held = true
+		for sequence := range uint64(10) {
+			h.add(newBatch(Position{1, sequence}, Position{1, sequence + 1}, map[string][]byte{fmt.Sprint(sequence): {1}}))
+		}
+		Convey("a replica is led through them by several messages", func() {
+			at, messages := Position{1, 0}, 0
+			for at != (Position{1, 10}) {
+				next, found := h.since(at)
+				So(found, ShouldBeTrue)
+				So(next.bytes, ShouldBeLessThanOrEqualTo, narrow.PartBytes)
+				at, messages = next.position, messages+1
+			}
+			So(messages, ShouldBeGreaterThan, 1)
+		})
+		Convey("they are kept while a snapshot is on its way, and not after", func() {
+			h.held = false
+			h.add(newBatch(Position{1, 10}, Position{1, 11}, nil))
+			So(len(h.batches), ShouldEqual, narrow.KeptBatches)
+		})
+	})
+}
+
+// lagBehind kills a follower of the first group's leader, and runs on so that it lags.
+func lagBehind(s *simulation) (leader, follower *simulatedNode) {
+	leader = s.leader("jobs/a")
+	for _, address := range s.view.Members {
+		if s.nodes[address] != leader {
+			follower = s.nodes[address]
+			break
+		}
+	}
+	follower.kill(false)
+	So(s.run(2*time.Second), ShouldBeNil)
+	return leader, follower
+}
+
+func calmWith(seed uint64, limits Limits, groups ...string) *simulation {
+	s := newSimulation(seed, 3, defects{}, Timing{})
+	s.limits, s.groups = limits, groups
+	s.history = newChecker(s)
+	s.start()
+	So(s.until(6*time.Second, s.led), ShouldBeNil)
+	So(s.led(), ShouldBeTrue)
+	So(s.run(2*time.Second), ShouldBeNil)
+	return s
+}
+
+func TestCatchingUpUnderABusyLeader(t *testing.T) {
+	Convey("A follower whose link is slow gets what came after its snapshot, and not one snapshot after the other", t, func() {
+		s := calmWith(4, narrow, "jobs/a")
+		_, follower := lagBehind(s)
+		s.slowLinks = map[string]time.Duration{follower.address: 60 * time.Millisecond}
+		follower.start()
+		So(s.until(catchUp, func() bool { return len(s.lagging("jobs/a")) == 0 }), ShouldBeNil)
+		So(s.lagging("jobs/a"), ShouldBeEmpty)
+	})
+	Convey("A follower of many groups gets their states one after the other, without a heartbeat between them", t, func() {
+		var groups []string
+		for i := range 60 {
+			groups = append(groups, fmt.Sprintf("jobs/%d", i))
+		}
+		groups = append(groups, "jobs/a")
+		whole := narrow
+		whole.PartBytes = 4000
+		s := calmWith(4, whole, groups...)
+		_, follower := lagBehind(s)
+		follower.start()
+		behind := func() (count int) {
+			for _, group := range groups {
+				count += len(s.lagging(group))
+			}
+			return count
+		}
+		So(s.run(catchUp), ShouldBeNil)
+		So(behind(), ShouldEqual, 0)
+	})
+	Convey("A follower that does not answer holds up no other's snapshot", t, func() {
+		s := calmWith(4, narrow, "jobs/a")
+		leader := s.leader("jobs/a")
+		var others []*simulatedNode
+		for _, address := range s.view.Members {
+			if n := s.nodes[address]; n != leader {
+				others = append(others, n)
+			}
+		}
+		l := leader.core.group("jobs/a").leading
+		l.core.receiving[others[0].address] = true // one is under way there, without an answer
+		others[1].kill(false)
+		So(s.run(time.Second), ShouldBeNil)
+		others[1].start()
+		So(s.run(2*time.Second), ShouldBeNil)
+		newest := leader.core.group("jobs/a").replica.position
+		at := others[1].core.group("jobs/a").replica.position
+		So(at.Epoch, ShouldEqual, newest.Epoch)
+		So(at.Sequence+10, ShouldBeGreaterThan, newest.Sequence)
+	})
+}
+
+// The leader is gone for good, a member with the newest state does not stand, and one with an old state does.
+func TestACandidateWithAnOldState(t *testing.T) {
+	Convey("It fetches the newest state in parts before it leads", t, func() {
+		for seed := range uint64(10) {
+			s := calmWith(seed, narrow, "jobs/a")
+			leader, old := lagBehind(s)
+			var newest *simulatedNode
+			for _, address := range s.view.Members {
+				if n := s.nodes[address]; n != leader && n != old {
+					newest = n
+				}
+			}
+			leader.kill(false)
+			committed := s.history.committed["jobs/a"]
+			old.start()
+			led := func() bool {
+				newest.core.group("jobs/a").retryAt = s.now + time.Minute // it never stands
+				return s.led()
+			}
+			So(s.until(6*time.Second, led), ShouldBeNil)
+			So(s.leader("jobs/a") == old, ShouldBeTrue)
+			So(s.traffic.fetched, ShouldBeGreaterThan, 1)
+			So(decodeMark(old.disk.Table("group/jobs/a")[markKey]).before(committed), ShouldBeFalse)
+			So(s.run(time.Second), ShouldBeNil)
+		}
+	})
+	Convey("One that is given another position's parts, or none, begins again", t, func() {
+		s, n := lone(defects{})
+		g := n.core.group("jobs/a")
+		n.step(func() { g.fetch("x", Position{5, 9}) })
+		n.step(func() { g.fetching.take(stateReply{}, nil) })
+		So(g.fetching == nil, ShouldBeTrue)
+		So(g.retryAt, ShouldBeGreaterThan, s.now)
+	})
+}
--- a/internal/controlplane/replication/checker_test.go
+++ b/internal/controlplane/replication/checker_test.go
@@ -190,7 +190,11 @@
 			})
 		}
 	}
-	n.later(s.between(time.Millisecond, 60*time.Millisecond), func() { n.propose(record) })
+	pause := 60 * time.Millisecond
+	if s.eager {
+		pause = 2 * time.Millisecond
+	}
+	n.later(s.between(time.Millisecond, pause), func() { n.propose(record) })
 }
 
 func (n *simulatedNode) randomEntry(index uint64) Entry {
--- a/internal/controlplane/replication/core.go
+++ b/internal/controlplane/replication/core.go
@@ -66,8 +66,9 @@
 	leaders      *leaderTable
 	members      *members
 	nextBeat     time.Duration
-	snapshots    int  // being sent
-	replan       bool // something may be due earlier than planned
+	limits       Limits
+	receiving    map[string]bool // members to which this mixer is sending a snapshot
+	replan       bool            // something may be due earlier than planned
 	effects      effects
 }
 
@@ -207,7 +208,7 @@
 			g.campaigning.fail()
 		}
 		return c.nextBeat
-	case !c.mayCampaign(g):
+	case g.fetching != nil, !c.mayCampaign(g):
 		return c.nextBeat
 	}
 	due := g.due()
@@ -232,6 +233,11 @@
 	c.group(request.Group).replica.append(request, reply)
 }
 
+// state serves statePath.
+func (c *core) state(request stateRequest, reply func(stateReply)) {
+	c.group(request.Group).replica.give(request, reply)
+}
+
 // resigned serves resignPath.
 func (c *core) resigned(request resignRequest) {
 	if request.Leaving {
--- a/internal/controlplane/replication/group.go
+++ b/internal/controlplane/replication/group.go
@@ -12,6 +12,7 @@
 	name        string
 	replica     replica
 	campaigning *campaign
+	fetching    *fetch // of a newer state than the one here, before this mixer stands
 	leading     *leadership
 	ensured     bool          // campaign although nothing is stored
 	heardAt     time.Duration // of the newest sign of life of a leader
--- a/internal/controlplane/replication/leadership.go
+++ b/internal/controlplane/replication/leadership.go
@@ -37,6 +37,7 @@
 		followers: make(map[string]*follower),
 	}
 	l.term = newTerm(g.core, l)
+	l.history.limits = g.core.limits
 	g.leading = l
 	l.matchView()
 	for address, reply := range votes {
@@ -71,6 +72,7 @@
 	}
 	for address := range l.followers {
 		if !l.core.view.Has(address) {
+			l.endTransfer(address, l.followers[address])
 			delete(l.followers, address)
 		}
 	}
@@ -244,6 +246,9 @@
 	l.core.log.Info("leadership ended", zap.String("group", l.group.name), zap.Uint64("epoch", l.epoch),
 		zap.String("reason", reason))
 	l.term.finish()
+	for address, follower := range l.followers {
+		l.endTransfer(address, follower)
+	}
 	l.gathering, l.waiting, l.begun, l.history = nil, nil, nil, history{}
 }
 
--- a/internal/controlplane/replication/messages.go
+++ b/internal/controlplane/replication/messages.go
@@ -15,6 +15,7 @@
 	appendPath  = "/replication/append"
 	pingPath    = "/replication/ping"
 	resignPath  = "/replication/resign"
+	statePath   = "/replication/state"
 )
 
 // Entry sets one key of a group's state. A nil Value deletes the key. The empty key is not allowed.
@@ -53,9 +54,27 @@
 	Promised uint64            `msgpack:"m"` // the highest epoch promised
 	Position Position          `msgpack:"p"`
 	State    map[string][]byte `msgpack:"s,omitempty"` // only where Position is newer than the candidate's
+	// Large tells that Position is newer than the candidate's and that the state does not fit into this message. The
+	// candidate fetches it in parts before it stands.
+	Large bool `msgpack:"l,omitempty"`
 }
 
-// appendRequest moves a replica from Previous to Position, or with Snapshot set, from wherever it is.
+// stateRequest asks for a part of a replica's state as of a position.
+type stateRequest struct {
+	Group    string   `msgpack:"g"`
+	View     uint64   `msgpack:"w"`
+	Position Position `msgpack:"p"`
+	Part     uint32   `msgpack:"a"` // from 0
+}
+
+// stateReply is that part. Parts is zero where the replica is not at the position, or may not vote.
+type stateReply struct {
+	Parts   uint32  `msgpack:"n"`
+	Entries []Entry `msgpack:"t"`
+}
+
+// appendRequest moves a replica from Previous to Position, or with Snapshot set, from wherever it is. What does not fit
+// into one message comes in parts, and moves the replica with the last one.
 type appendRequest struct {
 	Group    string   `msgpack:"g"`
 	Epoch    uint64   `msgpack:"e"`
@@ -65,6 +84,8 @@
 	Previous Position `msgpack:"q"`
 	Position Position `msgpack:"p"`
 	Entries  []Entry  `msgpack:"t"`
+	Part     uint32   `msgpack:"a,omitempty"` // from 0
+	Parts    uint32   `msgpack:"m,omitempty"` // how many there are; 0 and 1 both stand for one
 }
 
 // outcome is a replica's answer to its leader.
@@ -75,12 +96,14 @@
 	accepted                   // the replica follows the leader; its position is in the reply
 	behind                     // the replica follows the leader, but the batch does not continue its position
 	superseded                 // the replica has promised a higher epoch
+	gathering                  // the replica follows the leader, and wants the part that the reply names
 )
 
 type appendReply struct {
 	Outcome  outcome  `msgpack:"o"`
 	Promised uint64   `msgpack:"m"`
 	Position Position `msgpack:"p"`
+	Wanted   uint32   `msgpack:"w,omitempty"` // with gathering: the part that is missing
 }
 
 // beat renews the lease of one group's leader.
--- a/internal/controlplane/replication/node.go
+++ b/internal/controlplane/replication/node.go
@@ -30,6 +30,7 @@
 	Log     *zap.Logger
 	Clock   Clock // the process's steady clock when nil
 	Timing  Timing
+	Limits  Limits
 }
 
 // Node is one core mixer's part in all replication groups.
@@ -74,6 +75,7 @@
 	return &core{
 		self: config.Self, timing: config.Timing, log: config.Log, store: config.Store, handler: config.Handler,
 		clock: config.Clock, random: random, now: config.Clock.Now(),
+		limits: config.Limits.withDefaults(), receiving: make(map[string]bool),
 		groups:  make(map[string]*group),
 		leaders: newLeaderTable(),
 		members: newMembers(config.Self, config.Timing.Alive),
@@ -88,6 +90,9 @@
 	transport.Handle(mux, appendPath, func(ctx context.Context, request appendRequest) (appendReply, error) {
 		return serve(ctx, n, func(reply func(appendReply)) { n.core.append(request, reply) })
 	})
+	transport.Handle(mux, statePath, func(ctx context.Context, request stateRequest) (stateReply, error) {
+		return serve(ctx, n, func(reply func(stateReply)) { n.core.state(request, reply) })
+	})
 	transport.Handle(mux, pingPath, func(ctx context.Context, request pingRequest) (pingReply, error) {
 		return serve(ctx, n, func(reply func(pingReply)) { n.core.ping(request, reply) })
 	})
--- /dev/null
+++ b/internal/controlplane/replication/parts_test.go
@@ -0,0 +1,188 @@
+package replication
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// traffic counts what the messages of a simulation carried.
+type traffic struct {
+	parts   int // of batches and snapshots in several parts
+	fetched int // parts of states that candidates asked for
+	largest int // bytes of entries in one message with more than one
+}
+
+// checkSize notes a message, and that none carries more than a part.
+func (s *simulation) checkSize(message any) {
+	sum, count := 0, 0
+	add := func(entries []Entry) {
+		count += len(entries)
+		for _, entry := range entries {
+			sum += entry.bytes()
+		}
+	}
+	switch m := message.(type) {
+	case appendRequest:
+		add(m.Entries)
+		if m.Parts > 1 {
+			s.traffic.parts++
+		}
+	case prepareReply:
+		add(entriesOf(m.State))
+	case stateReply:
+		add(m.Entries)
+		s.traffic.fetched++
+	}
+	if count > 1 {
+		s.traffic.largest = max(s.traffic.largest, sum)
+	}
+	if most := s.limits.withDefaults().PartBytes; count > 1 && sum > most {
+		s.history.failf("a %T carries %d bytes of entries, more than a part of %d", message, sum, most)
+	}
+}
+
+// narrow limits make every state and many batches travel in parts, and lose the batches that a replica lacks soon.
+var narrow = Limits{PartBytes: 200, KeptBatches: 3, KeptBytes: 500, HeldBytes: 20_000}
+
+// catchUp is how long a replica may take, once all troubles are over, until it is near a busy leader.
+const catchUp = 4 * time.Second
+
+var (
+	partSchedules = flag.Int("schedules", 2000, "schedules of the model test of states in parts; few under the race detector")
+	partSeed      = flag.Int64("schedule", -1, "the one schedule of the model test of states in parts to run; -1 for all")
+)
+
+// lagging tells which members are behind the leader of a group by more than a few batches.
+func (s *simulation) lagging(group string) []string {
+	leader := s.leader(group)
+	if leader == nil {
+		return []string{"no leader"}
+	}
+	var behind []string
+	newest := leader.core.group(group).replica.position
+	for _, address := range s.view.Members {
+		at := s.nodes[address].core.group(group).replica.position
+		if at.Epoch != newest.Epoch || at.Sequence+10 < newest.Sequence {
+			behind = append(behind, fmt.Sprintf("%s at %v of %v", address, at, newest))
+		}
+	}
+	return behind
+}
+
+// partsSchedule runs one schedule: faults under a busy leader, with every state in parts and stores that rewrite their
+// file every few writes, and then a time in which all must catch up.
+func partsSchedule(seed uint64, wrong defects, limits Limits) (traffic, error) {
+	s := newSimulation(seed, 3, wrong, Timing{})
+	s.limits, s.realStores, s.groups = limits, true, []string{"jobs/a"}
+	s.history = newChecker(s)
+	defer s.close()
+	s.start()
+	if err := s.until(3*time.Second, s.led); err != nil {
+		return s.traffic, err
+	}
+	for range 6 {
+		s.partsTrouble()
+		if err := s.run(s.between(0, 900*time.Millisecond)); err != nil {
+			return s.traffic, err
+		}
+	}
+	s.heal()
+	if err := s.until(10*time.Second, func() bool { return s.led() && s.allReady() }); err != nil {
+		return s.traffic, err
+	}
+	if err := s.until(catchUp, func() bool { return len(s.lagging("jobs/a")) == 0 }); err != nil {
+		return s.traffic, err
+	}
+	if behind := s.lagging("jobs/a"); len(behind) > 0 {
+		return s.traffic, fmt.Errorf("%v after the end of all troubles: %v", catchUp, behind)
+	}
+	s.busy = false
+	if err := s.run(3 * time.Second); err != nil {
+		return s.traffic, err
+	}
+	return s.traffic, s.sameEverywhere("jobs/a")
+}
+
+func (s *simulation) allReady() bool {
+	for _, address := range s.view.Members {
+		if n := s.nodes[address]; !n.up || !n.ready || n.frozenUntil > s.now {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *simulation) sameEverywhere(group string) error {
+	first := s.nodes[s.view.Members[0]].disk
+	for _, address := range s.view.Members[1:] {
+		if !reflect.DeepEqual(first.Table(stateTable(group)), s.nodes[address].disk.Table(stateTable(group))) {
+			return fmt.Errorf("%s holds another state than %s once all is quiet: %v, not %v", address, s.view.Members[0],
+				s.nodes[address].disk[metaTable(group)], first[metaTable(group)])
+		}
+	}
+	return nil
+}
+
+// partsTrouble prefers what leaves a replica behind.
+func (s *simulation) partsTrouble() {
+	switch s.random.IntN(4) {
+	case 0: // away for a while, and another one after it
+		s.restart(s.anyone(), s.between(0, 1500*time.Millisecond), false)
+	case 1: // a leader goes while a replica lags behind it
+		if leader := s.leader("jobs/a"); leader != nil {
+			other := s.anyone()
+			s.cuts[link{leader.address, other.address}] = true
+			s.at(s.between(0, 2*time.Second), func() { delete(s.cuts, link{leader.address, other.address}) })
+			s.at(s.between(0, time.Second), func() { s.restart(leader, s.between(0, time.Second), false) })
+		}
+	default:
+		s.trouble()
+	}
+}
+
+// Replicas that lag behind a busy leader catch up, and candidates with an old state take over the newest, in parts, over
+// links that lose, double and reorder them and from leaders that are not in office any more; stores are rewritten all the
+// time and lose power in the midst of a write.
+func TestStatesInParts(t *testing.T) {
+	if *partSeed >= 0 {
+		if _, err := partsSchedule(uint64(*partSeed), defects{}, narrow); err != nil {
+			t.Errorf("schedule %d: %v", *partSeed, err)
+		}
+		return
+	}
+	count := uint64(*partSchedules)
+	if seeds(2) == 2 && *stormSeeds == 0 && testing.Short() {
+		count = min(count, 50)
+	}
+	var mutex sync.Mutex
+	var all traffic
+	t.Run("schedules", func(t *testing.T) {
+		const shards = 16
+		for shard := range uint64(shards) {
+			t.Run("", func(t *testing.T) {
+				t.Parallel()
+				for seed := shard; seed < count; seed += shards {
+					seen, err := partsSchedule(seed, defects{}, narrow)
+					if err != nil {
+						t.Errorf("schedule %d (go test -run TestStatesInParts -schedule=%d): %v", seed, seed, err)
+					}
+					mutex.Lock()
+					all.parts += seen.parts
+					all.fetched += seen.fetched
+					mutex.Unlock()
+				}
+			})
+		}
+	})
+	t.Logf("%d schedules: %d parts sent, %d fetched", count, all.parts, all.fetched)
+	Convey("The schedules send and fetch states in parts", t, func() {
+		So(all.parts, ShouldBeGreaterThan, count)
+		So(all.fetched, ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/controlplane/replication/replica.go
+++ b/internal/controlplane/replication/replica.go
@@ -20,6 +20,8 @@
 	writing   bool
 	writeTime time.Duration // when the newest write began
 	queue     []func()
+	assembly  *assembly // of what a leader sends in parts; nil where there is none
+	given     givenState
 }
 
 // lease is a replica's word to a leader that it elects no other until then.
@@ -79,7 +81,8 @@
 func (r *replica) prepare(request prepareRequest, reply func(prepareReply)) {
 	if request.Probe {
 		granted := r.core.serves(request.View) && r.free(request.Candidate)
-		reply(prepareReply{Granted: granted, Promised: r.promised, Position: r.position})
+		large := granted && request.Position.Before(r.position) && r.large(r.state())
+		reply(prepareReply{Granted: granted, Promised: r.promised, Position: r.position, Large: large})
 		return
 	}
 	if !r.core.serves(request.View) {
@@ -101,7 +104,11 @@
 	r.raise(request.Epoch, request.Candidate)
 	answer := prepareReply{Granted: true, Promised: r.promised, Position: r.position}
 	if request.Position.Before(r.position) {
-		answer.State = r.core.store.Table(stateTable(r.group.name))
+		if state := r.state(); r.large(state) {
+			answer.Large = true
+		} else {
+			answer.State = state
+		}
 	}
 	r.persist(promiseChanges(r.group.name, request.Epoch, request.Candidate), func() {
 		r.synced = request.Epoch
@@ -113,10 +120,19 @@
 	}, func() { reply(r.noVote()) })
 }
 
+// state reads the state from the store, which is as of position while no write is under way.
+func (r *replica) state() map[string][]byte { return r.core.store.Table(stateTable(r.group.name)) }
+
+// large tells whether a state does not fit into one message.
+func (r *replica) large(state map[string][]byte) bool {
+	return stateBytes(state) > r.core.limits.PartBytes
+}
+
 // raise promises to follow no lower epoch; a leader on this machine with a lower one ends.
 func (r *replica) raise(epoch uint64, candidate string) {
 	if epoch > r.promised {
 		r.promised, r.candidate = epoch, candidate
+		r.assembly = nil
 	}
 	if leading := r.group.leading; leading != nil && leading.epoch < epoch {
 		leading.end("a higher epoch was promised")
@@ -183,6 +199,14 @@
 		r.answerSynced(request.View, behind, reply)
 		return
 	}
+	if request.Parts > 1 {
+		entries, whole := r.gather(request)
+		if !whole {
+			r.answerGathering(request, reply)
+			return
+		}
+		request.Entries = entries
+	}
 	r.persist(r.changes(request), func() {
 		r.synced = request.Epoch
 		r.position = request.Position
@@ -210,6 +234,14 @@
 	return result
 }
 
+// answerGathering tells a leader which part is missing.
+func (r *replica) answerGathering(request appendRequest, reply func(appendReply)) {
+	r.answerSynced(request.View, gathering, func(answer appendReply) {
+		answer.Wanted = r.wanted(request)
+		reply(answer)
+	})
+}
+
 // answerSynced answers a leader once the promise is on disk.
 func (r *replica) answerSynced(view uint64, result outcome, reply func(appendReply)) {
 	if r.synced == r.promised {
--- a/internal/controlplane/replication/sending.go
+++ b/internal/controlplane/replication/sending.go
@@ -2,61 +2,145 @@
 
 import "time"
 
+// transfer is a batch or a snapshot on its way to one follower, in one part or several.
+type transfer struct {
+	request appendRequest // without entries
+	parts   [][]Entry
+	next    uint32 // the part to send
+}
+
+func (l *leadership) newTransfer(snapshot bool, previous, position Position, entries []Entry) *transfer {
+	request := l.request()
+	request.Snapshot, request.Previous, request.Position = snapshot, previous, position
+	return &transfer{request: request, parts: split(entries, l.core.limits.PartBytes)}
+}
+
+// part is the message that carries the next part.
+func (t *transfer) part(view uint64) appendRequest {
+	request := t.request
+	request.View = view
+	request.Part, request.Parts = t.next, uint32(len(t.parts))
+	request.Entries = t.parts[t.next]
+	return request
+}
+
+// limit is how long the call of a part may take. A batch that cannot be answered within a round counts for nothing.
+func (t *transfer) limit(timing Timing) time.Duration {
+	if t.request.Snapshot || len(t.parts) > 1 {
+		return timing.Transfer
+	}
+	return timing.Round
+}
+
+// suits tells whether a transfer still brings a follower forward that is at a position.
+func (t *transfer) suits(position Position) bool {
+	return position.Before(t.request.Position) && (t.request.Snapshot || t.request.Previous == position)
+}
+
 // send brings a follower nearer to the newest batch, with one call at a time.
 func (l *leadership) send(address string, follower *follower) {
-	if l.ended || follower.sending || !follower.known || follower.position == l.latest {
+	if l.ended || follower.sending || !follower.known {
 		return
 	}
+	if follower.transfer != nil && !follower.transfer.suits(follower.position) {
+		l.endTransfer(address, follower)
+	}
+	if follower.transfer == nil && follower.position != l.latest {
+		l.beginTransfer(address, follower)
+	}
+	if follower.transfer != nil && !follower.sending {
+		l.dispatch(address, follower)
+	}
+}
+
+// beginTransfer chooses what is sent next: the batches after the follower's position, or the whole state where they are
+// not known any more.
+func (l *leadership) beginTransfer(address string, follower *follower) {
 	next, found := l.history.since(follower.position)
-	if !found {
-		l.sendSnapshot(address, follower)
+	if found {
+		follower.transfer = l.newTransfer(false, next.previous, next.position, next.entries)
 		return
 	}
-	request := l.request()
-	request.Previous, request.Position, request.Entries = next.previous, next.position, next.entries
-	l.dispatch(address, follower, request, l.core.timing.Round, func() {})
+	l.beginSnapshot(address, follower)
 }
 
-// sendSnapshot sends the whole state. This mixer sends one snapshot at a time; the others wait for a later heartbeat.
-func (l *leadership) sendSnapshot(address string, follower *follower) {
-	if l.core.snapshots > 0 || l.group.replica.position.Epoch != l.epoch {
-		follower.known = false
-		return
+// beginSnapshot takes a copy of the state for a follower. Each member gets one snapshot of this mixer at a time, whatever
+// the group, and the next one follows at once; a member that does not answer holds up no other.
+func (l *leadership) beginSnapshot(address string, follower *follower) {
+	replica := &l.group.replica
+	if l.core.receiving[address] || replica.position.Epoch != l.epoch {
+		return // the end of the other snapshot, or of the write that begins the term, comes back here
 	}
-	l.core.snapshots++
+	l.core.receiving[address] = true
 	follower.sending = true
-	l.group.replica.whenIdle(func() {
-		if l.ended {
-			l.core.snapshots--
+	replica.whenIdle(func() {
+		follower.sending = false
+		if l.ended || l.followers[address] != follower {
+			l.core.released(address)
 			return
 		}
-		request := l.request()
-		request.Snapshot = true
-		request.Position = l.group.replica.position
-		for key, value := range l.core.store.Table(stateTable(l.group.name)) {
-			request.Entries = append(request.Entries, Entry{key, value})
-		}
-		l.dispatch(address, follower, request, l.core.timing.Transfer, func() { l.core.snapshots-- })
+		follower.transfer = l.newTransfer(true, Position{}, replica.position, entriesOf(replica.state()))
+		l.holdHistory()
+		l.send(address, follower)
 	})
 }
 
-func (l *leadership) dispatch(address string, follower *follower, request appendRequest, limit time.Duration, done func()) {
+// endTransfer forgets what is being sent to a follower, and lets the next group's snapshot go there.
+func (l *leadership) endTransfer(address string, follower *follower) {
+	ended := follower.transfer
+	follower.transfer = nil
+	if ended == nil || !ended.request.Snapshot {
+		return
+	}
+	l.holdHistory()
+	l.core.released(address)
+}
+
+// released lets the next snapshot go to a member.
+func (c *core) released(address string) {
+	delete(c.receiving, address)
+	for _, g := range c.sortedGroups() {
+		if g.leading != nil && g.leading.followers[address] != nil {
+			g.leading.send(address, g.leading.followers[address])
+		}
+	}
+}
+
+// holdHistory keeps more batches while a follower is being sent a snapshot.
+func (l *leadership) holdHistory() {
+	l.history.held = false
+	for _, follower := range l.followers {
+		if follower.transfer != nil && follower.transfer.request.Snapshot {
+			l.history.held = true
+		}
+	}
+}
+
+func (l *leadership) dispatch(address string, follower *follower) {
 	follower.sending = true
-	sent := l.core.now
-	reply := new(appendReply)
-	l.core.call(address, appendPath, limit, request, reply, func(err error) {
-		done()
+	sent, sending := l.core.now, follower.transfer
+	request, reply := sending.part(l.core.view.Version), new(appendReply)
+	l.core.call(address, appendPath, sending.limit(l.core.timing), request, reply, func(err error) {
 		follower.sending = false
 		follower.settled = l.core.now
 		follower.known = false
 		if err == nil {
-			follower.position, follower.known = reply.Position, reply.Outcome == accepted || reply.Outcome == behind
+			l.partAnswered(follower, sending, *reply)
 			l.answered(follower, *reply, sent)
 		}
 		l.pump()
 	})
 }
 
+// partAnswered notes where the follower is, and which part it wants.
+func (l *leadership) partAnswered(follower *follower, sending *transfer, reply appendReply) {
+	follower.position = reply.Position
+	follower.known = reply.Outcome == accepted || reply.Outcome == behind || reply.Outcome == gathering
+	if reply.Outcome == gathering && reply.Wanted < uint32(len(sending.parts)) {
+		sending.next = reply.Wanted
+	}
+}
+
 // answered takes a replica's answer to an append or a heartbeat sent at a time. After a failed call nothing more is
 // sent until a heartbeat is answered.
 func (l *leadership) answered(follower *follower, reply appendReply, sent time.Duration) {
@@ -66,7 +150,7 @@
 	switch reply.Outcome {
 	case superseded:
 		l.end("another replica has promised a higher epoch")
-	case accepted, behind:
+	case accepted, behind, gathering:
 		l.follows(follower, reply, sent)
 	}
 }
--- a/internal/controlplane/replication/simulatednode_test.go
+++ b/internal/controlplane/replication/simulatednode_test.go
@@ -10,6 +10,7 @@
 	"puffinlink.example/puffinlink/internal/chance"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/controlplane/storage/storagetest"
 )
 
 type pendingWrite struct {
@@ -22,6 +23,7 @@
 	address     string
 	view        replicaset.View // known here
 	disk        disk
+	files       *files // holds the same as disk, where the simulation has real stores
 	core        *core
 	terms       map[string]*Term // by group, as the handler knows them
 	pending     []*pendingWrite
@@ -41,9 +43,15 @@
 	n.up, n.ready = true, !n.lost || s.defects.noRebuild
 	n.terms, n.pending = make(map[string]*Term), nil
 	n.core = newCore(Config{
-		Self: n.address, Store: nil, Handler: n, Log: zap.NewNop(), Clock: s, Timing: s.timing,
+		Self: n.address, Store: nil, Handler: n, Log: zap.NewNop(), Clock: s, Timing: s.timing, Limits: s.limits,
 	}, chance.PCG(s.random.Uint64()))
 	n.core.store = n.disk
+	if s.realStores {
+		if n.files == nil {
+			n.files = newFiles(storagetest.NewDisk())
+		}
+		n.core.store = n.files.store
+	}
 	n.core.enter = n.step
 	n.core.spawn = func(run func()) { n.later(s.between(0, time.Millisecond), run) }
 	n.core.restore()
@@ -86,9 +94,7 @@
 			n.later(100*time.Millisecond, n.rebuild)
 			return
 		}
-		for name, table := range MergeTables(copies) {
-			n.disk[name] = table
-		}
+		n.put(wholeTables(MergeTables(copies)))
 		n.lost, n.ready = false, true
 		n.step(func() {})
 	})
@@ -113,6 +119,10 @@
 
 // kill ends the process. Writes under way have reached the disk or not.
 func (n *simulatedNode) kill(loseDisk bool) {
+	if n.files != nil && n.up {
+		n.losePower()
+		n.pending = nil
+	}
 	for _, one := range n.pending {
 		if !one.applied && n.simulation.random.IntN(2) == 0 {
 			n.disk.apply(one.changes, n.simulation.defects.forgetPromises)
@@ -121,6 +131,10 @@
 	n.up, n.ready, n.frozenUntil = false, false, 0
 	if loseDisk {
 		n.disk, n.lost = make(disk), true
+		if n.files != nil {
+			n.files.store.Close()
+			n.files = newFiles(storagetest.NewDisk())
+		}
 	}
 }
 
@@ -167,7 +181,7 @@
 			n.step(func() { one.done(errDiskFull) })
 			return
 		}
-		n.disk.apply(one.changes, s.defects.forgetPromises)
+		n.put(one.changes)
 		n.step(func() { one.done(nil) })
 	})
 }
@@ -193,6 +207,7 @@
 		}
 	}
 	n.later(one.limit, func() { finish(errTimeout) })
+	s.checkSize(one.request)
 	body := encode(one.request)
 	if s.drops(n.address, one.address) {
 		n.forge(one, finish)
@@ -206,7 +221,7 @@
 		}
 		target.later(0, func() { target.serve(n, one, body, finish) })
 	}
-	s.at(s.delay(), arrive)
+	s.at(s.delay()+s.slowLinks[one.address], arrive)
 	if s.random.Float64() < s.duplicates {
 		s.at(s.between(0, 1200*time.Millisecond), func() {
 			if target := s.nodes[one.address]; target != nil && target.up {
@@ -247,6 +262,7 @@
 // serve handles a request on the target, and brings the reply to the caller.
 func (n *simulatedNode) serve(from *simulatedNode, one call, body []byte, finish func(error)) {
 	reply := func(answer any) {
+		n.simulation.checkSize(answer)
 		content := encode(answer)
 		if n.simulation.drops(n.address, from.address) {
 			return
@@ -269,6 +285,10 @@
 			n.spoil(request)
 			n.disguise(&request.View)
 			n.core.append(request, func(r appendReply) { reply(r) })
+		case statePath:
+			request := decode[stateRequest](body)
+			n.disguise(&request.View)
+			n.core.state(request, func(r stateReply) { reply(r) })
 		case pingPath:
 			request := decode[pingRequest](body)
 			n.disguise(&request.View)
--- a/internal/controlplane/replication/simulation_test.go
+++ b/internal/controlplane/replication/simulation_test.go
@@ -62,6 +62,7 @@
 	view     replicaset.View // the newest
 	machines []string        // addresses of all that ever were members
 	timing   Timing
+	limits   Limits
 	defects  defects
 	groups   []string
 
@@ -69,12 +70,16 @@
 	loss       float64
 	duplicates float64
 	slowDisks  map[string]time.Duration
+	slowLinks  map[string]time.Duration // added to what is sent to a member
 	fullDisks  map[string]bool          // disks that refuse writes
 	stalls     map[string]time.Duration // disks that finish no write until then
 	history    *checker
 	busy       bool // terms propose all the time
+	eager      bool // terms propose each few milliseconds
 	exchanges  bool // members are exchanged for new machines
 	badDisks   bool // disks are full or stalled for a while
+	realStores bool // nodes keep their tables in files on disks that lose power
+	traffic    traffic
 }
 
 // Now implements Clock.
@@ -99,6 +104,15 @@
 	return s
 }
 
+// close ends the real stores.
+func (s *simulation) close() {
+	for _, n := range s.nodes {
+		if n.files != nil {
+			n.files.store.Close()
+		}
+	}
+}
+
 func (s *simulation) add(address string) *simulatedNode {
 	n := &simulatedNode{simulation: s, address: address, disk: make(disk), view: s.view}
 	s.nodes[address] = n
--- a/internal/controlplane/replication/timing.go
+++ b/internal/controlplane/replication/timing.go
@@ -25,7 +25,7 @@
 	RetryLongest  time.Duration // and at most
 	Round         time.Duration // an answer that comes later than that after the request counts in no majority
 	Alive         time.Duration // a member that was heard within that time is alive
-	Transfer      time.Duration // limit of a call that carries a snapshot
+	Transfer      time.Duration // limit of a call that carries a part of a state
 }
 
 // DefaultTiming are the intervals used in service.
@@ -40,7 +40,7 @@
 	RetryLongest:  250 * time.Millisecond,
 	Round:         1500 * time.Millisecond,
 	Alive:         800 * time.Millisecond,
-	Transfer:      10 * time.Second,
+	Transfer:      2 * time.Second,
 }
 
 var errLeaseTooLong = errors.New("replication: LeaderLease must be shorter than ReplicaLease")
--- a/internal/controlplane/replication/units_test.go
+++ b/internal/controlplane/replication/units_test.go
@@ -48,7 +48,7 @@
 
 func TestHistory(t *testing.T) {
 	Convey("Given four batches", t, func() {
-		var h history
+		h := history{limits: DefaultLimits}
 		for sequence := range uint64(4) {
 			key := string(rune('a' + sequence%2))
 			h.add(newBatch(Position{1, sequence}, Position{1, sequence + 1}, map[string][]byte{key: {byte(sequence)}}))
