--- a/internal/jobs/manager/lease_test.go
+++ b/internal/jobs/manager/lease_test.go
@@ -128,7 +128,7 @@
 		})
 		Convey("The next leader has never heard of it", t, func() {
 			next := w.awaitLeader()
-			So(next, ShouldNotEqual, leader)
+			So(next == leader, ShouldBeFalse)
 			reply, err := next.manager.job(context.Background(), jobreport.JobRequest{Group: testGroup, ID: knownJob})
 			So(err, ShouldBeNil)
 			So(reply.Known, ShouldBeFalse)
