Operators' requests are refused only once a majority has confirmed the services that were asked

A coordinator that was cut off answered 404 and 409 about jobs, searchers and services by the groups that it knew, which may be old. It now lets a majority confirm the configuration after the request came, and answers 503 where that fails or brings a newer one.

--- a/internal/controlplane/coordinator/operations.go
+++ b/internal/controlplane/coordinator/operations.go
@@ -1,11 +1,18 @@
 package coordinator
 
 import (
+	"context"
 	"net/http"
 
 	"puffinlink.example/puffinlink/internal/controlplane/operations"
 )
 
+// confirm has a majority confirm the configuration.
+func (c *Coordinator) confirm(ctx context.Context) error {
+	_, _, err := c.configurator.Read(ctx)
+	return err
+}
+
 // operations serves operators beside the configuration, which the next handler serves.
 func (c *Coordinator) operations(next http.Handler) http.Handler {
 	return operations.New(operations.Options{
@@ -20,6 +27,7 @@
 			Changed:       c.node.Changed,
 			Configuration: c.configurator.Current,
 			InContact:     c.current,
+			Confirm:       c.confirm,
 			Rebuilt:       c.rebuilder.Ready,
 			Agents:        c.feed.Agents,
 		},
--- a/internal/controlplane/operations/answer.go
+++ b/internal/controlplane/operations/answer.go
@@ -1,9 +1,11 @@
 package operations
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-json-experiment/json"
 
@@ -24,6 +26,41 @@
 
 func failed(status int, text string) error { return &statusError{status: status, text: text} }
 
+const (
+	confirmTime = 900 * time.Millisecond // for a majority to confirm that there are no further services
+	oldText     = "no majority confirms at the moment what this mixer knows, which may be old; nothing was done, try another mixer"
+	changedText = "the configuration has just changed; nothing was done, try again"
+)
+
+// writeError answers with an error. That something does not exist, or that the jobs' state speaks against an order, is said
+// only once a majority has confirmed, after the request came, the services whose leaders were asked.
+func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	var answer *statusError
+	if errors.As(err, &answer) && answer.restsOnState() {
+		err = h.confirmed(r.Context(), err)
+	}
+	writeError(w, err)
+}
+
+// confirmed returns the error, or another one where there may be services that were not asked.
+func (h *Handler) confirmed(ctx context.Context, err error) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	before, _ := h.options.Sources.Configuration()
+	if h.options.Sources.Confirm(ctx) != nil || !h.options.Sources.InContact() {
+		return failed(http.StatusServiceUnavailable, oldText)
+	}
+	if after, _ := h.options.Sources.Configuration(); after != before {
+		return failed(http.StatusServiceUnavailable, changedText)
+	}
+	return err
+}
+
+// restsOnState tells whether the answer would be another one if there were a service more, or if a job were in another state.
+func (e *statusError) restsOnState() bool {
+	return e.status == http.StatusNotFound || e.status == http.StatusConflict
+}
+
 // writeError answers with an error: a statusError as it says, any other by its verdict.
 func writeError(w http.ResponseWriter, err error) {
 	var answer *statusError
--- a/internal/controlplane/operations/fixture_test.go
+++ b/internal/controlplane/operations/fixture_test.go
@@ -44,6 +44,9 @@
 	fail     func(address, path string) error
 	calls    []string // address and path
 	drains   []jobreport.DrainRequest
+	version  uint64       // of the configuration
+	alone    bool         // the mixer has no contact to a majority
+	confirm  func() error // a quorum read
 	cancels  []jobapi.Cancel
 	// found is the state that leaders report of jobs, and cancelled what they answer to a cancellation, if set.
 	found     job.State
@@ -57,7 +60,7 @@
 		leaders: map[string]feed.Leader{
 			"jobs/pricing": {Address: "10.0.0.1:7660", Epoch: 3}, "jobs/stress": {Address: "10.0.0.2:7660", Epoch: 5},
 		},
-		changed:  make(chan struct{}),
+		changed: make(chan struct{}), version: 7, confirm: func() error { return nil },
 		jobs:     map[string][]string{"jobs/pricing": {priceJob, bothJob}, "jobs/stress": {stressJob, bothJob}},
 		searcher: map[string]string{"jobs/pricing": "i-price", "jobs/stress": "i-stress"},
 	}
@@ -96,8 +99,9 @@
 			defer c.mutex.Unlock()
 			return c.changed
 		},
-		Configuration: func() (uint64, []byte) { return 7, nil },
-		InContact:     func() bool { return true },
+		Configuration: func() (uint64, []byte) { return c.version, nil },
+		InContact:     func() bool { return !c.alone },
+		Confirm:       func(context.Context) error { return c.confirm() },
 		Rebuilt:       func() bool { return true },
 		Agents:        func() []string { return []string{"10.0.1.1:7661"} },
 	}
--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -16,7 +16,7 @@
 func (h *Handler) jobs(w http.ResponseWriter, r *http.Request) {
 	list, err := h.listJobs(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, list)
@@ -137,7 +137,7 @@
 func (h *Handler) job(w http.ResponseWriter, r *http.Request) {
 	match, err := h.find(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, match.detail)
@@ -146,13 +146,13 @@
 func (h *Handler) why(w http.ResponseWriter, r *http.Request) {
 	match, err := h.find(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	var reply jobreport.WhyReply
 	request := jobreport.WhyRequest{Group: match.group, ID: match.detail.ID}
 	if err := h.ask(r.Context(), match.group, jobreport.WhyPath, request, &reply); err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, reply.Why)
@@ -164,7 +164,7 @@
 		err = h.cancelJob(r.Context(), match)
 	}
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	h.options.Logger.Info("operator's cancellation", zap.String("service", match.detail.Service), zap.String("job", string(match.detail.ID)))
--- a/internal/controlplane/operations/operations.go
+++ b/internal/controlplane/operations/operations.go
@@ -8,6 +8,7 @@
 package operations
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -31,7 +32,8 @@
 	Leaders       func() map[string]feed.Leader        // by group
 	Changed       func() <-chan struct{}               // closed at the next change of Leaders
 	Configuration func() (version uint64, body []byte) // newest that a majority holds
-	InContact     func() bool                          // a majority has answered of late
+	InContact     func() bool                          // a majority has answered, and confirmed the configuration, of late
+	Confirm       func(ctx context.Context) error      // has a majority confirm the configuration now
 	Rebuilt       func() bool                          // the disk is complete
 	Agents        func() []string                      // internal addresses of the agents heard lately
 }
--- a/internal/controlplane/operations/searchers.go
+++ b/internal/controlplane/operations/searchers.go
@@ -10,14 +10,14 @@
 func (h *Handler) searchers(w http.ResponseWriter, r *http.Request) {
 	groups, err := h.groups(r.URL.Query())
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	answers := askAll[jobreport.SearchersReply](r.Context(), h, groups, jobreport.SearchersPath,
 		func(group string) any { return jobreport.SearchersRequest{Group: group} })
 	var list Searchers
 	if list.Unanswered, err = unanswered(answers); err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	for _, one := range answers {
@@ -33,7 +33,7 @@
 func (h *Handler) setDrain(w http.ResponseWriter, r *http.Request, draining bool) {
 	groups, err := h.groups(r.URL.Query())
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	id := r.PathValue("id")
@@ -53,5 +53,5 @@
 	if failure == nil {
 		failure = failed(http.StatusNotFound, fmt.Sprintf("no searcher %q is known; list them at %s", id, SearchersPath))
 	}
-	writeError(w, failure)
+	h.writeError(w, r, failure)
 }
--- a/internal/jobs/manager/world_test.go
+++ b/internal/jobs/manager/world_test.go
@@ -87,6 +87,7 @@
 		t.Fatal(err)
 	}
 	m.node = node
+	m.manager.Inventory(nil) // the list of searchers has been read
 	mux := transport.NewMux()
 	node.Serve(mux)
 	w.network.Serve(address, mux)
