An order that waited for its connection is kept back if the lease is over by then

The lease was looked at before a call waited for a connection, up to 0.9 s, longer than the lease itself lasts. It is now looked at once more between the writing of the headers into the connection's buffer and their sending; the call is then certainly not sent, and says so. The fence at the searcher covered it so far.

--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -56,16 +56,17 @@
 // caller sends calls to one life of a searcher.
 type caller struct {
 	http    *http.Client
+	valid   func() bool // whether a call may be sent at this moment
 	start   *url.URL
 	stop    *url.URL
 	hold    *url.URL
 	headers http.Header // shared by all calls, never changed
 }
 
-func newCaller(client *http.Client, address string, id SearcherID) *caller {
+func newCaller(client *http.Client, address string, id SearcherID, valid func() bool) *caller {
 	target := func(path string) *url.URL { return &url.URL{Scheme: "http", Host: address, Path: path} }
 	return &caller{
-		http: client, start: target(startPath), stop: target(stopPath), hold: target(holdPath),
+		http: client, valid: valid, start: target(startPath), stop: target(stopPath), hold: target(holdPath),
 		headers: http.Header{"Content-Type": {"application/json"}, "Expect-Instance": {string(id)}},
 	}
 }
@@ -76,10 +77,10 @@
 func (c *caller) post(ctx context.Context, target *url.URL, body []byte, timeout time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	connected := false
-	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	permit := &permit{valid: c.valid}
+	trace := httptrace.ClientTrace{GotConn: permit.connected, WroteHeaders: permit.check}
 	response, err := c.http.Do(c.request(httptrace.WithClientTrace(ctx, &trace), target, body))
-	if err != nil && !connected {
+	if err != nil && permit.unsent() {
 		return answer{}, verdict.Unexecuted(err, 0)
 	}
 	if err != nil {
--- a/internal/jobs/worker/link.go
+++ b/internal/jobs/worker/link.go
@@ -125,7 +125,7 @@
 func NewLink(config Config) *Link {
 	l := &Link{
 		config: config, log: config.Log, now: config.Now, pace: paceFor(config.HoldMax),
-		caller: newCaller(config.HTTP, config.Instance.Address, config.Instance.ID),
+		caller: newCaller(config.HTTP, config.Instance.Address, config.Instance.ID, config.Valid),
 		out:    delivery{events: config.Events},
 		done:   make(chan struct{}),
 		wake:   make(chan struct{}, 1),
--- /dev/null
+++ b/internal/jobs/worker/permit_test.go
@@ -0,0 +1,73 @@
+package worker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// slowDial is a client whose connections wait until they are released.
+func slowDial(dialling chan<- struct{}, release <-chan struct{}) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost: 1,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialling <- struct{}{}
+			<-release
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	}}
+}
+
+func TestNoCallIsSentThatWaitedForItsConnectionBeyondTheLease(t *testing.T) {
+	Convey("Given a searcher that is connected to slowly", t, func() {
+		var calls, over atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			w.Write([]byte(`{"clockMs":1}`))
+		}))
+		Reset(server.Close)
+		dialling, release := make(chan struct{}, 10), make(chan struct{}, 10)
+		client := slowDial(dialling, release)
+		Reset(client.CloseIdleConnections)
+		caller := newCaller(client, server.Listener.Addr().String(), "i-1", func() bool { return over.Load() == 0 })
+		body := appendStop(nil, StopOrder{task(0), 1}, 1)
+		post := func() error {
+			_, err := caller.post(context.Background(), caller.stop, body, time.Minute)
+			return err
+		}
+
+		Convey("a call whose lease ends meanwhile is not sent, on a new connection or a used one", func() {
+			failures := make(chan error, 1)
+			go func() { failures <- post() }()
+			<-dialling
+			over.Store(1)
+			release <- struct{}{}
+			err := <-failures
+			So(err, ShouldNotBeNil)
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			So(calls.Load(), ShouldEqual, 0)
+
+			over.Store(0)
+			release <- struct{}{}
+			So(post(), ShouldBeNil)
+			So(calls.Load(), ShouldEqual, 1)
+			over.Store(1)
+			close(release)
+			So(verdict.Of(post()), ShouldEqual, verdict.NotRun)
+			So(calls.Load(), ShouldEqual, 1)
+		})
+		Convey("one whose lease holds is sent", func() {
+			release <- struct{}{}
+			So(post(), ShouldBeNil)
+			So(calls.Load(), ShouldEqual, 1)
+		})
+	})
+}
