--- /dev/null
+++ b/internal/controlplane/register/given_up_test.go
@@ -0,0 +1,43 @@
+package register
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// deafCaller fails every call.
+type deafCaller struct{ calls atomic.Int64 }
+
+var errNobodyThere = errors.New("nobody is there")
+
+// Call implements transport.Caller.
+func (c *deafCaller) Call(context.Context, string, string, any, any) error {
+	c.calls.Add(1)
+	return verdict.Unexecuted(errNobodyThere, 0)
+}
+
+func TestAChangeThatWasGivenUpSendsNothing(t *testing.T) {
+	const tries = 64 // of two that are ready, a choice at random takes either
+	view := replicaset.View{Version: 1, Members: []string{"a", "b", "c"}}
+	caller := &deafCaller{}
+	register := New(Config{Name: "test", Self: "elsewhere", Caller: caller, View: func() replicaset.View { return view }})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	ran := false
+	convey.Convey("A change whose context is over before its turn proposes nothing", t, func() {
+		for range tries {
+			_, err := register.Change(ended, func(current []byte) ([]byte, error) { ran = true; return current, nil })
+			convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+			convey.So(errors.Is(err, context.Canceled), convey.ShouldBeTrue)
+		}
+		convey.So(caller.calls.Load(), convey.ShouldEqual, 0)
+		convey.So(ran, convey.ShouldBeFalse)
+	})
+}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -40,7 +40,7 @@
 			return value, err
 		}
 		p.register.learn(err)
-		if pauseErr := pause(ctx, attempt); pauseErr != nil {
+		if pauseErr := p.register.pause(ctx, attempt); pauseErr != nil {
 			return nil, fmt.Errorf("%w (%w)", pauseErr, err)
 		}
 	}
--- a/internal/controlplane/register/register.go
+++ b/internal/controlplane/register/register.go
@@ -28,6 +28,9 @@
 	View     func() replicaset.View // the current view
 	Newer    func(replicaset.View)  // told of a newer view that a member works with; may be nil
 	Caller   transport.Caller
+	// Draw returns a random duration below a bound; nil draws from the process's source. A simulation gives its own, so that
+	// its seed replays it.
+	Draw func(bound time.Duration) time.Duration
 }
 
 // Register is a proposer: it reads and changes the register's value. Its changes follow each other.
@@ -63,12 +66,10 @@
 // Errors carry a verdict; the function's own error is in their chain. NotRun means that no result of the function was or
 // will be the register's value.
 func (r *Register) Change(ctx context.Context, change func(current []byte) (next []byte, err error)) ([]byte, error) {
-	select {
-	case <-r.turn:
-		defer func() { r.turn <- struct{}{} }()
-	case <-ctx.Done():
-		return nil, verdict.Unexecuted(fmt.Errorf("change register %s: %w", r.config.Name, context.Cause(ctx)), 0)
+	if err := r.takeTurn(ctx); err != nil {
+		return nil, verdict.Unexecuted(fmt.Errorf("change register %s: %w", r.config.Name, err), 0)
 	}
+	defer func() { r.turn <- struct{}{} }()
 	p := &proposer{register: r, change: change}
 	value, err := p.run(ctx)
 	if err != nil {
@@ -77,6 +78,19 @@
 	return value, nil
 }
 
+// takeTurn waits until no other change of this proposer is under way. A change that was given up gets no turn: its
+// proposals would only get in the way of others'.
+func (r *Register) takeTurn(ctx context.Context) error {
+	if ctx.Err() == nil {
+		select {
+		case <-r.turn:
+			return nil
+		case <-ctx.Done():
+		}
+	}
+	return context.Cause(ctx)
+}
+
 // Read returns the current value; nil before the first change. It takes one round where a majority agrees.
 func (r *Register) Read(ctx context.Context) ([]byte, error) {
 	view := r.config.View()
@@ -153,9 +167,13 @@
 }
 
 // pause waits a random time before the next attempt.
-func pause(ctx context.Context, attempt int) error {
+func (r *Register) pause(ctx context.Context, attempt int) error {
+	draw := r.config.Draw
+	if draw == nil {
+		draw = rand.N[time.Duration]
+	}
 	bound := min(firstPause<<min(attempt, 10), lastPause)
-	timer := time.NewTimer(bound/2 + rand.N(bound/2))
+	timer := time.NewTimer(bound/2 + draw(bound/2))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/controlplane/register/succession.go
+++ b/internal/controlplane/register/succession.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -37,6 +38,7 @@
 	Ready  func() bool            // whether this member may vote
 	View   func() replicaset.View // the current view
 	Caller transport.Caller
+	Draw   func(bound time.Duration) time.Duration // as in Config; may be nil
 }
 
 // NewSuccession makes the acceptor and the proposer of the next view.
@@ -89,7 +91,7 @@
 	}
 	var newer replicaset.View
 	register := New(Config{
-		Name: successionName, Self: s.config.Self, Acceptor: s.acceptor, Caller: s.config.Caller,
+		Name: successionName, Self: s.config.Self, Acceptor: s.acceptor, Caller: s.config.Caller, Draw: s.config.Draw,
 		View: func() replicaset.View {
 			if newer.Version > current.Version || s.config.View().Version != current.Version {
 				return replicaset.View{}
