Model of several operators' orders: cuts, freezes, lost disks, replacements

Core machines with the real membership, rebuild, register, configurator and handler, on a network and a clock in memory; operators who send again through relays that swallow, delay and double. Each answer of a machine is judged, also those that nobody got. 2,000 schedules (100 under the race detector); more with ORDER_SCHEDULES, one with ORDER_SEED.

--- /dev/null
+++ b/internal/controlplane/configuration/model_test.go
@@ -0,0 +1,253 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/raceflag"
+)
+
+// Environment variables of the model.
+const (
+	schedulesVariable = "ORDER_SCHEDULES" // how many schedules are played
+	seedVariable      = "ORDER_SEED"      // plays this schedule alone
+)
+
+// Extent of a schedule, in simulated time.
+const (
+	operators       = 3
+	troubleTime     = 6 * time.Second
+	betweenTroubles = 700 * time.Millisecond // upper bound
+	troubleLasts    = 2500 * time.Millisecond
+	healingTime     = 30 * time.Second // from the end of all faults, until the last answer
+	aftermath       = 10 * time.Second
+)
+
+// schedule is one play of the model.
+type schedule struct {
+	cluster  *modelCluster
+	judge    *judge
+	random   *rand.Rand
+	machines int // started so far
+	replaced uint64
+	ends     sync.WaitGroup // of troubles
+}
+
+// play lets operators work while machines are in trouble, and judges every answer.
+func play(t *testing.T, seed uint64) (s *schedule) {
+	synctest.Test(t, func(t *testing.T) {
+		size := 3 + int(seed%2)*2
+		s = &schedule{cluster: newModelCluster(t, seed, size), judge: newJudge(), random: rand.New(rand.NewPCG(seed, 0)), machines: size}
+		ctx, cancel := context.WithTimeout(context.Background(), troubleTime)
+		last, stop := context.WithTimeout(context.Background(), troubleTime+healingTime)
+		var working sync.WaitGroup
+		for number := range operators {
+			o := &operator{number: number, cluster: s.cluster, judge: s.judge, random: rand.New(rand.NewPCG(seed, uint64(number)+1))}
+			working.Go(func() { o.work(ctx, last) })
+		}
+		for ctx.Err() == nil {
+			<-time.After(s.below(betweenTroubles))
+			s.trouble()
+		}
+		s.ends.Wait()
+		s.cluster.network.heal()
+		working.Wait()
+		s.look()
+		cancel()
+		stop()
+		s.cluster.end()
+		<-time.After(aftermath)
+	})
+	return s
+}
+
+func (s *schedule) below(bound time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(bound))) + 1
+}
+
+// trouble lets one thing happen to a member.
+func (s *schedule) trouble() {
+	members := s.cluster.newest().Members
+	address := members[s.random.IntN(len(members))]
+	other := members[s.random.IntN(len(members))]
+	m := s.cluster.at(address)
+	kind, lasts, down := s.random.IntN(8), s.below(troubleLasts), s.below(300*time.Millisecond)
+	switch {
+	case m == nil:
+	case kind == 0:
+		s.during(lasts, func(on bool) { s.cluster.network.cut(address, other, on) })
+	case kind == 1:
+		s.during(lasts, func(on bool) { s.isolate(address, members, on) })
+	case kind == 2 || kind == 3:
+		s.cluster.network.freeze(address)
+		s.ends.Go(func() { <-time.After(lasts); s.cluster.network.unfreeze(address) })
+	case kind == 4:
+		s.restart(m, down, m.disk)
+	case kind == 5 && s.cluster.allWell():
+		s.restart(m, down, storage.NewMemory())
+	case kind == 6 && s.cluster.allWell():
+		s.replace(m)
+	case kind == 7:
+		s.powerLoss(members, down)
+	}
+}
+
+// during switches a fault on, and off again after a time.
+func (s *schedule) during(lasts time.Duration, fault func(on bool)) {
+	fault(true)
+	s.ends.Go(func() { <-time.After(lasts); fault(false) })
+}
+
+// isolate cuts a member off from the other machines, though not from operators.
+func (s *schedule) isolate(address string, members []string, on bool) {
+	for _, member := range members {
+		s.cluster.network.cut(address, member, on)
+		s.cluster.network.cut(member, address, on)
+	}
+}
+
+// restart kills a process and starts it again on a disk.
+func (s *schedule) restart(m *machine, down time.Duration, disk *storage.Memory) {
+	if s.cluster.stop(m) {
+		<-time.After(down)
+		s.cluster.start(m.address, disk, false)
+	}
+}
+
+// replace loses a machine for good, and starts one that can take its place.
+func (s *schedule) replace(m *machine) {
+	if s.cluster.stop(m) {
+		s.machines++
+		s.cluster.start(fmt.Sprintf("core-%d", s.machines), storage.NewMemory(), false)
+	}
+}
+
+// powerLoss kills all members at once; their disks are kept.
+func (s *schedule) powerLoss(members []string, down time.Duration) {
+	var lost []*machine
+	for _, address := range members {
+		if m := s.cluster.at(address); s.cluster.stop(m) {
+			lost = append(lost, m)
+		}
+	}
+	<-time.After(down)
+	for _, m := range lost {
+		s.cluster.start(m.address, m.disk, false)
+	}
+}
+
+// look judges the end: what each member reads, and the history that a majority holds.
+func (s *schedule) look() {
+	reader := &operator{cluster: s.cluster, judge: s.judge, random: s.random}
+	view := s.cluster.newest()
+	s.replaced = view.Version - 1
+	for _, address := range view.Members {
+		reader.readOnce(address)
+	}
+	s.judge.final(s.history(view.Members))
+}
+
+// history is the newest state that a member holds.
+func (s *schedule) history(members []string) []configuration.Taken {
+	var newest configuration.State
+	for _, address := range members {
+		if m := s.cluster.at(address); m != nil {
+			if state := m.configurator.State(); state.Version > newest.Version {
+				newest = state
+			}
+		}
+	}
+	return newest.Taken
+}
+
+// seeds lists the schedules to play.
+func seeds(t *testing.T, usual int) []uint64 {
+	if text := os.Getenv(seedVariable); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{seed}
+	}
+	if text := os.Getenv(schedulesVariable); text != "" {
+		count, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		usual = count
+	}
+	var all []uint64
+	for seed := range uint64(usual) {
+		all = append(all, seed)
+	}
+	return all
+}
+
+// report prints what a schedule found, and how to play it again.
+func (s *schedule) report(t *testing.T, seed uint64) {
+	if len(s.judge.problems) == 0 {
+		return
+	}
+	t.Errorf("play it again with %s=%d", seedVariable, seed)
+	for _, problem := range s.judge.problems {
+		t.Error(problem)
+	}
+	for _, line := range s.judge.trace {
+		t.Log(line)
+	}
+}
+
+// However the machines fare, no two orders are confirmed on top of one version or under one number, nothing that was
+// confirmed is refused or lost, nothing that was refused comes into force, and no reader gets what is out of date.
+func TestOrdersOfSeveralOperators(t *testing.T) {
+	usual := 2000
+	if raceflag.On {
+		usual = 100 // little is concurrent in simulated time
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(800)) // little is kept
+	var mutex sync.Mutex
+	answers, replaced := 0, uint64(0)
+	t.Run("schedules", func(t *testing.T) {
+		lanes := runtime.GOMAXPROCS(0)
+		all := seeds(t, usual)
+		for lane := range lanes {
+			t.Run(fmt.Sprintf("lane %d", lane), func(t *testing.T) {
+				t.Parallel()
+				for place := lane; place < len(all); place += lanes {
+					s := play(t, all[place])
+					s.report(t, all[place])
+					mutex.Lock()
+					answers += s.judge.answers
+					replaced += s.replaced
+					mutex.Unlock()
+				}
+			})
+		}
+	})
+	convey.Convey("Clear answers come, and machines are replaced", t, func() {
+		convey.So(answers, convey.ShouldBeGreaterThan, 0)
+		convey.So(replaced > 0 || os.Getenv(seedVariable) != "" || os.Getenv(schedulesVariable) != "", convey.ShouldBeTrue)
+	})
+	t.Logf("%d clear answers, %d machines replaced", answers, replaced)
+}
+
+func TestASeedReplaysItsSchedule(t *testing.T) {
+	convey.Convey("Two plays of a seed have the same answers at the same times", t, func() {
+		for seed := range uint64(8) {
+			convey.So(play(t, seed).judge.fingerprint(), convey.ShouldEqual, play(t, seed).judge.fingerprint())
+		}
+	})
+}
