--- a/internal/controlplane/replication/catchup_test.go
+++ b/internal/controlplane/replication/catchup_test.go
@@ -160,6 +160,16 @@
 		So(s.until(catchUp, func() bool { return len(s.lagging("jobs/a")) == 0 }), ShouldBeNil)
 		So(s.lagging("jobs/a"), ShouldBeEmpty)
 	})
+	Convey("A leader whose disk is slower than its followers still finds a moment for a snapshot", t, func() {
+		s := calmWith(4, narrow, "jobs/a")
+		s.eager = true
+		leader, follower := lagBehind(s)
+		s.slowDisks[leader.address] = 300 * time.Millisecond
+		So(s.run(time.Second), ShouldBeNil)
+		follower.start()
+		So(s.until(catchUp, func() bool { return len(s.lagging("jobs/a")) == 0 }), ShouldBeNil)
+		So(s.lagging("jobs/a"), ShouldBeEmpty)
+	})
 	Convey("A follower of many groups gets their states one after the other, without a heartbeat between them", t, func() {
 		var groups []string
 		for i := range 60 {
--- a/internal/controlplane/replication/replica.go
+++ b/internal/controlplane/replication/replica.go
@@ -40,9 +40,10 @@
 	}
 }
 
-// whenIdle runs an operation as soon as no write is under way.
+// whenIdle runs an operation as soon as no write is under way, after those that wait already: a leader that always has a
+// next batch must not hold up a snapshot or a vote for good.
 func (r *replica) whenIdle(operation func()) {
-	if r.writing {
+	if r.writing || len(r.queue) > 0 {
 		r.queue = append(r.queue, operation)
 		return
 	}
