--- a/internal/controlplane/replication/batch.go
+++ b/internal/controlplane/replication/batch.go
@@ -22,7 +22,7 @@
 // history holds the newest batches of a term, in order.
 type history struct {
 	limits  Limits
-	held    bool // a snapshot is being sent, whose receiver will need what came after it
+	held    bool // a replica is catching up from a snapshot and needs what came after it
 	batches []batch
 	bytes   int
 }
@@ -43,6 +43,21 @@
 	return len(h.batches) > h.limits.KeptBatches || h.bytes > h.limits.KeptBytes
 }
 
+// near tells whether so few batches lead from a position to the newest that the usual limits keep them for a while.
+func (h *history) near(position Position) bool {
+	count, sum := 0, 0
+	for i := len(h.batches) - 1; i >= 0; i-- {
+		count, sum = count+1, sum+h.batches[i].bytes
+		if 2*count > h.limits.KeptBatches || 2*sum > h.limits.KeptBytes {
+			return h.batches[i].position == position
+		}
+		if h.batches[i].position == position || h.batches[i].previous == position {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *history) drop() {
 	h.bytes -= h.batches[0].bytes
 	h.batches[0] = batch{}
--- a/internal/controlplane/replication/follower.go
+++ b/internal/controlplane/replication/follower.go
@@ -9,6 +9,7 @@
 	known    bool
 	sending  bool
 	transfer *transfer     // what is being sent; nil where nothing is
+	lagging  bool          // since a snapshot began to travel; what came after it is kept for this replica
 	settled  time.Duration // the newest append ended then; what was asked before may be out of date
 
 	// voted is the newest sequence of this term that the replica has synced, as told by its answer to a request that
--- a/internal/controlplane/replication/leadership.go
+++ b/internal/controlplane/replication/leadership.go
@@ -85,6 +85,7 @@
 // begin starts the next batch: it enters the history and is written here.
 func (l *leadership) begin(previous Position, values map[string][]byte, local appendRequest) {
 	l.latest = Position{l.epoch, l.latest.Sequence + 1}
+	l.holdHistory()
 	l.history.add(newBatch(previous, l.latest, values))
 	local.Position = l.latest
 	l.group.replica.append(local, func(reply appendReply) {
--- a/internal/controlplane/replication/parts.go
+++ b/internal/controlplane/replication/parts.go
@@ -13,8 +13,8 @@
 	PartBytes int
 	// KeptBatches and KeptBytes bound the newest batches that a leader keeps for replicas that lag a little.
 	KeptBatches, KeptBytes int
-	// HeldBytes takes the place of KeptBytes while a snapshot is being sent, and KeptBatches does not hold then: with the
-	// batches since the snapshot gone, its receiver would need another one, and so on under a busy leader.
+	// HeldBytes takes the place of KeptBytes while a replica catches up from a snapshot, and KeptBatches does not hold
+	// then: with the batches since the snapshot gone, it would need another one, and so on under a busy leader.
 	HeldBytes int
 }
 
--- a/internal/controlplane/replication/parts_test.go
+++ b/internal/controlplane/replication/parts_test.go
@@ -16,6 +16,8 @@
 	parts   int // of batches and snapshots in several parts
 	fetched int // parts of states that candidates asked for
 	largest int // bytes of entries in one message with more than one
+	// snapshots holds the snapshots that were begun, by receiver
+	snapshots map[string]map[Position]bool
 }
 
 // checkSize notes a message, and that none carries more than a part.
@@ -47,6 +49,20 @@
 	}
 }
 
+func (t *traffic) begun(receiver string, request any) {
+	m, isAppend := request.(appendRequest)
+	if !isAppend || !m.Snapshot {
+		return
+	}
+	if t.snapshots == nil {
+		t.snapshots = make(map[string]map[Position]bool)
+	}
+	if t.snapshots[receiver] == nil {
+		t.snapshots[receiver] = make(map[Position]bool)
+	}
+	t.snapshots[receiver][m.Position] = true
+}
+
 // narrow limits make every state and many batches travel in parts, and lose the batches that a replica lacks soon.
 var narrow = Limits{PartBytes: 200, KeptBatches: 3, KeptBytes: 500, HeldBytes: 20_000}
 
--- a/internal/controlplane/replication/sending.go
+++ b/internal/controlplane/replication/sending.go
@@ -80,7 +80,7 @@
 			return
 		}
 		follower.transfer = l.newTransfer(true, Position{}, replica.position, entriesOf(replica.state()))
-		l.holdHistory()
+		follower.lagging = true
 		l.send(address, follower)
 	})
 }
@@ -92,7 +92,6 @@
 	if ended == nil || !ended.request.Snapshot {
 		return
 	}
-	l.holdHistory()
 	l.core.released(address)
 }
 
@@ -106,11 +105,11 @@
 	}
 }
 
-// holdHistory keeps more batches while a follower is being sent a snapshot.
+// holdHistory keeps more batches while a follower that answers is catching up from a snapshot.
 func (l *leadership) holdHistory() {
 	l.history.held = false
 	for _, follower := range l.followers {
-		if follower.transfer != nil && follower.transfer.request.Snapshot {
+		if follower.lagging && l.core.now-follower.followed <= l.core.timing.Transfer {
 			l.history.held = true
 		}
 	}
@@ -135,6 +134,9 @@
 // partAnswered notes where the follower is, and which part it wants.
 func (l *leadership) partAnswered(follower *follower, sending *transfer, reply appendReply) {
 	follower.position = reply.Position
+	if l.history.near(reply.Position) {
+		follower.lagging = false
+	}
 	follower.known = reply.Outcome == accepted || reply.Outcome == behind || reply.Outcome == gathering
 	if reply.Outcome == gathering && reply.Wanted < uint32(len(sending.parts)) {
 		sending.next = reply.Wanted
