--- a/cmd/puffinlink/agent.go
+++ b/cmd/puffinlink/agent.go
@@ -19,7 +19,7 @@
 // runAgent links a front machine to the control plane until the context ends, and a little longer.
 func runAgent(ctx context.Context, node *systemNode) error {
 	settings := node.settings
-	caller := transport.NewClient()
+	caller := transport.NewClientFor(settings.Cluster)
 	defer caller.Close()
 	link := agent.New(agent.Config{
 		Address: settings.InternalAddress(agentPeerOffset),
@@ -61,7 +61,8 @@
 		peers.Close()
 		return nil, fmt.Errorf("address for the proxy: %w", err)
 	}
-	peerMux, localMux := transport.NewMux(), transport.NewMux()
+	self := transport.NewIdentity(node.settings.Cluster, node.settings.NodeName)
+	peerMux, localMux := transport.NewMuxFor(self), transport.NewMuxFor(self)
 	link.Mount(peerMux)
 	link.MountLocal(localMux)
 	peerServer := serveInternal(peers, peerMux, node.log)
--- a/cmd/puffinlink/proxy.go
+++ b/cmd/puffinlink/proxy.go
@@ -33,7 +33,7 @@
 		front.Close()
 		return fmt.Errorf("listenAddresses.readiness: %w", err)
 	}
-	caller := transport.NewClient()
+	caller := transport.NewClientFor(settings.Cluster)
 	defer caller.Close()
 	var requests *proxy.RequestMetrics
 	if node.metrics != "" {
--- a/cmd/puffinlink/system_test.go
+++ b/cmd/puffinlink/system_test.go
@@ -201,13 +201,14 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		mux := transport.NewMux()
-		transport.Handle(mux, "/echo", func(_ context.Context, text string) (string, error) { return text, nil })
+		echo := transport.NewRepeatable[string, string]("/echo")
+		transport.Handle(mux, echo, func(_ context.Context, text string) (string, error) { return text, nil })
 		server := serveInternal(listener, mux, zap.NewNop())
 		defer server.Close()
 		caller := transport.NewClient()
 		defer caller.Close()
 		var reply string
-		So(caller.Call(context.Background(), listener.Addr().String(), "/echo", "x", &reply), ShouldBeNil)
+		So(caller.Call(context.Background(), listener.Addr().String(), echo.Route(), "x", &reply), ShouldBeNil)
 		So(reply, ShouldEqual, "x")
 	})
 }
--- a/internal/controlplane/configuration/learn.go
+++ b/internal/controlplane/configuration/learn.go
@@ -9,8 +9,8 @@
 	"puffinlink.example/puffinlink/internal/transport"
 )
 
-// LearnPath is served by core mixers: another one tells of a configuration that a majority holds.
-const LearnPath = "/configuration/learn"
+// LearnCall is served by core mixers: another one tells of a configuration that a majority holds.
+var LearnCall = transport.NewRepeatable[Learn, LearnReply]("/configuration/learn")
 
 // learnTimeout bounds one such call. A member that misses it finds the change by its own quorum reads.
 const learnTimeout = time.Second
@@ -27,7 +27,7 @@
 
 // Mount serves the calls of other members.
 func (c *Configurator) Mount(mux *transport.Mux) {
-	transport.Handle(mux, LearnPath, func(_ context.Context, learn Learn) (LearnReply, error) {
+	transport.Handle(mux, LearnCall, func(_ context.Context, learn Learn) (LearnReply, error) {
 		if err := c.learn(learn.Value); err != nil {
 			return LearnReply{}, err
 		}
@@ -54,8 +54,7 @@
 func (c *Configurator) tell(member string, value []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
 	defer cancel()
-	var reply LearnReply
-	if err := c.options.Caller.Call(ctx, member, LearnPath, Learn{Value: value}, &reply); err != nil {
+	if _, err := LearnCall.Call(ctx, c.options.Caller, member, Learn{Value: value}); err != nil {
 		c.options.Logger.Debug("member not told of the configuration", zap.String("member", member), zap.Error(err))
 	}
 }
--- a/internal/controlplane/configuration/race_test.go
+++ b/internal/controlplane/configuration/race_test.go
@@ -34,11 +34,11 @@
 	return n.random.Unit()
 }
 
-func (n *lossyNetwork) Call(ctx context.Context, address, path string, request, reply any) error {
+func (n *lossyNetwork) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	if err := n.travel(ctx); err != nil {
 		return err
 	}
-	if err := callMux(n.muxes[address], path, request, reply); err != nil {
+	if err := callMux(n.muxes[address], route, request, reply); err != nil {
 		return err
 	}
 	return n.travel(ctx)
--- a/internal/controlplane/configuration/register_test.go
+++ b/internal/controlplane/configuration/register_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -89,13 +90,13 @@
 }
 
 // callerFunc is a transport.Caller.
-type callerFunc func(ctx context.Context, address, path string, request, reply any) error
+type callerFunc func(ctx context.Context, address string, route transport.Route, request, reply any) error
 
-func (f callerFunc) Call(ctx context.Context, address, path string, request, reply any) error {
-	return f(ctx, address, path, request, reply)
+func (f callerFunc) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
+	return f(ctx, address, route, request, reply)
 }
 
-func unreachable(context.Context, string, string, any, any) error {
+func unreachable(context.Context, string, transport.Route, any, any) error {
 	return verdict.Unexecuted(errNoMajority, 0)
 }
 
--- a/internal/controlplane/configuration/run_test.go
+++ b/internal/controlplane/configuration/run_test.go
@@ -57,8 +57,8 @@
 		register := &fakeRegister{}
 		view := replicaset.View{Version: 1, Members: []string{"a:1", "b:1", "c:1"}}
 		muxes := make(map[string]*transport.Mux)
-		caller := callerFunc(func(ctx context.Context, address, path string, request, reply any) error {
-			return callMux(muxes[address], path, request, reply)
+		caller := callerFunc(func(ctx context.Context, address string, route transport.Route, request, reply any) error {
+			return callMux(muxes[address], route, request, reply)
 		})
 		members := make(map[string]*Configurator)
 		for _, address := range view.Members {
@@ -86,10 +86,10 @@
 			newer, err := State{Version: 7, Body: bodyOf(7, 1000)}.Encode()
 			So(err, ShouldBeNil)
 			var reply LearnReply
-			So(caller(context.Background(), "b:1", LearnPath, Learn{Value: newer}, &reply), ShouldBeNil)
-			So(caller(context.Background(), "b:1", LearnPath, Learn{Value: older}, &reply), ShouldBeNil)
+			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: newer}, &reply), ShouldBeNil)
+			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: older}, &reply), ShouldBeNil)
 			So(reply.Version, ShouldEqual, 7)
-			So(caller(context.Background(), "b:1", LearnPath, Learn{Value: []byte("\xc1")}, &reply), ShouldNotBeNil)
+			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: []byte("\xc1")}, &reply), ShouldNotBeNil)
 			version, _ := members["b:1"].Current()
 			So(version, ShouldEqual, 7)
 		})
@@ -102,13 +102,13 @@
 }
 
 // callMux serves a call without a network.
-func callMux(mux http.Handler, path string, request, reply any) error {
+func callMux(mux http.Handler, route transport.Route, request, reply any) error {
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
 	}
 	recorder := httptest.NewRecorder()
-	mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
+	mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, route.Path(), bytes.NewReader(body)))
 	if recorder.Code != http.StatusOK {
 		return errNoMajority
 	}
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -76,8 +76,8 @@
 	}
 	log.Info("store opened", zap.Any("opened", opened))
 	c := &Coordinator{
-		settings: settings, log: log, store: store, caller: transport.NewClient(),
-		searchers: worker.NewHTTPClient(), mux: transport.NewMux(),
+		settings: settings, log: log, store: store, caller: transport.NewClientFor(settings.Cluster),
+		searchers: worker.NewHTTPClient(), mux: transport.NewMuxFor(transport.NewIdentity(settings.Cluster, settings.NodeName)),
 	}
 	if err := c.assemble(); err != nil {
 		store.Close()
--- a/internal/controlplane/feed/feed.go
+++ b/internal/controlplane/feed/feed.go
@@ -2,16 +2,18 @@
 // and which mixers exist. A Digest names one state of it, so that a reader fetches only what it lacks.
 package feed
 
-// Paths of the internal calls.
-const (
-	// WatchPath is served by core mixers: it answers once something differs from the reader's digest.
-	WatchPath = "/feed/watch"
-	// ExchangePath is served by agents: digests first, then what the other lacks (epidemic reconciliation).
-	ExchangePath = "/feed/exchange"
-	// LocalPath is served by an agent on its own machine, to the proxy beside it.
-	LocalPath = "/feed/local"
-	// FrontPath is served by core mixers: they tell each other which agents asked them for news.
-	FrontPath = "/feed/front"
+import "puffinlink.example/puffinlink/internal/transport"
+
+// Internal calls. What they tell has versions, epochs or ages, and changes nothing when it comes again.
+var (
+	// WatchCall is served by core mixers: it answers once something differs from the reader's digest.
+	WatchCall = transport.NewRepeatable[Watch, WatchReply]("/feed/watch")
+	// ExchangeCall is served by agents: digests first, then what the other lacks (epidemic reconciliation).
+	ExchangeCall = transport.NewRepeatable[Exchange, Exchange]("/feed/exchange")
+	// LocalCall is served by an agent on its own machine, to the proxy beside it.
+	LocalCall = transport.NewRepeatable[Watch, WatchReply]("/feed/local")
+	// FrontCall is served by core mixers: they tell each other which agents asked them for news.
+	FrontCall = transport.NewRepeatable[Front, Front]("/feed/front")
 )
 
 // Leader is who leads a replication group. The higher epoch is the newer one.
--- a/internal/controlplane/feedserver/feedserver.go
+++ b/internal/controlplane/feedserver/feedserver.go
@@ -86,8 +86,8 @@
 
 // Mount serves the calls of agents and of other core mixers.
 func (s *Server) Mount(mux *transport.Mux) {
-	transport.Handle(mux, feed.WatchPath, s.watch)
-	transport.Handle(mux, feed.FrontPath, s.share)
+	transport.Handle(mux, feed.WatchCall, s.watch)
+	transport.Handle(mux, feed.FrontCall, s.share)
 }
 
 func (s *Server) watch(ctx context.Context, ask feed.Watch) (feed.WatchReply, error) {
--- a/internal/controlplane/feedserver/feedserver_test.go
+++ b/internal/controlplane/feedserver/feedserver_test.go
@@ -66,9 +66,9 @@
 // coreCaller reaches servers in the same process.
 type coreCaller map[string]*Server
 
-func (c coreCaller) Call(ctx context.Context, address, path string, request, reply any) error {
+func (c coreCaller) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	server, there := c[address]
-	if !there || path != feed.FrontPath {
+	if !there || route.Path() != feed.FrontCall.Path() {
 		return errors.New("unreachable")
 	}
 	answer, err := server.share(ctx, request.(feed.Front))
@@ -228,7 +228,7 @@
 		address := listening.Listener.Addr().String()
 		call := func(known feed.Digest) (reply feed.WatchReply) {
 			ask := feed.Watch{Known: known, WaitMS: 2000, Agent: "x:2"}
-			So(client.Call(context.Background(), address, feed.WatchPath, ask, &reply), ShouldBeNil)
+			So(client.Call(context.Background(), address, feed.WatchCall.Route(), ask, &reply), ShouldBeNil)
 			return reply
 		}
 		Convey("a call that waits brings the next change", func() {
@@ -252,7 +252,7 @@
 				}
 			}
 			var shared feed.Front
-			So(client.Call(context.Background(), address, feed.FrontPath, feed.Front{}, &shared), ShouldBeNil)
+			So(client.Call(context.Background(), address, feed.FrontCall.Route(), feed.Front{}, &shared), ShouldBeNil)
 			So(shared.Agents[0].Address, ShouldEqual, "x:2")
 		})
 	})
--- a/internal/controlplane/feedserver/run.go
+++ b/internal/controlplane/feedserver/run.go
@@ -107,8 +107,7 @@
 func (s *Server) shareWith(ctx context.Context, core string) {
 	bounded, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	var reply feed.Front
-	err := s.options.Caller.Call(bounded, core, feed.FrontPath, s.front.ages(time.Now()), &reply)
+	reply, err := feed.FrontCall.Call(bounded, s.options.Caller, core, s.front.ages(time.Now()))
 	if err != nil {
 		s.options.Logger.Debug("agents not shared", zap.String("core", core), zap.Error(err))
 		return
--- a/internal/controlplane/operations/fixture_test.go
+++ b/internal/controlplane/operations/fixture_test.go
@@ -19,6 +19,7 @@
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -100,7 +101,7 @@
 }
 
 // Call implements transport.Caller.
-func (c *core) Call(ctx context.Context, address, path string, request, reply any) error {
+func (c *core) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	if c.hold != nil {
 		c.held <- struct{}{}
 		select {
@@ -111,9 +112,9 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.calls = append(c.calls, address+path)
+	c.calls = append(c.calls, address+route.Path())
 	if c.fail != nil {
-		if err := c.fail(address, path); err != nil {
+		if err := c.fail(address, route.Path()); err != nil {
 			return err
 		}
 	}
--- a/internal/controlplane/operations/forward.go
+++ b/internal/controlplane/operations/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -47,14 +48,14 @@
 
 // ask calls the leader of a group, and whoever leads it next, until there is an answer or the time is over. All requests
 // of operators may be carried out twice.
-func (h *Handler) ask(ctx context.Context, group, path string, request, reply any) error {
+func (h *Handler) ask(ctx context.Context, group string, route transport.RepeatableRoute, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
 	worst := verdict.Unexecuted(errNoLeader, 0)
 	for {
 		changed := h.options.Sources.Changed()
 		if leader := h.options.Sources.Leaders()[group]; leader.Address != "" {
-			err := h.try(ctx, leader.Address, path, request, reply)
+			err := h.try(ctx, leader.Address, route, request, reply)
 			if err == nil {
 				return nil
 			}
@@ -66,10 +67,10 @@
 	}
 }
 
-func (h *Handler) try(ctx context.Context, leader, path string, request, reply any) error {
+func (h *Handler) try(ctx context.Context, leader string, route transport.RepeatableRoute, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTime)
 	defer cancel()
-	return h.options.Caller.Call(ctx, leader, path, request, reply)
+	return h.options.Caller.Call(ctx, leader, route, request, reply)
 }
 
 // worse is the error to report of two tries: one that may have been carried out outweighs all others, else the later.
@@ -100,12 +101,12 @@
 }
 
 // askAll asks the leaders of several groups at the same time. The answers have the order of the groups.
-func askAll[Reply any](ctx context.Context, h *Handler, groups []string, path string, request func(group string) any) []answer[Reply] {
+func askAll[Reply any](ctx context.Context, h *Handler, groups []string, route transport.RepeatableRoute, request func(group string) any) []answer[Reply] {
 	answers := make([]answer[Reply], len(groups))
 	var calls sync.WaitGroup
 	for i, group := range groups {
 		answers[i].group = group
-		calls.Go(func() { answers[i].err = h.ask(ctx, group, path, request(group), &answers[i].reply) })
+		calls.Go(func() { answers[i].err = h.ask(ctx, group, route, request(group), &answers[i].reply) })
 	}
 	calls.Wait()
 	return answers
--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return list, err
 	}
-	answers := askAll[jobreport.JobsReply](r.Context(), h, groups, jobreport.JobsPath, func(group string) any {
+	answers := askAll[jobreport.JobsReply](r.Context(), h, groups, jobreport.JobsCall.Route(), func(group string) any {
 		return jobreport.JobsRequest{Group: group, State: state, Limit: limit}
 	})
 	if list.Unanswered, err = unanswered(answers); err != nil {
@@ -99,7 +99,7 @@
 	if err != nil {
 		return found{}, err
 	}
-	answers := askAll[jobreport.JobReply](r.Context(), h, groups, jobreport.JobPath, func(group string) any {
+	answers := askAll[jobreport.JobReply](r.Context(), h, groups, jobreport.JobCall.Route(), func(group string) any {
 		return jobreport.JobRequest{Group: group, ID: id}
 	})
 	return oneOf(id, answers)
@@ -147,7 +147,7 @@
 	}
 	var reply jobreport.WhyReply
 	request := jobreport.WhyRequest{Group: match.group, ID: match.detail.ID}
-	if err := h.ask(r.Context(), match.group, jobreport.WhyPath, request, &reply); err != nil {
+	if err := h.ask(r.Context(), match.group, jobreport.WhyCall.Route(), request, &reply); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -172,5 +172,5 @@
 		return failed(http.StatusConflict, fmt.Sprintf("job %s has already ended: it is %s", match.detail.ID, match.detail.State))
 	}
 	var reply jobapi.Cancelled
-	return h.ask(ctx, match.group, jobapi.CancelPath, jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
+	return h.ask(ctx, match.group, jobapi.CancelCall.Route(), jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
 }
--- a/internal/controlplane/operations/jobs_test.go
+++ b/internal/controlplane/operations/jobs_test.go
@@ -112,7 +112,7 @@
 				return errNotLeader
 			}
 			So(ask(c.handler(), "GET", JobsPath+"/"+stressJob+"?service=stress", nil).Code, ShouldEqual, http.StatusOK)
-			So(c.calls[len(c.calls)-1], ShouldEqual, "10.0.0.3:7660"+jobreport.JobPath)
+			So(c.calls[len(c.calls)-1], ShouldEqual, "10.0.0.3:7660"+jobreport.JobCall.Path())
 		})
 		Convey("a request during a change waits for the new leader, and no longer", func() {
 			delete(c.leaders, "jobs/stress")
--- a/internal/controlplane/operations/searchers.go
+++ b/internal/controlplane/operations/searchers.go
@@ -13,7 +13,7 @@
 		writeError(w, err)
 		return
 	}
-	answers := askAll[jobreport.SearchersReply](r.Context(), h, groups, jobreport.SearchersPath,
+	answers := askAll[jobreport.SearchersReply](r.Context(), h, groups, jobreport.SearchersCall.Route(),
 		func(group string) any { return jobreport.SearchersRequest{Group: group} })
 	var list Searchers
 	if list.Unanswered, err = unanswered(answers); err != nil {
@@ -37,7 +37,7 @@
 		return
 	}
 	id := r.PathValue("id")
-	answers := askAll[jobreport.DrainReply](r.Context(), h, groups, jobreport.DrainPath, func(group string) any {
+	answers := askAll[jobreport.DrainReply](r.Context(), h, groups, jobreport.DrainCall.Route(), func(group string) any {
 		return jobreport.DrainRequest{Group: group, Searcher: id, Draining: draining}
 	})
 	var failure error
--- a/internal/controlplane/operations/status.go
+++ b/internal/controlplane/operations/status.go
@@ -59,7 +59,7 @@
 
 func (h *Handler) summarize(ctx context.Context, name string, group *Group) {
 	var reply jobreport.SummaryReply
-	err := h.try(ctx, group.Leader, jobreport.SummaryPath, jobreport.SummaryRequest{Group: name}, &reply)
+	err := h.try(ctx, group.Leader, jobreport.SummaryCall.Route(), jobreport.SummaryRequest{Group: name}, &reply)
 	if err != nil {
 		group.Error = err.Error()
 		return
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -32,13 +32,16 @@
 	View   replicaset.View `msgpack:"v"` // that it works with
 }
 
+// dumpCall asks for it. The copy is as of when it is made.
+var dumpCall = transport.NewRepeatable[dumpRequest, dumpReply]("/rebuild/dump")
+
 // dumpReply is that copy, as of one moment after its giver learned the view.
 type dumpReply struct {
 	Tables storage.Tables `msgpack:"t"`
 }
 
 // Serve registers the internal call by which others rebuild.
-func (r *Rebuilder) Serve(mux *transport.Mux) { transport.Handle(mux, dumpPath, r.dump) }
+func (r *Rebuilder) Serve(mux *transport.Mux) { transport.Handle(mux, dumpCall, r.dump) }
 
 func (r *Rebuilder) dump(_ context.Context, request dumpRequest) (dumpReply, error) {
 	if !r.Ready() {
@@ -110,7 +113,6 @@
 func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
 	defer cancel()
-	var reply dumpReply
-	err := r.config.Caller.Call(ctx, member, dumpPath, dumpRequest{Member: r.config.Self, View: view}, &reply)
+	reply, err := dumpCall.Call(ctx, r.config.Caller, member, dumpRequest{Member: r.config.Self, View: view})
 	return reply.Tables, err
 }
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -34,7 +34,6 @@
 	completeKey = "complete"
 	askInterval = 250 * time.Millisecond
 	dumpLimit   = 10 * time.Second
-	dumpPath    = "/rebuild/dump"
 )
 
 var (
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -66,9 +66,9 @@
 
 // Serve registers the acceptor's internal calls.
 func (a *Acceptor) Serve(mux *transport.Mux) {
-	transport.Handle(mux, preparePath(a.config.Name), a.prepare)
-	transport.Handle(mux, acceptPath(a.config.Name), a.accept)
-	transport.Handle(mux, readPath(a.config.Name), a.read)
+	transport.Handle(mux, prepareCall(a.config.Name), a.prepare)
+	transport.Handle(mux, acceptCall(a.config.Name), a.accept)
+	transport.Handle(mux, readCall(a.config.Name), a.read)
 }
 
 // prepare promises to refuse lower ballots. A ballot is promised once only, so that two proposers never share one.
--- a/internal/controlplane/register/cluster_test.go
+++ b/internal/controlplane/register/cluster_test.go
@@ -155,9 +155,9 @@
 		acceptor.Serve(mux)
 		return
 	}
-	transport.Handle(mux, preparePath(testRegister), acceptor.prepare)
-	transport.Handle(mux, acceptPath(testRegister), c.mutant.accept(acceptor))
-	transport.Handle(mux, readPath(testRegister), acceptor.read)
+	transport.Handle(mux, prepareCall(testRegister), acceptor.prepare)
+	transport.Handle(mux, acceptCall(testRegister), c.mutant.accept(acceptor))
+	transport.Handle(mux, readCall(testRegister), acceptor.read)
 }
 
 // proposer makes a register at an address; without an acceptor it is that of a process that is no member.
--- a/internal/controlplane/register/messages.go
+++ b/internal/controlplane/register/messages.go
@@ -1,6 +1,9 @@
 package register
 
-import "puffinlink.example/puffinlink/internal/controlplane/replicaset"
+import (
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/transport"
+)
 
 // outcome is an acceptor's decision on a request.
 type outcome uint8
@@ -38,6 +41,15 @@
 	State    state           `msgpack:"s"` // not in answers to accept requests
 }
 
-func preparePath(name string) string { return "/register/" + name + "/prepare" }
-func acceptPath(name string) string  { return "/register/" + name + "/accept" }
-func readPath(name string) string    { return "/register/" + name + "/read" }
+// Internal calls of the register of a name. Votes under one ballot are alike whenever and however often they are given.
+func prepareCall(name string) transport.Repeatable[prepareRequest, reply] {
+	return transport.NewRepeatable[prepareRequest, reply]("/register/" + name + "/prepare")
+}
+
+func acceptCall(name string) transport.Repeatable[acceptRequest, reply] {
+	return transport.NewRepeatable[acceptRequest, reply]("/register/" + name + "/accept")
+}
+
+func readCall(name string) transport.Repeatable[readRequest, reply] {
+	return transport.NewRepeatable[readRequest, reply]("/register/" + name + "/read")
+}
--- a/internal/controlplane/register/register.go
+++ b/internal/controlplane/register/register.go
@@ -123,28 +123,25 @@
 	return member == r.config.Self && r.config.Acceptor != nil
 }
 
-func (r *Register) prepare(ctx context.Context, member string, request prepareRequest) (answer reply, err error) {
+func (r *Register) prepare(ctx context.Context, member string, request prepareRequest) (reply, error) {
 	if r.own(member) {
 		return r.config.Acceptor.prepare(ctx, request)
 	}
-	err = r.config.Caller.Call(ctx, member, preparePath(r.config.Name), request, &answer)
-	return answer, err
+	return prepareCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
 }
 
-func (r *Register) accept(ctx context.Context, member string, request acceptRequest) (answer reply, err error) {
+func (r *Register) accept(ctx context.Context, member string, request acceptRequest) (reply, error) {
 	if r.own(member) {
 		return r.config.Acceptor.accept(ctx, request)
 	}
-	err = r.config.Caller.Call(ctx, member, acceptPath(r.config.Name), request, &answer)
-	return answer, err
+	return acceptCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
 }
 
-func (r *Register) read(ctx context.Context, member string, request readRequest) (answer reply, err error) {
+func (r *Register) read(ctx context.Context, member string, request readRequest) (reply, error) {
 	if r.own(member) {
 		return r.config.Acceptor.read(ctx, request)
 	}
-	err = r.config.Caller.Call(ctx, member, readPath(r.config.Name), request, &answer)
-	return answer, err
+	return readCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
 }
 
 // unchanged tells whether a function left a value as it was.
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -38,9 +38,9 @@
 }
 
 // Call implements transport.Caller.
-func (c *countingCaller) Call(ctx context.Context, address, path string, request, reply any) error {
+func (c *countingCaller) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	c.calls.Add(1)
-	return c.Caller.Call(ctx, address, path, request, reply)
+	return c.Caller.Call(ctx, address, route, request, reply)
 }
 
 func TestErrorsCarryAVerdict(t *testing.T) {
--- a/internal/controlplane/register/round_test.go
+++ b/internal/controlplane/register/round_test.go
@@ -22,8 +22,8 @@
 func lostInTheMiddle(t *testing.T, limit time.Duration) (acknowledged, kept bool) {
 	synctest.Test(t, func(*testing.T) {
 		c := newCluster(1, 3, nil)
-		c.network.AddRule(networktest.Rule{From: outsider, To: "member-1", Path: acceptPath(testRegister), Lose: true, Times: 1})
-		c.network.AddRule(networktest.Rule{From: outsider, To: "member-0", Path: acceptPath(testRegister), Delay: 5 * time.Second, Times: 1})
+		c.network.AddRule(networktest.Rule{From: outsider, To: "member-1", Path: acceptCall(testRegister).Path(), Lose: true, Times: 1})
+		c.network.AddRule(networktest.Rule{From: outsider, To: "member-0", Path: acceptCall(testRegister).Path(), Delay: 5 * time.Second, Times: 1})
 		proposer := c.proposer(outsider, nil)
 		proposer.roundLimit = limit
 		changed := make(chan error, 1)
--- a/internal/controlplane/replicaset/exchange.go
+++ b/internal/controlplane/replicaset/exchange.go
@@ -11,11 +11,11 @@
 	"puffinlink.example/puffinlink/internal/transport"
 )
 
-// Paths of the internal calls.
-const (
-	viewPath     = "/replicaset/view"
-	announcePath = "/replicaset/announce"
-	leavePath    = "/replicaset/leave"
+// Internal calls. A goodbye that came a second time, or late, would end the membership of one that is back.
+var (
+	viewCall     = transport.NewRepeatable[viewRequest, viewReply]("/replicaset/view")
+	announceCall = transport.NewRepeatable[announceRequest, viewReply]("/replicaset/announce")
+	leaveCall    = transport.NewOnce[leaveRequest, leaveReply]("/replicaset/leave")
 )
 
 // callLimit bounds each of the internal calls.
@@ -52,8 +52,8 @@
 }
 
 func exchange(ctx context.Context, caller transport.Caller, address string, known View) (View, error) {
-	var reply viewReply
-	if err := caller.Call(ctx, address, viewPath, viewRequest{View: known}, &reply); err != nil {
+	reply, err := viewCall.Call(ctx, caller, address, viewRequest{View: known})
+	if err != nil {
 		return View{}, fmt.Errorf("ask for the replicas: %w", err)
 	}
 	return reply.View, nil
@@ -61,9 +61,9 @@
 
 // Serve registers the internal calls.
 func (m *Manager) Serve(mux *transport.Mux) {
-	transport.Handle(mux, viewPath, m.handleView)
-	transport.Handle(mux, announcePath, m.handleAnnounce)
-	transport.Handle(mux, leavePath, m.handleLeave)
+	transport.Handle(mux, viewCall, m.handleView)
+	transport.Handle(mux, announceCall, m.handleAnnounce)
+	transport.Handle(mux, leaveCall, m.handleLeave)
 }
 
 func (m *Manager) handleView(_ context.Context, request viewRequest) (viewReply, error) {
@@ -140,9 +140,9 @@
 
 // announceTo tells another process of this one, and takes its view.
 func (m *Manager) announceTo(ctx context.Context, address string) {
-	var reply viewReply
 	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, View: m.View()}
-	if err := m.config.Caller.Call(ctx, address, announcePath, request, &reply); err != nil {
+	reply, err := announceCall.Call(ctx, m.config.Caller, address, request)
+	if err != nil {
 		m.config.Logger.Debug("announce", zap.String("to", address), zap.Error(err))
 		return
 	}
--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -6,19 +6,16 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"puffinlink.example/puffinlink/internal/transport"
-	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 // Faults are what a network does to each request and each reply on its own.
@@ -90,10 +87,13 @@
 	n.cut[address] = cut
 }
 
-// Caller returns the Caller of the process at an address.
-func (n *Network) Caller(from string) transport.Caller { return &caller{n, from} }
+// Caller returns the Caller of the process at an address. It keeps what it learns of others like that of a real process.
+func (n *Network) Caller(from string) transport.Caller {
+	return transport.NewClientOver("", &carrier{n, from})
+}
 
-type caller struct {
+// carrier brings one process's requests to their addresses.
+type carrier struct {
 	network *Network
 	from    string
 }
@@ -104,24 +104,31 @@
 	delay time.Duration
 }
 
-// Call implements transport.Caller.
-func (c *caller) Call(ctx context.Context, address, path string, request, reply any) error {
-	body, err := msgpack.Marshal(request)
+// RoundTrip implements http.RoundTripper.
+func (c *carrier) RoundTrip(request *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(request.Body)
 	if err != nil {
-		return verdict.Unexecuted(err, 0)
+		return nil, err
 	}
-	replies := make(chan *httptest.ResponseRecorder, 2)
+	ctx, address, path := request.Context(), request.URL.Host, request.URL.Path
+	replies := make(chan arrival, 2)
 	for _, way := range c.network.requests(c.from, address, path) {
-		go c.network.deliver(ctx, way, c.from, address, path, body, replies)
+		go c.network.deliver(ctx, way, c.from, address, path, request.Header, body, replies)
 	}
 	select {
 	case answer := <-replies:
-		return decode(address, path, answer, reply)
+		return answer.response, answer.err
 	case <-ctx.Done():
-		return verdict.Unclear(fmt.Errorf("call %s%s: %w", address, path, context.Cause(ctx)))
+		return nil, context.Cause(ctx)
 	}
 }
 
+// arrival is an answer, or the failure to reach anybody.
+type arrival struct {
+	response *http.Response
+	err      error
+}
+
 // requests draws how a request fares: once or, where it is doubled, twice.
 func (n *Network) requests(from, to, path string) []message {
 	n.mutex.Lock()
@@ -170,12 +177,12 @@
 }
 
 // deliver carries a request to its handler and the reply back.
-func (n *Network) deliver(ctx context.Context, way message, from, to, path string, body []byte, replies chan<- *httptest.ResponseRecorder) {
+func (n *Network) deliver(ctx context.Context, way message, from, to, path string, header http.Header, body []byte, replies chan<- arrival) {
 	travel(way.delay)
 	if way.lost || n.separated(from, to) {
 		return
 	}
-	answer := n.handle(to, path, body)
+	answer := n.handle(to, path, header, body)
 	back := n.answer()
 	travel(back.delay)
 	if back.lost || n.separated(from, to) || ctx.Err() != nil {
@@ -197,28 +204,16 @@
 	return n.cut[from] || n.cut[to]
 }
 
-func (n *Network) handle(to, path string, body []byte) *httptest.ResponseRecorder {
+func (n *Network) handle(to, path string, header http.Header, body []byte) arrival {
 	n.mutex.Lock()
 	handler := n.handlers[to]
 	n.mutex.Unlock()
-	answer := httptest.NewRecorder()
 	if handler == nil {
-		http.Error(answer, errUnreachable.Error(), http.StatusServiceUnavailable)
-		return answer
-	}
-	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
-	return answer
-}
-
-// decode reads a reply as transport.Client does.
-func decode(address, path string, answer *httptest.ResponseRecorder, reply any) error {
-	switch answer.Code {
-	case http.StatusOK:
-		return msgpack.Unmarshal(answer.Body.Bytes(), reply)
-	case http.StatusServiceUnavailable, http.StatusNotFound:
-		milliseconds, _ := strconv.Atoi(answer.Header().Get(transport.RetryAfterHeader))
-		pause := time.Duration(milliseconds) * time.Millisecond
-		return verdict.Unexecuted(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body), pause)
+		return arrival{err: &net.OpError{Op: "dial", Net: "memory", Err: errUnreachable}}
 	}
-	return verdict.Unclear(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body))
+	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
+	request.Header = header.Clone()
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, request)
+	return arrival{response: answer.Result()}
 }
--- a/internal/controlplane/replicaset/replacement.go
+++ b/internal/controlplane/replicaset/replacement.go
@@ -154,7 +154,7 @@
 	var calls sync.WaitGroup
 	for _, address := range m.without(view.Members) {
 		calls.Go(func() {
-			if err := m.config.Caller.Call(ctx, address, leavePath, leaveRequest{Address: m.config.Self}, &leaveReply{}); err != nil {
+			if _, err := leaveCall.Call(ctx, m.config.Caller, address, leaveRequest{Address: m.config.Self}); err != nil {
 				m.config.Logger.Debug("goodbye", zap.String("to", address), zap.Error(err))
 			}
 		})
--- a/internal/controlplane/replication/campaign.go
+++ b/internal/controlplane/replication/campaign.go
@@ -57,7 +57,7 @@
 func (c *campaign) ask(address string, request prepareRequest) {
 	core := c.group.core
 	reply := new(prepareReply)
-	core.call(address, preparePath, core.timing.Round, request, reply, func(err error) {
+	core.call(address, prepareCall.Route(), core.timing.Round, request, reply, func(err error) {
 		c.take(address, request, *reply, err)
 	})
 }
--- a/internal/controlplane/replication/core.go
+++ b/internal/controlplane/replication/core.go
@@ -11,6 +11,7 @@
 	"puffinlink.example/puffinlink/internal/chance"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
 // maxPings is how many pings may wait for one member's answer.
@@ -24,7 +25,8 @@
 
 // call is a request that the core wants sent. done runs within a step.
 type call struct {
-	address, path  string
+	address        string
+	route          transport.Route
 	limit          time.Duration
 	request, reply any
 	done           func(err error)
@@ -139,8 +141,8 @@
 	}
 }
 
-func (c *core) call(address, path string, limit time.Duration, request, reply any, done func(err error)) {
-	c.effects.calls = append(c.effects.calls, call{address, path, limit, request, reply, done})
+func (c *core) call(address string, route transport.Route, limit time.Duration, request, reply any, done func(err error)) {
+	c.effects.calls = append(c.effects.calls, call{address, route, limit, request, reply, done})
 }
 
 func (c *core) write(changes []storage.Change, done func(err error)) {
@@ -222,17 +224,17 @@
 	return c.ready && c.writes() && c.view.Version > 0 && c.view.Has(c.self) && g.exists()
 }
 
-// prepare serves preparePath.
+// prepare serves prepareCall.
 func (c *core) prepare(request prepareRequest, reply func(prepareReply)) {
 	c.group(request.Group).replica.prepare(request, reply)
 }
 
-// append serves appendPath.
+// append serves appendCall.
 func (c *core) append(request appendRequest, reply func(appendReply)) {
 	c.group(request.Group).replica.append(request, reply)
 }
 
-// resigned serves resignPath.
+// resigned serves resignCall.
 func (c *core) resigned(request resignRequest) {
 	if request.Leaving {
 		c.members.at(request.From).heard = never
@@ -240,7 +242,7 @@
 	c.group(request.Group).resigned(request.Epoch)
 }
 
-// ping serves pingPath.
+// ping serves pingCall.
 func (c *core) ping(request pingRequest, reply func(pingReply)) {
 	sender := c.members.at(request.From)
 	sender.heard, sender.ready = c.now, request.Ready
@@ -286,7 +288,7 @@
 	peer.pings++
 	sent := c.now
 	reply := new(pingReply)
-	c.call(address, pingPath, c.timing.LeaderLease, request, reply, func(err error) {
+	c.call(address, pingCall.Route(), c.timing.LeaderLease, request, reply, func(err error) {
 		peer.pings--
 		if err == nil {
 			peer.answered = max(peer.answered, sent)
--- a/internal/controlplane/replication/leadership.go
+++ b/internal/controlplane/replication/leadership.go
@@ -259,6 +259,6 @@
 		if address == l.core.self {
 			continue
 		}
-		l.core.call(address, resignPath, l.core.timing.Beat, request, new(resignReply), func(error) {})
+		l.core.call(address, resignCall.Route(), l.core.timing.Beat, request, new(resignReply), func(error) {})
 	}
 }
--- a/internal/controlplane/replication/messages.go
+++ b/internal/controlplane/replication/messages.go
@@ -7,14 +7,18 @@
 // goroutines nor sockets and take the time as an argument. Node runs a core on a real clock, store and network.
 package replication
 
-import "puffinlink.example/puffinlink/internal/controlplane/feed"
+import (
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/transport"
+)
 
-// Paths of the internal calls.
-const (
-	preparePath = "/replication/prepare"
-	appendPath  = "/replication/append"
-	pingPath    = "/replication/ping"
-	resignPath  = "/replication/resign"
+// Internal calls. Votes, batches and heartbeats have epochs and positions, so that one that comes again changes nothing.
+// A resignation that came late would make a process that is back count as gone.
+var (
+	prepareCall = transport.NewRepeatable[prepareRequest, prepareReply]("/replication/prepare")
+	appendCall  = transport.NewRepeatable[appendRequest, appendReply]("/replication/append")
+	pingCall    = transport.NewRepeatable[pingRequest, pingReply]("/replication/ping")
+	resignCall  = transport.NewOnce[resignRequest, resignReply]("/replication/resign")
 )
 
 // Entry sets one key of a group's state. A nil Value deletes the key. The empty key is not allowed.
--- a/internal/controlplane/replication/node.go
+++ b/internal/controlplane/replication/node.go
@@ -82,16 +82,16 @@
 
 // Serve adds the node's internal calls to a mux.
 func (n *Node) Serve(mux *transport.Mux) {
-	transport.Handle(mux, preparePath, func(ctx context.Context, request prepareRequest) (prepareReply, error) {
+	transport.Handle(mux, prepareCall, func(ctx context.Context, request prepareRequest) (prepareReply, error) {
 		return serve(ctx, n, func(reply func(prepareReply)) { n.core.prepare(request, reply) })
 	})
-	transport.Handle(mux, appendPath, func(ctx context.Context, request appendRequest) (appendReply, error) {
+	transport.Handle(mux, appendCall, func(ctx context.Context, request appendRequest) (appendReply, error) {
 		return serve(ctx, n, func(reply func(appendReply)) { n.core.append(request, reply) })
 	})
-	transport.Handle(mux, pingPath, func(ctx context.Context, request pingRequest) (pingReply, error) {
+	transport.Handle(mux, pingCall, func(ctx context.Context, request pingRequest) (pingReply, error) {
 		return serve(ctx, n, func(reply func(pingReply)) { n.core.ping(request, reply) })
 	})
-	transport.Handle(mux, resignPath, func(ctx context.Context, request resignRequest) (resignReply, error) {
+	transport.Handle(mux, resignCall, func(ctx context.Context, request resignRequest) (resignReply, error) {
 		return serve(ctx, n, func(reply func(resignReply)) {
 			n.core.resigned(request)
 			reply(resignReply{})
@@ -173,7 +173,7 @@
 	defer n.tasks.Done()
 	ctx, cancel := context.WithTimeout(n.ctx, one.limit)
 	defer cancel()
-	err := n.config.Caller.Call(ctx, one.address, one.path, one.request, one.reply)
+	err := n.config.Caller.Call(ctx, one.address, one.route, one.request, one.reply)
 	return n.step(func() { one.done(err) })
 }
 
--- a/internal/controlplane/replication/node_test.go
+++ b/internal/controlplane/replication/node_test.go
@@ -106,11 +106,11 @@
 }
 
 // Call implements transport.Caller.
-func (r *running) Call(ctx context.Context, address, path string, request, reply any) error {
+func (r *running) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	if r.killed.Load() {
 		return errors.New("killed")
 	}
-	return r.client.Call(ctx, address, path, request, reply)
+	return r.client.Call(ctx, address, route, request, reply)
 }
 
 // kill ends a node's contact with the others at once, and then the node itself.
--- a/internal/controlplane/replication/sending.go
+++ b/internal/controlplane/replication/sending.go
@@ -44,7 +44,7 @@
 	follower.sending = true
 	sent := l.core.now
 	reply := new(appendReply)
-	l.core.call(address, appendPath, limit, request, reply, func(err error) {
+	l.core.call(address, appendCall.Route(), limit, request, reply, func(err error) {
 		done()
 		follower.sending = false
 		follower.settled = l.core.now
--- a/internal/controlplane/replication/simulatednode_test.go
+++ b/internal/controlplane/replication/simulatednode_test.go
@@ -259,21 +259,21 @@
 		})
 	}
 	n.step(func() {
-		switch one.path {
-		case preparePath:
+		switch one.route.Path() {
+		case prepareCall.Path():
 			request := decode[prepareRequest](body)
 			n.disguise(&request.View)
 			n.core.prepare(request, func(r prepareReply) { reply(r) })
-		case appendPath:
+		case appendCall.Path():
 			request := decode[appendRequest](body)
 			n.spoil(request)
 			n.disguise(&request.View)
 			n.core.append(request, func(r appendReply) { reply(r) })
-		case pingPath:
+		case pingCall.Path():
 			request := decode[pingRequest](body)
 			n.disguise(&request.View)
 			n.core.ping(request, func(r pingReply) { reply(r) })
-		case resignPath:
+		case resignCall.Path():
 			n.core.resigned(decode[resignRequest](body))
 			reply(resignReply{})
 		}
--- a/internal/dataplane/agent/agent.go
+++ b/internal/dataplane/agent/agent.go
@@ -70,10 +70,10 @@
 func (a *Agent) InContact() bool { return a.contact.left(time.Now()) > 0 }
 
 // Mount serves the calls of other agents.
-func (a *Agent) Mount(mux *transport.Mux) { transport.Handle(mux, feed.ExchangePath, a.handleExchange) }
+func (a *Agent) Mount(mux *transport.Mux) { transport.Handle(mux, feed.ExchangeCall, a.handleExchange) }
 
 // MountLocal serves the calls of the proxy on the same machine.
-func (a *Agent) MountLocal(mux *transport.Mux) { transport.Handle(mux, feed.LocalPath, a.handleLocal) }
+func (a *Agent) MountLocal(mux *transport.Mux) { transport.Handle(mux, feed.LocalCall, a.handleLocal) }
 
 // candidates lists the core mixers to follow: those that the feed names, and then the seeds.
 func (a *Agent) candidates() []string {
--- a/internal/dataplane/agent/agent_test.go
+++ b/internal/dataplane/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
 // settled is long enough for all agents to be heard of at every core mixer and back at every agent.
@@ -46,9 +47,9 @@
 			watches, exchanges := 0, 0
 			for call, count := range w.network.countCalls() {
 				switch call.path {
-				case feed.WatchPath:
+				case feed.WatchCall.Path():
 					watches += count
-				case feed.ExchangePath:
+				case feed.ExchangeCall.Path():
 					exchanges += count
 				}
 			}
@@ -65,7 +66,7 @@
 			<-time.After(time.Second)
 			followers := make(map[string]int)
 			for call := range w.network.countCalls() {
-				if call.path == feed.WatchPath {
+				if call.path == feed.WatchCall.Path() {
 					followers[call.to]++
 				}
 			}
@@ -100,7 +101,7 @@
 			<-time.After(time.Second)
 			back := false
 			for call := range w.network.countCalls() {
-				back = back || call.to == "core-1" && call.path == feed.WatchPath
+				back = back || call.to == "core-1" && call.path == feed.WatchCall.Path()
 			}
 			So(back, ShouldBeTrue)
 			allInContact()
@@ -123,7 +124,7 @@
 			w.network.countCalls()
 			<-time.After(time.Second)
 			for call, count := range w.network.countCalls() {
-				if call.path == feed.WatchPath {
+				if call.path == feed.WatchCall.Path() {
 					So(count, ShouldBeLessThanOrEqualTo, 2)
 				}
 			}
@@ -155,7 +156,7 @@
 // oneAnswer is a transport.Caller that gets the same answer from everyone.
 type oneAnswer feed.WatchReply
 
-func (o oneAnswer) Call(_ context.Context, _, _ string, _, reply any) error {
+func (o oneAnswer) Call(_ context.Context, _ string, _ transport.Route, _, reply any) error {
 	*reply.(*feed.WatchReply) = feed.WatchReply(o)
 	return nil
 }
--- a/internal/dataplane/agent/exchange.go
+++ b/internal/dataplane/agent/exchange.go
@@ -48,8 +48,7 @@
 func (a *Agent) exchange(ctx context.Context, peer string) error {
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	var reply feed.Exchange
-	err := a.config.Caller.Call(bounded, peer, feed.ExchangePath, feed.Exchange{Known: a.digest()}, &reply)
+	reply, err := feed.ExchangeCall.Call(bounded, a.config.Caller, peer, feed.Exchange{Known: a.digest()})
 	if err != nil {
 		return err
 	}
@@ -58,8 +57,8 @@
 	if news == nil {
 		return nil
 	}
-	var ignored feed.Exchange
-	return a.config.Caller.Call(bounded, peer, feed.ExchangePath, feed.Exchange{Known: a.digest(), Snapshot: news}, &ignored)
+	_, err = feed.ExchangeCall.Call(bounded, a.config.Caller, peer, feed.Exchange{Known: a.digest(), Snapshot: news})
+	return err
 }
 
 func (a *Agent) handleExchange(_ context.Context, ask feed.Exchange) (feed.Exchange, error) {
--- a/internal/dataplane/agent/follow.go
+++ b/internal/dataplane/agent/follow.go
@@ -111,8 +111,8 @@
 		Agent:    a.config.Address,
 		Suspects: a.peers.suspects(),
 	}
-	var reply feed.WatchReply
-	if err := a.config.Caller.Call(bounded, core, feed.WatchPath, ask, &reply); err != nil {
+	reply, err := feed.WatchCall.Call(bounded, a.config.Caller, core, ask)
+	if err != nil {
 		return false, err
 	}
 	progress = a.take(reply)
--- a/internal/dataplane/agent/local_test.go
+++ b/internal/dataplane/agent/local_test.go
@@ -81,12 +81,12 @@
 			replies := make(chan feed.WatchReply, 1)
 			go func() {
 				var reply feed.WatchReply
-				client.Call(context.Background(), address, feed.LocalPath, feed.Watch{WaitMS: 2000}, &reply)
+				client.Call(context.Background(), address, feed.LocalCall.Route(), feed.Watch{WaitMS: 2000}, &reply)
 				replies <- reply
 			}()
 			news := &feed.Snapshot{ConfigurationVersion: 5, Configuration: []byte("configuration 5")}
 			var answer feed.Exchange
-			So(client.Call(context.Background(), address, feed.ExchangePath, feed.Exchange{Snapshot: news}, &answer), ShouldBeNil)
+			So(client.Call(context.Background(), address, feed.ExchangeCall.Route(), feed.Exchange{Snapshot: news}, &answer), ShouldBeNil)
 			So(answer.Known.ConfigurationVersion, ShouldEqual, 5)
 			reply := <-replies
 			So(reply.Snapshot.ConfigurationVersion, ShouldEqual, 5)
--- a/internal/dataplane/agent/network_test.go
+++ b/internal/dataplane/agent/network_test.go
@@ -76,10 +76,10 @@
 	address string
 }
 
-func (e endpoint) Call(ctx context.Context, address, path string, request, reply any) error {
+func (e endpoint) Call(ctx context.Context, address string, called transport.Route, request, reply any) error {
 	n := e.network
 	n.mutex.Lock()
-	n.calls[route{e.address, address, path}]++
+	n.calls[route{e.address, address, called.Path()}]++
 	mux := n.muxes[address]
 	down := mux == nil || n.down[address] || n.down[e.address]
 	n.mutex.Unlock()
@@ -90,7 +90,7 @@
 	if down {
 		return verdict.Unexecuted(errDown, 0)
 	}
-	err := serve(ctx, mux, path, request, reply)
+	err := serve(ctx, mux, called.Path(), request, reply)
 	if n.isCut(e.address, address) { // the answer is lost
 		<-ctx.Done()
 		return verdict.Unclear(errCut)
--- a/internal/dataplane/proxy/call.go
+++ b/internal/dataplane/proxy/call.go
@@ -17,7 +17,7 @@
 type leaderCall struct {
 	kind    operation
 	group   string
-	path    string
+	route   transport.RepeatableRoute // as a try that may have run is followed by others
 	request any
 	allowed time.Duration // by the client and the route
 }
@@ -40,7 +40,7 @@
 	for {
 		epoch, err := c.try(ctx, call, retrier.tryTime(c.now().Sub(begun)), reply)
 		if err != nil {
-			c.log.Debug("try failed", zap.String("path", call.path), zap.String("group", call.group), zap.Error(err))
+			c.log.Debug("try failed", zap.String("path", call.route.Path()), zap.String("group", call.group), zap.Error(err))
 		}
 		decision := retrier.next(attemptOf(err), c.now().Sub(begun))
 		if decision.finished {
@@ -62,5 +62,5 @@
 		return 0, verdict.Unexecuted(errNoLeader, 0)
 	}
 	defer end()
-	return leader.Epoch, c.caller.Call(ctx, leader.Address, call.path, call.request, reply)
+	return leader.Epoch, c.caller.Call(ctx, leader.Address, call.route, call.request, reply)
 }
--- a/internal/dataplane/proxy/call_test.go
+++ b/internal/dataplane/proxy/call_test.go
@@ -14,13 +14,14 @@
 	"puffinlink.example/puffinlink/internal/chance"
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 // callerFunc is a transport.Caller made of a function.
 type callerFunc func(ctx context.Context, address string) error
 
-func (f callerFunc) Call(ctx context.Context, address, _ string, _, _ any) error {
+func (f callerFunc) Call(ctx context.Context, address string, _ transport.Route, _, _ any) error {
 	return f(ctx, address)
 }
 
@@ -35,7 +36,7 @@
 }
 
 func submitCall(allowed time.Duration) leaderCall {
-	return leaderCall{kind: submission, group: testGroup, path: jobapi.SubmitPath, allowed: allowed}
+	return leaderCall{kind: submission, group: testGroup, route: jobapi.SubmitCall.Route(), allowed: allowed}
 }
 
 func TestTriesInTime(t *testing.T) {
--- a/internal/dataplane/proxy/drain_test.go
+++ b/internal/dataplane/proxy/drain_test.go
@@ -91,8 +91,8 @@
 	leader   func(ctx context.Context) error
 }
 
-func (c *memoryCaller) Call(ctx context.Context, _, path string, request, reply any) error {
-	if path != feed.LocalPath {
+func (c *memoryCaller) Call(ctx context.Context, _ string, route transport.Route, request, reply any) error {
+	if route.Path() != feed.LocalCall.Path() {
 		return c.leader(ctx)
 	}
 	answer := reply.(*feed.WatchReply)
--- a/internal/dataplane/proxy/follower.go
+++ b/internal/dataplane/proxy/follower.go
@@ -95,8 +95,8 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	watch := feed.Watch{Known: f.digest(), WaitMS: watchWait.Milliseconds(), Current: !f.stale()}
-	var reply feed.WatchReply
-	if err := f.caller.Call(ctx, f.agent, feed.LocalPath, watch, &reply); err != nil {
+	reply, err := feed.LocalCall.Call(ctx, f.caller, f.agent, watch)
+	if err != nil {
 		return false, fmt.Errorf("ask the agent: %w", err)
 	}
 	return f.apply(reply), nil
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -43,7 +43,7 @@
 func (s *jobService) submit(ctx context.Context, r jobRequest, specification job.Specification) outcome {
 	group := feed.GroupOf(r.queue.Service)
 	request := jobapi.Submit{Group: group, ID: r.id, Queue: r.queue, Specification: specification}
-	call := leaderCall{kind: submission, group: group, path: jobapi.SubmitPath, request: request, allowed: r.allowed}
+	call := leaderCall{kind: submission, group: group, route: jobapi.SubmitCall.Route(), request: request, allowed: r.allowed}
 	var reply jobapi.Submitted
 	return outcomeOf(s.leaders.run(ctx, r.begun, call, &reply))
 }
@@ -65,7 +65,7 @@
 	call := leaderCall{
 		kind:    reading,
 		group:   group,
-		path:    jobapi.StatusPath,
+		route:   jobapi.StatusCall.Route(),
 		request: jobapi.Status{Group: group, ID: r.id},
 		allowed: r.allowed,
 	}
@@ -84,7 +84,7 @@
 	call := leaderCall{
 		kind:    cancellation,
 		group:   group,
-		path:    jobapi.CancelPath,
+		route:   jobapi.CancelCall.Route(),
 		request: jobapi.Cancel{Group: group, ID: r.id},
 		allowed: r.allowed,
 	}
@@ -147,7 +147,7 @@
 // count returns how many jobs of a queue are pending: by the leader, or as known last.
 func (s *jobService) count(ctx context.Context, r jobRequest) int {
 	group := feed.GroupOf(r.queue.Service)
-	call := leaderCall{path: jobapi.PendingPath, group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
+	call := leaderCall{route: jobapi.PendingCall.Route(), group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
 	var reply jobapi.PendingReply
 	if _, err := s.leaders.try(ctx, call, pendingTryLimit, &reply); err != nil {
 		return s.pending.get(r.queue.Route)
--- a/internal/dataplane/proxy/standin_test.go
+++ b/internal/dataplane/proxy/standin_test.go
@@ -87,10 +87,10 @@
 	ctx, end := context.WithCancel(context.Background())
 	leader := &standInLeader{ended: ctx}
 	mux := transport.NewMux()
-	serve(leader, mux, jobapi.SubmitPath, &leader.submit)
-	serve(leader, mux, jobapi.StatusPath, &leader.status)
-	serve(leader, mux, jobapi.CancelPath, &leader.cancel)
-	serve(leader, mux, jobapi.PendingPath, &leader.count)
+	serve(leader, mux, jobapi.SubmitCall, &leader.submit)
+	serve(leader, mux, jobapi.StatusCall, &leader.status)
+	serve(leader, mux, jobapi.CancelCall, &leader.cancel)
+	serve(leader, mux, jobapi.PendingCall, &leader.count)
 	leader.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if leader.breakOff() {
 			io.Copy(io.Discard, r.Body)
@@ -103,8 +103,8 @@
 	return leader
 }
 
-func serve[Request, Reply any](l *standInLeader, mux *transport.Mux, path string, method *func(context.Context, Request) (Reply, error)) {
-	transport.Handle(mux, path, func(ctx context.Context, request Request) (reply Reply, err error) {
+func serve[Request, Reply any](l *standInLeader, mux *transport.Mux, endpoint transport.Endpoint[Request, Reply], method *func(context.Context, Request) (Reply, error)) {
+	transport.Handle(mux, endpoint, func(ctx context.Context, request Request) (reply Reply, err error) {
 		l.mutex.Lock()
 		answer := *method
 		l.mutex.Unlock()
@@ -168,7 +168,7 @@
 func newAgent(t *testing.T, snapshot feed.Snapshot) *standInAgent {
 	agent := &standInAgent{snapshot: snapshot, current: true, changed: make(chan struct{})}
 	mux := transport.NewMux()
-	transport.Handle(mux, feed.LocalPath, agent.watch)
+	transport.Handle(mux, feed.LocalCall, agent.watch)
 	agent.server = httptest.NewServer(mux)
 	t.Cleanup(agent.server.Close)
 	return agent
--- a/internal/jobs/jobapi/jobapi.go
+++ b/internal/jobs/jobapi/jobapi.go
@@ -1,14 +1,17 @@
 // Package jobapi holds the internal requests by which any mixer reaches the scheduler that leads a service's jobs.
 package jobapi
 
-import "puffinlink.example/puffinlink/internal/jobs/job"
+import (
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/transport"
+)
 
-// Paths of the internal calls.
-const (
-	SubmitPath  = "/jobs/submit"
-	StatusPath  = "/jobs/status"
-	CancelPath  = "/jobs/cancel"
-	PendingPath = "/jobs/pending"
+// Internal calls. The same job handed in or cancelled again stays one job with one end.
+var (
+	SubmitCall  = transport.NewRepeatable[Submit, Submitted]("/jobs/submit")
+	StatusCall  = transport.NewRepeatable[Status, StatusReply]("/jobs/status")
+	CancelCall  = transport.NewRepeatable[Cancel, Cancelled]("/jobs/cancel")
+	PendingCall = transport.NewRepeatable[Pending, PendingReply]("/jobs/pending")
 )
 
 // Queue is what the configuration says of a job's route at the moment the job is handed in.
--- a/internal/jobs/jobreport/jobreport.go
+++ b/internal/jobs/jobreport/jobreport.go
@@ -4,16 +4,18 @@
 
 import (
 	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
-// Paths of the internal calls. Only the leader of a group answers them; any other mixer refuses with the verdict NotRun.
-const (
-	SummaryPath   = "/jobs/report/summary"
-	SearchersPath = "/jobs/report/searchers"
-	JobsPath      = "/jobs/report/jobs"
-	JobPath       = "/jobs/report/job"
-	WhyPath       = "/jobs/report/why"
-	DrainPath     = "/jobs/report/drain"
+// Internal calls. Only the leader of a group answers them; any other mixer refuses with the verdict NotRun. A drain that
+// is set or ended again stays as it is.
+var (
+	SummaryCall   = transport.NewRepeatable[SummaryRequest, SummaryReply]("/jobs/report/summary")
+	SearchersCall = transport.NewRepeatable[SearchersRequest, SearchersReply]("/jobs/report/searchers")
+	JobsCall      = transport.NewRepeatable[JobsRequest, JobsReply]("/jobs/report/jobs")
+	JobCall       = transport.NewRepeatable[JobRequest, JobReply]("/jobs/report/job")
+	WhyCall       = transport.NewRepeatable[WhyRequest, WhyReply]("/jobs/report/why")
+	DrainCall     = transport.NewRepeatable[DrainRequest, DrainReply]("/jobs/report/drain")
 )
 
 // Summary counts the jobs and searchers of one group.
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -121,10 +121,10 @@
 
 // Serve registers the internal calls on jobs.
 func (m *Manager) Serve(mux *transport.Mux) {
-	transport.Handle(mux, jobapi.SubmitPath, m.submit)
-	transport.Handle(mux, jobapi.StatusPath, m.status)
-	transport.Handle(mux, jobapi.CancelPath, m.cancel)
-	transport.Handle(mux, jobapi.PendingPath, m.pending)
+	transport.Handle(mux, jobapi.SubmitCall, m.submit)
+	transport.Handle(mux, jobapi.StatusCall, m.status)
+	transport.Handle(mux, jobapi.CancelCall, m.cancel)
+	transport.Handle(mux, jobapi.PendingCall, m.pending)
 }
 
 func (m *Manager) lead(group string) (*lead, error) {
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -13,12 +13,12 @@
 
 // ServeReports registers the internal calls by which operators read and steer the groups that this mixer leads.
 func (m *Manager) ServeReports(mux *transport.Mux) {
-	transport.Handle(mux, jobreport.SummaryPath, m.summary)
-	transport.Handle(mux, jobreport.SearchersPath, m.searchers)
-	transport.Handle(mux, jobreport.JobsPath, m.jobs)
-	transport.Handle(mux, jobreport.JobPath, m.job)
-	transport.Handle(mux, jobreport.WhyPath, m.why)
-	transport.Handle(mux, jobreport.DrainPath, m.drain)
+	transport.Handle(mux, jobreport.SummaryCall, m.summary)
+	transport.Handle(mux, jobreport.SearchersCall, m.searchers)
+	transport.Handle(mux, jobreport.JobsCall, m.jobs)
+	transport.Handle(mux, jobreport.JobCall, m.job)
+	transport.Handle(mux, jobreport.WhyCall, m.why)
+	transport.Handle(mux, jobreport.DrainCall, m.drain)
 }
 
 // read runs a function that only reads the scheduler of a group. What it sees may not be durable yet.
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -20,6 +20,7 @@
 // Settings are the known keys of the settings file. The property tag is the key; the unit tag says what a plain number
 // of a time stands for; the default tag stands in for a key that is absent or empty.
 type Settings struct {
+	Cluster         string   `property:"puffinlink.cluster" default:"puffinlink"` // processes of other clusters are refused
 	NodeName        string   `property:"nodeName" validate:"required"`
 	Role            string   `property:"role"`
 	MachineClass    string   `property:"machineClass"`
--- a/internal/systemtest/part_test.go
+++ b/internal/systemtest/part_test.go
@@ -104,9 +104,10 @@
 
 func runAgent(ctx context.Context, _ partSpec, settings nodesettings.Settings, log *zap.Logger, peers, local net.Listener) error {
 	link := agent.New(agent.Config{
-		Address: settings.InternalAddress(agentOffset), Seeds: settings.SeedInternalAddresses(), Caller: transport.NewClient(), Logger: log,
+		Address: settings.InternalAddress(agentOffset), Seeds: settings.SeedInternalAddresses(), Caller: transport.NewClientFor(settings.Cluster), Logger: log,
 	})
-	peerMux, localMux := transport.NewMux(), transport.NewMux()
+	self := transport.NewIdentity(settings.Cluster, settings.NodeName)
+	peerMux, localMux := transport.NewMuxFor(self), transport.NewMuxFor(self)
 	link.Mount(peerMux)
 	link.MountLocal(localMux)
 	go http.Serve(peers, peerMux)
@@ -120,7 +121,7 @@
 func runProxy(ctx context.Context, spec partSpec, settings nodesettings.Settings, log *zap.Logger, front, readiness net.Listener) error {
 	const mostConnections, mostBytes = 500, 16 << 20
 	server := proxy.New(proxy.Config{
-		AgentAddress: spec.Agent, Caller: transport.NewClient(), BuildRouter: buildRouter, GracePeriod: settings.Bounds.GracePeriod,
+		AgentAddress: spec.Agent, Caller: transport.NewClientFor(settings.Cluster), BuildRouter: buildRouter, GracePeriod: settings.Bounds.GracePeriod,
 		MaxConnections: mostConnections, MaxBodyBytes: mostBytes, Log: log,
 	})
 	fmt.Println(readyLine)
--- a/internal/systemtest/points_test.go
+++ b/internal/systemtest/points_test.go
@@ -35,9 +35,9 @@
 
 // places are all of them: before and after what is written, sent, listed and acknowledged.
 var places = []place{
-	{"submit-sent", jobapi.SubmitPath, beforeCall, nil},
-	{"submit-durable", jobapi.SubmitPath, beforeAnswer, nil},
-	{"cancel-durable", jobapi.CancelPath, beforeAnswer, nil},
+	{"submit-sent", jobapi.SubmitCall.Path(), beforeCall, nil},
+	{"submit-durable", jobapi.SubmitCall.Path(), beforeAnswer, nil},
+	{"cancel-durable", jobapi.CancelCall.Path(), beforeAnswer, nil},
 	{"append-sent", appendPath, beforeCall, nil},
 	{"append-written", appendPath, beforeAnswer, nil},
 	{"order-committed", string(cluster.StartCall), beforeCall, nil},
@@ -52,7 +52,7 @@
 	{"accept-written", acceptPath, beforeAnswer, nil},
 	{"configuration-sent", controlPath, beforeCall, nil},
 	{"configuration-taken", controlPath, beforeAnswer, nil},
-	{"feed-told", feed.WatchPath, beforeAnswer, nil},
+	{"feed-told", feed.WatchCall.Path(), beforeAnswer, nil},
 }
 
 // damage is what strikes at a place.
@@ -144,7 +144,7 @@
 // fewest is how many calls come to a place at least.
 func (p place) fewest() int {
 	switch p.path {
-	case controlPath, jobapi.CancelPath:
+	case controlPath, jobapi.CancelCall.Path():
 		return 1
 	case preparePath, acceptPath:
 		return coreMachines - 1
--- a/internal/transport/contract_test.go
+++ b/internal/transport/contract_test.go
@@ -18,12 +18,15 @@
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
-const (
-	echoPath   = "/echo"
-	refusePath = "/refuse"
-	failPath   = "/fail"
-	hangPath   = "/hang"
-	retryAfter = 250 * time.Millisecond
+const retryAfter = 250 * time.Millisecond
+
+// Endpoints of the tests: one for each way in which a call may end, and one that nobody serves.
+var (
+	echoCall    = transport.NewRepeatable[echo, echo]("/echo")
+	refuseCall  = transport.NewRepeatable[echo, echo]("/refuse")
+	failCall    = transport.NewRepeatable[echo, echo]("/fail")
+	hangCall    = transport.NewRepeatable[echo, echo]("/hang")
+	unknownCall = transport.NewRepeatable[echo, echo]("/unknown")
 )
 
 type echo struct {
@@ -35,12 +38,12 @@
 // handlers serve one path for each way in which a call may end.
 func handlers() *transport.Mux {
 	mux := transport.NewMux()
-	transport.Handle(mux, echoPath, func(_ context.Context, request echo) (echo, error) { return request, nil })
-	transport.Handle(mux, refusePath, func(context.Context, echo) (echo, error) {
+	transport.Handle(mux, echoCall, func(_ context.Context, request echo) (echo, error) { return request, nil })
+	transport.Handle(mux, refuseCall, func(context.Context, echo) (echo, error) {
 		return echo{}, verdict.Unexecuted(errors.New("not the leader"), retryAfter)
 	})
-	transport.Handle(mux, failPath, func(context.Context, echo) (echo, error) { return echo{}, errors.New("broke down midway") })
-	transport.Handle(mux, hangPath, func(ctx context.Context, _ echo) (echo, error) {
+	transport.Handle(mux, failCall, func(context.Context, echo) (echo, error) { return echo{}, errors.New("broke down midway") })
+	transport.Handle(mux, hangCall, func(ctx context.Context, _ echo) (echo, error) {
 		<-ctx.Done()
 		return echo{}, ctx.Err()
 	})
@@ -55,44 +58,44 @@
 
 // runContract checks what every transport promises to its callers.
 func runContract(t *testing.T, open func(t *testing.T, handler http.Handler) site) {
-	call := func(s site, ctx context.Context, address, path string) (echo, error) {
+	call := func(s site, ctx context.Context, address string, route transport.Route) (echo, error) {
 		var reply echo
 		request := echo{Text: "text", Number: 1 << 60, State: map[string][]byte{"a": {}, "b": {1, 0, 255}}}
-		return reply, s.caller.Call(ctx, address, path, request, &reply)
+		return reply, s.caller.Call(ctx, address, route, request, &reply)
 	}
 	Convey("Given a transport", t, func() {
 		s := open(t, handlers())
 		Convey("a reply comes back as it was sent", func() {
 			var reply echo
 			request := echo{Text: "text", Number: 1 << 60, State: map[string][]byte{"a": {}, "b": {1, 0, 255}}}
-			So(s.caller.Call(t.Context(), s.served, echoPath, request, &reply), ShouldBeNil)
+			So(s.caller.Call(t.Context(), s.served, echoCall.Route(), request, &reply), ShouldBeNil)
 			So(reply, ShouldResemble, request)
 		})
 		Convey("a refusal has not run, and says when to come back", func() {
-			_, err := call(s, t.Context(), s.served, refusePath)
+			_, err := call(s, t.Context(), s.served, refuseCall.Route())
 			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
 			So(verdict.RetryAfter(err), ShouldEqual, retryAfter)
 			So(err.Error(), ShouldContainSubstring, "not the leader")
 		})
 		Convey("a failure of the callee may have run", func() {
-			_, err := call(s, t.Context(), s.served, failPath)
+			_, err := call(s, t.Context(), s.served, failCall.Route())
 			So(err, ShouldNotBeNil)
 			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
 		})
 		Convey("a call that is given up may have run", func() {
 			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 			defer cancel()
-			_, err := call(s, ctx, s.served, hangPath)
+			_, err := call(s, ctx, s.served, hangCall.Route())
 			So(err, ShouldNotBeNil)
 			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
 		})
 		Convey("a call to nobody has not run", func() {
-			_, err := call(s, t.Context(), s.nowhere, echoPath)
+			_, err := call(s, t.Context(), s.nowhere, echoCall.Route())
 			So(err, ShouldNotBeNil)
 			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
 		})
 		Convey("a path that nobody serves has not run", func() {
-			_, err := call(s, t.Context(), s.served, "/unknown")
+			_, err := call(s, t.Context(), s.served, unknownCall.Route())
 			So(err, ShouldNotBeNil)
 			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
 		})
@@ -136,7 +139,7 @@
 		} {
 			server := httptest.NewServer(handler)
 			client := transport.NewClient()
-			err := client.Call(t.Context(), server.Listener.Addr().String(), echoPath, echo{}, &echo{})
+			err := client.Call(t.Context(), server.Listener.Addr().String(), echoCall.Route(), echo{}, &echo{})
 			client.Close()
 			server.Close()
 			So(err, ShouldNotBeNil)
@@ -155,7 +158,7 @@
 	mux := handlers()
 	f.Fuzz(func(t *testing.T, body []byte) {
 		recorder := httptest.NewRecorder()
-		mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, echoPath, strings.NewReader(string(body))))
+		mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, echoCall.Path(), strings.NewReader(string(body))))
 		var request echo
 		readable := msgpack.Unmarshal(body, &request) == nil
 		if succeeded := recorder.Code == http.StatusOK; succeeded != readable {
--- /dev/null
+++ b/internal/transport/directory.go
@@ -0,0 +1,51 @@
+package transport
+
+import "sync"
+
+// directory remembers who serves which address. What it says may be out of date, and is then refused by who is there.
+type directory struct {
+	mutex sync.RWMutex
+	known map[string]knownProcess
+}
+
+// knownProcess is an identity with its text, which each call needs.
+type knownProcess struct {
+	identity Identity
+	text     string
+}
+
+func newDirectory() *directory { return &directory{known: make(map[string]knownProcess)} }
+
+func (d *directory) find(address string) (knownProcess, bool) {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	process, known := d.known[address]
+	return process, known
+}
+
+// learn notes who serves an address that nobody was known to serve. What another call has learned meanwhile stays.
+func (d *directory) learn(address string, found Identity) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, known := d.known[address]; !known {
+		d.known[address] = knownProcess{found, found.String()}
+	}
+}
+
+// replace notes that a process was started again, unless another call has learned of a later one.
+func (d *directory) replace(address string, meant, found Identity) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.known[address].identity == meant {
+		d.known[address] = knownProcess{found, found.String()}
+	}
+}
+
+// forget drops a process that is not at the address any more; the next call is a first contact.
+func (d *directory) forget(address string, meant Identity) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.known[address].identity == meant {
+		delete(d.known, address)
+	}
+}
--- /dev/null
+++ b/internal/transport/identity.go
@@ -0,0 +1,95 @@
+package transport
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// Identity names one process: the one life of it between a start and an end.
+type Identity struct {
+	Cluster     string // the system that the process belongs to
+	Node        string // the machine's name
+	Incarnation uint64 // another one with each start
+}
+
+// NewIdentity names a process that starts now. Incarnations are random: a clock that was set back repeats none.
+func NewIdentity(cluster, node string) Identity {
+	var drawn [8]byte
+	rand.Read(drawn[:]) // never fails, as documented
+	return Identity{Cluster: cluster, Node: node, Incarnation: binary.BigEndian.Uint64(drawn[:])}
+}
+
+const (
+	separator       = "/"
+	anyone          = "*" // stands for node and incarnation on first contact; escaped names hold no such sign
+	incarnationBase = 36
+	headerParts     = 4 // cluster, node, incarnation, call
+)
+
+// String returns the identity as it stands in headers.
+func (i Identity) String() string {
+	return url.PathEscape(i.Cluster) + separator + url.PathEscape(i.Node) + separator + strconv.FormatUint(i.Incarnation, incarnationBase)
+}
+
+// sameNode tells whether two processes are lives of one: the same process started again.
+func (i Identity) sameNode(other Identity) bool {
+	return i.Cluster == other.Cluster && i.Node == other.Node
+}
+
+// Addressee is whom a call means: a FirstContact or a Process.
+type Addressee interface {
+	text() string
+	// means tells whether a process is meant.
+	means(process Identity) bool
+}
+
+// FirstContact means whoever serves an address for a cluster. It is for callers who do not know the process yet.
+type FirstContact struct{ Cluster string }
+
+func (f FirstContact) text() string {
+	return url.PathEscape(f.Cluster) + separator + anyone + separator + anyone
+}
+
+func (f FirstContact) means(process Identity) bool { return f.Cluster == process.Cluster }
+
+// Process means one process and no other.
+type Process struct{ Identity }
+
+func (p Process) text() string { return p.String() }
+
+func (p Process) means(process Identity) bool { return p.Identity == process }
+
+var errNoIdentity = errors.New("header names no process")
+
+// callName returns the name of the call in either header.
+func callName(header string) string { return header[strings.LastIndex(header, separator)+1:] }
+
+// parseTo reads ToHeader, but for the call.
+func parseTo(header string) (Addressee, error) {
+	parts := strings.Split(header, separator)
+	if len(parts) == headerParts && parts[1] == anyone && parts[2] == anyone {
+		cluster, err := url.PathUnescape(parts[0])
+		return FirstContact{cluster}, err
+	}
+	process, err := parseFrom(header)
+	return Process{process}, err
+}
+
+// parseFrom reads FromHeader, but for the call.
+func parseFrom(header string) (Identity, error) {
+	parts := strings.Split(header, separator)
+	if len(parts) != headerParts {
+		return Identity{}, errNoIdentity
+	}
+	cluster, clusterErr := url.PathUnescape(parts[0])
+	node, nodeErr := url.PathUnescape(parts[1])
+	incarnation, numberErr := strconv.ParseUint(parts[2], incarnationBase, 64)
+	if err := errors.Join(clusterErr, nodeErr, numberErr); err != nil {
+		return Identity{}, err
+	}
+	return Identity{Cluster: cluster, Node: node, Incarnation: incarnation}, nil
+}
--- /dev/null
+++ b/internal/transport/sending.go
@@ -0,0 +1,116 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout     = 800 * time.Millisecond
+	unackedTimeout  = 1500 // milliseconds until unacknowledged bytes end a connection (TCP_USER_TIMEOUT)
+	tcpUserTimeout  = 18   // the option's number on Linux
+	keepAlivePeriod = time.Second
+)
+
+// Dialer makes connections that end soon after the peer has fallen silent.
+func Dialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(descriptor uintptr) {
+			failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, unackedTimeout)
+		})
+		return errors.Join(err, failed)
+	}}
+}
+
+// Dial makes connections for an http.Transport whose requests a Sending watches. A connection that is given up is reset,
+// so that nothing it still holds arrives later.
+func Dial(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			tcp.SetLinger(0) // where the system knows no such option, the close sends what is left
+		}
+		return &countedConnection{Conn: connection}, nil
+	}
+}
+
+// countedConnection counts the writings that left it, or may be leaving it at this moment.
+type countedConnection struct {
+	net.Conn
+	writings atomic.Int64
+}
+
+// Write implements net.Conn. The writing counts before it begins: one that is seen not to count while the connection is
+// closed will never send a byte.
+func (c *countedConnection) Write(content []byte) (int, error) {
+	c.writings.Add(1)
+	sent, err := c.Conn.Write(content)
+	if sent == 0 && err != nil {
+		c.writings.Add(-1)
+	}
+	return sent, err
+}
+
+// Sending watches one request on its way through net/http. That package repeats some requests by itself when a connection
+// that was used before turns out to be broken; a Sending lets it do so only where not one byte of the request has been
+// handed to that connection, whatever the request's method and headers are.
+type Sending struct {
+	mutex      sync.Mutex
+	gone       bool               // an earlier connection, or one that cannot be watched, was handed bytes
+	connection *countedConnection // the newest
+	before     int64              // its writings before the request
+}
+
+// Watch returns a context for the request.
+func (s *Sending) Watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConnection})
+}
+
+func (s *Sending) gotConnection(got httptrace.GotConnInfo) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gone = s.mayHaveLeft()
+	counted, ok := got.Conn.(*countedConnection)
+	if !ok {
+		s.gone = true
+		return
+	}
+	s.connection, s.before = counted, counted.writings.Load()
+}
+
+// mayHaveLeft is called with the mutex held.
+func (s *Sending) mayHaveLeft() bool {
+	return s.gone || s.connection != nil && s.connection.writings.Load() != s.before
+}
+
+// Unsent tells, once the request has failed, that no byte of it was or will be sent.
+func (s *Sending) Unsent() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.mayHaveLeft()
+}
+
+// errSentBefore keeps net/http from sending a request again.
+var errSentBefore = errors.New("the request may have been sent already")
+
+// Again returns a value for http.Request.GetBody: the body is given again only while the request is unsent.
+func (s *Sending) Again(body []byte) func() (io.ReadCloser, error) {
+	return func() (io.ReadCloser, error) {
+		if !s.Unsent() {
+			return nil, errSentBefore
+		}
+		return io.NopCloser(bytes.NewReader(body)), nil
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,172 +1,46 @@
 // Package transport carries the mixers' internal protocol: typed requests and replies as msgpack bodies of HTTP/1.1
 // POST calls. It moves bytes and classifies failures; retries, routing and timeouts belong to its callers.
+//
+// A call means a process and not only an address, as an address may be another machine's soon after its own was lost.
+// Each call names its Addressee in the header ToHeader, each answer the process that gave it in FromHeader, and both the
+// call they belong to. A process that is not meant refuses as not run (421) and says who it is; an answer of another
+// process, or to another call, is not taken. A Client learns who serves an address from the first answer (FirstContact),
+// and from a refusal where the process was restarted.
+//
+// Each internal call is declared once, as Repeatable or Once, beside its path. A Once call is sent to a known process
+// only, on one connection, by one writing, and is never sent again; a copy of it that arrives is not run.
+//
+// Rolling upgrades: a call without ToHeader comes from an older build and is taken; an answer without FromHeader is taken
+// on first contact only.
 package transport
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"strconv"
-	"sync"
-	"syscall"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
-
-	"puffinlink.example/puffinlink/internal/verdict"
 )
 
-// RetryAfterHeader carries, in milliseconds, when a refused caller should come back.
-const RetryAfterHeader = "Retry-After-Ms"
+// Headers of the protocol.
+const (
+	// ToHeader names whom a call means, and the call: cluster/node/incarnation/call.
+	ToHeader = "Puffinlink-To"
+	// FromHeader names who answers, and the call that is answered.
+	FromHeader = "Puffinlink-From"
+	// RetryAfterHeader carries, in milliseconds, when a refused caller should come back.
+	RetryAfterHeader = "Retry-After-Ms"
+)
 
 const (
-	contentType     = "application/msgpack"
-	maxBodyBytes    = 64 << 20
-	maxErrorBytes   = 4 << 10
-	dialTimeout     = 800 * time.Millisecond
-	idleTimeout     = 30 * time.Second
-	unackedTimeout  = 1500 // milliseconds until unacknowledged bytes end a connection (TCP_USER_TIMEOUT)
-	tcpUserTimeout  = 18   // the option's number on Linux
-	idlePerAddress  = 8
-	keepAlivePeriod = time.Second
+	contentType       = "application/msgpack"
+	contentTypeHeader = "Content-Type"
+	maxBodyBytes      = 64 << 20
+	maxErrorBytes     = 4 << 10
+	keptBufferBytes   = 256 << 10 // larger buffers are not kept for later answers
+	idleTimeout       = 30 * time.Second
+	idlePerAddress    = 8
 )
 
-// Caller sends one request to a peer and decodes its reply. Errors carry a verdict.
+// Caller sends one request to a peer and decodes its reply. Errors carry a verdict. Only endpoints and the few that
+// choose among several of them use it directly.
 type Caller interface {
-	Call(ctx context.Context, address, path string, request, reply any) error
-}
-
-// Client is the Caller that speaks HTTP.
-type Client struct{ http *http.Client }
-
-// NewClient makes a client with its own pool of connections.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         Dialer().DialContext,
-		MaxIdleConnsPerHost: idlePerAddress,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}}
-}
-
-// Dialer makes connections that end soon after the peer has fallen silent.
-func Dialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(descriptor uintptr) {
-			failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, unackedTimeout)
-		})
-		return errors.Join(err, failed)
-	}}
-}
-
-// Close ends idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
-// Call implements Caller.
-func (c *Client) Call(ctx context.Context, address, path string, request, reply any) error {
-	body, err := msgpack.Marshal(request)
-	if err != nil {
-		return verdict.Unexecuted(fmt.Errorf("encode %s: %w", path, err), 0)
-	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return verdict.Unexecuted(fmt.Errorf("call %s%s: %w", address, path, err), 0)
-	}
-	call.Header.Set("Content-Type", contentType)
-	answer, err := c.http.Do(call)
-	if err != nil {
-		return failed(address, path, err)
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return refused(address, path, answer)
-	}
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
-	if err != nil {
-		return verdict.Unclear(fmt.Errorf("read %s%s: %w", address, path, err))
-	}
-	if err := msgpack.Unmarshal(content, reply); err != nil {
-		return verdict.Unclear(fmt.Errorf("decode %s%s: %w", address, path, err))
-	}
-	return nil
-}
-
-// failed classifies a call without an answer: only a connection that never came up proves that nothing ran.
-func failed(address, path string, err error) error {
-	err = fmt.Errorf("call %s%s: %w", address, path, err)
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return verdict.Unexecuted(err, 0)
-	}
-	return verdict.Unclear(err)
-}
-
-func refused(address, path string, answer *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
-	err := fmt.Errorf("%s%s answered %d: %s", address, path, answer.StatusCode, bytes.TrimSpace(text))
-	if answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusNotFound {
-		return verdict.Unclear(err)
-	}
-	milliseconds, _ := strconv.Atoi(answer.Header.Get(RetryAfterHeader))
-	return verdict.Unexecuted(err, time.Duration(milliseconds)*time.Millisecond)
-}
-
-// Mux serves internal calls by path.
-type Mux struct{ mux *http.ServeMux }
-
-// NewMux makes an empty Mux.
-func NewMux() *Mux { return &Mux{mux: http.NewServeMux()} }
-
-// ServeHTTP implements http.Handler.
-func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.mux.ServeHTTP(w, r) }
-
-var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
-// Handle serves one path. A handler's error with the verdict NotRun reaches the caller as such; any other error as unclear.
-func Handle[Request, Reply any](m *Mux, path string, handler func(context.Context, Request) (Reply, error)) {
-	m.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		var request Request
-		if err := msgpack.Unmarshal(body, &request); err != nil {
-			http.Error(w, "decode "+path+": "+err.Error(), http.StatusBadRequest)
-			return
-		}
-		reply, err := handler(r.Context(), request)
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		writeReply(w, reply)
-	})
-}
-
-func writeError(w http.ResponseWriter, err error) {
-	if verdict.Of(err) != verdict.NotRun {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set(RetryAfterHeader, strconv.FormatInt(verdict.RetryAfter(err).Milliseconds(), 10))
-	http.Error(w, err.Error(), http.StatusServiceUnavailable)
-}
-
-func writeReply(w http.ResponseWriter, reply any) {
-	buffer := buffers.Get().(*bytes.Buffer)
-	defer buffers.Put(buffer)
-	buffer.Reset()
-	if err := msgpack.NewEncoder(buffer).Encode(reply); err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", contentType)
-	w.Header().Set("Content-Length", strconv.Itoa(buffer.Len()))
-	w.Write(buffer.Bytes())
+	Call(ctx context.Context, address string, route Route, request, reply any) error
 }
