An operator's drain that one leader may have carried out is answered as such

Where no service is named, the leaders of all groups are asked. The last error counted: a leader that refused hid another one whose answer was lost, and the operator was told that nothing was done (503 for 504). Test: TestSearchers, 'a drain that one leader may have carried out'.

--- a/internal/controlplane/operations/forward.go
+++ b/internal/controlplane/operations/forward.go
@@ -73,9 +73,10 @@
 	return h.options.Caller.Call(ctx, leader, route, request, reply)
 }
 
-// worse is the error to report of two tries: one that may have been carried out outweighs all others, else the later.
+// worse is the error to report of two tries, or of the tries at two leaders: one that may have been carried out outweighs
+// all others, else the later.
 func worse(earlier, later error) error {
-	if verdict.Of(earlier) == verdict.MayHaveRun {
+	if earlier != nil && verdict.Of(earlier) == verdict.MayHaveRun {
 		return earlier
 	}
 	return later
--- a/internal/controlplane/operations/operations_test.go
+++ b/internal/controlplane/operations/operations_test.go
@@ -94,6 +94,15 @@
 			So(answer.Code, ShouldEqual, http.StatusServiceUnavailable)
 			So(answer.Header().Get("Retry-After"), ShouldEqual, retryAfter)
 		})
+		Convey("a drain that one leader may have carried out is not answered as one that nobody has", func() {
+			c.fail = func(address, _ string) error {
+				if address == "10.0.0.1:7660" {
+					return errCut
+				}
+				return errNotLeader
+			}
+			So(ask(c.handler(), "POST", SearchersPath+"/i-price/drain", nil).Code, ShouldEqual, http.StatusGatewayTimeout)
+		})
 	})
 }
 
--- a/internal/controlplane/operations/searchers.go
+++ b/internal/controlplane/operations/searchers.go
@@ -44,7 +44,7 @@
 	for _, one := range answers {
 		switch {
 		case one.err != nil:
-			failure = one.err
+			failure = worse(failure, one.err)
 		case one.reply.Known:
 			write(w, http.StatusOK, one.reply.Searcher)
 			return
