Operators' commands take a mixer's failure for what may have been done

An answer of 500 or 502 to a drain or a cancellation counted as 'nothing was done', though the mixer may have failed after it had acted. Test: TestNoAnswer, 'a drain during which the mixer failed'.

--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -134,8 +134,13 @@
 	if !errors.As(err, &refused) {
 		return !neverSent(err)
 	}
-	// An order that changes the configuration is answered 503 also when its end is unclear.
-	return refused.Status == http.StatusGatewayTimeout || refused.Status == http.StatusServiceUnavailable && method == http.MethodPut
+	switch refused.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return false
+	case http.StatusServiceUnavailable: // an order that changes the configuration is so answered also when its end is unclear
+		return method == http.MethodPut
+	}
+	return refused.Status >= http.StatusInternalServerError // a mixer that failed may have failed after it had acted
 }
 
 // neverSent tells whether no connection came up, so that nothing was sent.
--- a/internal/operatorclient/client_test.go
+++ b/internal/operatorclient/client_test.go
@@ -129,6 +129,9 @@
 		{"a drain without an answer", http.MethodPost, func() string { return mixer(mute) }, true},
 		{"a drain that was not done", http.MethodPost, func() string { return mixer(says(503, "")) }, false},
 		{"a drain that may have been done", http.MethodPost, func() string { return mixer(says(504, "")) }, true},
+		{"a drain during which the mixer failed", http.MethodPost, func() string { return mixer(says(500, "")) }, true},
+		{"a drain that was not read", http.MethodPost, func() string { return mixer(says(408, "")) }, false},
+		{"a drain that was turned away", http.MethodPost, func() string { return mixer(says(429, "")) }, false},
 		{"a configuration that may have been taken", http.MethodPut, func() string { return mixer(says(503, "")) }, true},
 	}
 	for _, c := range cases {
