--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -88,8 +88,11 @@
 }
 
 // Caller returns the Caller of the process at an address. It keeps what it learns of others like that of a real process.
-func (n *Network) Caller(from string) transport.Caller {
-	return transport.NewClientOver("", &carrier{n, from})
+func (n *Network) Caller(from string) transport.Caller { return n.CallerOf("", from) }
+
+// CallerOf returns the Caller of the process at an address, which is of a cluster.
+func (n *Network) CallerOf(cluster, from string) transport.Caller {
+	return transport.NewClientOver(cluster, &carrier{n, from})
 }
 
 // carrier brings one process's requests to their addresses.
--- /dev/null
+++ b/internal/transport/answers_test.go
@@ -0,0 +1,174 @@
+package transport_test
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// answering serves a handler and makes a client for it.
+func answering(t *testing.T, handler http.Handler) (client *transport.Client, address string) {
+	server := httptest.NewServer(handler)
+	client = transport.NewClientFor(testCluster)
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client, server.Listener.Addr().String()
+}
+
+// altered serves a mux and changes the header by which its answers name who gives them.
+func altered(mux http.Handler, change func(from string) string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, r)
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		if from := change(recorder.Header().Get(transport.FromHeader)); from != "" {
+			w.Header().Set(transport.FromHeader, from)
+		} else {
+			w.Header().Del(transport.FromHeader)
+		}
+		w.WriteHeader(recorder.Code)
+		w.Write(recorder.Body.Bytes())
+	})
+}
+
+func TestAnswersThatAreNotTaken(t *testing.T) {
+	self := transport.NewIdentity(testCluster, "node-a")
+	cut := func(from string) (process, call string) {
+		at := strings.LastIndex(from, "/")
+		return from[:at], from[at+1:]
+	}
+	Convey("Given a process that is known", t, func() {
+		var change atomic.Value
+		same := func(from string) string { return from }
+		change.Store(same)
+		client, address := answering(t, altered(handlers(self), func(from string) string { return change.Load().(func(string) string)(from) }))
+		_, err := echoCall.Call(t.Context(), client, address, sample)
+		So(err, ShouldBeNil)
+
+		for name, wrong := range map[string]func(string) string{
+			"an answer to another call": func(from string) string { return from + "1" },
+			"an answer to no call":      func(from string) string { process, _ := cut(from); return process + "/" },
+			"an answer without a name":  func(string) string { return "" },
+			"another process's answer": func(from string) string {
+				_, call := cut(from)
+				return transport.NewIdentity(testCluster, "node-a").String() + "/" + call
+			},
+			"another machine's answer": func(from string) string {
+				_, call := cut(from)
+				return transport.NewIdentity(testCluster, "node-b").String() + "/" + call
+			},
+		} {
+			Convey(name+" is not taken, and the call may have run", func() {
+				change.Store(wrong)
+				for _, endpoint := range []transport.Repeatable[echo, echo]{echoCall, refuseCall, failCall} {
+					change.Store(same)
+					_, _ = echoCall.Call(t.Context(), client, address, sample) // so that the process is known
+					change.Store(wrong)
+					reply, err := endpoint.Call(t.Context(), client, address, sample)
+					So(err, ShouldNotBeNil)
+					So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+					So(reply, ShouldResemble, echo{})
+				}
+			})
+		}
+	})
+	Convey("On first contact another cluster's answer is not taken", t, func() {
+		client, address := answering(t, altered(handlers(self), func(from string) string {
+			_, call := cut(from)
+			return transport.NewIdentity("another", "node-a").String() + "/" + call
+		}))
+		_, err := echoCall.Call(t.Context(), client, address, sample)
+		So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+	})
+}
+
+func TestOlderBuilds(t *testing.T) {
+	Convey("An answer without a name is taken on first contact, each time", t, func() {
+		client, address := answering(t, altered(handlers(transport.NewIdentity(testCluster, "node-a")), func(string) string { return "" }))
+		for range 2 {
+			_, err := echoCall.Call(t.Context(), client, address, sample)
+			So(err, ShouldBeNil)
+		}
+		Convey("but a call that may not be repeated is not sent to who has no name", func() {
+			_, err := countCall.Call(t.Context(), client, address, echo{})
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+		})
+	})
+	Convey("A call without an addressee is taken", t, func() {
+		body, err := msgpack.Marshal(sample)
+		So(err, ShouldBeNil)
+		recorder := httptest.NewRecorder()
+		handlers(transport.NewIdentity(testCluster, "node-a")).ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, echoCall.Path(), bytes.NewReader(body)))
+		So(recorder.Code, ShouldEqual, http.StatusOK)
+	})
+	Convey("One whose addressee cannot be read is refused", t, func() {
+		for _, header := range []string{"/", "a/b/c", "a/b/?/c", "%zz/*/*/c", "a/b/1/c/d", "*"} {
+			request := httptest.NewRequest(http.MethodPost, echoCall.Path(), strings.NewReader("\x80"))
+			request.Header.Set(transport.ToHeader, header)
+			recorder := httptest.NewRecorder()
+			handlers(transport.NewIdentity("a", "b")).ServeHTTP(recorder, request)
+			So(recorder.Code, ShouldEqual, http.StatusMisdirectedRequest)
+		}
+	})
+}
+
+func TestCallsAreNotLedElsewhere(t *testing.T) {
+	Convey("A redirect is not followed, as the call would run at another process", t, func() {
+		elsewhere := counting(transport.NewIdentity(testCluster, "node-b"))
+		_, target := answering(t, elsewhere)
+		for _, status := range []int{http.StatusTemporaryRedirect, http.StatusPermanentRedirect, http.StatusSeeOther} {
+			client, address := answering(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Location", "http://"+target+r.URL.Path)
+				w.WriteHeader(status)
+			}))
+			repeatable := transport.NewRepeatable[echo, echo](countCall.Path())
+			_, err := repeatable.Call(t.Context(), client, address, echo{})
+			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+			So(elsewhere.runs.Load(), ShouldEqual, 0)
+		}
+	})
+}
+
+func TestCopiesOfACall(t *testing.T) {
+	Convey("A call that may not be repeated is not carried out a second time when a copy arrives", t, func() {
+		counted := counting(transport.NewIdentity(testCluster, "node-a"))
+		deliver := func(call string) int {
+			request := httptest.NewRequest(http.MethodPost, countCall.Path(), strings.NewReader("\x80"))
+			request.Header.Set(transport.ToHeader, "cluster%20%2A%2F1/*/*/"+call)
+			recorder := httptest.NewRecorder()
+			counted.ServeHTTP(recorder, request)
+			return recorder.Code
+		}
+		So(deliver("a"), ShouldEqual, http.StatusOK)
+		So(deliver("b"), ShouldEqual, http.StatusOK)
+		So(deliver("a"), ShouldEqual, http.StatusInternalServerError) // unclear to the caller: the first one ran
+		So(counted.runs.Load(), ShouldEqual, 2)
+	})
+}
+
+func TestRepliesAreWholeOrAbsent(t *testing.T) {
+	Convey("An answer that breaks off within a field leaves nothing in the reply", t, func() {
+		whole, err := msgpack.Marshal(sample)
+		So(err, ShouldBeNil)
+		client, address := answering(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(whole[:len(whole)-1]) }))
+		reply := echo{Text: "before"}
+		err = client.Call(t.Context(), address, echoCall.Route(), sample, &reply)
+		So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+		So(errors.Unwrap(err), ShouldNotBeNil)
+		So(reply, ShouldResemble, echo{Text: "before"})
+	})
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"reflect"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -160,12 +161,23 @@
 	if err != nil {
 		return verdict.Unclear(fmt.Errorf("read %s: %w", one, err))
 	}
-	if err := msgpack.Unmarshal(content, reply); err != nil {
+	if err := decode(content, reply); err != nil {
 		return verdict.Unclear(fmt.Errorf("decode %s: %w", one, err))
 	}
 	return nil
 }
 
+// decode sets a reply whole or not at all, so that nothing of an answer that cannot be read is left in it.
+func decode(content []byte, reply any) error {
+	target := reflect.ValueOf(reply).Elem()
+	whole := reflect.New(target.Type())
+	if err := msgpack.Unmarshal(content, whole.Interface()); err != nil {
+		return err
+	}
+	target.Set(whole.Elem())
+	return nil
+}
+
 // failed classifies a call without an answer: nothing ran where no connection came up, or no byte was sent on it.
 func (c *Client) failed(one *exchange, err error, sending *Sending) error {
 	err = fmt.Errorf("call %s: %w", one, err)
--- a/internal/transport/contract_test.go
+++ b/internal/transport/contract_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +30,7 @@
 	failCall    = transport.NewRepeatable[echo, echo]("/fail")
 	hangCall    = transport.NewRepeatable[echo, echo]("/hang")
 	unknownCall = transport.NewRepeatable[echo, echo]("/unknown")
+	countCall   = transport.NewOnce[echo, echo]("/count")
 )
 
 type echo struct {
@@ -35,9 +39,12 @@
 	State  map[string][]byte `msgpack:"s"`
 }
 
+// testCluster needs escapes, as a name may.
+const testCluster = "cluster */1"
+
 // handlers serve one path for each way in which a call may end.
-func handlers() *transport.Mux {
-	mux := transport.NewMux()
+func handlers(self transport.Identity) *transport.Mux {
+	mux := transport.NewMuxFor(self)
 	transport.Handle(mux, echoCall, func(_ context.Context, request echo) (echo, error) { return request, nil })
 	transport.Handle(mux, refuseCall, func(context.Context, echo) (echo, error) {
 		return echo{}, verdict.Unexecuted(errors.New("not the leader"), retryAfter)
@@ -54,67 +61,199 @@
 type site struct {
 	caller          transport.Caller
 	served, nowhere string
+	replace         func(http.Handler) // another process takes the served address
+}
+
+var sample = echo{Text: "text", Number: 1 << 60, State: map[string][]byte{"a": {}, "b": {1, 0, 255}}}
+
+func (s site) call(ctx context.Context, address string, endpoint transport.Repeatable[echo, echo]) (echo, error) {
+	return endpoint.Call(ctx, s.caller, address, sample)
 }
 
-// runContract checks what every transport promises to its callers.
+// runContract checks what every transport promises to its callers. Processes are of the cluster that the caller is of.
 func runContract(t *testing.T, open func(t *testing.T, handler http.Handler) site) {
-	call := func(s site, ctx context.Context, address string, route transport.Route) (echo, error) {
-		var reply echo
-		request := echo{Text: "text", Number: 1 << 60, State: map[string][]byte{"a": {}, "b": {1, 0, 255}}}
-		return reply, s.caller.Call(ctx, address, route, request, &reply)
-	}
 	Convey("Given a transport", t, func() {
-		s := open(t, handlers())
-		Convey("a reply comes back as it was sent", func() {
-			var reply echo
-			request := echo{Text: "text", Number: 1 << 60, State: map[string][]byte{"a": {}, "b": {1, 0, 255}}}
-			So(s.caller.Call(t.Context(), s.served, echoCall.Route(), request, &reply), ShouldBeNil)
-			So(reply, ShouldResemble, request)
-		})
-		Convey("a refusal has not run, and says when to come back", func() {
-			_, err := call(s, t.Context(), s.served, refuseCall.Route())
-			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
-			So(verdict.RetryAfter(err), ShouldEqual, retryAfter)
-			So(err.Error(), ShouldContainSubstring, "not the leader")
-		})
-		Convey("a failure of the callee may have run", func() {
-			_, err := call(s, t.Context(), s.served, failCall.Route())
-			So(err, ShouldNotBeNil)
-			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
-		})
-		Convey("a call that is given up may have run", func() {
-			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
-			defer cancel()
-			_, err := call(s, ctx, s.served, hangCall.Route())
-			So(err, ShouldNotBeNil)
-			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
-		})
-		Convey("a call to nobody has not run", func() {
-			_, err := call(s, t.Context(), s.nowhere, echoCall.Route())
-			So(err, ShouldNotBeNil)
-			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
-		})
-		Convey("a path that nobody serves has not run", func() {
-			_, err := call(s, t.Context(), s.served, unknownCall.Route())
-			So(err, ShouldNotBeNil)
+		first := transport.NewIdentity(testCluster, "node-a")
+		s := open(t, handlers(first))
+		checkEnds(t, s)
+		checkIdentities(t, s, first)
+		checkOnce(t, s, first)
+		Convey("an answer reaches its own call among many that are given up", func() { checkCancellations(t, s) })
+	})
+}
+
+// checkEnds checks the ways in which a call may end.
+func checkEnds(t *testing.T, s site) {
+	Convey("a reply comes back as it was sent", func() {
+		reply, err := s.call(t.Context(), s.served, echoCall)
+		So(err, ShouldBeNil)
+		So(reply, ShouldResemble, sample)
+	})
+	Convey("a refusal has not run, and says when to come back", func() {
+		_, err := s.call(t.Context(), s.served, refuseCall)
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+		So(verdict.RetryAfter(err), ShouldEqual, retryAfter)
+		So(err.Error(), ShouldContainSubstring, "not the leader")
+	})
+	Convey("a failure of the callee may have run", func() {
+		_, err := s.call(t.Context(), s.served, failCall)
+		So(err, ShouldNotBeNil)
+		So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+	})
+	Convey("a call that is given up may have run", func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		_, err := s.call(ctx, s.served, hangCall)
+		So(err, ShouldNotBeNil)
+		So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+	})
+	Convey("a call to nobody has not run", func() {
+		_, err := s.call(t.Context(), s.nowhere, echoCall)
+		So(err, ShouldNotBeNil)
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+	})
+	Convey("a path that nobody serves has not run", func() {
+		_, err := s.call(t.Context(), s.served, unknownCall)
+		So(err, ShouldNotBeNil)
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+	})
+}
+
+// checkIdentities checks that a call reaches the process that is meant, or nobody.
+func checkIdentities(t *testing.T, s site, first transport.Identity) {
+	met := func() {
+		_, err := s.call(t.Context(), s.served, echoCall)
+		So(err, ShouldBeNil)
+	}
+	Convey("a process that was started again is reached by the first call", func() {
+		met()
+		s.replace(handlers(transport.NewIdentity(first.Cluster, first.Node)))
+		_, err := s.call(t.Context(), s.served, echoCall)
+		So(err, ShouldBeNil)
+	})
+	Convey("another machine at the address refuses, as not run, and is met anew by the next call", func() {
+		met()
+		other := transport.NewIdentity(first.Cluster, "node-b")
+		s.replace(handlers(other))
+		_, err := s.call(t.Context(), s.served, echoCall)
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+		var misdirected *transport.MisdirectedError
+		So(errors.As(err, &misdirected), ShouldBeTrue)
+		So(misdirected.Meant, ShouldResemble, transport.Process{Identity: first})
+		So(misdirected.Found, ShouldResemble, other)
+		met()
+	})
+	Convey("a process of another cluster refuses every time, also on first contact", func() {
+		s.replace(handlers(transport.NewIdentity("another", first.Node)))
+		for range 3 {
+			_, err := s.call(t.Context(), s.served, echoCall)
 			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			So(err.Error(), ShouldContainSubstring, "another/node-a/")
+		}
+	})
+}
+
+// checkOnce checks calls that may not be repeated.
+func checkOnce(t *testing.T, s site, first transport.Identity) {
+	send := func() error {
+		_, err := countCall.Call(t.Context(), s.caller, s.served, echo{})
+		return err
+	}
+	Convey("a call that may not be repeated is carried out once, also on first contact", func() {
+		counted := counting(first)
+		s.replace(counted)
+		So(send(), ShouldBeNil)
+		So(send(), ShouldBeNil)
+		So(counted.runs.Load(), ShouldEqual, 2)
+	})
+	Convey("a process that was started again does not get it by itself, but the next one", func() {
+		before, after := counting(first), counting(transport.NewIdentity(first.Cluster, first.Node))
+		s.replace(before)
+		So(send(), ShouldBeNil)
+		s.replace(after)
+		So(verdict.Of(send()), ShouldEqual, verdict.NotRun)
+		So(before.runs.Load(), ShouldEqual, 1)
+		So(after.runs.Load(), ShouldEqual, 0)
+		So(send(), ShouldBeNil)
+		So(after.runs.Load(), ShouldEqual, 1)
+	})
+	Convey("where nobody tells who serves the address, it is not sent", func() {
+		_, err := countCall.Call(t.Context(), s.caller, s.nowhere, echo{})
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+	})
+}
+
+// checkCancellations makes many calls at once, of which many are given up at any moment.
+func checkCancellations(t *testing.T, s site) {
+	const callers, callsEach = 16, 60
+	var wrong, answered atomic.Int64
+	var calling sync.WaitGroup
+	for caller := range callers {
+		random := rand.New(rand.NewPCG(uint64(caller), 0))
+		calling.Go(func() {
+			for i := range callsEach {
+				request := echo{Number: uint64(caller*callsEach + i), Text: strings.Repeat("x", random.IntN(6000))}
+				ctx, cancel := context.WithCancel(t.Context())
+				if random.IntN(3) == 0 {
+					stop := time.AfterFunc(time.Duration(random.IntN(500))*time.Microsecond, cancel)
+					defer stop.Stop()
+				}
+				reply, err := echoCall.Call(ctx, s.caller, s.served, request)
+				if err == nil {
+					answered.Add(1)
+				}
+				if err == nil && (reply.Number != request.Number || reply.Text != request.Text) || err != nil && reply.Number != 0 {
+					wrong.Add(1)
+				}
+				cancel()
+			}
 		})
+	}
+	calling.Wait()
+	So(wrong.Load(), ShouldEqual, 0)
+	So(answered.Load(), ShouldBeGreaterThan, callers*callsEach/2)
+}
+
+// counter serves countCall and counts how often it is carried out.
+type counter struct {
+	*transport.Mux
+	runs atomic.Int64
+}
+
+func counting(self transport.Identity) *counter {
+	c := &counter{Mux: transport.NewMuxFor(self)}
+	transport.Handle(c.Mux, countCall, func(context.Context, echo) (echo, error) {
+		return echo{Number: uint64(c.runs.Add(1))}, nil
 	})
+	return c
+}
+
+// swapped serves one handler after the other.
+type swapped struct{ handler atomic.Value }
+
+func (s *swapped) set(handler http.Handler) { s.handler.Store(&handler) }
+
+// ServeHTTP implements http.Handler.
+func (s *swapped) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	(*s.handler.Load().(*http.Handler)).ServeHTTP(w, r)
 }
 
+// TestSocketsKeepTheContract lets processes follow each other on connections that stay open.
 func TestSocketsKeepTheContract(t *testing.T) {
 	runContract(t, func(t *testing.T, handler http.Handler) site {
-		server := httptest.NewServer(handler)
+		var serving swapped
+		serving.set(handler)
+		server := httptest.NewServer(&serving)
 		unused, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		unused.Close()
-		client := transport.NewClient()
+		client := transport.NewClientFor(testCluster)
 		Reset(func() {
 			client.Close()
 			server.CloseClientConnections()
 			server.Close()
 		})
-		return site{caller: client, served: server.Listener.Addr().String(), nowhere: unused.Addr().String()}
+		return site{caller: client, served: server.Listener.Addr().String(), nowhere: unused.Addr().String(), replace: serving.set}
 	})
 }
 
@@ -123,7 +262,8 @@
 		network := networktest.New(1)
 		network.Serve("served:1", handler)
 		network.Serve("nowhere:1", nil)
-		return site{caller: network.Caller("caller:1"), served: "served:1", nowhere: "nowhere:1"}
+		replace := func(handler http.Handler) { network.Serve("served:1", handler) }
+		return site{caller: network.CallerOf(testCluster, "caller:1"), served: "served:1", nowhere: "nowhere:1", replace: replace}
 	})
 }
 
@@ -155,7 +295,7 @@
 	f.Add(whole[:len(whole)/2])
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte("text"))
-	mux := handlers()
+	mux := handlers(transport.Identity{})
 	f.Fuzz(func(t *testing.T, body []byte) {
 		recorder := httptest.NewRecorder()
 		mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, echoCall.Path(), strings.NewReader(string(body))))
--- /dev/null
+++ b/internal/transport/sending_test.go
@@ -0,0 +1,146 @@
+package transport_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// breaker serves requests whole, but resets each connection when its second request has been read. It counts those that
+// were read.
+type breaker struct{ read atomic.Int64 }
+
+func (b *breaker) serve(t *testing.T) (address string) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		b.read.Add(1)
+		served := r.Context().Value(servedKey{}).(*atomic.Int64)
+		if served.Add(1) == 2 {
+			connection, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				connection.(*net.TCPConn).SetLinger(0)
+				connection.Close()
+			}
+		}
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, servedKey{}, new(atomic.Int64))
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+type servedKey struct{}
+
+func TestNothingIsSentAgainByItself(t *testing.T) {
+	body := []byte("body")
+	// The two kinds of request that net/http repeats on its own when a connection that was used before breaks without an answer.
+	kinds := map[string]func(*http.Request){
+		"with a key of idempotency": func(r *http.Request) { r.Header.Set("Idempotency-Key", "1") },
+		"by an idempotent method":   func(r *http.Request) { r.Method = http.MethodOptions },
+	}
+	send := func(client *http.Transport, address string, change func(*http.Request), guarded bool) error {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/", bytes.NewReader(body))
+		So(err, ShouldBeNil)
+		change(request)
+		var sending transport.Sending
+		if guarded {
+			request = request.WithContext(sending.Watch(request.Context()))
+			request.GetBody = sending.Again(body)
+		}
+		answer, err := client.RoundTrip(request)
+		if err != nil {
+			So(!guarded || !sending.Unsent(), ShouldBeTrue)
+			return err
+		}
+		io.Copy(io.Discard, answer.Body)
+		return answer.Body.Close()
+	}
+	for name, change := range kinds {
+		Convey("Given a connection that was used before and breaks after a request "+name, t, func() {
+			var broken breaker
+			address := broken.serve(t)
+			client := &http.Transport{DialContext: transport.Dial(transport.Dialer())}
+			defer client.CloseIdleConnections()
+			So(send(client, address, change, true), ShouldBeNil)
+			Convey("net/http sends it again", func() {
+				So(send(client, address, change, false), ShouldBeNil)
+				So(broken.read.Load(), ShouldEqual, 3)
+			})
+			Convey("but not while a Sending watches it", func() {
+				So(send(client, address, change, true), ShouldNotBeNil)
+				So(broken.read.Load(), ShouldEqual, 2)
+			})
+		})
+	}
+}
+
+func TestACallOnABrokenConnectionIsSentOnce(t *testing.T) {
+	Convey("Given a callee that breaks off each second call on a connection once it has run", t, func() {
+		counted := counting(transport.NewIdentity(testCluster, "node-a"))
+		var calls atomic.Int64
+		client, address := answering(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			counted.ServeHTTP(w, r)
+			if calls.Add(1)%2 == 0 {
+				panic(http.ErrAbortHandler) // the answer is still in the server's buffer
+			}
+		}))
+		repeatable := transport.NewRepeatable[echo, echo](countCall.Path())
+		Convey("a call runs once, and is said to may have run", func() {
+			for pair := range int64(4) {
+				_, err := repeatable.Call(t.Context(), client, address, echo{})
+				So(err, ShouldBeNil)
+				_, err = repeatable.Call(t.Context(), client, address, echo{})
+				So(err, ShouldNotBeNil)
+				So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+				So(counted.runs.Load(), ShouldEqual, 2*pair+2)
+			}
+		})
+	})
+}
+
+func TestUnsentCallsHaveNotRun(t *testing.T) {
+	Convey("A call that is given up while it waits for a connection has not run", t, func() {
+		client := transport.NewClientFor(testCluster)
+		defer client.Close()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(errors.New("a newer leader is known"))
+		_, err := echoCall.Call(ctx, client, "127.0.0.1:1", sample)
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+	})
+	Convey("One that is given up at any moment is not said to have not run, if it has", t, func() {
+		counted := counting(transport.NewIdentity(testCluster, "node-a"))
+		client, address := answering(t, counted)
+		repeatable := transport.NewRepeatable[echo, echo](countCall.Path())
+		notRun := int64(0)
+		const calls = 400
+		for i := range calls {
+			ctx, cancel := context.WithCancel(t.Context())
+			stop := time.AfterFunc(time.Duration(i)*time.Microsecond, cancel)
+			_, err := repeatable.Call(ctx, client, address, echo{})
+			if verdict.Of(err) == verdict.NotRun && err != nil {
+				notRun++
+			}
+			stop.Stop()
+			cancel()
+		}
+		server := transport.NewClientFor(testCluster) // a last call, after which all others have been received
+		defer server.Close()
+		_, err := repeatable.Call(t.Context(), server, address, echo{})
+		So(err, ShouldBeNil)
+		So(counted.runs.Load(), ShouldBeLessThanOrEqualTo, calls+1-notRun)
+	})
+}
