Calls to searchers are sent by one writing, whatever net/http would repeat

Only the method and the absence of a header kept net/http from sending a start again on a connection that broke. A Sending watches the connection now: the body is given again only while no byte was written, and a call of which none was written is known not to have run (it was unclear once a connection was there).

--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync"
 	"time"
@@ -27,17 +25,9 @@
 // NewHTTPClient makes the client that all links of a process share. Connections that are given up are reset, so that
 // nothing they still hold arrives later.
 func NewHTTPClient() *http.Client {
-	dialer := transport.Dialer()
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			tcp.SetLinger(0) // where the system knows no such option, the close sends what is left
-		}
-		return connection, err
-	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext:         transport.Dial(transport.Dialer()),
 			MaxConnsPerHost:     connectionsPerSearcher,
 			MaxIdleConnsPerHost: connectionsPerSearcher,
 			IdleConnTimeout:     idleTimeout,
@@ -72,14 +62,14 @@
 
 var answerBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// post sends one call and reads its answer. An error means that there was no whole answer in time; it carries a verdict.
+// post sends one call, by one writing whatever net/http would repeat, and reads its answer. An error means that there was
+// no whole answer in time; it carries a verdict.
 func (c *caller) post(ctx context.Context, target *url.URL, body []byte, timeout time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	connected := false
-	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	response, err := c.http.Do(c.request(httptrace.WithClientTrace(ctx, &trace), target, body))
-	if err != nil && !connected {
+	var sending transport.Sending
+	response, err := c.http.Do(c.request(ctx, &sending, target, body))
+	if err != nil && sending.Unsent() {
 		return answer{}, verdict.Unexecuted(err, 0)
 	}
 	if err != nil {
@@ -93,15 +83,15 @@
 	return result, nil
 }
 
-func (c *caller) request(ctx context.Context, target *url.URL, body []byte) *http.Request {
+func (c *caller) request(ctx context.Context, sending *transport.Sending, target *url.URL, body []byte) *http.Request {
 	request := &http.Request{
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: c.headers,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 		// A connection that was closed before anything was written is replaced by net/http, which needs the body again.
-		GetBody: func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil },
+		GetBody: sending.Again(body),
 	}
-	return request.WithContext(ctx)
+	return request.WithContext(sending.Watch(ctx))
 }
 
 var errAnswerTooLong = errors.New("answer too long")
