--- /dev/null
+++ b/internal/jobs/worker/reset_test.go
@@ -0,0 +1,121 @@
+package worker
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/transport/resettest"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// startCounter is a searcher that counts how often each start was carried out.
+type startCounter struct {
+	mutex sync.Mutex
+	runs  map[string]int // by the call's body
+}
+
+// ServeHTTP implements http.Handler.
+func (s *startCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // a call that has not arrived whole is not carried out
+	}
+	s.mutex.Lock()
+	s.runs[string(body)]++
+	s.mutex.Unlock()
+	w.Write([]byte(`{"clockMs":482113}`))
+}
+
+func (s *startCounter) count(body []byte) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs[string(body)]
+}
+
+// TestStartsThatAreReset resets the connection at each byte of a start and of its answer.
+func TestStartsThatAreReset(t *testing.T) {
+	t.Parallel()
+	for name, usedBefore := range map[string]bool{"a new connection": false, "a connection used before": true} {
+		convey.Convey("A start on "+name+" runs once at most, and is unclear", t, func() {
+			counter := &startCounter{runs: map[string]int{}}
+			server := httptest.NewServer(counter)
+			relay := resettest.New(t, server.Listener.Addr().String())
+			send := func(execution uint64, cut resettest.Way, after int) ([]byte, error) {
+				client := NewHTTPClient()
+				defer client.CloseIdleConnections()
+				searcher := newCaller(client, relay.Address(), "i-1")
+				relay.Arm(cut, resettest.Never)
+				if usedBefore {
+					_, err := searcher.post(context.Background(), searcher.hold, []byte("{}"), patience)
+					convey.So(err, convey.ShouldBeNil)
+				}
+				relay.Arm(cut, after)
+				order := order(0, execution)
+				body := appendStart(nil, &order, time.Hour.Milliseconds(), 1)
+				_, err := searcher.post(context.Background(), searcher.start, body, patience)
+				return body, err
+			}
+			const firstExecution = 1000 // so that all calls have one length
+			_, err := send(firstExecution, resettest.Calls, resettest.Never)
+			convey.So(err, convey.ShouldBeNil)
+			lengths := [2]int{relay.Passed(resettest.Calls), relay.Passed(resettest.Answers)}
+			execution, wrong := uint64(firstExecution), 0
+			var cutInCall [][]byte
+			for _, cut := range []resettest.Way{resettest.Calls, resettest.Answers} {
+				for after := range lengths[cut] {
+					execution++
+					body, err := send(execution, cut, after)
+					if err == nil || verdict.Of(err) != verdict.MayHaveRun {
+						wrong++
+						t.Errorf("reset after byte %d of way %d: %v", after, cut, err)
+					}
+					if cut == resettest.Calls {
+						cutInCall = append(cutInCall, body)
+					} else if counter.count(body) != 1 {
+						wrong++
+					}
+				}
+			}
+			server.Close() // returns when all that arrived has run
+			for _, body := range cutInCall {
+				if counter.count(body) != 0 {
+					wrong++
+				}
+			}
+			convey.So(wrong, convey.ShouldEqual, 0)
+		})
+	}
+}
+
+// TestStartsAreNotSentAgain lets a searcher break off a connection that was used before, after it has carried out a start.
+func TestStartsAreNotSentAgain(t *testing.T) {
+	t.Parallel()
+	convey.Convey("A start whose answer is broken off is not sent again by net/http, whatever its headers say", t, func() {
+		counter := &startCounter{runs: map[string]int{}}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			counter.ServeHTTP(w, r)
+			if r.URL.Path == startPath {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		defer server.Close()
+		client := NewHTTPClient()
+		defer client.CloseIdleConnections()
+		searcher := newCaller(client, server.Listener.Addr().String(), "i-1")
+		searcher.headers.Set("Idempotency-Key", "1") // by which net/http repeats
+		_, err := searcher.post(context.Background(), searcher.hold, []byte("{}"), patience)
+		convey.So(err, convey.ShouldBeNil)
+		order := order(0, 1)
+		body := appendStart(nil, &order, time.Hour.Milliseconds(), 1)
+		_, err = searcher.post(context.Background(), searcher.start, body, patience)
+		convey.So(verdict.Of(err), convey.ShouldEqual, verdict.MayHaveRun)
+		convey.So(counter.count(body), convey.ShouldEqual, 1)
+	})
+}
--- a/internal/transport/offsets_test.go
+++ b/internal/transport/offsets_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/transport/resettest"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -22,7 +23,7 @@
 type resetBench struct {
 	tally  *tally
 	server *httptest.Server
-	relay  *relay
+	relay  *resettest.Relay
 	number uint64
 }
 
@@ -35,7 +36,7 @@
 	transport.Handle(b.tally.Mux, runOnceCall, run)
 	transport.Handle(b.tally.Mux, runAgainCall, run)
 	b.server = httptest.NewServer(b.tally)
-	b.relay = newRelay(t, b.server.Listener.Addr().String())
+	b.relay = resettest.New(t, b.server.Listener.Addr().String())
 	return b
 }
 
@@ -47,7 +48,7 @@
 // result is how one call ended, before all that was sent has been received.
 type result struct {
 	number uint64
-	cut    way
+	cut    resettest.Way
 	after  int
 	err    error
 }
@@ -76,19 +77,19 @@
 }
 
 // call makes one call whose connection is reset after so many bytes.
-func (b *resetBench) call(t *testing.T, kind kind, cut way, after int) result {
+func (b *resetBench) call(t *testing.T, kind kind, cut resettest.Way, after int) result {
 	client := transport.NewClientFor(testCluster)
 	defer client.Close()
-	b.relay.arm(cut, never)
+	b.relay.Arm(cut, resettest.Never)
 	if kind.reused {
-		if _, err := sendAgain(t.Context(), client, b.relay.address(), echo{}); err != nil {
+		if _, err := sendAgain(t.Context(), client, b.relay.Address(), echo{}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	b.relay.arm(cut, after)
+	b.relay.Arm(cut, after)
 	b.number++
 	request := echo{Number: b.number, Text: "so that the call has some length"}
-	reply, err := kind.send(t.Context(), client, b.relay.address(), request)
+	reply, err := kind.send(t.Context(), client, b.relay.Address(), request)
 	if err == nil && (reply.Number != request.Number || reply.Text != request.Text) {
 		t.Fatalf("answer %v to %v", reply, request)
 	}
@@ -100,15 +101,15 @@
 	for _, kind := range kinds {
 		Convey("A call that is "+kind.name, t, func() {
 			b := newResetBench(t)
-			So(b.call(t, kind, calls, never).err, ShouldBeNil)
-			lengths := [2]int{b.relay.count(calls), b.relay.count(answers)}
+			So(b.call(t, kind, resettest.Calls, resettest.Never).err, ShouldBeNil)
+			lengths := [2]int{b.relay.Passed(resettest.Calls), b.relay.Passed(resettest.Answers)}
 			var results []result
-			for _, cut := range []way{calls, answers} {
+			for _, cut := range []resettest.Way{resettest.Calls, resettest.Answers} {
 				for after := range lengths[cut] {
 					results = append(results, b.call(t, kind, cut, after))
 				}
 			}
-			last := b.call(t, kind, answers, lengths[answers])
+			last := b.call(t, kind, resettest.Answers, lengths[resettest.Answers])
 			So(last.err, ShouldBeNil)
 			b.server.Close() // returns when all that was received has run
 			faults := 0
@@ -133,6 +134,6 @@
 	if kind.asksFirst {
 		return runs == 0 || verdict.Of(r.err) == verdict.MayHaveRun
 	}
-	ranBefore := r.cut == answers // the call had arrived, and all of an answer comes after the run
+	ranBefore := r.cut == resettest.Answers // the call had arrived, and all of an answer comes after the run
 	return verdict.Of(r.err) == verdict.MayHaveRun && (runs == 1) == ranBefore
 }
--- a/internal/transport/relay_test.go
+++ b/internal/transport/resettest/relay.go
@@ -1,4 +1,5 @@
-package transport_test
+// Package resettest is a relay on the loopback for tests that reset connections at each byte of a call and of its answer.
+package resettest
 
 import (
 	"net"
@@ -6,59 +7,63 @@
 	"testing"
 )
 
-// way is one of the two directions of a connection.
-type way int
+// Way is one of the two directions of a connection.
+type Way int
 
 const (
-	calls   way = iota // from the caller
-	answers            // to the caller
+	Calls   Way = iota // from the caller
+	Answers            // to the caller
 )
 
-// relay passes bytes on, counts them, and resets the connection after so many of one way.
-type relay struct {
+// Never is the place of a reset that does not come.
+const Never = -1
+
+// Relay passes bytes on, counts them, and resets the connection after so many of one way.
+type Relay struct {
 	listener net.Listener
 	target   string
 
 	mutex  sync.Mutex
 	passed [2]int // since the last arming
-	cut    way
-	after  int // bytes; never for none
+	cut    Way
+	after  int // bytes; Never for none
 }
 
-const never = -1
-
-func newRelay(t *testing.T, target string) *relay {
+// New makes a relay to an address. It ends with the test.
+func New(t testing.TB, target string) *Relay {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	r := &relay{listener: listener, target: target, after: never}
+	r := &Relay{listener: listener, target: target, after: Never}
 	go r.run()
 	return r
 }
 
-func (r *relay) address() string { return r.listener.Addr().String() }
+// Address is where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// arm counts anew, and resets the connection once so many bytes went that way and another one wants to.
-func (r *relay) arm(cut way, after int) {
+// Arm counts anew, and resets the connection once so many bytes went that way and another one wants to.
+func (r *Relay) Arm(cut Way, after int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.passed, r.cut, r.after = [2]int{}, cut, after
 }
 
-func (r *relay) count(way way) int {
+// Passed is how many bytes went a way since the last arming.
+func (r *Relay) Passed(way Way) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.passed[way]
 }
 
 // allow tells how many of some bytes may pass, and whether the connection is reset then.
-func (r *relay) allow(way way, bytes int) (pass int, reset bool) {
+func (r *Relay) allow(way Way, bytes int) (pass int, reset bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	pass = bytes
-	if r.after != never && way == r.cut {
+	if r.after != Never && way == r.cut {
 		pass = min(bytes, r.after-r.passed[way])
 		reset = pass < bytes
 	}
@@ -66,7 +71,7 @@
 	return pass, reset
 }
 
-func (r *relay) run() {
+func (r *Relay) run() {
 	for {
 		caller, err := r.listener.Accept()
 		if err != nil {
@@ -78,12 +83,12 @@
 			return
 		}
 		both := [2]*net.TCPConn{caller.(*net.TCPConn), callee.(*net.TCPConn)}
-		go r.pass(calls, both[0], both[1])
-		go r.pass(answers, both[1], both[0])
+		go r.pass(Calls, both[0], both[1])
+		go r.pass(Answers, both[1], both[0])
 	}
 }
 
-func (r *relay) pass(way way, from, to *net.TCPConn) {
+func (r *Relay) pass(way Way, from, to *net.TCPConn) {
 	defer from.Close()
 	defer to.Close()
 	buffer := make([]byte, 4096)
