Clients' requests in the proxy: resets at each byte, answers among many that are given up

A job that did not arrive whole is not handed in; one whose answer is lost is, once. A try at a leader whose address another machine has taken is refused and goes to the next leader.

--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -214,8 +215,11 @@
 	if handler == nil {
 		return arrival{err: &net.OpError{Op: "dial", Net: "memory", Err: errUnreachable}}
 	}
-	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
-	request.Header = header.Clone()
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: path}, Host: to, RequestURI: path,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header.Clone(),
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
+	}
 	answer := httptest.NewRecorder()
 	handler.ServeHTTP(answer, request)
 	return arrival{response: answer.Result()}
--- /dev/null
+++ b/internal/dataplane/proxy/reset_test.go
@@ -0,0 +1,163 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/transport/resettest"
+)
+
+// handedIn counts at a leader how often each job was handed in.
+type handedIn struct {
+	mutex sync.Mutex
+	times map[job.ID]int
+}
+
+func (h *handedIn) submit(_ context.Context, s jobapi.Submit) (jobapi.Submitted, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.times[s.ID]++
+	return jobapi.Submitted{}, nil
+}
+
+func (h *handedIn) count(number int) int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.times[numbered(number)]
+}
+
+func numbered(number int) job.ID { return job.ID(fmt.Sprintf("%016x", number)) }
+
+// TestClientsThatAreReset resets a client's connection at each byte of a job and of its answer.
+func TestClientsThatAreReset(t *testing.T) {
+	Convey("Given clients whose connections break", t, func() {
+		handed := &handedIn{times: map[job.ID]int{}}
+		leader := newLeader(t)
+		leader.submit = handed.submit
+		f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
+		relay := resettest.New(t, strings.TrimPrefix(f.url, "http://"))
+		number := 0
+		send := func(cut resettest.Way, after int) error {
+			number++
+			client := &http.Transport{}
+			defer client.CloseIdleConnections()
+			relay.Arm(cut, after)
+			request, err := http.NewRequest(http.MethodPost, "http://"+relay.Address()+testPrefix+string(numbered(number)), strings.NewReader(testJob))
+			So(err, ShouldBeNil)
+			answer, err := client.RoundTrip(request)
+			if err != nil {
+				return err
+			}
+			defer answer.Body.Close()
+			_, err = io.ReadAll(answer.Body)
+			return err
+		}
+		So(send(resettest.Calls, resettest.Never), ShouldBeNil)
+		lengths := [2]int{relay.Passed(resettest.Calls), relay.Passed(resettest.Answers)}
+		Convey("a job that did not arrive whole is not handed in; one whose answer is lost is, once", func() {
+			wrong := 0
+			for after := range lengths[resettest.Calls] {
+				So(send(resettest.Calls, after), ShouldNotBeNil)
+			}
+			cutInCall := number
+			for after := range lengths[resettest.Answers] {
+				So(send(resettest.Answers, after), ShouldNotBeNil)
+				if handed.count(number) != 1 {
+					wrong++
+				}
+			}
+			So(send(resettest.Calls, resettest.Never), ShouldBeNil)
+			for cut := 2; cut <= cutInCall; cut++ {
+				if handed.count(cut) != 0 {
+					wrong++
+				}
+			}
+			So(wrong, ShouldEqual, 0)
+		})
+	})
+}
+
+// TestAnswersReachTheirClients asks for many jobs at once, while many clients give up, and the leader's answers too.
+func TestAnswersReachTheirClients(t *testing.T) {
+	Convey("Each answer is about the job that was asked for", t, func() {
+		const clients, asksEach = 12, 40
+		leader := newLeader(t)
+		var late atomic.Int64
+		leader.status = func(ctx context.Context, s jobapi.Status) (jobapi.StatusReply, error) {
+			if late.Add(1)%16 == 0 { // beyond the time of a try
+				return jobapi.StatusReply{}, leader.silence(ctx)
+			}
+			return jobapi.StatusReply{Known: true, State: jobState(string(s.ID))}, nil
+		}
+		f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
+		var wrong, right atomic.Int64
+		var asking sync.WaitGroup
+		for client := range clients {
+			random := rand.New(rand.NewPCG(uint64(client), 0))
+			asking.Go(func() {
+				for ask := range asksEach {
+					id := string(numbered(client*asksEach + ask))
+					ctx, cancel := context.WithCancel(context.Background())
+					if random.IntN(3) == 0 {
+						time.AfterFunc(time.Duration(random.IntN(900))*time.Microsecond, cancel)
+					}
+					text, err := f.ask(ctx, testPrefix+id)
+					switch {
+					case err != nil:
+					case strings.Contains(text, id):
+						right.Add(1)
+					default:
+						wrong.Add(1)
+					}
+					cancel()
+				}
+			})
+		}
+		asking.Wait()
+		So(wrong.Load(), ShouldEqual, 0)
+		So(right.Load(), ShouldBeGreaterThan, clients*asksEach/2)
+	})
+}
+
+// ask reads a path; a client that gives up gets an error.
+func (f *fixture) ask(ctx context.Context, path string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+path, nil)
+	if err != nil {
+		return "", err
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return string(text), err
+}
+
+// TestAnotherMachineAtALeadersAddress gives the leader's address to a process of another machine, which does not lead.
+func TestAnotherMachineAtALeadersAddress(t *testing.T) {
+	Convey("A call that meant the leader runs nowhere else, and reaches the next leader", t, func() {
+		leader, next := newLeader(t).accepting(), newLeader(t).accepting()
+		f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
+		So(f.post().status, ShouldEqual, http.StatusOK)
+		answers := leader.replace("another")
+		replies := f.background(http.MethodPost, testPrefix+string(numbered(7)), testJob)
+		So(<-answers, ShouldEqual, http.StatusMisdirectedRequest)
+		f.agent.change(func(s *feed.Snapshot) { s.Leaders[testGroup] = feed.Leader{Address: next.address(), Epoch: 2} })
+		So((<-replies).status, ShouldEqual, http.StatusOK)
+		So(next.called(), ShouldEqual, 1)
+	})
+}
--- a/internal/dataplane/proxy/standin_test.go
+++ b/internal/dataplane/proxy/standin_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +83,8 @@
 	count  func(context.Context, jobapi.Pending) (jobapi.PendingReply, error)
 	calls  int
 	breaks int // so many calls are read and then broken off
+
+	stranger atomic.Pointer[http.HandlerFunc] // serves the address instead
 }
 
 func newLeader(t *testing.T) *standInLeader {
@@ -96,6 +100,10 @@
 			io.Copy(io.Discard, r.Body)
 			panic(http.ErrAbortHandler)
 		}
+		if stranger := leader.stranger.Load(); stranger != nil {
+			stranger.ServeHTTP(w, r)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	}))
 	t.Cleanup(leader.server.Close)
@@ -115,6 +123,26 @@
 	})
 }
 
+// replace gives the leader's address to a process of another machine, which leads nothing. The statuses of its answers
+// are delivered.
+func (l *standInLeader) replace(node string) (answers <-chan int) {
+	statuses := make(chan int, 1000)
+	mux := transport.NewMuxFor(transport.NewIdentity("", node))
+	transport.Handle(mux, jobapi.SubmitCall, func(context.Context, jobapi.Submit) (jobapi.Submitted, error) {
+		return jobapi.Submitted{}, notRun("not the leader", 0)
+	})
+	stranger := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, r)
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		w.Write(recorder.Body.Bytes())
+		statuses <- recorder.Code
+	})
+	l.stranger.Store(&stranger)
+	return statuses
+}
+
 // breakOff counts a call, and tells whether it is to be broken off.
 func (l *standInLeader) breakOff() bool {
 	l.mutex.Lock()
