--- a/internal/controlplane/configuration/modelnetwork_test.go
+++ b/internal/controlplane/configuration/modelnetwork_test.go
@@ -198,7 +198,7 @@
 }
 
 // Call implements transport.Caller.
-func (c modelCaller) Call(ctx context.Context, address, path string, request, reply any) error {
+func (c modelCaller) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	if !c.alive() {
 		return verdict.Unexecuted(errKilled, 0)
 	}
@@ -206,6 +206,7 @@
 	if err != nil {
 		return verdict.Unexecuted(err, 0)
 	}
+	path := route.Path()
 	answers := make(chan *httptest.ResponseRecorder, 2)
 	for _, way := range c.network.journeys(c.from, address, path) {
 		go c.network.carry(way, direction{c.from, address}, path, body, answers)
--- a/internal/controlplane/coordinator/current_test.go
+++ b/internal/controlplane/coordinator/current_test.go
@@ -66,7 +66,7 @@
 	body, err := msgpack.Marshal(feed.Watch{})
 	So(err, ShouldBeNil)
 	recorder := httptest.NewRecorder()
-	c.mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, feed.WatchPath, bytes.NewReader(body)))
+	c.mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, feed.WatchCall.Path(), bytes.NewReader(body)))
 	So(recorder.Code, ShouldEqual, http.StatusOK)
 	var reply feed.WatchReply
 	So(msgpack.Unmarshal(recorder.Body.Bytes(), &reply), ShouldBeNil)
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -34,6 +34,12 @@
 	View   replicaset.View `msgpack:"v"` // that it works with
 }
 
+// Internal calls. Both only read: the copy is as of when it is made.
+var (
+	dumpCall  = transport.NewRepeatable[dumpRequest, dumpReply]("/rebuild/dump")
+	readyCall = transport.NewRepeatable[readyRequest, readyReply]("/rebuild/ready")
+)
+
 // dumpReply is that copy, as of one moment after its giver learned the view.
 type dumpReply struct {
 	Tables storage.Tables `msgpack:"t"`
@@ -41,8 +47,8 @@
 
 // Serve registers the internal calls by which others rebuild, and learn that this member is.
 func (r *Rebuilder) Serve(mux *transport.Mux) {
-	transport.Handle(mux, dumpPath, r.dump)
-	transport.Handle(mux, readyPath, r.tellReady)
+	transport.Handle(mux, dumpCall, r.dump)
+	transport.Handle(mux, readyCall, r.tellReady)
 }
 
 func (r *Rebuilder) dump(_ context.Context, request dumpRequest) (dumpReply, error) {
@@ -140,7 +146,6 @@
 func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
 	defer cancel()
-	var reply dumpReply
-	err := r.config.Caller.Call(ctx, member, dumpPath, dumpRequest{Member: r.config.Self, View: view}, &reply)
+	reply, err := dumpCall.Call(ctx, r.config.Caller, member, dumpRequest{Member: r.config.Self, View: view})
 	return reply.Tables, err
 }
--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -67,8 +67,8 @@
 func (r *Rebuilder) askReady(ctx context.Context, member string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
-	var reply readyReply
-	if err := r.config.Caller.Call(ctx, member, readyPath, readyRequest{}, &reply); err != nil {
+	reply, err := readyCall.Call(ctx, r.config.Caller, member, readyRequest{})
+	if err != nil {
 		r.config.Logger.Debug("ask whether a newcomer is rebuilt", zap.String("member", member), zap.Error(err))
 		return false
 	}
--- a/internal/controlplane/register/given_up_test.go
+++ b/internal/controlplane/register/given_up_test.go
@@ -9,6 +9,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -18,7 +19,7 @@
 var errNobodyThere = errors.New("nobody is there")
 
 // Call implements transport.Caller.
-func (c *deafCaller) Call(context.Context, string, string, any, any) error {
+func (c *deafCaller) Call(context.Context, string, transport.Route, any, any) error {
 	c.calls.Add(1)
 	return verdict.Unexecuted(errNobodyThere, 0)
 }
--- a/internal/controlplane/replication/fetch.go
+++ b/internal/controlplane/replication/fetch.go
@@ -27,7 +27,7 @@
 	core := f.group.core
 	request := stateRequest{Group: f.group.name, View: core.view.Version, Position: f.position, Part: f.next}
 	reply := new(stateReply)
-	core.call(f.from, statePath, core.timing.Transfer, request, reply, func(err error) { f.take(*reply, err) })
+	core.call(f.from, stateCall.Route(), core.timing.Transfer, request, reply, func(err error) { f.take(*reply, err) })
 }
 
 // take adds the part that was asked for.
--- a/internal/controlplane/replication/sending.go
+++ b/internal/controlplane/replication/sending.go
@@ -119,7 +119,7 @@
 	follower.sending = true
 	sent, sending := l.core.now, follower.transfer
 	request, reply := sending.part(l.core.view.Version), new(appendReply)
-	l.core.call(address, appendPath, sending.limit(l.core.timing), request, reply, func(err error) {
+	l.core.call(address, appendCall.Route(), sending.limit(l.core.timing), request, reply, func(err error) {
 		follower.sending = false
 		follower.settled = l.core.now
 		follower.known = false
--- a/internal/dataplane/proxy/feed_test.go
+++ b/internal/dataplane/proxy/feed_test.go
@@ -14,6 +14,7 @@
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
 func (f *fixture) readinessStatus() int {
@@ -90,7 +91,7 @@
 type standingStill feed.WatchReply
 
 // Call implements transport.Caller.
-func (s standingStill) Call(_ context.Context, _, _ string, _, reply any) error {
+func (s standingStill) Call(_ context.Context, _ string, _ transport.Route, _, reply any) error {
 	<-time.After(20 * time.Second) // virtual; the context's end does not come between the answer and its reader
 	*reply.(*feed.WatchReply) = feed.WatchReply(s)
 	return nil
--- a/internal/dataplane/proxy/standin_test.go
+++ b/internal/dataplane/proxy/standin_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,21 +83,27 @@
 	count  func(context.Context, jobapi.Pending) (jobapi.PendingReply, error)
 	calls  int
 	breaks int // so many calls are read and then broken off
+
+	stranger atomic.Pointer[http.HandlerFunc] // serves the address instead
 }
 
 func newLeader(t *testing.T) *standInLeader {
 	ctx, end := context.WithCancel(context.Background())
 	leader := &standInLeader{ended: ctx}
 	mux := transport.NewMux()
-	serve(leader, mux, jobapi.SubmitPath, &leader.submit)
-	serve(leader, mux, jobapi.StatusPath, &leader.status)
-	serve(leader, mux, jobapi.CancelPath, &leader.cancel)
-	serve(leader, mux, jobapi.PendingPath, &leader.count)
+	serve(leader, mux, jobapi.SubmitCall, &leader.submit)
+	serve(leader, mux, jobapi.StatusCall, &leader.status)
+	serve(leader, mux, jobapi.CancelCall, &leader.cancel)
+	serve(leader, mux, jobapi.PendingCall, &leader.count)
 	leader.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if leader.breakOff() {
 			io.Copy(io.Discard, r.Body)
 			panic(http.ErrAbortHandler)
 		}
+		if stranger := leader.stranger.Load(); stranger != nil {
+			stranger.ServeHTTP(w, r)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	}))
 	t.Cleanup(leader.server.Close)
@@ -103,8 +111,8 @@
 	return leader
 }
 
-func serve[Request, Reply any](l *standInLeader, mux *transport.Mux, path string, method *func(context.Context, Request) (Reply, error)) {
-	transport.Handle(mux, path, func(ctx context.Context, request Request) (reply Reply, err error) {
+func serve[Request, Reply any](l *standInLeader, mux *transport.Mux, endpoint transport.Endpoint[Request, Reply], method *func(context.Context, Request) (Reply, error)) {
+	transport.Handle(mux, endpoint, func(ctx context.Context, request Request) (reply Reply, err error) {
 		l.mutex.Lock()
 		answer := *method
 		l.mutex.Unlock()
@@ -115,6 +123,26 @@
 	})
 }
 
+// replace gives the leader's address to a process of another machine, which leads nothing. The statuses of its answers
+// are delivered.
+func (l *standInLeader) replace(node string) (answers <-chan int) {
+	statuses := make(chan int, 1000)
+	mux := transport.NewMuxFor(transport.NewIdentity("", node))
+	transport.Handle(mux, jobapi.SubmitCall, func(context.Context, jobapi.Submit) (jobapi.Submitted, error) {
+		return jobapi.Submitted{}, notRun("not the leader", 0)
+	})
+	stranger := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, r)
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		w.Write(recorder.Body.Bytes())
+		statuses <- recorder.Code
+	})
+	l.stranger.Store(&stranger)
+	return statuses
+}
+
 // breakOff counts a call, and tells whether it is to be broken off.
 func (l *standInLeader) breakOff() bool {
 	l.mutex.Lock()
@@ -168,7 +196,7 @@
 func newAgent(t *testing.T, snapshot feed.Snapshot) *standInAgent {
 	agent := &standInAgent{snapshot: snapshot, current: true, changed: make(chan struct{})}
 	mux := transport.NewMux()
-	transport.Handle(mux, feed.LocalPath, agent.watch)
+	transport.Handle(mux, feed.LocalCall, agent.watch)
 	agent.server = httptest.NewServer(mux)
 	t.Cleanup(agent.server.Close)
 	return agent
--- a/internal/jobs/manager/again_test.go
+++ b/internal/jobs/manager/again_test.go
@@ -28,7 +28,7 @@
 type soleMember struct{}
 
 // Call implements transport.Caller.
-func (soleMember) Call(context.Context, string, string, any, any) error {
+func (soleMember) Call(context.Context, string, transport.Route, any, any) error {
 	return verdict.Unexecuted(errNobody, 0)
 }
 
