--- a/cmd/puffinlink/main_test.go
+++ b/cmd/puffinlink/main_test.go
@@ -18,8 +18,9 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap/zapcore"
 
+	"puffinlink.example/puffinlink/internal/dataplane/mixerlog"
 	"puffinlink.example/puffinlink/internal/dataplane/node"
 	"puffinlink.example/puffinlink/internal/standin"
 )
@@ -83,9 +84,9 @@
 	begun, ended := make(chan bool), make(chan bool)
 	go func() {
 		defer close(ended)
-		log := zerolog.New(io.Discard).With().Timestamp().Logger()
+		log := mixerlog.New(zapcore.AddSync(io.Discard))
 		for i := range 1000 {
-			log.Info().Msg("connection ended")
+			log.Info("connection ended")
 			if i == 0 {
 				close(begun)
 			}
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -13,10 +12,10 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixerlog"
 	"puffinlink.example/puffinlink/internal/dataplane/node"
 	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
@@ -36,9 +35,6 @@
 
 func (s *serveCmd) Run() error { return run(s.Operator) }
 
-// The log's times, set once and before anything runs: connections of a mixer that stops may still read it.
-func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs }
-
 // limit keeps Go within the machine's share.
 func limit(c node.Config) {
 	if c.Limits.Cores > 0 {
@@ -112,16 +108,15 @@
 		}
 	}
 	limit(c)
-	// Whoever reads the log must not hold up the mixer: lines that find no room are dropped and counted. Its writer would
-	// close standard output if it could.
+	// Whoever reads the log must not hold up the mixer: lines that find no room are dropped and counted.
 	count := counters.New()
-	out := diode.NewWriter(struct{ io.Writer }{os.Stdout}, logLines, 0, func(missed int) { count.Add("log", "dropped", int64(missed)) })
+	out := mixerlog.NewWriter(os.Stdout, logLines, func() { count.Add("log", "dropped", 1) })
 	defer out.Close()
-	log := zerolog.New(out).With().Timestamp().Str("mixer", c.Name).Logger()
+	log := mixerlog.New(out).With(zap.String("mixer", c.Name))
 
 	n, err := start(signals, func(ctx context.Context) (*node.Node, error) { return node.Start(ctx, c, set, file, log, count) })
 	if errors.Is(err, context.Canceled) {
-		log.Info().Msg("told to stop before it served")
+		log.Info("told to stop before it served")
 		return nil
 	} else if err != nil {
 		return err
@@ -131,12 +126,12 @@
 		case s := <-signals:
 			switch s {
 			case syscall.SIGUSR1:
-				log.Info().EmbedObject(count).Msg("counters")
+				log.Info("counters", zap.Inline(count))
 			case syscall.SIGHUP:
 				if err := reload(n); err != nil {
-					log.Error().Str("text", err.Error()).Msg("config not taken, all stays as it is")
+					log.Error("config not taken, all stays as it is", zap.String("text", err.Error()))
 				} else {
-					log.Info().Msg("config taken")
+					log.Info("config taken")
 				}
 			default:
 				n.Drain()
@@ -146,7 +141,7 @@
 		}
 	}
 	n.Stop()
-	log.Info().EmbedObject(count).Msg("counters")
+	log.Info("counters", zap.Inline(count))
 	return nil
 }
 
--- a/internal/controlplane/fleet/command.go
+++ b/internal/controlplane/fleet/command.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
@@ -139,7 +141,7 @@
 	}
 	f.safely(func() {
 		if err := f.council.Propose(&c.Command); err != nil {
-			f.log.Info().Str("text", err.Error()).Msg("fleet: command not taken yet")
+			f.log.Info("fleet: command not taken yet", zap.String("text", err.Error()))
 		}
 	})
 }
@@ -225,9 +227,9 @@
 	case n.err != nil:
 		f.due.file = f.now + againEvery
 	case n.result.Wrong != "":
-		f.log.Warn().Str("text", n.result.Wrong).Msg("fleet: tables of the operator's file not taken, what is held stands")
+		f.log.Warn("fleet: tables of the operator's file not taken, what is held stands", zap.String("text", n.result.Wrong))
 	default:
-		f.log.Info().Uint64("version", n.result.Version).Msg("fleet: tables of the operator's file are held")
+		f.log.Info("fleet: tables of the operator's file are held", zap.Uint64("version", n.result.Version))
 	}
 }
 
--- a/internal/controlplane/fleet/fleet.go
+++ b/internal/controlplane/fleet/fleet.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
@@ -61,7 +61,7 @@
 type Fleet struct {
 	set   Settings
 	tell  *eventqueue.Queue[mixer.Event]
-	log   zerolog.Logger
+	log   *zap.Logger
 	count *counters.Set
 	in    *eventqueue.Queue[note]
 	start time.Time
@@ -127,7 +127,7 @@
 
 // New makes the actor. Until its directory and address are open, and another process may hold both, it knows no contract
 // for sure and has neither tokens nor floors.
-func New(set Settings, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) (*Fleet, error) {
+func New(set Settings, tell *eventqueue.Queue[mixer.Event], log *zap.Logger, count *counters.Set) (*Fleet, error) {
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
@@ -161,7 +161,7 @@
 	err := f.tryOpen()
 	if err == nil {
 		if f.opening != "" {
-			f.log.Info().Msg("fleet: address and directory are ours")
+			f.log.Info("fleet: address and directory are ours")
 		}
 		f.opening = ""
 		return
@@ -169,7 +169,7 @@
 	f.due.open = f.now + reopenEvery
 	if text := err.Error(); text != f.opening {
 		f.opening = text
-		f.log.Error().Str("text", text).Msg("fleet: not open, no floors and no leases until it is")
+		f.log.Error("fleet: not open, no floors and no leases until it is", zap.String("text", text))
 	}
 }
 
--- a/internal/controlplane/fleet/fleet_test.go
+++ b/internal/controlplane/fleet/fleet_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
@@ -70,7 +70,7 @@
 	if change != nil {
 		change(&s)
 	}
-	f, err := New(s, eventqueue.New[mixer.Event](), zerolog.Nop(), counters.New())
+	f, err := New(s, eventqueue.New[mixer.Event](), zap.NewNop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/fleet/judgements.go
+++ b/internal/controlplane/fleet/judgements.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/roster"
@@ -49,7 +51,10 @@
 	for _, j := range list {
 		if _, before := f.judged[j.Searcher]; !before {
 			f.count.Add("fleet", "judged", 1)
-			f.log.Info().Str("searcher", string(j.Searcher)).Float64("times", j.Times).Interface("witnesses", j.Witnesses).Msg("fleet: judged by others")
+			f.log.Info("fleet: judged by others",
+				zap.String("searcher", string(j.Searcher)),
+				zap.Float64("times", j.Times),
+				zap.Any("witnesses", j.Witnesses))
 		}
 		f.judged[j.Searcher] = f.now
 		tell = append(tell, mixer.Judged{Searcher: string(j.Searcher), Times: j.Times, For: shared.HeldFor})
--- a/internal/controlplane/fleet/receive.go
+++ b/internal/controlplane/fleet/receive.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/link"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/members"
@@ -29,7 +31,7 @@
 	}
 	if err := handle(f, l.From, l.Body); err != nil {
 		f.count.Add("fleet_dropped", "unreadable", 1)
-		f.log.Warn().Str("from", string(l.From)).Uint8("kind", uint8(l.Kind)).Str("text", err.Error()).Msg("fleet: letter dropped")
+		f.log.Warn("fleet: letter dropped", zap.String("from", string(l.From)), zap.Uint8("kind", uint8(l.Kind)), zap.String("text", err.Error()))
 	}
 }
 
@@ -67,7 +69,7 @@
 		messageCommand: handled((*Fleet).handed),
 		messageResult:  handled((*Fleet).handedBack),
 		messageNewer: handled(func(f *Fleet, from roster.Name, n *newer) {
-			f.log.Error().Str("from", string(from)).Msg("fleet: another process spoke under this name, or the clock went back")
+			f.log.Error("fleet: another process spoke under this name, or the clock went back", zap.String("from", string(from)))
 			f.sealer.Rise(n.Known)
 			f.saveTables()
 		}),
@@ -92,6 +94,6 @@
 	}
 	for _, c := range changes {
 		f.count.Add("fleet_members", c.Now.String(), 1)
-		f.log.Info().Str("mixer", string(c.Name)).Str("was", c.Was.String()).Str("now", c.Now.String()).Msg("fleet: mixer")
+		f.log.Info("fleet: mixer", zap.String("mixer", string(c.Name)), zap.String("was", c.Was.String()), zap.String("now", c.Now.String()))
 	}
 }
--- a/internal/controlplane/fleet/run.go
+++ b/internal/controlplane/fleet/run.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/residency"
@@ -85,7 +87,7 @@
 		f.councilSaved(n.err)
 	case tablesSaved:
 		if n.err != nil {
-			f.log.Error().Str("text", n.err.Error()).Msg("fleet: tables can't be kept")
+			f.log.Error("fleet: tables can't be kept", zap.String("text", n.err.Error()))
 		} else {
 			f.floorsAt = max(f.floorsAt, n.quotas)
 		}
@@ -141,7 +143,7 @@
 	if deaf := f.members.Deaf(); deaf != f.deaf {
 		f.deaf = deaf
 		f.count.Add("fleet", map[bool]string{true: "deaf", false: "hears_again"}[deaf], 1)
-		f.log.Warn().Bool("deaf", deaf).Msg("fleet: whether any other mixer is heard")
+		f.log.Warn("fleet: whether any other mixer is heard", zap.Bool("deaf", deaf))
 	}
 	f.expire()
 }
--- a/internal/controlplane/fleet/tables.go
+++ b/internal/controlplane/fleet/tables.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
@@ -34,7 +35,7 @@
 func (f *Fleet) readTables() (t tables) {
 	if v := f.stored.Values[valueTables]; v != nil {
 		if err := cbor.Unmarshal(v, &t); err != nil {
-			f.log.Error().Str("text", err.Error()).Msg("fleet: kept tables can't be read, none holds")
+			f.log.Error("fleet: kept tables can't be read, none holds", zap.String("text", err.Error()))
 			return tables{}
 		}
 	}
--- a/internal/controlplane/fleet/voter.go
+++ b/internal/controlplane/fleet/voter.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/council"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/failpoint"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
@@ -98,7 +100,7 @@
 		return
 	}
 	if !save.Empty() { // the founding, or joining: before anything is said as a part of it
-		f.log.Info().Str("by", string(from)).Msg("fleet: this voter takes part in the council")
+		f.log.Info("fleet: this voter takes part in the council", zap.String("by", string(from)))
 		f.save(&save)
 		return
 	}
@@ -156,7 +158,7 @@
 	f.failed, f.due.again = true, f.now+muteFor
 	f.unlead()
 	f.count.Add("fleet", "mute", 1)
-	f.log.Error().Str("text", err.Error()).Msg("fleet: the council's work can't be kept, this voter is mute")
+	f.log.Error("fleet: the council's work can't be kept, this voter is mute", zap.String("text", err.Error()))
 }
 
 // comeBack reads the directory anew. Closing the file may wait for a disk, which this goroutine must not.
@@ -181,7 +183,7 @@
 func (f *Fleet) storeClosed() {
 	store, kept, err := store.OpenLog(f.set.Directory, 0, f.log)
 	if err != nil {
-		f.log.Error().Str("text", err.Error()).Msg("fleet: the directory can't be opened, this voter stays mute")
+		f.log.Error("fleet: the directory can't be opened, this voter stays mute", zap.String("text", err.Error()))
 		f.in.Put(note{kind: reopen})
 		return
 	}
@@ -192,7 +194,7 @@
 	}
 	f.failed, f.saving, f.nonce, f.due.nonce = false, false, 0, 0
 	clear(f.reads)
-	f.log.Info().Msg("fleet: this voter is mute no more")
+	f.log.Info("fleet: this voter is mute no more")
 	f.saveTables()
 }
 
@@ -240,7 +242,7 @@
 		clear(f.quotaOf)
 		clear(f.unlike)
 		f.count.Add("fleet", "led", 1)
-		f.log.Info().Uint64("term", f.term).Float64("grants_in_s", f.granter.Ready()-f.now).Msg("fleet: this mixer leads the council")
+		f.log.Info("fleet: this mixer leads the council", zap.Uint64("term", f.term), zap.Float64("grants_in_s", f.granter.Ready()-f.now))
 	}
 	f.granter.Confirm(at, authority)
 	f.sureTo = max(f.sureTo, at+authority)
@@ -251,7 +253,7 @@
 		f.granted, f.sureTo = false, 0
 		f.granter.End()
 		clear(f.reads)
-		f.log.Info().Msg("fleet: this mixer leads no more")
+		f.log.Info("fleet: this mixer leads no more")
 	}
 }
 
@@ -276,7 +278,10 @@
 	}
 	if a.Roster != f.set.Roster.Version { // shares of another roster do not add up with ours
 		f.count.Add("fleet", "other_roster", 1)
-		f.log.Error().Str("mixer", string(from)).Int("version", a.Roster).Int("expected", f.set.Roster.Version).Msg("fleet: a mixer goes by another roster")
+		f.log.Error("fleet: a mixer goes by another roster",
+			zap.String("mixer", string(from)),
+			zap.Int("version", a.Roster),
+			zap.Int("expected", f.set.Roster.Version))
 		return out
 	}
 	state := f.council.State()
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -3,10 +3,12 @@
 package counters
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
+	"go.uber.org/zap/zapcore"
 )
 
 // Set is a set of counters by name and reason; every actor may add to it.
@@ -53,12 +55,11 @@
 	return counts
 }
 
-// MarshalZerologObject puts all counters into one log line.
-func (s *Set) MarshalZerologObject(e *zerolog.Event) {
+// MarshalLogObject puts all counters into one log line, sorted by name; it has no error.
+func (s *Set) MarshalLogObject(line zapcore.ObjectEncoder) error {
 	counts := s.gathered()
-	fields := make(map[string]any, len(counts))
-	for key, n := range counts {
-		fields[key] = n
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		line.AddInt64(key, counts[key])
 	}
-	e.Fields(fields) // sorted by name
+	return nil
 }
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -6,7 +6,8 @@
 	"sync"
 	"testing"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // Many actors count at once, what is held goes down again, and all of it is one line, sorted.
@@ -28,9 +29,10 @@
 		t.Errorf("%d taken, expected 8000", n)
 	}
 	var out bytes.Buffer
-	log := zerolog.New(&out)
-	log.Info().EmbedObject(s).Msg("counters")
-	want := `{"level":"info","calls.sent":8796093022208,"lookups.held":0,"lookups.taken":8000,"message":"counters"}`
+	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{LevelKey: "level", EncodeLevel: zapcore.LowercaseLevelEncoder, MessageKey: "message"})
+	log := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(&out), zapcore.InfoLevel))
+	log.Info("counters", zap.Inline(s))
+	want := `{"level":"info","message":"counters","calls.sent":8796093022208,"lookups.held":0,"lookups.taken":8000}`
 	if got := strings.TrimSpace(out.String()); got != want {
 		t.Errorf("printed %s, expected %s", got, want)
 	}
--- a/internal/dataplane/clients/clients.go
+++ b/internal/dataplane/clients/clients.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -58,7 +58,7 @@
 	http        *http.Server
 	connections *connections
 	tell        *eventqueue.Queue[mixer.Event]
-	log         zerolog.Logger
+	log         *zap.Logger
 	count       *counters.Set
 	names       nameTable
 	retry       bool
@@ -70,7 +70,7 @@
 }
 
 // New makes a server that keeps no more than so many connections, in so many bytes of memory altogether.
-func New(set settings.Settings, most, memory int, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) *Server {
+func New(set settings.Settings, most, memory int, tell *eventqueue.Queue[mixer.Event], log *zap.Logger, count *counters.Set) *Server {
 	s := &Server{tell: tell, log: log, count: count, names: newNameTable(set.Net), retry: set.Limits.RetryAfter, slow: slowAnswer,
 		connections: newConnections(most, memory, log, count), large: make(chan struct{}, max(1, int(bodyShare*float64(memory)/largeTakes))), stopped: make(chan error, 1)}
 	longest := 0.0
@@ -88,10 +88,10 @@
 }
 
 // httpLog takes what net/http itself has to say, a handler's panic above all.
-type httpLog struct{ log zerolog.Logger }
+type httpLog struct{ log *zap.Logger }
 
 func (l httpLog) Write(text []byte) (int, error) {
-	l.log.Warn().Str("text", string(text)).Msg("http")
+	l.log.Warn("http", zap.String("text", string(text)))
 	return len(text), nil
 }
 
--- a/internal/dataplane/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -36,7 +36,7 @@
 	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
 	set.Limits.RetryAfter = true
 	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
-	r.Server = New(set, most, 64<<20, r.told.Queue, zerolog.Nop(), counters.New())
+	r.Server = New(set, most, 64<<20, r.told.Queue, zap.NewNop(), counters.New())
 	if change != nil {
 		change(r.Server)
 	}
--- a/internal/dataplane/clients/connections.go
+++ b/internal/dataplane/clients/connections.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 )
@@ -50,7 +50,7 @@
 	listener  *net.TCPListener
 	most      int
 	mostAhead int // bytes read ahead on one
-	log       zerolog.Logger
+	log       *zap.Logger
 	count     *counters.Set
 
 	drains atomic.Bool // answers close their connections
@@ -60,7 +60,7 @@
 	held int // connections that hold a lookup
 }
 
-func newConnections(most, memory int, log zerolog.Logger, count *counters.Set) *connections {
+func newConnections(most, memory int, log *zap.Logger, count *counters.Set) *connections {
 	ahead := int(aheadShare * float64(memory) / float64(most))
 	return &connections{most: most, mostAhead: min(mostAhead, max(leastAhead, ahead)), log: log, count: count, open: map[*connection]bool{}}
 }
@@ -202,8 +202,15 @@
 	s.mu.Unlock()
 	why := string(conn.because.Load().(reason))
 	s.count.Add("client_lines", why, 1)
-	s.log.Info().Str("peer", "client").Str("reason", why).Stringer("address", conn.RemoteAddr()).
-		Float64("lived_s", time.Since(conn.opened).Seconds()).Msg("connection ended")
+	line := s.log.Check(zap.InfoLevel, "connection ended")
+	if line == nil {
+		return
+	}
+	line.Write(
+		zap.String("peer", "client"),
+		zap.String("reason", why),
+		zap.Stringer("address", conn.RemoteAddr()),
+		zap.Float64("lived_s", time.Since(conn.opened).Seconds()))
 }
 
 // left tells how many clients have a connection that is open on our side, and how many one that is on theirs alone.
--- a/internal/dataplane/clients/crossings_test.go
+++ b/internal/dataplane/clients/crossings_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -283,7 +283,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	s := newConnections(10, 1<<20, zerolog.Nop(), counters.New())
+	s := newConnections(10, 1<<20, zap.NewNop(), counters.New())
 	l := &connection{Conn: conn, of: s, left: make(chan struct{}), opened: time.Now(), idle: true}
 	l.turn = sync.NewCond(&l.readMu)
 	s.open[l] = true
--- a/internal/dataplane/discovery/crossings_test.go
+++ b/internal/dataplane/discovery/crossings_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -40,7 +40,7 @@
 	r := &bare{T: t, told: queuetest.New[mixer.Event](), server: l}
 	set := settings.Settings{}
 	set.AskList = asked
-	r.Client, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Queue, zerolog.Nop(), counters.New())
+	r.Client, err = New(l.Addr().String(), []byte(line(41, true, searcher("s1", "SERVING"))), set, r.told.Queue, zap.NewNop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -192,7 +192,7 @@
 // tries have grown by then, and go back with the first heartbeat: the next silence has 6 s of its own.
 func TestAHeartbeatEndsTheBackOff(t *testing.T) {
 	queue := eventqueue.New[mixer.Event]()
-	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, queue, zerolog.Nop(), counters.New())
+	r, err := New("127.0.0.1:1", []byte(line(41, true)), settings.Settings{}, queue, zap.NewNop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dataplane/discovery/discovery.go
+++ b/internal/dataplane/discovery/discovery.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -62,7 +62,7 @@
 type Client struct {
 	in       *eventqueue.Queue[note]
 	tell     Listener
-	log      zerolog.Logger
+	log      *zap.Logger
 	count    *counters.Set
 	url      string
 	silence  time.Duration // of a watch, after which it is renewed
@@ -84,7 +84,7 @@
 }
 
 // New makes the actor and tells the module what was known at the start.
-func New(address string, known []byte, set settings.Settings, tell Listener, log zerolog.Logger,
+func New(address string, known []byte, set settings.Settings, tell Listener, log *zap.Logger,
 	count *counters.Set) (*Client, error) {
 	if err := checked(address); err != nil {
 		return nil, err
@@ -196,7 +196,7 @@
 			err = r.take(n.line, false)
 		}
 		if err != nil {
-			r.log.Info().Str("peer", "register").Str("reason", "whole_list_failed").Str("text", err.Error()).Msg("connection ended")
+			r.log.Info("connection ended", zap.String("peer", "register"), zap.String("reason", "whole_list_failed"), zap.String("text", err.Error()))
 			r.tell.Put(mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListFailed}})
 		}
 	}
--- a/internal/dataplane/discovery/discovery_test.go
+++ b/internal/dataplane/discovery/discovery_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -70,7 +70,7 @@
 	var err error
 	r.server = strings.TrimPrefix(server.URL, "http://")
 	r.Client, err = New(r.server, []byte(line(41, true, searcher("s1", "SERVING"))), set,
-		r.told.Queue, zerolog.Nop(), counters.New())
+		r.told.Queue, zap.NewNop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dataplane/discovery/watch.go
+++ b/internal/dataplane/discovery/watch.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
 	"puffinlink.example/puffinlink/logic"
 )
@@ -65,11 +67,11 @@
 // let lets go of a watch and says why.
 func (r *Client) let(why string, err error) {
 	r.count.Add("watches", why, 1)
-	line := r.log.Info().Str("peer", "register").Str("reason", why).Float64("lived_s", time.Since(r.since).Seconds())
+	fields := []zap.Field{zap.String("peer", "register"), zap.String("reason", why), zap.Float64("lived_s", time.Since(r.since).Seconds())}
 	if err != nil {
-		line = line.Str("text", err.Error())
+		fields = append(fields, zap.String("text", err.Error()))
 	}
-	line.Msg("connection ended")
+	r.log.Info("connection ended", fields...)
 	r.drop()
 }
 
--- a/internal/dataplane/mixer/actions.go
+++ b/internal/dataplane/mixer/actions.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/operators/capture"
 	"puffinlink.example/puffinlink/logic"
 )
@@ -52,7 +54,7 @@
 	case logic.Tell:
 		m.count.Add("messages", "no_way_to_mixers", 1)
 	case logic.Note:
-		m.log.Info().Str("note", a.Text).Msg("module")
+		m.log.Info("module", zap.String("note", a.Text))
 	}
 }
 
@@ -60,7 +62,7 @@
 func (m *Mixer) send(a *logic.Action, now time.Time) {
 	ref, held := m.parts[a.Part]
 	if !held {
-		m.log.Warn().Uint64("part", uint64(a.Part)).Msg("send of a part that is not held")
+		m.log.Warn("send of a part that is not held", zap.Uint64("part", uint64(a.Part)))
 		return
 	}
 	lk, p := ref.lookup, &ref.lookup.Parts[ref.no]
--- a/internal/dataplane/mixer/gate.go
+++ b/internal/dataplane/mixer/gate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/logic"
 )
 
@@ -111,8 +113,11 @@
 	m.count.Add("parts", "no_holder_by_contract", int64(len(shards)))
 	if now.Sub(m.gated.logged) >= time.Second { // one in a second tells enough
 		m.gated.logged = now
-		m.log.Warn().Str("lookup", lk.ID).Int("customer", int(lk.Customer)).Ints("shards", shards).Str("reason", "no_holder_by_contract").
-			Msg("shards without a holder inside the zones of the contract")
+		m.log.Warn("shards without a holder inside the zones of the contract",
+			zap.String("lookup", lk.ID),
+			zap.Int("customer", int(lk.Customer)),
+			zap.Ints("shards", shards),
+			zap.String("reason", "no_holder_by_contract"))
 	}
 }
 
--- a/internal/dataplane/mixer/lookups.go
+++ b/internal/dataplane/mixer/lookups.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/operators/capture"
 	"puffinlink.example/puffinlink/logic"
 )
@@ -91,7 +93,7 @@
 func (m *Mixer) finish(id logic.LookupID, reason string, reply Reply, now time.Time) {
 	lk := m.lookups[id]
 	if lk == nil {
-		m.log.Warn().Uint64("lookup", uint64(id)).Str("end", reason).Msg("answer for a lookup that is not held")
+		m.log.Warn("answer for a lookup that is not held", zap.Uint64("lookup", uint64(id)), zap.String("end", reason))
 		return
 	}
 	m.close(lk)
--- a/internal/dataplane/mixer/mixer.go
+++ b/internal/dataplane/mixer/mixer.go
@@ -6,7 +6,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/settings"
@@ -20,7 +20,7 @@
 	In *eventqueue.Queue[Event]
 
 	set       settings.Settings
-	log       zerolog.Logger
+	log       *zap.Logger
 	count     *counters.Set
 	searchers Searchers
 	register  Discovery
@@ -49,7 +49,7 @@
 }
 
 // New makes the actor; Run starts it.
-func New(set settings.Settings, log zerolog.Logger, count *counters.Set) *Mixer {
+func New(set settings.Settings, log *zap.Logger, count *counters.Set) *Mixer {
 	now := time.Now()
 	m := &Mixer{In: eventqueue.New[Event](), set: set, log: log, count: count, start: now,
 		unix: float64(now.UnixNano()) / 1e9, due: map[logic.TimerID]time.Time{},
--- a/internal/dataplane/mixer/mixer_test.go
+++ b/internal/dataplane/mixer/mixer_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/settings"
@@ -54,7 +54,7 @@
 	if change != nil {
 		change(&set)
 	}
-	r := &fixture{Mixer: New(set, zerolog.Nop(), counters.New())}
+	r := &fixture{Mixer: New(set, zap.NewNop(), counters.New())}
 	r.searchers, r.register, r.now = r, r, r.start
 	list := Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListStale}, Addresses: make([]string, 8)}
 	for i := range 8 {
--- /dev/null
+++ b/internal/dataplane/mixerlog/mixerlog_test.go
@@ -0,0 +1,87 @@
+package mixerlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"puffinlink.example/puffinlink/internal/leaktest"
+)
+
+func TestMain(m *testing.M) { leaktest.Main(m) }
+
+// line is what readers of a mixer's log rely on.
+type line struct {
+	Level   string  `json:"level"`
+	Time    int64   `json:"time"`
+	Mixer   string  `json:"mixer"`
+	Message string  `json:"message"`
+	Text    string  `json:"text"`
+	Lived   float64 `json:"lived_s"`
+}
+
+func TestLines(t *testing.T) {
+	Convey("A log of a mixer", t, func() {
+		var out bytes.Buffer
+		log := New(zapcore.AddSync(&out)).With(zap.String("mixer", "n1"))
+		before := time.Now().UnixMilli()
+
+		Convey("has one JSON object a line, whatever the text", func() {
+			log.Info("connection ended", zap.String("text", "two\nlines \"quoted\" \xff"), zap.Float64("lived_s", 0.25))
+			log.Warn("http")
+			log.Debug("module")
+			texts := strings.SplitAfter(out.String(), "\n")
+			So(texts, ShouldHaveLength, 4)
+			So(texts[3], ShouldBeEmpty)
+
+			var lines []line
+			decoder := json.NewDecoder(&out)
+			decoder.DisallowUnknownFields()
+			for {
+				var one line
+				err := decoder.Decode(&one)
+				if errors.Is(err, io.EOF) {
+					break
+				}
+				So(err, ShouldBeNil)
+				So(one.Time, ShouldBeGreaterThanOrEqualTo, before)
+				So(one.Time, ShouldBeLessThanOrEqualTo, time.Now().UnixMilli())
+				one.Time = 0
+				lines = append(lines, one)
+			}
+			So(lines, ShouldResemble, []line{
+				{Level: "info", Mixer: "n1", Message: "connection ended", Text: "two\nlines \"quoted\" \ufffd", Lived: 0.25},
+				{Level: "warn", Mixer: "n1", Message: "http"},
+				{Level: "debug", Mixer: "n1", Message: "module"},
+			})
+		})
+		Convey("writes times as whole milliseconds", func() {
+			log.Info("started")
+			So(out.String(), ShouldContainSubstring, `"time":1`)
+			So(out.String(), ShouldNotContainSubstring, ".")
+		})
+	})
+}
+
+// BenchmarkLine writes the line that a mixer writes most often, when a client's connection ends.
+func BenchmarkLine(b *testing.B) {
+	out := NewWriter(io.Discard, 1024, func() {})
+	defer out.Close()
+	log := New(out).With(zap.String("mixer", "n1"))
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("connection ended",
+			zap.String("peer", "client"),
+			zap.String("reason", "answered"),
+			zap.String("address", "127.0.0.1:40000"),
+			zap.Float64("lived_s", 0.125))
+	}
+}
--- a/internal/dataplane/node/crossings_test.go
+++ b/internal/dataplane/node/crossings_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/leaktest"
@@ -140,7 +140,7 @@
 	}
 	at := listen.Addr().String()
 	listen.Close()
-	n, err := StartText([]byte(strings.Replace(text, "127.0.0.1:0", at, 1)), operatorfile.Defaults(), zerolog.Nop(), counters.New())
+	n, err := StartText([]byte(strings.Replace(text, "127.0.0.1:0", at, 1)), operatorfile.Defaults(), zap.NewNop(), counters.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dataplane/node/node.go
+++ b/internal/dataplane/node/node.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/fleet"
 	"puffinlink.example/puffinlink/internal/controlplane/fleet/quota"
@@ -133,7 +133,7 @@
 }
 
 // StartText starts a mixer from the text of a config, as it would be started from its file.
-func StartText(text []byte, file operatorfile.File, log zerolog.Logger, count *counters.Set) (*Node, error) {
+func StartText(text []byte, file operatorfile.File, log *zap.Logger, count *counters.Set) (*Node, error) {
 	var c Config
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
@@ -147,7 +147,7 @@
 
 // Node is a mixer that runs.
 type Node struct {
-	log        zerolog.Logger
+	log        *zap.Logger
 	count      *counters.Set
 	mixer      *mixer.Mixer
 	discovery  *discovery.Client
@@ -164,7 +164,7 @@
 
 // Start starts a mixer that serves from what the config knows, with what the operator's file adds. Until it serves, the
 // context's end ends the start.
-func Start(ctx context.Context, c Config, set settings.Settings, file operatorfile.File, log zerolog.Logger, count *counters.Set) (n *Node, err error) {
+func Start(ctx context.Context, c Config, set settings.Settings, file operatorfile.File, log *zap.Logger, count *counters.Set) (n *Node, err error) {
 	clientConnections, searcherConnections, memory := c.connectionLimits()
 	n = &Node{log: log, count: count, drained: make(chan struct{})}
 	n.mixer = mixer.New(set, log, count)
@@ -226,7 +226,7 @@
 	if n.operators != nil {
 		go n.operators.Serve(forOperators)
 	}
-	log.Info().Str("listen", c.Listen).Msg("started")
+	log.Info("started", zap.String("listen", c.Listen))
 	return n, nil
 }
 
@@ -240,7 +240,7 @@
 	if dir := file.Overrides.Directory; dir != "" {
 		var err error
 		if n.store, kept, err = store.Open(dir, n.log); err != nil {
-			n.log.Error().Str("text", err.Error()).Msg("overrides can't be kept, commands are refused")
+			n.log.Error("overrides can't be kept, commands are refused", zap.String("text", err.Error()))
 		}
 		persistent, in = n.store, dir
 	}
--- a/internal/dataplane/node/node_test.go
+++ b/internal/dataplane/node/node_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/operators/api"
@@ -86,7 +86,7 @@
 
 func (w *world) start() {
 	w.Helper()
-	n, err := StartText(w.site.Config("n1", w.listen, w.register, 0), w.file, zerolog.Nop(), counters.New())
+	n, err := StartText(w.site.Config("n1", w.listen, w.register, 0), w.file, zap.NewNop(), counters.New())
 	if err != nil {
 		w.Fatal(err)
 	}
--- a/internal/dataplane/node/shapes_test.go
+++ b/internal/dataplane/node/shapes_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/operators/operatorfile"
@@ -65,7 +65,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			n, err := StartText(sh.site.Config(fmt.Sprintf("%s-%d", name, i), listen, register, i), operatorfile.Defaults(), zerolog.Nop(), counters.New())
+			n, err := StartText(sh.site.Config(fmt.Sprintf("%s-%d", name, i), listen, register, i), operatorfile.Defaults(), zap.NewNop(), counters.New())
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/dataplane/searchers/connections.go
+++ b/internal/dataplane/searchers/connections.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/logic"
 )
@@ -200,6 +202,15 @@
 
 func (a *actor) logEnd(why reason, text, address string, lived time.Duration) {
 	a.hub.count.Add("lines", string(why), 1)
-	a.hub.log.Info().Str("peer", "searcher").Str("reason", string(why)).Str("address", address).
-		Uint32("searcher", uint32(a.id)).Float64("lived_s", lived.Seconds()).Str("text", text).Msg("connection ended")
+	line := a.hub.log.Check(zap.InfoLevel, "connection ended")
+	if line == nil {
+		return
+	}
+	line.Write(
+		zap.String("peer", "searcher"),
+		zap.String("reason", string(why)),
+		zap.String("address", address),
+		zap.Uint32("searcher", uint32(a.id)),
+		zap.Float64("lived_s", lived.Seconds()),
+		zap.String("text", text))
 }
--- a/internal/dataplane/searchers/hub.go
+++ b/internal/dataplane/searchers/hub.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -29,7 +29,7 @@
 type Hub struct {
 	set         settings.Net
 	tell        *eventqueue.Queue[mixer.Event]
-	log         zerolog.Logger
+	log         *zap.Logger
 	count       *counters.Set
 	actors      map[logic.SearcherID]*actor
 	gone        map[logic.SearcherID]*actor // those of actors that the list no longer names
@@ -42,7 +42,7 @@
 }
 
 // New makes a hub that keeps no more than so many connections.
-func New(set settings.Net, most int, tell *eventqueue.Queue[mixer.Event], log zerolog.Logger, count *counters.Set) *Hub {
+func New(set settings.Net, most int, tell *eventqueue.Queue[mixer.Event], log *zap.Logger, count *counters.Set) *Hub {
 	h := &Hub{set: set, tell: tell, log: log, count: count, actors: map[logic.SearcherID]*actor{},
 		gone: map[logic.SearcherID]*actor{}, descriptors: make(chan struct{}, most), stuck: stuckWrite}
 	h.dials, h.undial = context.WithCancel(context.Background())
--- a/internal/dataplane/searchers/searchers_test.go
+++ b/internal/dataplane/searchers/searchers_test.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -39,7 +39,7 @@
 		change(&set)
 	}
 	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
-	r.hub = New(set, 100, r.told.Queue, zerolog.Nop(), counters.New())
+	r.hub = New(set, 100, r.told.Queue, zap.NewNop(), counters.New())
 	t.Cleanup(r.hub.Stop)
 	r.peer = r.listen()
 	r.named(r.peer.Addr().String(), logic.Ready, 0)
--- a/internal/operators/api/api_test.go
+++ b/internal/operators/api/api_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"puffinlink.example/puffinlink/internal/counters"
@@ -37,7 +37,7 @@
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
 	r := &fixture{T: t, box: eventqueue.New[mixer.Event]()}
-	d := controller.New(lim, r.box, nil, "", zerolog.Nop(), counters.New())
+	d := controller.New(lim, r.box, nil, "", zap.NewNop(), counters.New())
 	list := mixer.Event{Event: logic.Event{Kind: logic.ListChanged, List: logic.ListWhole}}
 	for i := range 4 {
 		list.Entries = append(list.Entries, logic.Entry{Searcher: logic.SearcherID(i + 1), Cell: logic.CellID(i % 2)})
@@ -47,7 +47,7 @@
 	d.Settle()
 	go d.Run()
 	var err error
-	if r.Server, err = New("n1", set, d, nil, zerolog.Nop(), counters.New()); err != nil {
+	if r.Server, err = New("n1", set, d, nil, zap.NewNop(), counters.New()); err != nil {
 		t.Fatal(err)
 	}
 	if set.Listen == "" {
@@ -167,7 +167,7 @@
 		tokens[name] = token
 		set.Tokens = append(set.Tokens, operatorfile.Token{Name: name, Write: name == "writer", Hash: hash})
 	}
-	if _, err := New("n1", set, nil, nil, zerolog.Nop(), counters.New()); err == nil || !strings.Contains(err.Error(), "0600") {
+	if _, err := New("n1", set, nil, nil, zap.NewNop(), counters.New()); err == nil || !strings.Contains(err.Error(), "0600") {
 		t.Fatalf("a key that all may read: %v", err)
 	}
 	os.Chmod(keyFile, 0o600)
--- a/internal/operators/api/listener.go
+++ b/internal/operators/api/listener.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 	"golang.org/x/time/rate"
 
@@ -44,7 +44,7 @@
 	controller *controller.Controller
 	fleet      *fleet.Fleet // nil where there is none
 	door       *door
-	log        zerolog.Logger
+	log        *zap.Logger
 	count      *counters.Set
 	limit      *rate.Limiter
 	http       *http.Server
@@ -88,7 +88,7 @@
 }
 
 // New makes a server for a mixer of this name; its fleet may be nil.
-func New(mixer string, set operatorfile.Operators, d *controller.Controller, f *fleet.Fleet, log zerolog.Logger, count *counters.Set) (*Server, error) {
+func New(mixer string, set operatorfile.Operators, d *controller.Controller, f *fleet.Fleet, log *zap.Logger, count *counters.Set) (*Server, error) {
 	door, err := newDoor(set)
 	if err != nil {
 		return nil, err
@@ -116,7 +116,7 @@
 		s.count.Add("operator_lines", "accepted", 1)
 	case http.StateClosed:
 		s.count.Add("operator_lines", "ended", 1)
-		s.log.Info().Str("peer", "operator").Str("reason", "ended").Str("address", c.RemoteAddr().String()).Msg("connection ended")
+		s.log.Info("connection ended", zap.String("peer", "operator"), zap.String("reason", "ended"), zap.String("address", c.RemoteAddr().String()))
 	}
 }
 
@@ -124,7 +124,7 @@
 func (s *Server) Serve(l net.Listener) {
 	l = netutil.LimitListener(l, mostConnections)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error().Str("text", err.Error()).Msg("operators' listener ended")
+		s.log.Error("operators' listener ended", zap.String("text", err.Error()))
 	}
 	close(s.closed)
 }
--- a/internal/operators/capture/capture_test.go
+++ b/internal/operators/capture/capture_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/logic"
@@ -214,7 +214,7 @@
 func TestFilesKeepToTheirBounds(t *testing.T) {
 	dir := t.TempDir()
 	count := counters.New()
-	w, err := NewWriter(Store{dir, 64 << 10, time.Hour}, zerolog.Nop(), count)
+	w, err := NewWriter(Store{dir, 64 << 10, time.Hour}, zap.NewNop(), count)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operators/capture/files.go
+++ b/internal/operators/capture/files.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/eventqueue"
@@ -36,7 +36,7 @@
 	store Store
 	in    *eventqueue.Queue[*Interval] // nil to end
 	wait  chan struct{}
-	log   zerolog.Logger
+	log   *zap.Logger
 	count *counters.Set
 	ended chan struct{}
 	file  *os.File
@@ -44,7 +44,7 @@
 }
 
 // NewWriter makes the directory and begins a file at the first interval.
-func NewWriter(store Store, log zerolog.Logger, count *counters.Set) (*Writer, error) {
+func NewWriter(store Store, log *zap.Logger, count *counters.Set) (*Writer, error) {
 	if err := os.MkdirAll(store.Directory, 0o700); err != nil {
 		return nil, err
 	}
@@ -87,7 +87,7 @@
 			if err == nil {
 				w.count.Add("capture", "written", 1)
 			} else if w.count.Add("capture", "failed", 1); !bad {
-				w.log.Error().Str("text", err.Error()).Msg("capture not written; further ones are only counted")
+				w.log.Error("capture not written; further ones are only counted", zap.String("text", err.Error()))
 			}
 			bad = err != nil
 		}
--- a/internal/operators/controller/controller.go
+++ b/internal/operators/controller/controller.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -75,7 +75,7 @@
 	table    *override.Table
 	store    Store
 	storedIn string
-	log      zerolog.Logger
+	log      *zap.Logger
 	count    *counters.Set
 	start    time.Time
 	unix     float64
@@ -88,7 +88,7 @@
 }
 
 // New makes the actor before the first list. A nil keeper keeps nothing beyond the process.
-func New(lim override.Limits, tell *eventqueue.Queue[mixer.Event], store Store, storedIn string, log zerolog.Logger, count *counters.Set) *Controller {
+func New(lim override.Limits, tell *eventqueue.Queue[mixer.Event], store Store, storedIn string, log *zap.Logger, count *counters.Set) *Controller {
 	now := time.Now()
 	if storedIn == "" {
 		storedIn = "memory"
@@ -282,7 +282,7 @@
 	c.inHand = nil
 	if err != nil {
 		c.count.Add("overrides", "not_kept", 1)
-		c.log.Error().Str("text", err.Error()).Uint64("revision", uint64(c.change.Revision)).Msg("override not kept, refused")
+		c.log.Error("override not kept, refused", zap.String("text", err.Error()), zap.Uint64("revision", uint64(c.change.Revision)))
 		n.reply <- Result{c.change, false, err}
 		return
 	}
@@ -304,7 +304,7 @@
 		c.store.Save(changes, func(err error) {
 			if err != nil {
 				c.count.Add("overrides", "end_not_kept", int64(len(changes)))
-				c.log.Error().Str("text", err.Error()).Msg("end of overrides not kept; after a restart they end again")
+				c.log.Error("end of overrides not kept; after a restart they end again", zap.String("text", err.Error()))
 			}
 		})
 	}
--- a/internal/operators/controller/controller_test.go
+++ b/internal/operators/controller/controller_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -32,7 +32,7 @@
 	lim := override.Defaults()
 	lim.Indexes, lim.Shards, lim.Cells, lim.Width = []string{"reads"}, 4, 2, 2
 	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
-	r.Controller = New(lim, r.told.Queue, keeper, "", zerolog.Nop(), counters.New())
+	r.Controller = New(lim, r.told.Queue, keeper, "", zap.NewNop(), counters.New())
 	r.list(logic.Ready)
 	r.Settle()
 	r.event(logic.ListChanged)
--- a/internal/operators/controller/watcher.go
+++ b/internal/operators/controller/watcher.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"go.uber.org/zap"
+
 	"puffinlink.example/puffinlink/internal/operators/override"
 )
 
@@ -34,9 +36,17 @@
 func (c *Controller) told(change override.Change) {
 	c.count.Add("overrides", change.What.String(), 1)
 	o := &change.Override
-	c.log.Info().Uint64("revision", uint64(change.Revision)).Str("what", change.What.String()).Uint64("override", uint64(o.ID)).
-		Stringer("kind", o.Kind).Str("searcher", o.Searcher).Str("location", o.Location).Str("index", o.Index).
-		Str("author", change.Author).Str("text", change.Reason).Strs("forced", change.Forced).Msg("override")
+	c.log.Info("override",
+		zap.Uint64("revision", uint64(change.Revision)),
+		zap.String("what", change.What.String()),
+		zap.Uint64("override", uint64(o.ID)),
+		zap.Stringer("kind", o.Kind),
+		zap.String("searcher", o.Searcher),
+		zap.String("location", o.Location),
+		zap.String("index", o.Index),
+		zap.String("author", change.Author),
+		zap.String("text", change.Reason),
+		zap.Strings("forced", change.Forced))
 	if c.recent = append(c.recent, change); len(c.recent) > 2*recent {
 		c.recent = slices.Clone(c.recent[recent:])
 	}
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -10,9 +10,9 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/zeebo/xxh3"
 	bolt "go.etcd.io/bbolt"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/eventqueue"
 )
@@ -70,7 +70,7 @@
 
 // OpenLog opens the file of a directory, or makes it. A corrupt one is put aside: whoever kept it begins anew, as if the
 // directory were lost. It waits so long for a process that still holds the directory.
-func OpenLog(dir string, wait time.Duration, log zerolog.Logger) (*Log, LogContents, error) {
+func OpenLog(dir string, wait time.Duration, log *zap.Logger) (*Log, LogContents, error) {
 	l, kept := &Log{in: eventqueue.New[logJob](), ended: make(chan struct{})}, LogContents{}
 	var err error
 	if l.lock, err = locked(dir, logLockName, wait); err != nil {
@@ -97,7 +97,7 @@
 		l.lock.Close()
 		path := filepath.Join(dir, logName)
 		if err = os.Rename(path, fmt.Sprintf("%s.spoilt-%x", path, kept.ID)); err == nil {
-			log.Error().Str("file", path).Str("text", corrupt.Error()).Msg("spoilt file put aside, nothing of it holds")
+			log.Error("spoilt file put aside, nothing of it holds", zap.String("file", path), zap.String("text", corrupt.Error()))
 			return OpenLog(dir, wait, log)
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,9 +14,9 @@
 	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
 	bolt "go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/eventqueue"
 	"puffinlink.example/puffinlink/internal/operators/override"
@@ -69,11 +69,11 @@
 
 // Open opens the file in a directory, or makes it. A corrupt one is put aside under another name and a new one begun. Its
 // error says that nothing can be kept there; the Store then refuses every change with it.
-func Open(dir string, log zerolog.Logger) (s *Store, kept Contents, err error) {
+func Open(dir string, log *zap.Logger) (s *Store, kept Contents, err error) {
 	return openWithin(dir, lockWait, log)
 }
 
-func openWithin(dir string, wait time.Duration, log zerolog.Logger) (s *Store, kept Contents, err error) {
+func openWithin(dir string, wait time.Duration, log *zap.Logger) (s *Store, kept Contents, err error) {
 	s = &Store{in: eventqueue.New[job](), ended: make(chan struct{})}
 	defer func() {
 		s.failed = err
@@ -91,7 +91,7 @@
 }
 
 // openAside opens a file and reads all of it; a corrupt one is put aside, and a new one begun.
-func openAside(path string, log zerolog.Logger, prepare, read func(*bolt.Tx) error) (db *bolt.DB, aside string, err error) {
+func openAside(path string, log *zap.Logger, prepare, read func(*bolt.Tx) error) (db *bolt.DB, aside string, err error) {
 	if db, err = open(path, prepare, read); err == nil {
 		return db, "", nil
 	}
@@ -99,7 +99,7 @@
 		return nil, "", fmt.Errorf("%s: %w", path, err)
 	}
 	aside = fmt.Sprintf("%s.spoilt-%d", path, time.Now().UnixNano())
-	log.Error().Str("file", path).Str("aside", aside).Str("text", err.Error()).Msg("spoilt file put aside, nothing of it holds")
+	log.Error("spoilt file put aside, nothing of it holds", zap.String("file", path), zap.String("aside", aside), zap.String("text", err.Error()))
 	if err = os.Rename(path, aside); err != nil {
 		return nil, "", err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/operators/override"
 )
@@ -65,7 +65,7 @@
 
 // writer goes on where the file ends, and says each revision once it is kept.
 func writer(dir string) {
-	s, kept, err := Open(dir, zerolog.Nop())
+	s, kept, err := Open(dir, zap.NewNop())
 	if err != nil {
 		fmt.Println("failed", err)
 		return
@@ -117,7 +117,7 @@
 			fmt.Sscan(lines.Text(), &acknowledged)
 		}
 		cmd.Wait()
-		s, kept, err := Open(dir, zerolog.Nop())
+		s, kept, err := Open(dir, zap.NewNop())
 		if err != nil || kept.Aside != "" {
 			t.Fatalf("round %d: %v, put aside %q", round, err, kept.Aside)
 		}
@@ -146,7 +146,7 @@
 // full writes under a limit on the size of files, which is what a full disk looks like without one, and then without it.
 func full(dir string) {
 	signal.Ignore(syscall.SIGXFSZ)
-	s, _, err := Open(dir, zerolog.Nop())
+	s, _, err := Open(dir, zap.NewNop())
 	fmt.Println("open", err)
 	var was syscall.Rlimit
 	syscall.Getrlimit(syscall.RLIMIT_FSIZE, &was)
@@ -162,7 +162,7 @@
 	syscall.Setrlimit(syscall.RLIMIT_FSIZE, &was)
 	fmt.Println("again", keepNow(s, change(n-1)))
 	s.Stop()
-	_, kept, err := Open(dir, zerolog.Nop())
+	_, kept, err := Open(dir, zap.NewNop())
 	fmt.Println("kept", err, kept.Aside == "", len(kept.Held) > 0)
 }
 
@@ -184,7 +184,7 @@
 // filled makes a file with some history.
 func filled(t *testing.T) (dir string, revision uint64) {
 	dir, revision = t.TempDir(), 400
-	s, _, err := Open(dir, zerolog.Nop())
+	s, _, err := Open(dir, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -235,7 +235,7 @@
 		if err := os.WriteFile(filepath.Join(dir, fileName), text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		s, kept, err := Open(dir, zerolog.Nop())
+		s, kept, err := Open(dir, zap.NewNop())
 		if err != nil {
 			t.Fatalf("%s: %v", what, err)
 		}
@@ -264,11 +264,11 @@
 
 func TestAFileInUseIsNotTaken(t *testing.T) {
 	dir := t.TempDir()
-	first, _, err := Open(dir, zerolog.Nop())
+	first, _, err := Open(dir, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, kept, err := openWithin(dir, 100*time.Millisecond, zerolog.Nop())
+	second, kept, err := openWithin(dir, 100*time.Millisecond, zap.NewNop())
 	if err == nil || !strings.Contains(err.Error(), "another process") || kept.Aside != "" {
 		t.Fatalf("got %v, %+v", err, kept)
 	}
--- a/internal/tools/demo/demo.go
+++ b/internal/tools/demo/demo.go
@@ -11,9 +11,11 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixerlog"
 	"puffinlink.example/puffinlink/internal/dataplane/node"
 	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 	"puffinlink.example/puffinlink/internal/standin"
@@ -123,9 +125,9 @@
 		d.fleet = append(d.fleet, s)
 		d.register.Set(s.Entry("SERVING", true))
 	}
-	log := zerolog.Nop()
+	log := zap.NewNop()
 	if d.Log != nil {
-		log = zerolog.New(zerolog.SyncWriter(d.Log)).With().Timestamp().Logger()
+		log = mixerlog.New(zapcore.Lock(zapcore.AddSync(d.Log)))
 	}
 	d.load = &standin.Load{Site: d.site, PerS: d.PerS, Mixes: []standin.Mix{{Index: "reads", Share: 0.9, Parts: 4, Deadline: 2 * time.Second},
 		{Index: "orders", Share: 0.1, Parts: 2, Deadline: 2 * time.Second}}}
@@ -141,7 +143,7 @@
 }
 
 // mixer starts one as it would be started alone, on a port that was free a moment ago.
-func (d *demo) mixer(i int, log zerolog.Logger) (*node.Node, string, error) {
+func (d *demo) mixer(i int, log *zap.Logger) (*node.Node, string, error) {
 	address, err := standin.FreeAddress()
 	if err != nil {
 		return nil, "", err
@@ -154,7 +156,7 @@
 	}
 	file.Operators.Listen = "unix:" + filepath.Join(d.dir, name+".sock")
 	d.sockets = append(d.sockets, file.Operators.Listen)
-	n, err := node.StartText(d.site.Config(name, address, d.register, i), file, log.With().Str("mixer", name).Logger(), counters.New())
+	n, err := node.StartText(d.site.Config(name, address, d.register, i), file, log.With(zap.String("mixer", name)), counters.New())
 	return n, address, err
 }
 
--- a/internal/tools/prove/prove.go
+++ b/internal/tools/prove/prove.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/node"
@@ -240,7 +240,7 @@
 		if err != nil {
 			return t, err
 		}
-		n, err := node.StartText(site.Config(fmt.Sprint("n", i+1), address, register, i), operatorfile.Defaults(), zerolog.Nop(), counters.New())
+		n, err := node.StartText(site.Config(fmt.Sprint("n", i+1), address, register, i), operatorfile.Defaults(), zap.NewNop(), counters.New())
 		if err != nil {
 			return t, err
 		}
