One command line library: the mixer's commands read go-flags as the scheduler's do, kong leaves go.mod

Cause: two libraries for command lines. Change: the mixer's commands, flags, arguments, defaults and environment variables are go-flags tags now; mixercommands.go reads the line first and runs the command then, so that every error of the line has exit code 2, as before. Lists with commas, times and the kinds of an override are types in values.go; the overview of all commands is written here, as the library lists one level only. Texts of some errors and the layout of the help are the library's. The existing tests stand unchanged.

--- a/cmd/puffinlink/capture.go
+++ b/cmd/puffinlink/capture.go
@@ -12,10 +12,10 @@
 )
 
 type captureCmd struct {
-	Show  captureShowCmd  `cmd:"" help:"What a capture holds. Example: puffinlink capture show /var/lib/puffinlink/capture"`
-	Merge captureMergeCmd `cmd:"" help:"Several mixers' captures as one. Example: puffinlink capture merge --out all.capture n1 n2 n3"`
-	Cut   captureCutCmd   `cmd:"" help:"A part of a capture. Example: puffinlink capture cut all.capture --from 2026-11-30T08:00:00Z --for 1h --out morning.capture"`
-	Synth captureSynthCmd `cmd:"" help:"A capture of a load that is stated. Example: puffinlink capture synth load.json5 --out load.capture"`
+	Show  captureShowCmd  `command:"show" description:"What a capture holds. Example: puffinlink capture show /var/lib/puffinlink/capture"`
+	Merge captureMergeCmd `command:"merge" description:"Several mixers' captures as one. Example: puffinlink capture merge --out all.capture n1 n2 n3"`
+	Cut   captureCutCmd   `command:"cut" description:"A part of a capture. Example: puffinlink capture cut all.capture --from 2026-11-30T08:00:00Z --for 1h --out morning.capture"`
+	Synth captureSynthCmd `command:"synth" description:"A capture of a load that is stated. Example: puffinlink capture synth load.json5 --out load.capture"`
 }
 
 // opened reads a capture, and tells where it is cut off.
@@ -33,12 +33,14 @@
 func when(at float64) string { return time.UnixMilli(int64(1000 * at)).UTC().Format(time.RFC3339) }
 
 type captureShowCmd struct {
-	Path string `arg:"" help:"A file, or a directory of them."`
-	JSON bool   `name:"json" help:"The sum, as JSON."`
+	JSON      bool `long:"json" description:"The sum, as JSON."`
+	Arguments struct {
+		Path string `positional-arg-name:"path" description:"A file, or a directory of them."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (s *captureShowCmd) Run() error {
-	c, err := opened(s.Path)
+func (s *captureShowCmd) Execute([]string) error {
+	c, err := opened(s.Arguments.Path)
 	if err != nil {
 		return err
 	}
@@ -76,14 +78,16 @@
 func ms(s float64) string { return fmt.Sprintf("%.1f ms", 1000*s) }
 
 type captureMergeCmd struct {
-	Paths []string      `arg:"" help:"Files, or directories of them."`
-	Span  time.Duration `default:"10s" help:"Of an interval."`
-	Out   string        `required:"" help:"The file to write."`
+	Span      time.Duration `long:"span" value-name:"DURATION" default:"10s" description:"Of an interval."`
+	Out       string        `long:"out" value-name:"STRING" required:"yes" description:"The file to write."`
+	Arguments struct {
+		Paths []string `positional-arg-name:"paths" required:"1" description:"Files, or directories of them."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (m *captureMergeCmd) Run() error {
+func (m *captureMergeCmd) Execute([]string) error {
 	var all []capture.Capture
-	for _, p := range m.Paths {
+	for _, p := range m.Arguments.Paths {
 		c, err := opened(p)
 		if err != nil {
 			return err
@@ -98,14 +102,16 @@
 }
 
 type captureCutCmd struct {
-	Path string        `arg:"" help:"A file, or a directory of them."`
-	From time.Time     `required:"" help:"As 2026-11-30T08:00:00Z."`
-	For  time.Duration `required:"" help:"As 1h."`
-	Out  string        `required:"" help:"The file to write."`
+	From      moment        `long:"from" value-name:"TIME" required:"yes" description:"As 2026-11-30T08:00:00Z."`
+	For       time.Duration `long:"for" value-name:"DURATION" required:"yes" description:"As 1h."`
+	Out       string        `long:"out" value-name:"STRING" required:"yes" description:"The file to write."`
+	Arguments struct {
+		Path string `positional-arg-name:"path" description:"A file, or a directory of them."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (m *captureCutCmd) Run() error {
-	c, err := opened(m.Path)
+func (m *captureCutCmd) Execute([]string) error {
+	c, err := opened(m.Arguments.Path)
 	if err != nil {
 		return err
 	}
@@ -117,8 +123,10 @@
 }
 
 type captureSynthCmd struct {
-	File string `arg:"" help:"The load, as docs/operators/planning.md shows it."`
-	Out  string `required:"" help:"The file to write."`
+	Out       string `long:"out" value-name:"STRING" required:"yes" description:"The file to write."`
+	Arguments struct {
+		File string `positional-arg-name:"file" description:"The load, as docs/operators/planning.md shows it."`
+	} `positional-args:"yes" required:"yes"`
 }
 
 // synthFile is the form of a stated load.
@@ -146,14 +154,14 @@
 	} `json:"bursts"`
 }
 
-func (m *captureSynthCmd) Run() error {
-	text, err := os.ReadFile(m.File)
+func (m *captureSynthCmd) Execute([]string) error {
+	text, err := os.ReadFile(m.Arguments.File)
 	if err != nil {
 		return err
 	}
 	f := synthFile{IntervalS: 10}
 	if err := jsonc.Decode(text, &f); err != nil {
-		return fmt.Errorf("%s:%w", m.File, err)
+		return fmt.Errorf("%s:%w", m.Arguments.File, err)
 	}
 	s := capture.Synth{For: f.LastsS, Span: f.IntervalS, PerS: f.LookupsPerS, Shards: f.Shards, Skew: f.Skew, Day: f.Day, MonthEnd: f.MonthEndFactor, Seed: f.Seed}
 	if !f.Begins.IsZero() {
@@ -167,7 +175,7 @@
 	}
 	var c capture.Capture
 	if err := s.Make(func(i *capture.Interval) error { c.Intervals = append(c.Intervals, *i); return nil }); err != nil {
-		return fmt.Errorf("%s: %w", m.File, err)
+		return fmt.Errorf("%s: %w", m.Arguments.File, err)
 	}
 	return capture.Save(m.Out, c)
 }
--- a/cmd/puffinlink/demo.go
+++ b/cmd/puffinlink/demo.go
@@ -13,21 +13,21 @@
 )
 
 type demoCmd struct {
-	For       time.Duration `help:"How long; until it is interrupted where it is not stated."`
-	Mixers    int           `default:"2" help:"How many mixers."`
-	Searchers int           `default:"6" help:"How many searchers."`
-	PerS      float64       `name:"per-s" default:"200" help:"Lookups a second."`
-	Service   time.Duration `default:"5ms" help:"Mean time of a part."`
-	Directory string        `help:"Where overrides are kept; memory where it is not stated."`
-	Every     time.Duration `default:"1s" help:"Between two tables."`
-	Log       string        `help:"Where the mixers' log goes; nowhere where it is not stated." placeholder:"FILE"`
-	JSON      bool          `name:"json" help:"The summary alone, as JSON."`
-	System    bool          `help:"Run the cluster scheduler instead: 3 coordinators, 2 fronts, stand-in searchers of 2 services and jobs."`
-	JobsPerS  float64       `name:"jobs-per-s" default:"6" help:"With --system: jobs a second."`
-	LogLevel  string        `name:"log-level" enum:"debug,info,warn,error" default:"info" help:"With --system: least level of the lines in the file of --log."`
+	For       time.Duration `long:"for" value-name:"DURATION" description:"How long; until it is interrupted where it is not stated."`
+	Mixers    int           `long:"mixers" value-name:"NUMBER" default:"2" description:"How many mixers."`
+	Searchers int           `long:"searchers" value-name:"NUMBER" default:"6" description:"How many searchers."`
+	PerS      float64       `long:"per-s" value-name:"NUMBER" default:"200" description:"Lookups a second."`
+	Service   time.Duration `long:"service" value-name:"DURATION" default:"5ms" description:"Mean time of a part."`
+	Directory string        `long:"directory" value-name:"STRING" description:"Where overrides are kept; memory where it is not stated."`
+	Every     time.Duration `long:"every" value-name:"DURATION" default:"1s" description:"Between two tables."`
+	Log       string        `long:"log" value-name:"FILE" description:"Where the mixers' log goes; nowhere where it is not stated."`
+	JSON      bool          `long:"json" description:"The summary alone, as JSON."`
+	System    bool          `long:"system" description:"Run the cluster scheduler instead: 3 coordinators, 2 fronts, stand-in searchers of 2 services and jobs."`
+	JobsPerS  float64       `long:"jobs-per-s" value-name:"NUMBER" default:"6" description:"With --system: jobs a second."`
+	LogLevel  string        `long:"log-level" value-name:"STRING" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"With --system: least level of the lines in the file of --log."`
 }
 
-func (c *demoCmd) Run() error {
+func (c *demoCmd) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if c.System {
--- a/cmd/puffinlink/fleet.go
+++ b/cmd/puffinlink/fleet.go
@@ -14,11 +14,11 @@
 )
 
 type fleetCmd struct {
-	Show     fleetShowCmd     `cmd:"" help:"What one mixer knows. Example: puffinlink fleet show"`
-	Contract fleetContractCmd `cmd:"" help:"Set or clear a tenant's contract, and wait until it holds. Example: puffinlink fleet contract acme --zones north --reason 'signed'"`
-	Quota    fleetQuotaCmd    `cmd:"" help:"Set or clear a tenant's quota. Example: puffinlink fleet quota acme --per-s 200 --burst 200 --reason 'signed'"`
-	Held     fleetHeldCmd     `cmd:"" help:"How far a contract got, mixer by mixer. Example: puffinlink fleet held 17 acme"`
-	Why      fleetWhyCmd      `cmd:"" help:"Which contract, lease and quota decide. Example: puffinlink fleet why acme reads"`
+	Show     fleetShowCmd     `command:"show" description:"What one mixer knows. Example: puffinlink fleet show"`
+	Contract fleetContractCmd `command:"contract" description:"Set or clear a tenant's contract, and wait until it holds. Example: puffinlink fleet contract acme --zones north --reason 'signed'"`
+	Quota    fleetQuotaCmd    `command:"quota" description:"Set or clear a tenant's quota. Example: puffinlink fleet quota acme --per-s 200 --burst 200 --reason 'signed'"`
+	Held     fleetHeldCmd     `command:"held" description:"How far a contract got, mixer by mixer. Example: puffinlink fleet held 17 acme"`
+	Why      fleetWhyCmd      `command:"why" description:"Which contract, lease and quota decide. Example: puffinlink fleet why acme reads"`
 }
 
 // asker asks a mixer's listener within a time.
@@ -43,7 +43,7 @@
 
 type fleetShowCmd struct{ door }
 
-func (c *fleetShowCmd) Run() error {
+func (c *fleetShowCmd) Execute([]string) error {
 	var s fleet.Shown
 	if err := c.get("/v1/fleet", &s); err != nil {
 		return err
@@ -71,9 +71,9 @@
 
 // stated is who says why.
 type stated struct {
-	Author string `help:"Who; the user's name unless a token says it."`
-	Reason string `help:"Why." required:""`
-	ID     string `name:"id" help:"The same command sent again under it acts once."`
+	Author string `long:"author" value-name:"STRING" description:"Who; the user's name unless a token says it."`
+	Reason string `long:"reason" value-name:"STRING" required:"yes" description:"Why."`
+	ID     string `long:"id" value-name:"STRING" description:"The same command sent again under it acts once."`
 }
 
 func (s *stated) command(tenant string) api.FleetCommand {
@@ -86,16 +86,18 @@
 type fleetContractCmd struct {
 	door
 	stated
-	Tenant    string        `arg:""`
-	Zones     []string      `help:"Where its lookups may go."`
-	Indexes   []string      `help:"Those that it is about; all if none is named."`
-	MixersToo bool          `help:"Mixers in other zones do not take them either."`
-	Clear     bool          `help:"Take the contract away."`
-	Wait      time.Duration `help:"How long to wait until it holds everywhere." default:"30s"`
+	Zones     commaList     `long:"zones" value-name:"LIST" description:"Where its lookups may go."`
+	Indexes   commaList     `long:"indexes" value-name:"LIST" description:"Those that it is about; all if none is named."`
+	MixersToo bool          `long:"mixers-too" description:"Mixers in other zones do not take them either."`
+	Clear     bool          `long:"clear" description:"Take the contract away."`
+	Wait      time.Duration `long:"wait" value-name:"DURATION" default:"30s" description:"How long to wait until it holds everywhere."`
+	Arguments struct {
+		Tenant string `positional-arg-name:"tenant"`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *fleetContractCmd) Run() error {
-	command := c.command(c.Tenant)
+func (c *fleetContractCmd) Execute([]string) error {
+	command := c.command(c.Arguments.Tenant)
 	if command.Clear = "contract"; !c.Clear {
 		command.Clear, command.Contract = "", &api.Contract{Zones: c.Zones, MixersToo: c.MixersToo, Indexes: c.Indexes}
 	}
@@ -106,7 +108,7 @@
 	}
 	var p residency.Progress
 	for until := time.Now().Add(c.Wait); ; time.Sleep(200 * time.Millisecond) {
-		if p, err = client.Held(ctx, res.Version, c.Tenant); err == nil && p.Held {
+		if p, err = client.Held(ctx, res.Version, c.Arguments.Tenant); err == nil && p.Held {
 			fmt.Fprintln(stdout, "held everywhere")
 			return nil
 		}
@@ -116,7 +118,7 @@
 	}
 	if err == nil {
 		progress(&p)
-		err = fmt.Errorf("not held everywhere after %s; `puffinlink fleet held %d %s` shows how far it gets", c.Wait, res.Version, c.Tenant)
+		err = fmt.Errorf("not held everywhere after %s; `puffinlink fleet held %d %s` shows how far it gets", c.Wait, res.Version, c.Arguments.Tenant)
 	}
 	return err
 }
@@ -133,17 +135,19 @@
 
 type fleetHeldCmd struct {
 	door
-	Version uint64 `arg:""`
-	Tenant  string `arg:""`
+	Arguments struct {
+		Version uint64 `positional-arg-name:"version"`
+		Tenant  string `positional-arg-name:"tenant"`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *fleetHeldCmd) Run() error {
+func (c *fleetHeldCmd) Execute([]string) error {
 	client, ctx, cancel, err := c.asker(patience + patience/2)
 	defer cancel()
 	if err != nil {
 		return err
 	}
-	p, err := client.Held(ctx, c.Version, c.Tenant)
+	p, err := client.Held(ctx, c.Arguments.Version, c.Arguments.Tenant)
 	if err != nil {
 		return err
 	}
@@ -158,15 +162,17 @@
 type fleetQuotaCmd struct {
 	door
 	stated
-	Tenant     string  `arg:""`
-	PerS       float64 `help:"Lookups a second, all mixers together."`
-	Burst      float64 `help:"Lookups at once."`
-	FloorShare float64 `help:"Share of it that mixers have by themselves." default:"0.04"`
-	Clear      bool    `help:"Take the quota away."`
+	PerS       float64 `long:"per-s" value-name:"NUMBER" description:"Lookups a second, all mixers together."`
+	Burst      float64 `long:"burst" value-name:"NUMBER" description:"Lookups at once."`
+	FloorShare float64 `long:"floor-share" value-name:"NUMBER" default:"0.04" description:"Share of it that mixers have by themselves."`
+	Clear      bool    `long:"clear" description:"Take the quota away."`
+	Arguments  struct {
+		Tenant string `positional-arg-name:"tenant"`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *fleetQuotaCmd) Run() error {
-	command := c.command(c.Tenant)
+func (c *fleetQuotaCmd) Execute([]string) error {
+	command := c.command(c.Arguments.Tenant)
 	if command.Clear = "quota"; !c.Clear {
 		command.Clear, command.Quota = "", &api.Quota{PerS: c.PerS, Burst: c.Burst, Floor: c.FloorShare}
 	}
@@ -177,17 +183,19 @@
 
 type fleetWhyCmd struct {
 	door
-	Tenant string `arg:""`
-	Index  string `arg:""`
+	Arguments struct {
+		Tenant string `positional-arg-name:"tenant"`
+		Index  string `positional-arg-name:"index"`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *fleetWhyCmd) Run() error {
+func (c *fleetWhyCmd) Execute([]string) error {
 	client, ctx, cancel, err := c.asker(patience)
 	defer cancel()
 	if err != nil {
 		return err
 	}
-	e, err := client.WhyFleet(ctx, c.Tenant, c.Index)
+	e, err := client.WhyFleet(ctx, c.Arguments.Tenant, c.Arguments.Index)
 	if err != nil {
 		return err
 	}
--- a/cmd/puffinlink/operatorclient.go
+++ b/cmd/puffinlink/operatorclient.go
@@ -21,9 +21,9 @@
 
 // door is where a mixer's listener is, and how to come in.
 type door struct {
-	At        string `help:"The listener: unix:/PATH or HOST:PORT." env:"PUFFINLINK_OPERATORS" required:"" placeholder:"ADDRESS"`
-	TokenFile string `help:"Holds the token; PUFFINLINK_TOKEN may hold it instead." placeholder:"FILE"`
-	JSON      bool   `name:"json" help:"As JSON, for programs."`
+	At        string `long:"at" value-name:"ADDRESS" required:"yes" env:"PUFFINLINK_OPERATORS" description:"The listener: unix:/PATH or HOST:PORT."`
+	TokenFile string `long:"token-file" value-name:"FILE" description:"Holds the token; PUFFINLINK_TOKEN may hold it instead."`
+	JSON      bool   `long:"json" description:"As JSON, for programs."`
 }
 
 func (d *door) client() (*api.Client, error) {
--- a/cmd/puffinlink/override.go
+++ b/cmd/puffinlink/override.go
@@ -19,12 +19,12 @@
 )
 
 type overrideCmd struct {
-	List    listCmd    `cmd:"" help:"What holds. Example: puffinlink override list --at unix:/run/p.sock"`
-	Set     setCmd     `cmd:"" help:"Set one. Example: puffinlink override set out s-12 --for 30m --reason 'slow disk'"`
-	Clear   clearCmd   `cmd:"" help:"Clear one. Example: puffinlink override clear 17 --reason 'disk changed'"`
-	Watch   watchCmd   `cmd:"" help:"Print changes as they come. Example: puffinlink override watch --json"`
-	History historyCmd `cmd:"" help:"The last changes. Example: puffinlink override history --most 20"`
-	Why     whyCmd     `cmd:"" help:"Why a shard does or does not go to a searcher. Example: puffinlink override why 7 reads s-12"`
+	List    listCmd    `command:"list" description:"What holds. Example: puffinlink override list --at unix:/run/p.sock"`
+	Set     setCmd     `command:"set" description:"Set one. Example: puffinlink override set out s-12 --for 30m --reason 'slow disk'"`
+	Clear   clearCmd   `command:"clear" description:"Clear one. Example: puffinlink override clear 17 --reason 'disk changed'"`
+	Watch   watchCmd   `command:"watch" description:"Print changes as they come. Example: puffinlink override watch --json"`
+	History historyCmd `command:"history" description:"The last changes. Example: puffinlink override history --most 20"`
+	Why     whyCmd     `command:"why" description:"Why a shard does or does not go to a searcher. Example: puffinlink override why 7 reads s-12"`
 }
 
 // what says in a few words what an override does.
@@ -56,7 +56,7 @@
 
 type listCmd struct{ door }
 
-func (c *listCmd) Run() error {
+func (c *listCmd) Execute([]string) error {
 	var v api.View
 	if err := c.get("/v1/overrides", &v); err != nil {
 		return err
@@ -89,19 +89,21 @@
 
 type setCmd struct {
 	door
-	Kind         string        `arg:"" enum:"weight,out,pin" help:"weight, out or pin."`
-	Target       string        `arg:"" help:"A searcher, or @ and a location."`
-	Weight       float64       `help:"Of a weight: over 0 and up to 1."`
-	Shards       string        `help:"Of a pin: one shard or a range, as 7 or 7-9."`
-	Strict       bool          `help:"Of a pin: refuse the shard while its searcher is dead, instead of giving it to siblings."`
-	Index        string        `help:"For this index alone."`
-	For          time.Duration `required:"" help:"When it ends, as 30m."`
-	UntilRestart bool          `help:"It ends earlier, with the next start of its searcher."`
-	Reason       string        `required:"" help:"Why."`
-	Author       string        `env:"USER" default:"operator" help:"Who, where the listener has no tokens."`
-	Revision     int64         `default:"-1" help:"Made for this revision; the present one where it is not stated."`
-	Key          string        `help:"Names the command, so that it acts once however often it is sent."`
-	Force        bool          `help:"Overrule guard rails."`
+	Weight       float64       `long:"weight" value-name:"NUMBER" description:"Of a weight: over 0 and up to 1."`
+	Shards       string        `long:"shards" value-name:"STRING" description:"Of a pin: one shard or a range, as 7 or 7-9."`
+	Strict       bool          `long:"strict" description:"Of a pin: refuse the shard while its searcher is dead, instead of giving it to siblings."`
+	Index        string        `long:"index" value-name:"STRING" description:"For this index alone."`
+	For          time.Duration `long:"for" value-name:"DURATION" required:"yes" description:"When it ends, as 30m."`
+	UntilRestart bool          `long:"until-restart" description:"It ends earlier, with the next start of its searcher."`
+	Reason       string        `long:"reason" value-name:"STRING" required:"yes" description:"Why."`
+	Author       string        `long:"author" value-name:"STRING" env:"USER" default:"operator" description:"Who, where the listener has no tokens."`
+	Revision     int64         `long:"revision" value-name:"NUMBER" default:"-1" description:"Made for this revision; the present one where it is not stated."`
+	Key          string        `long:"key" value-name:"STRING" description:"Names the command, so that it acts once however often it is sent."`
+	Force        bool          `long:"force" description:"Overrule guard rails."`
+	Arguments    struct {
+		Kind   overrideKind `positional-arg-name:"kind" description:"weight, out or pin."`
+		Target string       `positional-arg-name:"target" description:"A searcher, or @ and a location."`
+	} `positional-args:"yes" required:"yes"`
 }
 
 // shardRange reads "7" or "7-9".
@@ -120,20 +122,20 @@
 	return from, to, nil
 }
 
-func (c *setCmd) Run() error {
-	cmd := api.Command{Kind: c.Kind, Index: c.Index, Weight: c.Weight, Strict: c.Strict, Author: c.Author, Reason: c.Reason,
+func (c *setCmd) Execute([]string) error {
+	cmd := api.Command{Kind: string(c.Arguments.Kind), Index: c.Index, Weight: c.Weight, Strict: c.Strict, Author: c.Author, Reason: c.Reason,
 		For: c.For.Seconds(), UntilRestart: c.UntilRestart, Force: c.Force, Key: c.Key}
-	if place, is := strings.CutPrefix(c.Target, "@"); is {
+	if place, is := strings.CutPrefix(c.Arguments.Target, "@"); is {
 		cmd.Location = place
 	} else {
-		cmd.Searcher = c.Target
+		cmd.Searcher = c.Arguments.Target
 	}
 	if c.Shards != "" {
 		var err error
 		if cmd.From, cmd.To, err = shardRange(c.Shards); err != nil {
 			return err
 		}
-	} else if c.Kind == "pin" {
+	} else if c.Arguments.Kind == overridePin {
 		return errors.New("a pin needs --shards")
 	}
 	return c.send(cmd, c.Revision)
@@ -191,26 +193,28 @@
 
 type clearCmd struct {
 	door
-	ID       uint64 `arg:"" help:"The override's id."`
-	Reason   string `required:"" help:"Why."`
-	Author   string `env:"USER" default:"operator" help:"Who, where the listener has no tokens."`
-	Revision int64  `default:"-1" help:"Made for this revision; the present one where it is not stated."`
-	Key      string `help:"Names the command, so that it acts once however often it is sent."`
+	Reason    string `long:"reason" value-name:"STRING" required:"yes" description:"Why."`
+	Author    string `long:"author" value-name:"STRING" env:"USER" default:"operator" description:"Who, where the listener has no tokens."`
+	Revision  int64  `long:"revision" value-name:"NUMBER" default:"-1" description:"Made for this revision; the present one where it is not stated."`
+	Key       string `long:"key" value-name:"STRING" description:"Names the command, so that it acts once however often it is sent."`
+	Arguments struct {
+		ID uint64 `positional-arg-name:"id" description:"The override's id."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *clearCmd) Run() error {
-	if c.ID == 0 {
+func (c *clearCmd) Execute([]string) error {
+	if c.Arguments.ID == 0 {
 		return errors.New("override 0, expected an id as `override list` shows it")
 	}
-	return c.send(api.Command{Clear: c.ID, Author: c.Author, Reason: c.Reason, Key: c.Key}, c.Revision)
+	return c.send(api.Command{Clear: c.Arguments.ID, Author: c.Author, Reason: c.Reason, Key: c.Key}, c.Revision)
 }
 
 type watchCmd struct {
 	door
-	From uint64 `help:"Begin after this revision."`
+	From uint64 `long:"from" value-name:"NUMBER" description:"Begin after this revision."`
 }
 
-func (c *watchCmd) Run() error {
+func (c *watchCmd) Execute([]string) error {
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -232,10 +236,10 @@
 
 type historyCmd struct {
 	door
-	Most int `default:"100" help:"How many, 1000 at most."`
+	Most int `long:"most" value-name:"NUMBER" default:"100" description:"How many, 1000 at most."`
 }
 
-func (c *historyCmd) Run() error {
+func (c *historyCmd) Execute([]string) error {
 	var list []api.Change
 	if err := c.get("/v1/history?most="+strconv.Itoa(c.Most), &list); err != nil {
 		return err
@@ -251,14 +255,16 @@
 
 type whyCmd struct {
 	door
-	Shard    int    `arg:"" help:"The shard."`
-	Index    string `arg:"" help:"The index."`
-	Searcher string `arg:"" help:"The searcher."`
+	Arguments struct {
+		Shard    int    `positional-arg-name:"shard" description:"The shard."`
+		Index    string `positional-arg-name:"index" description:"The index."`
+		Searcher string `positional-arg-name:"searcher" description:"The searcher."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *whyCmd) Run() error {
+func (c *whyCmd) Execute([]string) error {
 	var w api.Why
-	q := url.Values{"shard": {strconv.Itoa(c.Shard)}, "index": {c.Index}, "searcher": {c.Searcher}}
+	q := url.Values{"shard": {strconv.Itoa(c.Arguments.Shard)}, "index": {c.Arguments.Index}, "searcher": {c.Arguments.Searcher}}
 	if err := c.get("/v1/why?"+q.Encode(), &w); err != nil {
 		return err
 	}
@@ -269,7 +275,7 @@
 	if w.Goes {
 		verdict = fmt.Sprintf("goes, at %.0f%% of its usual part calls,", 100*w.Share)
 	}
-	fmt.Fprintf(stdout, "shard %d of %s %s to %s\n", c.Shard, c.Index, verdict, c.Searcher)
+	fmt.Fprintf(stdout, "shard %d of %s %s to %s\n", c.Arguments.Shard, c.Arguments.Index, verdict, c.Arguments.Searcher)
 	rows := [][]string{}
 	for _, r := range w.Rules {
 		by, acts := "-", "suspended"
--- a/cmd/puffinlink/plan.go
+++ b/cmd/puffinlink/plan.go
@@ -16,25 +16,27 @@
 )
 
 type planCmd struct {
-	Report  planReportCmd  `cmd:"" help:"What breaks first, what it bears, what losing a location does. Example: puffinlink plan report fleet.json5 --capture all.capture"`
-	Buy     planBuyCmd     `cmd:"" help:"Fewest searchers that keep the goals with a location lost. Example: puffinlink plan buy fleet.json5 --capture all.capture --spare 1"`
-	Compare planCompareCmd `cmd:"" help:"Two fleets, or one under two captures, side by side. Example: puffinlink plan compare a.json5 b.json5 --capture all.capture"`
-	Prove   planProveCmd   `cmd:"" help:"Hold predictions to what happens on this machine. Example: puffinlink plan prove --seconds 10"`
+	Report  planReportCmd  `command:"report" description:"What breaks first, what it bears, what losing a location does. Example: puffinlink plan report fleet.json5 --capture all.capture"`
+	Buy     planBuyCmd     `command:"buy" description:"Fewest searchers that keep the goals with a location lost. Example: puffinlink plan buy fleet.json5 --capture all.capture --spare 1"`
+	Compare planCompareCmd `command:"compare" description:"Two fleets, or one under two captures, side by side. Example: puffinlink plan compare a.json5 b.json5 --capture all.capture"`
+	Prove   planProveCmd   `command:"prove" description:"Hold predictions to what happens on this machine. Example: puffinlink plan prove --seconds 10"`
 }
 
 // planned is what a plan is made of.
 type planned struct {
-	Fleet   string  `arg:"" help:"The fleet's description, JSON with comments."`
-	Capture string  `required:"" help:"A capture: a file, or a directory of them."`
-	Mean    bool    `help:"Plan for the capture's mean, not its busiest interval."`
-	Times   float64 `default:"1" help:"Multiply the load."`
-	Seed    uint64  `default:"1" help:"Of what chance adds."`
-	JSON    bool    `name:"json" help:"As JSON."`
+	Capture   string  `long:"capture" value-name:"STRING" required:"yes" description:"A capture: a file, or a directory of them."`
+	Mean      bool    `long:"mean" description:"Plan for the capture's mean, not its busiest interval."`
+	Times     float64 `long:"times" value-name:"NUMBER" default:"1" description:"Multiply the load."`
+	Seed      uint64  `long:"seed" value-name:"NUMBER" default:"1" description:"Of what chance adds."`
+	JSON      bool    `long:"json" description:"As JSON."`
+	Arguments struct {
+		Fleet string `positional-arg-name:"fleet" description:"The fleet's description, JSON with comments."`
+	} `positional-args:"yes" required:"yes"`
 }
 
 // read reads both and puts them beside one another.
 func (p *planned) read() (f plan.Site, a plan.Ask, notes []string, err error) {
-	if f, err = planfile.Read(p.Fleet); err != nil {
+	if f, err = planfile.Read(p.Arguments.Fleet); err != nil {
 		return f, a, nil, err
 	}
 	c, err := opened(p.Capture)
@@ -46,7 +48,7 @@
 		return f, a, notes, err
 	}
 	if err = f.Check(); err != nil {
-		return f, a, notes, fmt.Errorf("%s: %w", p.Fleet, err)
+		return f, a, notes, fmt.Errorf("%s: %w", p.Arguments.Fleet, err)
 	}
 	a, more, err := planfile.Ask(&f, c, &sum, p.Mean)
 	if err != nil {
@@ -105,7 +107,7 @@
 	KeepsAll bool    `json:"keeps_goals"`
 }
 
-func (c *planReportCmd) Run() error {
+func (c *planReportCmd) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	f, a, notes, err := c.read()
@@ -180,11 +182,11 @@
 
 type planBuyCmd struct {
 	planned
-	Spare int `help:"Searchers that may be lost besides a location."`
-	Most  int `default:"100" help:"That may stand in one location."`
+	Spare int `long:"spare" value-name:"NUMBER" description:"Searchers that may be lost besides a location."`
+	Most  int `long:"most" value-name:"NUMBER" default:"100" description:"That may stand in one location."`
 }
 
-func (c *planBuyCmd) Run() error {
+func (c *planBuyCmd) Execute([]string) error {
 	f, a, notes, err := c.read()
 	if err != nil {
 		return err
@@ -230,14 +232,14 @@
 }
 
 type planProveCmd struct {
-	Seconds float64 `default:"10" help:"That each setting is played, after 2 s to learn."`
-	Drawn   int     `default:"4" help:"Settings that a seed draws, beside the known ones."`
-	Seed    uint64  `default:"1" help:"Of the drawn ones."`
-	Only    string  `help:"The setting of this name alone."`
-	JSON    bool    `name:"json" help:"As JSON."`
+	Seconds float64 `long:"seconds" value-name:"NUMBER" default:"10" description:"That each setting is played, after 2 s to learn."`
+	Drawn   int     `long:"drawn" value-name:"NUMBER" default:"4" description:"Settings that a seed draws, beside the known ones."`
+	Seed    uint64  `long:"seed" value-name:"NUMBER" default:"1" description:"Of the drawn ones."`
+	Only    string  `long:"only" value-name:"STRING" description:"The setting of this name alone."`
+	JSON    bool    `long:"json" description:"As JSON."`
 }
 
-func (c *planProveCmd) Run() error {
+func (c *planProveCmd) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	var results []prove.Result
@@ -263,8 +265,10 @@
 
 type planCompareCmd struct {
 	planned
-	Other        string `arg:"" help:"The fleet to compare with."`
-	OtherCapture string `help:"The other capture; the same one where it is not stated."`
+	OtherCapture string `long:"other-capture" value-name:"STRING" description:"The other capture; the same one where it is not stated."`
+	Second       struct {
+		Other string `positional-arg-name:"other" description:"The fleet to compare with."`
+	} `positional-args:"yes" required:"yes"`
 }
 
 // side is one side of a comparison.
@@ -290,7 +294,7 @@
 		return s, err
 	}
 	o := plan.Emulate(&f, &a, p.Seed, 0)
-	s = side{Fleet: p.Fleet, LookupsPerS: a.PerS, InTime: o.Gain, Nacked: o.Nacked, P50: o.P50, P99: o.P99, Use: o.Use[o.Hottest], WorstInTime: 1}
+	s = side{Fleet: p.Arguments.Fleet, LookupsPerS: a.PerS, InTime: o.Gain, Nacked: o.Nacked, P50: o.P50, P99: o.P99, Use: o.Use[o.Hottest], WorstInTime: 1}
 	for _, x := range f.Searchers {
 		s.Price += x.Price
 	}
@@ -310,9 +314,9 @@
 	return s, nil
 }
 
-func (c *planCompareCmd) Run() error {
+func (c *planCompareCmd) Execute([]string) error {
 	other := c.planned
-	if other.Fleet = c.Other; c.OtherCapture != "" {
+	if other.Arguments.Fleet = c.Second.Other; c.OtherCapture != "" {
 		other.Capture = c.OtherCapture
 	}
 	var sides []side
--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -30,10 +30,10 @@
 )
 
 type serveCmd struct {
-	Operator string `help:"The operator's file, as deploy/operator.json5 shows it." env:"PUFFINLINK_OPERATOR" placeholder:"FILE"`
+	Operator string `long:"operator" value-name:"FILE" env:"PUFFINLINK_OPERATOR" description:"The operator's file, as deploy/operator.json5 shows it."`
 }
 
-func (s *serveCmd) Run() error { return run(s.Operator) }
+func (s *serveCmd) Execute([]string) error { return run(s.Operator) }
 
 // limit keeps Go within the machine's share.
 func limit(c node.Config) {
@@ -146,12 +146,14 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"The file."`
-	JSON bool   `name:"json" help:"Print what the file states, as JSON."`
+	JSON      bool `long:"json" description:"Print what the file states, as JSON."`
+	Arguments struct {
+		File string `positional-arg-name:"file" description:"The file."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *checkCmd) Run() error {
-	f, err := operatorfile.Read(c.File)
+func (c *checkCmd) Execute([]string) error {
+	f, err := operatorfile.Read(c.Arguments.File)
 	if err != nil {
 		return err
 	}
@@ -167,18 +169,18 @@
 		}
 		return "off"
 	}
-	fmt.Fprintf(stdout, "%s: good; overrides %s, operators' listener %s, fleet %s\n", c.File, on(f.Overrides.On), on(f.Operators.Listen != ""), on(f.Fleet.On))
+	fmt.Fprintf(stdout, "%s: good; overrides %s, operators' listener %s, fleet %s\n", c.Arguments.File, on(f.Overrides.On), on(f.Operators.Listen != ""), on(f.Fleet.On))
 	for _, w := range f.Warnings() {
-		fmt.Fprintf(stdout, "%s: note: %s\n", c.File, w)
+		fmt.Fprintf(stdout, "%s: note: %s\n", c.Arguments.File, w)
 	}
 	return nil
 }
 
 type versionCmd struct {
-	JSON bool `name:"json" help:"As JSON."`
+	JSON bool `long:"json" description:"As JSON."`
 }
 
-func (v *versionCmd) Run() error {
+func (v *versionCmd) Execute([]string) error {
 	version, revision := "unknown", ""
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version
--- a/cmd/puffinlink/token.go
+++ b/cmd/puffinlink/token.go
@@ -13,12 +13,12 @@
 )
 
 type tokenCmd struct {
-	KeyFile string `required:"" help:"The key of the hashes; it is made where there is none." placeholder:"FILE"`
-	Name    string `default:"ann" help:"Whose it is."`
-	Role    string `default:"read" enum:"read,write" help:"read or write."`
+	KeyFile string `long:"key-file" value-name:"FILE" required:"yes" description:"The key of the hashes; it is made where there is none."`
+	Name    string `long:"name" value-name:"STRING" default:"ann" description:"Whose it is."`
+	Role    string `long:"role" value-name:"STRING" default:"read" choice:"read" choice:"write" description:"read or write."`
 }
 
-func (c *tokenCmd) Run() error {
+func (c *tokenCmd) Execute([]string) error {
 	if _, err := os.Stat(c.KeyFile); errors.Is(err, os.ErrNotExist) {
 		key := make([]byte, 32)
 		rand.Read(key)
