--- a/cmd/puffinlink/serve.go
+++ b/cmd/puffinlink/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -13,10 +12,10 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
+	"puffinlink.example/puffinlink/internal/dataplane/mixerlog"
 	"puffinlink.example/puffinlink/internal/dataplane/node"
 	"puffinlink.example/puffinlink/internal/operators/operatorfile"
 )
@@ -31,13 +30,10 @@
 )
 
 type serveCmd struct {
-	Operator string `help:"The operator's file, as deploy/operator.json5 shows it." env:"PUFFINLINK_OPERATOR" placeholder:"FILE"`
+	Operator string `long:"operator" value-name:"FILE" env:"PUFFINLINK_OPERATOR" description:"The operator's file, as deploy/operator.json5 shows it."`
 }
 
-func (s *serveCmd) Run() error { return run(s.Operator) }
-
-// The log's times, set once and before anything runs: connections of a mixer that stops may still read it.
-func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs }
+func (s *serveCmd) Execute([]string) error { return run(s.Operator) }
 
 // limit keeps Go within the machine's share.
 func limit(c node.Config) {
@@ -112,16 +108,15 @@
 		}
 	}
 	limit(c)
-	// Whoever reads the log must not hold up the mixer: lines that find no room are dropped and counted. Its writer would
-	// close standard output if it could.
+	// Whoever reads the log must not hold up the mixer: lines that find no room are dropped and counted.
 	count := counters.New()
-	out := diode.NewWriter(struct{ io.Writer }{os.Stdout}, logLines, 0, func(missed int) { count.Add("log", "dropped", int64(missed)) })
+	out := mixerlog.NewWriter(os.Stdout, logLines, func() { count.Add("log", "dropped", 1) })
 	defer out.Close()
-	log := zerolog.New(out).With().Timestamp().Str("mixer", c.Name).Logger()
+	log := mixerlog.New(out).With(zap.String("mixer", c.Name))
 
 	n, err := start(signals, func(ctx context.Context) (*node.Node, error) { return node.Start(ctx, c, set, file, log, count) })
 	if errors.Is(err, context.Canceled) {
-		log.Info().Msg("told to stop before it served")
+		log.Info("told to stop before it served")
 		return nil
 	} else if err != nil {
 		return err
@@ -131,12 +126,12 @@
 		case s := <-signals:
 			switch s {
 			case syscall.SIGUSR1:
-				log.Info().EmbedObject(count).Msg("counters")
+				log.Info("counters", zap.Inline(count))
 			case syscall.SIGHUP:
 				if err := reload(n); err != nil {
-					log.Error().Str("text", err.Error()).Msg("config not taken, all stays as it is")
+					log.Error("config not taken, all stays as it is", zap.String("text", err.Error()))
 				} else {
-					log.Info().Msg("config taken")
+					log.Info("config taken")
 				}
 			default:
 				n.Drain()
@@ -146,17 +141,19 @@
 		}
 	}
 	n.Stop()
-	log.Info().EmbedObject(count).Msg("counters")
+	log.Info("counters", zap.Inline(count))
 	return nil
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"The file."`
-	JSON bool   `name:"json" help:"Print what the file states, as JSON."`
+	JSON      bool `long:"json" description:"Print what the file states, as JSON."`
+	Arguments struct {
+		File string `positional-arg-name:"file" description:"The file."`
+	} `positional-args:"yes" required:"yes"`
 }
 
-func (c *checkCmd) Run() error {
-	f, err := operatorfile.Read(c.File)
+func (c *checkCmd) Execute([]string) error {
+	f, err := operatorfile.Read(c.Arguments.File)
 	if err != nil {
 		return err
 	}
@@ -172,18 +169,18 @@
 		}
 		return "off"
 	}
-	fmt.Fprintf(stdout, "%s: good; overrides %s, operators' listener %s, fleet %s\n", c.File, on(f.Overrides.On), on(f.Operators.Listen != ""), on(f.Fleet.On))
+	fmt.Fprintf(stdout, "%s: good; overrides %s, operators' listener %s, fleet %s\n", c.Arguments.File, on(f.Overrides.On), on(f.Operators.Listen != ""), on(f.Fleet.On))
 	for _, w := range f.Warnings() {
-		fmt.Fprintf(stdout, "%s: note: %s\n", c.File, w)
+		fmt.Fprintf(stdout, "%s: note: %s\n", c.Arguments.File, w)
 	}
 	return nil
 }
 
 type versionCmd struct {
-	JSON bool `name:"json" help:"As JSON."`
+	JSON bool `long:"json" description:"As JSON."`
 }
 
-func (v *versionCmd) Run() error {
+func (v *versionCmd) Execute([]string) error {
 	version, revision := "unknown", ""
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version
