Process tests: worlds run as there are cores for them, and no compiler runs beside one

Cause: up to 14 worlds of 1 to 10 processes started at once, and the second binary was compiled while the first worlds ran. Latencies of a stalled machine then stood for the program's. Worlds now take places, one a process, as many as there are cores, in the order in which they ask; both binaries are made before the first world. A failed wait prints what every mixer shows, a failed test why lookups were not admitted.

--- a/internal/tools/fleettest/failpoints_test.go
+++ b/internal/tools/fleettest/failpoints_test.go
@@ -77,16 +77,9 @@
 			}
 		}
 	}
-	atOnce := 4
-	if all {
-		atOnce = 9
-	}
-	places := make(chan struct{}, atOnce)
 	list := filepath.Join(t.TempDir(), "points")
 	t.Run("listed", func(t *testing.T) {
 		t.Parallel()
-		places <- struct{}{}
-		defer func() { <-places }()
 		workload(t, func(int) []string { return []string{"PUFFINLINK_FAILPOINTS_LIST=" + list} })
 		text, err := os.ReadFile(list)
 		if err != nil {
@@ -105,8 +98,6 @@
 	for _, c := range sample {
 		t.Run(fmt.Sprintf("%d %s %s", c.point, strings.ReplaceAll(failpoint.Names[c.point], " ", "-"), c.fault), func(t *testing.T) {
 			t.Parallel()
-			places <- struct{}{}
-			defer func() { <-places }()
 			once := filepath.Join(t.TempDir(), "once")
 			workload(t, func(int) []string {
 				return []string{Arming(c.point, c.pass, c.fault), "PUFFINLINK_FAILPOINT_ONCE=" + once}
--- a/internal/tools/fleettest/fleettest_test.go
+++ b/internal/tools/fleettest/fleettest_test.go
@@ -42,25 +42,32 @@
 	return m.Run()
 }
 
-// Build makes a binary with the tags named, once.
+// withPoints is the tag of a build whose numbered points can be armed.
+const withPoints = "failpoints"
+
+// Build hands out the binary with the tags named. All are made before the first is handed out: a compiler takes every core,
+// and no world is to run beside one.
 func Build(t testing.TB, tags string) string {
 	t.Helper()
 	b := &binaries
 	b.Lock()
 	defer b.Unlock()
-	if b.dir == "" {
-		var err error
-		if b.dir, err = os.MkdirTemp("", "rig"); err != nil {
+	if b.made == nil {
+		dir, err := os.MkdirTemp("", "rig")
+		if err != nil {
 			t.Fatal(err)
 		}
-		b.made = map[string]string{}
+		b.dir, b.made = dir, map[string]string{}
+		for _, each := range []string{"", withPoints} {
+			path := filepath.Join(dir, "puffinlink-"+each)
+			if out, err := exec.Command("go", "build", "-tags", each, "-o", path, "puffinlink.example/puffinlink/cmd/puffinlink").CombinedOutput(); err != nil {
+				t.Fatalf("%v: %s", err, out)
+			}
+			b.made[each] = path
+		}
 	}
 	if b.made[tags] == "" {
-		path := filepath.Join(b.dir, "puffinlink-"+tags)
-		if out, err := exec.Command("go", "build", "-tags", tags, "-o", path, "puffinlink.example/puffinlink/cmd/puffinlink").CombinedOutput(); err != nil {
-			t.Fatalf("%v: %s", err, out)
-		}
-		b.made[tags] = path
+		t.Fatalf("no binary was made with the tags %q", tags)
 	}
 	return b.made[tags]
 }
@@ -151,6 +158,8 @@
 // Start starts a world. Mixers and searchers stand in zones a, b and c by turns; each shard is held in two zones.
 func Start(t testing.TB, o Options) *World {
 	t.Helper()
+	Build(t, withPoints)
+	takePlaces(t, o.Mixers)
 	o.Searchers, o.Voters = max(o.Searchers, 6), max(o.Voters, 3)
 	if o.LeaseS == 0 {
 		o.LeaseS = 8
@@ -226,6 +235,9 @@
 			m.Kill()
 		}
 		if t.Failed() {
+			for text, n := range w.Judge.Reasons() { // of what was not admitted
+				t.Logf("%d lookups: %s", n, text)
+			}
 			t.Logf("logs are in %s", w.dir)
 		}
 	})
@@ -275,6 +287,10 @@
 	w.Helper()
 	for late := time.Now().Add(Patience); !is(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(late) {
+			for _, m := range w.Mixers {
+				text, _ := json.Marshal(m.Show())
+				w.Logf("%s shows %s", m.Name, text)
+			}
 			w.Fatalf("never: %s", what)
 		}
 	}
@@ -342,7 +358,7 @@
 	config, file := w.path(m.Name+m.twin+".json"), w.path(m.Name+m.twin+".json5")
 	w.must(os.WriteFile(config, w.Site.Config(m.Name, m.Listen, m.register, m.no), 0o600))
 	w.must(os.WriteFile(file, []byte(m.file()), 0o600))
-	tags := "failpoints"
+	tags := withPoints
 	if w.Plain {
 		tags = ""
 	}
@@ -549,7 +565,7 @@
 	sent := time.Now()
 	res, err := w.client.Do(req)
 	if err != nil {
-		w.Judge.Ended(m.Name, tenant, sent, 0, "")
+		w.Judge.Ended(m.Name, tenant, sent, 0, err.Error())
 		return 0, err.Error()
 	}
 	defer res.Body.Close()
--- a/internal/tools/fleettest/judge_test.go
+++ b/internal/tools/fleettest/judge_test.go
@@ -21,6 +21,7 @@
 	mixer, tenant string
 	sent, ended   time.Time
 	status        int
+	text          string // of an answer that is none: why
 }
 
 type partCall struct {
@@ -48,10 +49,10 @@
 }
 
 // Ended notes the end of a lookup.
-func (j *Judge) Ended(mixer, tenant string, sent time.Time, status int, _ string) {
+func (j *Judge) Ended(mixer, tenant string, sent time.Time, status int, text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.lookups = append(j.lookups, lookup{mixer, tenant, sent, time.Now(), status})
+	j.lookups = append(j.lookups, lookup{mixer, tenant, sent, time.Now(), status, text})
 }
 
 // Holds says that from now on no part call of a tenant may begin outside of zones; what it held before it says no more.
@@ -157,6 +158,19 @@
 	return n
 }
 
+// Reasons counts the lookups that were not admitted, by mixer, status and text.
+func (j *Judge) Reasons() map[string]int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := map[string]int{}
+	for _, l := range j.lookups {
+		if l.status != 200 {
+			n[fmt.Sprintf("%s: %s: %d %s", l.mixer, l.tenant, l.status, l.text)]++
+		}
+	}
+	return n
+}
+
 // Statuses counts a tenant's answers since a time, at one mixer or at all.
 func (j *Judge) Statuses(tenant, mixer string, since time.Time) map[int]int {
 	j.mu.Lock()
