A core mixer that comes back into contact is current only together with what it has missed

Changes are gathered for 20 ms before they are published to agents, while being in contact counts at once. A mixer that had been cut off or restarted answered in between with the old configuration, or none, and called it current.

--- a/internal/controlplane/feedserver/feedserver.go
+++ b/internal/controlplane/feedserver/feedserver.go
@@ -97,7 +97,19 @@
 		wait = 0
 	}
 	news := s.board.Wait(ctx, ask.Known, wait)
-	return feed.WatchReply{Current: s.options.Sources.InContact(), Changed: news != nil, Snapshot: news}, nil
+	current := s.options.Sources.InContact()
+	if current && s.behind() {
+		s.publish()
+		news, _ = s.board.Since(ask.Known)
+	}
+	return feed.WatchReply{Current: current, Changed: news != nil, Snapshot: news}, nil
+}
+
+// behind tells whether the board lacks the configuration that is known here, as changes are gathered before they are
+// published. A mixer that comes back into contact learns at the same moment that it is current and what it has missed.
+func (s *Server) behind() bool {
+	version, _ := s.options.Sources.Configuration()
+	return version > s.board.Digest().ConfigurationVersion
 }
 
 func (s *Server) note(ask feed.Watch) {
--- a/internal/controlplane/feedserver/feedserver_test.go
+++ b/internal/controlplane/feedserver/feedserver_test.go
@@ -144,6 +144,15 @@
 			}
 			So(time.Since(began), ShouldEqual, gatherTime)
 		})
+		Convey("What calls itself current has the newest configuration, though changes are gathered", t, func() {
+			source.update(func(s *state) { s.version = 6 })
+			for _, known := range []feed.Digest{{}, server.board.Digest()} {
+				reply := ask(server, known, 0, "")
+				So(reply.Current, ShouldBeTrue)
+				So(reply.Snapshot, ShouldNotBeNil)
+				So(reply.Snapshot.ConfigurationVersion, ShouldEqual, 6)
+			}
+		})
 		Convey("Without contact to a majority it says so at once", t, func() {
 			source.update(func(s *state) { s.inContact = false })
 			began := time.Now()
