A model of the control side on old state: seeded schedules of cuts, freezes, restarts and slow disks

Three core mixers with register, configuration, replication, jobs and feed, two agents, operators, clients and searchers, the real parts on a virtual clock, network and disk. 2,000 schedules; PUFFINLINK_CONTROLMODEL_SCHEDULES plays more, PUFFINLINK_CONTROLMODEL_SEED one alone.

--- /dev/null
+++ b/internal/systemtest/controlmodel/actors_test.go
@@ -0,0 +1,242 @@
+package controlmodel
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/control"
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+)
+
+const (
+	operatorCount    = 2
+	clientCount      = 2
+	operatorPatience = time.Second
+	operatorTries    = 8
+	callPatience     = 1200 * time.Millisecond
+	longestPause     = 600 * time.Millisecond // between two requests of an actor
+)
+
+// act sets operators, clients, and readers of the feed to work until the context ends.
+func (w *world) act(ctx context.Context) {
+	for i := range operatorCount {
+		random := rand.New(rand.NewPCG(w.seed, uint64(100+i)))
+		w.actors.Go(func() { (&operator{w, random, i, 0}).run(ctx) })
+	}
+	for i := range clientCount {
+		random := rand.New(rand.NewPCG(w.seed, uint64(200+i)))
+		w.actors.Go(func() { (&client{w, random, i, nil, endpoint{w.network, w.outside, 0}}).run(ctx) })
+	}
+	for _, m := range append(w.cores, w.agents...) {
+		w.actors.Go(func() { w.read(ctx, m) })
+	}
+}
+
+// rest waits between two requests; false once the context has ended.
+func rest(ctx context.Context, random *rand.Rand) bool {
+	select {
+	case <-time.After(time.Duration(random.Int64N(int64(longestPause)))):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// operator changes the configuration, beside others.
+type operator struct {
+	world  *world
+	random *rand.Rand
+	number int
+	orders int
+}
+
+func (o *operator) run(ctx context.Context) {
+	newest := uint64(0)
+	for rest(ctx, o.random) {
+		if version, read := o.get(); read {
+			newest = version
+		}
+		builtOn := newest
+		if newest > 0 && o.random.IntN(6) == 0 {
+			builtOn-- // which another version has replaced, or which never was
+		}
+		o.orders++
+		version := newest + 1 + uint64(o.random.IntN(2))
+		body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-%d-%d","host":"h","pathPrefix":"/","timeoutMs":1000,"service":"%s"}],"services":[{"name":"%s"}]}`,
+			version, o.number, o.orders, service, service)
+		if o.put(order{version, builtOn, body}) {
+			newest = version
+		}
+	}
+}
+
+// answer is what an operator got; status 0 without an answer in time.
+type answer struct {
+	status int
+	etag   string
+	body   string
+}
+
+// call makes one call to a mixer, which answers whoever reaches it; operators do.
+func (o *operator) call(m *machine, request *http.Request) answer {
+	answers := make(chan answer, 1)
+	go func() {
+		life := m.standStill()
+		m.mutex.Lock()
+		handler, up := m.operator, m.up
+		m.mutex.Unlock()
+		if !up {
+			answers <- answer{status: http.StatusServiceUnavailable}
+			return
+		}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		m.standStill()
+		if m.lives(life) {
+			answers <- answer{recorder.Code, recorder.Header().Get("ETag"), recorder.Body.String()}
+		}
+	}()
+	select {
+	case answer := <-answers:
+		return answer
+	case <-time.After(operatorPatience):
+		return answer{}
+	}
+}
+
+func (o *operator) pick() *machine { return o.world.cores[o.random.IntN(coreCount)] }
+
+func (o *operator) get() (version uint64, read bool) {
+	m, sent := o.pick(), time.Now()
+	got := o.call(m, httptest.NewRequest(http.MethodGet, control.Path, nil))
+	if got.status == 0 {
+		return 0, false
+	}
+	version, _ = strconv.ParseUint(strings.Trim(got.etag, `"`), 10, 64)
+	o.world.judge.get(m.address, sent, got.status, version)
+	return version, got.status == http.StatusOK || got.status == http.StatusNotFound
+}
+
+// put sends an order to one mixer after the other until the answer is clear.
+func (o *operator) put(asked order) (taken bool) {
+	for range operatorTries {
+		m, sent := o.pick(), time.Now()
+		request := httptest.NewRequest(http.MethodPut, control.Path, strings.NewReader(asked.body))
+		request.Header.Set("If-Match", strconv.FormatUint(asked.builtOn, 10))
+		got := o.call(m, request)
+		if got.status != 0 {
+			o.world.judge.put(m.address, sent, asked, got.status, currentIn(got.body))
+		}
+		if got.status == http.StatusOK || got.status == http.StatusPreconditionFailed {
+			return got.status == http.StatusOK
+		}
+		<-time.After(time.Duration(50+o.random.IntN(150)) * time.Millisecond)
+	}
+	return false
+}
+
+// currentIn reads the version that a refusal names.
+func currentIn(body string) (version uint64) {
+	if _, err := fmt.Sscanf(body, `{"error":"version %d is current`, &version); err != nil {
+		return 0
+	}
+	return version
+}
+
+// client hands jobs in, and asks and cancels.
+type client struct {
+	world  *world
+	random *rand.Rand
+	number int
+	jobs   []job.ID
+	caller endpoint
+}
+
+func (c *client) run(ctx context.Context) {
+	for rest(ctx, c.random) {
+		switch choice := c.random.IntN(6); {
+		case choice < 3 || len(c.jobs) == 0:
+			c.submit()
+		case choice < 5:
+			c.status()
+		default:
+			c.cancel()
+		}
+	}
+}
+
+// call asks whom an agent names as the leader, or any mixer, as a proxy with an old feed would.
+func (c *client) call(path string, request, reply any) (member string, err error) {
+	leader := c.world.agents[c.random.IntN(agentCount)].agentNow().Snapshot().Leaders[group]
+	member = leader.Address
+	if member == "" || c.random.IntN(4) == 0 {
+		member = c.world.cores[c.random.IntN(coreCount)].address
+	}
+	return member, c.callAt(member, path, request, reply)
+}
+
+func (c *client) callAt(member, path string, request, reply any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
+	defer cancel()
+	return c.caller.Call(ctx, member, path, request, reply)
+}
+
+func (c *client) submit() {
+	id := job.ID(fmt.Sprintf("%08x%08x", c.number+1, len(c.jobs)+1))
+	stages := []job.Stage{{Count: 1 + c.random.IntN(2), Resources: job.Resources{Processors: 500}, EstimatedDurationMS: 300}}
+	request := jobapi.Submit{
+		Group: group, ID: id, Queue: jobapi.Queue{Route: "r", Service: service, MaxAttempts: 2, Extension: 2, TargetLatencyMS: 1000},
+		Specification: job.Specification{Text: "t", Stages: stages},
+	}
+	c.jobs = append(c.jobs, id)
+	for range 3 {
+		var reply jobapi.Submitted
+		if _, err := c.call(jobapi.SubmitPath, request, &reply); err == nil {
+			c.world.judge.submitted(id)
+			return
+		}
+	}
+}
+
+func (c *client) status() {
+	id, sent := c.jobs[c.random.IntN(len(c.jobs))], time.Now()
+	var reply jobapi.StatusReply
+	if member, err := c.call(jobapi.StatusPath, jobapi.Status{Group: group, ID: id}, &reply); err == nil {
+		c.world.judge.told(member, "status", sent, id, reply.Known, reply.State)
+	}
+}
+
+func (c *client) cancel() {
+	id, sent := c.jobs[c.random.IntN(len(c.jobs))], time.Now()
+	var reply jobapi.Cancelled
+	if member, err := c.call(jobapi.CancelPath, jobapi.Cancel{Group: group, ID: id}, &reply); err == nil {
+		c.world.judge.told(member, "cancel", sent, id, reply.Known, reply.State)
+	}
+}
+
+// read asks a core mixer as an agent does, or an agent as its proxy does, and judges what calls itself current.
+func (w *world) read(ctx context.Context, m *machine) {
+	random := rand.New(rand.NewPCG(w.seed, uint64(len(m.address))<<32+uint64(m.address[5])))
+	path, age := feed.WatchPath, feedAge
+	if strings.HasPrefix(m.address, "agent") {
+		path, age = feed.LocalPath, agentAge
+	}
+	for rest(ctx, random) {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(context.Background(), callPatience)
+		var reply feed.WatchReply
+		err := endpoint{w.network, w.outside, 0}.Call(call, m.address, path, feed.Watch{}, &reply)
+		cancel()
+		if err == nil && reply.Current && reply.Snapshot != nil {
+			w.judge.fed(m.address, sent, age, reply.Snapshot.ConfigurationVersion)
+		}
+	}
+}
--- /dev/null
+++ b/internal/systemtest/controlmodel/model_test.go
@@ -0,0 +1,66 @@
+package controlmodel
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+const (
+	schedules         = 2000
+	schedulesVariable = "PUFFINLINK_CONTROLMODEL_SCHEDULES" // how many instead
+	seedVariable      = "PUFFINLINK_CONTROLMODEL_SEED"      // plays this one alone
+)
+
+// TestSchedules plays seeded schedules of troubles. A failure names its seed; with seedVariable it is played alone.
+func TestSchedules(t *testing.T) {
+	first, count := uint64(1), uint64(schedules)
+	if text := os.Getenv(schedulesVariable); text != "" {
+		count, _ = strconv.ParseUint(text, 10, 64)
+	}
+	if text := os.Getenv(seedVariable); text != "" {
+		first, _ = strconv.ParseUint(text, 10, 64)
+		count = 1
+	}
+	seen := &sums{counts: map[string]int{}}
+	t.Run("seeds", func(t *testing.T) {
+		shards := uint64(runtime.GOMAXPROCS(0))
+		for shard := range shards {
+			t.Run(fmt.Sprint(shard), func(t *testing.T) {
+				t.Parallel()
+				for seed := first + shard; seed < first+count; seed += shards {
+					playSeed(t, seed, seen)
+				}
+			})
+		}
+	})
+	t.Logf("%d schedules: %v", count, seen.counts)
+}
+
+func playSeed(t *testing.T, seed uint64, seen *sums) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(seed)
+		for _, violation := range w.play() {
+			t.Errorf("seed %d: %s\n%v", seed, violation, w)
+		}
+		seen.add(w.judge.seen)
+	})
+}
+
+// sums counts what was judged, to see that there was something to judge.
+type sums struct {
+	mutex  sync.Mutex
+	counts map[string]int
+}
+
+func (s *sums) add(seen map[string]int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for kind, count := range seen {
+		s.counts[kind] += count
+	}
+}
--- /dev/null
+++ b/internal/systemtest/controlmodel/network_test.go
@@ -0,0 +1,176 @@
+package controlmodel
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/xxh3"
+
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+var (
+	errLost = errors.New("no answer")
+	errDown = errors.New("connection refused")
+)
+
+const (
+	longestWay    = 4 * time.Millisecond
+	longestDelay  = 900 * time.Millisecond // of a message that is late
+	registerPaths = "/register/"
+	largeBytes    = 120 // of messages that a link with trouble of that kind loses
+)
+
+// way is one direction between two machines.
+type way struct{ from, to string }
+
+// network carries calls between machines. What happens to a message depends on the seed, its way and its number there, and
+// not on the order in which goroutines run.
+type network struct {
+	seed uint64
+
+	mutex    sync.Mutex
+	machines map[string]*machine
+	numbers  map[string]uint64
+	cuts     map[way]bool
+	narrow   map[string]bool // machines whose large messages to and from others are lost
+	loss     float64
+	double   float64
+	late     float64
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		seed: seed, machines: map[string]*machine{}, numbers: map[string]uint64{}, cuts: map[way]bool{}, narrow: map[string]bool{},
+	}
+}
+
+// fate is what happens to a message.
+type fate struct {
+	lost, doubled bool
+	delay, again  time.Duration
+}
+
+// draw decides on the next message of a way and a path.
+func (n *network) draw(from, to, path string, size int) fate {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	key := from + " " + to + path
+	n.numbers[key]++
+	chances := func(use uint64) float64 {
+		hash := xxh3.HashStringSeed(key, n.seed^n.numbers[key]<<8^use<<56)
+		return float64(hash>>11) / (1 << 53)
+	}
+	f := fate{lost: n.cuts[way{from, to}] || chances(1) < n.loss, doubled: chances(2) < n.double}
+	f.lost = f.lost || size > largeBytes && (n.narrow[from] || n.narrow[to])
+	f.delay = time.Duration(chances(3) * float64(longestWay))
+	f.again = time.Duration(chances(4) * float64(longestDelay))
+	if chances(5) < n.late {
+		f.delay = f.again
+	}
+	return f
+}
+
+// set changes the network's troubles.
+func (n *network) set(change func(*network)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	change(n)
+}
+
+func (n *network) machineAt(address string) *machine {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.machines[address]
+}
+
+// endpoint is one process's transport.Caller; it stops with the process.
+type endpoint struct {
+	network *network
+	from    *machine
+	life    int
+}
+
+// Call implements transport.Caller.
+func (e endpoint) Call(ctx context.Context, address, path string, request, reply any) error {
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return verdict.Unexecuted(err, 0)
+	}
+	e.from.standStill()
+	if !e.from.lives(e.life) {
+		return verdict.Unexecuted(errDown, 0)
+	}
+	answers := make(chan *httptest.ResponseRecorder, 2)
+	sent := e.network.draw(e.from.address, address, path, len(body))
+	if !sent.lost {
+		go e.network.deliver(ctx, sent.delay, e.from.address, address, path, body, answers)
+		if sent.doubled {
+			go e.network.deliver(ctx, sent.again, e.from.address, address, path, body, make(chan *httptest.ResponseRecorder, 1))
+		}
+	}
+	select {
+	case answer := <-answers:
+		e.from.standStill()
+		return decode(answer, reply)
+	case <-ctx.Done():
+		e.from.standStill()
+		return verdict.Unclear(errLost)
+	}
+}
+
+// deliver brings a request to its machine and the answer back.
+func (n *network) deliver(ctx context.Context, delay time.Duration, from, to, path string, body []byte, answers chan<- *httptest.ResponseRecorder) {
+	<-time.After(delay)
+	target := n.machineAt(to)
+	answer := httptest.NewRecorder()
+	if target == nil || !target.running() {
+		answer.Code = http.StatusServiceUnavailable
+		answers <- answer
+		return
+	}
+	life := target.standStill()
+	target.mux().ServeHTTP(answer, request(ctx, path, body))
+	target.standStill()
+	if strings.HasPrefix(path, registerPaths) {
+		<-time.After(target.diskTime())
+	}
+	back := n.draw(to, from, path, answer.Body.Len())
+	if back.lost || !target.lives(life) {
+		return
+	}
+	<-time.After(back.delay)
+	answers <- answer
+}
+
+// decode reads a reply as transport.Client does.
+func decode(answer *httptest.ResponseRecorder, reply any) error {
+	switch answer.Code {
+	case http.StatusOK:
+		return msgpack.Unmarshal(answer.Body.Bytes(), reply)
+	case http.StatusServiceUnavailable, http.StatusNotFound:
+		pause, _ := strconv.Atoi(answer.Header().Get(transport.RetryAfterHeader))
+		return verdict.Unexecuted(errors.New(answer.Body.String()), time.Duration(pause)*time.Millisecond)
+	}
+	return verdict.Unclear(errors.New(answer.Body.String()))
+}
+
+// request is an internal call as it arrives.
+func request(ctx context.Context, path string, body []byte) *http.Request {
+	made := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: path}, Header: http.Header{}, Host: "machine",
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
+	}
+	return made.WithContext(ctx)
+}
