--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -187,7 +187,7 @@
 		changed := views.Changed()
 		absences := views.Absences()
 		if view := views.View(); view.Has(r.config.Self) {
-			copies := r.collectFrom(ctx, view, changed, copiesNeeded(view, absences))
+			copies := r.collectFrom(ctx, view, changed, CopiesNeeded(view, absences))
 			if copies != nil && views.View().Version == view.Version {
 				return copies, absences, nil
 			}
@@ -200,11 +200,11 @@
 	}
 }
 
-// copiesNeeded is how many other members a rebuild asks, given how often this process was no member. One that lost its
+// CopiesNeeded is how many other members a rebuild asks, given how often this process was no member. One that lost its
 // disk asks as many as meet each majority that it was part of. A newcomer asks a quorum, which is one more where the
 // number of members is even: until it has been rebuilt, too few members may have learned of its view to keep the others
 // from deciding in the view before.
-func copiesNeeded(view replicaset.View, absences uint64) int {
+func CopiesNeeded(view replicaset.View, absences uint64) int {
 	if absences > 0 {
 		return min(view.Quorum(), len(view.Members)-1)
 	}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -75,23 +75,35 @@
 	if err != nil {
 		return nil, err
 	}
-	latest, committed := p.register.committed(preparing)
-	decision, err := p.decide(latest.State, ballot)
+	decision, settled, err := p.prepared(preparing, ballot)
 	if err != nil {
 		return nil, err
 	}
-	if decision.proposes {
-		p.sent = append(p.sent, proposal{ballot, decision.state})
-	} else if committed && len(p.sent) == 0 {
-		return decision.value, decision.refusal
-	}
-	if err := p.accept(ctx, acceptRequest{ViewVersion: view.Version, Ballot: ballot, State: decision.state}, view); err != nil {
-		return nil, err
+	if !settled {
+		request := acceptRequest{ViewVersion: view.Version, Ballot: ballot, State: decision.state}
+		if err := p.accept(ctx, request, view); err != nil {
+			return nil, err
+		}
+		p.resolved = !decision.proposes
 	}
-	p.resolved = !decision.proposes
 	return decision.value, decision.refusal
 }
 
+// prepared decides what to commit after a prepare round, and whether that is settled already: then it rests on a
+// committed state, and none of this change's proposals is open.
+func (p *proposer) prepared(preparing *round, ballot Ballot) (decided decision, settled bool, err error) {
+	latest, committed := p.register.committed(preparing)
+	decided, err = p.decide(latest.State, ballot)
+	if err != nil {
+		return decision{}, false, err
+	}
+	if decided.proposes {
+		p.sent = append(p.sent, proposal{ballot, decided.state})
+		return decided, false, nil
+	}
+	return decided, committed && len(p.sent) == 0, nil
+}
+
 // decision is what an attempt is to commit, and what then is the outcome of the change.
 type decision struct {
 	state    state
