--- a/internal/jobs/manager/again_test.go
+++ b/internal/jobs/manager/again_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,20 @@
 
 const soleGroup = "jobs/pricing"
 
+// slowDisk is a disk whose writes can be held up.
+type slowDisk struct {
+	*storage.Memory
+	stalled atomic.Pointer[chan struct{}] // writes wait until it is closed; nil for none
+}
+
+// Write implements storage.Store.
+func (d *slowDisk) Write(changes ...storage.Change) error {
+	if stalled := d.stalled.Load(); stalled != nil {
+		<-*stalled
+	}
+	return d.Memory.Write(changes...)
+}
+
 var errNobody = errors.New("there is nobody else")
 
 // soleMember is a view of one.
@@ -36,12 +51,13 @@
 
 // leadAlone runs a test with a manager that leads the group as the only member, in simulated time. Its searchers' list
 // has not been read.
-func leadAlone(t *testing.T, test func(m *Manager)) {
+func leadAlone(t *testing.T, test func(m *Manager, disk *slowDisk)) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(Config{Log: zap.NewNop()})
+		disk := &slowDisk{Memory: storage.NewMemory()}
 		view := replicaset.View{Version: 1, Members: []string{"a"}}
 		node, err := replication.NewNode(replication.Config{
-			Self: "a", Store: storage.NewMemory(), Caller: soleMember{}, Handler: m, Log: zap.NewNop(),
+			Self: "a", Store: disk, Caller: soleMember{}, Handler: m, Log: zap.NewNop(),
 			View: func() replicaset.View { return view }, Ready: func() bool { return true },
 		})
 		if err != nil {
@@ -58,7 +74,7 @@
 				t.Fatal("nobody leads")
 			}
 		}
-		test(m)
+		test(m, disk)
 		stop()
 		<-done
 		m.Stop()
@@ -66,7 +82,7 @@
 }
 
 func TestCancelAgain(t *testing.T) {
-	leadAlone(t, func(m *Manager) {
+	leadAlone(t, func(m *Manager, _ *slowDisk) {
 		ctx := context.Background()
 		live, unknown := job.ID("00000000000000aa"), job.ID("00000000000000bb")
 		Convey("A cancellation tells the state that it leaves, also when it comes again", t, func() {
@@ -95,7 +111,7 @@
 }
 
 func TestDrainBeforeTheListIsRead(t *testing.T) {
-	leadAlone(t, func(m *Manager) {
+	leadAlone(t, func(m *Manager, _ *slowDisk) {
 		ctx := context.Background()
 		request := jobreport.DrainRequest{Group: soleGroup, Searcher: "i-1", Draining: true}
 		Convey("A searcher is not called unknown before the platform's list was read", t, func() {
@@ -109,3 +125,43 @@
 		})
 	})
 }
+
+// What is asked for again is answered only once the first is durable: until then a successor may not know of it.
+func TestAgainWhileTheDiskIsStalled(t *testing.T) {
+	leadAlone(t, func(m *Manager, disk *slowDisk) {
+		ctx := context.Background()
+		id := job.ID("00000000000000aa")
+		specification := job.Specification{Text: "text", Stages: []job.Stage{{Count: 1}}}
+		asks := []struct {
+			name string
+			ask  func() error
+		}{
+			{"a job", func() error {
+				_, err := m.submit(ctx, jobapi.Submit{Group: soleGroup, ID: id, Specification: specification})
+				return err
+			}},
+			{"a cancellation", func() error {
+				_, err := m.cancel(ctx, jobapi.Cancel{Group: soleGroup, ID: id})
+				return err
+			}},
+		}
+		for _, one := range asks {
+			stalled := make(chan struct{})
+			disk.stalled.Store(&stalled)
+			answers := make(chan error, 2)
+			go func() { answers <- one.ask() }()
+			synctest.Wait()
+			go func() { answers <- one.ask() }()
+			synctest.Wait()
+			early := len(answers)
+			disk.stalled.Store(nil)
+			close(stalled)
+			first, second := <-answers, <-answers
+			Convey("On a stalled disk no answer comes to "+one.name+" that is sent twice", t, func() {
+				So(early, ShouldEqual, 0)
+				So(first, ShouldBeNil)
+				So(second, ShouldBeNil)
+			})
+		}
+	})
+}
