A full disk ends no process that hears of a new view or has its copies

A refused write of a view ended the process of a member that heard of the view in an answer, and so did a refused write of the copies at a newcomer: they started again and again while the disk was full. Now the member keeps the view that it has until it hears of the newer one again, and the newcomer writes its copies once there is room.

--- a/internal/controlplane/rebuild/merge.go
+++ b/internal/controlplane/rebuild/merge.go
@@ -1,15 +1,22 @@
 package rebuild
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
+	"time"
+
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 )
 
+// installInterval is the time between attempts to write the copies to a full disk.
+const installInterval = 250 * time.Millisecond
+
 // mergers are the registered mergers by the prefix of the tables' names.
 type mergers struct{ parts []part }
 
@@ -72,8 +79,10 @@
 }
 
 // install replaces all replicated tables by the merged copies and marks this member complete, in one write. So a crash
-// leaves it incomplete, and it starts over. absences is this process's number of them when the copies were taken.
-func (r *Rebuilder) install(copies []storage.Tables, absences uint64) error {
+// leaves it incomplete, and it starts over. absences is this process's number of them when the copies were taken. A full
+// disk is asked again until it takes the write: this member votes for nothing before, so the copies lack no vote of its
+// own.
+func (r *Rebuilder) install(ctx context.Context, copies []storage.Tables, absences uint64) error {
 	merged, err := r.mergers.merge(copies)
 	if err != nil {
 		return err
@@ -89,5 +98,15 @@
 			changes = append(changes, storage.Change{Table: name, Key: key, Value: value})
 		}
 	}
-	return r.config.Store.Write(append(changes, completeChange(absences))...)
+	changes = append(changes, completeChange(absences))
+	for {
+		err := r.config.Store.Write(changes...)
+		if !storage.IsFull(err) {
+			return err
+		}
+		r.config.Logger.Warn("the disk is too full for the copies", zap.Error(err))
+		if err := sleep(ctx, installInterval); err != nil {
+			return err
+		}
+	}
 }
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.install(copies, absences); err != nil {
+	if err := r.install(ctx, copies, absences); err != nil {
 		return fmt.Errorf("rebuild: %w", err)
 	}
 	r.finish(absences)
--- a/internal/controlplane/replicaset/core_test.go
+++ b/internal/controlplane/replicaset/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,17 @@
 	node      *replication.Node
 	ctx       context.Context
 	kill      context.CancelFunc
+	failed    atomic.Bool // a part ended with an error
+}
+
+// ended tells whether a part of the process ended with an error, which ends a coordinator.
+func (p *core) ended() bool { return p.failed.Load() }
+
+// part runs a part of the process.
+func (p *core) part(run func(ctx context.Context) error) {
+	if err := run(p.ctx); err != nil && p.ctx.Err() == nil {
+		p.failed.Store(true)
+	}
 }
 
 // mortalStore lets a process write to a disk until the process is killed.
@@ -129,8 +141,8 @@
 	}
 	c.running[address] = p
 	c.network.Serve(address, mux)
-	c.tasks.Go(func() { p.manager.Run(p.ctx) })
-	c.tasks.Go(func() { p.rebuilder.Run(p.ctx) })
+	c.tasks.Go(func() { p.part(p.manager.Run) })
+	c.tasks.Go(func() { p.part(p.rebuilder.Run) })
 	c.tasks.Go(func() { p.node.Run(p.ctx) })
 	c.tasks.Go(func() { c.watch(p) })
 	return p
--- a/internal/controlplane/replicaset/exchange.go
+++ b/internal/controlplane/replicaset/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 // Paths of the internal calls.
@@ -150,9 +151,15 @@
 	m.learned(reply.View)
 }
 
-// learned takes a view from an answer. A failure of the store ends Run.
+// learned takes a view from an answer. A failure of the store ends Run; one that only refuses the write, as a full disk
+// does, leaves this process with the view that it has, and it hears of the newer one again.
 func (m *Manager) learned(view View) {
-	if err := m.learnIfNewer(view); err != nil {
+	err := m.learnIfNewer(view)
+	switch {
+	case err == nil:
+	case verdict.Of(err) == verdict.NotRun:
+		m.config.Logger.Warn("view of the replicas not taken", zap.Uint64("version", view.Version), zap.Error(err))
+	default:
 		select {
 		case m.failures <- err:
 		default:
--- /dev/null
+++ b/internal/controlplane/replicaset/fulldisk_test.go
@@ -0,0 +1,89 @@
+package replicaset_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// errFull is what a full disk answers: the store is as before, and later writes may succeed.
+var errFull = verdict.Unexecuted(fmt.Errorf("%w: %w", storage.ErrRefused, syscall.ENOSPC), storage.RefusalPause)
+
+// A replacement comes while another member's disk is full.
+func TestAMemberWithAFullDiskMissesAViewAndLives(t *testing.T) {
+	members := addresses(5)
+	var during, after replicaset.View
+	var ended bool
+	var value string
+	var err error
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		full := c.at(members[1])
+		full.disk.Fail(errFull)
+		c.stop(c.at(members[0]))
+		c.enter("new", "elsewhere")
+		c.write(members[2], written)
+		<-time.After(catchUp)
+		during, ended = full.manager.View(), full.ended()
+		full.disk.Fail(nil)
+		<-time.After(catchUp)
+		after = full.manager.View()
+		c.stop(c.at(members[2]))
+		c.stop(c.at(members[3]))
+		value, err = c.read(members[1]), c.write(members[1], "after")
+	})
+	convey.Convey("While the disk is full", t, func() {
+		convey.Convey("its member keeps to the view that is on the disk", func() { convey.So(during.Version, convey.ShouldEqual, 1) })
+		convey.Convey("its process does not end", func() { convey.So(ended, convey.ShouldBeFalse) })
+	})
+	convey.Convey("Once it takes writes, the member learns the view and counts again", t, func() {
+		convey.So(after.Version, convey.ShouldEqual, 2)
+		convey.So(value, convey.ShouldEqual, written)
+		convey.So(err, convey.ShouldBeNil)
+	})
+}
+
+func TestANewcomerWithAFullDiskWaitsForRoom(t *testing.T) {
+	cases := []struct {
+		name   string
+		before time.Duration // from the newcomer's start to the loss of a member
+		full   time.Duration // from the loss until the newcomer's disk is full
+	}{
+		{"it learns the view in which it is a member", time.Second, 500 * time.Millisecond},
+		{"it is rebuilt", 0, 1800 * time.Millisecond},
+	}
+	for _, one := range cases {
+		members := addresses(3)
+		var early, ended bool
+		var took time.Duration
+		var value string
+		inCluster(t, 1, mutant{}, members, func(c *cluster) {
+			c.write(members[1], written)
+			newcomer := c.start("new", "elsewhere", storage.NewMemory(), false)
+			<-time.After(one.before)
+			c.stop(c.at(members[0]))
+			<-time.After(one.full)
+			newcomer.disk.Fail(errFull)
+			<-time.After(2 * catchUp)
+			early, ended = newcomer.rebuilder.Ready(), newcomer.ended()
+			newcomer.disk.Fail(nil)
+			room := time.Now()
+			newcomer.member(time.Minute)
+			took = time.Since(room)
+			c.stop(c.at(members[1]))
+			value = c.read("new")
+		})
+		convey.Convey("A newcomer's disk is full before "+one.name, t, func() {
+			convey.So(early, convey.ShouldBeFalse)
+			convey.So(ended, convey.ShouldBeFalse)
+			convey.So(took, convey.ShouldBeLessThan, catchUp)
+			convey.So(value, convey.ShouldEqual, written)
+		})
+	}
+}
