A next view that was begun is finished however many newcomers wait

Each announcement of a newcomer put off the look for a view that was begun by another 100 ms. With three newcomers or more it never came, and as members that have accepted a view settle no other, nobody was replaced while they waited.

Test changed: in the scenario of a write in the old view the member that knows of no view does not settle one itself either; before, only the phase of its timer kept it from that.

--- a/internal/controlplane/replicaset/mutants_test.go
+++ b/internal/controlplane/replicaset/mutants_test.go
@@ -24,7 +24,8 @@
 }
 
 // writtenInTheOldView lets a member that was replaced, and did not hear of it, write at the end of the newcomer's rebuild
-// together with a member that the others can do without. It tells whether the value is there afterwards.
+// together with a member that the others can do without, and that settles no view itself. It tells whether the value is
+// there afterwards.
 func writtenInTheOldView(c *cluster, members []string) bool {
 	replaced, common, proposer := members[0], members[1], members[2]
 	c.write(proposer, old)
@@ -35,6 +36,7 @@
 		c.part(address, common, "/replicaset/view")
 		c.part(address, common, "/replicaset/announce")
 	}
+	c.network.AddRule(networktest.Rule{From: common, Path: "/register/replicaset/next", Lose: true})
 	c.enter("new", "elsewhere")
 	if c.write(replaced, written) != nil {
 		return true
--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -76,6 +76,13 @@
 	n.rules = append(n.rules, rule)
 }
 
+// ClearRules takes back all rules.
+func (n *Network) ClearRules() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.rules = nil
+}
+
 // Serve makes an address answer; nil makes it refuse.
 func (n *Network) Serve(address string, handler http.Handler) {
 	n.mutex.Lock()
--- a/internal/controlplane/replicaset/replacement_test.go
+++ b/internal/controlplane/replicaset/replacement_test.go
@@ -247,3 +247,28 @@
 		convey.So(version, convey.ShouldEqual, 1)
 	})
 }
+
+// A next view was accepted by single members when the one that it replaces came back. Many newcomers wait.
+func TestAViewThatWasBegunIsFinishedWhileNewcomersWait(t *testing.T) {
+	members := addresses(3)
+	var before, after uint64
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		for i := range 6 {
+			c.start(fmt.Sprintf("new-%d", i), "elsewhere", storage.NewMemory(), false)
+			<-time.After(33 * time.Millisecond)
+		}
+		c.network.AddRule(networktest.Rule{Path: "/register/replicaset/next/accept", Lose: true})
+		c.network.Cut(members[0], true)
+		<-time.After(2500 * time.Millisecond)
+		c.network.Cut(members[0], false)
+		<-time.After(2 * time.Second)
+		before = c.viewOf(members[0]).Version
+		c.network.ClearRules()
+		<-time.After(catchUp)
+		after = c.viewOf(members[1]).Version
+	})
+	convey.Convey("Though nobody is silent any more, the view is settled", t, func() {
+		convey.So(before, convey.ShouldEqual, 1)
+		convey.So(after, convey.ShouldEqual, 2)
+	})
+}
--- a/internal/controlplane/replicaset/run.go
+++ b/internal/controlplane/replicaset/run.go
@@ -10,6 +10,7 @@
 const (
 	askInterval      = 200 * time.Millisecond  // between calls to one process, to learn the view or to become a member
 	considerInterval = 100 * time.Millisecond  // between looks at the members while a newcomer waits
+	finishInterval   = 300 * time.Millisecond  // between looks for a next view that was begun, while newcomers wait
 	exchangeInterval = 1500 * time.Millisecond // between exchanges with the next member
 	exchangeLimit    = 500 * time.Millisecond
 )
@@ -89,10 +90,15 @@
 	}
 }
 
-// keepMembership exchanges views now and then. While there are newcomers, it looks for a member to replace instead.
+// keepMembership exchanges views now and then. While there are newcomers, it looks for a member to replace instead. What was
+// begun is finished in either case, however often newcomers are heard.
 func (m *Manager) keepMembership(ctx context.Context, changed <-chan struct{}) error {
-	timer := time.NewTimer(exchangeInterval)
-	defer timer.Stop()
+	finish := time.NewTicker(finishInterval)
+	defer finish.Stop()
+	exchange := time.NewTicker(exchangeInterval)
+	defer exchange.Stop()
+	consider := time.NewTimer(considerInterval)
+	defer consider.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,18 +107,21 @@
 			return nil
 		case err := <-m.failures:
 			return err
-		case <-m.wake:
-		case <-timer.C:
+		case <-finish.C:
+			if m.NewcomersWait() {
+				m.finishPending(ctx)
+			}
+		case <-exchange.C:
 			m.finishPending(ctx)
 			if !m.NewcomersWait() {
 				m.exchangeWithNext(ctx)
 			}
+		case <-m.wake:
+		case <-consider.C:
 		}
 		if m.NewcomersWait() {
 			m.considerReplacing(ctx)
-			timer.Reset(considerInterval)
-		} else {
-			timer.Reset(exchangeInterval)
+			consider.Reset(considerInterval)
 		}
 	}
 }
