--- a/internal/systemtest/controlmodel/actors_test.go
+++ b/internal/systemtest/controlmodel/actors_test.go
@@ -14,6 +14,7 @@
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
 const (
@@ -174,19 +175,19 @@
 }
 
 // call asks whom an agent names as the leader, or any mixer, as a proxy with an old feed would.
-func (c *client) call(path string, request, reply any) (member string, err error) {
+func (c *client) call(route transport.Route, request, reply any) (member string, err error) {
 	leader := c.world.agents[c.random.IntN(agentCount)].agentNow().Snapshot().Leaders[group]
 	member = leader.Address
 	if member == "" || c.random.IntN(4) == 0 {
 		member = c.world.cores[c.random.IntN(coreCount)].address
 	}
-	return member, c.callAt(member, path, request, reply)
+	return member, c.callAt(member, route, request, reply)
 }
 
-func (c *client) callAt(member, path string, request, reply any) error {
+func (c *client) callAt(member string, route transport.Route, request, reply any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
 	defer cancel()
-	return c.caller.Call(ctx, member, path, request, reply)
+	return c.caller.Call(ctx, member, route, request, reply)
 }
 
 func (c *client) submit() {
@@ -199,7 +200,7 @@
 	c.jobs = append(c.jobs, id)
 	for range 3 {
 		var reply jobapi.Submitted
-		if _, err := c.call(jobapi.SubmitPath, request, &reply); err == nil {
+		if _, err := c.call(jobapi.SubmitCall.Route(), request, &reply); err == nil {
 			c.world.judge.submitted(id)
 			return
 		}
@@ -209,7 +210,7 @@
 func (c *client) status() {
 	id, sent := c.jobs[c.random.IntN(len(c.jobs))], time.Now()
 	var reply jobapi.StatusReply
-	if member, err := c.call(jobapi.StatusPath, jobapi.Status{Group: group, ID: id}, &reply); err == nil {
+	if member, err := c.call(jobapi.StatusCall.Route(), jobapi.Status{Group: group, ID: id}, &reply); err == nil {
 		c.world.judge.told(member, "status", sent, id, reply.Known, reply.State)
 	}
 }
@@ -217,7 +218,7 @@
 func (c *client) cancel() {
 	id, sent := c.jobs[c.random.IntN(len(c.jobs))], time.Now()
 	var reply jobapi.Cancelled
-	if member, err := c.call(jobapi.CancelPath, jobapi.Cancel{Group: group, ID: id}, &reply); err == nil {
+	if member, err := c.call(jobapi.CancelCall.Route(), jobapi.Cancel{Group: group, ID: id}, &reply); err == nil {
 		c.world.judge.told(member, "cancel", sent, id, reply.Known, reply.State)
 	}
 }
@@ -225,15 +226,15 @@
 // read asks a core mixer as an agent does, or an agent as its proxy does, and judges what calls itself current.
 func (w *world) read(ctx context.Context, m *machine) {
 	random := rand.New(rand.NewPCG(w.seed, uint64(len(m.address))<<32+uint64(m.address[5])))
-	path, age := feed.WatchPath, feedAge
+	route, age := feed.WatchCall.Route(), feedAge
 	if strings.HasPrefix(m.address, "agent") {
-		path, age = feed.LocalPath, agentAge
+		route, age = feed.LocalCall.Route(), agentAge
 	}
 	for rest(ctx, random) {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(context.Background(), callPatience)
 		var reply feed.WatchReply
-		err := endpoint{w.network, w.outside, 0}.Call(call, m.address, path, feed.Watch{}, &reply)
+		err := endpoint{w.network, w.outside, 0}.Call(call, m.address, route, feed.Watch{}, &reply)
 		cancel()
 		if err == nil && reply.Current && reply.Snapshot != nil {
 			w.judge.fed(m.address, sent, age, reply.Snapshot.ConfigurationVersion)
--- a/internal/systemtest/controlmodel/network_test.go
+++ b/internal/systemtest/controlmodel/network_test.go
@@ -103,7 +103,8 @@
 }
 
 // Call implements transport.Caller.
-func (e endpoint) Call(ctx context.Context, address, path string, request, reply any) error {
+func (e endpoint) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
+	path := route.Path()
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return verdict.Unexecuted(err, 0)
--- a/internal/systemtest/controlmodel/troubles_test.go
+++ b/internal/systemtest/controlmodel/troubles_test.go
@@ -65,7 +65,7 @@
 		w.actors.Go(func() {
 			sent := time.Now()
 			var reply jobapi.StatusReply
-			if asked.callAt(m.address, jobapi.StatusPath, jobapi.Status{Group: group, ID: id}, &reply) == nil {
+			if asked.callAt(m.address, jobapi.StatusCall.Route(), jobapi.Status{Group: group, ID: id}, &reply) == nil {
 				w.judge.told(m.address, "status after a freeze", sent, id, reply.Known, reply.State)
 			}
 		})
