--- a/internal/tools/fleettest/restart_test.go
+++ b/internal/tools/fleettest/restart_test.go
@@ -16,7 +16,7 @@
 	for name, reachable := range map[string]bool{"discovery in reach": true, "discovery out of reach": false} {
 		t.Run(name, func(t *testing.T) {
 			w := Start(t, Options{Mixers: 10, NoFleet: true, Plain: true})
-			stop := w.Load(50, OrdersOf, "reads", w.All)
+			stop := w.Load(50, OrdersOf, "orders", w.All)
 			w.Until("lookups are answered", func() bool { return w.Judge.Statuses(OrdersOf, "", time.Time{})[200] > 20 })
 			for _, m := range w.Mixers {
 				m.Kill()
