--- a/internal/tools/fleettest/fleet_test.go
+++ b/internal/tools/fleettest/fleet_test.go
@@ -1,12 +1,15 @@
 package fleettest
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
 // The quota of most scenarios, and the floor of one of three mixers.
@@ -37,6 +40,16 @@
 	return func() { acme(); orders(); cato() }
 }
 
+// usesAll waits until a tenant that asks for more than its quota has nearly all of it, over two seconds at a time.
+func (w *World) usesAll(what, tenant string, perS float64) {
+	w.Helper()
+	w.Until(what, func() bool {
+		from := time.Now()
+		time.Sleep(2 * time.Second)
+		return w.Judge.Rate(tenant, "", from, time.Now()) > 0.85*perS
+	})
+}
+
 // strict waits until strict tenants are served everywhere, and from then on holds their part calls to the contract.
 func (w *World) strict() {
 	w.Helper()
@@ -61,7 +74,7 @@
 			}
 			stop := w.load()
 			began := time.Now()
-			time.Sleep(4 * time.Second)
+			w.usesAll("the whole quota is used", "acme", perS)
 			cut := time.Now()
 			w.Cut(alone.no)
 			w.Until("it hears nothing", func() bool { s := alone.Show(); return s != nil && s["hears_nothing"] == true })
@@ -84,11 +97,7 @@
 			t.Logf("p99 of a tenant that is not concerned: %s before, %s after the cut", w.Judge.P99(OrdersOf, began, cut), w.Judge.P99(OrdersOf, cut, to))
 			w.Cut()
 			healed := time.Now()
-			w.Until("the whole quota is used again", func() bool {
-				from := time.Now()
-				time.Sleep(2 * time.Second)
-				return w.Judge.Rate("acme", "", from, time.Now()) > 0.85*perS
-			})
+			w.usesAll("the whole quota is used again", "acme", perS)
 			w.Until("the strict tenant is served again", func() bool { status, _ := w.Ask(alone, "cato", "reads", 0, 1); return status == 200 })
 			t.Logf("all is used and served again %.1f s after the cut has healed, 2 s of them measured", time.Since(healed).Seconds())
 			stop()
@@ -107,7 +116,7 @@
 	w.strict()
 	stop := w.load()
 	began := time.Now()
-	time.Sleep(3 * time.Second)
+	w.usesAll("the whole quota is used", "acme", perS)
 	killed := time.Now()
 	first.Kill()
 	var second *Mixer
@@ -244,7 +253,7 @@
 	stop := w.Load(2*perS, "acme", "reads", w.All)
 	calm := w.Load(40, OrdersOf, "orders", w.All)
 	settled := time.Now()
-	time.Sleep(3 * time.Second)
+	w.usesAll("the whole quota is used", "acme", perS)
 	quiet := time.Now()
 	w.Links(Fault{Drop: 0.2, Double: 0.1, Mix: 30 * time.Millisecond}, func(int, int) bool { return true })
 	time.Sleep(time.Second)
@@ -278,6 +287,13 @@
 	}
 }
 
+// reportsIn are the reports that a mixer shows to have heard of others.
+func reportsIn(shown map[string]any) (list []shared.Heard) {
+	text, _ := json.Marshal(shown["reports"])
+	json.Unmarshal(text, &list)
+	return list
+}
+
 // A searcher crawls, and two mixers that have lookups see it. A third that had none takes it for slow from their word alone; one
 // sick mixer, to which half of all searchers crawl, is believed by nobody.
 func TestJudgementsOfOthers(t *testing.T) {
@@ -286,17 +302,37 @@
 	w.grants()
 	w.slowAt(w.Mixers[3], 300*time.Millisecond, 0, 1, 4) // the sick one, to which half of all searchers crawl
 	stop := w.Load(60, "cato", "reads", func(n int) *Mixer { return []*Mixer{w.Mixers[1], w.Mixers[4], w.Mixers[3]}[n%3] })
-	time.Sleep(2500 * time.Millisecond)
 	judged := func(m *Mixer) string {
-		s := m.Show()
-		if s == nil {
-			return ""
-		}
+		var s map[string]any
+		w.Until(m.Name+" shows what it judges", func() bool { s = m.Show(); return s != nil })
 		return strings.TrimSpace(fmt.Sprint(s["judged"]))
 	}
-	if got := judged(w.Mixers[2]); got != "[]" {
-		t.Errorf("one sick mixer's word is believed: %s", got)
-	}
+	// While the sick mixer alone finds fault, and nobody else has for as long as a judgement stands, nobody is judged.
+	var othersBlamed time.Time
+	checks := 0
+	w.Until("the sick mixer alone finds fault, the two others saw enough", func() bool {
+		s := w.Mixers[2].Show()
+		if s == nil {
+			return false
+		}
+		sick, sound := false, 0
+		for _, r := range reportsIn(s) {
+			switch {
+			case r.Origin == "m3":
+				sick = len(r.Bad) > 0
+			case len(r.Bad) > 0:
+				othersBlamed = time.Now()
+			case r.Of >= 3:
+				sound++
+			}
+		}
+		if got := strings.TrimSpace(fmt.Sprint(s["judged"])); sick && time.Since(othersBlamed).Seconds() > shared.HeldFor {
+			if checks++; got != "[]" {
+				t.Errorf("one sick mixer's word is believed: %s", got)
+			}
+		}
+		return checks >= 3 && sound == 2
+	})
 	for _, i := range []int{1, 2, 4} { // s-1 stands in the zone of the first and the last of them, which have lookups
 		w.slowAt(w.Mixers[i], 200*time.Millisecond, 1)
 	}
