--- a/internal/systemtest/controlmodel/model_test.go
+++ b/internal/systemtest/controlmodel/model_test.go
@@ -8,10 +8,13 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	"puffinlink.example/puffinlink/internal/raceflag"
 )
 
 const (
 	schedules         = 2000
+	underRaceDetector = 120                                 // which takes ten times as long, and looks for something else
 	schedulesVariable = "PUFFINLINK_CONTROLMODEL_SCHEDULES" // how many instead
 	seedVariable      = "PUFFINLINK_CONTROLMODEL_SEED"      // plays this one alone
 )
@@ -19,6 +22,9 @@
 // TestSchedules plays seeded schedules of troubles. A failure names its seed; with seedVariable it is played alone.
 func TestSchedules(t *testing.T) {
 	first, count := uint64(1), uint64(schedules)
+	if raceflag.On {
+		count = underRaceDetector
+	}
 	if text := os.Getenv(schedulesVariable); text != "" {
 		count, _ = strconv.ParseUint(text, 10, 64)
 	}
