Tests: processes that stand still for 20 s beside changes and jobs, with real processes

SIGSTOP of the leader's machine, of a follower's, and of an agent's process. Right before and after SIGCONT they are asked for the configuration, with changes on old versions, with changes taken before, and for jobs that were accepted meanwhile.

--- /dev/null
+++ b/internal/systemtest/stops_test.go
@@ -0,0 +1,265 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/systemtest/judge"
+)
+
+const (
+	standstill   = 20 * time.Second
+	beforeWaking = 400 * time.Millisecond // when the process is asked that stands still; it answers once it goes on
+	doubtTime    = 3 * time.Second        // after that, in which it is asked again and again
+	changePause  = 1500 * time.Millisecond
+	staleness    = 5 * time.Second // by which a proxy without its agent is not ready
+	jobsPath     = "/-/jobs/"
+)
+
+// longStops let one process, or all of a machine, stand still for 20 s, while the configuration changes and jobs come.
+var longStops = []scenario{
+	{name: "leader-stopped-long", seed: 31, faults: onLeader(stopCoreLong)},
+	{name: "follower-stopped-long", seed: 32, faults: onFollower(stopCoreLong)},
+	{name: "agent-stopped-long", seed: 33, faults: stopAgentLong},
+}
+
+// TestNothingOldAfterALongStop plays them side by side, as each takes that long whatever the machine does.
+func TestNothingOldAfterALongStop(t *testing.T) {
+	t.Parallel()
+	outcomes := make([]outcome, len(longStops))
+	var all sync.WaitGroup
+	for i, sc := range longStops {
+		folder := scenarioFolder(t, sc.name)
+		all.Go(func() { outcomes[i] = sc.run(folder) })
+	}
+	all.Wait()
+	for i, sc := range longStops {
+		result := outcomes[i]
+		t.Logf("%s: %d jobs accepted, %v; seen %+v", sc.name, result.accepted, result.took, result.seen)
+		Convey("No rule is broken, and nothing old is told: "+sc.name, t, func() {
+			So(result.failures, ShouldBeEmpty)
+			So(result.violations, ShouldBeEmpty)
+			So(result.accepted, ShouldBeGreaterThan, 0)
+		})
+	}
+}
+
+// newestAcknowledged is the newest version that an operator was told is in force.
+func (s *system) newestAcknowledged() (newest int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, order := range s.orders {
+		if order.Method == http.MethodPut && order.Status == http.StatusOK {
+			newest = max(newest, versionOf(order.Body))
+		}
+	}
+	return newest
+}
+
+func versionOf(body []byte) (version int64) {
+	at := bytes.Index(body, []byte(`"version":`))
+	if at >= 0 {
+		fmt.Sscanf(string(body[at:]), `"version":%d`, &version)
+	}
+	return version
+}
+
+// changeFor brings one version after the other for a time, and adds and drops a route.
+func (s *system) changeFor(ctx context.Context, length time.Duration) {
+	extra := routePlan{"/extra/", guardedService}
+	for number, end := 0, time.Now().Add(length); time.Now().Before(end); number++ {
+		routes := []routePlan{renderRoute, mailRoute}
+		if number%2 == 0 {
+			routes = append(routes, extra)
+		}
+		if !s.configured.set(ctx, number, routes...) {
+			s.fail(errors.New("a change was not acknowledged"))
+			return
+		}
+		if pause(ctx, changePause) != nil {
+			return
+		}
+	}
+}
+
+// stopCoreLong lets a core machine stand still, and asks it before and after it goes on.
+func stopCoreLong(ctx context.Context, s *system, m *machine) {
+	if !m.take() {
+		s.fail(errors.New("the machine has another trouble"))
+		return
+	}
+	defer m.release()
+	old := s.takenOrders()
+	m.freeze()
+	wake := time.Now().Add(standstill)
+	s.whileStopped(ctx, wake)
+	var asked sync.WaitGroup
+	for range 3 {
+		asked.Go(func() { s.doubtCore(ctx, m, old) })
+	}
+	s.fail(pause(ctx, time.Until(wake)))
+	m.thaw()
+	asked.Wait()
+	for end := time.Now().Add(doubtTime); time.Now().Before(end); {
+		s.doubtCore(ctx, m, old)
+	}
+}
+
+// whileStopped changes the configuration and hands jobs in until shortly before the process goes on.
+func (s *system) whileStopped(ctx context.Context, wake time.Time) {
+	wait := s.beginLoad(ctx, rand.New(rand.NewPCG(1, 8)))
+	s.repairs.Go(func() { wait() })
+	s.changeFor(ctx, time.Until(wake)-4*changePause)
+	s.fail(pause(ctx, time.Until(wake)-beforeWaking))
+}
+
+// takenOrders are the changes that have been acknowledged so far.
+func (s *system) takenOrders() (taken []judge.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, order := range s.orders {
+		if order.Method == http.MethodPut && order.Status == http.StatusOK {
+			taken = append(taken, order)
+		}
+	}
+	return taken
+}
+
+// doubtCore asks a core machine for what it may remember wrongly: the configuration, changes on old versions, changes that
+// were taken, and jobs.
+func (s *system) doubtCore(ctx context.Context, m *machine, old []judge.Order) {
+	newest := s.newestAcknowledged()
+	read := s.order(ctx, m, http.MethodGet, 0, nil)
+	if read.Status == http.StatusOK && versionOf(read.Answer) < newest || read.Status == http.StatusNotFound {
+		s.fail(fmt.Errorf("%s hands out version %d, though %d was acknowledged before", m.name, versionOf(read.Answer), newest))
+	}
+	on := old[len(old)-1].BuiltOn
+	late := s.order(ctx, m, http.MethodPut, on, encodeConfiguration(newest+100, []routePlan{renderRoute}))
+	if late.Status == http.StatusOK || late.Status == http.StatusPreconditionFailed && currentOf(late.Answer) < newest {
+		s.fail(fmt.Errorf("%s answers %d %s to a change on version %d, though %d was acknowledged before", m.name, late.Status, late.Answer, on, newest))
+	}
+	again := s.order(ctx, m, http.MethodPut, on, old[len(old)-1].Body)
+	if isClear(again.Status) && again.Status != http.StatusOK {
+		s.fail(fmt.Errorf("%s answers %d %s to a change that was taken before", m.name, again.Status, again.Answer))
+	}
+	s.doubtJobs(ctx, m)
+}
+
+// currentOf is the version that a refusal names.
+func currentOf(answer []byte) int64 {
+	_, rest, _ := strings.Cut(string(answer), "version ")
+	number, _, _ := strings.Cut(rest, " ")
+	current, _ := strconv.ParseInt(number, 10, 64)
+	return current
+}
+
+// doubtJobs asks a core machine as an operator does, and all fronts, for the job that was accepted last.
+func (s *system) doubtJobs(ctx context.Context, m *machine) {
+	path, id := s.newestJob()
+	if path == "" {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, operatorPatience)
+	defer cancel()
+	status, answer := s.sendWith(bounded, http.Header{}, http.MethodGet, "http://"+m.address(controlOffset)+jobsPath+id, nil)
+	if status == http.StatusNotFound {
+		s.fail(fmt.Errorf("%s knows nothing of job %s, which was accepted before: %s", m.name, id, answer))
+	}
+	for _, front := range s.fronts {
+		if got := s.ask(ctx, front, http.MethodGet, path, nil); got.Status == http.StatusGone || got.Status == http.StatusNotFound {
+			s.fail(fmt.Errorf("%s answers %d about job %s, which was accepted before", front.name, got.Status, id))
+		}
+	}
+}
+
+// newestJob is the job that was accepted last; empty before the first.
+func (s *system) newestJob() (path, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, request := range s.requests {
+		if request.Method == http.MethodPost && request.Status == http.StatusOK {
+			path = request.Path
+		}
+	}
+	return path, path[strings.LastIndex(path, "/")+1:]
+}
+
+// stopAgentLong lets the agent beside a proxy stand still.
+func stopAgentLong(ctx context.Context, s *system) error {
+	front := s.fronts[0]
+	if !front.take() {
+		return errors.New("the machine has another trouble")
+	}
+	defer front.release()
+	s.begin(front.name)
+	front.signalRole(agentRole, syscall.SIGSTOP)
+	stopped, wake := time.Now(), time.Now().Add(standstill)
+	s.repairs.Go(func() {
+		if pause(ctx, staleness) == nil && s.ready(ctx, front) {
+			s.fail(fmt.Errorf("%s is ready %v after its agent stopped", front.name, time.Since(stopped)))
+		}
+	})
+	s.whileStopped(ctx, wake)
+	added := routePlan{"/late/", guardedService}
+	if !s.configured.set(ctx, 1, renderRoute, mailRoute, added) {
+		return errors.New("a change was not acknowledged")
+	}
+	var asked sync.WaitGroup
+	for range 3 {
+		asked.Go(func() { s.doubtFront(ctx, front, added) })
+	}
+	err := pause(ctx, time.Until(wake))
+	front.signalRole(agentRole, syscall.SIGCONT)
+	s.finish(front.name)
+	asked.Wait()
+	for end := time.Now().Add(doubtTime); time.Now().Before(end); {
+		s.doubtFront(ctx, front, added)
+	}
+	if !s.ready(ctx, front) {
+		s.fail(fmt.Errorf("%s is not ready %v after its agent went on", front.name, doubtTime))
+	}
+	return err
+}
+
+// doubtFront asks a front whose agent stood still for a route that came meanwhile: it may not say that there is none, nor
+// that there is no job.
+func (s *system) doubtFront(ctx context.Context, front *machine, added routePlan) {
+	wasReady := s.ready(ctx, front)
+	if got := s.ask(ctx, front, http.MethodGet, added.prefix, nil); got.Status == http.StatusNotFound {
+		s.fail(fmt.Errorf("%s answers 404 for a route that was acknowledged before; ready: %v", front.name, wasReady))
+	}
+	if path, id := s.newestJob(); path != "" {
+		if got := s.ask(ctx, front, http.MethodGet, path, nil); got.Status == http.StatusGone {
+			s.fail(fmt.Errorf("%s answers 410 about job %s, which was accepted before", front.name, id))
+		}
+	}
+}
+
+// ready asks as the platform does.
+func (s *system) ready(ctx context.Context, front *machine) bool {
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	status, _ := s.sendWith(bounded, http.Header{}, http.MethodGet, "http://"+front.address(readinessOffset)+"/-/readiness", nil)
+	return status == http.StatusOK
+}
+
+// signalRole sends a signal to the processes of one role.
+func (m *machine) signalRole(of role, signal syscall.Signal) {
+	for _, p := range m.processes {
+		if p.spec.Role == of {
+			p.signal(signal)
+		}
+	}
+}
