--- /dev/null
+++ b/internal/controlplane/replication/explored_test.go
@@ -0,0 +1,394 @@
+package replication
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/chance"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+)
+
+// The explored world is three cores without any chance: each message, write, crash and lapse of time is an action that a
+// test chooses. What a member does follows from what it has gone through, so its history stands for its state, and the
+// three histories for the state of the world.
+
+const exploredGroup = "jobs/a"
+
+var errLost = errors.New("the message or its answer was lost")
+
+// actionKind is what can happen next in an explored world.
+type actionKind uint8
+
+const (
+	deliver  actionKind = iota // a message arrives
+	drop                       // a message is lost, and its caller learns that there is no answer
+	syncDisk                   // a write reaches the disk and is answered
+	crash                      // a process ends with its write under way lost, and starts again
+	crashOn                    // the same, but the write has reached the disk
+	lapse                      // so much time passes that every lease has run out
+	stand                      // the second candidate asks for votes
+	again                      // the first leader sends heartbeats
+)
+
+// action is one step; at counts messages or members.
+type action struct {
+	kind actionKind
+	at   uint8
+}
+
+// explorerDefects make the protocol wrong in ways that an exploration must find.
+type explorerDefects struct {
+	answersEarly bool // replicas answer before their write is synced
+	hidesNewer   bool // a vote does not tell of a newer position, so that the candidate adopts its own state
+	promisesLost bool // promises do not reach the disk
+}
+
+// budget bounds what can happen beside messages and writes.
+type budget struct{ drops, crashes, lapses, stands, beats int }
+
+type flight struct {
+	id    uint64
+	from  int // the caller
+	to    int
+	life  int // of the caller's process
+	call  call
+	reply func() // hands an answer to the caller; nil for a request
+}
+
+type exploredMember struct {
+	world   *explored
+	index   int
+	address string
+	life    int
+	disk    disk
+	core    *core
+	hash    uint64
+	calls   uint64
+	writes  []write // under way
+	tasks   []func()
+}
+
+type explored struct {
+	clock   time.Duration
+	members [3]*exploredMember
+	flights []flight
+	left    budget
+	wrong   explorerDefects
+	view    replicaset.View
+
+	committed map[uint64]uint64   // newest sequence by epoch
+	bases     map[uint64]Position // adopted by epoch
+	states    map[Position]uint64 // hash of the state at a position
+	err       error
+}
+
+// Now implements Clock.
+func (w *explored) Now() time.Duration { return w.clock }
+
+func newExplored(limits Limits, wrong explorerDefects) *explored {
+	w := &explored{
+		clock: time.Hour, wrong: wrong, view: replicaset.View{Version: 1, Members: []string{"a", "b", "c"}},
+		committed: make(map[uint64]uint64), bases: make(map[uint64]Position), states: make(map[Position]uint64),
+	}
+	for i, address := range w.view.Members {
+		w.members[i] = &exploredMember{world: w, index: i, address: address, disk: make(disk)}
+		w.members[i].start(limits)
+	}
+	return w
+}
+
+// start begins a process on what the disk holds. Rounds have no limit in time here: how late an answer may count matters
+// only for lost disks.
+func (m *exploredMember) start(limits Limits) {
+	m.life++
+	m.core = newCore(Config{
+		Self: m.address, Handler: m, Log: zap.NewNop(), Clock: m.world, Limits: limits,
+		Timing: Timing{Round: 24 * time.Hour, Transfer: 24 * time.Hour}.withDefaults(),
+	}, chance.PCG(1))
+	m.core.store = m.disk
+	m.core.enter = m.step
+	m.core.spawn = func(task func()) { m.tasks = append(m.tasks, task) }
+	m.core.observe(m.world.clock, m.world.view, true)
+	m.core.group(exploredGroup).ensured = true
+}
+
+// Elected implements Handler.
+func (m *exploredMember) Elected(*Term, map[string][]byte) {}
+
+// Deposed implements Handler.
+func (m *exploredMember) Deposed(*Term) {}
+
+func mix(hash uint64, values ...uint64) uint64 {
+	for _, value := range values {
+		hash = (hash ^ value) * 0x9e3779b97f4a7c15
+		hash ^= hash >> 29
+	}
+	return hash
+}
+
+// histories are what the members have gone through, as hashes.
+type histories [3]uint64
+
+func (h histories) hash() uint64 { return mix(1, h[0], h[1], h[2]) }
+
+func (w *explored) histories() histories {
+	return histories{w.members[0].hash, w.members[1].hash, w.members[2].hash}
+}
+
+func historyWith(hash uint64, kind actionKind, what uint64) uint64 {
+	return mix(hash, uint64(kind)+1, what)
+}
+
+// after returns the histories that an action would lead to.
+func (w *explored) after(one action) histories {
+	next := w.histories()
+	member, what := int(one.at), uint64(0)
+	switch one.kind {
+	case lapse:
+		for i := range next {
+			next[i] = historyWith(next[i], lapse, 0)
+		}
+		return next
+	case deliver, drop:
+		message := w.flights[one.at]
+		member, what = message.from, message.id
+		if one.kind == deliver && message.reply == nil {
+			member = message.to
+		} else if w.members[member].life != message.life {
+			return next
+		}
+	}
+	next[member] = historyWith(next[member], one.kind, what)
+	return next
+}
+
+// event is an action at one member, which its history takes in.
+func (m *exploredMember) event(kind actionKind, what uint64, step func()) {
+	m.hash = historyWith(m.hash, kind, what)
+	m.step(step)
+}
+
+func (m *exploredMember) step(step func()) {
+	m.core.observe(m.world.clock, m.world.view, true)
+	step()
+	effects := m.core.take()
+	for _, one := range effects.writes {
+		m.write(one)
+	}
+	for _, one := range effects.calls {
+		m.calls++
+		id := mix(m.hash, m.calls)
+		m.world.flights = append(m.world.flights, flight{id: id, from: m.index, to: m.world.indexOf(one.address), life: m.life, call: one})
+	}
+	for len(m.tasks) > 0 {
+		task := m.tasks[0]
+		m.tasks = m.tasks[1:]
+		task()
+	}
+	m.world.check(m)
+}
+
+func (w *explored) indexOf(address string) int { return slices.Index(w.view.Members, address) }
+
+func (m *exploredMember) write(one write) {
+	if m.world.wrong.answersEarly && m.index != 0 {
+		m.writes = append(m.writes, write{changes: one.changes, done: func(error) {}})
+		m.step(func() { one.done(nil) })
+		return
+	}
+	m.writes = append(m.writes, one)
+}
+
+// actions lists what can happen next.
+func (w *explored) actions() []action {
+	var all []action
+	for i := range w.flights {
+		all = append(all, action{deliver, uint8(i)})
+		if w.left.drops > 0 {
+			all = append(all, action{drop, uint8(i)})
+		}
+	}
+	for i, m := range w.members {
+		if len(m.writes) > 0 {
+			all = append(all, action{syncDisk, uint8(i)})
+		}
+		if w.left.crashes > 0 {
+			all = append(all, action{crash, uint8(i)})
+			if len(m.writes) > 0 {
+				all = append(all, action{crashOn, uint8(i)})
+			}
+		}
+	}
+	if w.left.lapses > 0 {
+		all = append(all, action{lapse, 0})
+	}
+	if w.left.stands > 0 && w.left.lapses == 0 && w.members[1].idle() {
+		all = append(all, action{stand, 1})
+	}
+	if w.left.beats > 0 && w.members[0].core.group(exploredGroup).leading != nil {
+		all = append(all, action{again, 0})
+	}
+	return all
+}
+
+func (m *exploredMember) idle() bool {
+	g := m.core.group(exploredGroup)
+	return g.campaigning == nil && g.leading == nil
+}
+
+// do carries out an action.
+func (w *explored) do(one action) {
+	m := w.members[one.at%3]
+	switch one.kind {
+	case deliver, drop:
+		next := w.flights[one.at]
+		w.flights = slices.Delete(w.flights, int(one.at), int(one.at)+1)
+		if one.kind == drop {
+			w.left.drops--
+			w.answer(next, func() { next.call.done(errLost) }, drop)
+			return
+		}
+		if next.reply != nil {
+			w.answer(next, next.reply, deliver)
+			return
+		}
+		w.members[next.to].event(deliver, next.id, func() { w.serve(next) })
+	case syncDisk:
+		w.syncOne(m)
+	case crash, crashOn:
+		w.left.crashes--
+		w.restart(m, one.kind)
+	case lapse:
+		w.left.lapses--
+		w.clock += 2 * DefaultTiming.ReplicaLease
+		for _, m := range w.members {
+			m.hash = historyWith(m.hash, lapse, 0)
+		}
+	case stand:
+		w.left.stands--
+		m.event(stand, 0, func() { m.campaign() })
+	case again:
+		w.left.beats--
+		m.event(again, 0, m.core.pingAll)
+	}
+}
+
+// campaign asks for votes, as a candidate does whose probe was answered before.
+func (m *exploredMember) campaign() {
+	g := m.core.group(exploredGroup)
+	g.campaigning = &campaign{group: g, view: m.core.view}
+	g.campaigning.stand()
+}
+
+func (w *explored) answer(next flight, step func(), kind actionKind) {
+	if m := w.members[next.from]; m.life == next.life {
+		m.event(kind, next.id, step)
+	}
+}
+
+func (w *explored) syncOne(m *exploredMember) {
+	one := m.writes[0]
+	m.writes = m.writes[1:]
+	m.disk.apply(one.changes, w.wrong.promisesLost)
+	m.event(syncDisk, 0, func() {
+		one.done(nil)
+		w.checkState(m)
+	})
+}
+
+func (w *explored) restart(m *exploredMember, kind actionKind) {
+	if kind == crashOn {
+		m.disk.apply(m.writes[0].changes, w.wrong.promisesLost)
+	}
+	m.writes, m.tasks = nil, nil
+	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.from == m.index && f.reply != nil })
+	m.start(m.core.limits)
+	m.event(kind, 0, func() { w.checkState(m) })
+}
+
+// serve handles a request, whose answer is a message as well.
+func (w *explored) serve(next flight) {
+	m := w.members[next.to]
+	reply := func(fill func()) {
+		m.calls++
+		answered := next
+		answered.id = mix(m.hash, m.calls, 7)
+		answered.reply = func() {
+			fill()
+			next.call.done(nil)
+		}
+		w.flights = append(w.flights, answered)
+	}
+	switch request := next.call.request.(type) {
+	case prepareRequest:
+		m.core.prepare(request, func(answer prepareReply) {
+			if w.wrong.hidesNewer {
+				answer.Position, answer.State = request.Position, nil
+			}
+			reply(func() { *next.call.reply.(*prepareReply) = answer })
+		})
+	case appendRequest:
+		m.core.append(request, func(answer appendReply) { reply(func() { *next.call.reply.(*appendReply) = answer }) })
+	case pingRequest:
+		m.core.ping(request, func(answer pingReply) {
+			answer.Leaders = nil
+			reply(func() { *next.call.reply.(*pingReply) = answer })
+		})
+	case resignRequest:
+		m.core.resigned(request)
+	}
+}
+
+// check verifies after each step what must always hold.
+func (w *explored) check(m *exploredMember) {
+	if l := m.core.group(exploredGroup).leading; l != nil {
+		w.checkLeader(l)
+	}
+}
+
+// checkState verifies after a write that all that are at one position hold the same state.
+func (w *explored) checkState(m *exploredMember) {
+	g := m.core.group(exploredGroup)
+	if len(m.writes) > 0 || g.replica.writing {
+		return
+	}
+	position, sum := g.replica.position, hashState(m.disk[stateTable(exploredGroup)])
+	if known, found := w.states[position]; found && known != sum {
+		w.failf("%s holds another state at %v than one before it", m.address, position)
+	}
+	w.states[position] = sum
+}
+
+func (w *explored) checkLeader(l *leadership) {
+	if _, known := w.bases[l.epoch]; !known {
+		w.bases[l.epoch] = l.history.batches[0].previous
+	}
+	w.committed[l.epoch] = max(w.committed[l.epoch], l.committed)
+	for later, base := range w.bases {
+		for epoch, sequence := range w.committed {
+			if epoch < later && sequence > 0 && base.Before(Position{epoch, sequence}) {
+				w.failf("epoch %d begins at %v without what epoch %d has committed, %d", later, base, epoch, sequence)
+			}
+		}
+	}
+}
+
+func (w *explored) failf(format string, arguments ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf(format, arguments...)
+	}
+}
+
+func hashState(state map[string][]byte) uint64 {
+	sum := fnv.New64a()
+	for _, key := range slices.Sorted(maps.Keys(state)) {
+		fmt.Fprintf(sum, "%q=%q ", key, state[key])
+	}
+	return sum.Sum64()
+}
