--- a/internal/transport/answers_test.go
+++ b/internal/transport/answers_test.go
@@ -103,10 +103,13 @@
 			_, err := echoCall.Call(t.Context(), client, address, sample)
 			So(err, ShouldBeNil)
 		}
-		Convey("but a call that may not be repeated is not sent to who has no name", func() {
-			_, err := countCall.Call(t.Context(), client, address, echo{})
-			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
-		})
+	})
+	Convey("But a call that may not be repeated is not sent to who has no name", t, func() {
+		counted := counting(transport.NewIdentity(testCluster, "node-a"))
+		client, address := answering(t, altered(counted, func(string) string { return "" }))
+		_, err := countCall.Call(t.Context(), client, address, echo{})
+		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+		So(counted.runs.Load(), ShouldEqual, 0)
 	})
 	Convey("A call without an addressee is taken", t, func() {
 		body, err := msgpack.Marshal(sample)
@@ -128,17 +131,16 @@
 
 func TestCallsAreNotLedElsewhere(t *testing.T) {
 	Convey("A redirect is not followed, as the call would run at another process", t, func() {
-		elsewhere := counting(transport.NewIdentity(testCluster, "node-b"))
-		_, target := answering(t, elsewhere)
+		var elsewhere atomic.Int64
+		_, target := answering(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
 		for _, status := range []int{http.StatusTemporaryRedirect, http.StatusPermanentRedirect, http.StatusSeeOther} {
 			client, address := answering(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Location", "http://"+target+r.URL.Path)
 				w.WriteHeader(status)
 			}))
-			repeatable := transport.NewRepeatable[echo, echo](countCall.Path())
-			_, err := repeatable.Call(t.Context(), client, address, echo{})
+			_, err := echoCall.Call(t.Context(), client, address, echo{})
 			So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
-			So(elsewhere.runs.Load(), ShouldEqual, 0)
+			So(elsewhere.Load(), ShouldEqual, 0)
 		}
 	})
 }
