A call that may not be repeated does not begin long after its caller has given it up

A process that was frozen for some twenty seconds finds goodbyes and resignations of before in its sockets, and took them as said now: a member that was back long since could be replaced at once. Such a call carries by when it may begin, on the callee's own clock, of which the caller learns with who serves the address; that costs no round trip, and other calls carry nothing more.

--- a/internal/transport/answers_test.go
+++ b/internal/transport/answers_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
@@ -162,6 +166,49 @@
 	})
 }
 
+// TestCallsThatComeLate lets calls arrive when their callers have given them up, as at a callee that was frozen.
+func TestCallsThatComeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counted := counting(transport.NewIdentity(testCluster, "node-a"))
+		repeatable := transport.NewRepeatable[echo, echo]("/other")
+		transport.Handle(counted.Mux, repeatable, func(context.Context, echo) (echo, error) { return echo{Number: uint64(counted.runs.Add(1))}, nil })
+		network := networktest.New(1)
+		network.Serve("served:1", counted)
+		caller := network.CallerOf(testCluster, "caller:1")
+		send := func(endpoint interface {
+			Call(context.Context, transport.Caller, string, echo) (echo, error)
+		}) error {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := endpoint.Call(ctx, caller, "served:1", echo{})
+			return err
+		}
+		if err := send(countCall); err != nil || counted.runs.Load() != 1 {
+			t.Fatal(err, counted.runs.Load())
+		}
+		time.Sleep(time.Hour) // the clock that was learned stays good
+		network.AddRule(networktest.Rule{Path: countCall.Path(), Delay: 20 * time.Second, Times: 1})
+		network.AddRule(networktest.Rule{Path: repeatable.Path(), Delay: 20 * time.Second, Times: 1})
+		if err := send(countCall); verdict.Of(err) != verdict.MayHaveRun {
+			t.Error("a call that has not arrived was said to have not run:", err)
+		}
+		time.Sleep(time.Minute)
+		if runs := counted.runs.Load(); runs != 1 {
+			t.Errorf("a call that came 19 s after it was given up ran: %d runs", runs)
+		}
+		if err := send(repeatable); err == nil {
+			t.Error("answered in time")
+		}
+		time.Sleep(time.Minute)
+		if runs := counted.runs.Load(); runs != 2 {
+			t.Errorf("a repeatable call may come late: %d runs", runs)
+		}
+		if err := send(countCall); err != nil || counted.runs.Load() != 3 {
+			t.Error("a call in time was refused:", err)
+		}
+	})
+}
+
 func TestRepliesAreWholeOrAbsent(t *testing.T) {
 	Convey("An answer that breaks off within a field leaves nothing in the reply", t, func() {
 		whole, err := msgpack.Marshal(sample)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -115,14 +115,19 @@
 	header  string // value of ToHeader
 	call    string
 	body    []byte
+	asked   time.Time
+	until   string // value of UntilHeader, for a Once call
 }
 
 // addressed names whom a call means, by what is known now.
 func (c *Client) addressed(address string, route Route, body []byte) *exchange {
-	one := &exchange{address: address, path: route.Path(), body: body}
+	one := &exchange{address: address, path: route.Path(), body: body, asked: time.Now()}
 	one.call = c.name + strconv.FormatUint(c.calls.Add(1), incarnationBase)
 	if known, ok := c.directory.find(address); ok {
 		one.to, one.header = Process{known.identity}, known.text+separator+one.call
+		if !route.mayRepeat() {
+			one.until = clockText(known.until(one.asked, onceLateness).Milliseconds())
+		}
 		return one
 	}
 	one.to = FirstContact{c.cluster}
@@ -140,6 +145,9 @@
 		Body:   io.NopCloser(bytes.NewReader(e.body)), ContentLength: int64(len(e.body)),
 		GetBody: sending.Again(e.body),
 	}
+	if e.until != "" {
+		request.Header.Set(UntilHeader, e.until)
+	}
 	return request.WithContext(sending.Watch(ctx))
 }
 
@@ -209,18 +217,24 @@
 	}
 	meant, known := one.to.(Process)
 	if answer.StatusCode == http.StatusMisdirectedRequest {
-		c.learnRefusal(one.address, meant, from)
+		c.learnRefusal(one.address, meant, one.met(from, answer))
 		return verdict.Unexecuted(&MisdirectedError{Address: one.address, Meant: one.to, Found: from}, 0)
 	}
 	if !one.to.means(from) {
 		return verdict.Unclear(fmt.Errorf("call %s: %w: %s", one, errOtherProcess, from))
 	}
 	if !known {
-		c.directory.learn(one.address, from)
+		c.directory.learn(one.address, one.met(from, answer))
 	}
 	return nil
 }
 
+// met is what an answer tells of the process that gave it.
+func (e *exchange) met(from Identity, answer *http.Response) knownProcess {
+	milliseconds, _ := strconv.ParseInt(answer.Header.Get(ClockHeader), 10, 64)
+	return knownProcess{from, from.String(), time.Duration(milliseconds) * time.Millisecond, e.asked}
+}
+
 // checkNameless judges an answer that names no process: an older build's, which is taken on first contact only.
 func (c *Client) checkNameless(one *exchange) error {
 	meant, known := one.to.(Process)
@@ -232,8 +246,8 @@
 }
 
 // learnRefusal notes who refused a call: the same node started again, or one that has to be met anew.
-func (c *Client) learnRefusal(address string, meant Process, found Identity) {
-	if meant.sameNode(found) {
+func (c *Client) learnRefusal(address string, meant Process, found knownProcess) {
+	if meant.sameNode(found.identity) {
 		c.directory.replace(address, meant.Identity, found)
 		return
 	}
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -1,6 +1,9 @@
 package transport
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // directory remembers who serves which address. What it says may be out of date, and is then refused by who is there.
 type directory struct {
@@ -8,10 +11,17 @@
 	known map[string]knownProcess
 }
 
-// knownProcess is an identity with its text, which each call needs.
+// knownProcess is an identity with its text, which each call needs, and a reading of the process's clock.
 type knownProcess struct {
 	identity Identity
 	text     string
+	clock    time.Duration // since the process's start
+	asked    time.Time     // when the call was sent by whose answer the clock is known
+}
+
+// until is the process's clock, or a little more, when so much time has gone from now on.
+func (p knownProcess) until(now time.Time, from time.Duration) time.Duration {
+	return p.clock + now.Sub(p.asked) + from
 }
 
 func newDirectory() *directory { return &directory{known: make(map[string]knownProcess)} }
@@ -24,20 +34,20 @@
 }
 
 // learn notes who serves an address that nobody was known to serve. What another call has learned meanwhile stays.
-func (d *directory) learn(address string, found Identity) {
+func (d *directory) learn(address string, found knownProcess) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if _, known := d.known[address]; !known {
-		d.known[address] = knownProcess{found, found.String()}
+		d.known[address] = found
 	}
 }
 
 // replace notes that a process was started again, unless another call has learned of a later one.
-func (d *directory) replace(address string, meant, found Identity) {
+func (d *directory) replace(address string, meant Identity, found knownProcess) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.known[address].identity == meant {
-		d.known[address] = knownProcess{found, found.String()}
+		d.known[address] = found
 	}
 }
 
--- a/internal/transport/identity.go
+++ b/internal/transport/identity.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"net/url"
 	"strconv"
 	"strings"
@@ -65,6 +66,12 @@
 
 var errNoIdentity = errors.New("header names no process")
 
+// processText returns all but the call of either header.
+func processText(header string) string { return header[:max(0, strings.LastIndex(header, separator))] }
+
+// clockText writes milliseconds for ClockHeader and UntilHeader, so that all calls of a kind have one length.
+func clockText(milliseconds int64) string { return fmt.Sprintf("%013d", milliseconds) }
+
 // callName returns the name of the call in either header.
 func callName(header string) string { return header[strings.LastIndex(header, separator)+1:] }
 
--- a/internal/transport/mux.go
+++ b/internal/transport/mux.go
@@ -8,8 +8,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -20,13 +20,14 @@
 type Mux struct {
 	self     Identity
 	selfText string
+	started  time.Time
 	mux      *http.ServeMux
 	once     onceMemory
 }
 
 // NewMuxFor makes an empty Mux of a process.
 func NewMuxFor(self Identity) *Mux {
-	m := &Mux{self: self, selfText: self.String(), mux: http.NewServeMux()}
+	m := &Mux{self: self, selfText: self.String(), started: time.Now(), mux: http.NewServeMux()}
 	Handle(m, identityCall, func(context.Context, identityRequest) (identityReply, error) { return identityReply{}, nil })
 	return m
 }
@@ -46,6 +47,9 @@
 func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := r.Header.Get(ToHeader)
 	w.Header().Set(FromHeader, m.selfText+separator+callName(header))
+	if processText(header) != m.selfText { // the caller does not know this process yet
+		w.Header().Set(ClockHeader, clockText(m.clock()))
+	}
 	if err := m.meant(header); err != nil {
 		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
 		return
@@ -53,9 +57,12 @@
 	m.mux.ServeHTTP(w, r)
 }
 
+// clock is how long ago this process started, in milliseconds. It counts the time in which the process was frozen.
+func (m *Mux) clock() int64 { return time.Since(m.started).Milliseconds() }
+
 // meant checks that a call means this process. One without the header comes from an older build, and is taken.
 func (m *Mux) meant(header string) error {
-	if header == "" || header[:max(0, strings.LastIndex(header, separator))] == m.selfText {
+	if header == "" || processText(header) == m.selfText {
 		return nil
 	}
 	to, err := parseTo(header)
@@ -92,6 +99,10 @@
 			http.Error(w, "decode "+path+": "+err.Error(), http.StatusBadRequest)
 			return
 		}
+		if !repeats && m.late(r) {
+			writeError(w, verdict.Unexecuted(errLate, 0))
+			return
+		}
 		if !repeats && !m.first(r) {
 			writeError(w, errRunBefore)
 			return
@@ -105,6 +116,15 @@
 	})
 }
 
+// errLate refuses a call that its caller has given up long ago.
+var errLate = errors.New("this call came too late and is not carried out")
+
+// late tells whether the time is over in which a call might begin. Calls of older builds have none.
+func (m *Mux) late(r *http.Request) bool {
+	until, err := strconv.ParseInt(r.Header.Get(UntilHeader), 10, 64)
+	return err == nil && m.clock() > until
+}
+
 // first tells whether a call was not received before. Calls of older builds have no name.
 func (m *Mux) first(r *http.Request) bool {
 	call := callName(r.Header.Get(ToHeader))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,7 +8,8 @@
 // and from a refusal where the process was restarted.
 //
 // Each internal call is declared once, as Repeatable or Once, beside its path. A Once call is sent to a known process
-// only, on one connection, by one writing, and is never sent again; a copy of it that arrives is not run.
+// only, on one connection, by one writing, and is never sent again; a copy of it that arrives is not run, nor is one that
+// arrives late by the callee's own clock, as when the callee was frozen with the call in its socket.
 //
 // Rolling upgrades: a call without ToHeader comes from an older build and is taken; an answer without FromHeader is taken
 // on first contact only.
@@ -25,6 +26,11 @@
 	ToHeader = "Puffinlink-To"
 	// FromHeader names who answers, and the call that is answered.
 	FromHeader = "Puffinlink-From"
+	// ClockHeader is the answering process's clock, in milliseconds since its start. Answers have it by which a caller
+	// learns of the process.
+	ClockHeader = "Puffinlink-Clock"
+	// UntilHeader is by when, on the clock of the process that is meant, a Once call may begin.
+	UntilHeader = "Puffinlink-Until"
 	// RetryAfterHeader carries, in milliseconds, when a refused caller should come back.
 	RetryAfterHeader = "Retry-After-Ms"
 )
@@ -37,6 +43,7 @@
 	keptBufferBytes   = 256 << 10 // larger buffers are not kept for later answers
 	idleTimeout       = 30 * time.Second
 	idlePerAddress    = 8
+	onceLateness      = 2 * time.Second // how late a Once call may begin
 )
 
 // Caller sends one request to a peer and decodes its reply. Errors carry a verdict. Only endpoints and the few that
