A job is not gone while the leader of another service is not known

A proxy asked the groups that have a leader in its feed. After a restart of the core machines, a job whose route had another service before was answered 410 by the first leader alone. All services in force count now; one without a leader makes it 503. Test: TestReadings, 'a job is not gone while another service's leader is not known'.

--- a/internal/dataplane/proxy/client_test.go
+++ b/internal/dataplane/proxy/client_test.go
@@ -208,6 +208,13 @@
 		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
 		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
 	})
+	Convey("A job is not gone while another service's leader is not known", t, func() {
+		configuration := configurationOf(400)
+		configuration.Others = []string{"without-leader"}
+		f := newFixture(t, snapshotOf(configuration, newLeader(t).knowing(false, "").address(), 1))
+		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
+		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
+	})
 	Convey("A reading and a cancellation that are broken off are repeated", t, func() {
 		leader := newLeader(t).knowing(true, "running")
 		f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
--- a/internal/dataplane/proxy/follower.go
+++ b/internal/dataplane/proxy/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,21 @@
 	changed chan struct{}
 }
 
+// groupsBut lists all groups but one: those of the services in force, and those that have a leader.
+func (v *view) groupsBut(own string) []string {
+	groups := make(map[string]struct{}, len(v.leaders))
+	for group := range v.leaders {
+		groups[group] = struct{}{}
+	}
+	if v.router != nil {
+		for _, service := range v.router.Services() {
+			groups[feed.GroupOf(service)] = struct{}{}
+		}
+	}
+	delete(groups, own)
+	return slices.Collect(maps.Keys(groups))
+}
+
 // follower keeps the newest view by following the agent on the same machine.
 type follower struct {
 	agent    string // address
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -101,7 +101,8 @@
 }
 
 // acrossGroups asks the group of the service, and the others if that one does not know the job. The job is gone only if
-// every group says so, and the feed, looked at after that, is current: else there may be a group that is not known here.
+// every group says so, also one whose leader is not known yet, and the feed, looked at after that, is current: else there
+// may be a group that is not known here.
 func (s *jobService) acrossGroups(service string, ask func(group string) outcome) outcome {
 	found := s.mostTelling(service, ask)
 	if found.status == http.StatusGone && s.leaders.feed.stale() {
@@ -117,12 +118,7 @@
 	if first.status != http.StatusGone {
 		return first
 	}
-	var others []string
-	for group := range s.leaders.feed.newest().leaders {
-		if group != own {
-			others = append(others, group)
-		}
-	}
+	others := s.leaders.feed.newest().groupsBut(own)
 	results := make([]outcome, len(others))
 	slots := make(chan struct{}, groupsAtOnce)
 	var asked sync.WaitGroup
--- a/internal/dataplane/proxy/route.go
+++ b/internal/dataplane/proxy/route.go
@@ -25,6 +25,8 @@
 	// Match finds the route of a request by its Host header and the longest prefix of its path; rest is the path behind
 	// the prefix.
 	Match(host, path string) (route Route, rest string, ok bool)
+	// Services are the names of all services.
+	Services() []string
 	// Limits are the limits of this version.
 	Limits() Limits
 }
--- a/internal/dataplane/proxy/standin_test.go
+++ b/internal/dataplane/proxy/standin_test.go
@@ -33,6 +33,7 @@
 	Prefix    string
 	Service   string
 	TimeoutMS int
+	Others    []string // further services
 	Bounds    testLimits
 }
 
@@ -49,6 +50,9 @@
 	return route, rest, ok
 }
 
+// Services implements Router.
+func (c testConfiguration) Services() []string { return append([]string{c.Service}, c.Others...) }
+
 // Limits implements Router.
 func (c testConfiguration) Limits() Limits {
 	return Limits{HeaderBytes: c.Bounds.HeaderBytes, BodyBytes: c.Bounds.BodyBytes, IdleTimeout: time.Duration(c.Bounds.IdleMS) * time.Millisecond}
--- a/internal/systemtest/part_test.go
+++ b/internal/systemtest/part_test.go
@@ -154,6 +154,9 @@
 	return proxy.Route{Queue: queue, Timeout: found.Timeout()}, rest, true
 }
 
+// Services implements proxy.Router.
+func (r router) Services() []string { return r.table.Services() }
+
 // Limits implements proxy.Router.
 func (r router) Limits() proxy.Limits {
 	limits := r.table.Limits()
