Judgements of others: both witnesses are seen to call the searcher before it crawls

Cause of "never: the third has it from the two others": the tests' mixers asked for shards by a pattern that gave the second witness no lookup which only the crawling searcher serves best, so that after one slow moment it called another for good and was no witness. Both witnesses now ask for the shards of that searcher, and the crawl begins once both reports name it as called and nobody has found fault for as long as a judgement stands. The sick mixer's word is looked at three times while it alone finds fault.

--- a/internal/tools/fleettest/fleet_test.go
+++ b/internal/tools/fleettest/fleet_test.go
@@ -300,38 +300,56 @@
 	t.Parallel()
 	w := Start(t, Options{Mixers: 5})
 	w.grants()
-	w.slowAt(w.Mixers[3], 300*time.Millisecond, 0, 1, 4) // the sick one, to which half of all searchers crawl
-	stop := w.Load(60, "cato", "reads", func(n int) *Mixer { return []*Mixer{w.Mixers[1], w.Mixers[4], w.Mixers[3]}[n%3] })
+	// Each of the two asks for shards 0 and 1, which s-1 in their zone holds, and for 3 and 4; the sick one for the others.
+	two := w.Load(60, "cato", "reads", func(n int) *Mixer {
+		if n%3 != 0 {
+			return nil
+		}
+		return []*Mixer{w.Mixers[1], w.Mixers[4]}[n/6%2]
+	})
+	one := w.Load(60, "cato", "reads", func(n int) *Mixer {
+		if n%3 != 2 {
+			return nil
+		}
+		return w.Mixers[3]
+	})
+	stop := func() { two(); one() }
 	judged := func(m *Mixer) string {
 		var s map[string]any
 		w.Until(m.Name+" shows what it judges", func() bool { s = m.Show(); return s != nil })
 		return strings.TrimSpace(fmt.Sprint(s["judged"]))
 	}
-	// While the sick mixer alone finds fault, and nobody else has for as long as a judgement stands, nobody is judged.
-	var othersBlamed time.Time
-	checks := 0
-	w.Until("the sick mixer alone finds fault, the two others saw enough", func() bool {
-		s := w.Mixers[2].Show()
-		if s == nil {
-			return false
+	// look reads what the third mixer has heard: whether the sick one finds fault, and whether both others call s-1 and have found
+	// no fault for as long as a judgement stands.
+	othersBlamed := time.Now()
+	look := func() (shown map[string]any, sick, sound bool) {
+		if shown = w.Mixers[2].Show(); shown == nil {
+			return nil, false, false
 		}
-		sick, sound := false, 0
-		for _, r := range reportsIn(s) {
+		called := 0
+		for _, r := range reportsIn(shown) {
 			switch {
 			case r.Origin == "m3":
 				sick = len(r.Bad) > 0
 			case len(r.Bad) > 0:
 				othersBlamed = time.Now()
-			case r.Of >= 3:
-				sound++
+			case r.Worst.Searcher == "s-1" && r.Worst.Calls >= 10: // without fault the one called most is named
+				called++
 			}
 		}
-		if got := strings.TrimSpace(fmt.Sprint(s["judged"])); sick && time.Since(othersBlamed).Seconds() > shared.HeldFor {
-			if checks++; got != "[]" {
-				t.Errorf("one sick mixer's word is believed: %s", got)
+		return shown, sick, called == 2 && time.Since(othersBlamed).Seconds() > shared.HeldFor
+	}
+	w.Until("two mixers call the searcher and find no fault", func() bool { _, _, sound := look(); return sound })
+	w.slowAt(w.Mixers[3], 300*time.Millisecond, 0, 1, 4) // the sick one, to which half of all searchers crawl
+	checks := 0
+	w.Until("the sick mixer alone finds fault", func() bool {
+		shown, sick, sound := look()
+		if sick && sound {
+			if checks++; strings.TrimSpace(fmt.Sprint(shown["judged"])) != "[]" {
+				t.Errorf("one sick mixer's word is believed: %s", shown["judged"])
 			}
 		}
-		return checks >= 3 && sound == 2
+		return checks >= 3
 	})
 	for _, i := range []int{1, 2, 4} { // s-1 stands in the zone of the first and the last of them, which have lookups
 		w.slowAt(w.Mixers[i], 200*time.Millisecond, 1)
