Test at the cap: a connection is idle before others take its place

Cause of the failure beside load: the answer of the first lookup is read by the client before the server has called the connection idle; until then its lookup counts as held, and the fourth busy connection was told 503.

--- a/internal/dataplane/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -317,6 +317,7 @@
 	idle.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
 	idle.expect(500)
+	r.idle(idle) // until then its lookup counts as held
 	for range 4 {
 		busy := r.dial()
 		busy.ask()
