--- a/internal/tools/fleettest/fleet_test.go
+++ b/internal/tools/fleettest/fleet_test.go
@@ -300,12 +300,13 @@
 	t.Parallel()
 	w := Start(t, Options{Mixers: 5})
 	w.grants()
-	// Each of the two asks for shards 0 and 1, which s-1 in their zone holds, and for 3 and 4; the sick one for the others.
+	// Each of the two asks for shards 0 and 1, which s-1 in their zone holds, twice as often as for 3 and 4, which s-4 does; the sick
+	// one asks for others. So s-1 is the one that both call most.
 	two := w.Load(60, "cato", "reads", func(n int) *Mixer {
 		if n%3 != 0 {
 			return nil
 		}
-		return []*Mixer{w.Mixers[1], w.Mixers[4]}[n/6%2]
+		return []*Mixer{w.Mixers[1], w.Mixers[1], w.Mixers[1], nil, w.Mixers[4], w.Mixers[4], w.Mixers[4], nil}[n/3%8]
 	})
 	one := w.Load(60, "cato", "reads", func(n int) *Mixer {
 		if n%3 != 2 {
