--- a/internal/controlplane/register/explore_test.go
+++ b/internal/controlplane/register/explore_test.go
@@ -101,6 +101,8 @@
 	{"two changes of a register that is written once", budget{attempts: 2, once: true, lostAnswers: true}, 12},
 	{"a change and reads", budget{attempts: 2, lostAnswers: true, oneReads: true}, 13},
 	{"a restart, and requests that come twice", budget{attempts: 2, restarts: 1, doubles: true, latePrepare: true}, 11},
+	{"a restart, a change and reads", budget{attempts: 1, restarts: 1, oneReads: true}, 15},
+	{"a lost disk between two rounds", budget{attempts: 1, losses: 1, losable: 1 << 1}, 14},
 	{"a lost disk", budget{attempts: 2, losses: 1, lostAnswers: true}, 10},
 	{"a lost disk, a change and reads", budget{attempts: 1, losses: 1, oneReads: true}, 13},
 	{"a replacement", budget{attempts: 1, replacement: true}, 11},
--- a/internal/controlplane/register/exploreproposer_test.go
+++ b/internal/controlplane/register/exploreproposer_test.go
@@ -94,13 +94,17 @@
 		held: member.held, view: member.view, ready: member.ready(), phase: pr.phase,
 		proposer: uint8(p), ballot: pr.ballot, asked: pr.view, proposed: pr.proposed,
 	}
-	if kind == stepCallLearns {
+	if kind == stepCallLearns || kind == stepCallCopies {
 		in.learns = 2
+		x.learn(w, m, 2)
+	}
+	if kind == stepCallCopies {
+		x.copyFrom(w, newcomerMember, m)
 	}
 	out := x.rules.vote(in)
 	member.held = out.held
-	if kind == stepCallLearns {
-		x.learn(w, m, 2)
+	if pr.called == 0 {
+		pr.lost = 0
 	}
 	pr.called = pr.called.with(m)
 	if kind == stepCallLost {
@@ -182,13 +186,13 @@
 func (x *explorer) returns(w *world, p int, value text) string {
 	pr := &w.proposers[p]
 	operation, floor := pr.operation, x.rules.texts[pr.floor]
-	*pr = proposerState{operation: operation + 1, counter: pr.counter}
+	*pr = proposerState{operation: max(operation+1, firstRead), counter: pr.counter}
 	got, longest := x.rules.texts[value], x.rules.texts[w.longest]
 	if len(got) > len(longest) {
 		w.longest = value
 	}
 	switch {
-	case operation < firstRead && !x.rules.once && !strings.Contains(got, string(tokenOf(p))):
+	case operation < firstRead && !x.rules.once && !strings.Contains(got, string(tokenOf(p, int(operation)))):
 		return fmt.Sprintf("the change of proposer %d returns %q", p, got)
 	case !strings.HasPrefix(got, longest) && !strings.HasPrefix(longest, got):
 		return fmt.Sprintf("%q is returned after %q", got, longest)
@@ -201,9 +205,11 @@
 // checkTokens checks that a value has each token once at most, and none of a change that did not run.
 func (x *explorer) checkTokens(w *world, value string) string {
 	for p := range w.proposers {
-		count := strings.Count(value, string(tokenOf(p)))
-		if count > 1 || count > 0 && w.notRun.has(p) {
-			return fmt.Sprintf("%q has the token of proposer %d, of which %v did not run", value, p, w.notRun)
+		for operation := range firstRead {
+			count := strings.Count(value, string(tokenOf(p, operation)))
+			if count > 1 || count > 0 && operation == 0 && w.notRun.has(p) {
+				return fmt.Sprintf("%q has change %d of proposer %d; of these changes %b did not run", value, operation, p, w.notRun)
+			}
 		}
 	}
 	return ""
@@ -212,9 +218,9 @@
 // fails ends an operation without a value.
 func (x *explorer) fails(w *world, p int, err error) string {
 	pr := &w.proposers[p]
-	if pr.operation < firstRead && ranNot(pr, err) {
+	if pr.operation == 0 && ranNot(pr, err) {
 		w.notRun = w.notRun.with(p)
 	}
-	*pr = proposerState{operation: pr.operation + 1, counter: pr.counter}
+	*pr = proposerState{operation: max(pr.operation+1, firstRead), counter: pr.counter}
 	return x.checkTokens(w, x.rules.texts[w.longest])
 }
--- a/internal/controlplane/register/exploresteps_test.go
+++ b/internal/controlplane/register/exploresteps_test.go
@@ -17,7 +17,8 @@
 	stepBegin       stepKind = iota // a proposer begins its next operation
 	stepCall                        // a member takes an open round's request, and its answer arrives
 	stepCallLost                    // the same, and the answer is lost
-	stepCallLearns                  // the same, and the member learns the next view once its vote is stored
+	stepCallLearns                  // the same, and the member learns the next view while its vote is being stored
+	stepCallCopies                  // the same, and it also gives the newcomer a copy that lacks the vote
 	stepTimeout                     // a round ends without a majority
 	stepRestart                     // a proposer's process is killed and started again, with its disk
 	stepLoseDisk                    // a member starts again with an empty disk
@@ -34,7 +35,7 @@
 }
 
 func (s step) String() string {
-	names := [...]string{"begin", "call", "call, answer lost", "call, learns meanwhile", "time-out", "restart", "lose disk", "settle", "learn view", "copy", "late request"}
+	names := [...]string{"begin", "call", "call, answer lost", "call, learns meanwhile", "call, learns and copies meanwhile", "time-out", "restart", "lose disk", "settle", "learn view", "copy", "late request"}
 	return fmt.Sprintf("%s %d %d", names[s.kind], s.a, s.b)
 }
 
@@ -46,6 +47,7 @@
 	attempts    uint8 // of each operation; mostAttempts at most
 	lostAnswers bool  // a member's answer may be lost
 	losses      uint8
+	losable     set // members that may lose their disks; all where it is empty
 	restarts    uint8
 	doubles     bool // each accept request may also arrive once more, after its round
 	latePrepare bool // so may prepare requests that were not taken
@@ -165,6 +167,9 @@
 		}
 		if w.settled && w.members[m].view == 1 {
 			kinds = append(kinds, stepCallLearns)
+			if x.mayCopy(w, newcomerMember, m) {
+				kinds = append(kinds, stepCallCopies)
+			}
 		}
 		for _, kind := range kinds {
 			try(step{kind, uint8(p), uint8(m)}, func(after *world) string { return x.call(after, p, m, kind) })
@@ -174,7 +179,7 @@
 
 func (x *explorer) eachOfMember(w *world, m int, try tryStep) {
 	member := &w.members[m]
-	if w.losses < x.budget.losses && m != newcomerMember {
+	if w.losses < x.budget.losses && m != newcomerMember && (x.budget.losable == 0 || x.budget.losable.has(m)) {
 		try(step{stepLoseDisk, uint8(m), 0}, func(after *world) string { x.loseDisk(after, m); return "" })
 	}
 	if x.budget.replacement && !w.settled && m != replacedMember && m != newcomerMember && x.maySettle(w) {
@@ -220,14 +225,14 @@
 }
 
 // mayCopy tells whether a member that is rebuilt gets a copy from another one now. It waits until each round is over that
-// may have counted an answer of its lost disk.
+// may have counted an answer of its lost disk. A round begins with its first call: its proposer may have been frozen.
 func (x *explorer) mayCopy(w *world, m, giver int) bool {
 	member, other := &w.members[m], &w.members[giver]
 	if member.ready() || member.copied.has(giver) || !inView(member.view, m) || !inView(member.view, giver) || !other.ready() {
 		return false
 	}
 	for p := range w.proposers {
-		if pr := &w.proposers[p]; pr.phase != resting && pr.lost.has(m) && !x.rules.broken.copiesEarly {
+		if pr := &w.proposers[p]; pr.called != 0 && pr.lost.has(m) && !x.rules.broken.copiesEarly {
 			return false
 		}
 	}
--- a/internal/controlplane/register/exploreworld_test.go
+++ b/internal/controlplane/register/exploreworld_test.go
@@ -115,7 +115,7 @@
 	losses    uint8
 	restarts  uint8
 	longest   text // value that was returned
-	notRun    set  // proposers whose token certainly is no part of any value
+	notRun    set  // proposers whose first change certainly is no part of any value
 }
 
 func proposerName(proposer int) string { return memberName(proposerHome(proposer)) }
@@ -135,14 +135,15 @@
 		if operation >= firstRead || once && current != nil {
 			return current, nil
 		}
-		return append([]byte(string(current)), tokenOf(proposer)), nil
+		return append([]byte(string(current)), tokenOf(proposer, operation)), nil
 	}
 }
 
-func tokenOf(proposer int) byte { return byte('a' + proposer) }
+// tokenOf is what a change appends; it differs after a restart.
+func tokenOf(proposer, operation int) byte { return byte('a' + proposer + operation*exploredProposers) }
 
-// Numbers of operations: one change, and then reads.
+// Numbers of operations: one change, another one if the process was restarted during the first, and then reads.
 const (
-	firstRead = 1
+	firstRead = 2
 	readsEach = 2
 )
