An ended job is forgotten by the steady clock and the time of day together

Cause: the record of an ended job was dropped by the time of day alone. Set forward by more than the time that states are kept, on the leader's machine or on its successor's, it was dropped at once: the same job handed in again, as after a lost answer, ran a second time, and its state was answered as unknown. Now the leader must also have known the end for that long by its steady clock; a record from the future, after a step back, is dropped by that clock alone.

--- /dev/null
+++ b/internal/jobs/scheduler/forget_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/jobs/job"
+	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+)
+
+func TestAnEndedJobIsKeptByBothClocks(t *testing.T) {
+	const kept = time.Minute
+	settings := Settings{StatusKept: kept, HoldMax: time.Second}
+	id := job.ID("00000000000000aa")
+	submit := &jobapi.Submit{ID: id, Specification: job.Specification{Stages: []job.Stage{{Count: 1}}}}
+	start := Now{Steady: time.Unix(1000, 0), WallMS: 1_000_000}
+	later := func(steady, wall time.Duration) Now {
+		return Now{Steady: start.Steady.Add(steady), WallMS: start.WallMS + wall.Milliseconds()}
+	}
+	Convey("Given a job that was cancelled", t, func() {
+		jobs, err := New(settings, start, nil)
+		So(err, ShouldBeNil)
+		jobs.Submit(start, submit)
+		So(jobs.Cancel(start, id), ShouldBeTrue)
+		state := func(now Now) job.State {
+			jobs.Tick(now)
+			jobs.Submit(now, submit)
+			state, _ := jobs.Status(id)
+			return state
+		}
+		Convey("handed in again it stays cancelled for the time that states are kept", func() {
+			So(state(later(kept-time.Second, kept-time.Second)), ShouldEqual, job.Cancelled)
+		})
+		Convey("also where the time of day is set forward or back", func() {
+			So(state(later(time.Second, 24*time.Hour)), ShouldEqual, job.Cancelled)
+			So(state(later(2*time.Second, -24*time.Hour)), ShouldEqual, job.Cancelled)
+		})
+		Convey("also under a successor whose time of day is ahead", func() {
+			durable := map[string][]byte{}
+			for _, entry := range jobs.Take().Entries {
+				if entry.Value == nil {
+					delete(durable, entry.Key)
+				} else {
+					durable[entry.Key] = entry.Value
+				}
+			}
+			jobs, err = New(settings, later(time.Second, 24*time.Hour), durable)
+			So(err, ShouldBeNil)
+			So(state(later(2*time.Second, 24*time.Hour)), ShouldEqual, job.Cancelled)
+		})
+		Convey("afterwards it is forgotten, also where the time of day was set back for good", func() {
+			jobs.Tick(later(kept+time.Second, kept+time.Second))
+			_, known := jobs.Status(id)
+			So(known, ShouldBeFalse)
+			jobs.Submit(start, submit)
+			So(jobs.Cancel(start, id), ShouldBeTrue)
+			jobs.Tick(later(kept+time.Second, -24*time.Hour))
+			_, known = jobs.Status(id)
+			So(known, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -174,6 +174,7 @@
 	s.erase(jobKey(j.id))
 	record := endedRecord{State: state, EndedMS: now.WallMS}
 	s.write(endedKey(j.id), record)
+	record.since = now.Steady
 	s.ended[j.id] = record
 	delete(s.jobs, j.id)
 	if s.pending[j.Queue.Route]--; s.pending[j.Queue.Route] <= 0 {
@@ -205,11 +206,15 @@
 	s.effects.Orders = append(s.effects.Orders, Order{Searcher: r.at.ID, Stop: order})
 }
 
-// forgetEnded drops the states of jobs that ended long ago.
+// forgetEnded drops the states of jobs that ended long ago. The time of day, which may be set, is believed only together
+// with the steady clock: a job that is forgotten too early would run once more if it were handed in again.
 func (s *Scheduler) forgetEnded(now Now) {
 	oldest := now.WallMS - s.settings.StatusKept.Milliseconds()
 	for id, record := range s.ended {
-		if record.EndedMS < oldest {
+		if now.Steady.Sub(record.since) < s.settings.StatusKept {
+			continue
+		}
+		if record.EndedMS < oldest || record.EndedMS > now.WallMS {
 			delete(s.ended, id)
 			s.erase(endedKey(id))
 		}
--- a/internal/jobs/scheduler/records.go
+++ b/internal/jobs/scheduler/records.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -48,6 +49,7 @@
 type endedRecord struct {
 	State   job.State `msgpack:"s"`
 	EndedMS int64     `msgpack:"t"` // milliseconds since 1970
+	since   time.Time // of the steady clock: when this leadership ended the job or learned of its end; not stored
 }
 
 func jobKey(id job.ID) string   { return jobPrefix + string(id) }
--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -13,7 +13,7 @@
 
 // restore rebuilds the state from its durable records.
 func (s *Scheduler) restore(now Now, state map[string][]byte) error {
-	if err := s.restoreJobs(state); err != nil {
+	if err := s.restoreJobs(now, state); err != nil {
 		return err
 	}
 	complete, err := restoreRepetitions(state)
@@ -26,7 +26,7 @@
 	return s.restoreTasks(now, state)
 }
 
-func (s *Scheduler) restoreJobs(state map[string][]byte) error {
+func (s *Scheduler) restoreJobs(now Now, state map[string][]byte) error {
 	for key, value := range state {
 		switch {
 		case strings.HasPrefix(key, jobPrefix):
@@ -41,6 +41,7 @@
 			if err := decode(key, value, &record); err != nil {
 				return err
 			}
+			record.since = now.Steady
 			s.ended[job.ID(key[len(endedPrefix):])] = record
 		}
 	}
