--- /dev/null
+++ b/internal/controlplane/register/openround_test.go
@@ -0,0 +1,48 @@
+package register
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+)
+
+// A member that lost its disk must not be rebuilt while a round is open that counted one of its former answers: the
+// others may take what that round decides only after they gave their copies.
+func TestALostDiskAndOpenRounds(t *testing.T) {
+	const (
+		slow  = RoundLimit - 200*time.Millisecond // on its way to a member, and still in time
+		taken = 100 * time.Millisecond            // by then the others have answered
+	)
+	var changed, read []byte
+	var changeErr, readErr error
+	synctest.Test(t, func(*testing.T) {
+		c := newCluster(1, 3, nil)
+		c.network.AddRule(networktest.Rule{From: "elsewhere", To: "member-0", Path: acceptPath(testRegister), Delay: slow, Times: 1})
+		c.network.AddRule(networktest.Rule{From: "elsewhere", To: "member-2", Path: acceptPath(testRegister), Lose: true, Times: 1})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			changed, changeErr = c.proposer("elsewhere", nil).Change(c.ctx, func([]byte) ([]byte, error) { return []byte("a"), nil })
+		}()
+		<-time.After(taken)
+		c.restart("member-1", 0, true)
+		<-done
+		<-c.process("member-1").rebuilder.Complete()
+		c.network.Cut("member-0", true)
+		ctx, cancel := context.WithTimeout(c.ctx, 10*time.Second)
+		read, readErr = c.proposer("reader", nil).Read(ctx)
+		cancel()
+		c.end()
+	})
+	convey.Convey("What was decided with an answer of the lost disk is still there once the disk is rebuilt", t, func() {
+		convey.So(changeErr, convey.ShouldBeNil)
+		convey.So(string(changed), convey.ShouldEqual, "a")
+		convey.So(readErr, convey.ShouldBeNil)
+		convey.So(string(read), convey.ShouldEqual, "a")
+	})
+}
