A member that stops waits for rebuilds; a copy that is lost on the way is asked for again

The model found two more ways to lose the majority for good, or for 10 s, within the tolerance: a member was told to stop while another was being rebuilt and needed its copy; and a question for a copy, or its answer, was lost in a cut, and was waited for as long as the largest copy may take. Now a member that is told to stop waits, within its share of the grace period, while another member says that it is being rebuilt; and a copy is asked for again after a second, while the earlier question stays open.

--- a/internal/controlplane/coordinator/stop.go
+++ b/internal/controlplane/coordinator/stop.go
@@ -38,10 +38,11 @@
 	c.searchers.CloseIdleConnections()
 }
 
-// leave tells the other members that this process stops. One that was told to stop while a newcomer waits first hands
-// over: it serves on until the newcomer has its place and has been rebuilt, or the rest of the grace period is needed.
+// leave tells the other members that this process stops. One that was told to stop first hands over: it serves on until
+// no other member is being rebuilt and a newcomer, if one waits, has its place and has been rebuilt; or until the rest of
+// the grace period is needed.
 func (c *Coordinator) leave(ctx context.Context, told bool) {
-	if !told || !c.views.NewcomersWait() {
+	if !told {
 		go c.views.Leave(ctx)
 		return
 	}
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -124,17 +124,62 @@
 	return copies
 }
 
-// fetchUntilDone asks one member until it gives a copy.
+// fetchUntilDone asks one member until it gives a copy. A request or an answer may have been lost without a sign, so
+// another is asked for after a while, though a large copy may still be on its way.
 func (r *Rebuilder) fetchUntilDone(ctx context.Context, member string, view replicaset.View, answers chan<- storage.Tables) {
-	for ctx.Err() == nil {
-		tables, err := r.fetch(ctx, member, view)
-		if err == nil {
+	ctx, cancel := context.WithCancel(ctx)
+	var open sync.WaitGroup
+	defer open.Wait()
+	defer cancel()
+	got := make(chan storage.Tables, openFetches)
+	slots := make(chan struct{}, openFetches)
+	for {
+		select {
+		case slots <- struct{}{}:
+			open.Go(func() {
+				r.fetchOnce(ctx, member, view, got)
+				<-slots
+			})
+		default:
+		}
+		if tables, found := r.awaitCopy(ctx, got, slots); found {
 			answers <- tables
 			return
 		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// awaitCopy waits for a copy until the member is to be asked again.
+func (r *Rebuilder) awaitCopy(ctx context.Context, got <-chan storage.Tables, slots <-chan struct{}) (storage.Tables, bool) {
+	begun := time.Now()
+	for time.Since(begun) < reaskInterval {
+		timer := time.NewTimer(askInterval)
+		select {
+		case tables := <-got:
+			timer.Stop()
+			return tables, true
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, false
+		case <-timer.C:
+		}
+		if len(slots) == 0 {
+			return nil, false // refused
+		}
+	}
+	return nil, false
+}
+
+func (r *Rebuilder) fetchOnce(ctx context.Context, member string, view replicaset.View, got chan<- storage.Tables) {
+	tables, err := r.fetch(ctx, member, view)
+	if err != nil {
 		r.config.Logger.Debug("copy of a member's tables", zap.String("member", member), zap.Error(err))
-		sleep(ctx, askInterval)
+		return
 	}
+	got <- tables
 }
 
 func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -14,6 +14,8 @@
 const (
 	readyInterval = 100 * time.Millisecond // between questions whether a newcomer has been rebuilt
 	readyLimit    = 500 * time.Millisecond // for one question
+	// rebuildingLimit is the same where members that are down are to hold up nothing.
+	rebuildingLimit = 200 * time.Millisecond
 )
 
 // readyRequest asks whether a process may vote as a member of the replicas.
@@ -27,14 +29,39 @@
 	return readyReply{Ready: r.Ready() && r.config.Views.View().Has(r.config.Self)}, nil
 }
 
-// HandOver lets a newcomer take this member's place before this process stops: leave says goodbye until another has the
-// place, and then the newcomer is awaited. It tells whether the newcomer has been rebuilt; if so, nothing is left that
+// HandOver waits for members that are being rebuilt, and then lets a newcomer take this member's place before this process
+// stops: leave says goodbye until another has the place, and then the newcomer is awaited. It tells whether the newcomer has been rebuilt; if so, nothing is left that
 // only this process holds.
 func (r *Rebuilder) HandOver(ctx context.Context, leave func(ctx context.Context) (replaced bool)) bool {
+	r.awaitRebuilds(ctx)
 	earlier := r.config.Views.View()
 	return leave(ctx) && r.awaitNewcomers(ctx, earlier)
 }
 
+// awaitRebuilds waits while another member says that it is being rebuilt, as that one may need the copy of this. Members
+// that do not answer are not waited for.
+func (r *Rebuilder) awaitRebuilds(ctx context.Context) {
+	for r.someRebuild(ctx) && sleep(ctx, readyInterval) == nil {
+	}
+}
+
+func (r *Rebuilder) someRebuild(ctx context.Context) bool {
+	var questions sync.WaitGroup
+	var rebuilding atomic.Bool
+	for _, member := range r.config.Views.View().Members {
+		if member == r.config.Self {
+			continue
+		}
+		questions.Go(func() {
+			if ready, err := r.askReady(ctx, member, rebuildingLimit); err == nil && !ready {
+				rebuilding.Store(true)
+			}
+		})
+	}
+	questions.Wait()
+	return rebuilding.Load()
+}
+
 // awaitNewcomers waits until each member of the current view that was none in an earlier view may vote, or the context
 // ends. It tells whether they may.
 func (r *Rebuilder) awaitNewcomers(ctx context.Context, earlier replicaset.View) bool {
@@ -55,7 +82,7 @@
 			continue
 		}
 		questions.Go(func() {
-			if !r.askReady(ctx, member) {
+			if ready, _ := r.askReady(ctx, member, readyLimit); !ready {
 				missing.Add(1)
 			}
 		})
@@ -64,13 +91,13 @@
 	return missing.Load() == 0
 }
 
-func (r *Rebuilder) askReady(ctx context.Context, member string) bool {
-	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+func (r *Rebuilder) askReady(ctx context.Context, member string, limit time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var reply readyReply
-	if err := r.config.Caller.Call(ctx, member, readyPath, readyRequest{}, &reply); err != nil {
-		r.config.Logger.Debug("ask whether a newcomer is rebuilt", zap.String("member", member), zap.Error(err))
-		return false
+	err := r.config.Caller.Call(ctx, member, readyPath, readyRequest{}, &reply)
+	if err != nil {
+		r.config.Logger.Debug("ask whether a member is rebuilt", zap.String("member", member), zap.Error(err))
 	}
-	return reply.Ready
+	return reply.Ready, err
 }
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -33,9 +33,12 @@
 	TableName   = "rebuild"
 	completeKey = "complete"
 	askInterval = 250 * time.Millisecond
-	dumpLimit   = 10 * time.Second
-	dumpPath    = "/rebuild/dump"
-	readyPath   = "/rebuild/ready"
+	// reaskInterval is how long a member's copy is waited for before another is asked for; openFetches are open at most.
+	reaskInterval = time.Second
+	openFetches   = 3
+	dumpLimit     = 10 * time.Second
+	dumpPath      = "/rebuild/dump"
+	readyPath     = "/rebuild/ready"
 )
 
 var (
--- a/internal/controlplane/rebuild/rebuild_test.go
+++ b/internal/controlplane/rebuild/rebuild_test.go
@@ -188,6 +188,23 @@
 	})
 }
 
+// A question or an answer is lost without a sign, as in a cut.
+func TestACopyThatIsLostOnTheWayIsAskedForAgain(t *testing.T) {
+	var took time.Duration
+	inMembers(t, 3, func(m *members) {
+		m.startOthers()
+		m.network.AddRule(networktest.Rule{To: "member-0", Path: "/rebuild/dump", Lose: true, Times: 1})
+		start := time.Now()
+		rebuilder := m.start("member-2", storage.NewMemory(), false)
+		m.run(rebuilder)
+		<-rebuilder.Complete()
+		took = time.Since(start)
+	})
+	convey.Convey("The member is rebuilt within the time to catch up, 4 s", t, func() {
+		convey.So(took, convey.ShouldBeLessThan, 4*time.Second)
+	})
+}
+
 func TestMembersThatAreRebuiltGiveNoCopies(t *testing.T) {
 	var ready bool
 	inMembers(t, 3, func(m *members) {
--- a/internal/controlplane/replicaset/core_test.go
+++ b/internal/controlplane/replicaset/core_test.go
@@ -20,7 +20,6 @@
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 	"puffinlink.example/puffinlink/internal/transport"
-	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 const (
@@ -50,6 +49,7 @@
 	seeds   []string
 	mutant  mutant
 	tasks   sync.WaitGroup
+	log     *zap.Logger                       // of the parts that lead; nil for none
 	leads   func(p *core) replication.Handler // of a group on the members' disks; nil for none
 
 	mutex   sync.Mutex // guards what follows
@@ -84,51 +84,6 @@
 	}
 }
 
-// mortalStore lets a process write to a disk until the process is killed.
-type mortalStore struct {
-	*storage.Memory
-	mutex sync.Mutex
-	dead  bool
-}
-
-var errDead = errors.New("the process was killed")
-
-// Write implements storage.Store.
-func (s *mortalStore) Write(changes ...storage.Change) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.dead {
-		return errDead
-	}
-	return s.Memory.Write(changes...)
-}
-
-func (s *mortalStore) end() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.dead = true
-}
-
-func (s *mortalStore) alive() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return !s.dead
-}
-
-// mortalCaller lets a process send until the process is killed.
-type mortalCaller struct {
-	transport.Caller
-	store *mortalStore
-}
-
-// Call implements transport.Caller.
-func (m mortalCaller) Call(ctx context.Context, address, path string, request, reply any) error {
-	if !m.store.alive() {
-		return verdict.Unexecuted(errDead, 0)
-	}
-	return m.Caller.Call(ctx, address, path, request, reply)
-}
-
 // inCluster runs a test in simulated time, after the given members have founded the first view.
 func inCluster(t *testing.T, seed uint64, broken mutant, members []string, test func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -252,7 +207,11 @@
 func (c *cluster) assembleNode(p *core, mux *transport.Mux) {
 	config := replication.Config{
 		Self: p.address, Store: storage.NewMemory(), Caller: p.caller, View: p.manager.View,
-		Ready: p.rebuilder.Ready, Handler: noGroups{},
+		Ready: func() bool { return c.mutant.noRebuild || p.rebuilder.Ready() }, Handler: noGroups{},
+		Log: c.log,
+	}
+	if c.log != nil {
+		config.Log = c.log.With(zap.String("at", p.address))
 	}
 	if c.leads != nil {
 		config.Store, config.Handler = p.store, c.leads(p)
--- a/internal/controlplane/replicaset/handover_test.go
+++ b/internal/controlplane/replicaset/handover_test.go
@@ -149,3 +149,32 @@
 		convey.So(view.Version, convey.ShouldEqual, 2)
 	})
 }
+
+// A member that lost its disk has just come back when another is told to stop.
+func TestAMemberThatStopsWaitsForARebuild(t *testing.T) {
+	stopDuring := func(broken mutant) (took time.Duration, value string, err error) {
+		members := addresses(3)
+		inCluster(t, 1, broken, members, func(c *cluster) {
+			c.write(members[1], written)
+			c.stop(c.at(members[2]))
+			c.start(members[2], "zone of "+members[2], storage.NewMemory(), false)
+			<-time.After(500 * time.Millisecond)
+			told := time.Now()
+			c.tellToStop(c.at(members[0]))
+			took = time.Since(told)
+			<-time.After(catchUp)
+			value, err = c.read(members[2]), c.write(members[2], "after")
+		})
+		return took, value, err
+	}
+	took, value, err := stopDuring(mutant{})
+	_, _, atOnce := stopDuring(mutant{goesAtOnce: true})
+	convey.Convey("It goes once that one has been rebuilt, within its grace period", t, func() {
+		convey.So(took, convey.ShouldBeBetween, time.Second, handOverTime)
+		convey.So(value, convey.ShouldEqual, written)
+		convey.So(err, convey.ShouldBeNil)
+	})
+	convey.Convey("If it went at once, the other could not be rebuilt", t, func() {
+		convey.So(atOnce, convey.ShouldNotBeNil)
+	})
+}
--- a/internal/controlplane/replicaset/model_test.go
+++ b/internal/controlplane/replicaset/model_test.go
@@ -11,6 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
@@ -56,6 +59,7 @@
 	views      map[uint64][]string
 	newest     replicaset.View
 	start      time.Time
+	logged     *observer.ObservedLogs
 }
 
 // play plays the schedule of a seed, and returns what was wrong.
@@ -68,6 +72,7 @@
 			views: make(map[uint64][]string), start: time.Now(), groupMoved: time.Now(),
 		}
 		m.cluster = &cluster{t: t, network: networktest.New(seed), seeds: addresses(size), mutant: broken, running: make(map[string]*core)}
+		m.logged = m.observe()
 		m.leads = func(p *core) replication.Handler { return &modelLeader{m, p} }
 		m.network.SetFaults(quietFaults)
 		for address, disk := range disks {
@@ -114,10 +119,18 @@
 	m.look()
 	m.judgeEnd()
 	for _, p := range m.sorted() {
-		m.tell("%s: view %d %v, ready %v", p.address, p.manager.View().Version, p.manager.View().Members, p.rebuilder.Ready())
+		m.tell("%s: view %d %v, ready %v, leaders %v", p.address, p.manager.View().Version, p.manager.View().Members,
+			p.rebuilder.Ready(), p.node.Leaders())
 	}
 }
 
+// observe keeps what the parts that lead log, for the report.
+func (m *model) observe() *observer.ObservedLogs {
+	kept, logs := observer.New(zap.InfoLevel)
+	m.log = zap.New(kept)
+	return logs
+}
+
 // runClient writes tokens, and reads now and then.
 func (m *model) runClient(ctx context.Context, client int, random *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
--- a/internal/controlplane/replicaset/modelrun_test.go
+++ b/internal/controlplane/replicaset/modelrun_test.go
@@ -43,7 +43,12 @@
 }
 
 func (m *model) report() string {
-	return fmt.Sprintf("seed %d (-modelseed %d):\n%s\nFaults:\n%s", m.seed, m.seed, strings.Join(m.wrong, "\n"), strings.Join(m.told, "\n"))
+	var logs []string
+	for _, entry := range m.logged.All() {
+		logs = append(logs, fmt.Sprintf("%v: %s %v", entry.Time.Sub(m.start), entry.Message, entry.ContextMap()))
+	}
+	return fmt.Sprintf("seed %d (-modelseed %d):\n%s\nFaults:\n%s\nLog:\n%s", m.seed, m.seed,
+		strings.Join(m.wrong, "\n"), strings.Join(m.told, "\n"), strings.Join(logs, "\n"))
 }
 
 // As long as no more machines are lost than is tolerated, nothing confirmed is lost, a write succeeds within the time to
@@ -85,20 +90,23 @@
 // Each defect is found by one of the first schedules; so those that find nothing mean something.
 func TestLossesAndReplacementsFindDefects(t *testing.T) {
 	defer debug.SetGCPercent(debug.SetGCPercent(modelGarbage))
-	defects := []mutant{
-		{name: "a member that is told to stop goes at once", goesAtOnce: true},
-		{name: "a member that is told to stop keeps its place", keepsItsPlace: true},
-		{name: "a member that was replaced gives no copy", takesItsCopy: true},
-		{name: "a newcomer votes before it is rebuilt", noRebuild: true},
-		{name: "a single member settles the next view", ownSuccessions: true},
+	defects := []struct {
+		broken mutant
+		first  uint64 // seed; it found the defect when this was written, and replays nearly the same
+	}{
+		{mutant{name: "a member that is told to stop goes at once", goesAtOnce: true}, 0},
+		{mutant{name: "a member that is told to stop keeps its place", keepsItsPlace: true}, 0},
+		{mutant{name: "a member that was replaced gives no copy", takesItsCopy: true}, 0},
+		{mutant{name: "a newcomer votes before it is rebuilt", noRebuild: true}, 0},
+		{mutant{name: "a single member settles the next view", ownSuccessions: true}, 0},
 	}
 	t.Run("defects", func(t *testing.T) {
 		for _, defect := range defects {
-			t.Run(defect.name, func(t *testing.T) {
+			t.Run(defect.broken.name, func(t *testing.T) {
 				t.Parallel()
-				for seed := range uint64(modelUntilFound) {
-					if m := play(t, seed, modelSize(seed), defect); len(m.wrong) > 0 {
-						t.Logf("seed %d: %s", seed, m.wrong[0])
+				for seed := defect.first; seed < defect.first+modelUntilFound; seed++ {
+					if m := play(t, seed, modelSize(seed), defect.broken); len(m.wrong) > 0 {
+						t.Logf("%s: seed %d: %s", defect.broken.name, seed, m.wrong[0])
 						return
 					}
 				}
