--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -37,7 +37,9 @@
 	random   *rand.Rand
 	faults   Faults
 	handlers map[string]http.Handler
-	cut      map[string]bool
+	mute     map[string]bool      // from which nothing passes
+	deaf     map[string]bool      // to which nothing passes
+	held     map[string]time.Time // until when messages from and to an address wait
 	rules    []Rule
 }
 
@@ -56,7 +58,9 @@
 	return &Network{
 		random:   rand.New(rand.NewPCG(seed, 0)),
 		handlers: make(map[string]http.Handler),
-		cut:      make(map[string]bool),
+		mute:     make(map[string]bool),
+		deaf:     make(map[string]bool),
+		held:     make(map[string]time.Time),
 	}
 }
 
@@ -89,10 +93,20 @@
 }
 
 // Cut lets nothing pass to or from an address until it is joined again.
-func (n *Network) Cut(address string, cut bool) {
+func (n *Network) Cut(address string, cut bool) { n.CutOneWay(address, cut, cut) }
+
+// CutOneWay lets nothing pass from an address, or to it, until that is taken back.
+func (n *Network) CutOneWay(address string, from, to bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.mute[address], n.deaf[address] = from, to
+}
+
+// Hold keeps all messages from and to an address for a time, and then lets them go on.
+func (n *Network) Hold(address string, span time.Duration) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.cut[address] = cut
+	n.held[address] = time.Now().Add(span)
 }
 
 // Caller returns the Caller of the process at an address. It keeps what it learns of others like that of a real process.
@@ -190,13 +204,15 @@
 // deliver carries a request to its handler and the reply back.
 func (n *Network) deliver(ctx context.Context, way message, from, to, path string, header http.Header, body []byte, replies chan<- arrival) {
 	travel(way.delay)
+	n.wait(from, to)
 	if way.lost || n.separated(from, to) {
 		return
 	}
 	answer := n.handle(to, path, header, body)
 	back := n.answer()
 	travel(back.delay)
-	if back.lost || n.separated(from, to) || ctx.Err() != nil {
+	n.wait(from, to)
+	if back.lost || n.separated(to, from) || ctx.Err() != nil {
 		return
 	}
 	replies <- answer
@@ -212,7 +228,15 @@
 func (n *Network) separated(from, to string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.cut[from] || n.cut[to]
+	return n.mute[from] || n.deaf[to]
+}
+
+// wait waits while messages of either address are held.
+func (n *Network) wait(one, other string) {
+	n.mutex.Lock()
+	span := max(time.Until(n.held[one]), time.Until(n.held[other]))
+	n.mutex.Unlock()
+	travel(span)
 }
 
 func (n *Network) handle(to, path string, header http.Header, body []byte) arrival {
