--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -33,10 +33,8 @@
 	configurationRegister = "configuration"
 	commandsByCall        = "invocation" // value of the settings key commands
 
-	inventoryInterval = time.Second            // between two readings of the platform's list
-	statusMargin      = 3 * time.Minute        // ended jobs are known for longer than clients ask
-	stopPatience      = 2 * time.Second        // for requests under way when the process is told to stop
-	handOver          = 300 * time.Millisecond // in which others hear that leaderships were given up
+	inventoryInterval = time.Second     // between two readings of the platform's list
+	statusMargin      = 3 * time.Minute // ended jobs are known for longer than clients ask
 	registerMerge     = register.TablePrefix
 )
 
@@ -78,8 +76,9 @@
 	}
 	log.Info("store opened", zap.Any("opened", opened))
 	c := &Coordinator{
-		settings: settings, log: log, store: store, caller: transport.NewClient(),
-		searchers: worker.NewConnections(searcherLimits(&settings.Limits)), platform: newPlatformClient(), mux: transport.NewMux(),
+		settings: settings, log: log, store: store, caller: transport.NewClientFor(settings.Cluster),
+		searchers: worker.NewConnections(searcherLimits(&settings.Limits)), platform: newPlatformClient(),
+		mux: transport.NewMuxFor(transport.NewIdentity(settings.Cluster, settings.NodeName)),
 	}
 	c.orders = c.searchers.HTTPClient()
 	if err := c.assemble(); err != nil {
@@ -96,7 +95,8 @@
 	}
 	var err error
 	c.rebuilder, err = rebuild.New(rebuild.Config{
-		Self: self, FirstStart: c.settings.FirstStart, Views: c.views, Store: c.store, Caller: c.caller, Logger: c.log,
+		Self: self, Incarnation: c.views.Incarnation(), FirstStart: c.settings.FirstStart, Views: c.views,
+		Store: c.store, Caller: c.caller, Logger: c.log,
 	})
 	if err != nil {
 		return fmt.Errorf("rebuild: %w", err)
@@ -120,7 +120,8 @@
 	})
 	succession := register.NewSuccession(register.SuccessionConfig{
 		Self: self, Store: c.store, Ready: ready, Caller: c.caller,
-		View: func() replicaset.View { return c.views.View() },
+		View:      func() replicaset.View { return c.views.View() },
+		Departing: func() bool { return c.views.Departing() },
 	})
 	var err error
 	c.views, err = replicaset.NewManager(replicaset.Config{
@@ -163,6 +164,12 @@
 	c.configurator.Mount(c.mux)
 }
 
+// current tells whether what this mixer tells others is of late: a majority has answered its pings, and has confirmed the
+// configuration. Pings may be answered where quorum reads fail, as when members are being rebuilt or know another view.
+func (c *Coordinator) current() bool {
+	return c.node.InContact() && c.configurator.Fresh(configuration.FreshAge)
+}
+
 func (c *Coordinator) learnView(view replicaset.View) {
 	if err := c.views.Learn(view); err != nil {
 		c.log.Warn("view of the replicas not taken", zap.Error(err))
@@ -199,7 +206,7 @@
 			Configuration: c.configurator.Current,
 			Leaders:       c.node.Leaders,
 			Core:          func() []string { return c.views.View().Members },
-			InContact:     c.node.InContact,
+			InContact:     c.current,
 			Changed:       []func() <-chan struct{}{c.configurator.Changed, c.node.Changed, c.views.Changed},
 		},
 	})
@@ -243,7 +250,7 @@
 		c.node.Run(leading)
 	}()
 	err := c.wait(ctx, failures)
-	go c.views.Leave(lifetime)
+	c.leave(lifetime, err == nil)
 	resign()
 	<-resigned
 	c.jobs.Stop()
@@ -252,29 +259,6 @@
 	return errors.Join(err, c.store.Close())
 }
 
-func (c *Coordinator) wait(ctx context.Context, failures <-chan error) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-c.store.Failed():
-		return errStoreFailed
-	case err := <-failures:
-		return err
-	}
-}
-
-// finish answers what was asked already, and tells callers a little longer that this mixer leads no more.
-func (c *Coordinator) finish(internal, operator *http.Server) {
-	patience, cancel := context.WithTimeout(context.Background(), stopPatience)
-	defer cancel()
-	operator.Shutdown(patience)
-	time.Sleep(handOver)
-	internal.Close()
-	c.caller.Close()
-	c.orders.CloseIdleConnections()
-	c.platform.CloseIdleConnections()
-}
-
 // ensureGroups makes a replication group for each service of the configuration.
 func (c *Coordinator) ensureGroups(ctx context.Context) {
 	for {
--- a/internal/controlplane/feedserver/feedserver.go
+++ b/internal/controlplane/feedserver/feedserver.go
@@ -35,7 +35,7 @@
 	Leaders func() map[string]feed.Leader
 	// Core returns the internal addresses of the core mixers.
 	Core func() []string
-	// InContact tells whether this core mixer is in contact with a majority, so that what it knows is up to date.
+	// InContact tells whether this core mixer is in contact with a majority, which has lately confirmed what it knows.
 	InContact func() bool
 	// Changed holds one function per source of changes. Each returns a channel that is closed at the source's next change.
 	Changed []func() <-chan struct{}
@@ -86,8 +86,8 @@
 
 // Mount serves the calls of agents and of other core mixers.
 func (s *Server) Mount(mux *transport.Mux) {
-	transport.Handle(mux, feed.WatchPath, s.watch)
-	transport.Handle(mux, feed.FrontPath, s.share)
+	transport.Handle(mux, feed.WatchCall, s.watch)
+	transport.Handle(mux, feed.FrontCall, s.share)
 }
 
 func (s *Server) watch(ctx context.Context, ask feed.Watch) (feed.WatchReply, error) {
@@ -97,7 +97,19 @@
 		wait = 0
 	}
 	news := s.board.Wait(ctx, ask.Known, wait)
-	return feed.WatchReply{Current: s.options.Sources.InContact(), Changed: news != nil, Snapshot: news}, nil
+	current := s.options.Sources.InContact()
+	if current && s.behind() {
+		s.publish()
+		news, _ = s.board.Since(ask.Known)
+	}
+	return feed.WatchReply{Current: current, Changed: news != nil, Snapshot: news}, nil
+}
+
+// behind tells whether the board lacks the configuration that is known here, as changes are gathered before they are
+// published. A mixer that comes back into contact learns at the same moment that it is current and what it has missed.
+func (s *Server) behind() bool {
+	version, _ := s.options.Sources.Configuration()
+	return version > s.board.Digest().ConfigurationVersion
 }
 
 func (s *Server) note(ask feed.Watch) {
--- a/internal/controlplane/operations/fixture_test.go
+++ b/internal/controlplane/operations/fixture_test.go
@@ -1,6 +1,7 @@
 package operations
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -19,6 +20,7 @@
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -43,9 +45,15 @@
 	fail     func(address, path string) error
 	calls    []string // address and path
 	drains   []jobreport.DrainRequest
+	version  uint64       // of the configuration
+	alone    bool         // the mixer has no contact to a majority
+	confirm  func() error // a quorum read
 	cancels  []jobapi.Cancel
-	hold     chan struct{} // calls wait until it is closed, if set
-	held     chan struct{} // receives one value for each call that waits
+	// found is the state that leaders report of jobs, and cancelled what they answer to a cancellation, if set.
+	found     job.State
+	cancelled *jobapi.Cancelled
+	hold      chan struct{} // calls wait until it is closed, if set
+	held      chan struct{} // receives one value for each call that waits
 }
 
 func newCore() *core {
@@ -53,7 +61,7 @@
 		leaders: map[string]feed.Leader{
 			"jobs/pricing": {Address: "10.0.0.1:7660", Epoch: 3}, "jobs/stress": {Address: "10.0.0.2:7660", Epoch: 5},
 		},
-		changed:  make(chan struct{}),
+		changed: make(chan struct{}), version: 7, confirm: func() error { return nil },
 		jobs:     map[string][]string{"jobs/pricing": {priceJob, bothJob}, "jobs/stress": {stressJob, bothJob}},
 		searcher: map[string]string{"jobs/pricing": "i-price", "jobs/stress": "i-stress"},
 	}
@@ -92,15 +100,16 @@
 			defer c.mutex.Unlock()
 			return c.changed
 		},
-		Configuration: func() (uint64, []byte) { return 7, nil },
-		InContact:     func() bool { return true },
+		Configuration: func() (uint64, []byte) { return c.version, nil },
+		InContact:     func() bool { return !c.alone },
+		Confirm:       func(context.Context) error { return c.confirm() },
 		Rebuilt:       func() bool { return true },
 		Agents:        func() []string { return []string{"10.0.1.1:7661"} },
 	}
 }
 
 // Call implements transport.Caller.
-func (c *core) Call(ctx context.Context, address, path string, request, reply any) error {
+func (c *core) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
 	if c.hold != nil {
 		c.held <- struct{}{}
 		select {
@@ -111,9 +120,9 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.calls = append(c.calls, address+path)
+	c.calls = append(c.calls, address+route.Path())
 	if c.fail != nil {
-		if err := c.fail(address, path); err != nil {
+		if err := c.fail(address, route.Path()); err != nil {
 			return err
 		}
 	}
@@ -139,12 +148,15 @@
 		return c.list(asked), nil
 	case jobreport.JobRequest:
 		known := slices.Contains(c.jobs[asked.Group], string(asked.ID))
-		return jobreport.JobReply{Known: known, Job: jobreport.JobDetail{Job: jobreport.Job{ID: asked.ID, State: job.Running}}}, nil
+		return jobreport.JobReply{Known: known, Job: jobreport.JobDetail{Job: jobreport.Job{ID: asked.ID, State: cmp.Or(c.found, job.Running)}}}, nil
 	case jobreport.WhyRequest:
 		return jobreport.WhyReply{Known: true, Why: jobreport.Why{ID: asked.ID, State: job.Running}}, nil
 	case jobapi.Cancel:
 		c.cancels = append(c.cancels, asked)
-		return jobapi.Cancelled{Known: true}, nil
+		if c.cancelled != nil {
+			return *c.cancelled, nil
+		}
+		return jobapi.Cancelled{Known: true, State: job.Cancelled}, nil
 	}
 	return nil, errors.New("unknown request")
 }
--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -1,9 +1,11 @@
 package rebuild
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,16 +34,25 @@
 	View   replicaset.View `msgpack:"v"` // that it works with
 }
 
+// Internal calls. Both only read: the copy is as of when it is made.
+var (
+	dumpCall  = transport.NewRepeatable[dumpRequest, dumpReply]("/rebuild/dump")
+	readyCall = transport.NewRepeatable[readyRequest, readyReply]("/rebuild/ready")
+)
+
 // dumpReply is that copy, as of one moment after its giver learned the view.
 type dumpReply struct {
 	Tables storage.Tables `msgpack:"t"`
 }
 
-// Serve registers the internal call by which others rebuild.
-func (r *Rebuilder) Serve(mux *transport.Mux) { transport.Handle(mux, dumpPath, r.dump) }
+// Serve registers the internal calls by which others rebuild, and learn that this member is.
+func (r *Rebuilder) Serve(mux *transport.Mux) {
+	transport.Handle(mux, dumpCall, r.dump)
+	transport.Handle(mux, readyCall, r.tellReady)
+}
 
 func (r *Rebuilder) dump(_ context.Context, request dumpRequest) (dumpReply, error) {
-	if !r.Ready() {
+	if !r.mayGive() {
 		return dumpReply{}, verdict.Unexecuted(errNotReady, notReadyRetry)
 	}
 	if err := r.admit(request); err != nil {
@@ -61,12 +72,38 @@
 		}
 	}
 	view := r.config.Views.View()
-	if view.Version != request.View.Version || !view.Has(request.Member) || !r.Ready() {
+	if view.Version != request.View.Version || !view.Has(request.Member) || !r.mayGive() {
 		return fmt.Errorf("%w: version %d", errOtherView, view.Version)
 	}
 	return nil
 }
 
+// mayGive tells whether this process may give its copy: as a complete member, or as the complete member that the newest
+// view has replaced. The latter votes no more, so that its copy has all that it ever voted for.
+func (r *Rebuilder) mayGive() bool { return r.Ready() || r.gavePlace() }
+
+// gavePlace tells whether this process was complete in the view before the current one and gave its place in this.
+func (r *Rebuilder) gavePlace() bool {
+	view := r.config.Views.View()
+	absences := r.config.Views.Absences()
+	if absences == 0 || view.Replaced != r.config.Self || view.Has(r.config.Self) {
+		return false
+	}
+	mark := r.config.Store.Table(TableName)[completeKey]
+	return bytes.Equal(mark, completeMark(absences-1))
+}
+
+// givers are those that this member asks for copies: the other members, and the one whose place this very process took
+// with the view. A later process at the same address may have voted in the view and have lost that, which the replaced
+// member's copy would lack; so it asks the members alone.
+func (r *Rebuilder) givers(view replicaset.View) []string {
+	givers := slices.DeleteFunc(slices.Clone(view.Members), func(member string) bool { return member == r.config.Self })
+	if view.Replaced != "" && r.config.Incarnation != 0 && view.Entered == r.config.Incarnation {
+		givers = append(givers, view.Replaced)
+	}
+	return givers
+}
+
 // collectFrom asks the other members of a view until there are enough copies. It returns nil when the view changes or the
 // context ends before. A member that does not answer holds up no other.
 func (r *Rebuilder) collectFrom(ctx context.Context, view replicaset.View, changed <-chan struct{}, needed int) []storage.Tables {
@@ -74,11 +111,10 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	defer cancel()
-	answers := make(chan storage.Tables, len(view.Members))
-	for _, member := range view.Members {
-		if member != r.config.Self {
-			asking.Go(func() { r.fetchUntilDone(ctx, member, view, answers) })
-		}
+	givers := r.givers(view)
+	answers := make(chan storage.Tables, len(givers))
+	for _, giver := range givers {
+		asking.Go(func() { r.fetchUntilDone(ctx, giver, view, answers) })
 	}
 	copies := make([]storage.Tables, 0, needed)
 	for len(copies) < needed {
@@ -94,23 +130,67 @@
 	return copies
 }
 
-// fetchUntilDone asks one member until it gives a copy.
+// fetchUntilDone asks one member until it gives a copy. A request or an answer may have been lost without a sign, so
+// another is asked for after a while, though a large copy may still be on its way.
 func (r *Rebuilder) fetchUntilDone(ctx context.Context, member string, view replicaset.View, answers chan<- storage.Tables) {
-	for ctx.Err() == nil {
-		tables, err := r.fetch(ctx, member, view)
-		if err == nil {
+	ctx, cancel := context.WithCancel(ctx)
+	var open sync.WaitGroup
+	defer open.Wait()
+	defer cancel()
+	got := make(chan storage.Tables, openFetches)
+	slots := make(chan struct{}, openFetches)
+	for {
+		select {
+		case slots <- struct{}{}:
+			open.Go(func() {
+				r.fetchOnce(ctx, member, view, got)
+				<-slots
+			})
+		default:
+		}
+		if tables, found := r.awaitCopy(ctx, got, slots); found {
 			answers <- tables
 			return
 		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// awaitCopy waits for a copy until the member is to be asked again.
+func (r *Rebuilder) awaitCopy(ctx context.Context, got <-chan storage.Tables, slots <-chan struct{}) (storage.Tables, bool) {
+	begun := time.Now()
+	for time.Since(begun) < reaskInterval {
+		timer := time.NewTimer(askInterval)
+		select {
+		case tables := <-got:
+			timer.Stop()
+			return tables, true
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, false
+		case <-timer.C:
+		}
+		if len(slots) == 0 {
+			return nil, false // refused
+		}
+	}
+	return nil, false
+}
+
+func (r *Rebuilder) fetchOnce(ctx context.Context, member string, view replicaset.View, got chan<- storage.Tables) {
+	tables, err := r.fetch(ctx, member, view)
+	if err != nil {
 		r.config.Logger.Debug("copy of a member's tables", zap.String("member", member), zap.Error(err))
-		sleep(ctx, askInterval)
+		return
 	}
+	got <- tables
 }
 
 func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
 	defer cancel()
-	var reply dumpReply
-	err := r.config.Caller.Call(ctx, member, dumpPath, dumpRequest{Member: r.config.Self, View: view}, &reply)
+	reply, err := dumpCall.Call(ctx, r.config.Caller, member, dumpRequest{Member: r.config.Self, View: view})
 	return reply.Tables, err
 }
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -33,8 +33,10 @@
 	TableName   = "rebuild"
 	completeKey = "complete"
 	askInterval = 250 * time.Millisecond
-	dumpLimit   = 10 * time.Second
-	dumpPath    = "/rebuild/dump"
+	// reaskInterval is how long a member's copy is waited for before another is asked for; openFetches are open at most.
+	reaskInterval = time.Second
+	openFetches   = 3
+	dumpLimit     = 10 * time.Second
 )
 
 var (
@@ -67,12 +69,14 @@
 
 // Config names what a Rebuilder works with.
 type Config struct {
-	Self       string // this process's internal address
-	FirstStart bool   // whether the system starts for the very first time; then there is nothing to bring back
-	Views      Views
-	Store      storage.SnapshotStore
-	Caller     transport.Caller
-	Logger     *zap.Logger
+	Self string // this process's internal address
+	// Incarnation is this process's number in the view with which it became a member; 0 where it never does so.
+	Incarnation uint64
+	FirstStart  bool // whether the system starts for the very first time; then there is nothing to bring back
+	Views       Views
+	Store       storage.SnapshotStore
+	Caller      transport.Caller
+	Logger      *zap.Logger
 }
 
 // Rebuilder decides whether this member is complete, and makes it so.
@@ -171,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.install(copies, absences); err != nil {
+	if err := r.install(ctx, copies, absences); err != nil {
 		return fmt.Errorf("rebuild: %w", err)
 	}
 	r.finish(absences)
@@ -187,7 +191,7 @@
 		changed := views.Changed()
 		absences := views.Absences()
 		if view := views.View(); view.Has(r.config.Self) {
-			copies := r.collectFrom(ctx, view, changed, copiesNeeded(view, absences))
+			copies := r.collectFrom(ctx, view, changed, CopiesNeeded(view, absences))
 			if copies != nil && views.View().Version == view.Version {
 				return copies, absences, nil
 			}
@@ -200,13 +204,13 @@
 	}
 }
 
-// copiesNeeded is how many other members a rebuild asks, given how often this process was no member. One that lost its
+// CopiesNeeded is how many other members a rebuild asks, given how often this process was no member. One that lost its
 // disk asks as many as meet each majority that it was part of. A newcomer asks a quorum, which is one more where the
 // number of members is even: until it has been rebuilt, too few members may have learned of its view to keep the others
 // from deciding in the view before.
-func copiesNeeded(view replicaset.View, absences uint64) int {
+func CopiesNeeded(view replicaset.View, absences uint64) int {
 	if absences > 0 {
-		return min(view.Quorum(), len(view.Members)-1)
+		return max(1, min(view.Quorum(), len(view.Members)-1))
 	}
 	return len(view.Members) - view.Quorum() + 1
 }
--- a/internal/controlplane/replicaset/core_test.go
+++ b/internal/controlplane/replicaset/core_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +36,9 @@
 	dumpsOld       bool // a member gives a copy of its tables without having learned the view of the one who asks
 	keepsOldVotes  bool // a member that was replaced and comes back votes by what its disk holds
 	ownSuccessions bool // the next view is what a single member decides
+	goesAtOnce     bool // a member that is told to stop does not wait for its successor
+	keepsItsPlace  bool // a member that is told to stop does not vote for its own replacement
+	takesItsCopy   bool // a member that was replaced gives no copy
 }
 
 // cluster is a set of core mixers on a network in memory, each with all that takes part in the change of members, and with
@@ -43,6 +49,8 @@
 	seeds   []string
 	mutant  mutant
 	tasks   sync.WaitGroup
+	log     *zap.Logger                       // of the parts that lead; nil for none
+	leads   func(p *core) replication.Handler // of a group on the members' disks; nil for none
 
 	mutex   sync.Mutex // guards what follows
 	running map[string]*core
@@ -56,43 +64,24 @@
 	start     time.Time
 	disk      *storage.Memory
 	store     *mortalStore
+	caller    transport.Caller
 	manager   *replicaset.Manager
 	rebuilder *rebuild.Rebuilder
 	register  *register.Register
 	node      *replication.Node
 	ctx       context.Context
 	kill      context.CancelFunc
+	failed    atomic.Bool // a part ended with an error
 }
 
-// mortalStore lets a process write to a disk until the process is killed.
-type mortalStore struct {
-	*storage.Memory
-	mutex sync.Mutex
-	dead  bool
-}
-
-var errDead = errors.New("the process was killed")
+// ended tells whether a part of the process ended with an error, which ends a coordinator.
+func (p *core) ended() bool { return p.failed.Load() }
 
-// Write implements storage.Store.
-func (s *mortalStore) Write(changes ...storage.Change) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.dead {
-		return errDead
+// part runs a part of the process.
+func (p *core) part(run func(ctx context.Context) error) {
+	if err := run(p.ctx); err != nil && p.ctx.Err() == nil {
+		p.failed.Store(true)
 	}
-	return s.Memory.Write(changes...)
-}
-
-func (s *mortalStore) end() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.dead = true
-}
-
-func (s *mortalStore) alive() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return !s.dead
 }
 
 // inCluster runs a test in simulated time, after the given members have founded the first view.
@@ -112,6 +101,7 @@
 // start starts a process unless there is one at the address.
 func (c *cluster) start(address, zone string, disk *storage.Memory, firstStart bool) *core {
 	p := &core{address: address, zone: zone, start: time.Now(), disk: disk, store: &mortalStore{Memory: disk}}
+	p.caller = mortalCaller{c.network.Caller(address), p.store}
 	p.ctx, p.kill = context.WithCancel(context.Background())
 	mux := transport.NewMux()
 	c.assembleViews(p, mux, firstStart)
@@ -126,8 +116,8 @@
 	}
 	c.running[address] = p
 	c.network.Serve(address, mux)
-	c.tasks.Go(func() { p.manager.Run(p.ctx) })
-	c.tasks.Go(func() { p.rebuilder.Run(p.ctx) })
+	c.tasks.Go(func() { p.part(p.manager.Run) })
+	c.tasks.Go(func() { p.part(p.rebuilder.Run) })
 	c.tasks.Go(func() { p.node.Run(p.ctx) })
 	c.tasks.Go(func() { c.watch(p) })
 	return p
@@ -136,16 +126,17 @@
 func (c *cluster) assembleViews(p *core, mux *transport.Mux, firstStart bool) {
 	ready := func() bool { return p.store.alive() && p.rebuilder.Ready() }
 	founding := register.NewFounding(register.FoundingConfig{
-		Self: p.address, Store: p.store, Ready: ready, Caller: c.network.Caller(p.address),
+		Self: p.address, Store: p.store, Ready: ready, Caller: p.caller,
 		Founders: func() []string { return p.manager.Founders() },
 	})
 	succession := register.NewSuccession(register.SuccessionConfig{
-		Self: p.address, Store: p.store, Ready: ready, Caller: c.network.Caller(p.address),
-		View: func() replicaset.View { return p.manager.View() },
+		Self: p.address, Store: p.store, Ready: ready, Caller: p.caller,
+		View:      func() replicaset.View { return p.manager.View() },
+		Departing: func() bool { return !c.mutant.keepsItsPlace && p.manager.Departing() },
 	})
 	config := replicaset.Config{
 		Self: p.address, Zone: p.zone, Seeds: c.seeds, FirstStart: firstStart, CountsForQuorum: true,
-		Store: p.store, Caller: c.network.Caller(p.address), Logger: zap.NewNop(),
+		Store: p.store, Caller: p.caller, Logger: zap.NewNop(),
 		Founding: founding, Succession: succession, Contacts: p.contacts,
 	}
 	if c.mutant.ownSuccessions {
@@ -179,14 +170,19 @@
 	if c.mutant.keepsOldVotes {
 		views = forgetfulViews{p.manager}
 	}
+	incarnation := p.manager.Incarnation()
+	if c.mutant.takesItsCopy {
+		incarnation = 0
+	}
 	rebuilder, err := rebuild.New(rebuild.Config{
-		Self: p.address, FirstStart: firstStart, Views: views,
-		Store: p.store, Caller: c.network.Caller(p.address), Logger: zap.NewNop(),
+		Self: p.address, Incarnation: incarnation, FirstStart: firstStart, Views: views,
+		Store: p.store, Caller: p.caller, Logger: zap.NewNop(),
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	rebuilder.Register(register.Merge, register.TablePrefix)
+	rebuilder.Register(rebuild.Infallible(replication.MergeTables), replication.StateTablePrefix, replication.MetaTablePrefix)
 	rebuilder.Serve(mux)
 	p.rebuilder = rebuilder
 }
@@ -202,20 +198,31 @@
 	})
 	acceptor.Serve(mux)
 	p.register = register.New(register.Config{
-		Name: testRegister, Self: p.address, Acceptor: acceptor, View: p.manager.View, Caller: c.network.Caller(p.address),
+		Name: testRegister, Self: p.address, Acceptor: acceptor, View: p.manager.View, Caller: p.caller,
 		Newer: func(view replicaset.View) { p.manager.Learn(view) },
 	})
 }
 
-// assembleNode makes the part that pings the other members.
+// assembleNode makes the part that pings the other members, and leads the group where there is one.
 func (c *cluster) assembleNode(p *core, mux *transport.Mux) {
-	node, err := replication.NewNode(replication.Config{
-		Self: p.address, Store: storage.NewMemory(), Caller: c.network.Caller(p.address), View: p.manager.View,
-		Ready: p.rebuilder.Ready, Handler: noGroups{},
-	})
+	config := replication.Config{
+		Self: p.address, Store: storage.NewMemory(), Caller: p.caller, View: p.manager.View,
+		Ready: func() bool { return c.mutant.noRebuild || p.rebuilder.Ready() }, Handler: noGroups{},
+		Log: c.log,
+	}
+	if c.log != nil {
+		config.Log = c.log.With(zap.String("at", p.address))
+	}
+	if c.leads != nil {
+		config.Store, config.Handler = p.store, c.leads(p)
+	}
+	node, err := replication.NewNode(config)
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.leads != nil {
+		node.Ensure(modelGroup)
+	}
 	node.Serve(mux)
 	p.node = node
 }
@@ -227,9 +234,11 @@
 func (noGroups) Elected(*replication.Term, map[string][]byte) {}
 func (noGroups) Deposed(*replication.Term)                    {}
 
-// watch starts a process again, on its disk, when it has ended because it was replaced.
+// watch starts a process again, on its disk, when it has ended because it was replaced. One that was told to stop ends by
+// itself.
 func (c *cluster) watch(p *core) {
-	if err := p.rebuilder.Watch(p.ctx); !errors.Is(err, rebuild.ErrReplaced) || !c.stop(p) {
+	err := p.rebuilder.Watch(p.ctx)
+	if !errors.Is(err, rebuild.ErrReplaced) || p.manager.Departing() || !c.stop(p) {
 		return
 	}
 	<-time.After(restartTime)
@@ -250,6 +259,21 @@
 	return true
 }
 
+// handOverTime is what a coordinator takes of a grace period of six seconds.
+const handOverTime = 3 * time.Second
+
+// tellToStop lets a process hand over to a newcomer if one waits, and then ends it, as a coordinator does.
+func (c *cluster) tellToStop(p *core) {
+	limited, cancel := context.WithTimeout(p.ctx, handOverTime)
+	defer cancel()
+	if c.mutant.goesAtOnce {
+		limited, cancel = context.WithTimeout(p.ctx, time.Millisecond)
+		defer cancel()
+	}
+	p.rebuilder.HandOver(limited, p.manager.Leave)
+	c.stop(p)
+}
+
 // at returns the process at an address; nil while there is none.
 func (c *cluster) at(address string) *core {
 	c.mutex.Lock()
@@ -268,6 +292,13 @@
 	return all
 }
 
+// sorted lists the running processes by address.
+func (c *cluster) sorted() []*core {
+	all := c.all()
+	slices.SortFunc(all, func(a, b *core) int { return strings.Compare(a.address, b.address) })
+	return all
+}
+
 func (c *cluster) end() {
 	c.mutex.Lock()
 	c.ending = true
@@ -298,68 +329,3 @@
 	}
 	return time.Since(p.start)
 }
-
-// ownSuccession decides alone.
-type ownSuccession struct{}
-
-// Settle implements replicaset.Succession.
-func (ownSuccession) Settle(_ context.Context, _, next replicaset.View) (replicaset.View, error) {
-	return next, nil
-}
-
-// Pending implements replicaset.Succession.
-func (ownSuccession) Pending(replicaset.View) (replicaset.View, bool, error) {
-	return replicaset.View{}, false, nil
-}
-
-// forgetfulViews says that this process has always been a member.
-type forgetfulViews struct{ *replicaset.Manager }
-
-// Absences implements rebuild.Views.
-func (forgetfulViews) Absences() uint64 { return 0 }
-
-// creditingViews answers as if each view that it was told were learned.
-type creditingViews struct {
-	*replicaset.Manager
-	mutex sync.Mutex
-	told  replicaset.View
-}
-
-// Learn implements rebuild.Views.
-func (v *creditingViews) Learn(view replicaset.View) error {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	v.told = view
-	return nil
-}
-
-// View implements rebuild.Views.
-func (v *creditingViews) View() replicaset.View {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	if known := v.Manager.View(); known.Version >= v.told.Version {
-		return known
-	}
-	return v.told
-}
-
-// lag is how long a member serves the old view in a mutant.
-const lag = 4 * time.Second
-
-// laggingView returns a view some time after it became the current one.
-func laggingView(current func() replicaset.View) func() replicaset.View {
-	var mutex sync.Mutex
-	var served, newest replicaset.View
-	var since time.Time
-	return func() replicaset.View {
-		mutex.Lock()
-		defer mutex.Unlock()
-		if view := current(); view.Version != newest.Version {
-			served, newest, since = newest, view, time.Now()
-		}
-		if served.Version == 0 || time.Since(since) >= lag {
-			served = newest
-		}
-		return served
-	}
-}
--- a/internal/controlplane/replicaset/exchange.go
+++ b/internal/controlplane/replicaset/exchange.go
@@ -9,13 +9,14 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
-// Paths of the internal calls.
-const (
-	viewPath     = "/replicaset/view"
-	announcePath = "/replicaset/announce"
-	leavePath    = "/replicaset/leave"
+// Internal calls. A goodbye that came a second time, or late, would end the membership of one that is back.
+var (
+	viewCall     = transport.NewRepeatable[viewRequest, viewReply]("/replicaset/view")
+	announceCall = transport.NewRepeatable[announceRequest, viewReply]("/replicaset/announce")
+	leaveCall    = transport.NewOnce[leaveRequest, leaveReply]("/replicaset/leave")
 )
 
 // callLimit bounds each of the internal calls.
@@ -29,9 +30,10 @@
 // announceRequest tells that the sender is a core mixer: before the first view one that may become a replica, later one
 // that is no member of the view.
 type announceRequest struct {
-	Address string `msgpack:"a"`
-	Zone    string `msgpack:"z,omitempty"`
-	View    View   `msgpack:"v"` // the newest that the sender knows
+	Address     string `msgpack:"a"`
+	Zone        string `msgpack:"z,omitempty"`
+	Incarnation uint64 `msgpack:"i"`
+	View        View   `msgpack:"v"` // the newest that the sender knows
 }
 
 // viewReply is the answer to both; the version is 0 while the receiver knows no view.
@@ -52,8 +54,8 @@
 }
 
 func exchange(ctx context.Context, caller transport.Caller, address string, known View) (View, error) {
-	var reply viewReply
-	if err := caller.Call(ctx, address, viewPath, viewRequest{View: known}, &reply); err != nil {
+	reply, err := viewCall.Call(ctx, caller, address, viewRequest{View: known})
+	if err != nil {
 		return View{}, fmt.Errorf("ask for the replicas: %w", err)
 	}
 	return reply.View, nil
@@ -61,9 +63,9 @@
 
 // Serve registers the internal calls.
 func (m *Manager) Serve(mux *transport.Mux) {
-	transport.Handle(mux, viewPath, m.handleView)
-	transport.Handle(mux, announcePath, m.handleAnnounce)
-	transport.Handle(mux, leavePath, m.handleLeave)
+	transport.Handle(mux, viewCall, m.handleView)
+	transport.Handle(mux, announceCall, m.handleAnnounce)
+	transport.Handle(mux, leaveCall, m.handleLeave)
 }
 
 func (m *Manager) handleView(_ context.Context, request viewRequest) (viewReply, error) {
@@ -84,7 +86,7 @@
 	case m.view.Version == 0:
 		m.announcements.add(request.Address, request.Zone, now)
 	case request.View.Version == m.view.Version && !m.view.Has(request.Address):
-		m.newcomers.add(newcomer{address: request.Address, zone: request.Zone}, now)
+		m.newcomers.add(newcomer{address: request.Address, zone: request.Zone, incarnation: request.Incarnation}, now)
 		m.signal()
 	}
 	return viewReply{View: m.view}, nil
@@ -138,20 +140,42 @@
 	m.exchangeWith(limited, others[m.exchanges%len(others)])
 }
 
+// exchangeAfterSilence exchanges views with all other members while this process is out of contact with a majority, and once
+// more when it is back: after its start, a cut or a freeze it may have been replaced, and is to hear of that at once, as it
+// then has to start over and to be rebuilt within the time that it is given to catch up.
+func (m *Manager) exchangeAfterSilence(ctx context.Context) {
+	if m.config.Contacts == nil {
+		return
+	}
+	now := time.Now()
+	silent := !m.config.Contacts().Majority || now.Sub(m.touched) > observationGap
+	m.touched = now
+	if silent || m.wasSilent {
+		m.tell(ctx, m.View().Members)
+	}
+	m.wasSilent = silent
+}
+
 // announceTo tells another process of this one, and takes its view.
 func (m *Manager) announceTo(ctx context.Context, address string) {
-	var reply viewReply
-	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, View: m.View()}
-	if err := m.config.Caller.Call(ctx, address, announcePath, request, &reply); err != nil {
+	request := announceRequest{Address: m.config.Self, Zone: m.config.Zone, Incarnation: m.incarnation, View: m.View()}
+	reply, err := announceCall.Call(ctx, m.config.Caller, address, request)
+	if err != nil {
 		m.config.Logger.Debug("announce", zap.String("to", address), zap.Error(err))
 		return
 	}
 	m.learned(reply.View)
 }
 
-// learned takes a view from an answer. A failure of the store ends Run.
+// learned takes a view from an answer. A failure of the store ends Run; one that only refuses the write, as a full disk
+// does, leaves this process with the view that it has, and it hears of the newer one again.
 func (m *Manager) learned(view View) {
-	if err := m.learnIfNewer(view); err != nil {
+	err := m.learnIfNewer(view)
+	switch {
+	case err == nil:
+	case verdict.Of(err) == verdict.NotRun:
+		m.config.Logger.Warn("view of the replicas not taken", zap.Uint64("version", view.Version), zap.Error(err))
+	default:
 		select {
 		case m.failures <- err:
 		default:
--- a/internal/controlplane/replicaset/networktest/network.go
+++ b/internal/controlplane/replicaset/networktest/network.go
@@ -6,19 +6,17 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"puffinlink.example/puffinlink/internal/transport"
-	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 // Faults are what a network does to each request and each reply on its own.
@@ -39,7 +37,9 @@
 	random   *rand.Rand
 	faults   Faults
 	handlers map[string]http.Handler
-	cut      map[string]bool
+	mute     map[string]bool      // from which nothing passes
+	deaf     map[string]bool      // to which nothing passes
+	held     map[string]time.Time // until when messages from and to an address wait
 	rules    []Rule
 }
 
@@ -58,7 +58,9 @@
 	return &Network{
 		random:   rand.New(rand.NewPCG(seed, 0)),
 		handlers: make(map[string]http.Handler),
-		cut:      make(map[string]bool),
+		mute:     make(map[string]bool),
+		deaf:     make(map[string]bool),
+		held:     make(map[string]time.Time),
 	}
 }
 
@@ -76,6 +78,13 @@
 	n.rules = append(n.rules, rule)
 }
 
+// ClearRules takes back all rules.
+func (n *Network) ClearRules() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.rules = nil
+}
+
 // Serve makes an address answer; nil makes it refuse.
 func (n *Network) Serve(address string, handler http.Handler) {
 	n.mutex.Lock()
@@ -84,16 +93,32 @@
 }
 
 // Cut lets nothing pass to or from an address until it is joined again.
-func (n *Network) Cut(address string, cut bool) {
+func (n *Network) Cut(address string, cut bool) { n.CutOneWay(address, cut, cut) }
+
+// CutOneWay lets nothing pass from an address, or to it, until that is taken back.
+func (n *Network) CutOneWay(address string, from, to bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.mute[address], n.deaf[address] = from, to
+}
+
+// Hold keeps all messages from and to an address for a time, and then lets them go on.
+func (n *Network) Hold(address string, span time.Duration) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.cut[address] = cut
+	n.held[address] = time.Now().Add(span)
 }
 
-// Caller returns the Caller of the process at an address.
-func (n *Network) Caller(from string) transport.Caller { return &caller{n, from} }
+// Caller returns the Caller of the process at an address. It keeps what it learns of others like that of a real process.
+func (n *Network) Caller(from string) transport.Caller { return n.CallerOf("", from) }
 
-type caller struct {
+// CallerOf returns the Caller of the process at an address, which is of a cluster.
+func (n *Network) CallerOf(cluster, from string) transport.Caller {
+	return transport.NewClientOver(cluster, &carrier{n, from})
+}
+
+// carrier brings one process's requests to their addresses.
+type carrier struct {
 	network *Network
 	from    string
 }
@@ -104,24 +129,31 @@
 	delay time.Duration
 }
 
-// Call implements transport.Caller.
-func (c *caller) Call(ctx context.Context, address, path string, request, reply any) error {
-	body, err := msgpack.Marshal(request)
+// RoundTrip implements http.RoundTripper.
+func (c *carrier) RoundTrip(request *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(request.Body)
 	if err != nil {
-		return verdict.Unexecuted(err, 0)
+		return nil, err
 	}
-	replies := make(chan *httptest.ResponseRecorder, 2)
+	ctx, address, path := request.Context(), request.URL.Host, request.URL.Path
+	replies := make(chan arrival, 2)
 	for _, way := range c.network.requests(c.from, address, path) {
-		go c.network.deliver(ctx, way, c.from, address, path, body, replies)
+		go c.network.deliver(ctx, way, c.from, address, path, request.Header, body, replies)
 	}
 	select {
 	case answer := <-replies:
-		return decode(address, path, answer, reply)
+		return answer.response, answer.err
 	case <-ctx.Done():
-		return verdict.Unclear(fmt.Errorf("call %s%s: %w", address, path, context.Cause(ctx)))
+		return nil, context.Cause(ctx)
 	}
 }
 
+// arrival is an answer, or the failure to reach anybody.
+type arrival struct {
+	response *http.Response
+	err      error
+}
+
 // requests draws how a request fares: once or, where it is doubled, twice.
 func (n *Network) requests(from, to, path string) []message {
 	n.mutex.Lock()
@@ -170,15 +202,17 @@
 }
 
 // deliver carries a request to its handler and the reply back.
-func (n *Network) deliver(ctx context.Context, way message, from, to, path string, body []byte, replies chan<- *httptest.ResponseRecorder) {
+func (n *Network) deliver(ctx context.Context, way message, from, to, path string, header http.Header, body []byte, replies chan<- arrival) {
 	travel(way.delay)
+	n.wait(from, to)
 	if way.lost || n.separated(from, to) {
 		return
 	}
-	answer := n.handle(to, path, body)
+	answer := n.handle(to, path, header, body)
 	back := n.answer()
 	travel(back.delay)
-	if back.lost || n.separated(from, to) || ctx.Err() != nil {
+	n.wait(from, to)
+	if back.lost || n.separated(to, from) || ctx.Err() != nil {
 		return
 	}
 	replies <- answer
@@ -194,31 +228,30 @@
 func (n *Network) separated(from, to string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.cut[from] || n.cut[to]
+	return n.mute[from] || n.deaf[to]
+}
+
+// wait waits while messages of either address are held.
+func (n *Network) wait(one, other string) {
+	n.mutex.Lock()
+	span := max(time.Until(n.held[one]), time.Until(n.held[other]))
+	n.mutex.Unlock()
+	travel(span)
 }
 
-func (n *Network) handle(to, path string, body []byte) *httptest.ResponseRecorder {
+func (n *Network) handle(to, path string, header http.Header, body []byte) arrival {
 	n.mutex.Lock()
 	handler := n.handlers[to]
 	n.mutex.Unlock()
-	answer := httptest.NewRecorder()
 	if handler == nil {
-		http.Error(answer, errUnreachable.Error(), http.StatusServiceUnavailable)
-		return answer
+		return arrival{err: &net.OpError{Op: "dial", Net: "memory", Err: errUnreachable}}
 	}
-	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
-	return answer
-}
-
-// decode reads a reply as transport.Client does.
-func decode(address, path string, answer *httptest.ResponseRecorder, reply any) error {
-	switch answer.Code {
-	case http.StatusOK:
-		return msgpack.Unmarshal(answer.Body.Bytes(), reply)
-	case http.StatusServiceUnavailable, http.StatusNotFound:
-		milliseconds, _ := strconv.Atoi(answer.Header().Get(transport.RetryAfterHeader))
-		pause := time.Duration(milliseconds) * time.Millisecond
-		return verdict.Unexecuted(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body), pause)
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: path}, Host: to, RequestURI: path,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header.Clone(),
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 	}
-	return verdict.Unclear(fmt.Errorf("%s%s answered %d: %s", address, path, answer.Code, answer.Body))
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, request)
+	return arrival{response: answer.Result()}
 }
--- a/internal/controlplane/replicaset/replacement_test.go
+++ b/internal/controlplane/replicaset/replacement_test.go
@@ -17,11 +17,10 @@
 // catchUp is how long a newcomer may take from its start until it is a full member.
 const catchUp = 4 * time.Second
 
-// viewOf returns the view that a process works with, without the zones.
+// viewOf returns the view that a process works with: its version and members.
 func (c *cluster) viewOf(address string) replicaset.View {
 	view := c.at(address).manager.View()
-	view.Zones = nil
-	return view
+	return replicaset.View{Version: view.Version, Members: view.Members}
 }
 
 // enter starts a newcomer and returns how long it takes to become a full member.
@@ -248,3 +247,68 @@
 		convey.So(version, convey.ShouldEqual, 1)
 	})
 }
+
+// A next view was accepted by single members when the one that it replaces came back. Many newcomers wait.
+func TestAViewThatWasBegunIsFinishedWhileNewcomersWait(t *testing.T) {
+	members := addresses(3)
+	var before, after uint64
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		for i := range 6 {
+			c.start(fmt.Sprintf("new-%d", i), "elsewhere", storage.NewMemory(), false)
+			<-time.After(33 * time.Millisecond)
+		}
+		c.network.AddRule(networktest.Rule{Path: "/register/replicaset/next/accept", Lose: true})
+		c.network.Cut(members[0], true)
+		<-time.After(2500 * time.Millisecond)
+		c.network.Cut(members[0], false)
+		<-time.After(2 * time.Second)
+		before = c.viewOf(members[0]).Version
+		c.network.ClearRules()
+		<-time.After(catchUp)
+		after = c.viewOf(members[1]).Version
+	})
+	convey.Convey("Though nobody is silent any more, the view is settled", t, func() {
+		convey.So(before, convey.ShouldEqual, 1)
+		convey.So(after, convey.ShouldEqual, 2)
+	})
+}
+
+// A member was replaced while it was down or cut off. Once it is back it may count after the time to catch up, so the next
+// loss may come then.
+func TestAMemberThatIsBackAndWasReplacedCatchesUpInTime(t *testing.T) {
+	members := addresses(3)
+	away := map[string]func(c *cluster, p *core){
+		"down": func(c *cluster, p *core) {
+			c.stop(p)
+			<-time.After(2600 * time.Millisecond)
+			c.start(p.address, p.zone, p.disk, false)
+		},
+		"cut off": func(c *cluster, p *core) {
+			c.network.Cut(p.address, true)
+			<-time.After(2600 * time.Millisecond)
+			c.network.Cut(p.address, false)
+		},
+	}
+	for how, goAway := range away {
+		for phase := range 5 {
+			var value string
+			var err error
+			inCluster(t, 1, mutant{}, members, func(c *cluster) {
+				c.write(members[0], written)
+				c.start("new", "elsewhere", storage.NewMemory(), false)
+				<-time.After(catchUp + time.Duration(phase)*300*time.Millisecond)
+				goAway(c, c.at(members[1]))
+				back := time.Now()
+				<-time.After(600 * time.Millisecond)
+				c.tellToStop(c.at(members[2])) // its place is free for the one that is back
+				<-time.After(time.Until(back.Add(catchUp)))
+				c.stop(c.at("new"))
+				value, err = c.read(members[0]), c.write(members[0], "after")
+			})
+			convey.Convey(fmt.Sprintf("A member is replaced while it is %s, phase %d", how, phase), t, func() {
+				convey.So(value, convey.ShouldEqual, written)
+				convey.So(err, convey.ShouldBeNil)
+			})
+		}
+	}
+}
--- a/internal/controlplane/replicaset/run.go
+++ b/internal/controlplane/replicaset/run.go
@@ -10,6 +10,8 @@
 const (
 	askInterval      = 200 * time.Millisecond  // between calls to one process, to learn the view or to become a member
 	considerInterval = 100 * time.Millisecond  // between looks at the members while a newcomer waits
+	finishInterval   = 300 * time.Millisecond  // between looks for a next view that was begun, while newcomers wait
+	contactInterval  = 300 * time.Millisecond  // between looks whether this process is in contact with a majority
 	exchangeInterval = 1500 * time.Millisecond // between exchanges with the next member
 	exchangeLimit    = 500 * time.Millisecond
 )
@@ -40,7 +42,7 @@
 	case view.Version == 0:
 		m.callAll(ctx, &calls, m.without(slices.Concat(m.founders, m.config.Seeds)), m.firstCall())
 		step, interval = m.found, askInterval
-	case m.config.CountsForQuorum && !view.Has(m.config.Self):
+	case m.config.CountsForQuorum && !view.Has(m.config.Self) && !m.departing.Load():
 		m.callAll(ctx, &calls, view.Members, m.announceTo)
 	default:
 		return m.keepMembership(ctx, changed)
@@ -89,10 +91,17 @@
 	}
 }
 
-// keepMembership exchanges views now and then. While there are newcomers, it looks for a member to replace instead.
+// keepMembership exchanges views now and then. While there are newcomers, it looks for a member to replace instead. What was
+// begun is finished in either case, however often newcomers are heard.
 func (m *Manager) keepMembership(ctx context.Context, changed <-chan struct{}) error {
-	timer := time.NewTimer(exchangeInterval)
-	defer timer.Stop()
+	contact := time.NewTimer(0)
+	defer contact.Stop()
+	finish := time.NewTicker(finishInterval)
+	defer finish.Stop()
+	exchange := time.NewTicker(exchangeInterval)
+	defer exchange.Stop()
+	consider := time.NewTimer(considerInterval)
+	defer consider.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,18 +110,24 @@
 			return nil
 		case err := <-m.failures:
 			return err
-		case <-m.wake:
-		case <-timer.C:
+		case <-contact.C:
+			m.exchangeAfterSilence(ctx)
+			contact.Reset(contactInterval)
+		case <-finish.C:
+			if m.NewcomersWait() {
+				m.finishPending(ctx)
+			}
+		case <-exchange.C:
 			m.finishPending(ctx)
-			if !m.newcomersWait() {
+			if !m.NewcomersWait() {
 				m.exchangeWithNext(ctx)
 			}
+		case <-m.wake:
+		case <-consider.C:
 		}
-		if m.newcomersWait() {
+		if m.NewcomersWait() {
 			m.considerReplacing(ctx)
-			timer.Reset(considerInterval)
-		} else {
-			timer.Reset(exchangeInterval)
+			consider.Reset(considerInterval)
 		}
 	}
 }
--- a/internal/controlplane/replication/node.go
+++ b/internal/controlplane/replication/node.go
@@ -30,6 +30,7 @@
 	Log     *zap.Logger
 	Clock   Clock // the process's steady clock when nil
 	Timing  Timing
+	Limits  Limits
 }
 
 // Node is one core mixer's part in all replication groups.
@@ -74,6 +75,7 @@
 	return &core{
 		self: config.Self, timing: config.Timing, log: config.Log, store: config.Store, handler: config.Handler,
 		clock: config.Clock, random: random, now: config.Clock.Now(),
+		limits: config.Limits.withDefaults(), receiving: make(map[string]bool),
 		groups:  make(map[string]*group),
 		leaders: newLeaderTable(),
 		members: newMembers(config.Self, config.Timing.Alive),
@@ -82,16 +84,19 @@
 
 // Serve adds the node's internal calls to a mux.
 func (n *Node) Serve(mux *transport.Mux) {
-	transport.Handle(mux, preparePath, func(ctx context.Context, request prepareRequest) (prepareReply, error) {
+	transport.Handle(mux, prepareCall, func(ctx context.Context, request prepareRequest) (prepareReply, error) {
 		return serve(ctx, n, func(reply func(prepareReply)) { n.core.prepare(request, reply) })
 	})
-	transport.Handle(mux, appendPath, func(ctx context.Context, request appendRequest) (appendReply, error) {
+	transport.Handle(mux, appendCall, func(ctx context.Context, request appendRequest) (appendReply, error) {
 		return serve(ctx, n, func(reply func(appendReply)) { n.core.append(request, reply) })
 	})
-	transport.Handle(mux, pingPath, func(ctx context.Context, request pingRequest) (pingReply, error) {
+	transport.Handle(mux, stateCall, func(ctx context.Context, request stateRequest) (stateReply, error) {
+		return serve(ctx, n, func(reply func(stateReply)) { n.core.state(request, reply) })
+	})
+	transport.Handle(mux, pingCall, func(ctx context.Context, request pingRequest) (pingReply, error) {
 		return serve(ctx, n, func(reply func(pingReply)) { n.core.ping(request, reply) })
 	})
-	transport.Handle(mux, resignPath, func(ctx context.Context, request resignRequest) (resignReply, error) {
+	transport.Handle(mux, resignCall, func(ctx context.Context, request resignRequest) (resignReply, error) {
 		return serve(ctx, n, func(reply func(resignReply)) {
 			n.core.resigned(request)
 			reply(resignReply{})
@@ -173,7 +178,7 @@
 	defer n.tasks.Done()
 	ctx, cancel := context.WithTimeout(n.ctx, one.limit)
 	defer cancel()
-	err := n.config.Caller.Call(ctx, one.address, one.path, one.request, one.reply)
+	err := n.config.Caller.Call(ctx, one.address, one.route, one.request, one.reply)
 	return n.step(func() { one.done(err) })
 }
 
--- a/internal/dataplane/clients/clients_test.go
+++ b/internal/dataplane/clients/clients_test.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/rs/zerolog"
+	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/counters"
 	"puffinlink.example/puffinlink/internal/dataplane/mixer"
@@ -36,7 +36,7 @@
 	set := settings.Settings{Net: settings.Net{Indexes: []string{"reads", "orders"}, Customers: []string{"acme"}, Shards: 8}}
 	set.Limits.RetryAfter = true
 	r := &fixture{T: t, told: queuetest.New[mixer.Event]()}
-	r.Server = New(set, most, 64<<20, r.told.Queue, zerolog.Nop(), counters.New())
+	r.Server = New(set, most, 64<<20, r.told.Queue, zap.NewNop(), counters.New())
 	if change != nil {
 		change(r.Server)
 	}
@@ -317,6 +317,7 @@
 	idle.ask()
 	r.event(logic.LookupTaken).Done <- mixer.Reply{End: mixer.Aborted}
 	idle.expect(500)
+	r.idle(idle) // until then its lookup counts as held
 	for range 4 {
 		busy := r.dial()
 		busy.ask()
--- a/internal/dataplane/proxy/follower.go
+++ b/internal/dataplane/proxy/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,21 @@
 	changed chan struct{}
 }
 
+// groupsBut lists all groups but one: those of the services in force, and those that have a leader.
+func (v *view) groupsBut(own string) []string {
+	groups := make(map[string]struct{}, len(v.leaders))
+	for group := range v.leaders {
+		groups[group] = struct{}{}
+	}
+	if v.router != nil {
+		for _, service := range v.router.Services() {
+			groups[feed.GroupOf(service)] = struct{}{}
+		}
+	}
+	delete(groups, own)
+	return slices.Collect(maps.Keys(groups))
+}
+
 // follower keeps the newest view by following the agent on the same machine.
 type follower struct {
 	agent    string // address
@@ -47,8 +64,8 @@
 
 	mutex    sync.Mutex
 	view     *view
-	current  bool // as the agent said last
-	heard    time.Time
+	current  bool                        // as the agent said last
+	heard    time.Time                   // the agent was asked then for the newest answer: this process may have stood still since
 	attempts map[*leaderAttempt]struct{} // under way
 }
 
@@ -92,14 +109,15 @@
 
 // poll asks the agent once. Progress is false when it claimed news that the proxy has already.
 func (f *follower) poll(ctx context.Context) (progress bool, err error) {
+	began := f.now()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	watch := feed.Watch{Known: f.digest(), WaitMS: watchWait.Milliseconds(), Current: !f.stale()}
-	var reply feed.WatchReply
-	if err := f.caller.Call(ctx, f.agent, feed.LocalPath, watch, &reply); err != nil {
+	reply, err := feed.LocalCall.Call(ctx, f.caller, f.agent, watch)
+	if err != nil {
 		return false, fmt.Errorf("ask the agent: %w", err)
 	}
-	return f.apply(reply), nil
+	return f.apply(reply, began), nil
 }
 
 func (f *follower) digest() feed.Digest {
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -43,7 +43,7 @@
 func (s *jobService) submit(ctx context.Context, r jobRequest, specification job.Specification) outcome {
 	group := feed.GroupOf(r.queue.Service)
 	request := jobapi.Submit{Group: group, ID: r.id, Queue: r.queue, Specification: specification}
-	call := leaderCall{kind: submission, group: group, path: jobapi.SubmitPath, request: request, allowed: r.allowed}
+	call := leaderCall{kind: submission, group: group, route: jobapi.SubmitCall.Route(), request: request, allowed: r.allowed}
 	var reply jobapi.Submitted
 	return outcomeOf(s.leaders.run(ctx, r.begun, call, &reply))
 }
@@ -65,7 +65,7 @@
 	call := leaderCall{
 		kind:    reading,
 		group:   group,
-		path:    jobapi.StatusPath,
+		route:   jobapi.StatusCall.Route(),
 		request: jobapi.Status{Group: group, ID: r.id},
 		allowed: r.allowed,
 	}
@@ -84,7 +84,7 @@
 	call := leaderCall{
 		kind:    cancellation,
 		group:   group,
-		path:    jobapi.CancelPath,
+		route:   jobapi.CancelCall.Route(),
 		request: jobapi.Cancel{Group: group, ID: r.id},
 		allowed: r.allowed,
 	}
@@ -101,19 +101,24 @@
 }
 
 // acrossGroups asks the group of the service, and the others if that one does not know the job. The job is gone only if
-// every group says so.
+// every group says so, also one whose leader is not known yet, and the feed, looked at after that, is current: else there
+// may be a group that is not known here.
 func (s *jobService) acrossGroups(service string, ask func(group string) outcome) outcome {
+	found := s.mostTelling(service, ask)
+	if found.status == http.StatusGone && s.leaders.feed.stale() {
+		return outcomeOf(refusal(http.StatusServiceUnavailable, earlyRetryAfter))
+	}
+	return found
+}
+
+// mostTelling asks all groups known, unless that of the service knows the job.
+func (s *jobService) mostTelling(service string, ask func(group string) outcome) outcome {
 	own := feed.GroupOf(service)
 	first := ask(own)
 	if first.status != http.StatusGone {
 		return first
 	}
-	var others []string
-	for group := range s.leaders.feed.newest().leaders {
-		if group != own {
-			others = append(others, group)
-		}
-	}
+	others := s.leaders.feed.newest().groupsBut(own)
 	results := make([]outcome, len(others))
 	slots := make(chan struct{}, groupsAtOnce)
 	var asked sync.WaitGroup
@@ -144,14 +149,14 @@
 	}
 }
 
-// count returns how many jobs of a queue are pending: by the leader, or as known last.
-func (s *jobService) count(ctx context.Context, r jobRequest) int {
+// count returns how many jobs of a queue are pending: by the leader, or as known from it a short time ago.
+func (s *jobService) count(ctx context.Context, r jobRequest) (count int, known bool) {
 	group := feed.GroupOf(r.queue.Service)
-	call := leaderCall{path: jobapi.PendingPath, group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
+	call := leaderCall{route: jobapi.PendingCall.Route(), group: group, request: jobapi.Pending{Group: group, Route: r.queue.Route}}
 	var reply jobapi.PendingReply
 	if _, err := s.leaders.try(ctx, call, pendingTryLimit, &reply); err != nil {
 		return s.pending.get(r.queue.Route)
 	}
-	s.pending.put(r.queue.Route, reply.Count)
-	return reply.Count
+	s.pending.put(r.queue.Route, reply.Count, r.begun)
+	return reply.Count, true
 }
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -146,12 +146,13 @@
 
 // Serve registers the internal calls on jobs.
 func (m *Manager) Serve(mux *transport.Mux) {
-	transport.Handle(mux, jobapi.SubmitPath, m.submit)
-	transport.Handle(mux, jobapi.StatusPath, m.status)
-	transport.Handle(mux, jobapi.CancelPath, m.cancel)
-	transport.Handle(mux, jobapi.PendingPath, m.pending)
+	transport.Handle(mux, jobapi.SubmitCall, m.submit)
+	transport.Handle(mux, jobapi.StatusCall, m.status)
+	transport.Handle(mux, jobapi.CancelCall, m.cancel)
+	transport.Handle(mux, jobapi.PendingCall, m.pending)
 }
 
+// lead returns the leadership of a group. Without a lease that holds right now a request was certainly not begun.
 func (m *Manager) lead(group string) (*lead, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -182,7 +183,10 @@
 	if err != nil {
 		return reply, err
 	}
-	err = led.durably(ctx, func(now scheduler.Now) { reply.Known = led.scheduler.Cancel(now, request.ID) })
+	err = led.durably(ctx, func(now scheduler.Now) {
+		reply.Known = led.scheduler.Cancel(now, request.ID)
+		reply.State, _ = led.scheduler.Status(request.ID)
+	})
 	return reply, err
 }
 
@@ -196,14 +200,8 @@
 }
 
 func (m *Manager) pending(_ context.Context, request jobapi.Pending) (reply jobapi.PendingReply, err error) {
-	led, err := m.lead(request.Group)
-	if err != nil {
-		return reply, err
-	}
-	led.mu.Lock()
-	defer led.mu.Unlock()
-	reply.Count = led.scheduler.Pending(request.Route)
-	return reply, nil
+	err = m.glance(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Count = jobs.Pending(request.Route) })
+	return reply, err
 }
 
 // Stop ends all leaderships' loops; the terms themselves are resigned by replication.
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,20 +11,41 @@
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
+// noListRetry is when a leader that has not read the platform's list of searchers may be asked again.
+const noListRetry = 500 * time.Millisecond
+
+// errNoList is the refusal to call a searcher unknown before the platform's list was read.
+var errNoList = errors.New("the list of searchers has not been read yet")
+
 // ServeReports registers the internal calls by which operators read and steer the groups that this mixer leads.
 func (m *Manager) ServeReports(mux *transport.Mux) {
-	transport.Handle(mux, jobreport.SummaryPath, m.summary)
-	transport.Handle(mux, jobreport.SearchersPath, m.searchers)
-	transport.Handle(mux, jobreport.JobsPath, m.jobs)
-	transport.Handle(mux, jobreport.JobPath, m.job)
-	transport.Handle(mux, jobreport.WhyPath, m.why)
-	transport.Handle(mux, jobreport.DrainPath, m.drain)
+	transport.Handle(mux, jobreport.SummaryCall, m.summary)
+	transport.Handle(mux, jobreport.SearchersCall, m.searchers)
+	transport.Handle(mux, jobreport.JobsCall, m.jobs)
+	transport.Handle(mux, jobreport.JobCall, m.job)
+	transport.Handle(mux, jobreport.WhyCall, m.why)
+	transport.Handle(mux, jobreport.DrainCall, m.drain)
+}
+
+// reading is a function that only reads a scheduler.
+type reading func(now scheduler.Now, jobs *scheduler.Scheduler)
+
+// read reads the scheduler of a group, and returns once what was seen is durable and it is certain that no other leader had
+// been elected then: an operator's order may be refused on it.
+func (m *Manager) read(ctx context.Context, group string, look reading) error {
+	led, err := m.lead(group)
+	if err != nil {
+		return err
+	}
+	return led.durably(ctx, func(now scheduler.Now) { look(now, led.scheduler) })
 }
 
-// read runs a function that only reads the scheduler of a group. What it sees may not be durable yet.
-func (m *Manager) read(group string, look func(now scheduler.Now, jobs *scheduler.Scheduler)) error {
+// glance reads counts, which may not be durable yet. The lease is looked at again after that: the process may have stood
+// still in between, and another leader's counts may be others.
+func (m *Manager) glance(group string, look reading) error {
 	led, err := m.lead(group)
 	if err != nil {
 		return err
@@ -30,6 +53,9 @@
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	look(steady(), led.scheduler)
+	if !led.term.Valid() {
+		return verdict.Unexecuted(errNotLeader, 0)
+	}
 	return nil
 }
 
@@ -37,7 +63,7 @@
 func (m *Manager) Summaries() map[string]jobreport.Summary {
 	summaries := map[string]jobreport.Summary{}
 	for _, group := range m.ledGroups() {
-		_ = m.read(group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { // one that has just been lost is left out
+		_ = m.glance(group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { // one that has just been lost is left out
 			summaries[group] = jobs.Summary()
 		})
 	}
@@ -54,38 +80,56 @@
 	return groups
 }
 
-func (m *Manager) summary(_ context.Context, request jobreport.SummaryRequest) (reply jobreport.SummaryReply, err error) {
-	err = m.read(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Summary = jobs.Summary() })
+func (m *Manager) summary(ctx context.Context, request jobreport.SummaryRequest) (reply jobreport.SummaryReply, err error) {
+	err = m.read(ctx, request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) { reply.Summary = jobs.Summary() })
 	return reply, err
 }
 
-func (m *Manager) searchers(_ context.Context, request jobreport.SearchersRequest) (reply jobreport.SearchersReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) { reply.Searchers = jobs.Searchers(now) })
+func (m *Manager) searchers(ctx context.Context, request jobreport.SearchersRequest) (reply jobreport.SearchersReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) { reply.Searchers = jobs.Searchers(now) })
 	return reply, err
 }
 
-func (m *Manager) jobs(_ context.Context, request jobreport.JobsRequest) (reply jobreport.JobsReply, err error) {
+func (m *Manager) jobs(ctx context.Context, request jobreport.JobsRequest) (reply jobreport.JobsReply, err error) {
 	limit := min(max(1, request.Limit), jobreport.MostJobs)
-	err = m.read(request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) {
+	err = m.read(ctx, request.Group, func(_ scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Jobs, reply.Total = jobs.Jobs(request.State, limit)
 	})
 	return reply, err
 }
 
-func (m *Manager) job(_ context.Context, request jobreport.JobRequest) (reply jobreport.JobReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
+func (m *Manager) job(ctx context.Context, request jobreport.JobRequest) (reply jobreport.JobReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Job, reply.Known = jobs.Job(now, request.ID)
 	})
 	return reply, err
 }
 
-func (m *Manager) why(_ context.Context, request jobreport.WhyRequest) (reply jobreport.WhyReply, err error) {
-	err = m.read(request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
+func (m *Manager) why(ctx context.Context, request jobreport.WhyRequest) (reply jobreport.WhyReply, err error) {
+	err = m.read(ctx, request.Group, func(now scheduler.Now, jobs *scheduler.Scheduler) {
 		reply.Why, reply.Known = jobs.Why(now, request.ID)
 	})
 	return reply, err
 }
 
+// hasList tells whether this mixer has read a whole list of searchers.
+func (m *Manager) hasList() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
+// reportDrained reports a searcher, as far as it is known. The lock is held.
+func (l *lead) reportDrained(now scheduler.Now, id worker.SearcherID) jobreport.Searcher {
+	report, known := l.scheduler.Searcher(now, id)
+	if !known {
+		return jobreport.Searcher{
+			ID: string(id), State: jobreport.SearcherUnreachable, OperatorDraining: l.scheduler.OperatorDrains(id),
+		}
+	}
+	return report
+}
+
 // drain sets or ends an operator's drain, and answers once that is durable.
 func (m *Manager) drain(ctx context.Context, request jobreport.DrainRequest) (reply jobreport.DrainReply, err error) {
 	led, err := m.lead(request.Group)
@@ -95,8 +139,11 @@
 	id := worker.SearcherID(request.Searcher)
 	err = led.durably(ctx, func(now scheduler.Now) {
 		reply.Known = led.scheduler.SetOperatorDrain(now, id, request.Draining)
-		reply.Searcher, _ = led.scheduler.Searcher(now, id)
+		reply.Searcher = led.reportDrained(now, id)
 	})
+	if err == nil && !reply.Known && !m.hasList() {
+		return reply, verdict.Unexecuted(errNoList, noListRetry)
+	}
 	if err == nil && reply.Known {
 		m.config.Log.Info("operator's drain", zap.String("group", request.Group), zap.String("searcher", request.Searcher),
 			zap.Bool("draining", request.Draining))
--- a/internal/jobs/worker/dial.go
+++ b/internal/jobs/worker/dial.go
@@ -19,7 +19,7 @@
 // reset, so that nothing they still hold arrives later.
 func (c *Connections) HTTPClient() *http.Client {
 	return &http.Client{
-		Transport:     &exchanger{connections: c, dialer: transport.Dialer()},
+		Transport:     &exchanger{connections: c, dial: transport.Dial(transport.Dialer())},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -33,12 +33,15 @@
 	gone   bool // it was closed; guarded by the budget's lock
 }
 
+// dialFunction opens a connection that is reset when it is given up.
+type dialFunction func(ctx context.Context, network, address string) (net.Conn, error)
+
 // connect gives a call an idle connection of its lane, or a new one.
-func (c *Connections) connect(ctx context.Context, dialer *net.Dialer, address string) (*connection, error) {
+func (c *Connections) connect(ctx context.Context, dial dialFunction, address string) (*connection, error) {
 	for {
 		idle := c.takeIdle(address)
 		if idle == nil {
-			return c.dial(address, func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
+			return c.dial(address, func() (net.Conn, error) { return dial(ctx, "tcp", address) })
 		}
 		if idle.alive() {
 			return idle, nil
@@ -78,9 +81,6 @@
 		c.serve()
 		return nil, err
 	}
-	if tcp, ok := opened.(*net.TCPConn); ok {
-		tcp.SetLinger(0) // where the system knows no such option, the close sends what is left
-	}
 	return &connection{Conn: opened, lane: l, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
--- a/internal/jobs/worker/exchange.go
+++ b/internal/jobs/worker/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -20,13 +19,13 @@
 // are mostly idle need no goroutine each. It repeats nothing.
 type exchanger struct {
 	connections *Connections
-	dialer      *net.Dialer
+	dial        dialFunction
 }
 
 // RoundTrip implements http.RoundTripper.
 func (e *exchanger) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
-	c, err := e.connections.connect(ctx, e.dialer, request.URL.Host)
+	c, err := e.connections.connect(ctx, e.dial, request.URL.Host)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jobs/worker/exchange_test.go
+++ b/internal/jobs/worker/exchange_test.go
@@ -20,7 +20,7 @@
 func budgetedCaller(address string) (*Connections, *caller) {
 	c := NewConnections(Limits{Connections: 2, DialsPerS: math.Inf(1)})
 	c.work = nil // the calls of these tests come from outside of a link
-	return c, newCaller(c.HTTPClient(), address, "i-1")
+	return c, newCaller(c.HTTPClient(), address, "i-1", func() bool { return true })
 }
 
 func TestConnectionsThatThePeerHasClosed(t *testing.T) {
--- a/internal/tools/fleettest/fleettest_test.go
+++ b/internal/tools/fleettest/fleettest_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,25 +43,32 @@
 	return m.Run()
 }
 
-// Build makes a binary with the tags named, once.
+// withPoints is the tag of a build whose numbered points can be armed.
+const withPoints = "failpoints"
+
+// Build hands out the binary with the tags named. All are made before the first is handed out: a compiler takes every core,
+// and no world is to run beside one.
 func Build(t testing.TB, tags string) string {
 	t.Helper()
 	b := &binaries
 	b.Lock()
 	defer b.Unlock()
-	if b.dir == "" {
-		var err error
-		if b.dir, err = os.MkdirTemp("", "rig"); err != nil {
+	if b.made == nil {
+		dir, err := os.MkdirTemp("", "rig")
+		if err != nil {
 			t.Fatal(err)
 		}
-		b.made = map[string]string{}
+		b.dir, b.made = dir, map[string]string{}
+		for _, each := range []string{"", withPoints} {
+			path := filepath.Join(dir, "puffinlink-"+each)
+			if out, err := exec.Command("go", "build", "-tags", each, "-o", path, "puffinlink.example/puffinlink/cmd/puffinlink").CombinedOutput(); err != nil {
+				t.Fatalf("%v: %s", err, out)
+			}
+			b.made[each] = path
+		}
 	}
 	if b.made[tags] == "" {
-		path := filepath.Join(b.dir, "puffinlink-"+tags)
-		if out, err := exec.Command("go", "build", "-tags", tags, "-o", path, "puffinlink.example/puffinlink/cmd/puffinlink").CombinedOutput(); err != nil {
-			t.Fatalf("%v: %s", err, out)
-		}
-		b.made[tags] = path
+		t.Fatalf("no binary was made with the tags %q", tags)
 	}
 	return b.made[tags]
 }
@@ -151,6 +159,8 @@
 // Start starts a world. Mixers and searchers stand in zones a, b and c by turns; each shard is held in two zones.
 func Start(t testing.TB, o Options) *World {
 	t.Helper()
+	Build(t, withPoints)
+	takePlaces(t, o.Mixers)
 	o.Searchers, o.Voters = max(o.Searchers, 6), max(o.Voters, 3)
 	if o.LeaseS == 0 {
 		o.LeaseS = 8
@@ -226,6 +236,9 @@
 			m.Kill()
 		}
 		if t.Failed() {
+			for text, n := range w.Judge.Reasons() { // of what was not admitted
+				t.Logf("%d lookups: %s", n, text)
+			}
 			t.Logf("logs are in %s", w.dir)
 		}
 	})
@@ -275,6 +288,10 @@
 	w.Helper()
 	for late := time.Now().Add(Patience); !is(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(late) {
+			for _, m := range w.Mixers {
+				text, _ := json.Marshal(m.Show())
+				w.Logf("%s shows %s", m.Name, text)
+			}
 			w.Fatalf("never: %s", what)
 		}
 	}
@@ -342,7 +359,7 @@
 	config, file := w.path(m.Name+m.twin+".json"), w.path(m.Name+m.twin+".json5")
 	w.must(os.WriteFile(config, w.Site.Config(m.Name, m.Listen, m.register, m.no), 0o600))
 	w.must(os.WriteFile(file, []byte(m.file()), 0o600))
-	tags := "failpoints"
+	tags := withPoints
 	if w.Plain {
 		tags = ""
 	}
@@ -547,9 +564,13 @@
 	req.Header = http.Header{"Req-Id": {fmt.Sprintf("%016x", id)}, "Req-Kind": {index}, "Req-Owner": {tenant}, "Req-Deadline": {"2"},
 		"Idempotency-Key": {}} // not sent: it lets the client ask once more on a new connection, where the mixer closed an idle one meanwhile
 	sent := time.Now()
-	res, err := w.client.Do(req)
+	res, request, err := w.send(req)
+	if err != nil && request.unasked() { // once more, as every client may that has not asked yet
+		req.Body, _ = req.GetBody()
+		res, request, err = w.send(req)
+	}
 	if err != nil {
-		w.Judge.Ended(m.Name, tenant, sent, 0, "")
+		w.Judge.Ended(m.Name, tenant, sent, 0, fmt.Sprintf("%v, %s", err, request))
 		return 0, err.Error()
 	}
 	defer res.Body.Close()
@@ -558,6 +579,68 @@
 	return res.StatusCode, string(answer)
 }
 
+// silenceMost is how long a mixer lets a connection stand on which nothing was asked yet (clients are owed an end by then).
+const silenceMost = 2 * time.Second
+
+// request is what the client's side of one saw of its connection; zero times for what did not happen.
+type request struct {
+	mu               sync.Mutex
+	began, ended     time.Time
+	connected, wrote time.Time // connected only where it is the first on its connection
+}
+
+// unasked tells whether the connection stood silent for so long before the request was written, as on a machine that stands
+// still, that the mixer had ended it by then: nobody was asked.
+func (r *request) unasked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spoke := r.wrote
+	if spoke.IsZero() {
+		spoke = r.ended
+	}
+	return !r.connected.IsZero() && spoke.Sub(r.connected) >= silenceMost
+}
+
+func (r *request) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return t.Sub(r.began).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("new connection after %s, written after %s, ended after %s", at(r.connected), at(r.wrote), at(r.ended))
+}
+
+// send sends a request and notes how its connection was used.
+func (w *World) send(req *http.Request) (*http.Response, *request, error) {
+	r := &request{began: time.Now()}
+	note := func(at *time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		*at = time.Now()
+	}
+	trace := &httptrace.ClientTrace{
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				note(&r.connected)
+			}
+		},
+		GotConn: func(c httptrace.GotConnInfo) {
+			if c.Reused { // another's, and what was dialled meanwhile is not used
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.connected = time.Time{}
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { note(&r.wrote) },
+	}
+	res, err := w.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	note(&r.ended)
+	return res, r, err
+}
+
 // Load asks at a mean rate until it is stopped, each lookup by itself.
 func (w *World) Load(perS float64, tenant, index string, pick func(n int) *Mixer) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
