--- a/internal/controlplane/fleet/council/council.go
+++ b/internal/controlplane/fleet/council/council.go
@@ -71,18 +71,19 @@
 
 // Machine is one voter.
 type Machine struct {
-	self  roster.Name
-	names []roster.Name // all voters of the roster
-	id    uint64
-	node  *raft.RawNode // nil before the founding
-	mem   *raft.MemoryStorage
-	state State
-	conf  *pb.ConfState
-	ready *raft.Ready
-	made  *pb.Snapshot // waits to be saved
-	heard map[roster.Name]uint64
-	nonce uint64
-	found map[roster.Name]uint64 // of the others, that are empty as of our nonce
+	self        roster.Name
+	names       []roster.Name // all voters of the roster
+	id          uint64
+	node        *raft.RawNode // nil before the founding
+	mem         *raft.MemoryStorage
+	state       State
+	conf        *pb.ConfState
+	ready       *raft.Ready
+	made        *pb.Snapshot   // waits to be saved
+	unconfirmed map[uint64]int // ticks since a snapshot went to a voter, while we lead
+	heard       map[roster.Name]uint64
+	nonce       uint64
+	found       map[roster.Name]uint64 // of the others, that are empty as of our nonce
 }
 
 // New makes a voter from what its directory held.
@@ -91,7 +92,7 @@
 		return nil, errors.New("the directory has no number")
 	}
 	m := &Machine{self: self, names: slices.Sorted(slices.Values(voters)), id: kept.ID, mem: raft.NewMemoryStorage(),
-		heard: map[roster.Name]uint64{}, found: map[roster.Name]uint64{}, conf: &pb.ConfState{}}
+		heard: map[roster.Name]uint64{}, found: map[roster.Name]uint64{}, conf: &pb.ConfState{}, unconfirmed: map[uint64]int{}}
 	if !kept.founded() {
 		return m, nil
 	}
@@ -179,9 +180,11 @@
 
 // Tick tells that a tick has passed.
 func (m *Machine) Tick() {
-	if m.node != nil {
-		m.node.Tick()
+	if m.node == nil {
+		return
 	}
+	m.node.Tick()
+	m.resendSnapshots()
 }
 
 // Step takes what another voter said. What can't be read changes nothing.
@@ -323,13 +326,3 @@
 	}
 	return false, nil
 }
-
-// cut makes a snapshot of the state and lets go of the entries before it. A voter that is new finds itself in it.
-func (m *Machine) cut() error {
-	s, err := m.mem.CreateSnapshot(m.state.Index, m.conf, encoded(&m.state))
-	if err != nil {
-		return err
-	}
-	m.made = s
-	return m.mem.Compact(m.state.Index)
-}
--- a/internal/controlplane/fleet/council/council_test.go
+++ b/internal/controlplane/fleet/council/council_test.go
@@ -63,7 +63,8 @@
 	reads    map[roster.Name]int // tick of the question of a read that was confirmed
 	asked    map[ReadNo]int
 	readNo   ReadNo
-	crash    float64 // chance between saving and going on
+	crash    float64             // chance between saving and going on
+	drops    func(f flying) bool // nil for none
 	lost     uint64
 }
 
@@ -95,7 +96,7 @@
 }
 
 func (w *net) send(f flying) {
-	if w.cut[f.from] || w.cut[f.to] || w.Unit() < w.lossy {
+	if w.cut[f.from] || w.cut[f.to] || w.Unit() < w.lossy || w.drops != nil && w.drops(f) {
 		return
 	}
 	f.at = w.tick + 1 + int(w.Unit()*float64(w.late))
--- /dev/null
+++ b/internal/controlplane/fleet/council/snapshots_test.go
@@ -0,0 +1,37 @@
+package council
+
+import (
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// A voter that begins anew gets all there is in one message. Were that lost, and nothing sent again, it took no part until another
+// led.
+func TestALostSnapshotIsSentAgain(t *testing.T) {
+	w := newNet(t, 3, 7)
+	w.eventually(400, "somebody leads", func() bool { return w.leader() != nil })
+	w.act("before")
+	leader := w.leader()
+	lost := 0
+	w.drops = func(f flying) bool {
+		message := &pb.Message{}
+		if f.intro != nil || proto.Unmarshal(f.data, message) != nil || message.GetType() != pb.MsgSnap || lost >= 2 {
+			return false
+		}
+		lost++
+		return true
+	}
+	for _, name := range w.names {
+		if w.voters[name] != leader {
+			w.lose(name)
+			break
+		}
+	}
+	w.eventually(200, "two snapshots are lost", func() bool { return lost == 2 })
+	w.eventually(200, "all have the same state", w.same)
+	if w.leader() != leader {
+		t.Error("another leads: the case did not come about")
+	}
+}
