--- /dev/null
+++ b/internal/tools/fleettest/silent_test.go
@@ -0,0 +1,37 @@
+package fleettest
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A client that stands still between dialling and asking finds its connection ended, as a mixer owes an end to one that says nothing.
+// It asks once more and gets its answer, and nothing counts as lost; the mixer heard of the lookup once.
+func TestASilentConnectionHasAskedNobody(t *testing.T) {
+	t.Parallel()
+	w := Start(t, Options{Mixers: 1, NoFleet: true, Plain: true})
+	var dials atomic.Int64
+	w.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil && dials.Add(1) == 1 {
+			var one [1]byte
+			c.SetReadDeadline(time.Now().Add(Patience))
+			if n, err := c.Read(one[:]); n > 0 || err == nil {
+				t.Error("the mixer spoke first")
+			}
+			c.SetReadDeadline(time.Time{})
+		}
+		return c, err
+	}}}
+	if status, text := w.Ask(w.Mixers[0], OrdersOf, "orders", 0, 1); status != http.StatusOK {
+		t.Errorf("got %d %s", status, text)
+	}
+	if n := dials.Load(); n != 2 {
+		t.Errorf("%d connections, expected the silent one and another", n)
+	}
+	w.Rules()
+}
