--- /dev/null
+++ b/internal/tools/fleettest/ask_test.go
@@ -0,0 +1,143 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Ask sends a lookup and tells its answer's status, 0 where there is none. What is answered well or in part is noted as
+// admitted, at some time between its sending and its answer.
+func (w *World) Ask(m *Mixer, tenant, index string, shards ...int) (status int, text string) {
+	id := w.lastID.Add(1)
+	var body strings.Builder
+	body.WriteString(`{"targets":[`)
+	for i, s := range shards {
+		if i > 0 {
+			body.WriteByte(',')
+		}
+		fmt.Fprintf(&body, `{"partition":%d,"share":%.6f}`, s, 1/float64(len(shards)))
+	}
+	fmt.Fprintf(&body, `],"query":"%s %d"}`, tenant, id)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Listen+"/"+index, strings.NewReader(body.String()))
+	req.Header = http.Header{"Req-Id": {fmt.Sprintf("%016x", id)}, "Req-Kind": {index}, "Req-Owner": {tenant}, "Req-Deadline": {"2"},
+		"Idempotency-Key": {}} // not sent: it lets the client ask once more on a new connection, where the mixer closed an idle one meanwhile
+	sent := time.Now()
+	query := fmt.Sprintf("%s %d", tenant, id)
+	res, request, err := w.send(req, query)
+	if err != nil && request.unasked() { // once more, as every client may that has not asked yet
+		req.Body, _ = req.GetBody()
+		res, request, err = w.send(req, query)
+	}
+	if err != nil {
+		w.Judge.Ended(m.Name, tenant, sent, 0, fmt.Sprintf("%v, %s", err, request))
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	answer, _ := io.ReadAll(res.Body)
+	w.Judge.Ended(m.Name, tenant, sent, res.StatusCode, string(answer))
+	return res.StatusCode, string(answer)
+}
+
+// silenceMost is how long a mixer lets a connection stand on which nothing was asked yet (clients are owed an end by then).
+const silenceMost = 2 * time.Second
+
+// request is what the client's side of one saw of its connection; zero times for what did not happen.
+type request struct {
+	mu               sync.Mutex
+	began, ended     time.Time
+	connected, wrote time.Time // connected only where it is the first on its connection
+}
+
+// unasked tells whether the connection stood silent for so long before the request was written, as on a machine that stands
+// still, that the mixer had ended it by then: nobody was asked.
+func (r *request) unasked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spoke := r.wrote
+	if spoke.IsZero() {
+		spoke = r.ended
+	}
+	return !r.connected.IsZero() && spoke.Sub(r.connected) >= silenceMost
+}
+
+func (r *request) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return t.Sub(r.began).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("new connection after %s, written after %s, ended after %s", at(r.connected), at(r.wrote), at(r.ended))
+}
+
+// send sends a request and notes how its connection was used, and how often the query went out.
+func (w *World) send(req *http.Request, query string) (*http.Response, *request, error) {
+	r := &request{began: time.Now()}
+	counted, _ := w.sent.LoadOrStore(query, &atomic.Int64{})
+	note := func(at *time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		*at = time.Now()
+	}
+	trace := &httptrace.ClientTrace{
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				note(&r.connected)
+			}
+		},
+		GotConn: func(c httptrace.GotConnInfo) {
+			if c.Reused { // another's, and what was dialled meanwhile is not used
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.connected = time.Time{}
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			counted.(*atomic.Int64).Add(1)
+			note(&r.wrote)
+		},
+	}
+	res, err := w.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	note(&r.ended)
+	return res, r, err
+}
+
+// Load asks at a mean rate until it is stopped, each lookup by itself.
+func (w *World) Load(perS float64, tenant, index string, pick func(n int) *Mixer) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() {
+		began := time.Now()
+		for n := 0; ctx.Err() == nil; n++ {
+			select {
+			case <-time.After(time.Until(began.Add(time.Duration(float64(n) / perS * float64(time.Second))))):
+			case <-ctx.Done():
+				return
+			}
+			if m := pick(n); m != nil {
+				all.Go(func() { w.Ask(m, tenant, index, n%w.Site.Shards, (n+1)%w.Site.Shards) })
+			}
+		}
+	})
+	return func() { cancel(); all.Wait() }
+}
+
+// sentTimes is how often the client sent a query, of which a part is named by its text and its shard.
+func (w *World) sentTimes(part string) int64 {
+	query := part[:max(0, strings.LastIndexByte(part, ' '))]
+	if n, known := w.sent.Load(query); known {
+		return n.(*atomic.Int64).Load()
+	}
+	return 1
+}
--- a/internal/tools/fleettest/fleet_test.go
+++ b/internal/tools/fleettest/fleet_test.go
@@ -1,15 +1,12 @@
 package fleettest
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
-
-	"puffinlink.example/puffinlink/internal/controlplane/fleet/shared"
 )
 
 // The quota of most scenarios, and the floor of one of three mixers.
@@ -280,99 +277,6 @@
 	w.Rules()
 }
 
-// slowAt makes some searchers crawl for some mixers alone.
-func (w *World) slowAt(m *Mixer, delay time.Duration, searchers ...int) {
-	for _, i := range searchers {
-		m.before[i].Set(Fault{Delay: delay})
-	}
-}
-
-// reportsIn are the reports that a mixer shows to have heard of others.
-func reportsIn(shown map[string]any) (list []shared.Heard) {
-	text, _ := json.Marshal(shown["reports"])
-	json.Unmarshal(text, &list)
-	return list
-}
-
-// A searcher crawls, and two mixers that have lookups see it. A third that had none takes it for slow from their word alone; one
-// sick mixer, to which half of all searchers crawl, is believed by nobody.
-func TestJudgementsOfOthers(t *testing.T) {
-	t.Parallel()
-	w := Start(t, Options{Mixers: 5})
-	w.grants()
-	// Each of the two asks for shards 0 and 1, which s-1 in their zone holds, twice as often as for 3 and 4, which s-4 does; the sick
-	// one asks for others. So s-1 is the one that both call most.
-	two := w.Load(60, "cato", "reads", func(n int) *Mixer {
-		if n%3 != 0 {
-			return nil
-		}
-		return []*Mixer{w.Mixers[1], w.Mixers[1], w.Mixers[1], nil, w.Mixers[4], w.Mixers[4], w.Mixers[4], nil}[n/3%8]
-	})
-	one := w.Load(60, "cato", "reads", func(n int) *Mixer {
-		if n%3 != 2 {
-			return nil
-		}
-		return w.Mixers[3]
-	})
-	stop := func() { two(); one() }
-	judged := func(m *Mixer) string {
-		var s map[string]any
-		w.Until(m.Name+" shows what it judges", func() bool { s = m.Show(); return s != nil })
-		return strings.TrimSpace(fmt.Sprint(s["judged"]))
-	}
-	// look reads what the third mixer has heard: whether the sick one finds fault, and whether both others call s-1 and have found
-	// no fault for as long as a judgement stands.
-	othersBlamed := time.Now()
-	look := func() (shown map[string]any, sick, sound bool) {
-		if shown = w.Mixers[2].Show(); shown == nil {
-			return nil, false, false
-		}
-		called := 0
-		for _, r := range reportsIn(shown) {
-			switch {
-			case r.Origin == "m3":
-				sick = len(r.Bad) > 0
-			case len(r.Bad) > 0:
-				othersBlamed = time.Now()
-			case r.Worst.Searcher == "s-1" && r.Worst.Calls >= 10: // without fault the one called most is named
-				called++
-			}
-		}
-		return shown, sick, called == 2 && time.Since(othersBlamed).Seconds() > shared.HeldFor
-	}
-	w.Until("two mixers call the searcher and find no fault", func() bool { _, _, sound := look(); return sound })
-	w.slowAt(w.Mixers[3], 300*time.Millisecond, 0, 1, 4) // the sick one, to which half of all searchers crawl
-	checks := 0
-	w.Until("the sick mixer alone finds fault", func() bool {
-		shown, sick, sound := look()
-		if sick && sound {
-			if checks++; strings.TrimSpace(fmt.Sprint(shown["judged"])) != "[]" {
-				t.Errorf("one sick mixer's word is believed: %s", shown["judged"])
-			}
-		}
-		return checks >= 3
-	})
-	for _, i := range []int{1, 2, 4} { // s-1 stands in the zone of the first and the last of them, which have lookups
-		w.slowAt(w.Mixers[i], 200*time.Millisecond, 1)
-	}
-	began := time.Now()
-	w.Until("the third has it from the two others", func() bool { return strings.Contains(judged(w.Mixers[2]), "s-1") })
-	t.Logf("a crawling searcher is known to a mixer without lookups after %.1f s", time.Since(began).Seconds())
-	stop()
-	before := w.Searchers[1].Calls()
-	for range 20 {
-		w.Ask(w.Mixers[2], "cato", "reads", 0) // held by s-0 and s-1, both in other zones than the third mixer's
-	}
-	calls := w.Searchers[1].Calls() - before
-	if t.Logf("of its first 20 lookups of a shard that it holds %d go to it", calls); calls > 0 {
-		t.Errorf("%d of 20 lookups meet the searcher that others called slow", calls)
-	}
-	if strings.Contains(judged(w.Mixers[2]), "s-0") {
-		t.Error("the sick mixer's word counts")
-	}
-	w.Rules()
-}
-
 // Two processes under one name: the second has neither floors nor leases until the first lets go of the address, as it does
 // when it begins to stop; its successor then takes over.
 func TestTwoProcessesOfOneName(t *testing.T) {
