--- a/internal/systemtest/stops_test.go
+++ b/internal/systemtest/stops_test.go
@@ -106,14 +106,16 @@
 	wake := time.Now().Add(standstill)
 	s.whileStopped(ctx, wake)
 	var asked sync.WaitGroup
-	for range 3 {
-		asked.Go(func() { s.doubtCore(ctx, m, old) })
+	for _, doubt := range coreDoubts {
+		asked.Go(func() { doubt(s, ctx, m, old[len(old)-1]) })
 	}
 	s.fail(pause(ctx, time.Until(wake)))
 	m.thaw()
 	asked.Wait()
 	for end := time.Now().Add(doubtTime); time.Now().Before(end); {
-		s.doubtCore(ctx, m, old)
+		for _, doubt := range coreDoubts {
+			doubt(s, ctx, m, old[len(old)-1])
+		}
 	}
 }
 
@@ -137,24 +139,36 @@
 	return taken
 }
 
-// doubtCore asks a core machine for what it may remember wrongly: the configuration, changes on old versions, changes that
-// were taken, and jobs.
-func (s *system) doubtCore(ctx context.Context, m *machine, old []judge.Order) {
+// coreDoubts ask a core machine for what it may remember wrongly. They get the newest change from before it stood still.
+var coreDoubts = []func(s *system, ctx context.Context, m *machine, before judge.Order){
+	(*system).doubtReading, (*system).doubtRefusal, (*system).doubtRepetition, (*system).doubtJobs,
+}
+
+// doubtReading reads the configuration.
+func (s *system) doubtReading(ctx context.Context, m *machine, _ judge.Order) {
 	newest := s.newestAcknowledged()
 	read := s.order(ctx, m, http.MethodGet, 0, nil)
 	if read.Status == http.StatusOK && versionOf(read.Answer) < newest || read.Status == http.StatusNotFound {
 		s.fail(fmt.Errorf("%s hands out version %d, though %d was acknowledged before", m.name, versionOf(read.Answer), newest))
 	}
-	on := old[len(old)-1].BuiltOn
-	late := s.order(ctx, m, http.MethodPut, on, encodeConfiguration(newest+100, []routePlan{renderRoute}))
+}
+
+// doubtRefusal sends a change on a version that was replaced long ago.
+func (s *system) doubtRefusal(ctx context.Context, m *machine, before judge.Order) {
+	newest := s.newestAcknowledged()
+	late := s.order(ctx, m, http.MethodPut, before.BuiltOn, encodeConfiguration(newest+100, []routePlan{renderRoute}))
 	if late.Status == http.StatusOK || late.Status == http.StatusPreconditionFailed && currentOf(late.Answer) < newest {
-		s.fail(fmt.Errorf("%s answers %d %s to a change on version %d, though %d was acknowledged before", m.name, late.Status, late.Answer, on, newest))
+		s.fail(fmt.Errorf("%s answers %d %s to a change on version %d, though %d was acknowledged before",
+			m.name, late.Status, late.Answer, before.BuiltOn, newest))
 	}
-	again := s.order(ctx, m, http.MethodPut, on, old[len(old)-1].Body)
+}
+
+// doubtRepetition sends a change that was taken once more.
+func (s *system) doubtRepetition(ctx context.Context, m *machine, before judge.Order) {
+	again := s.order(ctx, m, http.MethodPut, before.BuiltOn, before.Body)
 	if isClear(again.Status) && again.Status != http.StatusOK {
 		s.fail(fmt.Errorf("%s answers %d %s to a change that was taken before", m.name, again.Status, again.Answer))
 	}
-	s.doubtJobs(ctx, m)
 }
 
 // currentOf is the version that a refusal names.
@@ -166,7 +180,7 @@
 }
 
 // doubtJobs asks a core machine as an operator does, and all fronts, for the job that was accepted last.
-func (s *system) doubtJobs(ctx context.Context, m *machine) {
+func (s *system) doubtJobs(ctx context.Context, m *machine, _ judge.Order) {
 	path, id := s.newestJob()
 	if path == "" {
 		return
