--- a/internal/controlplane/replicaset/doc.go
+++ b/internal/controlplane/replicaset/doc.go
@@ -21,8 +21,14 @@
 //   - A member that lost its disk and stays in the view is rebuilt by the rule of package rebuild. A member that was
 //     replaced is no different from a newcomer: by the number of its absences it knows, also after a restart, that its
 //     disk is out of date. Only one that has learned a view without itself may enter the next one.
-//   - No member accepts a view without itself. So a quorum of the members that settle a view stays in it, and newcomers
-//     find enough others to be rebuilt from. One that gave its vote to a next view brings it to its end.
+//   - No member accepts a view without itself unless it is about to stop. So a quorum of the members that settle a view
+//     stays in it, or gives its copy before it goes, and newcomers find enough others to be rebuilt from. One that gave its
+//     vote to a next view brings it to its end.
+//   - The copy of the member that was replaced counts like another's: it votes no more once it has learned view n+1, so its
+//     copy has all that it ever voted for, and of any N-Q+1 members of view n one voted in D. It lacks what was decided in
+//     view n+1, which a quorum of the N-1 others may decide before the newcomer counts; but the newcomer has N-Q copies or
+//     more of those others, and one of them voted. That holds for the very process that entered with the view, as it has
+//     not voted in it: a later one at the same address, whose votes may be lost, counts copies of members alone.
 //
 // Which member is replaced, and when, is not a matter of safety: a live member that is replaced by mistake comes back as
 // a newcomer.
--- a/internal/controlplane/replicaset/handover_test.go
+++ b/internal/controlplane/replicaset/handover_test.go
@@ -8,6 +8,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 )
 
@@ -96,6 +97,7 @@
 			c.start("new", "elsewhere", storage.NewMemory(), false)
 			<-time.After(catchUp)
 			c.write(members[1], written)
+			c.network.AddRule(networktest.Rule{Path: "/rebuild/dump", Delay: 300 * time.Millisecond})
 			c.tellToStop(c.at(members[0]))
 			c.stop(c.at(members[lost]))
 			value, err = c.read(members[3-lost]), c.write(members[3-lost], "after")
