A member that stops also waits for a newcomer that took another's place

It waited for its own replacement only; where the newcomer was chosen for a third member in that moment, it went while the newcomer still needed its copy.

--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -33,9 +33,16 @@
 // stops: leave says goodbye until another has the place, and then the newcomer is awaited. It tells whether the newcomer has been rebuilt; if so, nothing is left that
 // only this process holds.
 func (r *Rebuilder) HandOver(ctx context.Context, leave func(ctx context.Context) (replaced bool)) bool {
-	r.awaitRebuilds(ctx)
-	earlier := r.config.Views.View()
-	return leave(ctx) && r.awaitNewcomers(ctx, earlier)
+	for {
+		r.awaitRebuilds(ctx)
+		earlier := r.config.Views.View()
+		if leave(ctx) {
+			return r.awaitNewcomers(ctx, earlier)
+		}
+		if !r.someRebuild(ctx) {
+			return false // a newcomer that waited may have another's place by now, and be rebuilt
+		}
+	}
 }
 
 // awaitRebuilds waits while another member says that it is being rebuilt, as that one may need the copy of this. Members
--- a/internal/controlplane/replicaset/handover_test.go
+++ b/internal/controlplane/replicaset/handover_test.go
@@ -180,3 +180,27 @@
 		convey.So(atOnce, convey.ShouldNotBeNil)
 	})
 }
+
+// The newcomer that waits takes the place of a third member, which has just failed, as no goodbye arrives.
+func TestAMemberThatStopsWaitsForANewcomerInAnothersPlace(t *testing.T) {
+	members := addresses(3)
+	var value string
+	var err error
+	var view replicaset.View
+	inCluster(t, 1, mutant{}, members, func(c *cluster) {
+		c.write(members[1], written)
+		c.network.AddRule(networktest.Rule{Path: "/replicaset/leave", Lose: true})
+		c.stop(c.at(members[2]))
+		c.start("new", "elsewhere", storage.NewMemory(), false)
+		<-time.After(time.Second)
+		c.tellToStop(c.at(members[0]))
+		<-time.After(catchUp)
+		view = c.viewOf(members[1])
+		value, err = c.read(members[1]), c.write(members[1], "after")
+	})
+	convey.Convey("It stays until that newcomer has been rebuilt", t, func() {
+		convey.So(view, convey.ShouldResemble, replicaset.View{Version: 2, Members: []string{members[0], members[1], "new"}})
+		convey.So(value, convey.ShouldEqual, written)
+		convey.So(err, convey.ShouldBeNil)
+	})
+}
