--- a/internal/transport/model_test.go
+++ b/internal/transport/model_test.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -242,6 +244,33 @@
 	t.Logf("%d schedules from seed %d", schedules, first)
 }
 
+// TestModelReplays plays schedules twice: a seed that is printed would be worth little otherwise.
+func TestModelReplays(t *testing.T) {
+	for seed := uint64(1); seed <= 30; seed++ {
+		ends := [2]string{}
+		for i := range ends {
+			synctest.Test(t, func(*testing.T) {
+				w := newWorld(seed)
+				w.play()
+				ends[i] = w.summary()
+			})
+		}
+		if ends[0] != ends[1] {
+			t.Errorf("seed %d ends in two ways:\n%s\n%s", seed, ends[0], ends[1])
+		}
+	}
+}
+
+// summary tells how each call ended and how often it ran.
+func (w *world) summary() string {
+	var lines []string
+	for token, call := range w.calls {
+		lines = append(lines, fmt.Sprintf("%v ran %d times, answered %v", token, len(call.ranAt), call.err == nil))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "; ")
+}
+
 func playSeed(t *testing.T, seed uint64) {
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(seed)
