--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -16,7 +16,7 @@
 func (h *Handler) jobs(w http.ResponseWriter, r *http.Request) {
 	list, err := h.listJobs(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, list)
@@ -36,7 +36,7 @@
 	if err != nil {
 		return list, err
 	}
-	answers := askAll[jobreport.JobsReply](r.Context(), h, groups, jobreport.JobsPath, func(group string) any {
+	answers := askAll[jobreport.JobsReply](r.Context(), h, groups, jobreport.JobsCall.Route(), func(group string) any {
 		return jobreport.JobsRequest{Group: group, State: state, Limit: limit}
 	})
 	if list.Unanswered, err = unanswered(answers); err != nil {
@@ -99,7 +99,7 @@
 	if err != nil {
 		return found{}, err
 	}
-	answers := askAll[jobreport.JobReply](r.Context(), h, groups, jobreport.JobPath, func(group string) any {
+	answers := askAll[jobreport.JobReply](r.Context(), h, groups, jobreport.JobCall.Route(), func(group string) any {
 		return jobreport.JobRequest{Group: group, ID: id}
 	})
 	return oneOf(id, answers)
@@ -127,13 +127,17 @@
 	case failure != nil:
 		return found{}, failure
 	}
-	return found{}, failed(http.StatusNotFound, fmt.Sprintf("no job %s is known: it was never taken, or it ended long ago", id))
+	return found{}, unknownJob(id)
+}
+
+func unknownJob(id job.ID) error {
+	return failed(http.StatusNotFound, fmt.Sprintf("no job %s is known: it was never taken, or it ended long ago", id))
 }
 
 func (h *Handler) job(w http.ResponseWriter, r *http.Request) {
 	match, err := h.find(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, match.detail)
@@ -142,13 +146,13 @@
 func (h *Handler) why(w http.ResponseWriter, r *http.Request) {
 	match, err := h.find(r)
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	var reply jobreport.WhyReply
 	request := jobreport.WhyRequest{Group: match.group, ID: match.detail.ID}
-	if err := h.ask(r.Context(), match.group, jobreport.WhyPath, request, &reply); err != nil {
-		writeError(w, err)
+	if err := h.ask(r.Context(), match.group, jobreport.WhyCall.Route(), request, &reply); err != nil {
+		h.writeError(w, r, err)
 		return
 	}
 	write(w, http.StatusOK, reply.Why)
@@ -160,17 +164,25 @@
 		err = h.cancelJob(r.Context(), match)
 	}
 	if err != nil {
-		writeError(w, err)
+		h.writeError(w, r, err)
 		return
 	}
 	h.options.Logger.Info("operator's cancellation", zap.String("service", match.detail.Service), zap.String("job", string(match.detail.ID)))
 	write(w, http.StatusOK, Cancelled{ID: string(match.detail.ID), Service: match.detail.Service})
 }
 
+// cancelJob asks the job's leader. The outcome rests on the durable state in the answer and not on what was found before:
+// the job may have ended since, and what was found may have been lost.
 func (h *Handler) cancelJob(ctx context.Context, match found) error {
-	if match.detail.State.Final() && match.detail.State != job.Cancelled {
-		return failed(http.StatusConflict, fmt.Sprintf("job %s has already ended: it is %s", match.detail.ID, match.detail.State))
-	}
 	var reply jobapi.Cancelled
-	return h.ask(ctx, match.group, jobapi.CancelPath, jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
+	err := h.ask(ctx, match.group, jobapi.CancelCall.Route(), jobapi.Cancel{Group: match.group, ID: match.detail.ID}, &reply)
+	switch {
+	case err != nil:
+		return err
+	case !reply.Known:
+		return unknownJob(match.detail.ID)
+	case reply.State.Final() && reply.State != job.Cancelled:
+		return failed(http.StatusConflict, fmt.Sprintf("job %s has already ended: it is %s", match.detail.ID, reply.State))
+	}
+	return nil
 }
--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -101,8 +101,7 @@
 func (r *Rebuilder) askReady(ctx context.Context, member string, limit time.Duration) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var reply readyReply
-	err := r.config.Caller.Call(ctx, member, readyPath, readyRequest{}, &reply)
+	reply, err := readyCall.Call(ctx, r.config.Caller, member, readyRequest{})
 	if err != nil {
 		r.config.Logger.Debug("ask whether a member is rebuilt", zap.String("member", member), zap.Error(err))
 	}
--- a/internal/controlplane/register/succession.go
+++ b/internal/controlplane/register/succession.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -39,6 +40,7 @@
 	Caller transport.Caller
 	// Departing tells whether this process is about to stop and waits to be replaced; nil where it never does.
 	Departing func() bool
+	Draw      func(bound time.Duration) time.Duration // as in Config; may be nil
 }
 
 // NewSuccession makes the acceptor and the proposer of the next view.
@@ -93,7 +95,7 @@
 	}
 	var newer replicaset.View
 	register := New(Config{
-		Name: successionName, Self: s.config.Self, Acceptor: s.acceptor, Caller: s.config.Caller,
+		Name: successionName, Self: s.config.Self, Acceptor: s.acceptor, Caller: s.config.Caller, Draw: s.config.Draw,
 		View: func() replicaset.View {
 			if newer.Version > current.Version || s.config.View().Version != current.Version {
 				return replicaset.View{}
--- a/internal/controlplane/replication/leadership.go
+++ b/internal/controlplane/replication/leadership.go
@@ -37,6 +37,7 @@
 		followers: make(map[string]*follower),
 	}
 	l.term = newTerm(g.core, l)
+	l.history.limits = g.core.limits
 	g.leading = l
 	l.matchView()
 	for address, reply := range votes {
@@ -71,6 +72,7 @@
 	}
 	for address := range l.followers {
 		if !l.core.view.Has(address) {
+			l.endTransfer(address, l.followers[address])
 			delete(l.followers, address)
 		}
 	}
@@ -83,6 +85,7 @@
 // begin starts the next batch: it enters the history and is written here.
 func (l *leadership) begin(previous Position, values map[string][]byte, local appendRequest) {
 	l.latest = Position{l.epoch, l.latest.Sequence + 1}
+	l.holdHistory()
 	l.history.add(newBatch(previous, l.latest, values))
 	local.Position = l.latest
 	l.group.replica.append(local, func(reply appendReply) {
@@ -98,6 +101,9 @@
 	if !l.elected || l.committed < l.latest.Sequence || l.group.replica.position != l.latest {
 		return
 	}
+	if len(l.gathering) == 0 && !l.term.Valid() {
+		return // nothing shows that no other leader has been elected; the next answer of a majority does
+	}
 	values := l.gathering
 	l.begun, l.waiting, l.gathering = l.waiting, nil, nil
 	if len(values) == 0 {
@@ -244,6 +250,9 @@
 	l.core.log.Info("leadership ended", zap.String("group", l.group.name), zap.Uint64("epoch", l.epoch),
 		zap.String("reason", reason))
 	l.term.finish()
+	for address, follower := range l.followers {
+		l.endTransfer(address, follower)
+	}
 	l.gathering, l.waiting, l.begun, l.history = nil, nil, nil, history{}
 }
 
@@ -259,6 +268,6 @@
 		if address == l.core.self {
 			continue
 		}
-		l.core.call(address, resignPath, l.core.timing.Beat, request, new(resignReply), func(error) {})
+		l.core.call(address, resignCall.Route(), l.core.timing.Beat, request, new(resignReply), func(error) {})
 	}
 }
--- a/internal/controlplane/replication/messages.go
+++ b/internal/controlplane/replication/messages.go
@@ -7,14 +7,19 @@
 // goroutines nor sockets and take the time as an argument. Node runs a core on a real clock, store and network.
 package replication
 
-import "puffinlink.example/puffinlink/internal/controlplane/feed"
+import (
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/transport"
+)
 
-// Paths of the internal calls.
-const (
-	preparePath = "/replication/prepare"
-	appendPath  = "/replication/append"
-	pingPath    = "/replication/ping"
-	resignPath  = "/replication/resign"
+// Internal calls. Votes, batches and heartbeats have epochs and positions, so that one that comes again changes nothing.
+// A resignation that came late would make a process that is back count as gone.
+var (
+	prepareCall = transport.NewRepeatable[prepareRequest, prepareReply]("/replication/prepare")
+	appendCall  = transport.NewRepeatable[appendRequest, appendReply]("/replication/append")
+	pingCall    = transport.NewRepeatable[pingRequest, pingReply]("/replication/ping")
+	resignCall  = transport.NewOnce[resignRequest, resignReply]("/replication/resign")
+	stateCall   = transport.NewRepeatable[stateRequest, stateReply]("/replication/state")
 )
 
 // Entry sets one key of a group's state. A nil Value deletes the key. The empty key is not allowed.
@@ -53,9 +58,27 @@
 	Promised uint64            `msgpack:"m"` // the highest epoch promised
 	Position Position          `msgpack:"p"`
 	State    map[string][]byte `msgpack:"s,omitempty"` // only where Position is newer than the candidate's
+	// Large tells that Position is newer than the candidate's and that the state does not fit into this message. The
+	// candidate fetches it in parts before it stands.
+	Large bool `msgpack:"l,omitempty"`
+}
+
+// stateRequest asks for a part of a replica's state as of a position.
+type stateRequest struct {
+	Group    string   `msgpack:"g"`
+	View     uint64   `msgpack:"w"`
+	Position Position `msgpack:"p"`
+	Part     uint32   `msgpack:"a"` // from 0
+}
+
+// stateReply is that part. Parts is zero where the replica is not at the position, or may not vote.
+type stateReply struct {
+	Parts   uint32  `msgpack:"n"`
+	Entries []Entry `msgpack:"t"`
 }
 
-// appendRequest moves a replica from Previous to Position, or with Snapshot set, from wherever it is.
+// appendRequest moves a replica from Previous to Position, or with Snapshot set, from wherever it is. What does not fit
+// into one message comes in parts, and moves the replica with the last one.
 type appendRequest struct {
 	Group    string   `msgpack:"g"`
 	Epoch    uint64   `msgpack:"e"`
@@ -65,6 +88,8 @@
 	Previous Position `msgpack:"q"`
 	Position Position `msgpack:"p"`
 	Entries  []Entry  `msgpack:"t"`
+	Part     uint32   `msgpack:"a,omitempty"` // from 0
+	Parts    uint32   `msgpack:"m,omitempty"` // how many there are; 0 and 1 both stand for one
 }
 
 // outcome is a replica's answer to its leader.
@@ -75,12 +100,14 @@
 	accepted                   // the replica follows the leader; its position is in the reply
 	behind                     // the replica follows the leader, but the batch does not continue its position
 	superseded                 // the replica has promised a higher epoch
+	gathering                  // the replica follows the leader, and wants the part that the reply names
 )
 
 type appendReply struct {
 	Outcome  outcome  `msgpack:"o"`
 	Promised uint64   `msgpack:"m"`
 	Position Position `msgpack:"p"`
+	Wanted   uint32   `msgpack:"w,omitempty"` // with gathering: the part that is missing
 }
 
 // beat renews the lease of one group's leader.
--- a/internal/dataplane/agent/follow.go
+++ b/internal/dataplane/agent/follow.go
@@ -111,17 +111,19 @@
 		Agent:    a.config.Address,
 		Suspects: a.peers.suspects(),
 	}
-	var reply feed.WatchReply
-	if err := a.config.Caller.Call(bounded, core, feed.WatchPath, ask, &reply); err != nil {
+	reply, err := feed.WatchCall.Call(bounded, a.config.Caller, core, ask)
+	if err != nil {
 		return false, err
 	}
-	progress = a.take(reply)
-	if !reply.Current {
-		return progress, errNotCurrent
-	}
 	now := time.Now()
-	if now.Sub(began) > limit { // this process stood still, and the answer is old
+	late := now.Sub(began) > limit // this process stood still, and the answer is old
+	reply.Current = reply.Current && !late
+	progress = a.take(reply)
+	switch {
+	case late:
 		return progress, errLate
+	case !reply.Current:
+		return progress, errNotCurrent
 	}
 	a.confirm(now)
 	return progress || !reply.Changed, nil
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -12,8 +12,7 @@
 	for len(j.times) < j.Specification.Times() {
 		due := j.dueMS(len(j.times))
 		if due > now.WallMS {
-			j.nextDue = due
-			s.scheduled[j] = true
+			s.schedule(j, due)
 			return
 		}
 		repetition := newRepetition(j, len(j.times))
@@ -21,7 +20,7 @@
 		s.openStages(now, repetition)
 	}
 	j.nextDue = 0
-	delete(s.scheduled, j)
+	s.unschedule(j)
 }
 
 func newRepetition(j *jobState, number int) *repetition {
@@ -161,7 +160,7 @@
 // endJob ends a job for good and stops what still runs of it.
 func (s *Scheduler) endJob(now Now, j *jobState, state job.State) {
 	j.over = true
-	delete(s.scheduled, j)
+	s.unschedule(j)
 	for number, r := range j.times {
 		if r == nil {
 			s.erase(repetitionKey(j.id, number))
@@ -175,6 +174,7 @@
 	s.erase(jobKey(j.id))
 	record := endedRecord{State: state, EndedMS: now.WallMS}
 	s.write(endedKey(j.id), record)
+	record.since = now.Steady
 	s.ended[j.id] = record
 	delete(s.jobs, j.id)
 	if s.pending[j.Queue.Route]--; s.pending[j.Queue.Route] <= 0 {
@@ -206,11 +206,15 @@
 	s.effects.Orders = append(s.effects.Orders, Order{Searcher: r.at.ID, Stop: order})
 }
 
-// forgetEnded drops the states of jobs that ended long ago.
+// forgetEnded drops the states of jobs that ended long ago. The time of day, which may be set, is believed only together
+// with the steady clock: a job that is forgotten too early would run once more if it were handed in again.
 func (s *Scheduler) forgetEnded(now Now) {
 	oldest := now.WallMS - s.settings.StatusKept.Milliseconds()
 	for id, record := range s.ended {
-		if record.EndedMS < oldest {
+		if now.Steady.Sub(record.since) < s.settings.StatusKept {
+			continue
+		}
+		if record.EndedMS < oldest || record.EndedMS > now.WallMS {
 			delete(s.ended, id)
 			s.erase(endedKey(id))
 		}
