Copies for a rebuild travel in parts

Cause: a member that has lost its disk asked each other member for all tables in one answer, within 10 s. Over 64 MB, or over 3.7 MB on a link of 3 Mbit/s, no answer could arrive, and the member was never rebuilt. Change: the giver keeps the copy, which is of one moment, and gives it in parts of 256 KB under a number. A part that is lost is asked for again; a giver that has started anew, or has made another copy, refuses, and the copy begins anew.

--- a/internal/controlplane/rebuild/dump.go
+++ b/internal/controlplane/rebuild/dump.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,21 +29,26 @@
 	errOtherView = errors.New("this member works with another view of the replicas")
 )
 
-// dumpRequest asks for a copy of all replicated tables.
+// dumpRequest asks for a part of a copy of all replicated tables. Part 0 has the copy made, once for each attempt.
 type dumpRequest struct {
-	Member string          `msgpack:"m"` // who asks
-	View   replicaset.View `msgpack:"v"` // that it works with
+	Member  string          `msgpack:"m"` // who asks
+	View    replicaset.View `msgpack:"v"` // that it works with
+	Attempt uint64          `msgpack:"a"` // a number of the asker's for all parts
+	Copy    uint64          `msgpack:"c"` // as the answer to part 0 named it; 0 with part 0
+	Part    uint32          `msgpack:"p"`
 }
 
-// Internal calls. Both only read: the copy is as of when it is made.
+// Internal calls. Both only read: the copy is as of when it is made, and a part of it stays the same.
 var (
 	dumpCall  = transport.NewRepeatable[dumpRequest, dumpReply]("/rebuild/dump")
 	readyCall = transport.NewRepeatable[readyRequest, readyReply]("/rebuild/ready")
 )
 
-// dumpReply is that copy, as of one moment after its giver learned the view.
+// dumpReply is that part. The whole copy is of one moment after its giver learned the view.
 type dumpReply struct {
-	Tables storage.Tables `msgpack:"t"`
+	Copy    uint64           `msgpack:"c"`
+	Parts   uint32           `msgpack:"n"`
+	Entries []storage.Change `msgpack:"e"`
 }
 
 // Serve registers the internal calls by which others rebuild, and learn that this member is.
@@ -58,10 +64,15 @@
 	if err := r.admit(request); err != nil {
 		return dumpReply{}, verdict.Unexecuted(err, notReadyRetry)
 	}
-	tables := r.config.Store.Snapshot()
-	delete(tables, TableName)
-	delete(tables, replicaset.TableName)
-	return dumpReply{Tables: tables}, nil
+	if request.Part > 0 {
+		return r.copies.part(request)
+	}
+	return r.copies.first(request, func() storage.Tables {
+		tables := r.config.Store.Snapshot()
+		delete(tables, TableName)
+		delete(tables, replicaset.TableName)
+		return tables
+	}), nil
 }
 
 // admit learns the view of the one who asks, and checks that this member works with the same.
@@ -130,67 +141,70 @@
 	return copies
 }
 
-// fetchUntilDone asks one member until it gives a copy. A request or an answer may have been lost without a sign, so
-// another is asked for after a while, though a large copy may still be on its way.
+// fetchUntilDone asks one member until it gives a copy.
 func (r *Rebuilder) fetchUntilDone(ctx context.Context, member string, view replicaset.View, answers chan<- storage.Tables) {
-	ctx, cancel := context.WithCancel(ctx)
-	var open sync.WaitGroup
-	defer open.Wait()
-	defer cancel()
-	got := make(chan storage.Tables, openFetches)
-	slots := make(chan struct{}, openFetches)
-	for {
-		select {
-		case slots <- struct{}{}:
-			open.Go(func() {
-				r.fetchOnce(ctx, member, view, got)
-				<-slots
-			})
-		default:
-		}
-		if tables, found := r.awaitCopy(ctx, got, slots); found {
+	for ctx.Err() == nil {
+		tables, err := r.fetch(ctx, member, view)
+		if err == nil {
 			answers <- tables
 			return
 		}
-		if ctx.Err() != nil {
-			return
-		}
+		r.config.Logger.Debug("copy of a member's tables", zap.String("member", member), zap.Error(err))
+		sleep(ctx, askInterval)
 	}
 }
 
-// awaitCopy waits for a copy until the member is to be asked again.
-func (r *Rebuilder) awaitCopy(ctx context.Context, got <-chan storage.Tables, slots <-chan struct{}) (storage.Tables, bool) {
-	begun := time.Now()
-	for time.Since(begun) < reaskInterval {
-		timer := time.NewTimer(askInterval)
-		select {
-		case tables := <-got:
-			timer.Stop()
-			return tables, true
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, false
-		case <-timer.C:
-		}
-		if len(slots) == 0 {
-			return nil, false // refused
+// fetch gets one member's copy, part by part. It fails where the member has another copy by then, as after a restart.
+func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
+	request := dumpRequest{Member: r.config.Self, View: view, Attempt: rand.Uint64()}
+	tables := make(storage.Tables)
+	for parts := uint32(1); request.Part < parts; request.Part++ {
+		reply, err := r.fetchPart(ctx, member, request)
+		if err != nil {
+			return nil, err
 		}
+		request.Copy, parts = reply.Copy, reply.Parts
+		addEntries(tables, reply.Entries)
 	}
-	return nil, false
+	return tables, nil
 }
 
-func (r *Rebuilder) fetchOnce(ctx context.Context, member string, view replicaset.View, got chan<- storage.Tables) {
-	tables, err := r.fetch(ctx, member, view)
-	if err != nil {
-		r.config.Logger.Debug("copy of a member's tables", zap.String("member", member), zap.Error(err))
-		return
-	}
-	got <- tables
+// partResult is how one call for a part ended.
+type partResult struct {
+	reply dumpReply
+	err   error
 }
 
-func (r *Rebuilder) fetch(ctx context.Context, member string, view replicaset.View) (storage.Tables, error) {
-	ctx, cancel := context.WithTimeout(ctx, dumpLimit)
+// fetchPart gets one part. A request or an answer may have been lost without a sign, so another is asked for after a while,
+// though the first may still be on its way. A refusal is final.
+func (r *Rebuilder) fetchPart(ctx context.Context, member string, request dumpRequest) (dumpReply, error) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	ctx, cancel := context.WithTimeout(ctx, partLimit)
 	defer cancel()
-	reply, err := dumpCall.Call(ctx, r.config.Caller, member, dumpRequest{Member: r.config.Self, View: view})
-	return reply.Tables, err
+	results := make(chan partResult, openFetches)
+	ask := time.NewTimer(0)
+	defer ask.Stop()
+	for asked, failed := 0, 0; ; {
+		select {
+		case <-ask.C:
+			asked++
+			open.Go(func() {
+				reply, err := dumpCall.Call(ctx, r.config.Caller, member, request)
+				results <- partResult{reply, err}
+			})
+			if asked < openFetches {
+				ask.Reset(reaskInterval)
+			}
+		case result := <-results:
+			if result.err == nil || verdict.Of(result.err) == verdict.NotRun {
+				return result.reply, result.err
+			}
+			if failed++; failed == openFetches {
+				return dumpReply{}, result.err
+			}
+		case <-ctx.Done():
+			return dumpReply{}, context.Cause(ctx)
+		}
+	}
 }
--- a/internal/controlplane/rebuild/rebuild.go
+++ b/internal/controlplane/rebuild/rebuild.go
@@ -33,10 +33,10 @@
 	TableName   = "rebuild"
 	completeKey = "complete"
 	askInterval = 250 * time.Millisecond
-	// reaskInterval is how long a member's copy is waited for before another is asked for; openFetches are open at most.
+	// reaskInterval is how long a part of a copy is waited for before it is asked for again; openFetches calls for it are
+	// made at most.
 	reaskInterval = time.Second
 	openFetches   = 3
-	dumpLimit     = 10 * time.Second
 )
 
 var (
@@ -84,6 +84,7 @@
 	config  Config
 	start   time.Time
 	mergers mergers
+	copies  copies // that others are fetching
 
 	membership uint64        // for which this member is complete, as a number of absences; set before complete is closed
 	complete   chan struct{} // closed once this member may take part
--- a/internal/controlplane/rebuild/rebuild_test.go
+++ b/internal/controlplane/rebuild/rebuild_test.go
@@ -70,6 +70,18 @@
 }
 
 func (m *members) start(self string, store storage.SnapshotStore, firstStart bool) *rebuild.Rebuilder {
+	rebuilder, mux := m.make(self, store, firstStart)
+	m.network.Serve(self, mux)
+	return rebuilder
+}
+
+// serving is a member that has its disk, as others call it.
+func (m *members) serving(self string, store storage.SnapshotStore) *transport.Mux {
+	_, mux := m.make(self, store, true)
+	return mux
+}
+
+func (m *members) make(self string, store storage.SnapshotStore, firstStart bool) (*rebuild.Rebuilder, *transport.Mux) {
 	rebuilder, err := rebuild.New(rebuild.Config{
 		Self:       self,
 		FirstStart: firstStart,
@@ -84,8 +96,7 @@
 	rebuilder.Register(rebuild.Infallible(union), "data/", "more/")
 	mux := transport.NewMux()
 	rebuilder.Serve(mux)
-	m.network.Serve(self, mux)
-	return rebuilder
+	return rebuilder, mux
 }
 
 // run rebuilds in the background.
