--- /dev/null
+++ b/internal/controlplane/rebuild/copies_test.go
@@ -0,0 +1,42 @@
+package rebuild
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+func TestPartsOfACopy(t *testing.T) {
+	Convey("Given a copy in several parts", t, func() {
+		value := []byte(strings.Repeat("v", partBytes/2))
+		tables := storage.Tables{"data/a": {"1": value, "2": value, "3": value}}
+		var c copies
+		first := c.begin("x", tables)
+		So(first.Parts, ShouldEqual, 3)
+		ask := func(member string, number uint64, part uint32) error {
+			_, err := c.part(dumpRequest{Member: member, Copy: number, Part: part})
+			return err
+		}
+		Convey("a part may be asked for again", func() {
+			So(ask("x", first.Copy, 1), ShouldBeNil)
+			So(ask("x", first.Copy, 1), ShouldBeNil)
+			So(ask("x", first.Copy, 2), ShouldBeNil)
+			So(ask("x", first.Copy, 2), ShouldBeNil)
+		})
+		Convey("a part of an earlier copy, of another's copy, and one that there is not are refused", func() {
+			second := c.begin("x", tables)
+			for _, err := range []error{ask("x", first.Copy, 1), ask("y", second.Copy, 1), ask("x", second.Copy, 3)} {
+				So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			}
+			So(ask("x", second.Copy, 1), ShouldBeNil)
+		})
+		Convey("one that was received already is given no more", func() {
+			So(ask("x", first.Copy, 2), ShouldBeNil)
+			So(verdict.Of(ask("x", first.Copy, 1)), ShouldEqual, verdict.NotRun)
+		})
+	})
+}
