--- a/internal/controlplane/rebuild/parts_test.go
+++ b/internal/controlplane/rebuild/parts_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 
 // largest serves a member's calls and notes the length of the longest answer.
 type largest struct {
+	mutex   sync.Mutex
 	handler http.Handler
 	length  int
 	answers int
@@ -47,6 +49,8 @@
 }
 
 func (l *largest) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	recorder := httptest.NewRecorder()
 	l.handler.ServeHTTP(recorder, r)
 	l.length = max(l.length, recorder.Body.Len())
