--- /dev/null
+++ b/internal/controlplane/replication/large_test.go
@@ -0,0 +1,150 @@
+package replication
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/raceflag"
+)
+
+const (
+	largeEntries = 200_000 // of a group; a tenth under the race detector
+	largeChunk   = 2_000   // proposed together
+	largeValue   = 100     // bytes
+)
+
+func entryCount() int {
+	if raceflag.On || testing.Short() {
+		return largeEntries / 10
+	}
+	return largeEntries
+}
+
+// proposeAll proposes numbered entries in chunks and waits until each is committed. A busy machine may lose a lease, and
+// then the next leader goes on; the last one is returned.
+func (c *cluster) proposeAll(leader election, count int, mark byte) election {
+	for first := 0; first < count; first += largeChunk {
+		entries := make([]Entry, largeChunk)
+		for i := range entries {
+			entries[i] = Entry{fmt.Sprintf("task/%08d", first+i), bytes.Repeat([]byte{mark}, largeValue)}
+		}
+		for !commits(leader.term, entries) {
+			leader = c.awaitValid()
+		}
+	}
+	return leader
+}
+
+// commits proposes entries and tells whether they were committed before the term ended.
+func commits(term *Term, entries []Entry) bool {
+	committed := make(chan struct{})
+	term.Propose(entries, func() { close(committed) })
+	select {
+	case <-committed:
+		return true
+	case <-term.Ended():
+		return false
+	}
+}
+
+// keepBusy proposes a small change every few milliseconds to whoever leads, until it is told to stop.
+func (c *cluster) keepBusy(term *Term, stop <-chan struct{}) (count *atomic.Uint64) {
+	count = new(atomic.Uint64)
+	go func() {
+		ticks := time.NewTicker(5 * time.Millisecond)
+		defer ticks.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case next := <-c.elected:
+				term = next.term
+			case <-ticks.C:
+				number := count.Add(1)
+				term.Propose([]Entry{{"busy", binary.BigEndian.AppendUint64(nil, number)}}, nil)
+			}
+		}
+	}()
+	return count
+}
+
+// watched is a store that tells of its writes.
+type watched struct {
+	*storage.FileStore
+	written chan struct{} // holds a token after a write
+}
+
+// Write implements storage.Store.
+func (w *watched) Write(changes ...storage.Change) error {
+	err := w.FileStore.Write(changes...)
+	select {
+	case w.written <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// A member that was away while a large group changed starts again, and catches up under a busy leader.
+func TestRestartWithALargeState(t *testing.T) {
+	Convey("Given a group of many entries on real files", t, func() {
+		directory := t.TempDir()
+		stores := make(map[string]*watched)
+		opened := make(map[string]time.Duration)
+		open := func(address string) storage.Store {
+			began := time.Now()
+			store, _, err := storage.Open(storage.OperatingSystem{}, filepath.Join(directory, address), storage.Options{})
+			So(err, ShouldBeNil)
+			stores[address] = &watched{store, make(chan struct{}, 1)}
+			opened[address] = time.Since(began)
+			return stores[address]
+		}
+		c := startClusterOn(3, open)
+		defer func() {
+			c.close()
+			for _, store := range stores {
+				store.Close()
+			}
+		}()
+		leader := c.proposeAll(c.awaitValid(), entryCount(), 1)
+		var away *running
+		for _, r := range c.nodes {
+			if r != leader.node {
+				away = r
+			}
+		}
+		away.stop()
+		So(stores[away.address].Close(), ShouldBeNil)
+		leader = c.proposeAll(leader, entryCount()/4, 2)
+		stop := make(chan struct{})
+		defer close(stop)
+		count := c.keepBusy(leader.term, stop)
+
+		listener, err := net.Listen("tcp", away.address)
+		So(err, ShouldBeNil)
+		began := time.Now()
+		c.startNode(listener)
+		store := c.nodes[away.address].store
+		caughtUp := func() bool {
+			state := store.Table(stateTable("jobs/x"))
+			return len(state["busy"]) == 8 && binary.BigEndian.Uint64(state["busy"])+200 > count.Load()
+		}
+		for !caughtUp() {
+			_, err := await(stores[away.address].written)
+			So(err, ShouldBeNil)
+		}
+		t.Logf("%d entries: open after %v, caught up after %v", entryCount(), opened[away.address], time.Since(began))
+		So(caughtUp(), ShouldBeTrue)
+		state := store.Table(stateTable("jobs/x"))
+		So(len(state), ShouldEqual, entryCount()+1)
+		So(state["task/00000000"][0], ShouldEqual, 2)
+	})
+}
--- a/internal/controlplane/replication/node_test.go
+++ b/internal/controlplane/replication/node_test.go
@@ -37,6 +37,7 @@
 	nodes   map[string]*running
 	elected chan election
 	deposed chan *Term
+	open    func(address string) storage.Store // makes a node's store
 }
 
 type election struct {
@@ -52,7 +53,7 @@
 	server   *http.Server
 	client   *transport.Client
 	killed   atomic.Bool
-	store    *storage.Memory
+	store    storage.Store
 	node     *Node
 	cancel   context.CancelFunc
 	ended    chan struct{}
@@ -67,7 +68,13 @@
 func (r *running) Deposed(term *Term) { r.cluster.deposed <- term }
 
 func startCluster(members int) *cluster {
-	c := &cluster{nodes: make(map[string]*running), elected: make(chan election, 100), deposed: make(chan *Term, 100)}
+	return startClusterOn(members, func(string) storage.Store { return storage.NewMemory() })
+}
+
+func startClusterOn(members int, open func(address string) storage.Store) *cluster {
+	c := &cluster{
+		nodes: make(map[string]*running), elected: make(chan election, 100), deposed: make(chan *Term, 100), open: open,
+	}
 	c.view.Version = 1
 	var listeners []net.Listener
 	for range members {
@@ -85,7 +92,7 @@
 func (c *cluster) startNode(listener net.Listener) {
 	r := &running{
 		cluster: c, address: listener.Addr().String(), listener: listener,
-		client: transport.NewClient(), store: storage.NewMemory(), ended: make(chan struct{}),
+		client: transport.NewClient(), store: c.open(listener.Addr().String()), ended: make(chan struct{}),
 	}
 	node, err := NewNode(Config{
 		Self: r.address, Store: r.store, Caller: r, Handler: r, Timing: quick,
@@ -215,7 +222,7 @@
 			}
 		})
 		Convey("a leader whose store fails resigns, and another leads", func() {
-			first.node.store.Fail(errors.New("the disk is gone"))
+			first.node.store.(*storage.Memory).Fail(errors.New("the disk is gone"))
 			first.term.Propose([]Entry{{"count", number(99)}}, func() {})
 			second := c.awaitValid()
 			So(second.node.address, ShouldNotEqual, first.node.address)
