--- /dev/null
+++ b/internal/controlplane/register/restart_test.go
@@ -0,0 +1,90 @@
+package register
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/raceflag"
+)
+
+const (
+	takenBytes   = 45      // of an order that is remembered
+	takenMost    = 2000    // orders that are remembered
+	bodyBytes    = 8 << 10 // of the configuration itself
+	fileMost     = 8 << 20 // of the file after any number of changes: the usual 4 MB, and what is written meanwhile
+	restartBound = 4 * time.Second
+)
+
+// unsynced is the machine's files without the wait for the disk; the process here only ends, and the power stays.
+type unsynced struct{ storage.OperatingSystem }
+
+type unsyncedFile struct{ storage.File }
+
+// Sync implements storage.File.
+func (unsyncedFile) Sync() error { return nil }
+
+// Create implements storage.FileSystem.
+func (u unsynced) Create(name string) (storage.File, error) {
+	file, err := u.OperatingSystem.Create(name)
+	return unsyncedFile{file}, err
+}
+
+// SyncFolder implements storage.FileSystem.
+func (unsynced) SyncFolder(string) error { return nil }
+
+// stateAfter is as long as the configuration's state after a number of changes.
+func stateAfter(changes int) state {
+	value := bytes.Repeat([]byte{byte(changes)}, bodyBytes+takenBytes*min(changes, takenMost))
+	return state{Value: value, Sequence: uint64(changes)}
+}
+
+// A member starts again as fast after 20,000 changes of the configuration as after 2,000: its file is rewritten all the time.
+func TestRestartAfterManyChanges(t *testing.T) {
+	for _, changes := range []int{200, 2_000, 20_000} {
+		if changes > 2_000 && (raceflag.On || testing.Short()) {
+			continue
+		}
+		Convey("Given a member that has accepted many changes", t, func() {
+			directory := t.TempDir()
+			store, _, err := storage.Open(unsynced{}, directory, storage.Options{})
+			So(err, ShouldBeNil)
+			acceptor := func(store storage.Store) *Acceptor {
+				return NewAcceptor(AcceptorConfig{
+					Name: "test", Store: store, Ready: func() bool { return true },
+					View: func() replicaset.View { return replicaset.View{Version: 1} },
+				})
+			}
+			before := acceptor(store)
+			for number := 1; number <= changes; number++ {
+				ballot := Ballot{Counter: uint64(number), Member: "a"}
+				answer, err := before.accept(context.Background(), acceptRequest{ViewVersion: 1, Ballot: ballot, State: stateAfter(number)})
+				if err != nil || answer.Outcome != granted {
+					t.Fatal(answer, err)
+				}
+			}
+			So(store.Close(), ShouldBeNil)
+			file, err := os.Stat(filepath.Join(directory, "store.log"))
+			So(err, ShouldBeNil)
+			So(file.Size(), ShouldBeLessThan, fileMost)
+
+			began := time.Now()
+			again, _, err := storage.Open(storage.OperatingSystem{}, directory, storage.Options{})
+			took := time.Since(began)
+			So(err, ShouldBeNil)
+			defer again.Close()
+			answer, err := acceptor(again).read(context.Background(), readRequest{ViewVersion: 1})
+			So(err, ShouldBeNil)
+			So(answer.State.Sequence, ShouldEqual, changes)
+			So(took, ShouldBeLessThan, restartBound)
+			t.Logf("%d changes: a file of %d KB, open after %v", changes, file.Size()>>10, took)
+		})
+	}
+}
