--- a/internal/controlplane/replication/explored_test.go
+++ b/internal/controlplane/replication/explored_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
@@ -343,51 +340,3 @@
 		m.core.resigned(request)
 	}
 }
-
-// check verifies after each step what must always hold.
-func (w *explored) check(m *exploredMember) {
-	if l := m.core.group(exploredGroup).leading; l != nil {
-		w.checkLeader(l)
-	}
-}
-
-// checkState verifies after a write that all that are at one position hold the same state.
-func (w *explored) checkState(m *exploredMember) {
-	g := m.core.group(exploredGroup)
-	if len(m.writes) > 0 || g.replica.writing {
-		return
-	}
-	position, sum := g.replica.position, hashState(m.disk[stateTable(exploredGroup)])
-	if known, found := w.states[position]; found && known != sum {
-		w.failf("%s holds another state at %v than one before it", m.address, position)
-	}
-	w.states[position] = sum
-}
-
-func (w *explored) checkLeader(l *leadership) {
-	if _, known := w.bases[l.epoch]; !known {
-		w.bases[l.epoch] = l.history.batches[0].previous
-	}
-	w.committed[l.epoch] = max(w.committed[l.epoch], l.committed)
-	for later, base := range w.bases {
-		for epoch, sequence := range w.committed {
-			if epoch < later && sequence > 0 && base.Before(Position{epoch, sequence}) {
-				w.failf("epoch %d begins at %v without what epoch %d has committed, %d", later, base, epoch, sequence)
-			}
-		}
-	}
-}
-
-func (w *explored) failf(format string, arguments ...any) {
-	if w.err == nil {
-		w.err = fmt.Errorf(format, arguments...)
-	}
-}
-
-func hashState(state map[string][]byte) uint64 {
-	sum := fnv.New64a()
-	for _, key := range slices.Sorted(maps.Keys(state)) {
-		fmt.Fprintf(sum, "%q=%q ", key, state[key])
-	}
-	return sum.Sum64()
-}
