The test of a large restart compares with what was committed

It compared with what was proposed, so that a slow commit at the leader counted as a follower's lag.

--- a/internal/controlplane/replication/large_test.go
+++ b/internal/controlplane/replication/large_test.go
@@ -56,9 +56,11 @@
 	}
 }
 
-// keepBusy proposes a small change every few milliseconds to whoever leads, until it is told to stop.
-func (c *cluster) keepBusy(term *Term, stop <-chan struct{}) (count *atomic.Uint64) {
-	count = new(atomic.Uint64)
+// keepBusy proposes a small change every few milliseconds to whoever leads, until it is told to stop. It returns the number
+// of the newest one that was committed.
+func (c *cluster) keepBusy(term *Term, stop <-chan struct{}) (committed *atomic.Uint64) {
+	committed = new(atomic.Uint64)
+	number := uint64(0)
 	go func() {
 		ticks := time.NewTicker(5 * time.Millisecond)
 		defer ticks.Stop()
@@ -69,12 +71,13 @@
 			case next := <-c.elected:
 				term = next.term
 			case <-ticks.C:
-				number := count.Add(1)
-				term.Propose([]Entry{{"busy", binary.BigEndian.AppendUint64(nil, number)}}, nil)
+				number++
+				change := number
+				term.Propose([]Entry{{"busy", binary.BigEndian.AppendUint64(nil, change)}}, func() { committed.Store(change) })
 			}
 		}
 	}()
-	return count
+	return committed
 }
 
 // watched is a store that tells of its writes.
@@ -126,7 +129,7 @@
 		leader = c.proposeAll(leader, entryCount()/4, 2)
 		stop := make(chan struct{})
 		defer close(stop)
-		count := c.keepBusy(leader.term, stop)
+		committed := c.keepBusy(leader.term, stop)
 
 		listener, err := net.Listen("tcp", away.address)
 		So(err, ShouldBeNil)
@@ -135,7 +138,7 @@
 		store := c.nodes[away.address].store
 		caughtUp := func() bool {
 			state := store.Table(stateTable("jobs/x"))
-			return len(state["busy"]) == 8 && binary.BigEndian.Uint64(state["busy"])+200 > count.Load()
+			return len(state["busy"]) == 8 && binary.BigEndian.Uint64(state["busy"])+200 > committed.Load()
 		}
 		for !caughtUp() {
 			_, err := await(stores[away.address].written)
