A part of a copy that is asked for again is of the same copy

The calls for a lost copy that overlap since copies are asked for again after a second would each have begun a copy in parts, in the place of the one before. An attempt now has a number of the asker's, and each part is asked for again by itself.

--- a/internal/controlplane/rebuild/copies_test.go
+++ b/internal/controlplane/rebuild/copies_test.go
@@ -15,7 +15,10 @@
 		value := []byte(strings.Repeat("v", partBytes/2))
 		tables := storage.Tables{"data/a": {"1": value, "2": value, "3": value}}
 		var c copies
-		first := c.begin("x", tables)
+		begin := func(attempt uint64) dumpReply {
+			return c.first(dumpRequest{Member: "x", Attempt: attempt}, func() storage.Tables { return tables })
+		}
+		first := begin(1)
 		So(first.Parts, ShouldEqual, 3)
 		ask := func(member string, number uint64, part uint32) error {
 			_, err := c.part(dumpRequest{Member: member, Copy: number, Part: part})
@@ -28,12 +31,16 @@
 			So(ask("x", first.Copy, 2), ShouldBeNil)
 		})
 		Convey("a part of an earlier copy, of another's copy, and one that there is not are refused", func() {
-			second := c.begin("x", tables)
+			second := begin(2)
 			for _, err := range []error{ask("x", first.Copy, 1), ask("y", second.Copy, 1), ask("x", second.Copy, 3)} {
 				So(verdict.Of(err), ShouldEqual, verdict.NotRun)
 			}
 			So(ask("x", second.Copy, 1), ShouldBeNil)
 		})
+		Convey("the first part of the same attempt is of the same copy, however often it is asked for", func() {
+			So(begin(1), ShouldResemble, first)
+			So(begin(2).Copy, ShouldNotEqual, first.Copy)
+		})
 		Convey("one that was received already is given no more", func() {
 			So(ask("x", first.Copy, 2), ShouldBeNil)
 			So(verdict.Of(ask("x", first.Copy, 1)), ShouldEqual, verdict.NotRun)
--- a/internal/controlplane/register/known_test.go
+++ b/internal/controlplane/register/known_test.go
@@ -10,6 +10,7 @@
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/transport"
 )
 
 // direct calls acceptors in this process, and counts the bytes of their answers.
@@ -20,7 +21,7 @@
 }
 
 // Call implements transport.Caller.
-func (d *direct) Call(ctx context.Context, address, _ string, request, answer any) error {
+func (d *direct) Call(ctx context.Context, address string, _ transport.Route, request, answer any) error {
 	var result reply
 	var err error
 	switch asked := request.(type) {
