An order on top of a version that is not in force yet is not refused

Cause: it got 412, which ends the operator's call. Versions only rise, so the version in its If-Match may still come into force, and an earlier attempt at a mixer that stood still was then taken: refused, and in force. It is left unclear (503).

--- a/internal/controlplane/configuration/outcome.go
+++ b/internal/controlplane/configuration/outcome.go
@@ -16,7 +16,7 @@
 	Accepted
 	// Invalid means that the order can never be taken.
 	Invalid
-	// Conflict means that another version than the order's If-Match is current.
+	// Conflict means that a version above the order's If-Match is current.
 	Conflict
 	// Unclear means that the order may or may not have been taken; sent again, it is recognised.
 	Unclear
@@ -53,6 +53,10 @@
 // ErrForgotten is why an order is unclear that builds on a version older than the history of taken changes.
 var ErrForgotten = errors.New("the version in If-Match is so old that nobody can tell any more whether this change was taken; read the configuration and send the change on top of it")
 
+// ErrNotInForce is why an order is unclear that builds on a version above the one in force. Versions only rise, so that one may
+// still come into force; a refusal would be wrong if the order, on its way to another mixer as well, were taken after it.
+var ErrNotInForce = errors.New("the version in If-Match is not in force yet; send it again, or read the configuration and send the change on top of it")
+
 // ConflictError tells which version an order should have been built on.
 type ConflictError struct{ Current uint64 }
 
--- a/internal/controlplane/control/control_test.go
+++ b/internal/controlplane/control/control_test.go
@@ -105,6 +105,7 @@
 				{configuration.Outcome{Kind: configuration.Unclear, Err: errNoMajority}, 503, "send it again"},
 				{configuration.Outcome{Kind: configuration.Unavailable, Err: errNoMajority}, 503, "send it again"},
 				{configuration.Outcome{Kind: configuration.Unclear, Err: configuration.ErrForgotten}, 503, "read the configuration"},
+				{configuration.Outcome{Kind: configuration.Unclear, Err: configuration.ErrNotInForce}, 503, "not in force yet"},
 				{configuration.Outcome{}, 503, "send it again"},
 			}
 			for _, c := range cases {
