Process tests: a connection's silence counts from when it was begun

Each had begun its connection 2.4 s or more before the mixer's end was heard, which is the mixer's right after 2 s of silence; but the client's own process stood still and heard of its connection 1.4 s late, and its silence was counted from there. It now counts from the beginning of the connection, before which the mixer can't have begun to wait.

--- a/internal/tools/fleettest/ask_test.go
+++ b/internal/tools/fleettest/ask_test.go
@@ -52,9 +52,11 @@
 
 // request is what the client's side of one saw of its connection; zero times for what did not happen.
 type request struct {
-	mu               sync.Mutex
-	began, ended     time.Time
-	connected, wrote time.Time // connected only where it is the first on its connection
+	mu           sync.Mutex
+	began, ended time.Time
+	// connected is when the connection was begun, only where this is the first on it: on a machine that stands still the other side
+	// may have it long before this one hears of that.
+	connected, wrote time.Time
 }
 
 // unasked tells whether the connection stood silent for so long before the request was written, as on a machine that stands
@@ -91,11 +93,7 @@
 		*at = time.Now()
 	}
 	trace := &httptrace.ClientTrace{
-		ConnectDone: func(_, _ string, err error) {
-			if err == nil {
-				note(&r.connected)
-			}
-		},
+		ConnectStart: func(string, string) { note(&r.connected) },
 		GotConn: func(c httptrace.GotConnInfo) {
 			if c.Reused { // another's, and what was dialled meanwhile is not used
 				r.mu.Lock()
