Judgements of others: what one says alone is told by searcher, not by the moment

The sick mixer's word is now held against those searchers that nobody else blames, for 2 s at the least, longer than a report and a judgement take; with one witness enough, the test fails.

--- a/internal/tools/fleettest/judgements_test.go
+++ b/internal/tools/fleettest/judgements_test.go
@@ -24,6 +24,9 @@
 	return list
 }
 
+// calledLately is for how long a mixer that called a searcher is a witness of it: calls seen fade over 10 s.
+const calledLately = 5 * time.Second
+
 // A searcher crawls, and two mixers that have lookups see it. A third that had none takes it for slow from their word alone; one
 // sick mixer, to which half of all searchers crawl, is believed by nobody.
 func TestJudgementsOfOthers(t *testing.T) {
@@ -50,37 +53,47 @@
 		w.Until(m.Name+" shows what it judges", func() bool { s = m.Show(); return s != nil })
 		return strings.TrimSpace(fmt.Sprint(s["judged"]))
 	}
-	// look reads what the third mixer has heard: whether the sick one finds fault, and whether both others call s-1 and have found
-	// no fault for as long as a judgement stands.
-	othersBlamed := time.Now()
-	look := func() (shown map[string]any, sick, sound bool) {
+	// look reads what the third mixer has heard: whom the sick one blames while no other has for as long as a judgement stands, and
+	// whether both others have called s-1 of late without fault.
+	othersBlamed, called := map[shared.Searcher]time.Time{}, map[string]time.Time{}
+	look := func() (shown map[string]any, alone []shared.Searcher, sound bool) {
 		if shown = w.Mixers[2].Show(); shown == nil {
-			return nil, false, false
+			return nil, nil, false
 		}
-		called := 0
+		var sick []shared.Searcher
 		for _, r := range reportsIn(shown) {
-			switch {
-			case r.Origin == "m3":
-				sick = len(r.Bad) > 0
-			case len(r.Bad) > 0:
-				othersBlamed = time.Now()
-			case r.Worst.Searcher == "s-1" && r.Worst.Calls >= 10: // without fault the one called most is named
-				called++
+			if r.Origin == "m3" {
+				sick = r.Bad
+				continue
+			}
+			for _, name := range r.Bad {
+				othersBlamed[name] = time.Now()
+			}
+			if len(r.Bad) == 0 && r.Worst.Searcher == "s-1" && r.Worst.Calls >= 10 { // without fault the one called most is named
+				called[string(r.Origin)] = time.Now()
 			}
 		}
-		return shown, sick, called == 2 && time.Since(othersBlamed).Seconds() > shared.HeldFor
+		for _, name := range sick {
+			if time.Since(othersBlamed[name]).Seconds() > shared.HeldFor {
+				alone = append(alone, name)
+			}
+		}
+		return shown, alone, time.Since(called["m1"]) < calledLately && time.Since(called["m4"]) < calledLately
 	}
 	w.Until("two mixers call the searcher and find no fault", func() bool { _, _, sound := look(); return sound })
 	w.slowAt(w.Mixers[3], 300*time.Millisecond, 0, 1, 4) // the sick one, to which half of all searchers crawl
-	checks := 0
+	var first time.Time                                  // that it alone found fault; what is heard is judged within a second
 	w.Until("the sick mixer alone finds fault", func() bool {
-		shown, sick, sound := look()
-		if sick && sound {
-			if checks++; strings.TrimSpace(fmt.Sprint(shown["judged"])) != "[]" {
+		shown, alone, sound := look()
+		for _, name := range alone {
+			if first.IsZero() {
+				first = time.Now()
+			}
+			if strings.Contains(fmt.Sprint(shown["judged"]), string(name)) {
 				t.Errorf("one sick mixer's word is believed: %s", shown["judged"])
 			}
 		}
-		return checks >= 3
+		return sound && len(alone) > 0 && time.Since(first) > 2*time.Second
 	})
 	for _, i := range []int{1, 2, 4} { // s-1 stands in the zone of the first and the last of them, which have lookups
 		w.slowAt(w.Mixers[i], 200*time.Millisecond, 1)
