--- a/internal/controlplane/replication/catchup_test.go
+++ b/internal/controlplane/replication/catchup_test.go
@@ -153,7 +153,9 @@
 
 func TestCatchingUpUnderABusyLeader(t *testing.T) {
 	Convey("A follower whose link is slow gets what came after its snapshot, and not one snapshot after the other", t, func() {
-		s := calmWith(4, narrow, "jobs/a")
+		kept := narrow
+		kept.KeptBatches, kept.KeptBytes = 10, 2500 // more than come during one call to a follower that is near
+		s := calmWith(4, kept, "jobs/a")
 		_, follower := lagBehind(s)
 		s.slowLinks = map[string]time.Duration{follower.address: 60 * time.Millisecond}
 		follower.start()
