--- a/internal/tools/mutants/mutants_test.go
+++ b/internal/tools/mutants/mutants_test.go
@@ -33,8 +33,13 @@
 	return all
 }
 
-// TestTable holds the table to the sources: each mutant can be made, and its test exists.
+// TestTable holds the table to the sources and to the page on control safety: each mutant can be made, its test exists, and
+// the page has its row.
 func TestTable(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "control-safety.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
 	names := map[string]bool{}
 	for _, mutant := range load(t) {
 		if names[mutant.Name] {
@@ -44,6 +49,9 @@
 		if _, err := mutant.Source(root); err != nil {
 			t.Errorf("%s: %v", mutant.Table, err)
 		}
+		if row := "| " + mutant.Name + " | " + mutant.Rule + " |"; !strings.Contains(string(page), row) {
+			t.Errorf("%s: docs/control-safety.md has no row %q", mutant.Table, row)
+		}
 		if !hasTest(t, &mutant) {
 			t.Errorf("%s: mutant %q: no test of %s matches %q", mutant.Table, mutant.Name, mutant.Package, mutant.Test)
 		}
