--- a/logic/state_searchers.go
+++ b/logic/state_searchers.go
@@ -117,13 +117,12 @@
 	return s
 }
 
-// meanLatency is that of the searchers heard that count, or else what it last was. What was not heard again fades to what is
-// usual: else a bad moment in which all took long turned lookups away for good, and nobody was heard again.
+// meanLatency is that of the searchers heard that count, or else what it last was.
 func (m *Mixer) meanLatency(counts func(*searcher) bool) float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range m.fleet {
 		if s.latency > 0 && counts(s) {
-			sum, n = sum+m.usual+fading{s.latency - m.usual, s.heardAt}.now(m.now, forgetAfter*m.longSoft), n+1
+			sum, n = sum+s.latency, n+1
 		}
 	}
 	if n == 0 {
