While no searcher is heard, the average latency fades to the usual one

Cause: the average latency, which estimates not renewed go back to, is the mean of those estimates and never faded. After a stall in which calls took over about 0.8 of a soft deadline, with windows below one, every lookup was turned away, so no searcher was heard again and the average stayed: 3600 of 3600 lookups in the hour after were refused (TestABadMomentEnds, which fails without this change). Now the whole mean fades, by the age of the newest estimate in it: nothing changes for a mixer that hears any searcher.

--- a/logic/state_searchers.go
+++ b/logic/state_searchers.go
@@ -117,18 +117,19 @@
 	return s
 }
 
-// meanLatency is that of the searchers heard that count, or else what it last was.
+// meanLatency is that of the searchers heard that count, or else what it last was. While none of them is heard it fades to what is
+// usual: else a bad moment in which all took long turned lookups away for good, and nobody was heard again.
 func (m *Mixer) meanLatency(counts func(*searcher) bool) float64 {
-	sum, n := 0.0, 0.0
+	sum, n, lastHeard := 0.0, 0.0, 0.0
 	for _, s := range m.fleet {
 		if s.latency > 0 && counts(s) {
-			sum, n = sum+s.latency, n+1
+			sum, n, lastHeard = sum+s.latency, n+1, max(lastHeard, s.heardAt)
 		}
 	}
 	if n == 0 {
 		return m.average
 	}
-	return sum / n
+	return m.usual + fading{sum/n - m.usual, lastHeard}.now(m.now, forgetAfter*m.longSoft)
 }
 
 func (m *Mixer) holdersOf(p *part) []*searcher { return m.holders[int(p.shard)%len(m.holders)] }
