Searchers: the place of a connection's descriptor is free before its end is told

Cause: the goroutine of a connect gave its place back after it had told the end. Whoever heard the end first found the place still taken: a call at the limit of descriptors could end as not sent beside a free place, and a stop could return before the count was back at 0.

--- a/internal/dataplane/searchers/connection.go
+++ b/internal/dataplane/searchers/connection.go
@@ -73,9 +73,9 @@
 	whyWriteFails reason = "write_failed"
 )
 
-// run serves the connection until it ends, telling the actor what was written and what came. The last thing it tells
-// is the end, when neither direction can tell anything more.
-func (conn *connection) run(tell func(note)) {
+// run serves the connection until it ends, telling the actor what was written and what came. It returns the note of the end, which is for
+// the caller to tell, when neither direction can tell anything more and the descriptor is closed.
+func (conn *connection) run(tell func(note)) (ended note) {
 	stop := make(chan struct{})
 	var once sync.Once
 	var why reason
@@ -98,7 +98,7 @@
 	})
 	conn.write(tell, stop, end)
 	readers.Wait()
-	tell(note{kind: connectionEnded, connection: conn, why: why, text: text})
+	return note{kind: connectionEnded, connection: conn, why: why, text: text}
 }
 
 // finish ends what is written, and leaves the reader a moment for what has come already: an answer that is whole counts,
--- a/internal/dataplane/searchers/connections.go
+++ b/internal/dataplane/searchers/connections.go
@@ -120,23 +120,28 @@
 		return
 	}
 	go func() {
-		defer func() { <-a.hub.descriptors }()
-		socket, err := a.hub.dialer(a.hub.dials, connect, address)
-		if err != nil {
-			why := whyNoConnect
-			if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
-				why = whyLateDial
-			}
-			a.in.Put(note{kind: dialled, era: era, address: address, why: why, text: err.Error()})
-			return
-		}
-		conn := &connection{socket: socket, stuck: a.hub.stuck, out: eventqueue.New[outgoing](), address: address, opened: time.Now(),
-			used: time.Now(), abandoned: map[string]time.Time{}}
-		a.in.Put(note{kind: dialled, era: era, connection: conn})
-		conn.run(func(n note) { a.in.Put(n) })
+		last := a.connect(address, era, connect)
+		<-a.hub.descriptors // before the end is told: who hears of it may need the place
+		a.in.Put(last)
 	}()
 }
 
+// connect dials, and serves the connection where one comes up. It returns the last note of either, which is still to be told.
+func (a *actor) connect(address string, era int, within time.Duration) (last note) {
+	socket, err := a.hub.dialer(a.hub.dials, within, address)
+	if err != nil {
+		why := whyNoConnect
+		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+			why = whyLateDial
+		}
+		return note{kind: dialled, era: era, address: address, why: why, text: err.Error()}
+	}
+	conn := &connection{socket: socket, stuck: a.hub.stuck, out: eventqueue.New[outgoing](), address: address, opened: time.Now(),
+		used: time.Now(), abandoned: map[string]time.Time{}}
+	a.in.Put(note{kind: dialled, era: era, connection: conn})
+	return conn.run(func(n note) { a.in.Put(n) })
+}
+
 func (a *actor) dialled(n *note) {
 	a.dialling--
 	old := n.era != a.era
--- a/internal/dataplane/searchers/crossings_test.go
+++ b/internal/dataplane/searchers/crossings_test.go
@@ -212,7 +212,7 @@
 	}
 	let, notes = make(chan struct{}), make(chan note, 100)
 	conn = &connection{socket: held{socket, let}, stuck: patience, out: eventqueue.New[outgoing](), abandoned: map[string]time.Time{}}
-	go conn.run(func(n note) { notes <- n })
+	go func() { notes <- conn.run(func(n note) { notes <- n }) }()
 	return conn, p.(*net.TCPConn), let, notes
 }
 
