--- /dev/null
+++ b/internal/tools/fleettest/operator_test.go
@@ -0,0 +1,93 @@
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"syscall"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/operators/api"
+)
+
+// Client is its operators' client, one for all: the listener takes few connections.
+func (m *Mixer) Client() *api.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.client == nil {
+		var err error
+		m.client, err = api.NewClient("unix:"+m.socket(), "")
+		m.world.must(err)
+	}
+	return m.client
+}
+
+// Show is what it tells operators of the fleet, as JSON tells it; nil where it does not answer.
+func (m *Mixer) Show() map[string]any {
+	time.Sleep(askPause)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var s map[string]any
+	if m.Client().Get(ctx, "/v1/fleet", &s) != nil {
+		return nil
+	}
+	return s
+}
+
+// Leader is the mixer that leads and grants, as it says itself; nil for none.
+func (w *World) Leader() *Mixer {
+	for _, m := range w.Mixers {
+		if s := m.Show(); s != nil && s["leads"] == true && s["grants_in_s"] == nil {
+			return m
+		}
+	}
+	return nil
+}
+
+// Command sends a command through one mixer, and tells the version that it made.
+func (m *Mixer) Command(command map[string]any) (version uint64, err error) {
+	body, _ := json.Marshal(command)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var c api.FleetCommand
+	m.world.must(json.Unmarshal(body, &c))
+	r, err := m.Client().Change(ctx, c)
+	return r.Version, err
+}
+
+// Held asks through one mixer how a version stands.
+func (m *Mixer) Held(version uint64, tenant string) (held bool, states map[string]string) {
+	time.Sleep(askPause)
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	p, err := m.Client().Held(ctx, version, tenant)
+	if err != nil {
+		return false, nil
+	}
+	states = map[string]string{}
+	for _, x := range p.Mixers {
+		states[string(x.Mixer)] = x.State
+	}
+	return p.Held, states
+}
+
+// Counter reads a counter of the process from its log, after a SIGUSR1.
+func (m *Mixer) Counter(name string) (value float64) {
+	m.world.Helper()
+	text, _ := os.ReadFile(m.log)
+	from := len(text)
+	m.Signal(syscall.SIGUSR1)
+	m.world.Until("counters of "+m.Name, func() bool {
+		text, _ := os.ReadFile(m.log)
+		for line := range bytes.Lines(text[min(from, len(text)):]) {
+			var fields map[string]any
+			if json.Unmarshal(line, &fields) == nil && fields["message"] == "counters" {
+				value, _ = fields[name].(float64)
+				return true
+			}
+		}
+		return false
+	})
+	return value
+}
--- /dev/null
+++ b/internal/tools/fleettest/process_test.go
@@ -0,0 +1,179 @@
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// file is a mixer's operator's file: of its peers it knows the relays' addresses.
+func (m *Mixer) file() string {
+	w := m.world
+	var b strings.Builder
+	fmt.Fprintf(&b, "{\n\"operators\": {\"listen\": \"unix:%s\"},\n", m.socket())
+	if !w.NoFleet {
+		directory := ""
+		if m.no < w.Voters || w.Keeps {
+			directory = fmt.Sprintf("\"directory\": %q, ", m.dir)
+		}
+		fmt.Fprintf(&b, "\"fleet\": {\"key_file\": %q, %s\"lease_s\": %g, \"version\": 1, \"mixers\": [\n", w.path("key"), directory, w.LeaseS)
+		for _, o := range w.Mixers {
+			address := o.address
+			if o.Name != m.Name {
+				address = w.Link(m.no, o.no).Address()
+			}
+			fmt.Fprintf(&b, "  {\"name\": %q, \"address\": %q, \"location\": %q, \"votes\": %t},\n", o.Name, address, o.Zone, o.no < w.Voters)
+		}
+		b.WriteString("]},\n")
+		if w.Quotas != "" {
+			fmt.Fprintf(&b, "\"quotas\": %s,\n", w.Quotas)
+		}
+		if w.Contracts != "" {
+			fmt.Fprintf(&b, "\"contracts\": %s,\n", w.Contracts)
+		}
+	}
+	b.WriteString("}\n")
+	return b.String()
+}
+
+func (m *Mixer) socket() string { return filepath.Join(m.world.dir, m.Name+m.twin+".s") }
+
+// Start starts the process.
+func (m *Mixer) Start() {
+	w := m.world
+	w.Helper()
+	config, file := w.path(m.Name+m.twin+".json"), w.path(m.Name+m.twin+".json5")
+	w.must(os.WriteFile(config, w.Site.Config(m.Name, m.Listen, m.register, m.no), 0o600))
+	w.must(os.WriteFile(file, []byte(m.file()), 0o600))
+	tags := withPoints
+	if w.Plain {
+		tags = ""
+	}
+	m.log = w.path(m.Name + m.twin + ".log")
+	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	w.must(err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	binary := w.Binary
+	if binary == "" {
+		binary = Build(w.TB, tags)
+	}
+	m.cmd = exec.Command(binary, "serve", "--operator", file)
+	m.cmd.Env = append(append(os.Environ(), "LB_CONFIG="+config), m.env...)
+	m.cmd.Stdout, m.cmd.Stderr = out, out
+	w.must(m.cmd.Start())
+	m.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		cmd.Wait()
+		out.Close()
+		close(ended)
+	}(m.cmd, m.ended)
+}
+
+// Twin starts a second process of the same name, address and directory, which listens elsewhere for clients.
+func (m *Mixer) Twin() *Mixer {
+	w := m.world
+	w.Helper()
+	t := &Mixer{Name: m.Name, Zone: m.Zone, Listen: w.port(), world: w, no: m.no, twin: "-2", address: m.address, register: m.register, before: m.before, dir: m.dir}
+	t.Start()
+	w.Cleanup(t.Kill)
+	w.Until("the twin serves", t.up)
+	return t
+}
+
+// Signal sends a signal to the process.
+func (m *Mixer) Signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once and waits for its end.
+func (m *Mixer) Kill() {
+	m.Signal(syscall.SIGKILL)
+	<-m.ended
+}
+
+// Ended tells whether the process has ended.
+func (m *Mixer) Ended() bool {
+	select {
+	case <-m.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Stopped tells whether the process stands still, as after SIGSTOP.
+func (m *Mixer) Stopped() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.cmd.Process.Pid))
+	i := bytes.LastIndexByte(text, ')')
+	return err == nil && i >= 0 && i+2 < len(text) && text[i+2] == 'T'
+}
+
+// Restart kills the process and starts it anew, with an empty directory where that is lost.
+func (m *Mixer) Restart(lost bool) {
+	m.world.Helper()
+	m.Kill()
+	if lost {
+		m.world.must(os.RemoveAll(m.dir))
+	}
+	m.Start()
+	m.world.Until(m.Name+" serves again", m.up)
+}
+
+// tend keeps a fleet going as its machines would: who was killed starts again, who stands still goes on after 3 s.
+func (w *World) tend() (stop func() (killed []*Mixer)) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var killed []*Mixer
+	for _, m := range w.Mixers {
+		all.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				switch {
+				case m.Ended():
+					mu.Lock()
+					killed = append(killed, m)
+					mu.Unlock()
+					m.Arm()
+					m.Start()
+				case m.Stopped():
+					time.Sleep(3 * time.Second)
+					m.Signal(syscall.SIGCONT)
+				}
+			}
+		})
+	}
+	return func() []*Mixer { close(done); all.Wait(); return killed }
+}
+
+// Arm lets its next start have a point armed.
+func (m *Mixer) Arm(env ...string) { m.env = env }
+
+func (m *Mixer) up() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Listen+"/up", nil)
+	res, err := m.world.client.Do(req)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
