--- a/internal/jobs/worker/failure_test.go
+++ b/internal/jobs/worker/failure_test.go
@@ -10,14 +10,21 @@
 	"puffinlink.example/puffinlink/internal/standin/cluster"
 )
 
-func TestSilence(t *testing.T) {
-	t.Parallel()
+// givenRunningTask plays a Convey scope at a searcher that runs one task.
+func givenRunningTask(t *testing.T, scope func(b *bench)) {
+	t.Helper()
 	convey.Convey("Given a searcher that runs a task", t, func() {
 		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
 		convey.Reset(b.close)
 		b.connect(1)
 		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
+		scope(b)
+	})
+}
 
+func TestSilence(t *testing.T) {
+	t.Parallel()
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("an unanswered start is unclear, and nothing goes out until the searcher answers", func() {
 			silence, unheard := signalled(cluster.HoldCall, cluster.Fault{Kind: cluster.Silent})
 			b.searcher.SetFaults(silence)
@@ -44,12 +51,7 @@
 
 func TestLateStart(t *testing.T) {
 	t.Parallel()
-	convey.Convey("Given a searcher that runs a task", t, func() {
-		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
-		convey.Reset(b.close)
-		b.connect(1)
-		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
-
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("a start that is carried out late is unclear, and listed in the end", func() {
 			late := cluster.Fault{Kind: cluster.Late, Delay: 1200 * time.Millisecond}
 			b.searcher.SetFaults(cluster.Only(cluster.StartCall, late))
@@ -62,12 +64,7 @@
 
 func TestRepeatedStop(t *testing.T) {
 	t.Parallel()
-	convey.Convey("Given a searcher that runs a task", t, func() {
-		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
-		convey.Reset(b.close)
-		b.connect(1)
-		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
-
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("a stop is repeated until it is answered", func() {
 			refusal, refused := signalled(cluster.StopCall, cluster.Fault{Kind: cluster.Refuse, Status: 503})
 			b.searcher.SetFaults(refusal)
@@ -84,12 +81,7 @@
 
 func TestBrokenConnection(t *testing.T) {
 	t.Parallel()
-	convey.Convey("Given a searcher that runs a task", t, func() {
-		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
-		convey.Reset(b.close)
-		b.connect(1)
-		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
-
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("a connection that breaks makes the start unclear", func() {
 			b.searcher.SetFaults(cluster.Only(cluster.StartCall, cluster.Fault{Kind: cluster.Reset}))
 			convey.So(b.start(order(1, 1)), convey.ShouldEqual, Unclear)
@@ -99,12 +91,7 @@
 
 func TestDeadSearcher(t *testing.T) {
 	t.Parallel()
-	convey.Convey("Given a searcher that runs a task", t, func() {
-		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
-		convey.Reset(b.close)
-		b.connect(1)
-		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
-
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("a dead searcher gets nothing", func() {
 			b.searcher.Leave()
 			await(t, b.events, func(r Reachability) bool { return !r.Reachable })
@@ -115,12 +102,7 @@
 
 func TestRefusedHolds(t *testing.T) {
 	t.Parallel()
-	convey.Convey("Given a searcher that runs a task", t, func() {
-		b := newBench(t, cluster.Settings{}, cluster.SearcherConfig{})
-		convey.Reset(b.close)
-		b.connect(1)
-		convey.So(b.start(order(0, 1)), convey.ShouldEqual, Started)
-
+	givenRunningTask(t, func(b *bench) {
 		convey.Convey("a single refused hold says nothing, more do", func() {
 			b.searcher.SetFaults(cluster.Only(cluster.HoldCall, cluster.Fault{Kind: cluster.Refuse, Status: 503}))
 			await(t, b.events, func(r Reachability) bool { return !r.Reachable })
