Drains have versions: one that comes late, after the order that ended it, changes nothing

Each order on a searcher's drain now makes a version, kept with the group's records while the searcher lives; an order names the one that it builds on (If-Match). It is confirmed again if it was taken, refused with 412 if another was taken on top of that version, and left unclear (504) where that is forgotten or still to come. 'puffinlink drain' and 'undrain' read the version first. Records of earlier releases are read as version 1. Orders without a version go as before.

Two checks that the record is erased by the end of a drain now check that it stays, says so, and is erased with the searcher's life.

--- a/cmd/puffinlink/operationcommands.go
+++ b/cmd/puffinlink/operationcommands.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strconv"
 
+	"puffinlink.example/puffinlink/internal/controlplane/entitytag"
 	control "puffinlink.example/puffinlink/internal/controlplane/operations"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 	"puffinlink.example/puffinlink/internal/nodesettings"
@@ -102,42 +103,47 @@
 	return c.show(request, &report, func() { fmt.Fprintf(stdout, "job %s of service %s is cancelled\n", report.ID, report.Service) })
 }
 
-// searcherArgument is the searcher that a command is about.
-type searcherArgument struct {
+// drainOptions are what drain and undrain share.
+type drainOptions struct {
+	controlOptions
+	serviceOption
 	Arguments struct {
 		ID string `positional-arg-name:"ID" description:"The searcher's identifier, as searchers lists it."`
 	} `positional-args:"yes" required:"yes"`
 }
 
-func (a *searcherArgument) request(method string, query url.Values) operatorclient.Request {
-	path := control.SearchersPath + "/" + url.PathEscape(a.Arguments.ID) + control.DrainSuffix
-	return operatorclient.Request{Method: method, Path: path, Query: query}
+// order sends an order on the searcher's drain on top of the version that is in force, so that a copy of it that arrives late, after a
+// later order, changes nothing. A searcher that no leader lists is ordered without a version.
+func (o *drainOptions) order(method string, print func(report *jobreport.Searcher)) error {
+	var list control.Searchers
+	if _, err := o.call(operatorclient.Request{Method: http.MethodGet, Path: control.SearchersPath, Query: o.query()}, &list); err != nil {
+		return err
+	}
+	path := control.SearchersPath + "/" + url.PathEscape(o.Arguments.ID) + control.DrainSuffix
+	request := operatorclient.Request{Method: method, Path: path, Query: o.query()}
+	for _, searcher := range list.Searchers {
+		if searcher.ID == o.Arguments.ID {
+			request.IfMatch = entitytag.Format(searcher.DrainVersion)
+		}
+	}
+	var report jobreport.Searcher
+	return o.show(request, &report, func() { print(&report) })
 }
 
-type drainCommand struct {
-	controlOptions
-	serviceOption
-	searcherArgument
-}
+type drainCommand struct{ drainOptions }
 
 // Execute implements flags.Commander.
 func (c *drainCommand) Execute([]string) error {
-	var report jobreport.Searcher
-	return c.show(c.request(http.MethodPost, c.query()), &report, func() {
+	return c.order(http.MethodPost, func(report *jobreport.Searcher) {
 		fmt.Fprintf(stdout, "searcher %s gets no new starts; runs that go on there: %d\n", report.ID, report.Runs)
 	})
 }
 
-type undrainCommand struct {
-	controlOptions
-	serviceOption
-	searcherArgument
-}
+type undrainCommand struct{ drainOptions }
 
 // Execute implements flags.Commander.
 func (c *undrainCommand) Execute([]string) error {
-	var report jobreport.Searcher
-	return c.show(c.request(http.MethodDelete, c.query()), &report, func() {
+	return c.order(http.MethodDelete, func(report *jobreport.Searcher) {
 		fmt.Fprintf(stdout, "searcher %s gets starts again; it is %s\n", report.ID, report.State)
 	})
 }
--- a/internal/controlplane/control/control.go
+++ b/internal/controlplane/control/control.go
@@ -7,13 +7,13 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-json-experiment/json"
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+	"puffinlink.example/puffinlink/internal/controlplane/entitytag"
 )
 
 // Path is where the configuration is read and changed.
@@ -79,7 +79,7 @@
 	case version == 0:
 		writeError(w, http.StatusNotFound, "no configuration has been taken yet; send the first with If-Match: 0")
 	default:
-		w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+		w.Header().Set("ETag", entitytag.Format(version))
 		writeBody(w, http.StatusOK, body)
 	}
 }
@@ -159,7 +159,7 @@
 	if value == "" {
 		return 0, errors.New("If-Match is missing; give the version that the change builds on, 0 for the first")
 	}
-	version, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(value), `"`), 10, 64)
+	version, err := entitytag.Parse(value)
 	if err != nil {
 		return 0, errors.New("If-Match is not a version; give the version that the change builds on, 0 for the first")
 	}
--- /dev/null
+++ b/internal/controlplane/entitytag/entitytag_test.go
@@ -0,0 +1,19 @@
+package entitytag
+
+import (
+	"errors"
+	"testing"
+)
+
+func TestVersions(t *testing.T) {
+	for header, version := range map[string]uint64{`7`: 7, `"7"`: 7, ` "0" `: 0, Format(1 << 63): 1 << 63} {
+		if got, err := Parse(header); err != nil || got != version {
+			t.Errorf("%q: got %d, %v, expected %d", header, got, err, version)
+		}
+	}
+	for _, header := range []string{"", "*", `"a"`, "-1", `W/"7"`, "18446744073709551616"} {
+		if got, err := Parse(header); !errors.Is(err, ErrNoVersion) {
+			t.Errorf("%q: got %d, %v", header, got, err)
+		}
+	}
+}
--- a/internal/controlplane/operations/operations_test.go
+++ b/internal/controlplane/operations/operations_test.go
@@ -85,6 +85,28 @@
 			So(searcher.OperatorDraining, ShouldBeFalse)
 			So(c.drains[2], ShouldResemble, jobreport.DrainRequest{Group: "jobs/stress", Searcher: "i-stress"})
 		})
+		Convey("a drain on top of a version is judged by the leader", func() {
+			request := func(method, version string) *httptest.ResponseRecorder {
+				r := httptest.NewRequest(method, SearchersPath+"/i-stress/drain?service=stress", nil)
+				r.Header.Set("If-Match", version)
+				recorder := httptest.NewRecorder()
+				c.handler().ServeHTTP(recorder, r)
+				return recorder
+			}
+			c.drainVersion = 8
+			taken := request("POST", `"7"`)
+			So(taken.Code, ShouldEqual, http.StatusOK)
+			So(taken.Header().Get("ETag"), ShouldEqual, `"8"`)
+			So(*c.drains[0].OnTopOf, ShouldEqual, 7)
+			c.drainOutcome = jobreport.DrainSuperseded
+			refused := request("DELETE", "7")
+			So(refused.Code, ShouldEqual, http.StatusPreconditionFailed)
+			So(refused.Body.String(), ShouldContainSubstring, "version 8 is in force")
+			c.drainOutcome = jobreport.DrainUnclear
+			So(request("POST", "9").Code, ShouldEqual, http.StatusGatewayTimeout)
+			So(request("POST", "x").Code, ShouldEqual, http.StatusBadRequest)
+			So(c.drains, ShouldHaveLength, 3)
+		})
 		Convey("a searcher that nobody knows is not found", func() {
 			So(ask(c.handler(), "POST", SearchersPath+"/i-none/drain", nil).Code, ShouldEqual, http.StatusNotFound)
 		})
--- a/internal/controlplane/operations/searchers.go
+++ b/internal/controlplane/operations/searchers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 
+	"puffinlink.example/puffinlink/internal/controlplane/entitytag"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 )
 
@@ -36,9 +37,14 @@
 		h.writeError(w, r, err)
 		return
 	}
+	onTopOf, err := drainVersion(r)
+	if err != nil {
+		h.writeError(w, r, err)
+		return
+	}
 	id := r.PathValue("id")
 	answers := askAll[jobreport.DrainReply](r.Context(), h, groups, jobreport.DrainCall.Route(), func(group string) any {
-		return jobreport.DrainRequest{Group: group, Searcher: id, Draining: draining}
+		return jobreport.DrainRequest{Group: group, Searcher: id, Draining: draining, OnTopOf: onTopOf}
 	})
 	var failure error
 	for _, one := range answers {
@@ -46,7 +52,7 @@
 		case one.err != nil:
 			failure = worse(failure, one.err)
 		case one.reply.Known:
-			write(w, http.StatusOK, one.reply.Searcher)
+			h.writeDrain(w, r, one.reply)
 			return
 		}
 	}
@@ -55,3 +61,30 @@
 	}
 	h.writeError(w, r, failure)
 }
+
+// drainVersion reads which version of a searcher's drain an order builds on; nil where it goes by none.
+func drainVersion(r *http.Request) (*uint64, error) {
+	header := r.Header.Get("If-Match")
+	if header == "" {
+		return nil, nil
+	}
+	version, err := entitytag.Parse(header)
+	if err != nil {
+		return nil, failed(http.StatusBadRequest, "If-Match is not a version; give the searcher's drainVersion, as "+SearchersPath+" lists it")
+	}
+	return &version, nil
+}
+
+// writeDrain answers an order on a drain that the searcher's leader has judged.
+func (h *Handler) writeDrain(w http.ResponseWriter, r *http.Request, reply jobreport.DrainReply) {
+	now := fmt.Sprintf("version %d is in force, operatorDraining is %t", reply.Searcher.DrainVersion, reply.Searcher.OperatorDraining)
+	switch reply.Outcome {
+	case jobreport.DrainTaken:
+		w.Header().Set("ETag", entitytag.Format(reply.Searcher.DrainVersion))
+		write(w, http.StatusOK, reply.Searcher)
+	case jobreport.DrainSuperseded:
+		h.writeError(w, r, failed(http.StatusPreconditionFailed, "another order was taken on top of that version: "+now))
+	default:
+		h.writeError(w, r, failed(http.StatusGatewayTimeout, "it cannot be told whether this order was taken: "+now+"; order it again on top of that"))
+	}
+}
--- a/internal/jobs/jobreport/calls.go
+++ b/internal/jobs/jobreport/calls.go
@@ -70,10 +70,23 @@
 	Group    string `msgpack:"g"`
 	Searcher string `msgpack:"s"`
 	Draining bool   `msgpack:"d"`
+	// OnTopOf is the drain version that the order builds on; nil for one that goes by no version.
+	OnTopOf *uint64 `msgpack:"v,omitempty"`
 }
 
+// DrainOutcome is what an order on top of a version came to.
+type DrainOutcome int
+
+// The outcomes. One that goes by no version is always taken.
+const (
+	DrainTaken      DrainOutcome = iota // now, or before by the same order
+	DrainSuperseded                     // another was taken on top of that version; this one never will be
+	DrainUnclear                        // the version is not in force yet, or too old to tell
+)
+
 // DrainReply is sent once the change is durable.
 type DrainReply struct {
-	Known    bool     `msgpack:"k"` // the group knows the searcher
-	Searcher Searcher `msgpack:"s"`
+	Known    bool         `msgpack:"k"` // the group knows the searcher
+	Outcome  DrainOutcome `msgpack:"o"`
+	Searcher Searcher     `msgpack:"s"`
 }
--- a/internal/jobs/jobreport/jobreport.go
+++ b/internal/jobs/jobreport/jobreport.go
@@ -55,6 +55,7 @@
 	Reachable        bool          `msgpack:"h" json:"reachable"`
 	Draining         bool          `msgpack:"d" json:"draining"`
 	OperatorDraining bool          `msgpack:"o" json:"operatorDraining"`
+	DrainVersion     uint64        `msgpack:"q" json:"drainVersion"`   // operators' orders to drain or undrain it that were taken
 	Window           int           `msgpack:"w" json:"window"`         // runs that it may have at the same time
 	LatencyMS        float64       `msgpack:"m" json:"latencyMs"`      // smoothed duration of its runs; 0 before the first
 	FaultShare       float64       `msgpack:"f" json:"faultShare"`     // smoothed share of its runs that fail, 0 to 1
--- a/internal/jobs/manager/again_test.go
+++ b/internal/jobs/manager/again_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
@@ -17,6 +18,7 @@
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
+	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
 	"puffinlink.example/puffinlink/internal/virtualtime"
@@ -166,3 +168,33 @@
 		}
 	})
 }
+
+func TestDrainOnTopOfAVersion(t *testing.T) {
+	Convey("Given a leader that knows of a drain from its predecessor", t, func() {
+		drained, err := msgpack.Marshal(map[string]uint64{"t": 5, "v": 1, "h": 1})
+		So(err, ShouldBeNil)
+		jobs, err := scheduler.New(scheduler.Settings{}, steady(), map[string][]byte{"d/i-1": drained})
+		So(err, ShouldBeNil)
+		l := &lead{scheduler: jobs}
+		order := func(draining bool, onTopOf uint64) jobreport.DrainOutcome {
+			known, outcome := l.orderDrain(steady(), jobreport.DrainRequest{Searcher: "i-1", Draining: draining, OnTopOf: &onTopOf})
+			So(known, ShouldBeTrue)
+			return outcome
+		}
+		Convey("a copy of that drain that comes after the order that ended it is confirmed, and changes nothing", func() {
+			So(order(false, 1), ShouldEqual, jobreport.DrainTaken)
+			So(order(true, 0), ShouldEqual, jobreport.DrainTaken)
+			So(jobs.OperatorDrains("i-1"), ShouldBeFalse)
+		})
+		Convey("another order on top of the same version is refused, one on top of a version to come is not judged", func() {
+			So(order(false, 0), ShouldEqual, jobreport.DrainSuperseded)
+			So(order(false, 2), ShouldEqual, jobreport.DrainUnclear)
+			So(jobs.OperatorDrains("i-1"), ShouldBeTrue)
+		})
+		Convey("an unknown searcher stays unknown", func() {
+			version := uint64(0)
+			known, _ := l.orderDrain(steady(), jobreport.DrainRequest{Searcher: "i-2", Draining: true, OnTopOf: &version})
+			So(known, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -125,11 +125,27 @@
 	if !known {
 		return jobreport.Searcher{
 			ID: string(id), State: jobreport.SearcherUnreachable, OperatorDraining: l.scheduler.OperatorDrains(id),
+			DrainVersion: l.scheduler.DrainVersion(id),
 		}
 	}
 	return report
 }
 
+// drainOutcomes are the scheduler's outcomes as operators are told them.
+var drainOutcomes = map[scheduler.DrainOutcome]jobreport.DrainOutcome{
+	scheduler.DrainTaken: jobreport.DrainTaken, scheduler.DrainSuperseded: jobreport.DrainSuperseded, scheduler.DrainUnclear: jobreport.DrainUnclear,
+}
+
+// orderDrain hands an order to the scheduler. The lock is held.
+func (l *lead) orderDrain(now scheduler.Now, request jobreport.DrainRequest) (known bool, outcome jobreport.DrainOutcome) {
+	id := worker.SearcherID(request.Searcher)
+	if request.OnTopOf == nil {
+		return l.scheduler.SetOperatorDrain(now, id, request.Draining), jobreport.DrainTaken
+	}
+	taken := l.scheduler.OrderOperatorDrain(now, id, scheduler.DrainOrder{Draining: request.Draining, OnTopOf: *request.OnTopOf})
+	return taken != scheduler.DrainUnknown, drainOutcomes[taken]
+}
+
 // drain sets or ends an operator's drain, and answers once that is durable.
 func (m *Manager) drain(ctx context.Context, request jobreport.DrainRequest) (reply jobreport.DrainReply, err error) {
 	led, err := m.lead(request.Group)
@@ -138,7 +154,7 @@
 	}
 	id := worker.SearcherID(request.Searcher)
 	err = led.durably(ctx, func(now scheduler.Now) {
-		reply.Known = led.scheduler.SetOperatorDrain(now, id, request.Draining)
+		reply.Known, reply.Outcome = led.orderDrain(now, request)
 		reply.Searcher = led.reportDrained(now, id)
 	})
 	if err == nil && !reply.Known && !m.hasList() {
@@ -146,7 +162,8 @@
 	}
 	if err == nil && reply.Known {
 		m.config.Log.Info("operator's drain", zap.String("group", request.Group), zap.String("searcher", request.Searcher),
-			zap.Bool("draining", request.Draining))
+			zap.Bool("draining", request.Draining), zap.Uint64("version", reply.Searcher.DrainVersion),
+			zap.Bool("taken", reply.Outcome == jobreport.DrainTaken))
 	}
 	return reply, err
 }
--- a/internal/jobs/scheduler/explain.go
+++ b/internal/jobs/scheduler/explain.go
@@ -63,7 +63,7 @@
 		ID: string(sr.ID), Service: sr.Service, Address: sr.Address, Zone: sr.Zone, Version: sr.Version,
 		Rack: sr.rack, Labels: sr.Labels,
 		State: s.searcherState(now, sr), Reachable: sr.reachable,
-		Draining: sr.Draining, OperatorDraining: s.operatorDrains.has(sr.ID), RemainingMS: sr.RemainingMS,
+		Draining: sr.Draining, OperatorDraining: s.operatorDrains.has(sr.ID), DrainVersion: s.DrainVersion(sr.ID), RemainingMS: sr.RemainingMS,
 		Window: int(sr.window), LatencyMS: sr.latency, FaultShare: sr.faults,
 		Runs: len(sr.runs), WaitingTasks: sr.held, UnwantedRuns: len(sr.strays),
 		Used: sr.used, Free: sr.free(), Capacity: sr.Capacity, MissingLists: sr.missingLists,
--- a/internal/jobs/scheduler/explain_test.go
+++ b/internal/jobs/scheduler/explain_test.go
@@ -322,7 +322,9 @@
 			So(w.scheduler.SetOperatorDrain(w.clock(), "s00", false), ShouldBeTrue)
 			w.propose()
 			w.steps(5)
-			So(w.durable[operatorDrainKey("s00")], ShouldBeNil)
+			var record operatorDrainRecord // it stays for orders that come late
+			So(decode("", w.durable[operatorDrainKey("s00")], &record), ShouldBeNil)
+			So(record.draining(), ShouldBeFalse)
 			w.elect()
 			w.steps(20)
 			w.submitStages(1, stage)
@@ -356,6 +358,17 @@
 			w.steps(5)
 			So(w.durable[operatorDrainKey("s00")], ShouldBeNil)
 		})
+		Convey("so does that of a drain that was ended", func() {
+			So(w.scheduler.SetOperatorDrain(w.clock(), "s00", false), ShouldBeTrue)
+			w.propose()
+			w.steps(5)
+			So(w.durable[operatorDrainKey("s00")], ShouldNotBeNil)
+			w.crash(w.machines[0], "s00+")
+			w.steps(100)
+			w.inventory()
+			w.steps(5)
+			So(w.durable[operatorDrainKey("s00")], ShouldBeNil)
+		})
 		Convey("and also where the life ended while nobody led", func() {
 			w.machines[0].up = false
 			w.elect()
