A start shares its idle searcher's connection with the hold after it

Cause: above a quarter of the places an idle searcher has one connection. A start woke the hold loop at once, so that the start and the hold took the connection and a new one, and for that one an idle connection of another searcher was closed, often its only one, which its next look opened again. After an end a further hold waited a second at a searcher with nothing left to run, only to acknowledge.

Change, with many searchers only: the hold lets orders under way go first (100 ms at most); once all that a searcher listed are ends that are durable it counts as idle, and the next call acknowledges them; the idle connection to be closed is one beside another, if there is one.

--- a/internal/jobs/manager/fleet_bench_test.go
+++ b/internal/jobs/manager/fleet_bench_test.go
@@ -142,10 +142,11 @@
 		}
 	}
 	load(fleetSettling)
-	before, began := used(), time.Now()
+	before, began, opened := used(), time.Now(), m.config.Connections.Usage().Opened
 	load(fleetMeasured)
 	b.ReportMetric(100*(used()-before).Seconds()/time.Since(began).Seconds(), "%core")
 	b.ReportMetric(float64(m.config.Connections.Usage().Open), "connections")
+	b.ReportMetric(float64(m.config.Connections.Usage().Opened-opened)/time.Since(began).Seconds(), "opened/s")
 	led, err := m.lead(feed.GroupOf(fleetService))
 	if err != nil {
 		b.Fatal(err)
--- a/internal/jobs/worker/connections.go
+++ b/internal/jobs/worker/connections.go
@@ -31,14 +31,16 @@
 	links    int
 	holding  int // holds that wait
 	waiting  []*turn
-	spare    map[*lane]bool // lanes with an idle connection
+	opened   uint64         // connections opened so far
+	spare    map[*lane]bool // lanes with an idle connection that is their only one
+	surplus  map[*lane]bool // lanes with an idle connection besides another one
 	nextDial time.Time      // by the pace, if none were allowed at once
 	timed    bool           // a timer will serve those that wait for the pace
 }
 
 // NewConnections makes a budget.
 func NewConnections(limits Limits) *Connections {
-	return &Connections{limits: limits, now: time.Now, work: newTurnstile(), lanes: map[string]*lane{}, spare: map[*lane]bool{}}
+	return &Connections{limits: limits, now: time.Now, work: newTurnstile(), lanes: map[string]*lane{}, spare: map[*lane]bool{}, surplus: map[*lane]bool{}}
 }
 
 // unlimited is a budget that never makes a call wait.
@@ -54,15 +56,16 @@
 type Usage struct {
 	Open    int // connections, those being opened included
 	Links   int
-	Holding int // holds that wait
-	Waiting int // calls that wait for a connection
+	Holding int    // holds that wait
+	Waiting int    // calls that wait for a connection
+	Opened  uint64 // connections opened so far
 }
 
 // Usage returns the state of the budget.
 func (c *Connections) Usage() Usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Usage{Open: c.open, Links: c.links, Holding: c.holding, Waiting: len(c.waiting)}
+	return Usage{Open: c.open, Links: c.links, Holding: c.holding, Waiting: len(c.waiting), Opened: c.opened}
 }
 
 // lane is the part of a budget that one address uses.
@@ -201,23 +204,16 @@
 
 func (c *Connections) noteDial() { c.nextDial = later(c.nextDial, c.now()).Add(c.dialInterval()) }
 
-// closeIdle closes a connection that no call needs, rather one of a searcher that has another. The caller holds the lock.
+// closeIdle closes a connection that no call needs, if there is one: that of a searcher that has another one, before the
+// only one of a searcher, which its next look would open again. The caller holds the lock.
 func (c *Connections) closeIdle() bool {
-	var chosen *lane
-	looked := 0
-	for l := range c.spare {
-		if chosen == nil || l.places > chosen.places {
-			chosen = l
-		}
-		if looked++; chosen.places > 1 || looked >= lanesLookedAt {
-			break
+	for _, lanes := range []map[*lane]bool{c.surplus, c.spare} {
+		for l := range lanes {
+			l.dropIdle()
+			return true
 		}
 	}
-	if chosen == nil {
-		return false
-	}
-	chosen.dropIdle()
-	return true
+	return false
 }
 
 // dropIdle closes the connection that has been idle for longest. The caller holds the lock.
@@ -238,9 +234,6 @@
 	}
 }
 
-// lanesLookedAt is among how many idle lanes the one to lose a connection is chosen.
-const lanesLookedAt = 16
-
 // serve lets those calls go on that wait and can, in their order. The caller holds the lock.
 func (c *Connections) serve() {
 	for len(c.waiting) > 0 {
@@ -305,16 +298,28 @@
 		l.places -= unused
 		c.open -= unused
 	}
-	if l.places > l.calls && len(l.idle) > 0 {
-		c.spare[l] = true
-	} else {
-		delete(c.spare, l)
-	}
+	l.noteSpare()
 	if l.links == 0 && l.calls == 0 && l.places == 0 {
 		delete(c.lanes, l.address)
 	}
 }
 
+// noteSpare notes whether the lane can do without one of its idle connections. The caller holds the lock.
+func (l *lane) noteSpare() {
+	can := l.places > l.calls && len(l.idle) > 0
+	note(l.owner.spare, l, can && l.places == 1)
+	note(l.owner.surplus, l, can && l.places > 1)
+}
+
+// note adds a lane to a set, or takes it out.
+func note(lanes map[*lane]bool, l *lane, in bool) {
+	if in {
+		lanes[l] = true
+	} else {
+		delete(lanes, l)
+	}
+}
+
 // mayWait tells whether a hold may wait at the searcher, and notes that it does: it keeps its connection, and orders need
 // another one for the moment that they take, from a few that are left besides one for each searcher.
 func (l *lane) mayWait() bool {
@@ -338,6 +343,13 @@
 	c.holding--
 }
 
+// crowded tells whether there are so many searchers that idle ones are not held by calls that wait.
+func (c *Connections) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links > c.limits.SearchersHeld
+}
+
 // idlePause is how long an idle searcher is left alone between two looks; 0 where it is held by a call that waits.
 func (c *Connections) idlePause(longest time.Duration) time.Duration {
 	c.mu.Lock()
--- a/internal/jobs/worker/connections_test.go
+++ b/internal/jobs/worker/connections_test.go
@@ -139,6 +139,63 @@
 	})
 }
 
+// awaitState waits until a condition holds for a budget.
+func awaitState(t *testing.T, c *Connections, condition func(*Connections) bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		met := condition(c)
+		c.mu.Unlock()
+		if met {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%+v", c.Usage())
+		}
+	}
+}
+
+// allIdle tells whether each of so many searchers has one connection, which no call uses.
+func allIdle(searchers int) func(*Connections) bool {
+	return func(c *Connections) bool { return len(c.spare) == searchers }
+}
+
+func TestOrderTakesTheConnectionOfAnIdleSearcher(t *testing.T) {
+	const searchers = 20
+	convey.Convey("Where an idle searcher takes one connection", t, func() {
+		b := newBudgeted(t, searchers, Limits{Connections: 2 * searchers, DialsPerS: math.Inf(1), LooksPerS: 1})
+		defer b.end()
+		b.awaitEach(func(_ int, l Listing) bool { return !l.First })
+		awaitState(t, b.connections, allIdle(searchers))
+		for i, link := range b.links {
+			link.Start(order(i, 1))
+		}
+		b.awaitEach(func(_ int, l Listing) bool { return len(l.Running) == 1 })
+		convey.Convey("a start and the hold after it share that one", func() {
+			convey.So(b.connections.Usage().Opened, convey.ShouldEqual, searchers)
+		})
+		convey.Convey("no call waits for an end any more once all ends are acknowledged", func() {
+			for i, searcher := range b.searchers {
+				convey.So(searcher.Finish(task(i), job.Done), convey.ShouldBeNil)
+			}
+			var holds uint64
+			for i, link := range b.links {
+				id := SearcherID(b.searchers[i].ID())
+				await(t, b.events, func(l Listing) bool { return l.Searcher == id && len(l.Finished) == 1 })
+				holds += link.Counts().Holds
+				link.Acknowledge(1)
+			}
+			awaitState(t, b.connections, func(c *Connections) bool { return c.holding == 0 })
+			awaitState(t, b.connections, allIdle(searchers))
+			after := uint64(0)
+			for _, link := range b.links {
+				after += link.Counts().Holds
+			}
+			convey.So(after-holds, convey.ShouldBeLessThan, searchers)
+		})
+	})
+}
+
 func TestPaceOfDials(t *testing.T) {
 	convey.Convey("New connections are paced", t, func() {
 		synctest.Test(t, func(t *testing.T) {
@@ -201,6 +258,33 @@
 			convey.So(c.lanes, convey.ShouldHaveLength, 2)
 		})
 	})
+	convey.Convey("An idle connection beside another one is closed before the only one of a searcher", t, func() {
+		const searchers = 40
+		c := NewConnections(Limits{Connections: searchers + 1, DialsPerS: math.Inf(1)})
+		c.work = nil
+		var lanes []*lane
+		for i := range searchers {
+			l := c.join(fmt.Sprint(i))
+			for range 1 + i/(searchers-1) { // two for the last
+				convey.So(l.await(never), convey.ShouldBeTrue)
+				l.promised--
+				l.idle = append(l.idle, &connection{Conn: stubConnection{}, lane: l})
+			}
+			for l.calls > 0 {
+				l.release()
+			}
+			lanes = append(lanes, l)
+		}
+		another := c.join("another")
+		convey.So(another.await(closed), convey.ShouldBeTrue)
+		for _, l := range lanes {
+			convey.So(l.places, convey.ShouldEqual, 1)
+		}
+		convey.Convey("which is closed where there is no other", func() {
+			convey.So(another.await(closed), convey.ShouldBeTrue)
+			convey.So(c.open, convey.ShouldEqual, searchers+1)
+		})
+	})
 	convey.Convey("Holds may wait only while there is a connection for each searcher and some for orders", t, func() {
 		c := NewConnections(Limits{Connections: 40, DialsPerS: math.Inf(1), SearchersHeld: 10})
 		var lanes []*lane
@@ -222,3 +306,8 @@
 		})
 	})
 }
+
+// stubConnection is a connection that can be closed and nothing else.
+type stubConnection struct{ net.Conn }
+
+func (stubConnection) Close() error { return nil }
--- a/internal/jobs/worker/dial.go
+++ b/internal/jobs/worker/dial.go
@@ -81,9 +81,16 @@
 		c.serve()
 		return nil, err
 	}
+	c.noteOpened()
 	return &connection{Conn: opened, lane: l, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
+func (c *Connections) noteOpened() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opened++
+}
+
 // claim takes the place for a connection that is about to be opened. A connection that broke after its call had begun is
 // replaced without a place promised.
 func (c *Connections) claim(address string) (*lane, error) {
--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -52,6 +52,7 @@
 	defer unlink()
 	pause := firstPause
 	for !l.ended() {
+		l.awaitOrders()
 		again, last := l.holdInTurn()
 		if !again {
 			l.sleep(pause)
@@ -264,6 +265,7 @@
 func (l *Link) pauseAfter(last answered) {
 	if newest := last.answer.newestEnd(); newest > 0 {
 		l.awaitAcknowledgement(newest)
+		l.noteAcknowledged(last, newest)
 		return
 	}
 	if waited := last.received.Sub(last.call.sentAt); last.call.request.waitMS > 0 && waited < l.pace.holdWait/2 {
@@ -298,6 +300,20 @@
 	}
 }
 
+// noteAcknowledged notes that a searcher is idle if its last answer lists nothing but ends that are durable by now. The next
+// call acknowledges them, however late it is.
+func (l *Link) noteAcknowledged(last answered, newest uint64) {
+	reply := &last.answer.reply
+	if len(reply.Running) > 0 || len(reply.Finished) >= finishedPerAnswer {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.acknowledged >= newest && l.settled(last.call.sentAt) {
+		l.occupied = false
+	}
+}
+
 func (l *Link) countRepeat() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/jobs/worker/idle.go
+++ b/internal/jobs/worker/idle.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// ordersFirst is how long a hold lets orders go first that are under way.
+const ordersFirst = 100 * time.Millisecond
+
 // pollPause is the time between two looks at a searcher with runs, where no connection is left for a hold that waits.
 const pollPause = 250 * time.Millisecond
 
@@ -28,6 +31,30 @@
 	}
 }
 
+// awaitOrders lets orders that are under way go before the next hold, where there are so many searchers that an idle one has
+// one connection: the order takes it and the hold after it, instead of both at once, for which one must be opened.
+func (l *Link) awaitOrders() {
+	if !l.config.Connections.crowded() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.workers == 0 {
+		return
+	}
+	over := false
+	timer := time.AfterFunc(ordersFirst, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		over = true
+		l.idle.Broadcast()
+	})
+	defer timer.Stop()
+	for l.workers > 0 && !over {
+		l.idle.Wait()
+	}
+}
+
 // restFor is how long the hold loop rests before its next call, if an idle searcher may be left alone for a while.
 func (l *Link) restFor(idle time.Duration) time.Duration {
 	l.mu.Lock()
