A dispatch looks at the searchers and jobs that it needs

Cause: each end makes the scheduler order the stages that wait and look for room. An ordering set the queue of each searcher, counted the tasks of each job that waits, by searcher, in new memory, though only 64 of a level are ranked by that; and each dispatch listed all searchers that take starts, though most tasks start where they are bound. Each report sorted the runs of its searcher, also where it lists them all.

Change: only the candidates that are ranked are divided by searcher, and candidates are kept from one ordering to the next; the searchers that take starts are listed once a dispatch, when a task has no room where it is bound.

--- a/internal/jobs/scheduler/order.go
+++ b/internal/jobs/scheduler/order.go
@@ -15,14 +15,14 @@
 	size int
 }
 
-// candidate is one repetition of a job with tasks that wait.
+// candidate is one repetition of a job with tasks that wait. It is kept from one ordering to the next.
 type candidate struct {
 	level    int // the lower goes first
 	job      *jobState
-	ordering uint64
+	ordering uint64 // the newest that it is part of
 	stages   []*stageRun
-	parts    []subjob
-	size     int
+	parts    []subjob // by divide
+	size     int      // by divide
 }
 
 // reorder sorts the stages that wait: by level, and within a level by SWAG's greedy order. Each searcher's queue
@@ -33,58 +33,86 @@
 		return
 	}
 	s.unsorted = false
-	candidates := s.candidates(now)
-	for _, sr := range s.list {
-		sr.queue = float64(len(sr.runs))
+	levels := byLevel(s.candidates(now))
+	for _, level := range levels {
+		for _, c := range level[:min(len(level), mostOrdered)] {
+			c.divide()
+		}
 	}
 	s.stages = s.stages[:0]
+	for _, level := range levels {
+		s.rank(level)
+	}
+}
+
+// byLevel cuts candidates that are sorted by level into those of each level.
+func byLevel(candidates []*candidate) [][]*candidate {
+	var levels [][]*candidate
 	for begin := 0; begin < len(candidates); {
 		end := begin
 		for end < len(candidates) && candidates[end].level == candidates[begin].level {
 			end++
 		}
-		s.rank(candidates[begin:end])
+		levels = append(levels, candidates[begin:end])
 		begin = end
 	}
+	return levels
 }
 
 // candidates lists the repetitions that wait by level and arrival, and drops stages without a waiting task.
 func (s *Scheduler) candidates(now Now) []*candidate {
 	s.ordering++
-	candidates := make([]*candidate, 0, len(s.stages))
+	candidates := s.waiting[:0]
 	for _, stage := range s.stages {
 		if len(stage.waiting) == 0 {
 			stage.listed = false
 			continue
 		}
 		c := stage.repetition.ranked
-		if c == nil || c.ordering != s.ordering {
-			c = &candidate{job: stage.job, ordering: s.ordering, level: stage.repetition.level(now, stage.job)}
+		if c == nil {
+			c = &candidate{job: stage.job}
 			stage.repetition.ranked = c
+		}
+		if c.ordering != s.ordering {
+			c.ordering, c.level, c.stages = s.ordering, stage.repetition.level(now, stage.job), c.stages[:0]
 			candidates = append(candidates, c)
 		}
-		c.add(stage)
+		c.stages = append(c.stages, stage)
 	}
+	clear(candidates[len(candidates):cap(candidates)]) // those of earlier orderings may have ended
+	s.waiting = candidates
 	slices.SortFunc(candidates, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.job.Arrival, b.job.Arrival))
 	})
 	return candidates
 }
 
-func (c *candidate) add(stage *stageRun) {
-	c.stages = append(c.stages, stage)
-	c.size += len(stage.waiting)
-	for _, t := range stage.waiting {
-		if t.bound == nil {
-			continue
-		}
-		at := slices.IndexFunc(c.parts, func(p subjob) bool { return p.at == t.bound })
-		if at < 0 {
-			c.parts = append(c.parts, subjob{at: t.bound})
-			at = len(c.parts) - 1
+// divide counts the tasks that wait, all and at each searcher, and lets the queues of these searchers begin at our runs there.
+// It is done for those candidates alone that are ranked by makespan: the others may be thousands.
+func (c *candidate) divide() {
+	c.size, c.parts = 0, c.parts[:0]
+	for _, stage := range c.stages {
+		c.size += len(stage.waiting)
+		for _, t := range stage.waiting {
+			c.addPart(t.bound)
 		}
-		c.parts[at].size++
 	}
+	for _, part := range c.parts {
+		part.at.queue = float64(len(part.at.runs))
+	}
+}
+
+// addPart counts one task at the searcher that it is bound to; nil for none.
+func (c *candidate) addPart(bound *searcher) {
+	if bound == nil {
+		return
+	}
+	at := slices.IndexFunc(c.parts, func(p subjob) bool { return p.at == bound })
+	if at < 0 {
+		c.parts = append(c.parts, subjob{at: bound})
+		at = len(c.parts) - 1
+	}
+	c.parts[at].size++
 }
 
 // rank appends the stages of jobs of one level in their order.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -122,21 +122,11 @@
 // Dispatch starts waiting tasks in their order, wherever there is room.
 func (s *Scheduler) Dispatch(now Now) {
 	s.unplaced = false
-	s.dispatches++
 	s.reorder(now)
-	s.open = s.open[:0]
-	if len(s.stages) == 0 {
-		return // nothing waits: no look at each searcher
-	}
-	for _, sr := range s.list {
-		if s.isOpen(now, sr) {
-			s.open = append(s.open, sr)
-			sr.openIn = s.dispatches
-		}
-	}
+	s.open, s.opened = s.open[:0], false
 	var refused refusals
 	for _, stage := range s.stages {
-		if len(s.open) == 0 {
+		if s.opened && len(s.open) == 0 {
 			return
 		}
 		if len(stage.waiting) == 0 || refused.covers(stage) {
@@ -150,6 +140,21 @@
 	}
 }
 
+// openSearchers lists the searchers that take starts. They are looked for once a dispatch, and only where a task has no room
+// at the searcher that it is bound to.
+func (s *Scheduler) openSearchers(now Now) []*searcher {
+	if s.opened {
+		return s.open
+	}
+	s.opened = true
+	for _, sr := range s.list {
+		if s.isOpen(now, sr) {
+			s.open = append(s.open, sr)
+		}
+	}
+	return s.open
+}
+
 // startTasks starts as many of a stage's tasks as there is room for.
 func (s *Scheduler) startTasks(now Now, stage *stageRun, refused *refusals) {
 	near := s.staysNear(now, stage)
@@ -157,7 +162,7 @@
 		if now.Steady.Before(t.notBefore) {
 			continue
 		}
-		sr := s.choose(t, near)
+		sr := s.choose(now, t, near)
 		if sr != nil {
 			s.assign(now, t, sr, t.execution+1)
 			continue
@@ -191,13 +196,13 @@
 }
 
 // choose picks an open searcher with room: the one where the task is bound, else the least costly sibling.
-func (s *Scheduler) choose(t *task, near bool) *searcher {
-	if bound := t.bound; bound != nil && bound.openIn == s.dispatches && s.mayTake(t, bound, near) && !slices.Contains(t.avoid, bound.ID) {
+func (s *Scheduler) choose(now Now, t *task, near bool) *searcher {
+	if bound := t.bound; bound != nil && s.isOpen(now, bound) && s.mayTake(t, bound, near) && !slices.Contains(t.avoid, bound.ID) {
 		return bound
 	}
 	var best *searcher
 	bestCost := math.Inf(1)
-	for _, sr := range s.open {
+	for _, sr := range s.openSearchers(now) {
 		if !s.mayTake(t, sr, near) {
 			continue
 		}
@@ -258,8 +263,8 @@
 // planGang finds room for all members: on one rack if they want that and one has room, else anywhere.
 func (s *Scheduler) planGang(now Now, stage *stageRun) []*searcher {
 	if stage.SameRack {
-		for _, rack := range s.racks() {
-			if placed := s.planOn(stage, rack); placed != nil {
+		for _, rack := range s.racks(now) {
+			if placed := s.planOn(now, stage, rack); placed != nil {
 				return placed
 			}
 		}
@@ -267,7 +272,7 @@
 			return nil
 		}
 	}
-	return s.planOn(stage, "")
+	return s.planOn(now, stage, "")
 }
 
 // fitsOneRack tells whether some rack could take a whole gang if it were idle.
@@ -287,9 +292,9 @@
 }
 
 // racks lists the racks of open searchers.
-func (s *Scheduler) racks() []string {
+func (s *Scheduler) racks(now Now) []string {
 	var racks []string
-	for _, sr := range s.open {
+	for _, sr := range s.openSearchers(now) {
 		if sr.rack != "" && !slices.Contains(racks, sr.rack) {
 			racks = append(racks, sr.rack)
 		}
@@ -298,9 +303,9 @@
 }
 
 // planOn places a gang on a rack ("" for all of them), filling the least costly searchers first.
-func (s *Scheduler) planOn(stage *stageRun, rack string) []*searcher {
+func (s *Scheduler) planOn(now Now, stage *stageRun, rack string) []*searcher {
 	var candidates []*searcher
-	for _, sr := range s.open {
+	for _, sr := range s.openSearchers(now) {
 		if (rack == "" || sr.rack == rack) && s.admits(stage, sr, 0) {
 			candidates = append(candidates, sr)
 		}
--- a/internal/jobs/scheduler/reports.go
+++ b/internal/jobs/scheduler/reports.go
@@ -93,8 +93,8 @@
 
 // missing settles the runs that a report should have listed and did not.
 func (s *Scheduler) missing(now Now, sr *searcher, report *worker.Listing, listed map[job.TaskID]bool) {
-	if len(sr.runs) == 0 {
-		return
+	if len(sr.runs) == len(listed) {
+		return // each one of listed is one of ours
 	}
 	for _, r := range sr.sortedRuns() {
 		if listed[r.task.id] {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -80,10 +80,11 @@
 	usualDrag  float64   // median of the searchers
 	drags      []float64 // scratch of settleDrag
 	effects    Effects
-	open       []*searcher // scratch of Dispatch: those that take starts
-	ordering   uint64      // number of the current ordering
-	dispatches uint64      // number of the current dispatch
-	unitCosts  unitCosts   // scratch of costsOf
+	open       []*searcher  // scratch of Dispatch: those that take starts, once they were looked for
+	opened     bool         // they were, in the current dispatch
+	ordering   uint64       // number of the current ordering
+	waiting    []*candidate // scratch of the ordering
+	unitCosts  unitCosts    // scratch of costsOf
 
 	operatorDrains operatorDrains
 }
--- a/internal/jobs/scheduler/state.go
+++ b/internal/jobs/scheduler/state.go
@@ -101,7 +101,6 @@
 	fullUntil    time.Time // it rejected a start for want of room: no starts before the next report
 	rack         string
 	queue        float64 // scratch of the ordering: our runs, and tasks that were ranked before
-	openIn       uint64  // number of the last dispatch in which it took starts
 }
 
 type stray struct {
