--- /dev/null
+++ b/internal/systemtest/againjudge_test.go
@@ -0,0 +1,147 @@
+package systemtest
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+	"puffinlink.example/puffinlink/internal/controlplane/register"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+// judgeAttempts holds all answers that core machines gave, also those that nobody got, against each other: an order that
+// was taken is refused nowhere and at no time, and no number is confirmed for two bodies, nor are two bodies on top of
+// one version.
+func judgeAttempts(attempts []attempt) (broken []string) {
+	taken := map[orderKey]attempt{}
+	for _, one := range attempts {
+		if one.status == http.StatusOK && one.method != http.MethodGet {
+			taken[one.key()] = one
+		}
+	}
+	for _, one := range attempts {
+		if confirmed, found := taken[one.key()]; found && isClear(one.status) && one.status != http.StatusOK {
+			broken = append(broken, fmt.Sprintf("refused though it was taken: %v; taken: %v", one, confirmed))
+		}
+	}
+	byNumber, byBase := map[int64]orderKey{}, map[string]orderKey{}
+	for key, one := range taken {
+		if key.method != http.MethodPut {
+			continue
+		}
+		number := versionOf([]byte(one.answer))
+		if other, found := byNumber[number]; found && other != key {
+			broken = append(broken, fmt.Sprintf("version %d is confirmed for two orders: %v and %v", number, key, other))
+		}
+		if other, found := byBase[key.ifMatch]; found && other != key {
+			broken = append(broken, fmt.Sprintf("two orders are confirmed on top of version %s: %v and %v", key.ifMatch, key, other))
+		}
+		if number != versionOf([]byte(key.body)) {
+			broken = append(broken, fmt.Sprintf("confirmed as version %d: %v", number, one))
+		}
+		byNumber[number], byBase[key.ifMatch] = key, key
+	}
+	return broken
+}
+
+// TestJudgeOfAttempts shows that each rule finds what breaks it.
+func TestJudgeOfAttempts(t *testing.T) {
+	put := func(ifMatch int64, body string, status int) attempt {
+		one := putAttempt(ifMatch, []byte(body))
+		one.status, one.answer = status, body
+		return one
+	}
+	one, other := `{"version":3}`, `{"version":3,"routes":[]}`
+	Convey("Confirmed, refused and unclear orders that agree are fine", t, func() {
+		So(judgeAttempts([]attempt{put(2, one, 200), put(2, one, 503), put(2, one, 0), put(2, one, 200), put(2, other, 412)}), ShouldBeEmpty)
+	})
+	Convey("A refusal of a taken order is found, before and after its confirmation", t, func() {
+		So(judgeAttempts([]attempt{put(2, one, 200), put(2, one, 412)}), ShouldHaveLength, 1)
+		So(judgeAttempts([]attempt{put(2, one, 412), put(2, one, 200)}), ShouldHaveLength, 1)
+		cancel := attempt{method: http.MethodDelete, path: "/-/jobs/1", status: 200}
+		again := cancel
+		again.status = 409
+		So(judgeAttempts([]attempt{cancel, again}), ShouldHaveLength, 1)
+	})
+	Convey("A number that is confirmed for two bodies is found, and two bodies on top of one version", t, func() {
+		So(judgeAttempts([]attempt{put(1, one, 200), put(2, other, 200)}), ShouldHaveLength, 1)
+		So(judgeAttempts([]attempt{put(2, one, 200), put(2, `{"version":4}`, 200)}), ShouldHaveLength, 1)
+	})
+}
+
+// confirmedChanges are the changes that some machine confirmed, by version.
+func confirmedChanges(attempts []attempt) map[int64]attempt {
+	confirmed := map[int64]attempt{}
+	for _, one := range attempts {
+		if one.status == http.StatusOK && one.method == http.MethodPut {
+			confirmed[versionOf([]byte(one.body))] = one
+		}
+	}
+	return confirmed
+}
+
+// historyOnDisk reads the history of taken changes that an ended core machine's disk holds.
+func historyOnDisk(m *machine) (state configuration.State, err error) {
+	store, _, err := storage.Open(storage.OperatingSystem{}, m.data, storage.Options{})
+	if err != nil {
+		return state, err
+	}
+	defer store.Close()
+	value, err := acceptedValue(store)
+	if err != nil {
+		return state, err
+	}
+	return configuration.DecodeState(value)
+}
+
+// agrees tells what in a history speaks against what was confirmed: it must hold each confirmed change, under its number
+// and on top of its version, and nothing that was refused.
+func agrees(state configuration.State, attempts []attempt) (broken []string) {
+	recorded := map[uint64]configuration.Taken{}
+	for i, one := range state.Taken {
+		recorded[one.Version] = one
+		if i > 0 && one.IfMatch != state.Taken[i-1].Version {
+			broken = append(broken, fmt.Sprintf("version %d builds on %d, not on %d before it", one.Version, one.IfMatch, state.Taken[i-1].Version))
+		}
+	}
+	confirmed := confirmedChanges(attempts)
+	for version, change := range confirmed {
+		one, found := recorded[uint64(version)]
+		if !found || strconv.FormatUint(one.IfMatch, 10) != change.ifMatch || one.Sum != sumOf(change.body) {
+			broken = append(broken, fmt.Sprintf("version %d was confirmed, and the history has %+v (%v)", version, one, found))
+		}
+	}
+	for _, one := range attempts {
+		if one.method != http.MethodPut || one.status != http.StatusPreconditionFailed {
+			continue
+		}
+		if held, found := recorded[uint64(versionOf([]byte(one.body)))]; found && held.Sum == sumOf(one.body) {
+			broken = append(broken, fmt.Sprintf("refused, and in the history: %v", one))
+		}
+	}
+	return broken
+}
+
+// acceptedValue is the value of the configuration's register that one disk holds.
+func acceptedValue(store storage.Store) ([]byte, error) {
+	alone := replicaset.View{Version: 1, Members: []string{"disk"}}
+	view := func() replicaset.View { return alone }
+	acceptor := register.NewAcceptor(register.AcceptorConfig{
+		Name: "configuration", Store: store, Ready: func() bool { return true }, View: view,
+	})
+	return register.New(register.Config{Name: "configuration", Self: "disk", Acceptor: acceptor, View: view}).Read(context.Background())
+}
+
+// sumOf is the checksum under which the history names a body.
+func sumOf(body string) (sum [16]byte) {
+	whole := sha256.Sum256([]byte(body))
+	copy(sum[:], whole[:])
+	return sum
+}
--- /dev/null
+++ b/internal/systemtest/againrun_test.go
@@ -0,0 +1,313 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+)
+
+const (
+	changeRounds  = 9 // in which two operators change the configuration at once
+	sameEach      = 3 // in each third round both send the same body
+	againPatience = 4 * time.Minute
+	searchersPath = "/-/searchers"
+)
+
+// againSize is a small system, as the load is that of operators.
+var againSize = size{fronts: 1, searchers: []searcherPlan{{guardedService, 2, true}, {unguardedService, 1, false}}}
+
+// againTest is a system under operators whose answers are lost.
+type againTest struct {
+	*system
+	relays *lossyRelays
+
+	votes []*point // answers of members that are lost
+
+	mu   sync.Mutex
+	lost int // orders that were sent again after their confirmation was swallowed
+}
+
+// Two operators change the configuration at once through different core machines, cancel one job and drain one searcher,
+// behind relays that swallow the first confirmation of each order and deliver copies of requests seconds later. What was
+// taken is never refused, at no machine, also after the leader of the jobs was killed; no number is confirmed for two
+// bodies; and what each core machine tells and holds at the end is what was confirmed.
+func TestOrdersThatAreSentAgain(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), againPatience)
+	defer cancel()
+	s, err := newSystem(scenarioFolder(t, "orders-sent-again"), againSize)
+	if err != nil {
+		t.Fatal(err)
+	}
+	test := &againTest{system: s}
+	began := time.Now()
+	failure := test.run(ctx)
+	s.stop()
+	broken := judgeAttempts(test.relays.all())
+	disks := test.judgeDisks()
+	t.Logf("%d answers of core machines, %d orders sent again after a lost confirmation, %d versions confirmed, %d of %d votes lost, %v",
+		len(test.relays.all()), test.lost, len(confirmedChanges(test.relays.all())), test.votesLost(), len(test.votes),
+		time.Since(began).Round(time.Millisecond))
+	Convey("What was taken is confirmed or left unclear, and each core machine holds it", t, func() {
+		So(failure, ShouldBeNil)
+		So(s.failures, ShouldBeEmpty)
+		So(s.processProblems(), ShouldBeEmpty)
+		So(broken, ShouldBeEmpty)
+		So(disks, ShouldBeEmpty)
+		So(test.lost, ShouldBeGreaterThanOrEqualTo, changeRounds+2)
+		So(test.votesLost(), ShouldBeGreaterThan, 0)
+	})
+}
+
+// processProblems are ends of processes by themselves, and races that the detector has found.
+func (s *system) processProblems() (problems []error) {
+	for _, m := range s.machines() {
+		for _, p := range m.processes {
+			if err := p.problem(); err != nil {
+				problems = append(problems, err)
+			}
+		}
+	}
+	return problems
+}
+
+// run plays all of it; the core machines are stopped in order at the end.
+func (a *againTest) run(ctx context.Context) error {
+	a.relays = newLossyRelays(a.system)
+	defer a.relays.close()
+	if err := a.bringUp(ctx); err != nil {
+		return err
+	}
+	if err := a.changeTogether(ctx); err != nil {
+		return err
+	}
+	cancelled, drained, err := a.cancelAndDrain(ctx)
+	if err != nil {
+		return err
+	}
+	onLeader(func(ctx context.Context, s *system, leader *machine) { s.crashMachine(ctx, leader, shortly, false) })(ctx, a.system)
+	a.repairs.Wait()
+	a.relays.copies.Wait()
+	if err := errors.Join(a.sendAllAgain(ctx), a.compareReadings(ctx), a.compareJob(ctx, cancelled), a.compareDrain(ctx, drained)); err != nil {
+		return err
+	}
+	for _, core := range a.core {
+		core.shutDown()
+	}
+	return nil
+}
+
+// changeTogether lets two operators change the same version at once, round after round.
+func (a *againTest) changeTogether(ctx context.Context) error {
+	current := a.configured.newest
+	for round := range changeRounds {
+		if round%sameEach == 1 {
+			a.loseVotes(round)
+		}
+		bodies := [2][]byte{a.bodyOf(round, 0, current+1), a.bodyOf(round, 1, current+1)}
+		var both sync.WaitGroup
+		var statuses [2]int
+		for operator, body := range bodies {
+			both.Go(func() { statuses[operator] = a.sendLossy(ctx, round+operator, putAttempt(current, body)) })
+		}
+		both.Wait()
+		if !slices.Contains(statuses[:], http.StatusOK) {
+			return fmt.Errorf("round %d on top of version %d: got %v, and neither was confirmed", round, current, statuses)
+		}
+		if bytes.Equal(bodies[0], bodies[1]) && statuses[0] != statuses[1] {
+			return fmt.Errorf("round %d: the same order got %v", round, statuses)
+		}
+		current++
+	}
+	return nil
+}
+
+// bodyOf is what an operator sends in a round: of a number that both use, in each third round the same.
+func (a *againTest) bodyOf(round, operator int, version int64) []byte {
+	if round%sameEach == 2 {
+		operator = 2
+	}
+	return encodeConfiguration(version, []routePlan{renderRoute, mailRoute, {fmt.Sprintf("/of-%d-%d/", round, operator), guardedService}})
+}
+
+// loseVotes loses the next answers by which two members accept a change, so that its proposer cannot tell whether a
+// majority took it.
+func (a *againTest) loseVotes(round int) {
+	proposer := a.core[round%len(a.core)]
+	for _, voter := range a.core {
+		if voter != proposer {
+			a.votes = append(a.votes, a.network.arm(point{
+				path: acceptPath, from: proposer.name, to: voter.name, number: 1, phase: beforeAnswer, drop: true,
+			}))
+		}
+	}
+}
+
+// votesLost counts the votes whose answers were lost.
+func (a *againTest) votesLost() (count int) {
+	for _, one := range a.votes {
+		if one.hasFired() {
+			count++
+		}
+	}
+	return count
+}
+
+// sendLossy sends an order through the relays until an answer is clear, and counts it if a confirmation was lost before.
+func (a *againTest) sendLossy(ctx context.Context, first int, asked attempt) int {
+	status, _, tries := a.relays.send(ctx, a.system, first, asked)
+	if status == http.StatusOK && tries > 1 {
+		a.mu.Lock()
+		a.lost++
+		a.mu.Unlock()
+	}
+	return status
+}
+
+// cancelAndDrain hands in a job that lasts, and lets both operators cancel it and drain a searcher at once.
+func (a *againTest) cancelAndDrain(ctx context.Context) (cancelled, drained string, err error) {
+	random := rand.New(rand.NewPCG(8, 1))
+	plan := makePlan(random, lastingJob, renderRoute)
+	a.plans.add(plan)
+	if _, err := a.eventually(ctx, random, http.MethodPost, plan.route.prefix+string(plan.id), plan.encode(), isSuccess); err != nil {
+		return "", "", fmt.Errorf("the job was not accepted: %w", err)
+	}
+	drained = a.searchers[0].ID()
+	orders := []attempt{
+		{method: http.MethodDelete, path: jobsPath + string(plan.id)},
+		{method: http.MethodPost, path: searchersPath + "/" + drained + "/drain"},
+	}
+	statuses := make([]int, 2*len(orders))
+	var all sync.WaitGroup
+	for i := range statuses {
+		all.Go(func() { statuses[i] = a.sendLossy(ctx, i, orders[i/2]) })
+	}
+	all.Wait()
+	for i, status := range statuses {
+		if status != http.StatusOK {
+			err = errors.Join(err, fmt.Errorf("%s %s got %d", orders[i/2].method, orders[i/2].path, status))
+		}
+	}
+	return string(plan.id), drained, err
+}
+
+// sendAllAgain sends each order that there was to each core machine, without a relay, until the answer is clear.
+func (a *againTest) sendAllAgain(ctx context.Context) error {
+	orders := map[orderKey]attempt{}
+	for _, one := range a.relays.all() {
+		if one.method != http.MethodGet {
+			orders[one.key()] = attempt{method: one.method, path: one.path, ifMatch: one.ifMatch, body: one.body}
+		}
+	}
+	var failures []error
+	for _, asked := range orders {
+		for _, core := range a.core {
+			asked.machine = core.name
+			if got := a.askUntilClear(ctx, core, asked); !isClear(got.status) {
+				failures = append(failures, fmt.Errorf("no clear answer at the end: %v", got))
+			}
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// askUntilClear sends a request to one core machine until its answer is clear, and notes each answer.
+func (a *againTest) askUntilClear(ctx context.Context, core *machine, asked attempt) attempt {
+	ctx, cancel := context.WithTimeout(ctx, resendPatience)
+	defer cancel()
+	for {
+		got := a.relays.deliver(asked, core)
+		a.relays.note(got)
+		if isClear(got.status) || pause(ctx, retryPause) != nil {
+			return got
+		}
+	}
+}
+
+// compareReadings reads the configuration at each core machine: it is the newest that was confirmed.
+func (a *againTest) compareReadings(ctx context.Context) error {
+	confirmed := confirmedChanges(a.relays.all())
+	newest := int64(0)
+	for version := range confirmed {
+		newest = max(newest, version)
+	}
+	var failures []error
+	for _, core := range a.core {
+		read := a.askUntilClear(ctx, core, attempt{machine: core.name, method: http.MethodGet, path: controlPath})
+		if read.answer != confirmed[newest].body {
+			failures = append(failures, fmt.Errorf("version %d was confirmed last, and %s tells %v", newest, core.name, read))
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// compareJob waits until each core machine tells that a job is cancelled.
+func (a *againTest) compareJob(ctx context.Context, id string) error {
+	return a.awaitTold(ctx, jobsPath+id, func(answer string) bool { return strings.Contains(answer, `"state":"cancelled"`) })
+}
+
+// compareDrain waits until each core machine tells that a searcher is drained by an operator.
+func (a *againTest) compareDrain(ctx context.Context, id string) error {
+	return a.awaitTold(ctx, searchersPath, func(answer string) bool {
+		_, of, found := strings.Cut(answer, `"id":"`+id+`"`)
+		of, _, _ = strings.Cut(of, `"id":`)
+		return found && strings.Contains(of, `"operatorDraining":true`)
+	})
+}
+
+func (a *againTest) awaitTold(ctx context.Context, path string, serves func(answer string) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, resendPatience)
+	defer cancel()
+	for _, core := range a.core {
+		for {
+			got := a.askUntilClear(ctx, core, attempt{machine: core.name, method: http.MethodGet, path: path})
+			if got.status == http.StatusOK && serves(got.answer) {
+				break
+			}
+			if pause(ctx, retryPause) != nil {
+				return fmt.Errorf("at the end: %v", got)
+			}
+		}
+	}
+	return nil
+}
+
+// judgeDisks compares the history that each core machine's disk holds with what was confirmed. A majority holds all of it;
+// the last record of another one may be of a change that did not come to be.
+func (a *againTest) judgeDisks() (broken []string) {
+	attempts := a.relays.all()
+	var whole []configuration.State
+	states := make([]configuration.State, len(a.core))
+	for i, core := range a.core {
+		var err error
+		if states[i], err = historyOnDisk(core); err != nil {
+			return append(broken, fmt.Sprintf("%s: %v", core.name, err))
+		}
+		if found := agrees(states[i], attempts); len(found) == 0 {
+			whole = append(whole, states[i])
+		} else {
+			broken = append(broken, fmt.Sprintf("%s: %v", core.name, found))
+		}
+	}
+	if len(whole) <= len(a.core)/2 {
+		return broken
+	}
+	for i, state := range states {
+		if known := max(len(state.Taken)-1, 0); known > len(whole[0].Taken) || !slices.Equal(state.Taken[:known], whole[0].Taken[:known]) {
+			return append(broken, fmt.Sprintf("%s holds another history than a majority", a.core[i].name))
+		}
+	}
+	return nil
+}
