--- /dev/null
+++ b/internal/systemtest/handover_test.go
@@ -0,0 +1,290 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	handOverPatience = 3 * time.Minute
+	handOverGrace    = 40 * time.Second // of the core machines: a busy machine needs more than the usual 6 s
+	waitsLongEnough  = 500 * time.Millisecond
+	announcePath     = "/replicaset/announce"
+	readyPath        = "/rebuild/ready"
+)
+
+// tellsReady is a field of the answer to readyPath that says yes, as msgpack.
+var tellsReady = []byte{0xa1, 'r', 0xc3}
+
+// handOver is a system of three core machines of which one is told to stop while a fourth waits for a place.
+type handOver struct {
+	*system
+	leaving, lagging, failing, newcomer *machine
+
+	mu        sync.Mutex
+	announced map[string][2]time.Time // the newcomer's first and last announcement, by who heard it
+	rebuilt   time.Time               // when the newcomer first told the leaving member that it may vote
+	ended     time.Time               // when the leaving member's process had ended
+	told      time.Time               // when it was told to stop
+}
+
+// A member leads a group and holds its newest batch and the newest configuration together with one other, which fails in
+// that moment; the third member got neither. The first is told to stop while a newcomer waits. It stays until the newcomer
+// has been rebuilt and may vote, within its grace period, and what was acknowledged is there at the two that are left.
+func TestAMemberThatIsToldToStopHandsOver(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), handOverPatience)
+	defer cancel()
+	s, err := newSystem(scenarioFolder(t, "member-hands-over"), againSize)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &handOver{system: s, announced: map[string][2]time.Time{}}
+	failure := h.run(ctx)
+	s.stop()
+	if !h.rebuilt.IsZero() {
+		t.Logf("the newcomer could vote %v and the member had ended %v after it was told to stop",
+			h.rebuilt.Sub(h.told).Round(time.Millisecond), h.ended.Sub(h.told).Round(time.Millisecond))
+	}
+	Convey("The newcomer counts before the member that it replaces is gone, and nothing acknowledged is lost", t, func() {
+		So(failure, ShouldBeNil)
+		So(s.failures, ShouldBeEmpty)
+		So(s.processProblems(), ShouldBeEmpty)
+		So(h.rebuilt, ShouldHappenBetween, h.told, h.ended)
+		So(h.ended.Sub(h.told), ShouldBeLessThan, handOverGrace)
+	})
+}
+
+func (h *handOver) run(ctx context.Context) error {
+	for _, core := range h.core {
+		h.prepare(core)
+	}
+	if err := h.bringUp(ctx); err != nil {
+		return err
+	}
+	if err := h.addNewcomer(); err != nil {
+		return err
+	}
+	h.chooseRoles()
+	if err := h.awaitNewcomer(ctx); err != nil {
+		return err
+	}
+	random := rand.New(rand.NewPCG(9, 1))
+	acknowledged, version, err := h.writeWithoutLagging(ctx, random)
+	if err != nil {
+		return err
+	}
+	h.stopMember()
+	if lost := h.network.setLoss(nil); lost == 0 {
+		return errors.New("no call to the member that lags was lost")
+	}
+	if err := h.checkLog(); err != nil {
+		return err
+	}
+	return h.checkWhatIsLeft(ctx, random, acknowledged, version)
+}
+
+// prepare gives a core machine its grace period, and watches the calls that it answers.
+func (h *handOver) prepare(core *machine) {
+	for _, p := range core.processes {
+		p.spec.Settings += fmt.Sprintf("bounds.gracePeriodS=%d\n", int(handOverGrace.Seconds()))
+		for _, r := range core.relays[p] {
+			r.seen = h.see
+		}
+	}
+}
+
+// see notes the newcomer's announcements, and its word that it may vote.
+func (h *handOver) see(c call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.path == announcePath && h.newcomer != nil && c.from == h.newcomer.name && c.status == http.StatusOK:
+		times := h.announced[c.to]
+		if times[0].IsZero() {
+			times[0] = now
+		}
+		times[1] = now
+		h.announced[c.to] = times
+	case c.path == readyPath && h.newcomer != nil && c.to == h.newcomer.name && c.from == h.leaving.name && bytes.Contains(c.answer, tellsReady):
+		if h.rebuilt.IsZero() {
+			h.rebuilt = now
+		}
+	}
+}
+
+// addNewcomer starts a fourth core machine.
+func (h *handOver) addNewcomer() error {
+	m, err := h.newMachine("core-4")
+	if err != nil {
+		return err
+	}
+	m.data = filepath.Join(h.folder, m.name, "data")
+	if err := os.Mkdir(m.data, 0o755); err != nil {
+		return err
+	}
+	if err := m.add(partSpec{
+		Role: coordinatorRole, Settings: h.settings(m, false),
+		First: m.address(coordinatorOffset + behindOffset), Second: m.address(controlOffset + behindOffset),
+	}, coordinatorOffset, controlOffset); err != nil {
+		return err
+	}
+	h.prepare(m)
+	h.mu.Lock()
+	h.newcomer = m
+	h.mu.Unlock()
+	h.core = append(h.core, m)
+	machines := h.machines()
+	h.callers.Store(&machines)
+	return m.startAll(false)
+}
+
+// chooseRoles lets the leader of the guarded service's jobs be the one that is told to stop.
+func (h *handOver) chooseRoles() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = h.leaderOf(guardedService)
+	for _, core := range h.core {
+		switch {
+		case core == h.leaving || core == h.newcomer:
+		case h.lagging == nil:
+			h.lagging = core
+		default:
+			h.failing = core
+		}
+	}
+}
+
+// awaitNewcomer waits until the members that will vote on its place have heard the newcomer for long enough.
+func (h *handOver) awaitNewcomer(ctx context.Context) error {
+	for !h.waits(h.leaving) || !h.waits(h.lagging) {
+		if err := pause(ctx, pollPause); err != nil {
+			return fmt.Errorf("the newcomer does not announce itself: %w", err)
+		}
+	}
+	return nil
+}
+
+func (h *handOver) waits(at *machine) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	times := h.announced[at.name]
+	return times[1].Sub(times[0]) >= waitsLongEnough
+}
+
+// writeWithoutLagging hands a job in and changes the configuration while the member that lags is told of neither. Both are
+// acknowledged by the other two.
+func (h *handOver) writeWithoutLagging(ctx context.Context, random *rand.Rand) (acknowledged jobPlan, version int64, err error) {
+	lagging := h.lagging.name
+	h.network.setLoss(func(c call) bool {
+		replicates := strings.HasPrefix(c.path, "/replication/") && c.path != "/replication/ping"
+		return replicates && (c.from == lagging || c.to == lagging) || c.path == acceptPath && c.to == lagging
+	})
+	acknowledged = makePlan(random, lastingJob, renderRoute)
+	h.plans.add(acknowledged)
+	if _, err := h.eventually(ctx, random, http.MethodPost, acknowledged.route.prefix+string(acknowledged.id), acknowledged.encode(), isSuccess); err != nil {
+		return acknowledged, 0, fmt.Errorf("the job was not accepted: %w", err)
+	}
+	if !h.configured.set(ctx, 0, renderRoute, mailRoute, routePlan{"/newest/", guardedService}) {
+		return acknowledged, 0, errors.New("the change was not acknowledged")
+	}
+	return acknowledged, h.configured.newest, nil
+}
+
+// stopMember kills the member that holds the same, tells the other one to stop, and waits for its end.
+func (h *handOver) stopMember() {
+	h.failing.kill()
+	h.mu.Lock()
+	h.told = time.Now()
+	h.mu.Unlock()
+	for _, p := range h.leaving.processes {
+		force := time.AfterFunc(handOverGrace, func() { p.signal(syscall.SIGKILL) })
+		p.end(syscall.SIGTERM)
+		force.Stop()
+	}
+	h.mu.Lock()
+	h.ended = time.Now()
+	h.mu.Unlock()
+	for _, p := range h.leaving.processes {
+		for _, r := range h.leaving.relays[p] {
+			r.close()
+		}
+	}
+}
+
+// checkLog looks whether the member wrote, before it ended, that its newcomer may vote.
+func (h *handOver) checkLog() error {
+	log, err := os.ReadFile(h.leaving.processes[0].log.Name())
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(log, []byte(`"handed over before the stop","newcomerIsRebuilt":true`)) {
+		return errors.New("the member ended without its newcomer")
+	}
+	return nil
+}
+
+// checkWhatIsLeft asks the two members that are left for what was acknowledged, and lets them take more.
+func (h *handOver) checkWhatIsLeft(ctx context.Context, random *rand.Rand, acknowledged jobPlan, version int64) error {
+	for _, core := range []*machine{h.lagging, h.newcomer} {
+		if err := h.awaitConfiguration(ctx, core, version); err != nil {
+			return err
+		}
+	}
+	if err := h.awaitJob(ctx, acknowledged); err != nil {
+		return err
+	}
+	if !h.configured.set(ctx, 0, renderRoute, mailRoute) {
+		return errors.New("the members that are left take no change")
+	}
+	further := makePlan(random, plainJob, renderRoute)
+	h.plans.add(further)
+	_, err := h.eventually(ctx, random, http.MethodPost, further.route.prefix+string(further.id), further.encode(), isSuccess)
+	return err
+}
+
+// awaitConfiguration waits until a machine answers with the configuration, which is the one that was acknowledged last.
+func (h *handOver) awaitConfiguration(ctx context.Context, core *machine, version int64) error {
+	for {
+		read := h.order(ctx, core, http.MethodGet, 0, nil)
+		switch {
+		case read.Status == http.StatusOK && versionOf(read.Answer) == version:
+			return nil
+		case isClear(read.Status):
+			return fmt.Errorf("version %d was acknowledged, and %s tells %d %s", version, core.name, read.Status, read.Answer)
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return fmt.Errorf("%s does not tell the configuration: %w", core.name, err)
+		}
+	}
+}
+
+// awaitJob waits until a front knows the job's state, which must not be that there is none.
+func (h *handOver) awaitJob(ctx context.Context, acknowledged jobPlan) error {
+	for {
+		got := h.ask(ctx, h.fronts[0], http.MethodGet, acknowledged.route.prefix+string(acknowledged.id), nil)
+		switch {
+		case got.Status == http.StatusOK:
+			return nil
+		case isClear(got.Status):
+			return fmt.Errorf("job %s was acknowledged, and the front tells %d %s", acknowledged.id, got.Status, got.Answer)
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return fmt.Errorf("nobody knows job %s: %w", acknowledged.id, err)
+		}
+	}
+}
--- a/internal/systemtest/network_test.go
+++ b/internal/systemtest/network_test.go
@@ -53,6 +53,8 @@
 	delays  map[link]time.Duration
 	points  []*point
 	changed chan struct{} // closed at the next change of cut
+	loss    func(call) bool
+	lost    int // calls that loss has kept back
 }
 
 func newNetwork() *network {
@@ -78,6 +80,25 @@
 	}
 }
 
+// setLoss loses all calls that a function picks, until it is set to nil, which returns how many were lost.
+func (n *network) setLoss(loss func(call) bool) (lost int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = loss
+	return n.lost
+}
+
+// loses tells whether a call is lost on its way.
+func (n *network) loses(c call) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loss == nil || !n.loss(c) {
+		return false
+	}
+	n.lost++
+	return true
+}
+
 // setCut opens or closes the way from one machine to another.
 func (n *network) setCut(from, to string, cut bool) {
 	n.mu.Lock()
--- a/internal/systemtest/relay_test.go
+++ b/internal/systemtest/relay_test.go
@@ -110,7 +110,7 @@
 	if at == beforeAnswer {
 		from, to = to, from
 	}
-	if r.network.reach(c, at) {
+	if r.network.reach(c, at) || at == beforeCall && r.network.loses(c) {
 		<-ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
