--- /dev/null
+++ b/internal/controlplane/replication/hugestate_test.go
@@ -0,0 +1,286 @@
+package replication
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/raceflag"
+	"puffinlink.example/puffinlink/internal/transport"
+)
+
+const (
+	messageLimit = 64 << 20 // of package transport, for one message
+	hugeValue    = 64 << 10 // bytes of an entry
+	hugeChunk    = 16       // entries proposed together
+	hugeEntries  = messageLimit/hugeValue + 5*hugeChunk
+	raceEntries  = 12 * hugeChunk // under the race detector
+)
+
+// hugeCount is how many entries the group has: above the limit of one message, or 12 MB under the race detector, which
+// would take several times the memory.
+func hugeCount() int {
+	if raceflag.On || testing.Short() {
+		return raceEntries
+	}
+	return hugeEntries
+}
+
+// Numbers of parts at which faults strike; the first snapshot is given up in its midst.
+const (
+	lostPart       = 2  // it does not arrive
+	unansweredPart = 4  // it arrives, and its answer does not
+	doubledPart    = 6  // it arrives twice
+	latePart       = 8  // an older one arrives before it once more
+	earlyPart      = 10 // the one after the next arrives before it
+	oldPart        = 12 // one of the leader before arrives before it
+)
+
+var errOnTheWay = errors.New("lost on the way")
+
+// partFaults harms the parts of snapshots on their way to one member.
+type partFaults struct {
+	target string
+
+	mu      sync.Mutex
+	struck  map[uint32]bool        // faults that have struck, by their part
+	first   appendRequest          // the first part of the first leader's snapshot
+	midway  chan uint64            // gets the epoch of the first snapshot once half of it has arrived
+	stopped uint64                 // that snapshot's epoch, of which nothing passes any more; 0 before
+	parts   uint32                 // of the newest snapshot
+	largest int                    // bytes of entries in one message
+	odd     map[uint32]appendReply // answers to parts that were not in their turn, by the part that was
+}
+
+func newPartFaults(target string) *partFaults {
+	return &partFaults{
+		target: target, struck: make(map[uint32]bool), midway: make(chan uint64, 1), odd: make(map[uint32]appendReply),
+	}
+}
+
+// carry passes a call on, with what harms it.
+func (f *partFaults) carry(address string, request any, deliver func(request any, reply *appendReply) error) error {
+	part, isAppend := request.(appendRequest)
+	if !isAppend || address != f.target || !part.Snapshot || part.Parts < 2 {
+		return deliver(request, nil)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if part.Epoch == f.stopped || f.stopsAt(part) {
+		return errOnTheWay
+	}
+	f.note(part)
+	if part.Epoch != f.first.Epoch {
+		if err := f.strike(part, deliver); err != nil {
+			return err
+		}
+	}
+	return deliver(part, nil)
+}
+
+// note counts a part, and keeps the first one of all.
+func (f *partFaults) note(part appendRequest) {
+	f.parts = part.Parts
+	sum := 0
+	for _, entry := range part.Entries {
+		sum += entry.bytes()
+	}
+	f.largest = max(f.largest, sum)
+	if f.first.Parts == 0 {
+		f.first = part
+	}
+}
+
+// stopsAt ends the first snapshot in its midst.
+func (f *partFaults) stopsAt(part appendRequest) bool {
+	if f.stopped != 0 || f.first.Parts == 0 || part.Part < part.Parts/2 {
+		return false
+	}
+	f.stopped = part.Epoch
+	f.midway <- part.Epoch
+	return true
+}
+
+// strike harms a part of a later snapshot once, by its number.
+func (f *partFaults) strike(part appendRequest, deliver func(request any, reply *appendReply) error) error {
+	if f.struck[part.Part] {
+		return nil
+	}
+	f.struck[part.Part] = true
+	switch part.Part {
+	case lostPart:
+		return errOnTheWay
+	case unansweredPart:
+		deliver(part, new(appendReply))
+		return errOnTheWay
+	case doubledPart:
+		return f.deliverOdd(part, part, deliver)
+	case latePart:
+		older := part
+		older.Part, older.Entries = 1, f.first.Entries
+		return f.deliverOdd(part, older, deliver)
+	case earlyPart:
+		later := part
+		later.Part += 2
+		return f.deliverOdd(part, later, deliver)
+	case oldPart:
+		return f.deliverOdd(part, f.first, deliver)
+	}
+	return nil
+}
+
+// deliverOdd delivers a part that is not in its turn, and notes the answer. Where there is none, as on a busy machine, the
+// part in turn is lost as well, and the fault strikes when that is sent again.
+func (f *partFaults) deliverOdd(inTurn, odd appendRequest, deliver func(request any, reply *appendReply) error) error {
+	var reply appendReply
+	err := deliver(odd, &reply)
+	if err != nil {
+		delete(f.struck, inTurn.Part)
+		return err
+	}
+	f.odd[inTurn.Part] = reply
+	return nil
+}
+
+// check looks whether no message was larger than a part, each fault has struck, and no part counted that was not in its turn.
+func (f *partFaults) check() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	So(f.largest, ShouldBeLessThanOrEqualTo, DefaultLimits.PartBytes)
+	So(f.struck[lostPart] && f.struck[unansweredPart], ShouldBeTrue)
+	So(f.odd[oldPart].Outcome, ShouldEqual, superseded)
+	for inTurn, wanted := range map[uint32]uint32{doubledPart: doubledPart + 1, latePart: latePart, earlyPart: earlyPart} {
+		So(f.odd[inTurn].Outcome, ShouldEqual, gathering)
+		So(f.odd[inTurn].Wanted, ShouldEqual, wanted)
+	}
+}
+
+// A group's state is larger than one message may be. A replica that was away gets it in parts; half-way its leader dies, and
+// the next leader's parts are lost, doubled, late, early, and mixed with one of the leader before. The state is 12 MB under
+// the race detector, which would take several times the memory of the whole; the gate plays the whole without it.
+func TestAStateThatFitsIntoNoMessage(t *testing.T) {
+	Convey("A replica without a state that fits into no message gets it in parts, and counts", t, func() {
+		stores := make(map[string]*noticed)
+		c := startClusterOn(3, func(address string) storage.Store {
+			if stores[address] == nil {
+				stores[address] = &noticed{storage.NewMemory(), make(chan struct{}, 1)}
+			}
+			return stores[address]
+		})
+		defer c.close()
+		leader := c.awaitValid()
+		away := c.notLeading(leader)
+		away.stop()
+		leader = c.proposeHuge(leader)
+		faults := newPartFaults(away.address)
+		c.faults.Store(faults)
+		listener, err := net.Listen("tcp", away.address)
+		So(err, ShouldBeNil)
+		began := time.Now()
+		c.startNode(listener)
+		_, err = await(faults.midway)
+		So(err, ShouldBeNil)
+		// The leader may still hold the one batch that it could not deliver when the replica went.
+		So(len(stores[away.address].Table(stateTable("jobs/x"))), ShouldBeLessThanOrEqualTo, hugeChunk)
+		leader.node.kill()
+		c.awaitHuge(stores[away.address])
+		t.Logf("%d entries of %d KB, %d parts, the largest of %d bytes: caught up after %v",
+			hugeCount(), hugeValue>>10, faults.parts, faults.largest, time.Since(began).Round(time.Millisecond))
+
+		state := stores[away.address].Table(stateTable("jobs/x"))
+		So(wrongEntries(state), ShouldBeEmpty)
+		if !raceflag.On && !testing.Short() {
+			So(stateBytes(state), ShouldBeGreaterThan, messageLimit)
+		}
+		faults.check()
+		// It counts: with the one that is left it commits more.
+		for next := c.awaitValid(); !commits(next.term, []Entry{{"after", []byte{1}}}); next = c.awaitValid() {
+		}
+	})
+}
+
+// proposeHuge proposes all entries; a busy machine may lose a lease, and then the next leader goes on.
+func (c *cluster) proposeHuge(leader election) election {
+	for first := 0; first < hugeCount(); first += hugeChunk {
+		var entries []Entry
+		for i := first; i < first+hugeChunk; i++ {
+			entries = append(entries, Entry{hugeKey(i), hugeContent(i)})
+		}
+		for !commits(leader.term, entries) {
+			leader = c.awaitValid()
+		}
+	}
+	return leader
+}
+
+func hugeKey(i int) string     { return fmt.Sprintf("task/%08d", i) }
+func hugeContent(i int) []byte { return bytes.Repeat([]byte{byte(i), byte(i >> 8)}, hugeValue/2) }
+
+// wrongEntries lists what is missing or differs in a state, and what is too much.
+func wrongEntries(state map[string][]byte) (wrong []string) {
+	for i := range hugeCount() {
+		if !bytes.Equal(state[hugeKey(i)], hugeContent(i)) {
+			wrong = append(wrong, hugeKey(i))
+		}
+	}
+	if excess := len(state) - hugeCount(); excess > 1 { // one is the mark of the position
+		wrong = append(wrong, fmt.Sprintf("%d entries too many", excess))
+	}
+	return wrong
+}
+
+// awaitHuge waits until a store holds as many entries as the state has; they come in one write.
+func (c *cluster) awaitHuge(store *noticed) {
+	for len(store.Table(stateTable("jobs/x"))) < hugeCount() {
+		_, err := await(store.written)
+		So(err, ShouldBeNil)
+	}
+}
+
+// notLeading is a node that does not lead.
+func (c *cluster) notLeading(leader election) *running {
+	for _, r := range c.nodes {
+		if r != leader.node {
+			return r
+		}
+	}
+	return nil
+}
+
+// noticed is a store in memory that tells of its writes.
+type noticed struct {
+	*storage.Memory
+	written chan struct{} // holds a token after a write
+}
+
+// Write implements storage.Store.
+func (n *noticed) Write(changes ...storage.Change) error {
+	err := n.Memory.Write(changes...)
+	select {
+	case n.written <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// callHarmed makes a call through the faults. The member that is harmed does not stand for election, as it would then fetch
+// the state and not be sent it.
+func (r *running) callHarmed(ctx context.Context, faults *partFaults, address string, route transport.Route, request, reply any) error {
+	if r.address == faults.target && route == prepareCall.Route() {
+		return errOnTheWay
+	}
+	return faults.carry(address, request, func(request any, other *appendReply) error {
+		if other != nil {
+			return r.client.Call(ctx, address, route, request, other)
+		}
+		return r.client.Call(ctx, address, route, request, reply)
+	})
+}
--- a/internal/controlplane/replication/node_test.go
+++ b/internal/controlplane/replication/node_test.go
@@ -38,6 +38,7 @@
 	elected chan election
 	deposed chan *Term
 	open    func(address string) storage.Store // makes a node's store
+	faults  atomic.Pointer[partFaults]         // what harms calls on their way; nil for nothing
 }
 
 type election struct {
@@ -117,6 +118,9 @@
 	if r.killed.Load() {
 		return errors.New("killed")
 	}
+	if faults := r.cluster.faults.Load(); faults != nil {
+		return r.callHarmed(ctx, faults, address, route, request, reply)
+	}
 	return r.client.Call(ctx, address, route, request, reply)
 }
 
