--- a/internal/controlplane/replication/core.go
+++ b/internal/controlplane/replication/core.go
@@ -146,6 +146,14 @@
 	c.effects.calls = append(c.effects.calls, call{address, route, limit, request, reply, done})
 }
 
+// aside does work outside of the steps, which would be held up by it, and then runs a step. The work must not use the core.
+func (c *core) aside(work, done func()) {
+	c.spawn(func() {
+		work()
+		c.enter(done)
+	})
+}
+
 func (c *core) write(changes []storage.Change, done func(err error)) {
 	c.effects.writes = append(c.effects.writes, write{changes, func(err error) {
 		if err != nil {
--- a/internal/controlplane/replication/sending.go
+++ b/internal/controlplane/replication/sending.go
@@ -9,10 +9,10 @@
 	next    uint32 // the part to send
 }
 
-func (l *leadership) newTransfer(snapshot bool, previous, position Position, entries []Entry) *transfer {
+func (l *leadership) newTransfer(snapshot bool, previous, position Position, parts [][]Entry) *transfer {
 	request := l.request()
 	request.Snapshot, request.Previous, request.Position = snapshot, previous, position
-	return &transfer{request: request, parts: split(entries, l.core.limits.PartBytes)}
+	return &transfer{request: request, parts: parts}
 }
 
 // part is the message that carries the next part.
@@ -68,14 +68,15 @@
 func (l *leadership) beginTransfer(address string, follower *follower) {
 	next, found := l.history.since(follower.position)
 	if found {
-		follower.transfer = l.newTransfer(false, next.previous, next.position, next.entries)
+		follower.transfer = l.newTransfer(false, next.previous, next.position, split(next.entries, l.core.limits.PartBytes))
 		return
 	}
 	l.beginSnapshot(address, follower)
 }
 
 // beginSnapshot takes a copy of the state for a follower. Each member gets one snapshot of this mixer at a time, whatever
-// the group, and the next one follows at once; a member that does not answer holds up no other.
+// the group, and the next one follows at once; a member that does not answer holds up no other. A large state takes longer
+// to sort and cut than a lease lasts where the processor is busy, so that is not done within a step.
 func (l *leadership) beginSnapshot(address string, follower *follower) {
 	replica := &l.group.replica
 	if l.core.receiving[address] || replica.position.Epoch != l.epoch {
@@ -84,17 +85,31 @@
 	l.core.receiving[address] = true
 	follower.sending = true
 	replica.whenIdle(func() {
-		follower.sending = false
 		if l.ended || l.followers[address] != follower {
+			follower.sending = false
 			l.core.released(address)
 			return
 		}
-		follower.transfer = l.newTransfer(true, Position{}, replica.position, entriesOf(replica.state()))
 		follower.lagging = true
-		l.send(address, follower)
+		position, state := replica.position, replica.state()
+		var parts [][]Entry
+		l.core.aside(func() { parts = split(entriesOf(state), l.core.limits.PartBytes) }, func() {
+			l.sendSnapshot(address, follower, position, parts)
+		})
 	})
 }
 
+// sendSnapshot begins to send a snapshot that has been cut into parts, unless nobody wants it any more.
+func (l *leadership) sendSnapshot(address string, follower *follower, position Position, parts [][]Entry) {
+	follower.sending = false
+	if l.ended || l.followers[address] != follower {
+		l.core.released(address)
+		return
+	}
+	follower.transfer = l.newTransfer(true, Position{}, position, parts)
+	l.send(address, follower)
+}
+
 // endTransfer forgets what is being sent to a follower, and lets the next group's snapshot go there.
 func (l *leadership) endTransfer(address string, follower *follower) {
 	ended := follower.transfer
