A look or a stop without an answer is sent again within the same call

While no answer has come within what the round trips of this searcher suggest, a further copy of a look or a stop is sent on another connection, if one is free at that moment; the first answer counts, dated by its own copy. A look grants nothing and a stop names one run, so copies and late copies do no harm. Each copy looks at the lease. Copies under way are bounded for each searcher, and wait for nothing.

TestHedgeWithoutAnswer leaves all calls of the hold without an answer now, instead of two, as the third would be answered.

--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	connectionsPerSearcher = startSlots + 3 // at most: a hold, a look, and one in place of a connection that is being given up
+	// at most: a hold, a look, the orders, copies of looks and stops, and one in place of a connection that is being given up
+	connectionsPerSearcher = startSlots + copiesAtOnce + 3
 	maxAnswerBytes         = 16 << 20
 	ordinaryAnswerBytes    = 64 << 10 // larger buffers are not kept
 )
--- a/internal/jobs/worker/connections.go
+++ b/internal/jobs/worker/connections.go
@@ -123,6 +123,18 @@
 	return true
 }
 
+// take is begin for a call that can be done without: it does not wait for a connection or a place for one.
+func (l *lane) take() bool {
+	c := l.owner
+	c.mu.Lock()
+	free := l.reuse() || len(c.waiting) == 0 && l.takePlace()
+	c.mu.Unlock()
+	if free {
+		c.work.enter()
+	}
+	return free
+}
+
 // await waits for a connection or a place for one.
 func (l *lane) await(done <-chan struct{}) bool {
 	c := l.owner
--- a/internal/jobs/worker/hold.go
+++ b/internal/jobs/worker/hold.go
@@ -96,7 +96,7 @@
 func (l *Link) awaitWorkers() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.workers > 0 || l.look.busy {
+	for l.workers > 0 || l.look.busy || l.copies > 0 {
 		l.idle.Wait()
 	}
 }
--- a/internal/jobs/worker/link.go
+++ b/internal/jobs/worker/link.go
@@ -100,6 +100,7 @@
 	look         lookState
 	orders       orderQueue
 	workers      int
+	copies       int // further copies of repeatable calls under way
 	counts       Counts
 }
 
@@ -109,6 +110,7 @@
 	Looks   uint64 // out of band
 	Hedges  uint64 // holds whose answer was overdue
 	Repeats uint64 // holds whose newest end had been listed before, as it was not acknowledged yet
+	Copies  uint64 // of looks and stops whose answer was overdue
 }
 
 // granted is the newest grant that was answered.
--- a/internal/jobs/worker/look.go
+++ b/internal/jobs/worker/look.go
@@ -70,7 +70,10 @@
 }
 
 func (l *Link) lookOnce(c holdCall) {
-	a, err := l.caller.post(l.context, l.caller.hold, c.body(), c.timeout)
+	a, sentAt, err := l.postRepeatable(repeatableCall{l.caller.hold, c.body(), c.timeout})
+	if err == nil {
+		c.sentAt = sentAt
+	}
 	l.settleHold(c, a, err, l.now())
 	switch {
 	case err != nil:
--- a/internal/jobs/worker/look_test.go
+++ b/internal/jobs/worker/look_test.go
@@ -128,10 +128,11 @@
 
 func TestHedgeWithoutAnswer(t *testing.T) {
 	simulate(t, calmWay, func(t *testing.T, b *bench) {
-		b.searcher.SetFaults(first(2, cluster.HoldCall, cluster.Fault{Kind: cluster.Silent}))
+		b.searcher.SetFaults(cluster.Only(cluster.HoldCall, cluster.Fault{Kind: cluster.Silent}))
 		b.awaitHold()
 		lost := time.Now()
 		await(t, b.events, func(r Reachability) bool { return !r.Reachable })
+		b.searcher.SetFaults(nil)
 		convey.So(time.Since(lost), convey.ShouldBeBetween, 1550*time.Millisecond, 1650*time.Millisecond)
 		convey.So(b.link.Counts().Looks, convey.ShouldEqual, 1)
 		awaitAfter(t, b.events, 2, func(r Reachability) bool { return r.Reachable })
--- a/internal/jobs/worker/orders.go
+++ b/internal/jobs/worker/orders.go
@@ -285,8 +285,7 @@
 	l.mu.Lock()
 	timeout := l.roundTrips.orderLimit()
 	l.mu.Unlock()
-	sentAt := l.now()
-	a, err := l.caller.post(l.context, l.caller.stop, appendStop(nil, order, l.config.FencingToken), timeout)
+	a, sentAt, err := l.postRepeatable(repeatableCall{l.caller.stop, appendStop(nil, order, l.config.FencingToken), timeout})
 	if err == nil {
 		received := l.now()
 		l.mu.Lock()
--- /dev/null
+++ b/internal/jobs/worker/repeat_test.go
@@ -0,0 +1,134 @@
+package worker
+
+import (
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/standin/cluster"
+)
+
+// usualAnswer is more than a calm searcher takes to answer, and far less than any time-out.
+const usualAnswer = spareMargin + 50*time.Millisecond
+
+func TestALookWithoutAnswerIsSentAgainSoon(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		before := b.link.Counts()
+		b.searcher.SetFaults(first(1, cluster.HoldCall, cluster.Fault{Kind: cluster.Late, Delay: 5 * time.Second}))
+		b.link.Stop(StopOrder{task(5), 1})
+		stopped := await(t, b.events, any1[StopResult])
+		look := await(t, b.events, outOfBand)
+		convey.So(time.Since(stopped.At), convey.ShouldBeLessThan, usualAnswer)
+		convey.So(look.SentAt.Sub(stopped.At), convey.ShouldBeGreaterThan, spareMargin)  // of the copy that was answered
+		convey.So(time.Since(look.SentAt), convey.ShouldBeGreaterThanOrEqualTo, calmWay) // and not of its answer
+		after := b.link.Counts()
+		convey.So(after.Looks-before.Looks, convey.ShouldEqual, 1)
+		convey.So(after.Copies-before.Copies, convey.ShouldEqual, 1)
+		convey.So(unheardSince(b), convey.ShouldBeFalse)
+	})
+}
+
+func TestAStopWithoutAnswerIsSentAgainSoon(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		b.searcher.SetFaults(first(1, cluster.StopCall, cluster.Fault{Kind: cluster.Late, Delay: 5 * time.Second}))
+		ordered := time.Now()
+		b.link.Stop(StopOrder{task(0), 1})
+		convey.So(await(t, b.events, any1[StopResult]).Answered, convey.ShouldBeTrue)
+		convey.So(time.Since(ordered), convey.ShouldBeLessThan, usualAnswer)
+		convey.So(b.searcher.Calls(cluster.StopCall), convey.ShouldEqual, 2)
+		time.Sleep(6 * time.Second) // the first one is carried out, too
+		convey.So(b.start(order(0, 2)), convey.ShouldEqual, Started)
+		convey.So(b.cluster.Runs(), convey.ShouldHaveLength, 2)
+	})
+}
+
+func TestAStartWithoutAnswerIsNotSentAgain(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		starts, copies := b.searcher.Calls(cluster.StartCall), b.link.Counts().Copies
+		b.searcher.SetFaults(first(1, cluster.StartCall, cluster.Fault{Kind: cluster.Silent}))
+		convey.So(b.start(order(1, 1)), convey.ShouldEqual, Unclear)
+		time.Sleep(5 * time.Second)
+		convey.So(b.searcher.Calls(cluster.StartCall), convey.ShouldEqual, starts+1)
+		convey.So(b.link.Counts().Copies, convey.ShouldEqual, copies)
+	})
+}
+
+func TestNoCopyIsSentAfterTheLease(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		b.searcher.SetFaults(cluster.Only(cluster.StopCall, cluster.Fault{Kind: cluster.Silent}))
+		b.link.Stop(StopOrder{task(0), 1})
+		time.Sleep(spareMargin / 2)
+		b.invalid.Store(true)
+		time.Sleep(time.Second)
+		convey.So(b.searcher.Calls(cluster.StopCall), convey.ShouldEqual, 1)
+		convey.So(b.link.Counts().Copies, convey.ShouldEqual, 0)
+	})
+}
+
+func TestCopiesAreFew(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		b.searcher.SetFaults(cluster.Only(cluster.StopCall, cluster.Fault{Kind: cluster.Silent}))
+		for i := range 3 * startSlots {
+			b.link.Stop(StopOrder{task(i), 1})
+		}
+		time.Sleep(shortestOrderLimit - time.Millisecond) // before the first ones are given up
+		synctest.Wait()
+		convey.So(b.searcher.Calls(cluster.StopCall), convey.ShouldEqual, startSlots+copiesAtOnce)
+		convey.So(b.searcher.Connections(), convey.ShouldBeLessThanOrEqualTo, connectionsPerSearcher)
+		b.link.Close() // gives up the copies, too: Run returns
+	})
+}
+
+func TestACopyThatFailsLeavesTheCallToTheOthers(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		calls := 0
+		b.searcher.SetFaults(func(call cluster.Call) cluster.Fault {
+			if call != cluster.StopCall {
+				return cluster.Fault{}
+			}
+			calls++
+			switch calls {
+			case 1: // answered while the copy has failed
+				return cluster.Fault{Kind: cluster.Slow, Delay: 2 * spareMargin}
+			default:
+				return cluster.Fault{Kind: cluster.Reset}
+			}
+		})
+		ordered := time.Now()
+		b.link.Stop(StopOrder{task(0), 1})
+		convey.So(await(t, b.events, any1[StopResult]).Answered, convey.ShouldBeTrue)
+		convey.So(time.Since(ordered), convey.ShouldBeBetween, 2*spareMargin, 2*spareMargin+50*time.Millisecond)
+		convey.So(b.link.Counts().Copies, convey.ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestCopiesWaitForNothing(t *testing.T) {
+	convey.Convey("Given a budget of one connection that is in use", t, func() {
+		connections := NewConnections(Limits{Connections: 1, DialsPerS: 100, DialsAtOnce: 10})
+		busy, other := connections.join("a"), connections.join("b")
+		convey.So(busy.begin(nil), convey.ShouldBeTrue)
+		convey.So(other.take(), convey.ShouldBeFalse)
+		convey.So(busy.take(), convey.ShouldBeFalse)
+		convey.So(connections.Usage().Waiting, convey.ShouldEqual, 0)
+		convey.Convey("it is taken once it is free", func() {
+			busy.end()
+			convey.So(other.take(), convey.ShouldBeTrue)
+			other.end()
+		})
+		convey.Convey("whoever waits for it goes first", func() {
+			done := make(chan struct{})
+			begun := make(chan bool)
+			go func() { begun <- other.begin(done) }()
+			for connections.Usage().Waiting == 0 {
+				runtime.Gosched()
+			}
+			convey.So(busy.take(), convey.ShouldBeFalse)
+			busy.end()
+			convey.So(<-begun, convey.ShouldBeTrue)
+			other.end()
+		})
+	})
+}
--- a/internal/jobs/worker/roundtrip.go
+++ b/internal/jobs/worker/roundtrip.go
@@ -51,6 +51,9 @@
 	return max(r.minimum, min(max(margin, shortest), longest))
 }
 
+// repeatDelay is how long after it was sent a repeatable call without an answer is sent once more.
+func (r *roundTrips) repeatDelay() time.Duration { return r.limit(r.margin(), 0, longestHedgeDelay) }
+
 // hedgeDelay is how long after its wait an unanswered hold is hedged by a look.
 func (r *roundTrips) hedgeDelay() time.Duration {
 	return r.limit(r.margin(), shortestHedgeDelay, longestHedgeDelay)
