A copy of a look or a stop is sent as soon as the round trips suggest

The pause before a further copy was that of holds and time-outs: four deviations and 100 ms, so 113 ms at searchers that answer within 5 ms.

Four deviations and 25 ms: a copy that was not needed costs one call and one connection, and a searcher whose answers vary is waited for longer, as before.

--- a/internal/jobs/worker/repeat_test.go
+++ b/internal/jobs/worker/repeat_test.go
@@ -12,7 +12,7 @@
 )
 
 // usualAnswer is more than a calm searcher takes to answer, and far less than any time-out.
-const usualAnswer = spareMargin + 50*time.Millisecond
+const usualAnswer = repeatMargin + 50*time.Millisecond
 
 func TestALookWithoutAnswerIsSentAgainSoon(t *testing.T) {
 	simulate(t, calmWay, func(t *testing.T, b *bench) {
@@ -22,7 +22,7 @@
 		stopped := await(t, b.events, any1[StopResult])
 		look := await(t, b.events, outOfBand)
 		convey.So(time.Since(stopped.At), convey.ShouldBeLessThan, usualAnswer)
-		convey.So(look.SentAt.Sub(stopped.At), convey.ShouldBeGreaterThan, spareMargin)  // of the copy that was answered
+		convey.So(look.SentAt.Sub(stopped.At), convey.ShouldBeGreaterThan, repeatMargin)  // of the copy that was answered
 		convey.So(time.Since(look.SentAt), convey.ShouldBeGreaterThanOrEqualTo, calmWay) // and not of its answer
 		after := b.link.Counts()
 		convey.So(after.Looks-before.Looks, convey.ShouldEqual, 1)
@@ -60,7 +60,7 @@
 	simulate(t, calmWay, func(t *testing.T, b *bench) {
 		b.searcher.SetFaults(cluster.Only(cluster.StopCall, cluster.Fault{Kind: cluster.Silent}))
 		b.link.Stop(StopOrder{task(0), 1})
-		time.Sleep(spareMargin / 2)
+		time.Sleep(repeatMargin / 2)
 		b.invalid.Store(true)
 		time.Sleep(time.Second)
 		convey.So(b.searcher.Calls(cluster.StopCall), convey.ShouldEqual, 1)
--- a/internal/jobs/worker/roundtrip.go
+++ b/internal/jobs/worker/roundtrip.go
@@ -5,6 +5,7 @@
 const (
 	initialMargin = 300 * time.Millisecond // before the first round trip is measured
 	spareMargin   = 100 * time.Millisecond // beyond what the round trips suggest
+	repeatMargin  = 25 * time.Millisecond  // the same before a further copy of a repeatable call
 	longestSample = time.Second
 
 	shortestHedgeDelay  = 200 * time.Millisecond
@@ -51,8 +52,11 @@
 	return max(r.minimum, min(max(margin, shortest), longest))
 }
 
-// repeatDelay is how long after it was sent a repeatable call without an answer is sent once more.
-func (r *roundTrips) repeatDelay() time.Duration { return r.limit(r.margin(), 0, longestHedgeDelay) }
+// repeatDelay is how long after it was sent a repeatable call without an answer is sent once more. A copy that was not needed
+// costs little, so little is added to what the round trips suggest.
+func (r *roundTrips) repeatDelay() time.Duration {
+	return r.limit(r.margin()-spareMargin+repeatMargin, 0, longestHedgeDelay)
+}
 
 // hedgeDelay is how long after its wait an unanswered hold is hedged by a look.
 func (r *roundTrips) hedgeDelay() time.Duration {
--- a/internal/jobs/worker/roundtrip_test.go
+++ b/internal/jobs/worker/roundtrip_test.go
@@ -19,6 +19,15 @@
 			convey.So(trips.orderLimit(), convey.ShouldEqual, shortestOrderLimit)
 			convey.So(trips.lookLimit(), convey.ShouldEqual, shortestLookLimit)
 		})
+		convey.Convey("a repeatable call is repeated far sooner than it is given up", func() {
+			convey.So(trips.repeatDelay(), convey.ShouldBeBetween, 3*time.Millisecond, shortestOrderLimit/4)
+		})
+		convey.Convey("and later where the round trips vary", func() {
+			for _, trip := range []time.Duration{60, 5, 90, 5, 70, 5} {
+				trips.observe(trip * time.Millisecond)
+			}
+			convey.So(trips.repeatDelay(), convey.ShouldBeGreaterThan, 100*time.Millisecond)
+		})
 		convey.Convey("a single slow one lets the next calls wait longer", func() {
 			trips.observe(350 * time.Millisecond)
 			convey.So(trips.orderLimit(), convey.ShouldBeGreaterThan, 500*time.Millisecond)
