Starts are given less time at a searcher that leaves many of them without an answer

A link keeps the smoothed share of its starts without an answer. Above a fifth (two of them in a short time) a start is given what the round trips suggest, four deviations and 0.1 s, instead of 0.3 s at least. It is as unclear as before: a look finds it or a stop ends it. In calm, and after a single loss, nothing changes; slow answers are waited for as before.

--- a/internal/jobs/worker/orders.go
+++ b/internal/jobs/worker/orders.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/verdict"
 )
 
 const (
@@ -205,7 +207,7 @@
 func (l *Link) beginStart() startCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := startCall{sentAt: l.now(), timeout: l.roundTrips.orderLimit(), validUntil: l.granted.validUntil}
+	c := startCall{sentAt: l.now(), timeout: l.roundTrips.startLimit(), validUntil: l.granted.validUntil}
 	c.grant = l.grants.begin(l.clock.untilPassed(c.validUntil, c.sentAt), c.sentAt, c.timeout)
 	return c
 }
@@ -215,6 +217,9 @@
 	defer l.mu.Unlock()
 	l.observe(a, c.sentAt, received)
 	l.settle(c.grant, c.validUntil, err, received)
+	if err == nil || verdict.Of(err) != verdict.NotRun {
+		l.roundTrips.startEnded(err == nil)
+	}
 	if err != nil {
 		l.doubtful = true // before the outcome is reported, as that may bring further starts
 		return
--- a/internal/jobs/worker/repeat_test.go
+++ b/internal/jobs/worker/repeat_test.go
@@ -22,7 +22,7 @@
 		stopped := await(t, b.events, any1[StopResult])
 		look := await(t, b.events, outOfBand)
 		convey.So(time.Since(stopped.At), convey.ShouldBeLessThan, usualAnswer)
-		convey.So(look.SentAt.Sub(stopped.At), convey.ShouldBeGreaterThan, repeatMargin)  // of the copy that was answered
+		convey.So(look.SentAt.Sub(stopped.At), convey.ShouldBeGreaterThan, repeatMargin) // of the copy that was answered
 		convey.So(time.Since(look.SentAt), convey.ShouldBeGreaterThanOrEqualTo, calmWay) // and not of its answer
 		after := b.link.Counts()
 		convey.So(after.Looks-before.Looks, convey.ShouldEqual, 1)
@@ -56,6 +56,26 @@
 	})
 }
 
+func TestStartsAreGivenLessTimeWhereManyGetNoAnswer(t *testing.T) {
+	simulate(t, calmWay, func(t *testing.T, b *bench) {
+		b.searcher.SetFaults(first(3, cluster.StartCall, cluster.Fault{Kind: cluster.Late, Delay: 5 * time.Second}))
+		took := func(index int) time.Duration {
+			ordered := time.Now()
+			convey.So(b.start(order(index, 1)), convey.ShouldEqual, Unclear)
+			return time.Since(ordered)
+		}
+		convey.So(took(1), convey.ShouldBeGreaterThanOrEqualTo, shortestOrderLimit)
+		convey.So(took(2), convey.ShouldBeGreaterThanOrEqualTo, shortestOrderLimit)
+		convey.So(took(3), convey.ShouldBeLessThan, shortestOrderLimit/2)
+		for i := range 10 {
+			convey.So(b.start(order(4+i, 1)), convey.ShouldEqual, Started)
+		}
+		b.searcher.SetFaults(first(1, cluster.StartCall, cluster.Fault{Kind: cluster.Silent}))
+		convey.So(took(20), convey.ShouldBeGreaterThanOrEqualTo, shortestOrderLimit)
+		convey.So(b.searcher.Calls(cluster.StartCall), convey.ShouldEqual, 1+3+10+1) // each one once
+	})
+}
+
 func TestNoCopyIsSentAfterTheLease(t *testing.T) {
 	simulate(t, calmWay, func(t *testing.T, b *bench) {
 		b.searcher.SetFaults(cluster.Only(cluster.StopCall, cluster.Fault{Kind: cluster.Silent}))
--- a/internal/jobs/worker/roundtrip.go
+++ b/internal/jobs/worker/roundtrip.go
@@ -18,6 +18,8 @@
 	smoothedParts       = 8                      // a sample's weight in the smoothed round trip, as in RFC 6298
 	variationParts      = 4                      // and in its variation
 	deviationsTolerated = 4
+	lossWeight          = 0.125 // a start's weight in the share of those without an answer
+	usualLoss           = 0.2   // more is not one start that was lost: it takes two of them in a short time
 )
 
 // roundTrips estimates how long calls to a searcher take, from those that were answered. The zero value knows nothing.
@@ -26,6 +28,7 @@
 	measured  bool
 	smoothed  time.Duration
 	variation time.Duration // the smoothed distance of a sample from the smoothed round trip
+	lost      float64       // smoothed share of the starts that got no answer
 }
 
 // observe takes in one round trip.
@@ -63,7 +66,25 @@
 	return r.limit(r.margin(), shortestHedgeDelay, longestHedgeDelay)
 }
 
-// orderLimit is the time-out of start and stop orders.
+// startEnded takes in whether a start was answered.
+func (r *roundTrips) startEnded(answered bool) {
+	if answered {
+		r.lost -= lossWeight * r.lost
+		return
+	}
+	r.lost += lossWeight * (1 - r.lost)
+}
+
+// startLimit is the time-out of a start. Where many starts get no answer it is what the round trips suggest alone: the sooner
+// one of them is looked for, the sooner its task starts anew.
+func (r *roundTrips) startLimit() time.Duration {
+	if r.lost > usualLoss {
+		return r.limit(r.margin(), 0, longestOrderLimit)
+	}
+	return r.orderLimit()
+}
+
+// orderLimit is the time-out of stop orders, and of starts in calm.
 func (r *roundTrips) orderLimit() time.Duration {
 	return r.limit(r.margin()+orderMargin, shortestOrderLimit, longestOrderLimit)
 }
--- a/internal/jobs/worker/roundtrip_test.go
+++ b/internal/jobs/worker/roundtrip_test.go
@@ -36,6 +36,20 @@
 			}
 			convey.So(trips.orderLimit(), convey.ShouldEqual, shortestOrderLimit)
 		})
+		convey.Convey("a start is given less time while many get no answer, and as much as before later", func() {
+			convey.So(trips.startLimit(), convey.ShouldEqual, shortestOrderLimit)
+			trips.startEnded(false)
+			convey.So(trips.startLimit(), convey.ShouldEqual, shortestOrderLimit) // one says little
+			trips.startEnded(false)
+			convey.So(trips.startLimit(), convey.ShouldEqual, trips.margin())
+			convey.So(trips.startLimit(), convey.ShouldBeLessThan, shortestOrderLimit/2)
+			for range 50 {
+				trips.observe(250 * time.Millisecond)
+			}
+			convey.So(trips.startLimit(), convey.ShouldEqual, longestOrderLimit) // slow answers are waited for
+			trips.startEnded(true)
+			convey.So(trips.startLimit(), convey.ShouldEqual, trips.orderLimit())
+		})
 		convey.Convey("no limit grows beyond its longest", func() {
 			for range 50 {
 				trips.observe(time.Hour)
