--- a/internal/jobs/worker/types.go
+++ b/internal/jobs/worker/types.go
@@ -3,7 +3,7 @@
 //
 // A hold waits at the searcher for an end, and usually one is under way at any time. Looks, which do not wait, are made
 // beside it where its answer is overdue and where the state of a run is to be known at once. Time-outs follow the round trips
-// measured.
+// measured. A look or a stop that is left without an answer is sent again before its time-out, a start never is.
 //
 // A Link is made for one life of one searcher under one fencing token. It reports through Events; what the reports mean for
 // jobs is decided elsewhere.
@@ -147,8 +147,8 @@
 // Fenced reports that the searcher has seen a higher fencing token; the link has ended.
 type Fenced struct{ Searcher SearcherID }
 
-// Reachability reports a change. A searcher is unreachable once two calls for the lists in a row were left without an answer,
-// or were refused; an answer makes it reachable again.
+// Reachability reports a change. A searcher is unreachable once two calls for the lists in a row, with all copies of
+// them, were left without an answer, or were refused; an answer makes it reachable again.
 type Reachability struct {
 	Searcher  SearcherID
 	Reachable bool
