--- a/internal/jobs/worker/client.go
+++ b/internal/jobs/worker/client.go
@@ -52,7 +52,7 @@
 
 var answerBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// post sends one call, by one writing whatever net/http would repeat, and reads its answer. An error means that there was
+// post sends one call, once, and reads its answer. An error means that there was
 // no whole answer in time; it carries a verdict.
 func (c *caller) post(ctx context.Context, target *url.URL, body []byte, timeout time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -63,7 +63,7 @@
 		permit.connected(got)
 		sending.Connected(got)
 	}}
-	response, err := c.http.RoundTrip(c.request(httptrace.WithClientTrace(ctx, &trace), &sending, target, body))
+	response, err := c.http.RoundTrip(c.request(httptrace.WithClientTrace(ctx, &trace), target, body))
 	if err != nil && (permit.unsent() || sending.Unsent()) {
 		return answer{}, verdict.Unexecuted(err, 0)
 	}
@@ -78,13 +78,12 @@
 	return result, nil
 }
 
-func (c *caller) request(ctx context.Context, sending *transport.Sending, target *url.URL, body []byte) *http.Request {
+// request is a call without GetBody: no transport can send it again by itself.
+func (c *caller) request(ctx context.Context, target *url.URL, body []byte) *http.Request {
 	request := &http.Request{
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: c.headers,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
-		// A connection that was closed before anything was written is replaced by net/http, which needs the body again.
-		GetBody: sending.Again(body),
 	}
 	return request.WithContext(ctx)
 }
