--- a/internal/systemtest/againrun_test.go
+++ b/internal/systemtest/againrun_test.go
@@ -45,12 +45,7 @@
 // bodies; and what each core machine tells and holds at the end is what was confirmed.
 func TestOrdersThatAreSentAgain(t *testing.T) {
 	t.Parallel()
-	ctx, cancel := context.WithTimeout(context.Background(), againPatience)
-	defer cancel()
-	s, err := newSystem(scenarioFolder(t, "orders-sent-again"), againSize)
-	if err != nil {
-		t.Fatal(err)
-	}
+	ctx, s := startSystem(t, "orders-sent-again", againSize, againPatience)
 	test := &againTest{system: s}
 	began := time.Now()
 	failure := test.run(ctx)
--- a/internal/systemtest/handover_test.go
+++ b/internal/systemtest/handover_test.go
@@ -46,12 +46,7 @@
 // has been rebuilt and may vote, within its grace period, and what was acknowledged is there at the two that are left.
 func TestAMemberThatIsToldToStopHandsOver(t *testing.T) {
 	t.Parallel()
-	ctx, cancel := context.WithTimeout(context.Background(), handOverPatience)
-	defer cancel()
-	s, err := newSystem(scenarioFolder(t, "member-hands-over"), againSize)
-	if err != nil {
-		t.Fatal(err)
-	}
+	ctx, s := startSystem(t, "member-hands-over", againSize, handOverPatience)
 	h := &handOver{system: s, announced: map[string][2]time.Time{}}
 	failure := h.run(ctx)
 	s.stop()
--- a/internal/systemtest/scenario_test.go
+++ b/internal/systemtest/scenario_test.go
@@ -223,7 +223,19 @@
 	return nil
 }
 
-// keepFolder is where a scenario's logs stay when it fails; the test's own folder goes with the test.
+// startSystem starts the processes of a test of its own, and a context that bounds it.
+func startSystem(t *testing.T, name string, of size, patience time.Duration) (context.Context, *system) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	s, err := newSystem(scenarioFolder(t, name), of)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ctx, s
+}
+
+// scenarioFolder is where a scenario's logs stay when it fails; the test's own folder goes with the test.
 func scenarioFolder(t *testing.T, name string) string {
 	if kept := os.Getenv("PUFFINLINK_SYSTEMTEST_KEEP"); kept != "" {
 		folder := filepath.Join(kept, name)
