A proxy's drain ends with its last answer

A proxy waited 50 ms more after its last answer before its process ended. That is no part of any promise: a connection counts as busy until net/http has handed the whole answer to the operating system, which sends it also after the process has ended. The tests expect the end 50 ms sooner, to the millisecond.

--- a/internal/dataplane/proxy/drain.go
+++ b/internal/dataplane/proxy/drain.go
@@ -4,17 +4,17 @@
 
 // Times of a drain.
 const (
-	drainSpan     = 3 * time.Second        // new requests are served that long at most
-	drainReserve  = 2 * time.Second        // of the grace period, not used for new requests
-	emptySpan     = time.Second            // without a connection for so long, the drain ends
-	answerSpan    = 500 * time.Millisecond // for the answers to requests that are given up
-	killReserve   = 500 * time.Millisecond // of the grace period, not used at all
-	flushAllowing = 50 * time.Millisecond  // for the last answers to leave
+	drainSpan    = 3 * time.Second        // new requests are served that long at most
+	drainReserve = 2 * time.Second        // of the grace period, not used for new requests
+	emptySpan    = time.Second            // without a connection for so long, the drain ends
+	answerSpan   = 500 * time.Millisecond // for the answers to requests that are given up
+	killReserve  = 500 * time.Millisecond // of the grace period, not used at all
 )
 
 // drain serves on after the order to stop: until no connection has been open for a while or the span for new requests
 // is over. Then it stops accepting, and ends once the requests under way are answered; those that take too long are
-// given up, so that they still get an answer.
+// given up, so that they still get an answer. A connection counts as busy until its answer was handed to the operating system, which
+// sends it also after the process has ended.
 func drain(tracker *connectionTracker, stopAccepting, giveUpRequests func(), gracePeriod time.Duration, now func() time.Time) {
 	begun := now()
 	span := min(drainSpan, gracePeriod-drainReserve)
@@ -35,7 +35,6 @@
 	waitUntil(tracker, begun.Add(gracePeriod-killReserve-answerSpan), noneBusy, now)
 	giveUpRequests()
 	waitUntil(tracker, begun.Add(gracePeriod-killReserve), noneBusy, now)
-	time.Sleep(flushAllowing)
 }
 
 // waitUntil waits for a condition on the connections, but not beyond a time. The condition may name a time at which
--- a/internal/dataplane/proxy/drain_test.go
+++ b/internal/dataplane/proxy/drain_test.go
@@ -182,7 +182,7 @@
 		d.stop()
 		So(d.readinessStatus(), ShouldEqual, http.StatusServiceUnavailable)
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, emptySpan+flushAllowing)
+		So(d.endedAfter, ShouldEqual, emptySpan)
 	})
 	inBubble(t, "an idle connection is served on, and closed by its next answer", func() {
 		d := startDrained(takes(0))
@@ -199,7 +199,7 @@
 		So(status, ShouldEqual, http.StatusOK)
 		So(closes, ShouldBeTrue)
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, 1500*time.Millisecond+emptySpan+flushAllowing)
+		So(d.endedAfter, ShouldEqual, 1500*time.Millisecond+emptySpan)
 	})
 	inBubble(t, "new connections are served while it drains, and none afterwards", func() {
 		d := startDrained(takes(0))
@@ -222,7 +222,7 @@
 		So(err, ShouldBeNil)
 		d.stop()
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, drainSpan+flushAllowing)
+		So(d.endedAfter, ShouldEqual, drainSpan)
 		_, _, err = client.read()
 		So(err, ShouldNotBeNil)
 	})
@@ -237,7 +237,7 @@
 		So(status, ShouldEqual, http.StatusOK)
 		So(closes, ShouldBeTrue)
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, drainSpan+900*time.Millisecond+flushAllowing)
+		So(d.endedAfter, ShouldEqual, drainSpan+900*time.Millisecond)
 	})
 	inBubble(t, "a request that takes too long gets an answer within the grace period", func() {
 		d := startDrained(takes(time.Hour))
@@ -251,7 +251,7 @@
 		So(status, ShouldEqual, http.StatusGatewayTimeout)
 		So(closes, ShouldBeTrue)
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, testGrace-killReserve-answerSpan+flushAllowing)
+		So(d.endedAfter, ShouldEqual, testGrace-killReserve-answerSpan)
 	})
 	inBubble(t, "a request that is not read whole does not hold it beyond the grace period", func() {
 		d := startDrained(takes(0))
@@ -260,7 +260,7 @@
 		synctest.Wait()
 		d.stop()
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, testGrace-killReserve+flushAllowing)
+		So(d.endedAfter, ShouldEqual, testGrace-killReserve)
 		client.Close()
 		time.Sleep(time.Second)
 	})
@@ -271,7 +271,7 @@
 		d.proxy.SetGracePeriod(time.Second)
 		d.stop()
 		<-d.ended
-		So(d.endedAfter, ShouldEqual, flushAllowing)
+		So(d.endedAfter, ShouldEqual, 0)
 	})
 }
 
