Drains: one enumeration of outcomes, and a version past all others is not judged by the oldest

The outcomes of an order on a drain stood in package scheduler and again in jobreport, with a map between them. Package scheduler answers with those of jobreport now. Reading the change again showed that the version 2^64-1 wrapped to 0, so that an order on top of it could be confirmed; it is left unclear (TestDrainOrdersOnTopOfVersions, which fails with the comparison as it was).

--- a/internal/jobs/jobreport/calls.go
+++ b/internal/jobs/jobreport/calls.go
@@ -74,14 +74,15 @@
 	OnTopOf *uint64 `msgpack:"v,omitempty"`
 }
 
-// DrainOutcome is what an order on top of a version came to.
+// DrainOutcome is what an order on a searcher's drain came to.
 type DrainOutcome int
 
 // The outcomes. One that goes by no version is always taken.
 const (
-	DrainTaken      DrainOutcome = iota // now, or before by the same order
+	DrainTaken      DrainOutcome = iota // by this call or by an earlier one of the same order; 0, as a leader of an earlier release answers
 	DrainSuperseded                     // another was taken on top of that version; this one never will be
-	DrainUnclear                        // the version is not in force yet, or too old to tell
+	DrainUnclear                        // the version is not in force yet, or older than what is remembered
+	DrainUnknown                        // the searcher is not known
 )
 
 // DrainReply is sent once the change is durable.
--- a/internal/jobs/manager/reports.go
+++ b/internal/jobs/manager/reports.go
@@ -131,19 +131,14 @@
 	return report
 }
 
-// drainOutcomes are the scheduler's outcomes as operators are told them.
-var drainOutcomes = map[scheduler.DrainOutcome]jobreport.DrainOutcome{
-	scheduler.DrainTaken: jobreport.DrainTaken, scheduler.DrainSuperseded: jobreport.DrainSuperseded, scheduler.DrainUnclear: jobreport.DrainUnclear,
-}
-
 // orderDrain hands an order to the scheduler. The lock is held.
 func (l *lead) orderDrain(now scheduler.Now, request jobreport.DrainRequest) (known bool, outcome jobreport.DrainOutcome) {
 	id := worker.SearcherID(request.Searcher)
 	if request.OnTopOf == nil {
 		return l.scheduler.SetOperatorDrain(now, id, request.Draining), jobreport.DrainTaken
 	}
-	taken := l.scheduler.OrderOperatorDrain(now, id, scheduler.DrainOrder{Draining: request.Draining, OnTopOf: *request.OnTopOf})
-	return taken != scheduler.DrainUnknown, drainOutcomes[taken]
+	outcome = l.scheduler.OrderOperatorDrain(now, id, scheduler.DrainOrder{Draining: request.Draining, OnTopOf: *request.OnTopOf})
+	return outcome != jobreport.DrainUnknown, outcome
 }
 
 // drain sets or ends an operator's drain, and answers once that is durable.
--- a/internal/jobs/scheduler/operatordrain.go
+++ b/internal/jobs/scheduler/operatordrain.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 	"puffinlink.example/puffinlink/internal/jobs/worker"
 )
 
@@ -38,16 +39,18 @@
 
 // judge tells what an order comes to that builds on a version. What was taken stays taken: the order that made version N+1 is the one
 // that asked on top of N for what N+1 is.
-func (r operatorDrainRecord) judge(order DrainOrder) DrainOutcome {
-	switch made := order.OnTopOf + 1; {
-	case made == r.Version+1:
-		return DrainTaken
-	case made > r.Version || r.Version-made >= drainHistory:
-		return DrainUnclear
-	case (r.History>>(r.Version-made)&1 == 1) == order.Draining:
-		return DrainTaken
+func (r operatorDrainRecord) judge(order DrainOrder) jobreport.DrainOutcome {
+	if order.OnTopOf == r.Version {
+		return jobreport.DrainTaken
 	}
-	return DrainSuperseded
+	since := r.Version - order.OnTopOf - 1 // versions after the one that was made on top of it
+	switch {
+	case order.OnTopOf > r.Version || since >= drainHistory:
+		return jobreport.DrainUnclear
+	case (r.History>>since&1 == 1) == order.Draining:
+		return jobreport.DrainTaken
+	}
+	return jobreport.DrainSuperseded
 }
 
 // DrainOrder is an operator's order to drain a searcher, or to end that, on top of the version that the operator has read.
@@ -56,17 +59,6 @@
 	OnTopOf  uint64
 }
 
-// DrainOutcome is what a DrainOrder came to.
-type DrainOutcome int
-
-// The outcomes.
-const (
-	DrainUnknown    DrainOutcome = iota // the searcher is not known
-	DrainTaken                          // by this call or by an earlier one of the same order
-	DrainSuperseded                     // another order was taken on top of that version, and this one never will be
-	DrainUnclear                        // the version is not in force yet, or older than what is remembered
-)
-
 // operatorDrain is one such searcher.
 type operatorDrain struct {
 	operatorDrainRecord
@@ -89,9 +81,9 @@
 }
 
 // OrderOperatorDrain does the same on top of a version, so that an order that comes late does not undo a later one.
-func (s *Scheduler) OrderOperatorDrain(now Now, id worker.SearcherID, order DrainOrder) DrainOutcome {
+func (s *Scheduler) OrderOperatorDrain(now Now, id worker.SearcherID, order DrainOrder) jobreport.DrainOutcome {
 	if !s.knowsDrained(id) {
-		return DrainUnknown
+		return jobreport.DrainUnknown
 	}
 	record := s.operatorDrains.record(id)
 	outcome := record.judge(order)
--- a/internal/jobs/scheduler/operatordrain_test.go
+++ b/internal/jobs/scheduler/operatordrain_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"math"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 )
 
 func TestOperatorDrainAgainUnderASuccessor(t *testing.T) {
@@ -48,44 +51,45 @@
 	Convey("Given a searcher that nobody has drained", t, func() {
 		w := newWorld(1, 3)
 		w.steps(20)
-		order := func(o DrainOrder) DrainOutcome { return w.scheduler.OrderOperatorDrain(w.clock(), "s00", o) }
+		order := func(o DrainOrder) jobreport.DrainOutcome { return w.scheduler.OrderOperatorDrain(w.clock(), "s00", o) }
 
 		Convey("a drain that comes after the order that ended it changes nothing", func() {
-			So(order(undrain(0)), ShouldEqual, DrainTaken) // the operator gave up the drain, which is still on its way
-			So(order(drain(0)), ShouldEqual, DrainSuperseded)
+			So(order(undrain(0)), ShouldEqual, jobreport.DrainTaken) // the operator gave up the drain, which is still on its way
+			So(order(drain(0)), ShouldEqual, jobreport.DrainSuperseded)
 			So(w.scheduler.OperatorDrains("s00"), ShouldBeFalse)
 		})
 		Convey("an order that was taken is confirmed again, also after later ones", func() {
-			So(order(drain(0)), ShouldEqual, DrainTaken)
-			So(order(drain(0)), ShouldEqual, DrainTaken)
+			So(order(drain(0)), ShouldEqual, jobreport.DrainTaken)
+			So(order(drain(0)), ShouldEqual, jobreport.DrainTaken)
 			So(w.scheduler.DrainVersion("s00"), ShouldEqual, 1)
-			So(order(undrain(1)), ShouldEqual, DrainTaken)
-			So(order(drain(0)), ShouldEqual, DrainTaken)
+			So(order(undrain(1)), ShouldEqual, jobreport.DrainTaken)
+			So(order(drain(0)), ShouldEqual, jobreport.DrainTaken)
 			So(w.scheduler.OperatorDrains("s00"), ShouldBeFalse)
 			So(w.scheduler.DrainVersion("s00"), ShouldEqual, 2)
 		})
 		Convey("one of two orders on top of one version is taken", func() {
-			So(order(drain(0)), ShouldEqual, DrainTaken)
-			So(order(undrain(0)), ShouldEqual, DrainSuperseded)
+			So(order(drain(0)), ShouldEqual, jobreport.DrainTaken)
+			So(order(undrain(0)), ShouldEqual, jobreport.DrainSuperseded)
 			So(w.scheduler.OperatorDrains("s00"), ShouldBeTrue)
 		})
 		Convey("nothing is said of an order on top of a version that is not in force, or of one that is forgotten", func() {
-			So(order(drain(1)), ShouldEqual, DrainUnclear)
+			So(order(drain(1)), ShouldEqual, jobreport.DrainUnclear)
+			So(order(undrain(math.MaxUint64)), ShouldEqual, jobreport.DrainUnclear)
 			for version := range uint64(drainHistory + 1) {
-				So(order(DrainOrder{Draining: version%3 == 0, OnTopOf: version}), ShouldEqual, DrainTaken)
+				So(order(DrainOrder{Draining: version%3 == 0, OnTopOf: version}), ShouldEqual, jobreport.DrainTaken)
 			}
-			So(order(drain(0)), ShouldEqual, DrainUnclear)
-			So(order(undrain(1)), ShouldEqual, DrainTaken)
-			So(order(drain(1)), ShouldEqual, DrainSuperseded)
+			So(order(drain(0)), ShouldEqual, jobreport.DrainUnclear)
+			So(order(undrain(1)), ShouldEqual, jobreport.DrainTaken)
+			So(order(drain(1)), ShouldEqual, jobreport.DrainSuperseded)
 		})
 		Convey("an order without a version counts as one, where it changes something", func() {
 			So(w.scheduler.SetOperatorDrain(w.clock(), "s00", true), ShouldBeTrue)
 			So(w.scheduler.SetOperatorDrain(w.clock(), "s00", true), ShouldBeTrue)
 			So(w.scheduler.DrainVersion("s00"), ShouldEqual, 1)
-			So(order(undrain(0)), ShouldEqual, DrainSuperseded)
+			So(order(undrain(0)), ShouldEqual, jobreport.DrainSuperseded)
 		})
 		Convey("an unknown searcher is not ordered", func() {
-			So(w.scheduler.OrderOperatorDrain(w.clock(), "nobody", drain(0)), ShouldEqual, DrainUnknown)
+			So(w.scheduler.OrderOperatorDrain(w.clock(), "nobody", drain(0)), ShouldEqual, jobreport.DrainUnknown)
 		})
 		Convey("a successor knows all of it", func() {
 			order(drain(0))
@@ -95,8 +99,8 @@
 			successor, err := New(w.scheduler.settings, w.clock(), w.durable)
 			So(err, ShouldBeNil)
 			So(successor.DrainVersion("s00"), ShouldEqual, 2)
-			So(successor.OrderOperatorDrain(w.clock(), "s00", drain(0)), ShouldEqual, DrainTaken)
-			So(successor.OrderOperatorDrain(w.clock(), "s00", undrain(0)), ShouldEqual, DrainSuperseded)
+			So(successor.OrderOperatorDrain(w.clock(), "s00", drain(0)), ShouldEqual, jobreport.DrainTaken)
+			So(successor.OrderOperatorDrain(w.clock(), "s00", undrain(0)), ShouldEqual, jobreport.DrainSuperseded)
 			So(successor.OperatorDrains("s00"), ShouldBeFalse)
 		})
 		Convey("a record of a release without versions is a drain", func() {
