The configuration travels to agents by parts

Cause: the feed handed out the whole configuration in one answer, which an agent gave 1.3 s and an exchange between agents 0.45 s; what had arrived was thrown away. On links of 2 Mbit/s a configuration of 1,830 routes (about 330 KB) never arrived beside the clients' requests, and after a restart of all machines the fronts never became ready again. Each change of a smaller one went whole through every front's link.

Change: a configuration is cut by its content into parts that are named by their checksums. Core mixers and agents offer the manifest and the parts that a reader lacks; a download in the agent asks for the rest a few parts at a time, keeps what has arrived across calls, sources and versions, adapts the size of a call to what the link carries, and puts the content in force once its checksum is right. No transfer is bounded as a whole. Contact with the core counts only until the moment when a newer configuration was offered that is not in force yet. Members that the reader knows are left out, and agents in contact exchange each 1.5 s instead of 0.5 s.

--- a/internal/controlplane/feed/board.go
+++ b/internal/controlplane/feed/board.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
 )
 
 // Board holds the newest known state of the feed and wakes those who wait for news. All methods may be called from any
@@ -13,6 +15,7 @@
 	snapshot Snapshot
 	digest   Digest
 	changed  chan struct{} // closed at the next change
+	catalog  Catalog       // the configuration of snapshot
 }
 
 // NewBoard makes an empty Board.
@@ -55,6 +58,7 @@
 		return false
 	}
 	b.snapshot, b.digest = snapshot, digest
+	b.catalog.Publish(snapshot.ConfigurationVersion, snapshot.Configuration)
 	close(b.changed)
 	b.changed = make(chan struct{})
 	return true
@@ -83,15 +87,38 @@
 	return news
 }
 
-// trimmed is the snapshot without a configuration that the reader has.
+// trimmed is the snapshot without a configuration and members that the reader has.
 func (b *Board) trimmed(known Digest) *Snapshot {
 	news := b.snapshot
 	if known.ConfigurationVersion >= news.ConfigurationVersion {
 		news.Configuration = nil
 	}
+	if known.MembersSum == b.digest.MembersSum {
+		news.Core, news.Front = nil, nil
+	}
 	return &news
 }
 
+// ByParts returns news with an offer in the place of the configuration, for a reader with the digest known and room for
+// some parts. A reader without room gets them whole.
+func (b *Board) ByParts(news *Snapshot, known Digest, room int) *Snapshot {
+	if news == nil || room <= 0 || len(news.Configuration) == 0 {
+		return news
+	}
+	offered := *news
+	offered.Configuration = nil
+	offered.ConfigurationVersion, offered.Offer = b.catalog.Offer(known.ConfigurationVersion, room)
+	return &offered
+}
+
+// Parts hands out parts of the newest configuration.
+func (b *Board) Parts(ask PartsRequest) PartsReply {
+	return PartsReply{Parts: b.catalog.Parts(parts.SumsOf(ask.Sums), ask.Room)}
+}
+
+// Part returns a part of the newest configuration. It is a parts.Holder.
+func (b *Board) Part(sum parts.Sum) (part []byte, found bool) { return b.catalog.Part(sum) }
+
 // Wait returns what a reader with the digest known lacks as soon as there is something, and nil once limit has passed or
 // ctx has ended without news.
 func (b *Board) Wait(ctx context.Context, known Digest, limit time.Duration) *Snapshot {
--- /dev/null
+++ b/internal/controlplane/feed/catalog_test.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+)
+
+// body is a configuration of some kilobytes; versions differ in their first and one later line.
+func body(version uint64) []byte {
+	text := fmt.Appendf(nil, "version %d\n", version)
+	for line := range uint64(2000) {
+		if line == 1000 {
+			text = fmt.Appendf(text, "changed by %d\n", version)
+		}
+		text = fmt.Appendf(text, "line %d of the configuration\n", line*line*7919)
+	}
+	return text
+}
+
+// taken gathers an offer's parts beside those of a version that the reader has.
+func taken(offer *Offer, known []byte) *parts.Collection {
+	held := make(map[parts.Sum][]byte)
+	for _, part := range parts.Split(known) {
+		held[parts.SumOf(part)] = part
+	}
+	collection, err := parts.NewCollection(offer.Manifest, func(sum parts.Sum) ([]byte, bool) {
+		part, found := held[sum]
+		return part, found
+	})
+	So(err, ShouldBeNil)
+	for _, packed := range offer.Parts {
+		part, err := parts.Unpack(packed)
+		So(err, ShouldBeNil)
+		collection.Add(part)
+	}
+	return collection
+}
+
+func TestCatalogOffersWhatIsLacking(t *testing.T) {
+	Convey("Given a catalog with some versions", t, func() {
+		var catalog Catalog
+		for version := uint64(1); version <= keptEditions+5; version++ {
+			catalog.Publish(version, body(version))
+		}
+		newest := body(keptEditions + 5)
+
+		Convey("a reader of a recent version gets the parts that differ, and needs no other", func() {
+			version, offer := catalog.Offer(keptEditions, 64<<10)
+			So(version, ShouldEqual, keptEditions+5)
+			So(len(offer.Parts), ShouldBeLessThanOrEqualTo, 4)
+			content, err := taken(offer, body(keptEditions)).Content()
+			So(err, ShouldBeNil)
+			So(bytes.Equal(content, newest), ShouldBeTrue)
+		})
+		Convey("a reader of an old version gets the manifest alone", func() {
+			_, offer := catalog.Offer(2, 64<<10)
+			So(offer.Parts, ShouldBeEmpty)
+			So(offer.Manifest.Bytes, ShouldEqual, len(newest))
+		})
+		Convey("a reader of nothing gets as many parts as there is room for", func() {
+			_, offer := catalog.Offer(0, 4<<10)
+			sum := 0
+			for _, packed := range offer.Parts {
+				sum += len(packed)
+			}
+			So(sum, ShouldBeBetween, 1<<10, 4<<10+1)
+		})
+		Convey("parts are handed out by name: one even without room, and none that are not held", func() {
+			_, offer := catalog.Offer(2, 0)
+			sums := offer.Manifest.Sums()
+			So(len(catalog.Parts(sums, 0)), ShouldEqual, 1)
+			So(len(catalog.Parts(sums, 1<<20)), ShouldEqual, len(sums))
+			So(catalog.Parts([]parts.Sum{{1}}, 1<<20), ShouldBeEmpty)
+			old := parts.SumOf(parts.Split(body(1))[0])
+			So(catalog.Parts([]parts.Sum{old}, 1<<20), ShouldBeEmpty)
+		})
+		Convey("an older version changes nothing", func() {
+			catalog.Publish(3, body(3))
+			version, _ := catalog.Offer(2, 0)
+			So(version, ShouldEqual, keptEditions+5)
+		})
+	})
+}
+
+func TestBoardOffersParts(t *testing.T) {
+	Convey("Given a board with a configuration", t, func() {
+		board := NewBoard()
+		board.MergeWithMembers(&Snapshot{ConfigurationVersion: 5, Configuration: body(5), Core: []string{"a:1"}})
+		news, _ := board.Since(Digest{})
+		Convey("a reader with room gets it by parts", func() {
+			offered := board.ByParts(news, Digest{}, 1<<20)
+			So(offered.Configuration, ShouldBeEmpty)
+			So(offered.ConfigurationVersion, ShouldEqual, 5)
+			So(offered.Core, ShouldResemble, []string{"a:1"})
+			content, err := taken(offered.Offer, nil).Content()
+			So(err, ShouldBeNil)
+			So(bytes.Equal(content, body(5)), ShouldBeTrue)
+			So(news.Configuration, ShouldNotBeEmpty)
+		})
+		Convey("a reader without room, as of an older build, gets it whole", func() {
+			So(board.ByParts(news, Digest{}, 0), ShouldEqual, news)
+		})
+		Convey("a reader that has it gets no offer", func() {
+			known := Digest{ConfigurationVersion: 5}
+			members, _ := board.Since(known)
+			So(board.ByParts(members, known, 1<<20).Offer, ShouldBeNil)
+			So(board.ByParts(nil, known, 1<<20), ShouldBeNil)
+		})
+		Convey("known members are not sent again", func() {
+			known := Digest{MembersSum: board.Digest().MembersSum}
+			news, _ := board.Since(known)
+			So(news.Core, ShouldBeEmpty)
+			So(news.Configuration, ShouldNotBeEmpty)
+		})
+	})
+}
--- a/internal/controlplane/feed/feed.go
+++ b/internal/controlplane/feed/feed.go
@@ -2,7 +2,10 @@
 // and which mixers exist. A Digest names one state of it, so that a reader fetches only what it lacks.
 package feed
 
-import "puffinlink.example/puffinlink/internal/transport"
+import (
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+	"puffinlink.example/puffinlink/internal/transport"
+)
 
 // Internal calls. What they tell has versions, epochs or ages, and changes nothing when it comes again.
 var (
@@ -10,6 +13,8 @@
 	WatchCall = transport.NewRepeatable[Watch, WatchReply]("/feed/watch")
 	// ExchangeCall is served by agents: digests first, then what the other lacks (epidemic reconciliation).
 	ExchangeCall = transport.NewRepeatable[Exchange, Exchange]("/feed/exchange")
+	// PartsCall is served by core mixers and agents: it hands out parts of the configuration that they hold.
+	PartsCall = transport.NewRepeatable[PartsRequest, PartsReply]("/feed/parts")
 	// LocalCall is served by an agent on its own machine, to the proxy beside it.
 	LocalCall = transport.NewRepeatable[Watch, WatchReply]("/feed/local")
 	// FrontCall is served by core mixers: they tell each other which agents asked them for news.
@@ -34,10 +39,28 @@
 // Snapshot is the whole state of the feed.
 type Snapshot struct {
 	ConfigurationVersion uint64            `msgpack:"c"`
-	Configuration        []byte            `msgpack:"b"` // as the operator sent it; empty before the first, and where the reader has it
-	Leaders              map[string]Leader `msgpack:"l"` // by group
-	Core                 []string          `msgpack:"k"` // internal addresses of core mixers
-	Front                []string          `msgpack:"f"` // internal addresses of the agents on front machines
+	Configuration        []byte            `msgpack:"b"`           // as the operator sent it; empty before the first, where the reader has it, and beside an offer
+	Leaders              map[string]Leader `msgpack:"l"`           // by group
+	Core                 []string          `msgpack:"k"`           // internal addresses of core mixers
+	Front                []string          `msgpack:"f"`           // internal addresses of the agents on front machines
+	Offer                *Offer            `msgpack:"o,omitempty"` // the configuration by parts, to readers that take it so
+}
+
+// Offer describes a configuration by its parts, with some of those that the reader lacks. The others are asked for.
+type Offer struct {
+	Manifest parts.Manifest `msgpack:"m"`
+	Parts    [][]byte       `msgpack:"p,omitempty"` // packed
+}
+
+// PartsRequest asks for parts of a configuration.
+type PartsRequest struct {
+	Sums []byte `msgpack:"s"` // checksums, one after the other
+	Room int    `msgpack:"r"` // about how many bytes the answer may have; one part comes in any case
+}
+
+// PartsReply is the answer.
+type PartsReply struct {
+	Parts [][]byte `msgpack:"p"` // packed, those that are held
 }
 
 // Watch asks a core mixer for news.
@@ -49,6 +72,8 @@
 	Current bool `msgpack:"u,omitempty"`
 	// Suspects are agents that have not answered the asking one several times in a row.
 	Suspects []string `msgpack:"s,omitempty"`
+	// Room is how many bytes of parts the answer may bring. A reader that leaves it out gets configurations whole.
+	Room int `msgpack:"r,omitempty"`
 }
 
 // WatchReply is the answer. A core mixer without contact to a majority answers with Current false, and its reader turns to another.
@@ -62,6 +87,8 @@
 type Exchange struct {
 	Known    Digest    `msgpack:"k"`
 	Snapshot *Snapshot `msgpack:"s,omitempty"` // nil when there is no news
+	Agent    string    `msgpack:"a,omitempty"` // the teller's internal address, from which parts may be fetched
+	Room     int       `msgpack:"r,omitempty"` // as in Watch
 }
 
 // Heard is an agent that has asked a core mixer for news.
--- a/internal/controlplane/feedserver/feedserver.go
+++ b/internal/controlplane/feedserver/feedserver.go
@@ -87,6 +87,7 @@
 // Mount serves the calls of agents and of other core mixers.
 func (s *Server) Mount(mux *transport.Mux) {
 	transport.Handle(mux, feed.WatchCall, s.watch)
+	transport.Handle(mux, feed.PartsCall, s.parts)
 	transport.Handle(mux, feed.FrontCall, s.share)
 }
 
@@ -102,7 +103,11 @@
 		s.publish()
 		news, _ = s.board.Since(ask.Known)
 	}
-	return feed.WatchReply{Current: current, Changed: news != nil, Snapshot: news}, nil
+	return feed.WatchReply{Current: current, Changed: news != nil, Snapshot: s.board.ByParts(news, ask.Known, ask.Room)}, nil
+}
+
+func (s *Server) parts(_ context.Context, ask feed.PartsRequest) (feed.PartsReply, error) {
+	return s.board.Parts(ask), nil
 }
 
 // behind tells whether the board lacks the configuration that is known here, as changes are gathered before they are
--- /dev/null
+++ b/internal/controlplane/parts/collection.go
@@ -0,0 +1,102 @@
+package parts
+
+// Collection gathers the parts of one content. It belongs to one goroutine or is guarded by its owner.
+type Collection struct {
+	manifest Manifest
+	order    []Sum
+	held     map[Sum][]byte
+	missing  map[Sum]struct{}
+}
+
+// Holder returns a part that is at hand.
+type Holder func(Sum) (part []byte, found bool)
+
+// NewCollection begins to gather a content. Parts that a holder has are not gathered again. The error is ErrManifest.
+func NewCollection(manifest Manifest, holders ...Holder) (*Collection, error) {
+	if err := manifest.Check(); err != nil {
+		return nil, err
+	}
+	c := &Collection{
+		manifest: manifest,
+		order:    manifest.Sums(),
+		held:     make(map[Sum][]byte),
+		missing:  make(map[Sum]struct{}),
+	}
+	for _, sum := range c.order {
+		c.find(sum, holders)
+	}
+	return c, nil
+}
+
+// find takes a part from the first holder that has it.
+func (c *Collection) find(sum Sum, holders []Holder) {
+	for _, holder := range holders {
+		if part, found := holder(sum); found {
+			c.held[sum] = part
+			return
+		}
+	}
+	c.missing[sum] = struct{}{}
+}
+
+// Part is the Holder of the parts that have arrived.
+func (c *Collection) Part(sum Sum) (part []byte, found bool) {
+	part, found = c.held[sum]
+	return part, found
+}
+
+// Manifest names the content that is gathered.
+func (c *Collection) Manifest() Manifest { return c.manifest }
+
+// Add takes a part and tells whether it was missing. Any other changes nothing.
+func (c *Collection) Add(part []byte) bool {
+	sum := SumOf(part)
+	if _, wanted := c.missing[sum]; !wanted {
+		return false
+	}
+	delete(c.missing, sum)
+	c.held[sum] = part
+	return true
+}
+
+// Missing lists at most a number of parts that are still to come, in the content's order.
+func (c *Collection) Missing(most int) []Sum {
+	var sums []Sum
+	listed := make(map[Sum]struct{})
+	for _, sum := range c.order {
+		if len(sums) >= most {
+			break
+		}
+		_, missing := c.missing[sum]
+		_, twice := listed[sum]
+		if missing && !twice {
+			sums = append(sums, sum)
+			listed[sum] = struct{}{}
+		}
+	}
+	return sums
+}
+
+// Lacks is how many parts are missing.
+func (c *Collection) Lacks() int { return len(c.missing) }
+
+// Whole tells whether no part is missing.
+func (c *Collection) Whole() bool { return len(c.missing) == 0 }
+
+// Content puts the parts together and checks them against the manifest. The error is ErrContent.
+func (c *Collection) Content() ([]byte, error) {
+	if !c.Whole() {
+		return nil, ErrContent
+	}
+	content := make([]byte, 0, c.manifest.Bytes)
+	for _, sum := range c.order {
+		if len(content)+len(c.held[sum]) > c.manifest.Bytes {
+			return nil, ErrContent
+		}
+		content = append(content, c.held[sum]...)
+	}
+	if len(content) != c.manifest.Bytes || SumOf(content) != c.manifest.Sum {
+		return nil, ErrContent
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/controlplane/parts/parts_test.go
@@ -0,0 +1,209 @@
+package parts
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// routes is a configuration's text with a number of routes.
+func routes(count int, version int) []byte {
+	random := rand.New(rand.NewPCG(7, 7))
+	text := fmt.Appendf(nil, `{"version":%d,"routes":[`, version)
+	for i := range count {
+		text = fmt.Appendf(text, `{"name":"r-%x","host":"%x.example","pathPrefix":"/%x/","kind":"non_idempotent",`+
+			`"timeoutMs":%d,"targetLatencyMs":1000,"priority":1,"service":"huvo11a","maxAttempts":3,"extension":2.2},`,
+			random.Uint32(), random.Uint32(), random.Uint32(), 3000+i%7)
+	}
+	return append(text, `]}`...)
+}
+
+func manifestOf(content []byte) Manifest { return NewManifest(content, Split(content)) }
+
+// gather collects a content's parts in an order.
+func gather(content []byte, order func(split [][]byte)) *Collection {
+	split := Split(content)
+	collection, err := NewCollection(NewManifest(content, split))
+	So(err, ShouldBeNil)
+	order(split)
+	for _, part := range split {
+		unpacked, err := Unpack(Pack(part))
+		So(err, ShouldBeNil)
+		collection.Add(unpacked)
+	}
+	return collection
+}
+
+func TestAnyContentIsGatheredInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		content := routes(rapid.IntRange(0, 300).Draw(t, "routes"), 1)
+		content = append(content, rapid.SliceOfN(rapid.Byte(), 0, 20000).Draw(t, "bytes")...)
+		split := Split(content)
+		for i, part := range split {
+			last := i == len(split)-1
+			if len(part) > maxPart || len(part) < minPart && !last {
+				t.Fatalf("part %d of %d has %d bytes", i, len(split), len(part))
+			}
+		}
+		collection, err := NewCollection(NewManifest(content, split))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, i := range rapid.Permutation(indexes(len(split))).Draw(t, "order") {
+			collection.Add(split[i])
+			collection.Add(split[i])
+		}
+		gathered, err := collection.Content()
+		if err != nil || !bytes.Equal(gathered, content) {
+			t.Fatalf("%d bytes of %d, %v", len(gathered), len(content), err)
+		}
+	})
+}
+
+func indexes(count int) []int {
+	list := make([]int, count)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+func TestASmallChangeChangesFewParts(t *testing.T) {
+	Convey("Given a large content and a version of it with one more route in the middle", t, func() {
+		before := routes(1830, 41)
+		after := bytes.Replace(routes(1830, 42), []byte(`"timeoutMs":3004`), []byte(`"timeoutMs":35000`), 1)
+		held := make(map[Sum][]byte)
+		for _, part := range Split(before) {
+			held[SumOf(part)] = part
+		}
+		collection, err := NewCollection(manifestOf(after), func(sum Sum) ([]byte, bool) {
+			part, found := held[sum]
+			return part, found
+		})
+		So(err, ShouldBeNil)
+		So(collection.Lacks(), ShouldBeBetweenOrEqual, 1, 4)
+		Convey("the manifest costs a hundredth of the content", func() {
+			So(len(manifestOf(after).Parts), ShouldBeLessThan, len(after)/80)
+		})
+		Convey("packed parts cost a third of the content at most", func() {
+			sum := 0
+			for _, part := range Split(after) {
+				sum += len(Pack(part))
+			}
+			So(sum, ShouldBeLessThan, len(after)/3)
+		})
+	})
+}
+
+func TestPartsThatAreWrong(t *testing.T) {
+	Convey("Given a collection that lacks all", t, func() {
+		content := routes(100, 3)
+		split := Split(content)
+		collection, err := NewCollection(manifestOf(content))
+		So(err, ShouldBeNil)
+
+		Convey("a part of another content is not taken", func() {
+			So(collection.Add([]byte("other")), ShouldBeFalse)
+			So(collection.Lacks(), ShouldEqual, len(split))
+		})
+		Convey("a changed part is not taken", func() {
+			changed := bytes.Clone(split[0])
+			changed[10]++
+			So(collection.Add(changed), ShouldBeFalse)
+		})
+		Convey("a part counts once", func() {
+			So(collection.Add(split[0]), ShouldBeTrue)
+			So(collection.Add(split[0]), ShouldBeFalse)
+			So(collection.Lacks(), ShouldEqual, len(split)-1)
+		})
+		Convey("what is incomplete has no content", func() {
+			_, err := collection.Content()
+			So(err, ShouldWrap, ErrContent)
+		})
+		Convey("the missing ones are listed in order, as many as asked for", func() {
+			collection.Add(split[0])
+			So(collection.Missing(2), ShouldResemble, []Sum{SumOf(split[1]), SumOf(split[2])})
+		})
+	})
+	Convey("Parts that are held but make up another content than was named are refused", t, func() {
+		content := routes(20, 3)
+		manifest := manifestOf(content)
+		manifest.Sum[0]++
+		collection, err := NewCollection(manifest)
+		So(err, ShouldBeNil)
+		for _, part := range Split(content) {
+			collection.Add(part)
+		}
+		_, err = collection.Content()
+		So(err, ShouldWrap, ErrContent)
+		manifest = manifestOf(content)
+		manifest.Bytes++
+		collection, _ = NewCollection(manifest)
+		for _, part := range Split(content) {
+			collection.Add(part)
+		}
+		_, err = collection.Content()
+		So(err, ShouldWrap, ErrContent)
+	})
+	Convey("Manifests that cannot be one are refused", t, func() {
+		for _, manifest := range []Manifest{
+			{Bytes: -1}, {Bytes: MaxContent + 1}, {Bytes: 5, Parts: make([]byte, SumBytes+1)}, {Bytes: 1, Parts: make([]byte, 2*SumBytes)},
+		} {
+			_, err := NewCollection(manifest)
+			So(err, ShouldWrap, ErrManifest)
+		}
+	})
+}
+
+func TestPacking(t *testing.T) {
+	Convey("What is packed is unpacked", t, func() {
+		for _, part := range [][]byte{nil, []byte("x"), []byte(strings.Repeat("route", 1000))} {
+			unpacked, err := Unpack(Pack(part))
+			So(err, ShouldBeNil)
+			So(bytes.Equal(unpacked, part), ShouldBeTrue)
+		}
+	})
+	Convey("What is longer than a part is refused, and so is what is cut short", t, func() {
+		_, err := Unpack(Pack(make([]byte, maxPart+1)))
+		So(err, ShouldWrap, ErrPacked)
+		packed := Pack(routes(5, 1))
+		_, err = Unpack(packed[:len(packed)-3])
+		So(err, ShouldWrap, ErrPacked)
+	})
+	Convey("Names are joined and read", t, func() {
+		sums := []Sum{SumOf([]byte("a")), SumOf([]byte("b"))}
+		So(SumsOf(Join(sums)), ShouldResemble, sums)
+		So(SumsOf(append(Join(sums), 1, 2)), ShouldResemble, sums)
+	})
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(Pack([]byte(`{"version":3}`)))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		part, err := Unpack(packed)
+		if err == nil && len(part) > maxPart {
+			t.Fatalf("%d bytes", len(part))
+		}
+	})
+}
+
+func FuzzManifest(f *testing.F) {
+	f.Add(3, []byte("0123456789abcdef"), []byte("abc"))
+	f.Fuzz(func(t *testing.T, size int, sums, part []byte) {
+		collection, err := NewCollection(Manifest{Bytes: size, Parts: sums})
+		if err != nil {
+			return
+		}
+		collection.Add(part)
+		collection.Missing(3)
+		if content, err := collection.Content(); err == nil && SumOf(content) != (Sum{}) {
+			t.Fatal("a content without its checksum")
+		}
+	})
+}
--- a/internal/dataplane/agent/agent.go
+++ b/internal/dataplane/agent/agent.go
@@ -29,6 +29,8 @@
 	board   *feed.Board
 	contact *contact
 	peers   *peers
+	// download gathers a configuration that is newer than the board's.
+	download *download
 
 	mutex sync.Mutex
 	seeds []string
@@ -44,6 +46,8 @@
 		contact: newContact(),
 		peers:   newPeers(config.Address),
 		seeds:   config.Seeds,
+
+		download: newDownload(),
 	}
 }
 
@@ -52,6 +56,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { a.follow(ctx) })
 	running.Go(func() { a.exchangeRegularly(ctx) })
+	running.Go(func() { a.fetchParts(ctx) })
 	running.Wait()
 	return nil
 }
@@ -70,7 +75,12 @@
 func (a *Agent) InContact() bool { return a.contact.left(time.Now()) > 0 }
 
 // Mount serves the calls of other agents.
-func (a *Agent) Mount(mux *transport.Mux) { transport.Handle(mux, feed.ExchangeCall, a.handleExchange) }
+func (a *Agent) Mount(mux *transport.Mux) {
+	transport.Handle(mux, feed.ExchangeCall, a.handleExchange)
+	transport.Handle(mux, feed.PartsCall, func(_ context.Context, ask feed.PartsRequest) (feed.PartsReply, error) {
+		return a.board.Parts(ask), nil
+	})
+}
 
 // MountLocal serves the calls of the proxy on the same machine.
 func (a *Agent) MountLocal(mux *transport.Mux) { transport.Handle(mux, feed.LocalCall, a.handleLocal) }
--- a/internal/dataplane/agent/contact.go
+++ b/internal/dataplane/agent/contact.go
@@ -17,10 +17,13 @@
 
 func newContact() *contact { return &contact{regained: make(chan struct{})} }
 
-// confirm records an answer.
+// confirm records that what is known here was the newest at a time. An older one than was recorded changes nothing.
 func (c *contact) confirm(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if now.Before(c.last) {
+		return
+	}
 	if c.leftLocked(now) <= 0 {
 		close(c.regained)
 		c.regained = make(chan struct{})
--- /dev/null
+++ b/internal/dataplane/agent/download.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+)
+
+const (
+	// firstRoom, leastRoom and mostRoom bound how many bytes of parts one call may bring. A call fetches one part at
+	// least, so that every call that a link can carry at all makes progress.
+	firstRoom = 8 << 10
+	leastRoom = 1 << 10
+	mostRoom  = 128 << 10
+	// quickCall and slowCall are the times of a call below and above which the next one brings twice or half as much.
+	// Between them a call holds up the clients' packets on the same link only a little.
+	quickCall = 40 * time.Millisecond
+	slowCall  = 160 * time.Millisecond
+	// packedPart is about the length of a packed part, by which the parts to ask for are counted.
+	packedPart = 256
+)
+
+// download gathers a newer configuration by parts, from those who have offered it. Parts stay when a call ends, when a
+// source falls silent, and when a newer configuration takes the place of the one on its way.
+type download struct {
+	mutex      sync.Mutex
+	version    uint64 // on its way; 0 for none
+	collection *parts.Collection
+	began      time.Time // when it was first offered
+	pending    time.Time // since when a configuration is known that is newer than the one in force; zero for none
+	sources    []string  // who have it, to be asked in this order
+	asked      []string  // sources that are not asked again
+	bytes      int       // room of the next call
+	wake       chan struct{}
+}
+
+func newDownload() *download { return &download{bytes: firstRoom, wake: make(chan struct{}, 1)} }
+
+// room is how many bytes of parts the next call may bring.
+func (d *download) room() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.bytes
+}
+
+// claimed returns the version that is on its way, or 0.
+func (d *download) claimed() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.version
+}
+
+// currentUntil is until when what is in force is known to have been the newest, if a core mixer confirms it at a time.
+func (d *download) currentUntil(now time.Time) time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.pending.IsZero() {
+		return now
+	}
+	return d.pending
+}
+
+// offered takes in that a source has a configuration. An older one than the one on its way changes nothing; a newer one
+// takes its place. The error is parts.ErrManifest or parts.ErrPacked.
+func (d *download) offered(version uint64, offer *feed.Offer, source string, known parts.Holder, now time.Time) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if version < d.version {
+		return nil
+	}
+	if version > d.version {
+		if err := d.begin(version, offer.Manifest, known, now); err != nil {
+			return err
+		}
+	}
+	if !slices.Contains(d.sources, source) {
+		d.sources = append([]string{source}, d.sources...)
+	}
+	d.asked = slices.DeleteFunc(d.asked, func(address string) bool { return address == source })
+	signalWake(d.wake)
+	return d.add(offer.Parts)
+}
+
+func (d *download) begin(version uint64, manifest parts.Manifest, known parts.Holder, now time.Time) error {
+	holders := []parts.Holder{known}
+	if d.collection != nil {
+		holders = append(holders, d.collection.Part)
+	}
+	collection, err := parts.NewCollection(manifest, holders...)
+	if err != nil {
+		return err
+	}
+	d.version, d.collection, d.began = version, collection, now
+	d.sources, d.asked = nil, nil
+	if d.pending.IsZero() {
+		d.pending = now
+	}
+	return nil
+}
+
+// add takes packed parts; those that are not missing change nothing.
+func (d *download) add(packed [][]byte) error {
+	for _, one := range packed {
+		part, err := parts.Unpack(one)
+		if err != nil {
+			return err
+		}
+		d.collection.Add(part)
+	}
+	return nil
+}
+
+// errWrongContent is the failure of a configuration whose parts do not make up what was offered.
+var errWrongContent = fmt.Errorf("configuration not taken: %w", parts.ErrContent)
+
+// finished returns the configuration once all of it has come; it is then no longer on its way. A wrong one is given up.
+func (d *download) finished() (version uint64, body []byte, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.version == 0 || !d.collection.Whole() {
+		return 0, nil, nil
+	}
+	body, err = d.collection.Content()
+	version = d.version
+	d.version, d.collection = 0, nil
+	if err != nil {
+		return 0, nil, errWrongContent
+	}
+	return version, body, nil
+}
+
+// inForce notes that the configuration that was finished last is in force. Another one may be on its way already.
+func (d *download) inForce() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.pending = time.Time{}
+	if d.version > 0 {
+		d.pending = d.began
+	}
+}
+
+// partsCall is the next call that a download needs.
+type partsCall struct {
+	version uint64
+	source  string
+	ask     feed.PartsRequest
+}
+
+// next returns the next call, if there is one to make. Once no source is left that offered the configuration, the
+// others are tried once each, and then the download is given up: whoever has the configuration offers it again.
+func (d *download) next(others []string) (call partsCall, ok bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.version == 0 {
+		return partsCall{}, false
+	}
+	if len(d.sources) == 0 {
+		d.sources = slices.DeleteFunc(slices.Clone(others), func(address string) bool {
+			return slices.Contains(d.asked, address)
+		})
+	}
+	if len(d.sources) == 0 {
+		d.version = 0 // what has arrived stays for the next offer
+		return partsCall{}, false
+	}
+	sums := d.collection.Missing(1 + d.bytes/packedPart)
+	return partsCall{d.version, d.sources[0], feed.PartsRequest{Sums: parts.Join(sums), Room: d.bytes}}, true
+}
+
+// arrived takes in the answer to a call. A source without any of the parts is not asked again.
+func (d *download) arrived(call partsCall, reply feed.PartsReply, elapsed time.Duration) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.measured(elapsed)
+	if d.collection == nil {
+		return nil
+	}
+	before := d.collection.Lacks()
+	err := d.add(reply.Parts)
+	if d.collection.Lacks() == before {
+		d.drop(call)
+	}
+	return err
+}
+
+// failed takes in that a call got no answer.
+func (d *download) failed(call partsCall) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.bytes = max(leastRoom, d.bytes/2)
+	d.drop(call)
+}
+
+func (d *download) drop(call partsCall) {
+	if call.version != d.version {
+		return
+	}
+	d.sources = slices.DeleteFunc(d.sources, func(address string) bool { return address == call.source })
+	d.asked = append(d.asked, call.source)
+}
+
+// measured adapts the room of a call to what the link carries beside the clients' requests.
+func (d *download) measured(elapsed time.Duration) {
+	switch {
+	case elapsed < quickCall:
+		d.bytes = min(mostRoom, 2*d.bytes)
+	case elapsed > slowCall:
+		d.bytes = max(leastRoom, d.bytes/2)
+	}
+}
+
+func signalWake(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/dataplane/agent/exchange.go
+++ b/internal/dataplane/agent/exchange.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// exchangeInterval is the pause between exchanges with other agents.
+	// exchangeInterval is the pause between exchanges with other agents without contact to a core mixer, or while it is
+	// open whether a peer is gone.
 	exchangeInterval = 500 * time.Millisecond
+	// calmExchangeInterval is the pause otherwise. An agent that is cut off asks by itself, so that it waits for nobody.
+	calmExchangeInterval = 1500 * time.Millisecond
 	// exchangeTimeout bounds one call.
 	exchangeTimeout = 450 * time.Millisecond
 	// oldMembers is the age from which lists of members are taken over from other agents.
@@ -22,13 +25,10 @@
 
 // exchangeRegularly exchanges with one other agent after the other until ctx ends.
 func (a *Agent) exchangeRegularly(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		sleep(ctx, a.exchangePause())
+		if ctx.Err() != nil {
 			return
-		case <-ticker.C:
 		}
 		a.peers.setFront(a.board.Snapshot().Front)
 		if peer := a.peers.choose(); peer != "" {
@@ -44,31 +44,48 @@
 	}
 }
 
+// exchangePause is the time until the next exchange.
+func (a *Agent) exchangePause() time.Duration {
+	if a.InContact() && !a.peers.doubtful() {
+		return calmExchangeInterval
+	}
+	return exchangeInterval
+}
+
 // exchange asks a peer for what this agent lacks, and then tells it what it lacks itself.
 func (a *Agent) exchange(ctx context.Context, peer string) error {
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := feed.ExchangeCall.Call(bounded, a.config.Caller, peer, feed.Exchange{Known: a.digest()})
+	reply, err := feed.ExchangeCall.Call(bounded, a.config.Caller, peer, a.told(nil))
 	if err != nil {
 		return err
 	}
-	a.takeFromPeer(reply)
-	news := a.newsFor(reply.Known)
+	if err := a.takeFromPeer(reply, peer); err != nil {
+		return err
+	}
+	news := a.newsFor(reply)
 	if news == nil {
 		return nil
 	}
-	_, err = feed.ExchangeCall.Call(bounded, a.config.Caller, peer, feed.Exchange{Known: a.digest(), Snapshot: news})
+	_, err = feed.ExchangeCall.Call(bounded, a.config.Caller, peer, a.told(news))
 	return err
 }
 
 func (a *Agent) handleExchange(_ context.Context, ask feed.Exchange) (feed.Exchange, error) {
-	a.takeFromPeer(ask)
-	return feed.Exchange{Known: a.digest(), Snapshot: a.newsFor(ask.Known)}, nil
+	if err := a.takeFromPeer(ask, ask.Agent); err != nil {
+		return feed.Exchange{}, err
+	}
+	return a.told(a.newsFor(ask)), nil
 }
 
-// digest names what this agent knows, with the age of its members.
+// told is what this agent tells a peer.
+func (a *Agent) told(news *feed.Snapshot) feed.Exchange {
+	return feed.Exchange{Known: a.digest(), Snapshot: news, Agent: a.config.Address, Room: a.download.room()}
+}
+
+// digest names what this agent knows or is fetching, with the age of its members.
 func (a *Agent) digest() feed.Digest {
-	digest := a.board.Digest()
+	digest := a.claimed()
 	digest.MembersAgeMS = a.membersAge(time.Now()).Milliseconds()
 	return digest
 }
@@ -83,29 +100,34 @@
 }
 
 // newsFor is what a peer lacks, or nil. It gets the members only if its own are old.
-func (a *Agent) newsFor(known feed.Digest) *feed.Snapshot {
+func (a *Agent) newsFor(peer feed.Exchange) *feed.Snapshot {
+	known := peer.Known
 	theirs := time.Duration(known.MembersAgeMS) * time.Millisecond
 	if theirs > oldMembers && a.membersAge(time.Now()) < theirs {
 		news, _ := a.board.Since(known)
-		return news
+		return a.board.ByParts(news, known, peer.Room)
 	}
-	return a.board.Newer(known)
+	return a.board.ByParts(a.board.Newer(known), known, peer.Room)
 }
 
 // takeFromPeer merges what a peer told. Its members are taken over only if they are newer and the own ones are old.
-func (a *Agent) takeFromPeer(told feed.Exchange) {
+func (a *Agent) takeFromPeer(told feed.Exchange, peer string) error {
 	if told.Snapshot == nil {
-		return
+		return nil
+	}
+	if _, err := a.takeOffer(told.Snapshot, peer); err != nil {
+		return err
 	}
 	now := time.Now()
 	theirs := max(0, time.Duration(told.Known.MembersAgeMS)*time.Millisecond)
 	mine := a.membersAge(now)
 	if mine <= oldMembers || theirs >= mine || len(told.Snapshot.Core) == 0 {
 		a.board.Merge(told.Snapshot)
-		return
+		return nil
 	}
 	a.board.MergeWithMembers(told.Snapshot)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.membersConfirmed = now.Add(-theirs)
+	return nil
 }
--- /dev/null
+++ b/internal/dataplane/agent/fetch.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
+)
+
+const (
+	// partsSilence bounds one call for parts. It bounds no transfer as a whole: a call brings few parts, and they stay.
+	partsSilence = 1500 * time.Millisecond
+	// longestYield bounds the pause after a call for parts.
+	longestYield = 250 * time.Millisecond
+)
+
+// claimed names what this agent knows, with the configuration that is on its way in the place of the one in force, so that
+// nobody sends it again.
+func (a *Agent) claimed() feed.Digest {
+	digest := a.board.Digest()
+	digest.ConfigurationVersion = max(digest.ConfigurationVersion, a.download.claimed())
+	return digest
+}
+
+// takeOffer begins or helps to fetch a configuration that a source has offered, and tells whether it was news.
+func (a *Agent) takeOffer(told *feed.Snapshot, source string) (news bool, err error) {
+	if told.Offer == nil || told.ConfigurationVersion <= a.board.Digest().ConfigurationVersion {
+		return false, nil
+	}
+	if err := a.download.offered(told.ConfigurationVersion, told.Offer, source, a.board.Part, time.Now()); err != nil {
+		return false, err
+	}
+	return true, a.finishDownload()
+}
+
+// finishDownload puts a configuration in force that has come whole.
+func (a *Agent) finishDownload() error {
+	version, body, err := a.download.finished()
+	if err != nil || version == 0 {
+		return err
+	}
+	a.board.Merge(&feed.Snapshot{ConfigurationVersion: version, Configuration: body})
+	a.download.inForce()
+	return nil
+}
+
+// fetchParts makes the calls that downloads need until ctx ends.
+func (a *Agent) fetchParts(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, ok := a.download.next(a.candidates())
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-a.download.wake:
+			}
+			continue
+		}
+		sleep(ctx, a.fetchOnce(ctx, call))
+	}
+}
+
+// fetchOnce makes one call for parts. It returns a pause as long as the call has taken, up to a bound: control takes half
+// of the link at most, and less where clients' packets made the call slow.
+func (a *Agent) fetchOnce(ctx context.Context, call partsCall) (pause time.Duration) {
+	bounded, cancel := context.WithTimeout(ctx, partsSilence)
+	defer cancel()
+	began := time.Now()
+	reply, err := feed.PartsCall.Call(bounded, a.config.Caller, call.source, call.ask)
+	elapsed := time.Since(began)
+	if err != nil {
+		a.download.failed(call)
+		a.config.Logger.Debug("no parts", zap.String("source", call.source), zap.Error(err))
+		return 0
+	}
+	if err := a.download.arrived(call, reply, elapsed); err != nil {
+		a.download.failed(call)
+		a.config.Logger.Warn("parts not taken", zap.String("source", call.source), zap.Error(err))
+		return 0
+	}
+	if err := a.finishDownload(); err != nil {
+		a.config.Logger.Error("configuration not put in force", zap.String("source", call.source), zap.Error(err))
+	}
+	return min(elapsed, longestYield)
+}
--- a/internal/dataplane/agent/follow.go
+++ b/internal/dataplane/agent/follow.go
@@ -106,10 +106,11 @@
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	ask := feed.Watch{
-		Known:    a.board.Digest(),
+		Known:    a.claimed(),
 		WaitMS:   wait.Milliseconds(),
 		Agent:    a.config.Address,
 		Suspects: a.peers.suspects(),
+		Room:     a.download.room(),
 	}
 	reply, err := feed.WatchCall.Call(bounded, a.config.Caller, core, ask)
 	if err != nil {
@@ -118,8 +119,10 @@
 	now := time.Now()
 	late := now.Sub(began) > limit // this process stood still, and the answer is old
 	reply.Current = reply.Current && !late
-	progress = a.take(reply)
+	progress, err = a.take(reply, core)
 	switch {
+	case err != nil:
+		return progress, err
 	case late:
 		return progress, errLate
 	case !reply.Current:
@@ -131,19 +134,24 @@
 
 // take merges a core mixer's answer. Configurations and leaders hold whoever tells of them; the lists of members count
 // only if they are current.
-func (a *Agent) take(reply feed.WatchReply) (changed bool) {
-	switch {
-	case reply.Snapshot == nil:
-		return false
-	case reply.Current:
-		return a.board.MergeWithMembers(reply.Snapshot)
-	default:
-		return a.board.Merge(reply.Snapshot)
+func (a *Agent) take(reply feed.WatchReply, core string) (changed bool, err error) {
+	if reply.Snapshot == nil {
+		return false, nil
+	}
+	offered, err := a.takeOffer(reply.Snapshot, core)
+	if err != nil {
+		return false, err
+	}
+	if reply.Current {
+		return a.board.MergeWithMembers(reply.Snapshot) || offered, nil
 	}
+	return a.board.Merge(reply.Snapshot) || offered, nil
 }
 
+// confirm records that a core mixer in contact answered. While a newer configuration is on its way, contact is as old as
+// the news of it: until then, what is in force here was the newest.
 func (a *Agent) confirm(now time.Time) {
-	a.contact.confirm(now)
+	a.contact.confirm(a.download.currentUntil(now))
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.membersConfirmed = now
--- a/internal/dataplane/agent/network_test.go
+++ b/internal/dataplane/agent/network_test.go
@@ -27,6 +27,8 @@
 	cut   func(from, to string) bool
 	down  map[string]bool
 	calls map[route]int
+	links map[string]*link // of machines whose link is thin
+	spoil func(from string, reply any)
 }
 
 // route is who called whom for what.
@@ -38,6 +40,8 @@
 		cut:   func(string, string) bool { return false },
 		down:  make(map[string]bool),
 		calls: make(map[route]int),
+		links: make(map[string]*link),
+		spoil: func(string, any) {},
 	}
 }
 
@@ -90,12 +94,39 @@
 	if down {
 		return verdict.Unexecuted(errDown, 0)
 	}
+	if err := n.carry(ctx, e.address, address, request); err != nil {
+		return err
+	}
 	err := serve(ctx, mux, called.Path(), request, reply)
 	if n.isCut(e.address, address) { // the answer is lost
 		<-ctx.Done()
 		return verdict.Unclear(errCut)
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	n.mutex.Lock()
+	spoil := n.spoil
+	n.mutex.Unlock()
+	spoil(address, reply)
+	return n.carry(ctx, address, e.address, reply)
+}
+
+// carry takes the time that a message needs on the links of both ends.
+func (n *network) carry(ctx context.Context, from, to string, message any) error {
+	content, err := msgpack.Marshal(message)
+	if err != nil {
+		return err
+	}
+	for _, address := range []string{from, to} {
+		n.mutex.Lock()
+		link := n.links[address]
+		n.mutex.Unlock()
+		if link != nil && !link.carry(ctx, len(content)+headerBytes) {
+			return verdict.Unclear(ctx.Err())
+		}
+	}
+	return nil
 }
 
 // isCut tells whether a link is cut, which ends both directions.
--- a/internal/dataplane/agent/peers.go
+++ b/internal/dataplane/agent/peers.go
@@ -67,6 +67,18 @@
 	return p.pick(p.others)
 }
 
+// doubtful tells whether a peer has just failed and it is open whether it is gone.
+func (p *peers) doubtful() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, failed := range p.failures {
+		if failed < failuresToSuspect {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *peers) pick(addresses []string) string {
 	if len(addresses) == 0 {
 		return ""
--- a/internal/dataplane/agent/world_test.go
+++ b/internal/dataplane/agent/world_test.go
@@ -20,9 +20,13 @@
 	epoch     uint64
 	inContact bool
 	changed   chan struct{}
+	body      func(version uint64) []byte
 	server    *feedserver.Server
 }
 
+// shortBody is a configuration of one part.
+func shortBody(version uint64) []byte { return fmt.Appendf(nil, "configuration %d", version) }
+
 func (c *core) update(change func(*core)) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -36,7 +40,7 @@
 		Configuration: func() (uint64, []byte) {
 			c.mutex.Lock()
 			defer c.mutex.Unlock()
-			return c.version, fmt.Appendf(nil, "configuration %d", c.version)
+			return c.version, c.body(c.version)
 		},
 		Leaders: func() map[string]feed.Leader {
 			c.mutex.Lock()
@@ -84,7 +88,7 @@
 }
 
 func (w *world) addCore(address string, members []string) {
-	c := &core{inContact: true, epoch: 1, changed: make(chan struct{})}
+	c := &core{inContact: true, epoch: 1, changed: make(chan struct{}), body: shortBody}
 	c.server = feedserver.New(feedserver.Options{
 		Sources: c.sources(members),
 		Caller:  endpoint{w.network, address},
--- a/internal/dataplane/proxy/merge.go
+++ b/internal/dataplane/proxy/merge.go
@@ -34,7 +34,9 @@
 		}
 	}
 	next.leaders = mergeLeaders(old.leaders, snapshot.Leaders, current)
-	next.members = snapshot.Digest().MembersSum
+	if sum := snapshot.Digest().MembersSum; sum != 0 { // left out where they are known
+		next.members = sum
+	}
 	return next
 }
 
