--- a/internal/controlplane/configuration/configurator.go
+++ b/internal/controlplane/configuration/configurator.go
@@ -57,6 +57,8 @@
 	// changing admits one change of this process at a time, so that its own proposals do not compete.
 	changing chan struct{}
 	announce sync.WaitGroup // calls that tell other members
+	// toldNewer holds a token while another member has told of a version that was not known here.
+	toldNewer chan struct{}
 
 	mutex    sync.Mutex
 	value    []byte // the register's value that state was decoded from
@@ -72,6 +74,8 @@
 		options:  options,
 		changing: make(chan struct{}, 1),
 		changed:  make(chan struct{}),
+
+		toldNewer: make(chan struct{}, 1),
 	}
 }
 
@@ -174,7 +178,7 @@
 	c.adopt(value, committed)
 	c.confirm(began)
 	if committed.Version > before {
-		c.tellMembers(value)
+		c.tellMembers(committed.Version)
 	}
 	return committed.decide(asked)
 }
@@ -234,7 +238,8 @@
 	}
 }
 
-// Run reads the configuration at regular intervals until ctx ends, and then waits for the calls still under way.
+// Run reads the configuration at regular intervals, and when another member has told of a newer one, until ctx ends. Then
+// it waits for the calls still under way.
 func (c *Configurator) Run(ctx context.Context) error {
 	defer c.close()
 	timer := time.NewTimer(0)
@@ -244,6 +249,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-c.toldNewer:
 		}
 		timer.Reset(c.readOnce(ctx))
 	}
--- a/internal/controlplane/configuration/learn.go
+++ b/internal/controlplane/configuration/learn.go
@@ -9,18 +9,20 @@
 	"puffinlink.example/puffinlink/internal/transport"
 )
 
-// LearnCall is served by core mixers: another one tells of a configuration that a majority holds.
+// LearnCall is served by core mixers: another one tells that a majority holds a newer configuration.
 var LearnCall = transport.NewRepeatable[Learn, LearnReply]("/configuration/learn")
 
 // learnTimeout bounds one such call. A member that misses it finds the change by its own quorum reads.
 const learnTimeout = time.Second
 
-// Learn carries a value of the register that a majority holds.
+// Learn names a version that a majority holds. The receiver reads it from a majority, most often out of its own replica of
+// the register, so that the configuration itself is sent to each member once, when the member accepts it.
 type Learn struct {
-	Value []byte `msgpack:"v"`
+	Version uint64 `msgpack:"n"`
+	Value   []byte `msgpack:"v,omitempty"` // the register's value in its place, from builds that send it
 }
 
-// LearnReply tells which version the receiver knows afterwards.
+// LearnReply tells which version the receiver knows so far.
 type LearnReply struct {
 	Version uint64 `msgpack:"v"`
 }
@@ -28,15 +30,29 @@
 // Mount serves the calls of other members.
 func (c *Configurator) Mount(mux *transport.Mux) {
 	transport.Handle(mux, LearnCall, func(_ context.Context, learn Learn) (LearnReply, error) {
-		if err := c.learn(learn.Value); err != nil {
-			return LearnReply{}, err
+		if len(learn.Value) > 0 {
+			if err := c.learn(learn.Value); err != nil {
+				return LearnReply{}, err
+			}
 		}
-		return LearnReply{Version: c.known().Version}, nil
+		known := c.known().Version
+		if learn.Version > known {
+			c.readSoon()
+		}
+		return LearnReply{Version: known}, nil
 	})
 }
 
-// tellMembers passes a value that a majority holds on to every other member, without waiting for them.
-func (c *Configurator) tellMembers(value []byte) {
+// readSoon makes Run read at once, or again if it is reading.
+func (c *Configurator) readSoon() {
+	select {
+	case c.toldNewer <- struct{}{}:
+	default:
+	}
+}
+
+// tellMembers tells every other member of a version that a majority holds, without waiting for them.
+func (c *Configurator) tellMembers(version uint64) {
 	members := c.options.Members().Members
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -47,14 +63,14 @@
 		if member == c.options.Address {
 			continue
 		}
-		c.announce.Go(func() { c.tell(member, value) })
+		c.announce.Go(func() { c.tell(member, version) })
 	}
 }
 
-func (c *Configurator) tell(member string, value []byte) {
+func (c *Configurator) tell(member string, version uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
 	defer cancel()
-	if _, err := LearnCall.Call(ctx, c.options.Caller, member, Learn{Value: value}); err != nil {
+	if _, err := LearnCall.Call(ctx, c.options.Caller, member, Learn{Version: version}); err != nil {
 		c.options.Logger.Debug("member not told of the configuration", zap.String("member", member), zap.Error(err))
 	}
 }
--- a/internal/controlplane/configuration/run_test.go
+++ b/internal/controlplane/configuration/run_test.go
@@ -54,7 +54,7 @@
 }
 
 func TestMembersAreToldAtOnce(t *testing.T) {
-	Convey("Given three members with a register of which two do not read", t, func() {
+	virtualtime.Test(t, func(t *testing.T) {
 		register := &fakeRegister{}
 		view := replicaset.View{Version: 1, Members: []string{"a:1", "b:1", "c:1"}}
 		muxes := make(map[string]*transport.Mux)
@@ -62,46 +62,78 @@
 			return callMux(muxes[address], route, request, reply)
 		})
 		members := make(map[string]*Configurator)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
 		for _, address := range view.Members {
-			members[address] = New(Options{Register: register, Caller: caller, Members: func() replicaset.View { return view }, Address: address, Logger: zap.NewNop()})
+			member := New(Options{Register: register, Caller: caller, Members: func() replicaset.View { return view }, Address: address, Logger: zap.NewNop()})
+			members[address] = member
 			muxes[address] = transport.NewMux()
-			members[address].Mount(muxes[address])
+			member.Mount(muxes[address])
+			running.Go(func() { member.Run(ctx) })
+		}
+		synctest.Wait()
+		learn := func(told Learn) (LearnReply, error) {
+			var reply LearnReply
+			err := caller(context.Background(), "b:1", LearnCall.Route(), told, &reply)
+			return reply, err
 		}
-		told := []<-chan struct{}{members["b:1"].Changed(), members["c:1"].Changed()}
 
-		Convey("they hear of an accepted change, and know the same order", func() {
+		Convey("Members hear of an accepted change without the next regular read, and know the same order", t, func() {
+			began := time.Now()
 			So(members["a:1"].Put(context.Background(), 0, bodyOf(5, 1000)).Kind, ShouldEqual, Accepted)
-			for _, changed := range told {
-				<-changed
+			synctest.Wait()
+			So(time.Since(began), ShouldEqual, 0)
+			for _, member := range members {
+				version, body := member.Current()
+				So(version, ShouldEqual, 5)
+				So(string(body), ShouldEqual, string(bodyOf(5, 1000)))
 			}
-			version, body := members["b:1"].Current()
-			So(version, ShouldEqual, 5)
-			So(string(body), ShouldEqual, string(bodyOf(5, 1000)))
 			before := register.changeCount()
 			So(members["c:1"].Put(context.Background(), 0, bodyOf(5, 1000)).Kind, ShouldEqual, Accepted)
 			So(register.changeCount(), ShouldEqual, before)
 		})
-		Convey("they never go back, and refuse what they cannot read", func() {
+		Convey("A version that is known already makes nobody read", t, func() {
+			before := members["b:1"].lastReadAt()
+			<-time.After(time.Millisecond)
+			reply, err := learn(Learn{Version: 5})
+			So(err, ShouldBeNil)
+			So(reply.Version, ShouldEqual, 5)
+			synctest.Wait()
+			So(members["b:1"].lastReadAt(), ShouldEqual, before)
+		})
+		Convey("What a member is told of but no majority holds is not taken", t, func() {
+			_, err := learn(Learn{Version: 6})
+			So(err, ShouldBeNil)
+			synctest.Wait()
+			version, _ := members["b:1"].Current()
+			So(version, ShouldEqual, 5)
+		})
+		Convey("From older builds they take values, never go back, and refuse what they cannot read", t, func() {
 			older, err := State{Version: 5, Body: bodyOf(5, 1000)}.Encode()
 			So(err, ShouldBeNil)
 			newer, err := State{Version: 7, Body: bodyOf(7, 1000)}.Encode()
 			So(err, ShouldBeNil)
-			var reply LearnReply
-			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: newer}, &reply), ShouldBeNil)
-			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: older}, &reply), ShouldBeNil)
+			_, err = learn(Learn{Value: newer})
+			So(err, ShouldBeNil)
+			reply, err := learn(Learn{Value: older})
+			So(err, ShouldBeNil)
 			So(reply.Version, ShouldEqual, 7)
-			So(caller(context.Background(), "b:1", LearnCall.Route(), Learn{Value: []byte("\xc1")}, &reply), ShouldNotBeNil)
+			_, err = learn(Learn{Value: []byte("\xc1")})
+			So(err, ShouldNotBeNil)
 			version, _ := members["b:1"].Current()
 			So(version, ShouldEqual, 7)
 		})
-		Reset(func() {
-			for _, member := range members {
-				member.close()
-			}
-		})
+		cancel()
+		running.Wait()
 	})
 }
 
+func (c *Configurator) lastReadAt() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lastRead
+}
+
 // callMux serves a call without a network.
 func callMux(mux http.Handler, route transport.Route, request, reply any) error {
 	body, err := msgpack.Marshal(request)
--- a/internal/controlplane/feed/catalog.go
+++ b/internal/controlplane/feed/catalog.go
@@ -13,15 +13,13 @@
 // Catalog holds the newest configuration by parts, and the manifests of some before it. Its methods may be called from
 // any goroutine.
 type Catalog struct {
-	mutex    sync.Mutex
-	newest   edition
-	content  map[parts.Sum][]byte // parts of the newest
-	packed   map[parts.Sum][]byte // the same, packed, where they have been asked for
-	earlier  []edition            // oldest first
-	manifest parts.Manifest
+	mutex   sync.Mutex
+	version uint64
+	newest  *parts.Cut // nil before the first
+	earlier []edition  // oldest first
 }
 
-// edition is one version of the configuration by its parts.
+// edition is an earlier version of the configuration by its parts.
 type edition struct {
 	version uint64
 	sums    []parts.Sum
@@ -31,113 +29,73 @@
 func (c *Catalog) Publish(version uint64, body []byte) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if version <= c.newest.version {
+	if version <= c.version {
 		return
 	}
-	split := parts.Split(body)
-	if c.newest.version > 0 {
-		c.earlier = append(c.earlier, c.newest)
+	if c.newest != nil {
+		c.earlier = append(c.earlier, edition{c.version, c.newest.Sums()})
 		c.earlier = c.earlier[max(0, len(c.earlier)-keptEditions):]
 	}
-	c.manifest = parts.NewManifest(body, split)
-	c.newest = edition{version: version, sums: c.manifest.Sums()}
-	c.replace(split)
+	c.version, c.newest = version, parts.NewCut(body, c.newest)
 }
 
-// replace keeps the parts of the newest edition only.
-func (c *Catalog) replace(split [][]byte) {
-	content := make(map[parts.Sum][]byte, len(split))
-	packed := make(map[parts.Sum][]byte, len(split))
-	for i, part := range split {
-		sum := c.newest.sums[i]
-		content[sum] = part
-		if known, found := c.packed[sum]; found {
-			packed[sum] = known
-		}
-	}
-	c.content, c.packed = content, packed
+// current returns the newest configuration.
+func (c *Catalog) current() (version uint64, cut *parts.Cut) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.version, c.newest
 }
 
 // Offer describes the newest configuration and its version to a reader that has an earlier one, together with parts that
-// the reader lacks, of at most room bytes.
+// the reader lacks, of at most room bytes. There must be a configuration.
 func (c *Catalog) Offer(known uint64, room int) (version uint64, offer *Offer) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	offer = &Offer{Manifest: c.manifest}
-	if base, found := c.edition(known); found || known == 0 {
-		offer.Parts = c.pack(lacking(c.newest.sums, base.sums), room)
+	version, cut := c.current()
+	offer = &Offer{Manifest: cut.Manifest()}
+	if held, found := c.holder(known); found {
+		offer.Parts = cut.Packed(parts.Without(cut.Sums(), held), room)
 	}
-	return c.newest.version, offer
+	return version, offer
 }
 
-func (c *Catalog) edition(version uint64) (edition, bool) {
-	for _, known := range c.earlier {
-		if known.version == version {
-			return known, true
-		}
+// holder is what a reader of an earlier version has; version 0 is a reader of nothing.
+func (c *Catalog) holder(known uint64) (parts.Holder, bool) {
+	has := make(map[parts.Sum]struct{})
+	held := func(sum parts.Sum) ([]byte, bool) {
+		_, found := has[sum]
+		return nil, found
 	}
-	return edition{}, false
-}
-
-// lacking lists the parts that are not among those known.
-func lacking(sums, known []parts.Sum) []parts.Sum {
-	has := make(map[parts.Sum]struct{}, len(known))
-	for _, sum := range known {
-		has[sum] = struct{}{}
+	if known == 0 {
+		return held, true
 	}
-	var lacked []parts.Sum
-	for _, sum := range sums {
-		if _, found := has[sum]; !found {
-			lacked = append(lacked, sum)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, edition := range c.earlier {
+		if edition.version != known {
+			continue
+		}
+		for _, sum := range edition.sums {
+			has[sum] = struct{}{}
 		}
+		return held, true
 	}
-	return lacked
+	return nil, false
 }
 
 // Parts returns those parts of the newest configuration that are asked for, packed, and at most room bytes of them; but
 // always the first one that is held.
 func (c *Catalog) Parts(sums []parts.Sum, room int) [][]byte {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	held := make([]parts.Sum, 0, len(sums))
-	for _, sum := range sums {
-		if _, found := c.content[sum]; found {
-			held = append(held, sum)
-		}
+	_, cut := c.current()
+	if cut == nil {
+		return nil
 	}
-	found := c.pack(held, room)
-	if len(found) == 0 && len(held) > 0 {
-		return [][]byte{c.packedPart(held[0])}
-	}
-	return found
+	return cut.PackedSome(sums, room)
 }
 
 // Part returns a part of the newest configuration. It is a parts.Holder.
 func (c *Catalog) Part(sum parts.Sum) (part []byte, found bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	part, found = c.content[sum]
-	return part, found
-}
-
-// pack returns parts that are held, packed, as long as they fit into room.
-func (c *Catalog) pack(sums []parts.Sum, room int) [][]byte {
-	var packed [][]byte
-	for _, sum := range sums {
-		part := c.packedPart(sum)
-		if room -= len(part); room < 0 {
-			break
-		}
-		packed = append(packed, part)
-	}
-	return packed
-}
-
-func (c *Catalog) packedPart(sum parts.Sum) []byte {
-	packed, found := c.packed[sum]
-	if !found {
-		packed = parts.Pack(c.content[sum])
-		c.packed[sum] = packed
+	_, cut := c.current()
+	if cut == nil {
+		return nil, false
 	}
-	return packed
+	return cut.Part(sum)
 }
--- a/internal/controlplane/parts/collection.go
+++ b/internal/controlplane/parts/collection.go
@@ -61,20 +61,8 @@
 
 // Missing lists at most a number of parts that are still to come, in the content's order.
 func (c *Collection) Missing(most int) []Sum {
-	var sums []Sum
-	listed := make(map[Sum]struct{})
-	for _, sum := range c.order {
-		if len(sums) >= most {
-			break
-		}
-		_, missing := c.missing[sum]
-		_, twice := listed[sum]
-		if missing && !twice {
-			sums = append(sums, sum)
-			listed[sum] = struct{}{}
-		}
-	}
-	return sums
+	missing := Without(c.order, c.Part)
+	return missing[:min(most, len(missing))]
 }
 
 // Lacks is how many parts are missing.
--- a/internal/controlplane/parts/parts_test.go
+++ b/internal/controlplane/parts/parts_test.go
@@ -25,20 +25,6 @@
 
 func manifestOf(content []byte) Manifest { return NewManifest(content, Split(content)) }
 
-// gather collects a content's parts in an order.
-func gather(content []byte, order func(split [][]byte)) *Collection {
-	split := Split(content)
-	collection, err := NewCollection(NewManifest(content, split))
-	So(err, ShouldBeNil)
-	order(split)
-	for _, part := range split {
-		unpacked, err := Unpack(Pack(part))
-		So(err, ShouldBeNil)
-		collection.Add(unpacked)
-	}
-	return collection
-}
-
 func TestAnyContentIsGatheredInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		content := routes(rapid.IntRange(0, 300).Draw(t, "routes"), 1)
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 	"puffinlink.example/puffinlink/internal/transport"
@@ -44,12 +45,16 @@
 	table  func(viewVersion uint64) string // the store's table for a round in a view
 	admits func(value []byte) error        // refuses values that this member must not accept; nil where there are none
 	voting sync.Mutex                      // held while a vote is decided and stored
+	values values                          // large ones, by parts
+	loaded loadedState
 }
 
 // acceptedState is a state with the ballot under which it was accepted.
 type acceptedState struct {
 	Ballot Ballot `msgpack:"b"`
 	State  state  `msgpack:"s"`
+	// Manifest is set where the state's value is large: it is stored by parts then, and left out here.
+	Manifest *parts.Manifest `msgpack:"m,omitempty"`
 }
 
 // replica is the content of a register's table.
@@ -66,9 +71,11 @@
 
 // Serve registers the acceptor's internal calls.
 func (a *Acceptor) Serve(mux *transport.Mux) {
-	transport.Handle(mux, prepareCall(a.config.Name), a.prepare)
-	transport.Handle(mux, acceptCall(a.config.Name), a.accept)
-	transport.Handle(mux, readCall(a.config.Name), a.read)
+	transport.Handle(mux, prepareCall(a.config.Name), a.servePrepare)
+	transport.Handle(mux, acceptCall(a.config.Name), a.serveAccept)
+	transport.Handle(mux, readCall(a.config.Name), a.serveRead)
+	transport.Handle(mux, pushCall(a.config.Name), a.servePush)
+	transport.Handle(mux, fetchCall(a.config.Name), a.serveFetch)
 }
 
 // prepare promises to refuse lower ballots. A ballot is promised once only, so that two proposers never share one.
@@ -94,7 +101,9 @@
 		return now, err
 	}
 	answer.Promised = request.Ballot
-	answer.State = held.accepted.State
+	if held.accepted.Ballot != request.Known {
+		answer.State = held.accepted.State
+	}
 	return answer, nil
 }
 
@@ -115,12 +124,13 @@
 			return reply{}, verdict.Unexecuted(err, 0)
 		}
 	}
+	cut := a.cutLarge(request.State.Value)
 	promise, promiseErr := a.encode(request.ViewVersion, promisedKey, request.Ballot)
-	accepted, acceptedErr := a.encode(request.ViewVersion, acceptedKey, acceptedState{Ballot: request.Ballot, State: request.State})
+	accepted, acceptedErr := a.storing(request, cut)
 	if err := errors.Join(promiseErr, acceptedErr); err != nil {
 		return reply{}, err
 	}
-	if err := a.config.Store.Write(promise, accepted); err != nil {
+	if err := a.config.Store.Write(append([]storage.Change{promise}, accepted...)...); err != nil {
 		return reply{}, fmt.Errorf("accept in register %s: %w", a.config.Name, err)
 	}
 	if now, err := a.admit(request.ViewVersion); err != nil || now.Outcome != granted {
@@ -128,6 +138,8 @@
 	}
 	answer.Promised = request.Ballot
 	answer.Accepted = request.Ballot
+	a.keepLoaded(request.ViewVersion, accepted, request.State.Value)
+	a.values.settled(cut, request.Ballot, request.ViewVersion)
 	return answer, nil
 }
 
@@ -160,7 +172,7 @@
 	if err != nil || answer.Outcome != granted {
 		return answer, replica{}, err
 	}
-	held, err := decodeReplica(a.config.Store.Table(a.table(viewVersion)))
+	held, err := a.load(viewVersion)
 	if err != nil {
 		return reply{}, replica{}, fmt.Errorf("register %s: %w", a.config.Name, err)
 	}
@@ -175,18 +187,3 @@
 	}
 	return storage.Change{Table: a.table(viewVersion), Key: key, Value: encoded}, nil
 }
-
-func decodeReplica(table map[string][]byte) (replica, error) {
-	var held replica
-	if encoded, found := table[promisedKey]; found {
-		if err := msgpack.Unmarshal(encoded, &held.promised); err != nil {
-			return replica{}, fmt.Errorf("decode %s: %w", promisedKey, err)
-		}
-	}
-	if encoded, found := table[acceptedKey]; found {
-		if err := msgpack.Unmarshal(encoded, &held.accepted); err != nil {
-			return replica{}, fmt.Errorf("decode %s: %w", acceptedKey, err)
-		}
-	}
-	return held, nil
-}
--- a/internal/controlplane/register/explorerules_test.go
+++ b/internal/controlplane/register/explorerules_test.go
@@ -91,8 +91,15 @@
 	forgets bool
 }
 
-func (s *oneTable) Table(string) map[string][]byte { return s.table }
-func (s *oneTable) Tables() []string               { return nil }
+func (s *oneTable) Tables() []string { return nil }
+
+// Table implements storage.Store; the explored values are small and have no parts.
+func (s *oneTable) Table(name string) map[string][]byte {
+	if isPartsTable(name) {
+		return nil
+	}
+	return s.table
+}
 
 // Write implements storage.Store.
 func (s *oneTable) Write(changes ...storage.Change) error {
--- a/internal/controlplane/register/history_test.go
+++ b/internal/controlplane/register/history_test.go
@@ -69,14 +69,15 @@
 	mutex      sync.Mutex
 	operations []porcupine.Operation
 	succeeded  int
+	padding    string // begins each value, so that it is large
 }
 
 // run carries out one operation by a register and records it.
 func (h *history) run(ctx context.Context, client int, register *Register, do input) {
 	call := h.clock.Add(1)
-	value, err := perform(ctx, register, do)
+	value, err := h.perform(ctx, register, do)
 	back := h.clock.Add(1)
-	heard := output{value: string(value)}
+	heard := output{value: strings.TrimPrefix(string(value), h.padding)}
 	switch {
 	case err == nil:
 	case verdict.Of(err) != verdict.NotRun:
@@ -95,7 +96,7 @@
 	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: do, Output: heard, Call: call, Return: back})
 }
 
-func perform(ctx context.Context, register *Register, do input) ([]byte, error) {
+func (h *history) perform(ctx context.Context, register *Register, do input) ([]byte, error) {
 	if do.kind == readValue {
 		return register.Read(ctx)
 	}
@@ -103,6 +104,9 @@
 		if do.kind == appendUnlessAt && refuses(string(current)) {
 			return nil, errMultipleOfThree
 		}
+		if len(current) == 0 {
+			current = []byte(h.padding)
+		}
 		return []byte(string(current) + do.token + "."), nil
 	})
 }
--- a/internal/controlplane/register/known_test.go
+++ b/internal/controlplane/register/known_test.go
@@ -1,7 +1,6 @@
 package register
 
 import (
-	"bytes"
 	"context"
 	"testing"
 
@@ -13,42 +12,57 @@
 	"puffinlink.example/puffinlink/internal/transport"
 )
 
-// direct calls acceptors in this process, and counts the bytes of their answers.
+// direct calls acceptors in this process as they serve others, and counts the bytes of the answers to reads and of the
+// parts that were fetched.
 type direct struct {
 	acceptors map[string]*Acceptor
 	answered  chan int
 	accepted  chan struct{}
+	fetched   int
 }
 
 // Call implements transport.Caller.
 func (d *direct) Call(ctx context.Context, address string, _ transport.Route, request, answer any) error {
-	var result reply
+	acceptor := d.acceptors[address]
 	var err error
 	switch asked := request.(type) {
 	case prepareRequest:
-		result, err = d.acceptors[address].prepare(ctx, asked)
+		*answer.(*reply), err = acceptor.servePrepare(ctx, asked)
 	case acceptRequest:
-		result, err = d.acceptors[address].accept(ctx, asked)
-		d.accepted <- struct{}{}
+		*answer.(*reply), err = acceptor.serveAccept(ctx, asked)
+		if answer.(*reply).Outcome == granted {
+			d.accepted <- struct{}{}
+		}
+	case pushRequest:
+		*answer.(*pushReply), err = acceptor.servePush(ctx, asked)
+	case fetchRequest:
+		result, failed := acceptor.serveFetch(ctx, asked)
+		encoded, _ := msgpack.Marshal(result)
+		d.fetched += len(encoded)
+		*answer.(*fetchReply), err = result, failed
 	case readRequest:
-		result, err = d.acceptors[address].read(ctx, asked)
+		result, failed := acceptor.serveRead(ctx, asked)
 		encoded, _ := msgpack.Marshal(result)
 		d.answered <- len(encoded)
+		*answer.(*reply), err = result, failed
 	}
-	*answer.(*reply) = result
 	return err
 }
 
-// readBytes is how many bytes the answers to one read have.
+// readBytes is how many bytes the answers to one read have, with the parts that it fetches.
 func (d *direct) readBytes(reads func()) (sum int) {
+	before := d.fetched
 	reads()
 	for range d.acceptors {
 		sum += <-d.answered
 	}
-	return sum
+	return sum + d.fetched - before
 }
 
 func TestAReadCarriesNoStateThatIsKnown(t *testing.T) {
+	const size = 90 << 10
+	// A text of hex digits takes half of its length, and the names of its parts a hundredth.
+	atLeast, atMost := size/2, size/2+size/5
 	Convey("Given a register of 90 KB on three members", t, func() {
 		view := replicaset.View{Version: 1, Members: []string{"a", "b", "c"}}
 		current := func() replicaset.View { return view }
@@ -58,37 +72,41 @@
 				Name: "test", Store: storage.NewMemory(), Ready: func() bool { return true }, View: current,
 			})
 		}
-		r := New(Config{Name: "test", Self: "outside", View: current, Caller: d})
-		set := func(content byte) []byte {
-			value := bytes.Repeat([]byte{content}, 90<<10)
-			_, err := r.Change(context.Background(), func([]byte) ([]byte, error) { return value, nil })
+		writer := New(Config{Name: "test", Self: "outside", View: current, Caller: d})
+		r := New(Config{Name: "test", Self: "reader", View: current, Caller: d})
+		set := func(value string) string {
+			_, err := writer.Change(context.Background(), to(value))
 			So(err, ShouldBeNil)
 			for range view.Members {
 				<-d.accepted
 			}
 			return value
 		}
-		read := func(want []byte) func() {
+		read := func(want string) func() {
 			return func() {
 				got, err := r.Read(context.Background())
 				So(err, ShouldBeNil)
-				So(bytes.Equal(got, want), ShouldBeTrue)
+				So(string(got) == want, ShouldBeTrue)
 			}
 		}
-		So(d.readBytes(read(nil)), ShouldBeLessThan, 1000)
-		first := set(1)
-		So(d.readBytes(read(first)), ShouldBeGreaterThan, 3*90<<10)
+		So(d.readBytes(read("")), ShouldBeLessThan, 1000)
+		first := set(randomText(size, 1))
+		So(d.readBytes(read(first)), ShouldBeBetween, atLeast, atMost) // once, though three answer
 		Convey("reading it again takes hardly anything", func() {
 			So(d.readBytes(read(first)), ShouldBeLessThan, 1000)
 		})
 		Convey("after a change the new state is read, once", func() {
-			second := set(2)
-			So(d.readBytes(read(second)), ShouldBeGreaterThan, 3*90<<10)
+			second := set(randomText(size, 2))
+			So(d.readBytes(read(second)), ShouldBeBetween, atLeast, atMost)
 			So(d.readBytes(read(second)), ShouldBeLessThan, 1000)
 		})
+		Convey("after a small change only what is new is read", func() {
+			second := set(first[:size/2] + "changed" + first[size/2:])
+			So(d.readBytes(read(second)), ShouldBeLessThan, atLeast/4)
+		})
 		Convey("in another view a ballot may stand for another state, so it is read anew", func() {
 			view.Version = 2
-			So(d.readBytes(read(first)), ShouldBeGreaterThan, 3*90<<10)
+			So(d.readBytes(read(first)), ShouldBeBetween, atLeast, atMost)
 		})
 	})
 }
--- a/internal/controlplane/register/merge.go
+++ b/internal/controlplane/register/merge.go
@@ -2,17 +2,23 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 )
 
 // Merge makes the tables of all registers for a member that lost its disk, from those of a majority of the others: the
-// highest promise, and what was accepted under the highest ballot. The tables' names begin with TablePrefix.
+// highest promise, and what was accepted under the highest ballot. Parts of values are gathered from all of them; the next
+// vote removes those that do not belong to it. The tables' names begin with TablePrefix.
 func Merge(copies []storage.Tables) (storage.Tables, error) {
 	highest := make(map[string]*replica)
 	merged := make(storage.Tables)
 	for _, tables := range copies {
 		for name, table := range tables {
+			if isPartsTable(name) {
+				gatherParts(merged, name, table)
+				continue
+			}
 			held, err := decodeReplica(table)
 			if err != nil {
 				return nil, fmt.Errorf("merge %s: %w", name, err)
@@ -26,6 +32,13 @@
 	return merged, nil
 }
 
+func gatherParts(merged storage.Tables, name string, table map[string][]byte) {
+	if merged[name] == nil {
+		merged[name] = make(map[string][]byte)
+	}
+	maps.Copy(merged[name], table)
+}
+
 // raise takes over what is higher in another replica, together with its encoding.
 func (r *replica) raise(other replica, encoded, merged map[string][]byte) {
 	if r.promised.Less(other.promised) {
--- a/internal/controlplane/register/messages.go
+++ b/internal/controlplane/register/messages.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/transport"
 )
@@ -12,19 +13,46 @@
 	granted      outcome = iota + 1 // done, and durable
 	conflict                        // a higher ballot was promised to another proposer
 	viewMismatch                    // the proposer works with another view
+	partsMissing                    // nothing was done, as the value that came by parts is not whole here
 )
 
 // prepareRequest asks an acceptor to refuse lower ballots from now on.
 type prepareRequest struct {
 	ViewVersion uint64 `msgpack:"w"`
 	Ballot      Ballot `msgpack:"b"`
+	Known       Ballot `msgpack:"k"`           // as in readRequest
+	ByParts     bool   `msgpack:"y,omitempty"` // as in readRequest
 }
 
 // acceptRequest asks an acceptor to store a state.
 type acceptRequest struct {
-	ViewVersion uint64 `msgpack:"w"`
-	Ballot      Ballot `msgpack:"b"`
-	State       state  `msgpack:"s"`
+	ViewVersion uint64   `msgpack:"w"`
+	Ballot      Ballot   `msgpack:"b"`
+	State       state    `msgpack:"s"`
+	Content     *content `msgpack:"c,omitempty"` // the state's value, if it travels by parts
+}
+
+// content is a large value on its way, with some of its parts.
+type content struct {
+	Manifest parts.Manifest `msgpack:"m"`
+	Parts    [][]byte       `msgpack:"p,omitempty"` // packed
+}
+
+// pushRequest brings an acceptor parts of a value that it is going to be asked to accept. They change nothing before.
+type pushRequest struct {
+	Parts [][]byte `msgpack:"p"` // packed
+}
+
+type pushReply struct{}
+
+// fetchRequest asks an acceptor for parts of the value that it has accepted.
+type fetchRequest struct {
+	Sums []byte `msgpack:"s"` // checksums, one after the other
+	Room int    `msgpack:"r"` // about how many bytes the answer may have; one part comes in any case
+}
+
+type fetchReply struct {
+	Parts [][]byte `msgpack:"p"` // packed, those that are held
 }
 
 // readRequest asks an acceptor for its state, without a promise. A state is left out of the answer where the asker knows it:
@@ -32,15 +60,20 @@
 type readRequest struct {
 	ViewVersion uint64 `msgpack:"w"`
 	Known       Ballot `msgpack:"k"` // under which the newest state that the asker holds was accepted
+	// ByParts asks for the manifest of a large value in its place. Askers of older builds leave it out.
+	ByParts bool `msgpack:"y,omitempty"`
 }
 
 // reply is an acceptor's answer to each of them.
 type reply struct {
+	member   string          // who gave it, as its receiver notes
 	Outcome  outcome         `msgpack:"o"`
 	View     replicaset.View `msgpack:"w"` // the acceptor's; the members are left out where the versions match
 	Promised Ballot          `msgpack:"p"`
 	Accepted Ballot          `msgpack:"a"`
-	State    state           `msgpack:"s"` // not in answers to accept requests, nor where the asker knows it
+	State    state           `msgpack:"s"`           // not in answers to accept requests, nor where the asker knows it
+	Manifest *parts.Manifest `msgpack:"m,omitempty"` // of the state's value, which is left out then
+	Missing  []byte          `msgpack:"x,omitempty"` // checksums of missing parts, one after the other
 }
 
 // Internal calls of the register of a name. Votes under one ballot are alike whenever and however often they are given.
@@ -55,3 +88,11 @@
 func readCall(name string) transport.Repeatable[readRequest, reply] {
 	return transport.NewRepeatable[readRequest, reply]("/register/" + name + "/read")
 }
+
+func pushCall(name string) transport.Repeatable[pushRequest, pushReply] {
+	return transport.NewRepeatable[pushRequest, pushReply]("/register/" + name + "/push")
+}
+
+func fetchCall(name string) transport.Repeatable[fetchRequest, fetchReply] {
+	return transport.NewRepeatable[fetchRequest, fetchReply]("/register/" + name + "/fetch")
+}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -68,13 +68,18 @@
 	}
 	preparing := &round{view: view, limit: p.register.roundLimit}
 	ballot := p.register.nextBallot()
+	known := p.register.held(view.Version)
+	request := prepareRequest{ViewVersion: view.Version, Ballot: ballot, Known: known.ballot, ByParts: true}
 	err := preparing.run(ctx, func(ctx context.Context, member string) (reply, error) {
-		return p.register.prepare(ctx, member, prepareRequest{ViewVersion: view.Version, Ballot: ballot})
+		return p.register.prepare(ctx, member, request)
 	})
 	p.register.saw(preparing.highest)
 	if err != nil {
 		return nil, err
 	}
+	if err := p.register.complete(ctx, preparing, known); err != nil {
+		return nil, err
+	}
 	decision, settled, err := p.prepared(preparing, ballot)
 	if err != nil {
 		return nil, err
@@ -139,9 +144,17 @@
 
 func (p *proposer) accept(ctx context.Context, request acceptRequest, view replicaset.View) error {
 	accepting := &round{view: view, limit: p.register.roundLimit}
+	proposed := p.register.proposed(view.Version, request)
+	send := p.register.accept
+	if proposed.cut != nil {
+		send = p.register.acceptByParts(proposed)
+	}
 	err := accepting.run(ctx, func(ctx context.Context, member string) (reply, error) {
-		return p.register.accept(ctx, member, request)
+		return send(ctx, member, request)
 	})
 	p.register.saw(accepting.highest)
+	if err == nil {
+		p.register.know(proposed)
+	}
 	return err
 }
--- a/internal/controlplane/register/register.go
+++ b/internal/controlplane/register/register.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/verdict"
@@ -38,9 +39,10 @@
 	config Config
 	turn   chan struct{} // holds a token while nobody changes the register here
 
-	mutex   sync.Mutex // guards what follows
-	counter uint64     // highest that was seen or used in a ballot
-	known   knownState // newest that was read
+	mutex   sync.Mutex        // guards what follows
+	counter uint64            // highest that was seen or used in a ballot
+	known   knownState        // newest that was read or accepted
+	partial *parts.Collection // of a state that has not arrived whole
 
 	// Rules of the protocol; tests replace them to show that each is needed.
 	roundLimit       time.Duration
@@ -99,45 +101,30 @@
 		return nil, verdict.Unexecuted(fmt.Errorf("read register %s: %w", r.config.Name, ErrNoView), 0)
 	}
 	reading := round{view: view, limit: r.roundLimit}
-	known := r.knownIn(view)
+	known := r.held(view.Version)
+	request := readRequest{ViewVersion: view.Version, Known: known.ballot, ByParts: true}
 	err := reading.run(ctx, func(ctx context.Context, member string) (reply, error) {
-		return r.read(ctx, member, readRequest{ViewVersion: view.Version, Known: known.ballot})
+		return r.read(ctx, member, request)
 	})
 	if err == nil {
 		if latest, committed := r.committed(&reading); committed {
-			return r.readOut(latest, known), nil
+			return r.valueOf(ctx, &reading, latest, known)
 		}
 	}
 	r.learn(err)
 	return r.Change(ctx, func(current []byte) ([]byte, error) { return current, nil })
 }
 
-// knownState is a state that was read, by the ballot under which a majority accepted it in a view.
-type knownState struct {
-	view   uint64
-	ballot Ballot
-	value  []byte
-}
-
-// knownIn returns the state that was read last in a view; the empty one under no ballot where there is none.
-func (r *Register) knownIn(view replicaset.View) knownState {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.known.view != view.Version {
-		return knownState{view: view.Version}
+// valueOf returns the value of an answer on which a majority agrees.
+func (r *Register) valueOf(ctx context.Context, reading *round, latest reply, known knownState) ([]byte, error) {
+	if latest.Accepted == (Ballot{}) {
+		return latest.State.Value, nil
 	}
-	return r.known
-}
-
-// readOut returns the value of a committed answer, which is left out of it where it was known.
-func (r *Register) readOut(latest reply, known knownState) []byte {
-	if latest.Accepted == known.ballot {
-		return known.value
+	state, err := r.stateUnder(ctx, reading, latest.Accepted, known)
+	if err != nil {
+		return nil, verdict.Unexecuted(fmt.Errorf("read register %s: %w: %w", r.config.Name, errIncomplete, err), 0)
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.known = knownState{view: known.view, ballot: latest.Accepted, value: latest.State.Value}
-	return latest.State.Value
+	return state.Value, nil
 }
 
 // nextBallot returns a ballot above all that this proposer has seen.
@@ -169,6 +156,7 @@
 
 func (r *Register) prepare(ctx context.Context, member string, request prepareRequest) (reply, error) {
 	if r.own(member) {
+		request.Known = Ballot{}
 		return r.config.Acceptor.prepare(ctx, request)
 	}
 	return prepareCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
@@ -183,7 +171,7 @@
 
 func (r *Register) read(ctx context.Context, member string, request readRequest) (reply, error) {
 	if r.own(member) {
-		return r.config.Acceptor.read(ctx, request)
+		return r.config.Acceptor.read(ctx, readRequest{ViewVersion: request.ViewVersion})
 	}
 	return readCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
 }
--- a/internal/controlplane/register/round.go
+++ b/internal/controlplane/register/round.go
@@ -85,6 +85,7 @@
 			limited, cancel := context.WithTimeout(lasting, r.limit)
 			defer cancel()
 			reply, err := send(limited, member)
+			reply.member = member
 			answers <- answer{reply, err}
 		}()
 	}
--- a/internal/controlplane/register/simulation_test.go
+++ b/internal/controlplane/register/simulation_test.go
@@ -39,7 +39,12 @@
 // simulate runs clients at all members while messages are lost, doubled and delayed, members are killed, all of them lose
 // power at once, and single disks are lost.
 func simulate(t *testing.T, seed uint64, size int, broken *mutant) *history {
-	recorded := &history{}
+	return simulatePadded(t, seed, size, broken, "")
+}
+
+// simulatePadded does as simulate, with values that begin with a padding.
+func simulatePadded(t *testing.T, seed uint64, size int, broken *mutant, padding string) *history {
+	recorded := &history{padding: padding}
 	virtualtime.Test(t, func(*testing.T) {
 		c := newCluster(seed, size, broken)
 		c.network.SetFaults(simulationFaults)
@@ -100,11 +105,18 @@
 	}
 }
 
-func TestTheRegisterIsLinearizable(t *testing.T) {
+func TestTheRegisterIsLinearizable(t *testing.T) { checkSchedules(t, "") }
+
+// Large values travel by parts.
+func TestTheRegisterOfLargeValuesIsLinearizable(t *testing.T) {
+	checkSchedules(t, randomText(5*wholeBytes, 1))
+}
+
+func checkSchedules(t *testing.T, padding string) {
 	for _, size := range []int{3, 5} {
 		succeeded := 0
 		for seed := range uint64(*schedules) {
-			recorded := simulate(t, seed, size, nil)
+			recorded := simulatePadded(t, seed, size, nil, padding)
 			if result := recorded.check(); result != porcupine.Ok {
 				t.Fatalf("%d members, seed %d: %d operations are %v", size, seed, len(recorded.operations), result)
 			}
--- /dev/null
+++ b/internal/controlplane/register/stored_test.go
@@ -0,0 +1,106 @@
+package register
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+)
+
+// weighingStore counts the bytes that are written.
+type weighingStore struct {
+	*storage.Memory
+	written int
+}
+
+// Write implements storage.Store.
+func (w *weighingStore) Write(changes ...storage.Change) error {
+	for _, change := range changes {
+		w.written += len(change.Key) + len(change.Value)
+	}
+	return w.Memory.Write(changes...)
+}
+
+func (w *weighingStore) take() int {
+	written := w.written
+	w.written = 0
+	return written
+}
+
+func TestALargeValueIsStoredByParts(t *testing.T) {
+	const name = TablePrefix + testRegister
+	text := randomText(largeText, 1)
+	Convey("Given an acceptor that has accepted a large value", t, func() {
+		store := &weighingStore{Memory: storage.NewMemory()}
+		acceptorOn := func(store storage.Store) *Acceptor {
+			return NewAcceptor(AcceptorConfig{Name: testRegister, Store: store, Ready: func() bool { return true }, View: (&cluster{}).View})
+		}
+		acceptor := acceptorOn(store)
+		accept := func(acceptor *Acceptor, counter uint64, value string) {
+			ballot := Ballot{Counter: counter}
+			answer, err := acceptor.accept(context.Background(), acceptRequest{Ballot: ballot, State: state{Value: []byte(value), Sequence: counter}})
+			So(err, ShouldBeNil)
+			So(answer.Outcome, ShouldEqual, granted)
+		}
+		holds := func(acceptor *Acceptor, value string) {
+			held, err := acceptor.load(0)
+			So(err, ShouldBeNil)
+			So(string(held.accepted.State.Value) == value, ShouldBeTrue)
+		}
+		accept(acceptor, 1, text)
+		So(store.take(), ShouldBeGreaterThan, largeText)
+		holds(acceptor, text)
+
+		Convey("a small change writes little", func() {
+			accept(acceptor, 2, edited(text, "more"))
+			So(store.take(), ShouldBeLessThan, largeText/10)
+			holds(acceptor, edited(text, "more"))
+		})
+		Convey("parts of earlier values go", func() {
+			before := len(store.Table(name + partsSuffix))
+			for counter := uint64(2); counter < 12; counter++ {
+				accept(acceptor, counter, edited(text, randomText(50, counter)))
+			}
+			So(len(store.Table(name+partsSuffix)), ShouldBeBetween, before-4, before+4)
+			accept(acceptor, 12, "small")
+			So(store.Table(name+partsSuffix), ShouldBeEmpty)
+			holds(acceptor, "small")
+		})
+		Convey("it is there after a restart", func() { holds(acceptorOn(store), text) })
+		Convey("a member that lost its disk gets it from copies, with what their members have accepted since", func() {
+			other := storage.NewMemory()
+			accept(acceptorOn(other), 1, text)
+			accept(acceptorOn(other), 2, edited(text, "newer"))
+			merged, err := Merge([]storage.Tables{store.Snapshot(), other.Snapshot()})
+			So(err, ShouldBeNil)
+			rebuilt := storage.NewMemory()
+			for table, content := range merged {
+				for key, value := range content {
+					So(rebuilt.Write(storage.Change{Table: table, Key: key, Value: value}), ShouldBeNil)
+				}
+			}
+			acceptor := acceptorOn(rebuilt)
+			holds(acceptor, edited(text, "newer"))
+			accept(acceptor, 3, text)
+			holds(acceptorOn(rebuilt), text)
+			So(len(rebuilt.Table(name+partsSuffix)), ShouldEqual, len(store.Table(name+partsSuffix)))
+		})
+		Convey("a lost part is told, and not taken for an empty value", func() {
+			for key := range store.Table(name + partsSuffix) {
+				So(store.Write(storage.Change{Table: name + partsSuffix, Key: key}), ShouldBeNil)
+				break
+			}
+			_, err := acceptorOn(store).load(0)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("what older builds have stored whole is read", func() {
+			older := storage.NewMemory()
+			change, err := acceptor.encode(0, acceptedKey, acceptedState{Ballot: Ballot{Counter: 1}, State: state{Value: []byte(text)}})
+			So(err, ShouldBeNil)
+			So(older.Write(change), ShouldBeNil)
+			holds(acceptorOn(older), text)
+		})
+	})
+}
--- /dev/null
+++ b/internal/controlplane/register/travel.go
@@ -0,0 +1,252 @@
+package register
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+const (
+	// mostInline is how many bytes of packed parts an accept request carries by itself, and mostPart how many one call
+	// pushes or fetches: 0.1 s of a link of 3 Mbit/s.
+	mostInline = 32 << 10
+	mostPart   = 32 << 10
+	// partsSilence bounds one call that fetches parts. It bounds no transfer as a whole: parts that have come stay.
+	partsSilence = time.Second
+	// offers is how often a value is offered to an acceptor that turns out to lack parts of it.
+	offers = 3
+)
+
+// errIncomplete is the failure to get a state that a majority has told of.
+var errIncomplete = errors.New("the value is not at hand and did not arrive")
+
+// knownState is a state that was read or accepted, by the ballot under which that was in a view.
+type knownState struct {
+	view   uint64
+	ballot Ballot
+	state  state
+	cut    *parts.Cut // of the state's value, if it is large
+}
+
+// held returns the newest state that is at hand of a view, known or at the own acceptor; the empty one under no ballot
+// where there is none.
+func (r *Register) held(view uint64) knownState {
+	known := r.knownIn(view)
+	if r.config.Acceptor == nil {
+		return known
+	}
+	answer, own, err := r.config.Acceptor.begin(view)
+	if err != nil || answer.Outcome != granted || !known.ballot.Less(own.accepted.Ballot) {
+		return known
+	}
+	return r.learnState(view, own.accepted.Ballot, own.accepted.State)
+}
+
+func (r *Register) knownIn(view uint64) knownState {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.known.view != view {
+		return knownState{view: view}
+	}
+	return r.known
+}
+
+// learnState notes the state that was accepted under a ballot.
+func (r *Register) learnState(view uint64, ballot Ballot, state state) knownState {
+	return r.know(knownState{view: view, ballot: ballot, state: state, cut: r.cutOf(view, state.Value)})
+}
+
+// know notes a state unless a newer one is known, and returns it.
+func (r *Register) know(learned knownState) knownState {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.known.view != learned.view || r.known.ballot.Less(learned.ballot) {
+		r.known, r.partial = learned, nil
+	}
+	return learned
+}
+
+// cutOf cuts a large value; nil stands for a small one.
+func (r *Register) cutOf(view uint64, value []byte) *parts.Cut {
+	if len(value) <= wholeBytes {
+		return nil
+	}
+	return parts.NewCut(value, r.knownIn(view).cut)
+}
+
+// complete puts the value into the newest of a round's answers, all of which leave it out where it is large or known.
+func (r *Register) complete(ctx context.Context, answered *round, known knownState) error {
+	latest, _ := answered.latest()
+	if latest.Accepted == (Ballot{}) {
+		return nil
+	}
+	state, err := r.stateUnder(ctx, answered, latest.Accepted, known)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errIncomplete, err)
+	}
+	for i := range answered.granted {
+		if answered.granted[i].Accepted == latest.Accepted {
+			answered.granted[i].State = state
+		}
+	}
+	return nil
+}
+
+// stateUnder returns the state that was accepted under a ballot.
+func (r *Register) stateUnder(ctx context.Context, answered *round, ballot Ballot, known knownState) (state, error) {
+	if known.ballot == ballot {
+		return known.state, nil
+	}
+	var named *reply
+	for i, answer := range answered.granted {
+		if answer.Accepted != ballot {
+			continue
+		}
+		if answer.Manifest == nil { // whole
+			return r.learnState(known.view, ballot, answer.State).state, nil
+		}
+		named = &answered.granted[i]
+	}
+	value, err := r.gather(ctx, answered, ballot, *named.Manifest, known)
+	if err != nil {
+		return state{}, err
+	}
+	whole := named.State
+	whole.Value = value
+	return r.learnState(known.view, ballot, whole).state, nil
+}
+
+// gather puts a value together from parts that are at hand and others, which members that have it are asked for.
+func (r *Register) gather(ctx context.Context, answered *round, ballot Ballot, manifest parts.Manifest, known knownState) ([]byte, error) {
+	collection, err := parts.NewCollection(manifest, r.holders(known)...)
+	if err != nil {
+		return nil, err
+	}
+	r.setPartial(collection)
+	for _, answer := range answered.granted {
+		for answer.Accepted == ballot && answer.member != "" && !collection.Whole() {
+			if err = r.fetch(ctx, answer.member, collection); err != nil {
+				break // the next member goes on from here
+			}
+		}
+	}
+	if !collection.Whole() {
+		return nil, err
+	}
+	return collection.Content()
+}
+
+// holders are where parts may be at hand: in what is known, what came of a state that did not arrive whole, and the own
+// acceptor.
+func (r *Register) holders(known knownState) []parts.Holder {
+	var holders []parts.Holder
+	if known.cut != nil {
+		holders = append(holders, known.cut.Part)
+	}
+	if r.config.Acceptor != nil {
+		holders = append(holders, r.config.Acceptor.values.part)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.partial != nil {
+		holders = append(holders, r.partial.Part)
+	}
+	return holders
+}
+
+func (r *Register) setPartial(collection *parts.Collection) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.partial = collection
+}
+
+var errNotHeld = errors.New("the member holds none of the parts")
+
+// fetch makes one call for parts.
+func (r *Register) fetch(ctx context.Context, member string, collection *parts.Collection) error {
+	limited, cancel := context.WithTimeout(ctx, partsSilence)
+	defer cancel()
+	ask := fetchRequest{Sums: parts.Join(collection.Missing(mostPart / typicalPart)), Room: mostPart}
+	answer, err := fetchCall(r.config.Name).Call(limited, r.config.Caller, member, ask)
+	if err != nil {
+		return err
+	}
+	before := collection.Lacks()
+	for _, packed := range answer.Parts {
+		part, err := parts.Unpack(packed)
+		if err != nil {
+			return err
+		}
+		collection.Add(part)
+	}
+	if collection.Lacks() == before {
+		return errNotHeld
+	}
+	return nil
+}
+
+// typicalPart is about the length of a packed part, by which the parts to ask for are counted.
+const typicalPart = 256
+
+// proposed is the state of an accept request.
+func (r *Register) proposed(view uint64, request acceptRequest) knownState {
+	return knownState{view: view, ballot: request.Ballot, state: request.State, cut: r.cutOf(view, request.State.Value)}
+}
+
+// acceptByParts returns what asks members to accept a state with a large value. They are expected to hold the state that
+// is known here, on which the new one is based; parts of which a member turns out to lack are sent ahead, a few at a time.
+func (r *Register) acceptByParts(proposed knownState) sendAccept {
+	base := func(parts.Sum) ([]byte, bool) { return nil, false }
+	if known := r.knownIn(proposed.view); known.cut != nil {
+		base = known.cut.Part
+	}
+	offered := content{
+		Manifest: proposed.cut.Manifest(),
+		Parts:    proposed.cut.Packed(parts.Without(proposed.cut.Sums(), base), mostInline),
+	}
+	return func(ctx context.Context, member string, request acceptRequest) (reply, error) {
+		if r.own(member) {
+			return r.config.Acceptor.accept(ctx, request)
+		}
+		request.State.Value = nil
+		request.Content = &offered
+		return r.offer(ctx, member, request, proposed.cut)
+	}
+}
+
+// sendAccept sends an accept request to a member.
+type sendAccept func(ctx context.Context, member string, request acceptRequest) (reply, error)
+
+// offer sends an accept request until the member has all parts of its value.
+func (r *Register) offer(ctx context.Context, member string, request acceptRequest, cut *parts.Cut) (reply, error) {
+	for range offers {
+		answer, err := acceptCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
+		if err != nil || answer.Outcome != partsMissing {
+			return answer, err
+		}
+		if err := r.push(ctx, member, cut, parts.SumsOf(answer.Missing)); err != nil {
+			return reply{}, err
+		}
+		request.Content = &content{Manifest: cut.Manifest()}
+	}
+	return reply{}, verdict.Unexecuted(fmt.Errorf("%s: %w", member, errIncomplete), 0)
+}
+
+// push sends parts to a member.
+func (r *Register) push(ctx context.Context, member string, cut *parts.Cut, sums []parts.Sum) error {
+	for len(sums) > 0 {
+		packed := cut.PackedSome(sums, mostPart)
+		if len(packed) == 0 {
+			return verdict.Unexecuted(fmt.Errorf("%s asks for parts of another value", member), 0)
+		}
+		if _, err := pushCall(r.config.Name).Call(ctx, r.config.Caller, member, pushRequest{Parts: packed}); err != nil {
+			return err
+		}
+		sums = sums[min(len(packed), len(sums)):]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/register/travel_test.go
@@ -0,0 +1,244 @@
+package register
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
+	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/transport"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+// randomText is a text of hex digits.
+func randomText(length int, seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	text := make([]byte, length)
+	for i := range text {
+		text[i] = "0123456789abcdef"[random.IntN(16)]
+	}
+	return string(text)
+}
+
+// largeText is larger than what an accept request carries by itself.
+const largeText = 300 << 10
+
+// edited is a text with a small change in its middle.
+func edited(text, change string) string { return text[:len(text)/2] + change + text[len(text)/2:] }
+
+// weighingCaller counts the bytes of calls and answers.
+type weighingCaller struct {
+	transport.Caller
+	bytes atomic.Int64
+	most  atomic.Int64 // of one message
+}
+
+// Call implements transport.Caller.
+func (w *weighingCaller) Call(ctx context.Context, address string, route transport.Route, request, reply any) error {
+	w.weigh(request)
+	err := w.Caller.Call(ctx, address, route, request, reply)
+	w.weigh(reply)
+	return err
+}
+
+func (w *weighingCaller) weigh(message any) {
+	content, _ := msgpack.Marshal(message)
+	w.bytes.Add(int64(len(content)))
+	w.most.Store(max(w.most.Load(), int64(len(content))))
+}
+
+func (w *weighingCaller) take() int64 { return w.bytes.Swap(0) }
+
+func TestALargeValueTravelsByParts(t *testing.T) {
+	var first, second, third, most int64
+	var read string
+	text := randomText(largeText, 1)
+	inCluster(t, func(c *cluster) {
+		weighing := &weighingCaller{Caller: c.network.Caller(outsider)}
+		register := New(Config{Name: testRegister, Self: outsider, View: c.View, Caller: weighing})
+		change := func(value string) int64 {
+			if _, err := register.Change(c.ctx, to(value)); err != nil {
+				t.Error(err)
+			}
+			synctest.Wait()
+			return weighing.take()
+		}
+		first = change(text)
+		second = change(edited(text, "second"))
+		third = change(edited(text, "third"))
+		most = weighing.most.Load()
+		value, _ := c.process("member-1").register.Read(c.ctx)
+		read = string(value)
+	})
+	convey.Convey("The first change sends it once to each member, by messages of a bounded size", t, func() {
+		convey.So(first, convey.ShouldBeBetween, 3*largeText/2, 3*largeText*3/4)
+		convey.So(most, convey.ShouldBeLessThan, mostInline+mostInline/2)
+	})
+	convey.Convey("Later ones send what has changed", t, func() {
+		convey.So(second, convey.ShouldBeLessThan, 3*largeText/10)
+		convey.So(third, convey.ShouldBeLessThan, 3*largeText/10)
+		convey.So(read == edited(text, "third"), convey.ShouldBeTrue)
+	})
+}
+
+func TestAMemberThatLacksParts(t *testing.T) {
+	text := randomText(largeText, 1)
+	var value []byte
+	var err error
+	inCluster(t, func(c *cluster) {
+		proposer := c.process("member-0").register
+		c.network.Cut("member-2", true)
+		proposer.Change(c.ctx, to(text))
+		synctest.Wait()
+		c.network.Cut("member-2", false)
+		c.network.Cut("member-1", true)
+		_, err = proposer.Change(c.ctx, to(edited(text, "more")))
+		value, _ = c.process("member-2").register.Read(c.ctx)
+	})
+	convey.Convey("A member that missed a change is sent what it lacks, within the same round", t, func() {
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(value) == edited(text, "more"), convey.ShouldBeTrue)
+	})
+}
+
+func TestAValueThatArrivesInSeveralAttempts(t *testing.T) {
+	text := randomText(largeText, 1)
+	var errs []error
+	var value []byte
+	var bytes int64
+	inCluster(t, func(c *cluster) {
+		c.process("member-0").register.Change(c.ctx, to(text))
+		weighing := &weighingCaller{Caller: c.network.Caller(outsider)}
+		reader := New(Config{Name: testRegister, Self: outsider, View: c.View, Caller: weighing})
+		// Each call takes most of the time that a read has.
+		c.network.AddRule(networktest.Rule{From: outsider, Path: fetchCall(testRegister).Path(), Delay: 700 * time.Millisecond})
+		for range 20 {
+			ctx, cancel := context.WithTimeout(c.ctx, 1500*time.Millisecond)
+			read, err := reader.Read(ctx)
+			cancel()
+			errs = append(errs, err)
+			if value = read; err == nil {
+				break
+			}
+		}
+		bytes = weighing.take()
+	})
+	convey.Convey("What has arrived stays for the next attempt, and comes once", t, func() {
+		convey.So(verdict.Of(errs[0]), convey.ShouldEqual, verdict.NotRun)
+		convey.So(errs[len(errs)-1], convey.ShouldBeNil)
+		convey.So(string(value) == text, convey.ShouldBeTrue)
+		convey.So(bytes, convey.ShouldBeLessThan, largeText)
+	})
+}
+
+func TestAReaderGoesOnAtAnotherMember(t *testing.T) {
+	text := randomText(largeText, 1)
+	var value []byte
+	var err error
+	inCluster(t, func(c *cluster) {
+		c.process("member-0").register.Change(c.ctx, to(text))
+		synctest.Wait()
+		for _, member := range []string{"member-0", "member-1"} {
+			c.network.AddRule(networktest.Rule{From: outsider, To: member, Path: fetchCall(testRegister).Path(), Lose: true})
+		}
+		value, err = c.proposer(outsider, nil).Read(c.ctx)
+	})
+	convey.Convey("Members that hand out no parts hold up a read only for a while", t, func() {
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(value) == text, convey.ShouldBeTrue)
+	})
+}
+
+func TestAnAcceptorTakesOnlyWhatWasNamed(t *testing.T) {
+	text := randomText(3*wholeBytes, 1)
+	manifest := parts.NewCut([]byte(text), nil).Manifest()
+	spoilt := manifest
+	spoilt.Sum[0]++
+	var packed [][]byte
+	for _, part := range parts.Split([]byte(text)) {
+		packed = append(packed, parts.Pack(part))
+	}
+	convey.Convey("Given an acceptor", t, func() {
+		store := storage.NewMemory()
+		acceptor := NewAcceptor(AcceptorConfig{Name: testRegister, Store: store, Ready: func() bool { return true }, View: (&cluster{}).View})
+		accept := func(sent content) (reply, error) {
+			return acceptor.serveAccept(context.Background(), acceptRequest{Ballot: Ballot{Counter: 1}, State: state{Sequence: 1}, Content: &sent})
+		}
+		held := func() string {
+			replica, err := acceptor.load(1)
+			convey.So(err, convey.ShouldBeNil)
+			return string(replica.accepted.State.Value)
+		}
+		convey.Convey("a value whose parts are missing is not stored, and the missing ones are named", func() {
+			answer, err := accept(content{Manifest: manifest, Parts: packed[1:]})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(answer.Outcome, convey.ShouldEqual, partsMissing)
+			convey.So(answer.Missing, convey.ShouldResemble, manifest.Parts[:parts.SumBytes])
+			convey.So(held(), convey.ShouldBeEmpty)
+			convey.Convey("once they were pushed, it is", func() {
+				_, err := acceptor.servePush(context.Background(), pushRequest{Parts: packed[:1]})
+				convey.So(err, convey.ShouldBeNil)
+				answer, err := accept(content{Manifest: manifest})
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(answer.Outcome, convey.ShouldEqual, granted)
+				convey.So(held() == text, convey.ShouldBeTrue)
+			})
+		})
+		convey.Convey("a value that is not what its manifest names is refused as not run", func() {
+			_, err := accept(content{Manifest: spoilt, Parts: packed})
+			convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+			convey.So(held(), convey.ShouldBeEmpty)
+		})
+		convey.Convey("so is what is no part at all, and no manifest", func() {
+			_, err := accept(content{Manifest: manifest, Parts: [][]byte{{1, 2, 3}}})
+			convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+			_, err = acceptor.servePush(context.Background(), pushRequest{Parts: [][]byte{{1, 2, 3}}})
+			convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+			_, err = accept(content{Manifest: parts.Manifest{Bytes: -1}})
+			convey.So(verdict.Of(err), convey.ShouldEqual, verdict.NotRun)
+		})
+		convey.Convey("parts that nobody asks to accept do not pile up", func() {
+			for i := range 40 {
+				part := parts.Pack([]byte(randomText(8000, uint64(i))))
+				acceptor.servePush(context.Background(), pushRequest{Parts: [][]byte{part, part}})
+			}
+			convey.So(acceptor.values.pushedBytes, convey.ShouldEqual, 40*8000)
+			acceptor.values.pushedBytes = mostPushed
+			acceptor.servePush(context.Background(), pushRequest{Parts: packed[:1]})
+			convey.So(len(acceptor.values.pushed), convey.ShouldEqual, 1)
+		})
+	})
+}
+
+// Several proposers change a large value while a member comes and goes.
+func TestLargeValuesOfSeveralProposers(t *testing.T) {
+	text := randomText(largeText, 1)
+	ended := 0
+	inCluster(t, func(c *cluster) {
+		var running sync.WaitGroup
+		var mutex sync.Mutex
+		for _, member := range c.view.Members {
+			running.Go(func() {
+				for i := range 6 {
+					_, err := c.process(member).register.Change(c.ctx, to(edited(text, randomText(20, uint64(i)))))
+					mutex.Lock()
+					if err == nil {
+						ended++
+					}
+					mutex.Unlock()
+				}
+			})
+		}
+		running.Wait()
+	})
+	convey.Convey("All changes end", t, func() { convey.So(ended, convey.ShouldEqual, 18) })
+}
--- /dev/null
+++ b/internal/controlplane/register/values.go
@@ -0,0 +1,169 @@
+package register
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"puffinlink.example/puffinlink/internal/controlplane/parts"
+	"puffinlink.example/puffinlink/internal/verdict"
+)
+
+const (
+	// wholeBytes is the length up to which a value travels whole.
+	wholeBytes = 4 << 10
+	// mostPushed bounds the bytes of parts that are kept for values that have not been accepted yet. They are thrown away
+	// together: whoever still needs them sends them again.
+	mostPushed = 2 * parts.MaxContent
+)
+
+// values holds the parts of large values at an acceptor: of the one that was accepted last, and of those that are being
+// sent. Parts are named by their content, so that it does not matter who sent them and for which ballot; a vote depends
+// on them in no other way than that a value is put together from them, which its checksum proves. Nothing here is durable.
+type values struct {
+	mutex       sync.Mutex
+	ballot      Ballot // of the value that was cut
+	view        uint64
+	cut         *parts.Cut
+	pushed      map[parts.Sum][]byte
+	pushedBytes int
+}
+
+// cutOf returns the parts of a value that was accepted under a ballot in a view.
+func (v *values) cutOf(ballot Ballot, view uint64, value []byte) *parts.Cut {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.cut == nil || v.ballot != ballot || v.view != view {
+		v.cut, v.ballot, v.view = parts.NewCut(value, v.cut), ballot, view
+	}
+	return v.cut
+}
+
+// newest returns the parts of the value that was cut last; nil if there is none.
+func (v *values) newest() *parts.Cut {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.cut
+}
+
+// part is the parts.Holder of all that is here.
+func (v *values) part(sum parts.Sum) (part []byte, found bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if part, found = v.pushed[sum]; !found && v.cut != nil {
+		part, found = v.cut.Part(sum)
+	}
+	return part, found
+}
+
+// keep takes packed parts of a value that is being sent. The error is parts.ErrPacked.
+func (v *values) keep(packed [][]byte) error {
+	unpacked := make([][]byte, 0, len(packed))
+	for _, one := range packed {
+		part, err := parts.Unpack(one)
+		if err != nil {
+			return err
+		}
+		unpacked = append(unpacked, part)
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for _, part := range unpacked {
+		v.keepOne(part)
+	}
+	return nil
+}
+
+func (v *values) keepOne(part []byte) {
+	if v.pushed == nil || v.pushedBytes+len(part) > mostPushed {
+		v.pushed, v.pushedBytes = make(map[parts.Sum][]byte), 0
+	}
+	sum := parts.SumOf(part)
+	if _, twice := v.pushed[sum]; !twice {
+		v.pushed[sum] = part
+		v.pushedBytes += len(part)
+	}
+}
+
+// settled throws away what was sent of earlier values, once one was accepted.
+func (v *values) settled(accepted *parts.Cut, ballot Ballot, view uint64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.cut, v.ballot, v.view = accepted, ballot, view
+	v.pushed, v.pushedBytes = nil, 0
+}
+
+// servePrepare and serveRead answer other processes: a large value is named there, and not sent.
+func (a *Acceptor) servePrepare(ctx context.Context, request prepareRequest) (reply, error) {
+	answer, err := a.prepare(ctx, request)
+	if err != nil || !request.ByParts {
+		return answer, err
+	}
+	return a.named(answer, request.ViewVersion), nil
+}
+
+func (a *Acceptor) serveRead(ctx context.Context, request readRequest) (reply, error) {
+	answer, err := a.read(ctx, request)
+	if err != nil || !request.ByParts {
+		return answer, err
+	}
+	return a.named(answer, request.ViewVersion), nil
+}
+
+// named puts a manifest in the place of a large value.
+func (a *Acceptor) named(answer reply, view uint64) reply {
+	if len(answer.State.Value) <= wholeBytes {
+		return answer
+	}
+	manifest := a.values.cutOf(answer.Accepted, view, answer.State.Value).Manifest()
+	answer.Manifest = &manifest
+	answer.State.Value = nil
+	return answer
+}
+
+// serveAccept puts a value together that comes by parts. If some are missing it tells which, and nothing was done.
+func (a *Acceptor) serveAccept(ctx context.Context, request acceptRequest) (reply, error) {
+	if request.Content == nil {
+		return a.accept(ctx, request)
+	}
+	if err := a.values.keep(request.Content.Parts); err != nil {
+		return reply{}, verdict.Unexecuted(err, 0)
+	}
+	gathered, err := parts.NewCollection(request.Content.Manifest, a.values.part)
+	if err != nil {
+		return reply{}, verdict.Unexecuted(err, 0)
+	}
+	if !gathered.Whole() {
+		return reply{Outcome: partsMissing, Missing: parts.Join(gathered.Missing(gathered.Lacks()))}, nil
+	}
+	if request.State.Value, err = gathered.Content(); err != nil {
+		return reply{}, verdict.Unexecuted(fmt.Errorf("accept in register %s: %w", a.config.Name, err), 0)
+	}
+	return a.accept(ctx, request)
+}
+
+// cutLarge cuts a value that travels and is stored by parts; nil stands for a small one.
+func (a *Acceptor) cutLarge(value []byte) *parts.Cut {
+	if len(value) <= wholeBytes {
+		return nil
+	}
+	return parts.NewCut(value, a.values.newest())
+}
+
+func (a *Acceptor) servePush(_ context.Context, request pushRequest) (pushReply, error) {
+	if !a.config.Ready() {
+		return pushReply{}, verdict.Unexecuted(ErrNotReady, notReadyRetry)
+	}
+	if err := a.values.keep(request.Parts); err != nil {
+		return pushReply{}, verdict.Unexecuted(err, 0)
+	}
+	return pushReply{}, nil
+}
+
+func (a *Acceptor) serveFetch(_ context.Context, request fetchRequest) (fetchReply, error) {
+	cut := a.values.newest()
+	if cut == nil {
+		return fetchReply{}, nil
+	}
+	return fetchReply{Parts: cut.PackedSome(parts.SumsOf(request.Sums), request.Room)}, nil
+}
--- a/internal/dataplane/agent/fetch.go
+++ b/internal/dataplane/agent/fetch.go
@@ -72,12 +72,12 @@
 	if err != nil {
 		a.download.failed(call)
 		a.config.Logger.Debug("no parts", zap.String("source", call.source), zap.Error(err))
-		return 0
+		return minPause
 	}
 	if err := a.download.arrived(call, reply, elapsed); err != nil {
 		a.download.failed(call)
 		a.config.Logger.Warn("parts not taken", zap.String("source", call.source), zap.Error(err))
-		return 0
+		return minPause
 	}
 	if err := a.finishDownload(); err != nil {
 		a.config.Logger.Error("configuration not put in force", zap.String("source", call.source), zap.Error(err))
--- a/internal/dataplane/agent/transfer_test.go
+++ b/internal/dataplane/agent/transfer_test.go
@@ -188,7 +188,8 @@
 				w.network.setLink(address)
 				w.addAgent(address, []string{"core-0", "core-1", "core-2"})
 			}
-			last := watch.storm(10, 5*time.Second)
+			last := watch.storm(10, 6*time.Second)
+			So(watch.wrong, ShouldBeEmpty)
 			watch.pass(applyBound)
 			So(w.stragglers(last), ShouldBeEmpty)
 		})
--- a/internal/dataplane/proxy/feed_test.go
+++ b/internal/dataplane/proxy/feed_test.go
@@ -97,6 +97,20 @@
 	return nil
 }
 
+func TestMembersThatAreLeftOut(t *testing.T) {
+	Convey("News without members leave those that are known as they are", t, func() {
+		f := newTestFollower()
+		whole := news(5, configurationOf(1000), nil)
+		whole.Snapshot.Core = []string{"core:1"}
+		f.apply(whole, f.now())
+		named := f.digest().MembersSum
+		So(named, ShouldNotEqual, 0)
+		f.apply(news(6, configurationOf(2000), nil), f.now())
+		So(f.digest().MembersSum, ShouldEqual, named)
+		So(f.digest().ConfigurationVersion, ShouldEqual, 6)
+	})
+}
+
 func TestStaleness(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		Convey("A feed that is not heard of is not current any more", t, func() {
