--- a/internal/controlplane/register/restart_test.go
+++ b/internal/controlplane/register/restart_test.go
@@ -1,7 +1,6 @@
 package register
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
@@ -40,10 +39,16 @@
 // SyncFolder implements storage.FileSystem.
 func (unsynced) SyncFolder(string) error { return nil }
 
-// stateAfter is as long as the configuration's state after a number of changes.
+// history20k is what the orders of all changes amount to, one after the other.
+var history20k = randomText(bodyBytes+takenBytes*(20_000+takenMost), 7)
+
+// stateAfter is as long as the configuration's state after a number of changes, and differs from the one before as that
+// does: a new body, and one more order behind the others, of which the oldest goes.
 func stateAfter(changes int) state {
-	value := bytes.Repeat([]byte{byte(changes)}, bodyBytes+takenBytes*min(changes, takenMost))
-	return state{Value: value, Sequence: uint64(changes)}
+	body := history20k[changes : changes+bodyBytes]
+	newest := takenBytes * changes
+	oldest := takenBytes * max(0, changes-takenMost)
+	return state{Value: []byte(body + history20k[oldest:newest]), Sequence: uint64(changes)}
 }
 
 // A member starts again as fast after 20,000 changes of the configuration as after 2,000: its file is rewritten all the time.
--- a/internal/controlplane/register/travel.go
+++ b/internal/controlplane/register/travel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/parts"
@@ -127,19 +128,35 @@
 		return nil, err
 	}
 	r.setPartial(collection)
-	for _, answer := range answered.granted {
-		for answer.Accepted == ballot && answer.member != "" && !collection.Whole() {
-			if err = r.fetch(ctx, answer.member, collection); err != nil {
+	for _, member := range answered.sources(ballot) {
+		for !collection.Whole() && ctx.Err() == nil {
+			if err = r.fetch(ctx, member, collection); err != nil {
 				break // the next member goes on from here
 			}
 		}
 	}
 	if !collection.Whole() {
-		return nil, err
+		return nil, errors.Join(err, context.Cause(ctx))
 	}
 	return collection.Content()
 }
 
+// sources are the members that may have what was accepted under a ballot: first those that have told of it.
+func (r *round) sources(ballot Ballot) []string {
+	var members []string
+	for _, answer := range r.granted {
+		if answer.Accepted == ballot && answer.member != "" {
+			members = append(members, answer.member)
+		}
+	}
+	for _, member := range r.view.Members {
+		if !slices.Contains(members, member) {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 // holders are where parts may be at hand: in what is known, what came of a state that did not arrive whole, and the own
 // acceptor.
 func (r *Register) holders(known knownState) []parts.Holder {
