--- a/scripts/days/deployments.py
+++ b/scripts/days/deployments.py
@@ -104,6 +104,31 @@
     site["net"]["cross_zone_ms"] = 6.0
 
 
+def _thin_links(site: dict) -> None:
+    """Let nothing that grows with the configuration pass at once: half of the usual thin links, and a large configuration."""
+    for machine in _fronts_of(site):
+        machine["link_mbps"] = 1.0
+    for machine in _cores_of(site):
+        machine["link_mbps"] = 20.0
+    site["config"]["idle_routes"] = 960
+    for service in site["services"]:
+        service["node"]["rack"] = 8
+
+
+def _few_and_long(site: dict) -> None:
+    """Tolerate one lost machine, have a third fewer searchers in other racks, and let tasks take twice as long."""
+    site["tolerate"]["machines"] = 1
+    for service in site["services"]:
+        service["node"]["rack"] = 5
+        for group in service["servers"]:
+            group["count"] = max(1, group["count"] * 2 // 3)
+    for job_class in site["classes"]:
+        for name in ["mean", "max"]:
+            job_class["work_ms"][name] *= 2
+    site["config"]["idle_routes"] = 40
+    _scale_arrivals(site, 0.33)
+
+
 def _rare_label(share: float) -> Change:
     """Let the label b stand on the given share of a service's workers, one at least."""
 
@@ -196,6 +221,8 @@
     "thirty-fronts": _front_count(30),
     "slow-disks": _slow_disks,
     "slow-links": _slow_links,
+    "thin-links": _thin_links,
+    "few-and-long": _few_and_long,
     "label-1-percent": _rare_label(0.01),
     "label-5-percent": _rare_label(0.05),
     "all-gangs": _jobs_changed(gang=1.0),
--- a/scripts/days/troubles.py
+++ b/scripts/days/troubles.py
@@ -7,7 +7,7 @@
 """When the trouble of a day begins, in seconds from the start of traffic."""
 
 PLANNED_KINDS = {"scale_in", "roll_term", "seed_turnover", "config_change", "config_race", "bad_config", "hup",
-                 "config_storm"}
+                 "config_storm", "big_config"}
 """Kinds that stand under `plan`; all others stand under `faults`."""
 
 
@@ -148,6 +148,8 @@
     entries = [Entry("ack_lost", {"x": 0.7, "for_s": 14.0}), Entry("config_race", {"count": 4, "gap_s": 1.0})]
     for how in ["route", "weights", "timeout", "idle"]:
         entries.append(Entry("config_change", {"how": how}))
+    entries.append(Entry("big_config", {"count": 1480}))
+    entries.append(Entry("config_storm", {"gap_s": 0.17, "for_s": 6.0, "how": "idle"}))
     for how in ["cut_short", "unknown_service", "same_place", "no_timeout", "old_version", "same_version",
                 "stale_match"]:
         entries.append(Entry("bad_config", {"count": 3, "gap_s": 1.0, "how": how}))
