Register: values go by parts only to members that say that they take them

Cause, found on the last read: an acceptor of an older build skips the field that names a value and would store an empty one, so that a mixed set of members could have lost a large configuration. Accept requests by parts have a path of their own now, and a member whose answer to the prepare request does not say that it serves it gets the value whole. The mean length of parts, as measured, stands in the comment.

--- a/internal/controlplane/parts/parts.go
+++ b/internal/controlplane/parts/parts.go
@@ -24,12 +24,12 @@
 }
 
 const (
-	// minPart, meanPart and maxPart bound the length of a part, in bytes. A mean of 2 KB keeps both costs of a change low
-	// for contents of 50 KB to 1 MB: the manifest, 16 bytes a part, and the parts around the change.
-	minPart  = 512
-	meanPart = 2 << 10
-	maxPart  = 8 << 10
-	// cutMask is compared with the rolling checksum: a place is a cut with a chance of 1 / (meanPart - minPart), about.
+	// minPart and maxPart bound the length of a part, in bytes. Parts of some kilobytes keep both costs of a change low for
+	// contents of 50 KB to 1 MB: the manifest, 16 bytes a part, and the parts around the change.
+	minPart = 512
+	maxPart = 8 << 10
+	// cutMask is compared with the rolling checksum: a place is a cut with a chance of 1 in 2,048. Configurations have fewer
+	// different places than bytes, so that their parts have 4 KB in the mean.
 	cutMask = (1<<11 - 1) << 40
 )
 
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -72,7 +72,8 @@
 // Serve registers the acceptor's internal calls.
 func (a *Acceptor) Serve(mux *transport.Mux) {
 	transport.Handle(mux, prepareCall(a.config.Name), a.servePrepare)
-	transport.Handle(mux, acceptCall(a.config.Name), a.serveAccept)
+	transport.Handle(mux, acceptCall(a.config.Name), a.accept)
+	transport.Handle(mux, acceptPartsCall(a.config.Name), a.serveAccept)
 	transport.Handle(mux, readCall(a.config.Name), a.serveRead)
 	transport.Handle(mux, pushCall(a.config.Name), a.servePush)
 	transport.Handle(mux, fetchCall(a.config.Name), a.serveFetch)
--- a/internal/controlplane/register/disksgone_test.go
+++ b/internal/controlplane/register/disksgone_test.go
@@ -84,7 +84,7 @@
 	case prepareRequest:
 		*answer.(*reply), err = acceptor.servePrepare(ctx, asked)
 	case acceptRequest:
-		*answer.(*reply), err = acceptor.serveAccept(ctx, asked)
+		*answer.(*reply), err = serveAnyAccept(ctx, acceptor, asked)
 	case readRequest:
 		*answer.(*reply), err = acceptor.serveRead(ctx, asked)
 	case pushRequest:
--- a/internal/controlplane/register/known_test.go
+++ b/internal/controlplane/register/known_test.go
@@ -29,7 +29,7 @@
 	case prepareRequest:
 		*answer.(*reply), err = acceptor.servePrepare(ctx, asked)
 	case acceptRequest:
-		*answer.(*reply), err = acceptor.serveAccept(ctx, asked)
+		*answer.(*reply), err = serveAnyAccept(ctx, acceptor, asked)
 		if answer.(*reply).Outcome == granted {
 			d.accepted <- struct{}{}
 		}
@@ -49,6 +49,14 @@
 	return err
 }
 
+// serveAnyAccept serves both forms of accept requests.
+func serveAnyAccept(ctx context.Context, acceptor *Acceptor, request acceptRequest) (reply, error) {
+	if request.Content == nil {
+		return acceptor.accept(ctx, request)
+	}
+	return acceptor.serveAccept(ctx, request)
+}
+
 // readBytes is how many bytes the answers to one read have, with the parts that it fetches.
 func (d *direct) readBytes(reads func()) (sum int) {
 	before := d.fetched
--- a/internal/controlplane/register/messages.go
+++ b/internal/controlplane/register/messages.go
@@ -74,6 +74,9 @@
 	State    state           `msgpack:"s"`           // not in answers to accept requests, nor where the asker knows it
 	Manifest *parts.Manifest `msgpack:"m,omitempty"` // of the state's value, which is left out then
 	Missing  []byte          `msgpack:"x,omitempty"` // checksums of missing parts, one after the other
+	// TakesParts tells that the acceptor serves acceptPartsCall. One of an older build would take a request there is no
+	// value in for one to accept an empty value, so that it gets values whole, by acceptCall.
+	TakesParts bool `msgpack:"t,omitempty"`
 }
 
 // Internal calls of the register of a name. Votes under one ballot are alike whenever and however often they are given.
@@ -85,6 +88,11 @@
 	return transport.NewRepeatable[acceptRequest, reply]("/register/" + name + "/accept")
 }
 
+// acceptPartsCall is an accept request whose value travels by parts.
+func acceptPartsCall(name string) transport.Repeatable[acceptRequest, reply] {
+	return transport.NewRepeatable[acceptRequest, reply]("/register/" + name + "/accept-parts")
+}
+
 func readCall(name string) transport.Repeatable[readRequest, reply] {
 	return transport.NewRepeatable[readRequest, reply]("/register/" + name + "/read")
 }
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 
-	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/verdict"
 )
 
@@ -86,7 +85,7 @@
 	}
 	if !settled {
 		request := acceptRequest{ViewVersion: view.Version, Ballot: ballot, State: decision.state}
-		if err := p.accept(ctx, request, view); err != nil {
+		if err := p.accept(ctx, request, preparing); err != nil {
 			return nil, err
 		}
 		p.resolved = !decision.proposes
@@ -142,12 +141,14 @@
 	return decision{state: made, proposes: true, value: next}, nil
 }
 
-func (p *proposer) accept(ctx context.Context, request acceptRequest, view replicaset.View) error {
+// accept makes the accept round that follows a prepare round.
+func (p *proposer) accept(ctx context.Context, request acceptRequest, prepared *round) error {
+	view := prepared.view
 	accepting := &round{view: view, limit: p.register.roundLimit}
 	proposed := p.register.proposed(view.Version, request)
 	send := p.register.accept
 	if proposed.cut != nil {
-		send = p.register.acceptByParts(proposed)
+		send = p.register.acceptByParts(proposed, prepared.takeWholeOnly())
 	}
 	err := accepting.run(ctx, func(ctx context.Context, member string) (reply, error) {
 		return send(ctx, member, request)
--- a/internal/controlplane/register/travel.go
+++ b/internal/controlplane/register/travel.go
@@ -216,7 +216,8 @@
 
 // acceptByParts returns what asks members to accept a state with a large value. They are expected to hold the state that
 // is known here, on which the new one is based; parts of which a member turns out to lack are sent ahead, a few at a time.
-func (r *Register) acceptByParts(proposed knownState) sendAccept {
+// Members that are known to take whole values only, as they are of an older build, get it whole.
+func (r *Register) acceptByParts(proposed knownState, wholeOnly map[string]bool) sendAccept {
 	base := func(parts.Sum) ([]byte, bool) { return nil, false }
 	if known := r.knownIn(proposed.view); known.cut != nil {
 		base = known.cut.Part
@@ -226,8 +227,8 @@
 		Parts:    proposed.cut.Packed(parts.Without(proposed.cut.Sums(), base), mostInline),
 	}
 	return func(ctx context.Context, member string, request acceptRequest) (reply, error) {
-		if r.own(member) {
-			return r.config.Acceptor.accept(ctx, request)
+		if r.own(member) || wholeOnly[member] {
+			return r.accept(ctx, member, request)
 		}
 		request.State.Value = nil
 		request.Content = &offered
@@ -235,13 +236,24 @@
 	}
 }
 
+// takeWholeOnly lists the members whose answers to a prepare request show that they serve no accept requests by parts.
+func (r *round) takeWholeOnly() map[string]bool {
+	members := make(map[string]bool)
+	for _, answer := range r.granted {
+		if !answer.TakesParts {
+			members[answer.member] = true
+		}
+	}
+	return members
+}
+
 // sendAccept sends an accept request to a member.
 type sendAccept func(ctx context.Context, member string, request acceptRequest) (reply, error)
 
 // offer sends an accept request until the member has all parts of its value.
 func (r *Register) offer(ctx context.Context, member string, request acceptRequest, cut *parts.Cut) (reply, error) {
 	for range offers {
-		answer, err := acceptCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
+		answer, err := acceptPartsCall(r.config.Name).Call(ctx, r.config.Caller, member, request)
 		if err != nil || answer.Outcome != partsMissing {
 			return answer, err
 		}
--- a/internal/controlplane/register/travel_test.go
+++ b/internal/controlplane/register/travel_test.go
@@ -219,6 +219,35 @@
 	})
 }
 
+// A member of an older build serves no accept requests by parts, and would take one without a value for an empty value.
+func TestMembersOfOlderBuildsGetValuesWhole(t *testing.T) {
+	text := randomText(largeText, 1)
+	var read []byte
+	var err error
+	inCluster(t, func(c *cluster) {
+		for _, member := range []string{"member-0", "member-1"} {
+			c.serveAsOlderBuild(member)
+		}
+		_, err = c.process("member-2").register.Change(c.ctx, to(text))
+		c.network.Cut("member-2", true)
+		read, _ = c.process("member-1").register.Read(c.ctx)
+	})
+	convey.Convey("A majority of them holds the value", t, func() {
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(read) == text, convey.ShouldBeTrue)
+	})
+}
+
+// serveAsOlderBuild lets a member answer as one that knows of no parts.
+func (c *cluster) serveAsOlderBuild(address string) {
+	acceptor := c.process(address).register.config.Acceptor
+	mux := transport.NewMux()
+	transport.Handle(mux, prepareCall(testRegister), acceptor.prepare)
+	transport.Handle(mux, acceptCall(testRegister), acceptor.accept)
+	transport.Handle(mux, readCall(testRegister), acceptor.read)
+	c.network.Serve(address, mux)
+}
+
 // Several proposers change a large value while a member comes and goes.
 func TestLargeValuesOfSeveralProposers(t *testing.T) {
 	text := randomText(largeText, 1)
--- a/internal/controlplane/register/values.go
+++ b/internal/controlplane/register/values.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -93,9 +94,13 @@
 	v.pushed, v.pushedBytes = nil, 0
 }
 
+// errNoContent is the refusal of an accept request by parts that names no value.
+var errNoContent = errors.New("the request names no value")
+
 // servePrepare and serveRead answer other processes: a large value is named there, and not sent.
 func (a *Acceptor) servePrepare(ctx context.Context, request prepareRequest) (reply, error) {
 	answer, err := a.prepare(ctx, request)
+	answer.TakesParts = true
 	if err != nil || !request.ByParts {
 		return answer, err
 	}
@@ -124,7 +129,7 @@
 // serveAccept puts a value together that comes by parts. If some are missing it tells which, and nothing was done.
 func (a *Acceptor) serveAccept(ctx context.Context, request acceptRequest) (reply, error) {
 	if request.Content == nil {
-		return a.accept(ctx, request)
+		return reply{}, verdict.Unexecuted(errNoContent, 0)
 	}
 	if err := a.values.keep(request.Content.Parts); err != nil {
 		return reply{}, verdict.Unexecuted(err, 0)
