Parts: a collection takes packed parts itself

The agent's download and the register's fetch each unpacked and added parts in a loop of their own; one method serves both. A method that nothing calls goes, and a manifest joins checksums by the function that does so elsewhere. Behaviour is as it was.

--- a/internal/controlplane/parts/collection.go
+++ b/internal/controlplane/parts/collection.go
@@ -45,9 +45,6 @@
 	return part, found
 }
 
-// Manifest names the content that is gathered.
-func (c *Collection) Manifest() Manifest { return c.manifest }
-
 // Add takes a part and tells whether it was missing. Any other changes nothing.
 func (c *Collection) Add(part []byte) bool {
 	sum := SumOf(part)
@@ -59,6 +56,19 @@
 	return true
 }
 
+// AddPacked takes packed parts; those that are not missing change nothing. The error is ErrPacked; parts before the wrong
+// one are taken.
+func (c *Collection) AddPacked(packed [][]byte) error {
+	for _, one := range packed {
+		part, err := Unpack(one)
+		if err != nil {
+			return err
+		}
+		c.Add(part)
+	}
+	return nil
+}
+
 // Missing lists at most a number of parts that are still to come, in the content's order.
 func (c *Collection) Missing(most int) []Sum {
 	missing := Without(c.order, c.Part)
--- a/internal/controlplane/parts/parts.go
+++ b/internal/controlplane/parts/parts.go
@@ -82,12 +82,11 @@
 
 // NewManifest makes the manifest of a content that was split.
 func NewManifest(content []byte, split [][]byte) Manifest {
-	manifest := Manifest{Sum: SumOf(content), Bytes: len(content), Parts: make([]byte, 0, SumBytes*len(split))}
+	sums := make([]Sum, 0, len(split))
 	for _, part := range split {
-		sum := SumOf(part)
-		manifest.Parts = append(manifest.Parts, sum[:]...)
+		sums = append(sums, SumOf(part))
 	}
-	return manifest
+	return Manifest{Sum: SumOf(content), Bytes: len(content), Parts: Join(sums)}
 }
 
 // Errors of contents that do not arrive as they were sent.
--- a/internal/controlplane/register/travel.go
+++ b/internal/controlplane/register/travel.go
@@ -193,12 +193,8 @@
 		return err
 	}
 	before := collection.Lacks()
-	for _, packed := range answer.Parts {
-		part, err := parts.Unpack(packed)
-		if err != nil {
-			return err
-		}
-		collection.Add(part)
+	if err := collection.AddPacked(answer.Parts); err != nil {
+		return err
 	}
 	if collection.Lacks() == before {
 		return errNotHeld
--- a/internal/dataplane/agent/download.go
+++ b/internal/dataplane/agent/download.go
@@ -82,7 +82,7 @@
 	}
 	d.asked = slices.DeleteFunc(d.asked, func(address string) bool { return address == source })
 	signalWake(d.wake)
-	return d.add(offer.Parts)
+	return d.collection.AddPacked(offer.Parts)
 }
 
 func (d *download) begin(version uint64, manifest parts.Manifest, known parts.Holder, now time.Time) error {
@@ -102,18 +102,6 @@
 	return nil
 }
 
-// add takes packed parts; those that are not missing change nothing.
-func (d *download) add(packed [][]byte) error {
-	for _, one := range packed {
-		part, err := parts.Unpack(one)
-		if err != nil {
-			return err
-		}
-		d.collection.Add(part)
-	}
-	return nil
-}
-
 // errWrongContent is the failure of a configuration whose parts do not make up what was offered.
 var errWrongContent = fmt.Errorf("configuration not taken: %w", parts.ErrContent)
 
@@ -180,7 +168,7 @@
 		return nil
 	}
 	before := d.collection.Lacks()
-	err := d.add(reply.Parts)
+	err := d.collection.AddPacked(reply.Parts)
 	if d.collection.Lacks() == before {
 		d.drop(call)
 	}
