A departing member stops only while a quorum is known to stay; calls under a refused token end at once

It asked the others once, for 0.2 s, and stopped when a reply or its successor's announcement was lost or late. The rule is a pure function now (replicaset.Departure): a quorum of others has just replied that they may vote and stay, each member that joined meanwhile may vote, and no joining member waits that it or any that replied knows.

Cause 2: a worker's refusal for a higher fencing token ended the term through the queue of reports and the node's next step, while the leader's other links went on. workerclient.Config.FencedOff ends the term before the report; a resigned term is valid no more. Tests for a process that wakes up, one eight times as slow, reports that nobody takes, and a lost refusal.

--- a/internal/controlplane/coordinator/shutdown.go
+++ b/internal/controlplane/coordinator/shutdown.go
@@ -41,17 +41,28 @@
 	c.platformHTTP.CloseIdleConnections()
 }
 
-// handOver tells the other members that this process stops. After a requested stop it serves on until no other member is being
-// rebuilt and a joining member, if one waits, has replaced this one and has been rebuilt; but no longer than handOverTimeout.
+// handOver tells the other members that this process stops. After a requested stop it serves on until it may stop, but no longer
+// than handOverTimeout: a quorum of other members is there, and a joining member, if one waits, has replaced this one and has
+// been rebuilt.
 func (c *Coordinator) handOver(ctx context.Context, requested bool) {
 	if !requested {
 		go c.replicas.Leave(ctx)
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, handOverTimeout(c.settings.Bounds.GracePeriod))
+	timeout := handOverTimeout(c.settings.Bounds.GracePeriod)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	rebuilt := c.rebuilder.HandOver(limited, c.replicas.Leave)
-	c.log.Info("handed over before shutdown", zap.Bool("joining_member_rebuilt", rebuilt))
+	departure := c.rebuilder.HandOver(limited, c.replicas.Leave)
+	replaced := departure.WasMember && !departure.View.Has(departure.Self)
+	switch {
+	case departure.MayStop():
+		c.log.Info("handed over before shutdown", zap.Bool("joining_member_rebuilt", replaced))
+	case departure.KeepsQuorum():
+		c.log.Warn("shutting down before a joining member may vote", zap.Duration("waited", timeout), zap.Bool("replaced", replaced))
+	default:
+		c.log.Warn("shutting down although no quorum of other replicas is known to stay", zap.Duration("waited", timeout),
+			zap.Int("staying", departure.Staying), zap.Strings("replicas", departure.View.Members))
+	}
 }
 
 // handOverTimeout is how long a member may wait for its successor after a requested stop.
--- a/internal/controlplane/rebuild/calls.go
+++ b/internal/controlplane/rebuild/calls.go
@@ -28,11 +28,15 @@
 	Entries  []storage.Change `msgpack:"e"`
 }
 
-// readyRequest asks whether a process may vote as a member.
+// readyRequest asks whether a process may vote as a member, and stays one.
 type readyRequest struct{}
 
+// readyReply is the reply. Builds before the last two fields leave them out: such a process counts as one that stays and knows of
+// no joining member.
 type readyReply struct {
-	Ready bool `msgpack:"r"`
+	Ready     bool `msgpack:"r"`
+	Departing bool `msgpack:"d,omitempty"` // the process is about to stop
+	Joining   bool `msgpack:"j,omitempty"` // the process knows of a core node that waits to become a member
 }
 
 // Serve registers the internal calls with which others fetch snapshots, and learn whether this member has been rebuilt.
--- a/internal/controlplane/rebuild/config.go
+++ b/internal/controlplane/rebuild/config.go
@@ -28,6 +28,12 @@
 	Learn(view replicaset.View) error
 	// Absences returns a number that grows each time this process learns that it is no member any more.
 	Absences() uint64
+	// Departing tells whether this process is about to stop.
+	Departing() bool
+	// KnowsJoiningMember tells whether a core node that waits to become a member has been heard of lately.
+	KnowsJoiningMember() bool
+	// OthersDepart tells whether every other member is about to stop.
+	OthersDepart() bool
 }
 
 // Config names what a Rebuilder works with.
--- a/internal/controlplane/rebuild/fetch.go
+++ b/internal/controlplane/rebuild/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -17,12 +18,23 @@
 
 const (
 	fetchRetryInterval = 250 * time.Millisecond // after a member gave no snapshot, until it is asked again
-	// chunkTimeout bounds all calls for a chunk, until the transfer starts anew.
-	chunkTimeout = 10 * time.Second
+	// minChunkTimeout and maxChunkTimeout bound the calls for a chunk until they are made anew: at first, and after time-outs in
+	// a row, each of which doubles it.
+	minChunkTimeout = 3500 * time.Millisecond
+	maxChunkTimeout = 14 * time.Second
 	// hedgeDelay is how long a chunk is waited for before it is requested once more; there are at most maxChunkCalls calls
 	// for it.
 	hedgeDelay    = time.Second
 	maxChunkCalls = 3
+	// probeInterval and probeTimeout are those of the small calls that find out whether a donor that gives no chunk is out
+	// of reach.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = time.Second
+)
+
+var (
+	errChunkLate     = errors.New("no call for the chunk got a reply in time")
+	errDonorReturned = errors.New("the donor was out of reach, so that the calls for the chunk are lost")
 )
 
 // donors are the processes that this member fetches snapshots from: the other members, and the one that this very process
@@ -92,20 +104,38 @@
 	return tables, nil
 }
 
+// fetchChunk gets one chunk. Calls that were lost without a sign are made anew: after a time-out that grows, as a slow link
+// needs longer, and at once where the donor was out of reach and has replied again.
+func (r *Rebuilder) fetchChunk(ctx context.Context, member string, request dumpRequest) (dumpReply, error) {
+	for timeout := minChunkTimeout; ; {
+		reply, err := r.hedgeChunk(ctx, member, request, timeout)
+		switch {
+		case errors.Is(err, errDonorReturned):
+			timeout = minChunkTimeout
+		case errors.Is(err, errChunkLate):
+			timeout = min(2*timeout, maxChunkTimeout)
+		default:
+			return reply, err
+		}
+	}
+}
+
 // chunkResult is the result of one call for a chunk.
 type chunkResult struct {
 	reply dumpReply
 	err   error
 }
 
-// fetchChunk gets one chunk, with hedged calls (Dean and Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013):
-// a request or a reply may be lost without a sign, so another call is made after a delay, though the first may still be
-// under way. A refusal is final.
-func (r *Rebuilder) fetchChunk(ctx context.Context, member string, request dumpRequest) (dumpReply, error) {
+// hedgeChunk gets one chunk within the time-out, with hedged calls (Dean and Barroso, "The Tail at Scale", Communications of the
+// ACM 56(2), 2013): a request or a reply may be lost without a sign, so another call is made after a delay, though the first
+// may still be under way. A refusal is final.
+func (r *Rebuilder) hedgeChunk(ctx context.Context, member string, request dumpRequest, timeout time.Duration) (dumpReply, error) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
-	defer cancel()
+	ctx, cancelTimeout := context.WithTimeoutCause(ctx, timeout, errChunkLate)
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	results := make(chan chunkResult, maxChunkCalls)
 	nextCall := time.NewTimer(0)
 	defer nextCall.Stop()
@@ -119,12 +149,14 @@
 			})
 			if sent < maxChunkCalls {
 				nextCall.Reset(hedgeDelay)
+			} else {
+				calls.Go(func() { r.awaitReturn(ctx, member, cancel) })
 			}
 		case result := <-results:
 			if result.err == nil || rpcerror.ExecutionOf(result.err) == rpcerror.NotExecuted {
 				return result.reply, result.err
 			}
-			if failed++; failed == maxChunkCalls {
+			if failed++; failed == maxChunkCalls && ctx.Err() == nil {
 				return dumpReply{}, result.err
 			}
 		case <-ctx.Done():
@@ -132,3 +164,18 @@
 		}
 	}
 }
+
+// awaitReturn cancels all calls for a chunk once the donor has been out of reach and has replied again: none of them is still
+// under way then.
+func (r *Rebuilder) awaitReturn(ctx context.Context, member string, cancel context.CancelCauseFunc) {
+	for unreachable := false; timer.Sleep(ctx, probeInterval); {
+		probe, endProbe := context.WithTimeout(ctx, probeTimeout)
+		_, err := r.requestReady(probe, member)
+		endProbe()
+		if err == nil && unreachable {
+			cancel(errDonorReturned)
+			return
+		}
+		unreachable = err != nil
+	}
+}
--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,90 +13,110 @@
 )
 
 const (
-	readyInterval = 100 * time.Millisecond // between requests whether members have been rebuilt
-	readyTimeout  = 500 * time.Millisecond // of one such request to a joining member
-	// rebuildingTimeout is the same for the other members, of which those that have failed are to delay nothing.
-	rebuildingTimeout = 200 * time.Millisecond
+	departureInterval = 100 * time.Millisecond // from one round of a departure until the next
+	readyTimeout      = 300 * time.Millisecond // of a request whether a member may vote and stays
 )
 
 func (r *Rebuilder) handleReady(context.Context, readyRequest) (readyReply, error) {
-	return readyReply{Ready: r.Ready() && r.config.Views.View().Has(r.config.Self)}, nil
+	views := r.config.Views
+	return readyReply{
+		Ready:     r.Ready() && views.View().Has(r.config.Self),
+		Departing: views.Departing(),
+		Joining:   views.KnowsJoiningMember(),
+	}, nil
 }
 
-// HandOver lets a joining member replace this departing member. It waits for members that are being rebuilt, as they may
-// need this member's snapshot; calls leave, which is to return once this member has been replaced or there is nobody to
-// replace it; and waits until the joining member has been rebuilt. It tells whether that is so; then nothing is left that
-// only this process holds.
-func (r *Rebuilder) HandOver(ctx context.Context, leave func(ctx context.Context) (replaced bool)) bool {
+// HandOver serves on as a departing member until it may stop (replicaset.Departure.MayStop) or the context ends. Meanwhile it
+// calls leave again and again, which is to send leave requests, so that a joining member replaces this one. It returns what it
+// knew last: where the member may stop, nothing is left that only this process holds.
+func (r *Rebuilder) HandOver(ctx context.Context, leave func(ctx context.Context)) replicaset.Departure {
+	begun := r.config.Views.View()
+	joined := joinedMembers{view: begun, unconfirmed: make(map[string]bool)}
 	for {
-		r.awaitRebuilds(ctx)
-		earlier := r.config.Views.View()
-		if leave(ctx) {
-			return r.awaitJoiningMembers(ctx, earlier)
-		}
-		if !r.anyRebuilding(ctx) {
-			return false // a joining member may have replaced another member instead, and be rebuilt by now
+		var leaving sync.WaitGroup
+		leaving.Go(func() { leave(ctx) })
+		departure := r.observeDeparture(ctx, &joined)
+		departure.WasMember = begun.Has(r.config.Self)
+		leaving.Wait()
+		if departure.MayStop() || !timer.Sleep(ctx, departureInterval) {
+			return departure
 		}
 	}
 }
 
-// awaitRebuilds waits while another member replies that it is being rebuilt. It does not wait for members that do not reply.
-func (r *Rebuilder) awaitRebuilds(ctx context.Context) {
-	for r.anyRebuilding(ctx) {
-		if !timer.Sleep(ctx, readyInterval) {
-			return
+// joinedMembers are the members that have joined since a departure began, and have not replied yet that they may vote.
+type joinedMembers struct {
+	view        replicaset.View // the newest that was observed
+	unconfirmed map[string]bool // by address
+}
+
+// observe adds the members that have joined with a newer view. Where views were missed, a member may have been replaced and
+// have joined again, so that each of them counts.
+func (j *joinedMembers) observe(view replicaset.View) {
+	missed := view.Version > j.view.Version+1
+	for _, member := range view.Members {
+		if missed || !j.view.Has(member) {
+			j.unconfirmed[member] = true
 		}
 	}
+	maps.DeleteFunc(j.unconfirmed, func(member string, _ bool) bool { return !view.Has(member) })
+	j.view = view
 }
 
-func (r *Rebuilder) anyRebuilding(ctx context.Context) bool {
-	others := func(member string) bool { return member != r.config.Self }
-	rebuilding, _ := r.countNotReady(ctx, others, rebuildingTimeout)
-	return rebuilding > 0
+// memberReply is a member's reply to a ready request, or the failure to get one.
+type memberReply struct {
+	member string
+	reply  readyReply
+	err    error
 }
 
-// awaitJoiningMembers waits until each member of the current view that was none in an earlier view may vote, or the context
-// ends. It tells whether they may.
-func (r *Rebuilder) awaitJoiningMembers(ctx context.Context, earlier replicaset.View) bool {
-	joined := func(member string) bool { return !earlier.Has(member) }
-	for {
-		if rebuilding, unreachable := r.countNotReady(ctx, joined, readyTimeout); rebuilding+unreachable == 0 {
-			return true
+// observeDeparture asks all other members at once, and returns what this member now knows.
+func (r *Rebuilder) observeDeparture(ctx context.Context, joined *joinedMembers) replicaset.Departure {
+	views := r.config.Views
+	joined.observe(views.View())
+	departure := replicaset.Departure{
+		View: joined.view, Self: r.config.Self, JoiningMember: views.KnowsJoiningMember(), OthersDepart: views.OthersDepart(),
+	}
+	for _, answer := range r.askWhetherReady(ctx, joined.view) {
+		ready := answer.err == nil && answer.reply.Ready
+		stopsBefore := answer.reply.Departing && answer.member < r.config.Self
+		if ready {
+			delete(joined.unconfirmed, answer.member)
+		}
+		if ready && !stopsBefore {
+			departure.Staying++
 		}
-		if !timer.Sleep(ctx, readyInterval) {
-			return false
+		if answer.reply.Joining {
+			departure.JoiningMember = true
 		}
 	}
+	delete(joined.unconfirmed, r.config.Self)
+	departure.JoinedIncomplete = len(joined.unconfirmed) > 0
+	return departure
 }
 
-// countNotReady asks the selected members of the current view at once whether they may vote. It returns how many replied
-// that they may not, and how many did not reply in time.
-func (r *Rebuilder) countNotReady(ctx context.Context, selected func(member string) bool, timeout time.Duration) (rebuilding, unreachable int) {
-	var calls sync.WaitGroup
-	var notReady, failed atomic.Int32
-	for _, member := range r.config.Views.View().Members {
-		if !selected(member) {
-			continue
+// askWhetherReady asks all other members of a view at once whether they may vote and stay.
+func (r *Rebuilder) askWhetherReady(ctx context.Context, view replicaset.View) []memberReply {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var replies []memberReply
+	for _, member := range view.Members {
+		if member != r.config.Self {
+			replies = append(replies, memberReply{member: member})
 		}
-		calls.Go(func() {
-			switch ready, err := r.requestReady(ctx, member, timeout); {
-			case err != nil:
-				failed.Add(1)
-			case !ready:
-				notReady.Add(1)
-			}
-		})
+	}
+	var calls sync.WaitGroup
+	for i := range replies {
+		calls.Go(func() { replies[i].reply, replies[i].err = r.requestReady(ctx, replies[i].member) })
 	}
 	calls.Wait()
-	return int(notReady.Load()), int(failed.Load())
+	return replies
 }
 
-func (r *Rebuilder) requestReady(ctx context.Context, member string, timeout time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (r *Rebuilder) requestReady(ctx context.Context, member string) (readyReply, error) {
 	reply, err := readyCall.Call(ctx, r.config.Caller, member, readyRequest{})
 	if err != nil {
 		r.config.Logger.Debug("readiness request failed", zap.String("member", member), zap.Error(err))
 	}
-	return reply.Ready, err
+	return reply, err
 }
--- a/internal/controlplane/rebuild/wire_test.go
+++ b/internal/controlplane/rebuild/wire_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"puffinlink.example/puffinlink/internal/goldentest"
 )
 
@@ -16,6 +18,14 @@
 	)
 }
 
+// TestReadyReplyOfEarlierBuilds: a member of a build that tells neither of departures nor of joining members counts as one that stays.
+func TestReadyReplyOfEarlierBuilds(t *testing.T) {
+	var reply readyReply
+	if err := msgpack.Unmarshal([]byte("\x81\xa1r\xc3"), &reply); err != nil || reply != (readyReply{Ready: true}) {
+		t.Errorf("decoded as %+v, %v", reply, err)
+	}
+}
+
 // TestWireConstants pins the constants that leave the process.
 func TestWireConstants(t *testing.T) {
 	goldentest.CheckConstants(t,
--- a/internal/controlplane/register/cluster_test.go
+++ b/internal/controlplane/register/cluster_test.go
@@ -52,11 +52,14 @@
 	kill      context.CancelFunc
 }
 
-// View, Changed, Learn and Absences implement rebuild.Views with a fixed view.
+// The methods of rebuild.Views, with a fixed view whose members never stop.
 func (c *cluster) View() replicaset.View       { return c.view }
 func (c *cluster) Changed() <-chan struct{}    { return nil }
 func (c *cluster) Learn(replicaset.View) error { return nil }
 func (c *cluster) Absences() uint64            { return 0 }
+func (c *cluster) Departing() bool             { return false }
+func (c *cluster) KnowsJoiningMember() bool    { return false }
+func (c *cluster) OthersDepart() bool          { return false }
 
 func newCluster(seed uint64, size int, broken *brokenRule) *cluster {
 	c := &cluster{
--- a/internal/controlplane/replicaset/calls.go
+++ b/internal/controlplane/replicaset/calls.go
@@ -64,6 +64,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
+	if m.view.Version > 0 && !m.view.Has(request.Address) {
+		m.announcementReceived[request.Address] = now
+	}
 	switch {
 	case m.view.Version == 0:
 		m.announcements.add(request.Address, request.Zone, now)
--- a/internal/controlplane/replicaset/joining.go
+++ b/internal/controlplane/replicaset/joining.go
@@ -8,7 +8,8 @@
 
 const (
 	joiningMemberDelay  = 300 * time.Millisecond // from a joining member's first announcement until it may become a member
-	announcementTimeout = time.Second            // after which a joining member that announces itself no more is forgotten
+	announcementTimeout = time.Second            // after which a joining member that announces itself no more is not proposed
+	announcementMemory  = 3 * time.Second        // for which a departing member remembers one that announced itself
 )
 
 // joiningMember is a core node that is no member and announces itself.
--- a/internal/controlplane/replicaset/leave.go
+++ b/internal/controlplane/replicaset/leave.go
@@ -2,47 +2,30 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 )
 
-const (
-	leaveInterval = 200 * time.Millisecond // between leave requests while this member waits to be replaced
-	leaveTimeout  = 200 * time.Millisecond // of one leave request; with the interval it stays below leaveGracePeriod
-)
+// leaveTimeout bounds one round of leave requests. A departing member begins the next one within leaveGracePeriod of the
+// round before.
+const leaveTimeout = 200 * time.Millisecond
 
 // Departing tells whether this process is about to stop. Only then it accepts a view without itself: it then votes for
 // its own replacement where another member is down, and stays until the joining member has been rebuilt.
 func (m *Manager) Departing() bool { return m.departing.Load() }
 
 // Leave tells the other members that this process is about to stop, so that a joining member replaces it at once if there
-// is one. While there is, Leave repeats the request until a view without this process is known or the context ends. It tells
-// whether this process has been replaced. Without a joining member it sends the request once.
-func (m *Manager) Leave(ctx context.Context) (replaced bool) {
+// is one. It returns when all have replied, or after the time-out. A process that does not stop yet is to repeat it within
+// leaveGracePeriod, as its other messages withdraw the request.
+func (m *Manager) Leave(ctx context.Context) {
 	m.departing.Store(true)
-	for {
-		changed := m.Changed()
-		view := m.View()
-		if !view.Has(m.config.Self) {
-			return view.Version > 0
-		}
-		m.broadcastLeave(ctx, view)
-		if !m.HasJoiningMembers() {
-			return !m.View().Has(m.config.Self)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		case <-time.After(leaveInterval):
-		}
+	view := m.View()
+	if !view.Has(m.config.Self) {
+		return
 	}
-}
-
-// broadcastLeave sends a leave request to all other members. It returns when all have replied, or after the time-out.
-func (m *Manager) broadcastLeave(ctx context.Context, view View) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
@@ -55,3 +38,18 @@
 	}
 	calls.Wait()
 }
+
+// OthersDepart tells whether every other member has sent a leave request, and has not been heard of since then.
+func (m *Manager) OthersDepart() bool {
+	var sinceContactBy map[string]time.Duration
+	if m.config.Liveness != nil {
+		sinceContactBy = m.config.Liveness().SinceContact
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	stays := func(address string) bool {
+		return !m.isDeparting(address, m.sinceContact(address, sinceContactBy, now), now)
+	}
+	return !slices.ContainsFunc(m.others(m.view.Members), stays)
+}
--- a/internal/controlplane/replicaset/manager.go
+++ b/internal/controlplane/replicaset/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	joiningMembers joiningMembers
 	leaveReceived  map[string]time.Time // by address, when the newest leave request came
 
+	announcementReceived map[string]time.Time // by address of a process that was no member then, when its newest announcement came
+
 	storing sync.Mutex // held while a view is stored
 }
 
@@ -50,6 +53,7 @@
 		wake: wakeup.New(), storeFailures: make(chan error, 1),
 		memberSince: make(map[string]time.Time), changed: make(chan struct{}),
 		joiningMembers: make(joiningMembers), leaveReceived: make(map[string]time.Time),
+		announcementReceived: make(map[string]time.Time),
 	}
 	if err := m.load(); err != nil {
 		return nil, err
@@ -125,6 +129,7 @@
 	m.view, m.absences = view, absences
 	m.updateMemberSince(time.Now())
 	clear(m.joiningMembers)
+	maps.DeleteFunc(m.announcementReceived, func(address string, _ time.Time) bool { return view.Has(address) })
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/internal/controlplane/replicaset/replacement.go
+++ b/internal/controlplane/replicaset/replacement.go
@@ -20,6 +20,20 @@
 	return m.config.Succession != nil && m.view.Has(m.config.Self) && len(m.joiningMembers) > 0
 }
 
+// KnowsJoiningMember tells whether a core node that is no member has announced itself lately. It remembers longer than
+// HasJoiningMembers: an announcement that is late or lost must not let a departing member believe that it has no successor.
+func (m *Manager) KnowsJoiningMember() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	oldest := time.Now().Add(-announcementMemory)
+	for address, received := range m.announcementReceived {
+		if received.After(oldest) && !m.view.Has(address) {
+			return true
+		}
+	}
+	return false
+}
+
 // completePendingView commits the next view if this member has accepted one.
 func (m *Manager) completePendingView(ctx context.Context) {
 	current := m.View()
@@ -56,17 +70,13 @@
 }
 
 // replacementCandidates returns the view, its members that may be replaced, and the joining members that may enter.
-// sinceContactBy is by address; a member that has sent no message counts from when it entered the view.
 func (m *Manager) replacementCandidates(
 	now time.Time, connectedFor time.Duration, sinceContactBy map[string]time.Duration,
 ) (current View, replaceable []replaceableMember, joining []joiningMember) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, address := range m.others(m.view.Members) {
-		sinceContact, found := sinceContactBy[address]
-		if !found {
-			sinceContact = now.Sub(m.memberSince[address])
-		}
+		sinceContact := m.sinceContact(address, sinceContactBy, now)
 		departing := m.isDeparting(address, sinceContact, now)
 		if departing || connectedFor >= failureTimeout && sinceContact >= failureTimeout {
 			replaceable = append(replaceable, replaceableMember{address, sinceContact, departing})
@@ -75,6 +85,15 @@
 	return m.view, replaceable, m.joiningMembers.due(now)
 }
 
+// sinceContact is the time since a member's last message, by address; one that has sent none counts from when it entered the view.
+// The caller holds the mutex.
+func (m *Manager) sinceContact(address string, sinceContactBy map[string]time.Duration, now time.Time) time.Duration {
+	if sinceContact, found := sinceContactBy[address]; found {
+		return sinceContact
+	}
+	return now.Sub(m.memberSince[address])
+}
+
 // isDeparting tells whether a member sent a leave request, and no message after its grace period. The caller holds the mutex.
 func (m *Manager) isDeparting(address string, sinceContact time.Duration, now time.Time) bool {
 	received, found := m.leaveReceived[address]
--- a/internal/controlplane/replication/term.go
+++ b/internal/controlplane/replication/term.go
@@ -24,6 +24,7 @@
 	propose    func(entries []Entry, committed func())
 	resign     func()
 	validUntil atomic.Int64 // by the clock, in nanoseconds
+	resigned   atomic.Bool  // by Resign; never withdrawn
 	ended      chan struct{}
 	once       sync.Once
 	callbacks  callbackQueue
@@ -49,14 +50,20 @@
 // called after the term has ended. A proposal without entries waits for those before it. committed may be nil.
 func (t *Term) Propose(entries []Entry, committed func()) { t.propose(entries, committed) }
 
-// Valid tells whether the leader's lease holds right now.
-func (t *Term) Valid() bool { return t.clock.Now() < time.Duration(t.validUntil.Load()) }
+// Valid tells whether the leader's lease holds right now. After Resign it never does.
+func (t *Term) Valid() bool {
+	return !t.resigned.Load() && t.clock.Now() < time.Duration(t.validUntil.Load())
+}
 
 // Ended is closed when the term ends.
 func (t *Term) Ended() <-chan struct{} { return t.ended }
 
-// Resign ends the term at once and notifies the other replicas, so that they need not wait for the lease to expire.
-func (t *Term) Resign() { t.resign() }
+// Resign ends the term and notifies the other replicas, so that they need not wait for the lease to expire. The term is valid no
+// more from the call on, however long the node's current step takes.
+func (t *Term) Resign() {
+	t.resigned.Store(true)
+	t.resign()
+}
 
 func (t *Term) extend(until time.Duration) {
 	if int64(until) > t.validUntil.Load() {
--- a/internal/jobs/manager/lease_test.go
+++ b/internal/jobs/manager/lease_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"puffinlink.example/puffinlink/internal/fakes/cluster"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/jobs/workerclient"
 	"puffinlink.example/puffinlink/internal/rpcerror"
 )
 
@@ -137,3 +142,55 @@
 		})
 	})
 }
+
+func TestARefusalByFencingTokenEndsTheTerm(t *testing.T) {
+	withCluster(t, func(t *testing.T, _ *testCluster, leader *testNode) {
+		workers := cluster.New(cluster.RealClock{}, cluster.Settings{InMemory: true, LeaseMax: 6 * time.Second})
+		defer workers.Close()
+		worker := workers.AddWorker(cluster.WorkerConfig{ID: "i-1"})
+		instance := workerclient.Instance{ID: "i-1", Address: worker.Address(), Service: "x"}
+		client := workers.MemoryClient(time.Millisecond)
+		useHigherToken(t, client, instance)
+		leadership, err := leader.manager.leadershipOf(testGroup)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader.manager.config.HTTP, leadership.config.HTTP = client, client
+		leader.manager.SetInventory([]workerclient.Instance{instance})
+		<-time.After(500 * time.Millisecond)
+		synctest.Wait()
+		Convey("A leader is refused for a higher token: its term is over, and the next one is another", t, func() {
+			So(leadership.term.Valid(), ShouldBeFalse)
+			So(isClosed(leadership.term.Ended()), ShouldBeTrue)
+		})
+		leader.manager.SetInventory(nil)
+	})
+}
+
+// useHigherToken lets a worker see a token that no term of these tests reaches.
+func useHigherToken(t *testing.T, client *http.Client, instance workerclient.Instance) {
+	t.Helper()
+	body := strings.NewReader(`{"fencingToken":1000000}`)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+instance.Address+string(cluster.LeaseCall), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Expect-Instance", string(instance.ID))
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("the worker answers %d", response.StatusCode)
+	}
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/jobs/manager/links.go
+++ b/internal/jobs/manager/links.go
@@ -41,7 +41,7 @@
 	}
 	link := workerclient.NewLink(workerclient.Config{
 		Instance: *instance, FencingToken: l.term.Number(), MaxLease: l.config.Settings.MaxLease,
-		LeaderLeaseValid: l.term.Valid, Events: linkEvents{l}, HTTP: l.config.HTTP, Connections: l.config.Connections,
+		LeaderLeaseValid: l.term.Valid, FencedOff: l.term.Resign, Events: linkEvents{l}, HTTP: l.config.HTTP, Connections: l.config.Connections,
 		Log: l.config.Log, Now: time.Now,
 	})
 	l.links[instance.ID] = link
@@ -68,14 +68,13 @@
 	})
 }
 
-// StartResult implements workerclient.Events. A worker that has seen a higher fencing token ends the leadership.
+// StartResult implements workerclient.Events. A worker that has seen a higher fencing token has ended the leadership before.
 func (e linkEvents) StartResult(result workerclient.StartResult) {
 	if result.Outcome != workerclient.Started {
 		e.leadership.config.Log.Debug("start not confirmed", zap.Stringer("task", result.Command.Task),
 			zap.String("worker_id", string(result.Worker)), zap.Stringer("outcome", result.Outcome))
 	}
 	if result.Outcome == workerclient.RejectedFencingToken {
-		e.leadership.term.Resign()
 		return
 	}
 	e.leadership.handle(func(now scheduler.Now) { e.leadership.scheduler.HandleStartResult(now, &result) })
@@ -96,8 +95,8 @@
 	})
 }
 
-// Fenced implements workerclient.Events. It ends the leadership.
-func (e linkEvents) Fenced(workerclient.Fenced) { e.leadership.term.Resign() }
+// Fenced implements workerclient.Events. The leadership has ended before, see workerclient.Config.FencedOff.
+func (e linkEvents) Fenced(workerclient.Fenced) {}
 
 // Reachability implements workerclient.Events.
 func (e linkEvents) Reachability(change workerclient.ReachabilityChange) {
--- a/internal/jobs/workerclient/leaderlease_test.go
+++ b/internal/jobs/workerclient/leaderlease_test.go
@@ -38,3 +38,122 @@
 		})
 	})
 }
+
+// fencedLeader is a leader with links to two workers under one token, of which the first worker has seen a higher one. Its process
+// did nothing meanwhile, so that its commands are still queued, and believes on waking that its lease holds.
+type fencedLeader struct {
+	*fixture
+	second     *cluster.Worker
+	secondLink *Link
+}
+
+const queuedCommands = 30
+
+// newFencedLeader lets a leader's process wake up late.
+func newFencedLeader(t *testing.T, way time.Duration) *fencedLeader {
+	t.Helper()
+	f := newMemoryFixture(t, way)
+	l := &fencedLeader{fixture: f, second: f.cluster.AddWorker(cluster.WorkerConfig{ID: "i-2"})}
+	f.fencedOff = func() { f.leaderLeaseOver.Store(true) }
+	f.connect(1)
+	first := f.link
+	f.connectTo(l.second, 1)
+	l.secondLink, f.link = f.link, first
+	<-time.After(time.Second)
+	f.leaderLeaseOver.Store(true)
+	for i := range queuedCommands {
+		first.Stop(StopCommand{task(i), 1})
+		l.secondLink.Stop(StopCommand{task(i), 1})
+	}
+	<-time.After(time.Second)
+	return l
+}
+
+// raise lets another leader use a higher token at the first worker.
+func (l *fencedLeader) raise() {
+	successor := NewLink(Config{
+		Instance: Instance{ID: WorkerID(l.worker.ID()), Address: l.worker.Address()}, FencingToken: 9, MaxLease: testMaxLease,
+		LeaderLeaseValid: func() bool { return true }, Events: newRecorder(), HTTP: l.client,
+	})
+	returned := make(chan struct{})
+	go func() { successor.Run(l.t.Context()); close(returned) }()
+	<-time.After(time.Second)
+	successor.Close()
+	<-returned
+}
+
+// calls counts the calls that both workers have got.
+func (l *fencedLeader) calls() int {
+	total := 0
+	for _, kind := range []cluster.Call{cluster.StartCall, cluster.StopCall, cluster.LeaseCall} {
+		total += l.worker.Calls(kind) + l.second.Calls(kind)
+	}
+	return total
+}
+
+// wakeUp lets the leader's process go on, and returns how many calls came once the first refusal had been received and what was under
+// way had arrived.
+func (l *fencedLeader) wakeUp(way time.Duration) (later int) {
+	fencedOff := make(chan struct{}, 1000)
+	l.fencedOff = func() {
+		l.leaderLeaseOver.Store(true)
+		fencedOff <- struct{}{}
+	}
+	l.leaderLeaseOver.Store(false)
+	for i := range queuedCommands {
+		l.link.Start(startCommand(i, 2))
+		l.secondLink.Start(startCommand(queuedCommands+i, 2))
+	}
+	select {
+	case <-fencedOff:
+	case <-time.After(eventTimeout):
+		l.t.Error("no refusal was received")
+	}
+	<-time.After(2 * way)
+	before := l.calls()
+	<-time.After(10 * time.Second)
+	return l.calls() - before
+}
+
+// A refusal on account of a higher token ends all calls under the lower one, at every worker: renewals, polls, queued and repeated
+// commands, and hedged requests.
+func TestARefusalEndsAllCallsUnderAToken(t *testing.T) {
+	const way = time.Millisecond
+	cases := []struct {
+		name    string
+		way     time.Duration
+		prepare func(l *fencedLeader, release chan struct{})
+	}{
+		{"a process that wakes up", way, func(*fencedLeader, chan struct{}) {}},
+		{"a process and a network eight times as slow", 8 * way, func(*fencedLeader, chan struct{}) {}},
+		{"reports that wait, as nobody takes them", way, func(l *fencedLeader, release chan struct{}) {
+			l.events.mu.Lock()
+			defer l.events.mu.Unlock()
+			l.events.onListing = func(Listing) { <-release }
+		}},
+		{"a refusal whose response is lost", way, func(l *fencedLeader, _ chan struct{}) {
+			lost := 0
+			l.worker.SetFaults(func(cluster.Call) cluster.Fault {
+				if lost++; lost > 3 {
+					return cluster.Fault{}
+				}
+				return cluster.Fault{Kind: cluster.Mute}
+			})
+		}},
+	}
+	for _, testCase := range cases {
+		virtualtime.Test(t, func(t *testing.T) {
+			l := newFencedLeader(t, testCase.way)
+			defer l.close()
+			l.raise()
+			release := make(chan struct{})
+			testCase.prepare(l, release)
+			later := l.wakeUp(testCase.way)
+			close(release)
+			convey.Convey("No call is sent after the refusal was received: "+testCase.name, t, func() {
+				convey.So(later, convey.ShouldEqual, 0)
+				convey.So(l.leaderLeaseOver.Load(), convey.ShouldBeTrue)
+			})
+		})
+	}
+}
--- a/internal/jobs/workerclient/link.go
+++ b/internal/jobs/workerclient/link.go
@@ -33,9 +33,12 @@
 	FencingToken     uint64
 	MaxLease         time.Duration // the longest lease that a worker takes; bounds.holdMaxMs of the settings
 	LeaderLeaseValid func() bool   // whether this process may send calls at this moment; called right before each one
-	Events           Events
-	HTTP             *http.Client // shared by all links, from NewHTTPClient or of the budget
-	Connections      *Connections // the budget of all links; nil for none
+	// FencedOff is called as soon as the worker has refused a call since it has seen a higher fencing token, before that is
+	// reported, as reports may wait. It is to make LeaderLeaseValid false for good, for all links under the token. May be nil.
+	FencedOff   func()
+	Events      Events
+	HTTP        *http.Client // shared by all links, from NewHTTPClient or of the budget
+	Connections *Connections // the budget of all links; nil for none
 	// MinTimeout is how long a call is given at least beyond the wait that it asks for; 0 to let the round trips decide.
 	MinTimeout time.Duration
 	Log        *zap.Logger      // may be nil
@@ -157,8 +160,11 @@
 
 // end ends the link, for the first reason that is given.
 func (l *Link) end(reason ending) {
-	if reason == closed {
+	switch {
+	case reason == closed:
 		l.cancel()
+	case reason == fenced && l.config.FencedOff != nil:
+		l.config.FencedOff()
 	}
 	l.mu.Lock()
 	first := l.ending == open
