--- a/internal/controlplane/replicaset/faultschedule_test.go
+++ b/internal/controlplane/replicaset/faultschedule_test.go
@@ -64,11 +64,17 @@
 
 // runSchedule runs the schedule of a seed, and returns it with its violations.
 func runSchedule(t *testing.T, seed uint64, size int, broken ruleMutant) (s *faultSchedule) {
+	t.Helper()
+	return runFaults(t, seed, size, broken, isLossy(seed), (*faultSchedule).injectRandomFaults)
+}
+
+// runFaults runs a schedule whose faults are injected by a function, until that returns.
+func runFaults(t *testing.T, seed uint64, size int, broken ruleMutant, lossy bool, inject func(s *faultSchedule, ctx context.Context)) (s *faultSchedule) {
 	t.Helper()
 	disks := foundedDisks(t, size)
 	virtualtime.Test(t, func(t *testing.T) {
 		s = &faultSchedule{
-			seed: seed, size: size, random: rand.New(rand.NewPCG(seed, 7)), tolerated: (size - 1) / 2, lossy: isLossy(seed), machines: size,
+			seed: seed, size: size, random: rand.New(rand.NewPCG(seed, 7)), tolerated: (size - 1) / 2, lossy: lossy, machines: size,
 			failedUntil: make(map[string]time.Time), acknowledged: make(map[string]bool), groupAcknowledged: make(map[string]bool),
 			start: time.Now(), groupLastAcknowledged: time.Now(),
 		}
@@ -84,7 +90,7 @@
 		if s.lossy {
 			s.network.SetFaults(lossyNetwork)
 		}
-		s.run()
+		s.run(inject)
 		s.end()
 	})
 	return s
@@ -101,8 +107,16 @@
 	s.cluster.start(address, "zone of "+address, memory, false)
 }
 
+// injectRandomFaults injects faults until the context ends.
+func (s *faultSchedule) injectRandomFaults(ctx context.Context) {
+	for ctx.Err() == nil {
+		<-time.After(time.Duration(s.random.Int64N(int64(maxScheduledFaultGap))))
+		s.injectFault()
+	}
+}
+
 // run injects faults while clients write, then ends all faults and checks the final state.
-func (s *faultSchedule) run() {
+func (s *faultSchedule) run(inject func(s *faultSchedule, ctx context.Context)) {
 	ctx, cancel := context.WithTimeout(context.Background(), scheduleTime)
 	defer cancel()
 	var running sync.WaitGroup
@@ -110,10 +124,7 @@
 		running.Go(func() { s.runClient(ctx.Done(), client, rand.New(rand.NewPCG(s.seed, uint64(client)+11))) })
 	}
 	running.Go(func() { s.watchViews(ctx) })
-	for ctx.Err() == nil {
-		<-time.After(time.Duration(s.random.Int64N(int64(maxScheduledFaultGap))))
-		s.injectFault()
-	}
+	inject(s, ctx)
 	s.faults.Wait()
 	running.Wait()
 	s.network.SetFaults(reliableNetwork)
