--- a/internal/systemtest/controlmodel/machine_test.go
+++ b/internal/systemtest/controlmodel/machine_test.go
@@ -38,11 +38,12 @@
 	mutex       sync.Mutex
 	incarnation int // number of the present process
 	up          bool
-	hasFault    bool          // reserved for a fault
-	pausedAt    time.Time     // it has been paused since then
-	pausedUntil time.Time     // and will until then
-	writeDelay  time.Duration // that each write takes
-	handler     http.Handler  // of internal calls
+	hasFault    bool            // reserved for a fault
+	pausedAt    time.Time       // it has been paused since then
+	pausedUntil time.Time       // and will until then
+	writeDelay  time.Duration   // that each write takes
+	processor   *processorQuota // nil where the processor is never short
+	handler     http.Handler    // of internal calls
 	end         context.CancelFunc
 	tasks       *sync.WaitGroup
 
@@ -79,8 +80,9 @@
 	return m.handler
 }
 
-// awaitResume waits while the process is paused, and returns its number.
+// awaitResume waits while the process is paused or has spent its share of the processor, and returns its number.
 func (m *machine) awaitResume() (incarnation int) {
+	m.work(messageWork)
 	for {
 		m.mutex.Lock()
 		incarnation = m.incarnation
