--- a/cmd/puffinlink/aggregatorcommands.go
+++ b/cmd/puffinlink/aggregatorcommands.go
@@ -25,9 +25,9 @@
 }
 
 const (
-	aggregatorDescription = "An aggregator: it reads many shards for one query. The processes of the cluster scheduler are puffinlink proxy, agent and coordinator; " +
-		"its operators use status, searchers, jobs, job, why, drain, undrain, cancel, apply and check-settings."
-	exampleMark = " Example: "
+	aggregatorDescription = "An aggregator: it reads many shards for one query."
+	overviewDescription   = "A cluster scheduler for jobs, and an aggregator that reads many shards for one query."
+	exampleMark           = " Example: "
 )
 
 // defaultCommand is what an empty command line means.
@@ -127,13 +127,28 @@
 
 // writeOverview prints all commands, those within others too.
 func writeOverview(out io.Writer, parser *flags.Parser) {
-	fmt.Fprintf(out, "Usage: puffinlink <command>\n\n%s\n\nCommands:\n", aggregatorDescription)
+	fmt.Fprintf(out, "Usage: puffinlink <command>\n\n%s\n", overviewDescription)
 	rows := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	writeHeading(rows, "Processes of the cluster scheduler")
+	for _, process := range systemProcesses {
+		fmt.Fprintf(rows, "  %s\t%s\n", process.name, process.short)
+	}
+	writeHeading(rows, "Operators of the cluster scheduler")
+	for _, one := range operations {
+		fmt.Fprintf(rows, "  %s\t%s. Example: puffinlink %s\n", one.name, one.short, one.example)
+	}
+	writeHeading(rows, "Aggregator, and both")
 	writeCommands(rows, "  ", parser.Commands())
 	rows.Flush()
 	fmt.Fprintln(out, "\nRun \"puffinlink <command> --help\" for more information on a command.")
 }
 
+// writeHeading begins a group of commands. It ends the columns of the group before.
+func writeHeading(rows *tabwriter.Writer, heading string) {
+	rows.Flush()
+	fmt.Fprintf(rows, "\n%s:\n", heading)
+}
+
 // writeCommands prints a row for each command that is not made of others.
 func writeCommands(rows io.Writer, before string, commands []*flags.Command) {
 	for _, one := range commands {
--- a/cmd/puffinlink/aggregatorcommands_test.go
+++ b/cmd/puffinlink/aggregatorcommands_test.go
@@ -71,6 +71,21 @@
 	})
 }
 
+func TestOverviewOfAllCommands(t *testing.T) {
+	code, out := runForTest(t, "--help")
+	Convey("The help lists the scheduler's processes and operators' commands first, then the aggregator's", t, func() {
+		So(code, ShouldEqual, 0)
+		for _, process := range systemProcesses {
+			So(out, ShouldContainSubstring, "\n  "+process.name+" ")
+		}
+		for _, one := range operations {
+			So(out, ShouldContainSubstring, "\n  "+one.name+" ")
+		}
+		So(strings.Index(out, "\n  coordinator "), ShouldBeLessThan, strings.Index(out, "\n  status "))
+		So(strings.Index(out, "\n  check-settings "), ShouldBeLessThan, strings.Index(out, "\n  serve "))
+	})
+}
+
 // parseForTest reads a command line without running its command.
 func parseForTest(args ...string) flags.Commander {
 	command, err := parseAggregatorCommand(newAggregatorParser(), args)
--- a/cmd/puffinlink/operations.go
+++ b/cmd/puffinlink/operations.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -32,8 +33,8 @@
 	{"status", "Show the nodes, the leaders and the configuration's version",
 		"Shows the node that answers, the members it receives heartbeats from, the leader of each service's jobs, and the configuration's version.",
 		"status --at 10.1.0.15:8146", func() flags.Commander { return new(statusCommand) }},
-	{"searchers", "List the workers", "Lists the workers with state, window, latency, failures, attempts and capacity.",
-		"searchers --at 10.1.0.15:8146 --service kursmotor", func() flags.Commander { return new(workersCommand) }},
+	{"workers", "List the workers", "Lists the workers with state, window, latency, failures, attempts and capacity.",
+		"workers --at 10.1.0.15:8146 --service kursmotor", func() flags.Commander { return new(workersCommand) }},
 	{"jobs", "List jobs", "Lists the newest jobs, unfinished ones first.",
 		"jobs --at 10.1.0.15:8146 --state queued --limit 20", func() flags.Commander { return new(jobsCommand) }},
 	{"job", "Show one job", "Shows a job with its stages, tasks by state, attempts and failures.",
@@ -52,6 +53,9 @@
 		"check-settings /etc/puffinlink/local.conf", func() flags.Commander { return new(checkSettingsCommand) }},
 }
 
+// operationAliases are further names of commands, which earlier builds had.
+var operationAliases = map[string][]string{"workers": {"searchers"}}
+
 const operationUsage = "\n\nExit codes: 0 done, 1 failed or not valid, 2 command line not valid, 3 refused, 4 conflict, 5 no node gave a clear answer." +
 	"\n\nExample: puffinlink "
 
@@ -64,21 +68,24 @@
 
 // isOperation tells whether a command line is one of these commands.
 func isOperation(args []string) bool {
-	for _, one := range operations {
-		if len(args) > 0 && one.name == args[0] {
-			return true
-		}
+	if len(args) == 0 {
+		return false
+	}
+	isNamed := func(one operation) bool {
+		return one.name == args[0] || slices.Contains(operationAliases[one.name], args[0])
 	}
-	return false
+	return slices.ContainsFunc(operations, isNamed)
 }
 
 // runOperationCommand runs one of these commands and tells its exit code.
 func runOperationCommand(args []string) int {
 	parser := flags.NewNamedParser("puffinlink", flags.HelpFlag|flags.PassDoubleDash)
 	for _, one := range operations {
-		if _, err := parser.AddCommand(one.name, one.short, one.description+operationUsage+one.example, one.make()); err != nil {
+		command, err := parser.AddCommand(one.name, one.short, one.description+operationUsage+one.example, one.make())
+		if err != nil {
 			panic(err) // a mistake in the tags
 		}
+		command.Aliases = operationAliases[one.name]
 	}
 	parser.CommandHandler = func(command flags.Commander, rest []string) error {
 		if len(rest) > 0 {
--- a/cmd/puffinlink/operations_test.go
+++ b/cmd/puffinlink/operations_test.go
@@ -147,6 +147,7 @@
 func TestOperationsSendRequests(t *testing.T) {
 	cases := []struct{ args, orders, answer, says string }{
 		{"searchers --service a", "GET /-/searchers?service=a ", `{"searchers":[{"id":"i-1","service":"a","state":"resting","window":4,"latencyMs":12.4}]}`, "i-1 a resting"},
+		{"workers --service a", "GET /-/searchers?service=a ", `{"searchers":[{"id":"i-1","service":"a","state":"resting","window":4,"latencyMs":12.4}]}`, "i-1 a resting"},
 		{"jobs --state queued --limit 5", "GET /-/jobs?limit=5&state=queued ", `{"jobs":[{"id":"00000000000000aa","state":"queued","tasks":{"waiting":3}}],"total":9}`, "1 of 9"},
 		{"job 00000000000000aa", "GET /-/jobs/00000000000000aa ", `{"id":"00000000000000aa","state":"failed","service":"a"}`, "job 00000000000000aa of service a: failed"},
 		{"why 00000000000000aa", "GET /-/jobs/00000000000000aa/why ", `{"id":"00000000000000aa","state":"queued","waiting":[{"tasks":2,"reason":"noSearcher","ruledOut":[{"cause":"label","count":9,"searchers":["i-1"]}]}]}`, "9 lack the label (label): i-1 ..."},
--- a/internal/jobs/scheduler/jobs_test.go
+++ b/internal/jobs/scheduler/jobs_test.go
@@ -10,6 +10,24 @@
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 )
 
+// A cancellation that finds no job leaves nothing behind; the operators' page says what to do.
+func TestJobThatArrivesAfterItsCancellation(t *testing.T) {
+	id := job.ID("00000000000000aa")
+	now := Now{Monotonic: time.Unix(1000, 0), WallMS: 1_000_000}
+	Convey("A job arrives after a cancellation that found nothing", t, func() {
+		jobs, err := New(Settings{StatusRetention: time.Minute, MaxLease: time.Second}, now, nil)
+		So(err, ShouldBeNil)
+		So(jobs.Cancel(now, id), ShouldBeFalse)
+		effects := jobs.TakeEffects()
+		So(effects.Empty(), ShouldBeTrue)
+		jobs.Submit(now, &jobapi.Submit{ID: id, Specification: job.Specification{Stages: []job.Stage{{Count: 1}}}})
+		state, known := jobs.Status(id)
+		So(known, ShouldBeTrue)
+		So(state, ShouldEqual, job.Queued)
+		So(jobs.Cancel(now, id), ShouldBeTrue)
+	})
+}
+
 func TestEndedJobIsRetainedByBothClocks(t *testing.T) {
 	const kept = time.Minute
 	settings := Settings{StatusRetention: kept, MaxLease: time.Second}
--- a/internal/jobs/scheduler/operatordrain_test.go
+++ b/internal/jobs/scheduler/operatordrain_test.go
@@ -46,6 +46,19 @@
 	})
 }
 
+// Without a version a drain that arrives after its end stays in force, as it looks like a new one; the operators' page says so.
+func TestLateDrainWithoutAVersion(t *testing.T) {
+	Convey("A drain without a version arrives once more after the change that ended it", t, func() {
+		w := newSimulation(1, 3)
+		w.steps(20)
+		So(w.scheduler.SetOperatorDrain(w.clock(), "s00", true), ShouldBeTrue)
+		So(w.scheduler.SetOperatorDrain(w.clock(), "s00", false), ShouldBeTrue)
+		So(w.scheduler.SetOperatorDrain(w.clock(), "s00", true), ShouldBeTrue)
+		So(w.scheduler.IsOperatorDraining("s00"), ShouldBeTrue)
+		So(w.scheduler.DrainVersion("s00"), ShouldEqual, 3)
+	})
+}
+
 func TestOperatorDrainVersions(t *testing.T) {
 	drain := func(version uint64) DrainChange { return DrainChange{Draining: true, BaseVersion: version} }
 	undrain := func(version uint64) DrainChange { return DrainChange{BaseVersion: version} }
