A read returns what any majority has in common, without a write

A read whose first majority differs now waits up to 0.1 s, within the round's limit, for the answers of the others: a proposal that a majority has in common was committed, and no higher one was when the read began.

--- a/internal/controlplane/register/quorum.go
+++ b/internal/controlplane/register/quorum.go
@@ -41,6 +41,9 @@
 	failures        []error
 	highestPromised ProposalNumber  // to any proposer, as far as answers show
 	newer           replicaset.View // newest view of members that answered with viewMismatch
+	start           time.Time       // set by run, as are the next two
+	answers         <-chan answer   // of members that have not been counted
+	open            int             // how many they are
 }
 
 // count takes an answer.
@@ -98,6 +101,20 @@
 	return latest, same
 }
 
+// agreed returns the answer that a majority has in common, if there is one. Its proposal was committed, and no higher one was when the
+// round began: each majority that had accepted a higher one would have a member among these, which has not. So a read may return it
+// although other members have accepted more, which may or may not be committed later.
+func (r *round) agreed() (reply, bool) {
+	count := make(map[ProposalNumber]int)
+	for _, answer := range r.granted {
+		count[answer.Accepted]++
+		if count[answer.Accepted] == r.view.Quorum() {
+			return answer, true
+		}
+	}
+	return reply{}, false
+}
+
 // chunkHolders are the members that may have what was accepted under a proposal number: first those that reported it.
 func (r *round) chunkHolders(proposalNumber ProposalNumber) []string {
 	var members []string
--- a/internal/controlplane/register/register.go
+++ b/internal/controlplane/register/register.go
@@ -94,7 +94,11 @@
 	return context.Cause(ctx)
 }
 
-// Read returns the current value; nil before the first change. It takes one round where a majority agrees.
+// agreementWait is how long a read waits for the answers of further members where those of the first majority differ. A change is
+// then under way, or was left half done; to complete it takes a majority that can write.
+const agreementWait = 100 * time.Millisecond
+
+// Read returns the current value; nil before the first change. It takes one round where a majority agrees, and then needs no disk.
 func (r *Register) Read(ctx context.Context) ([]byte, error) {
 	view := r.config.View()
 	if view.Version == 0 {
@@ -110,6 +114,9 @@
 		if latest, committed := r.committed(&reading); committed {
 			return r.resolveValue(ctx, &reading, latest, cached)
 		}
+		if common, agreed := reading.awaitAgreement(ctx, agreementWait); agreed {
+			return r.resolveValue(ctx, &reading, common, cached)
+		}
 	}
 	r.reportNewerView(err)
 	return r.Change(ctx, func(current []byte) ([]byte, error) { return current, nil })
--- a/internal/controlplane/register/round.go
+++ b/internal/controlplane/register/round.go
@@ -18,17 +18,18 @@
 // then in flight go on until the limit, so that a slow member does not fall behind. The error is a *viewError, errConflict or
 // ErrNoQuorum.
 func (r *round) run(ctx context.Context, send sender) error {
-	start := time.Now()
+	r.start = time.Now()
 	limit := time.NewTimer(r.limit)
 	defer limit.Stop()
-	answers := r.sendAll(ctx, send)
-	for open := len(r.view.Members); len(r.granted) < r.view.Quorum(); open-- {
-		if len(r.granted)+open < r.view.Quorum() {
+	r.answers, r.open = r.sendAll(ctx, send), len(r.view.Members)
+	for len(r.granted) < r.view.Quorum() {
+		if len(r.granted)+r.open < r.view.Quorum() {
 			return r.failure()
 		}
 		select {
-		case next := <-answers:
-			if time.Since(start) > r.limit {
+		case next := <-r.answers:
+			r.open--
+			if time.Since(r.start) > r.limit {
 				return r.noQuorum()
 			}
 			r.count(next)
@@ -41,6 +42,30 @@
 	return nil
 }
 
+// awaitAgreement counts further answers after run, for a while and within the limit, until a majority agrees. It tells whether one
+// does.
+func (r *round) awaitAgreement(ctx context.Context, wait time.Duration) (reply, bool) {
+	limit := time.NewTimer(min(wait, r.limit-time.Since(r.start)))
+	defer limit.Stop()
+	for {
+		if common, agreed := r.agreed(); agreed || r.open == 0 {
+			return common, agreed
+		}
+		select {
+		case next := <-r.answers:
+			r.open--
+			if time.Since(r.start) > r.limit {
+				return reply{}, false
+			}
+			r.count(next)
+		case <-limit.C:
+			return reply{}, false
+		case <-ctx.Done():
+			return reply{}, false
+		}
+	}
+}
+
 // sendAll starts one call for each member.
 func (r *round) sendAll(ctx context.Context, send sender) <-chan answer {
 	lasting := context.WithoutCancel(ctx)
--- a/internal/controlplane/register/round_test.go
+++ b/internal/controlplane/register/round_test.go
@@ -12,6 +12,7 @@
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset/networktest"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
+	"puffinlink.example/puffinlink/internal/rpcerror"
 	"puffinlink.example/puffinlink/internal/virtualtime"
 )
 
@@ -59,6 +60,70 @@
 	})
 }
 
+// A change reaches a minority, and then disks are full, so that it can be neither completed nor replaced. What was committed before
+// stays readable.
+func TestReadBesideAHalfDoneChange(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		var value []byte
+		var took time.Duration
+		var readErr, changeErr error
+		virtualtime.Test(t, func(*testing.T) {
+			c := newCluster(1, size, nil)
+			proposer := c.proposer(outsider, nil)
+			if _, err := proposer.Change(c.ctx, replaceBy("committed")); err != nil {
+				t.Error(err)
+			}
+			changing := c.view.Members[size-1]
+			c.network.AddRule(networktest.Rule{From: changing, Path: acceptCall(testRegister).Path(), Lose: true})
+			limited, cancel := context.WithTimeout(c.ctx, time.Second)
+			defer cancel()
+			_, changeErr = c.process(changing).register.Change(limited, replaceBy("half done"))
+			for _, member := range c.view.Members {
+				c.process(member).disk.Fail(rpcerror.WrapNotExecuted(errors.New("no room"), 0))
+			}
+			began := time.Now()
+			value, readErr = proposer.Read(c.ctx)
+			took = time.Since(began)
+			c.end()
+		})
+		convey.Convey("A read returns what a majority has, without a write, while most disks are full", t, func() {
+			convey.So(changeErr, convey.ShouldNotBeNil)
+			convey.So(readErr, convey.ShouldBeNil)
+			convey.So(string(value), convey.ShouldEqual, "committed")
+			convey.So(took, convey.ShouldBeLessThan, 500*time.Millisecond)
+		})
+	}
+}
+
+// What a majority has in common was committed; what fewer have accepted may be neither.
+func TestAgreedAnswer(t *testing.T) {
+	number := func(counter uint64) ProposalNumber { return ProposalNumber{Counter: counter, Member: "a"} }
+	cases := []struct {
+		accepted []uint64
+		agreed   uint64 // 0 for none
+	}{
+		{[]uint64{1, 1, 1}, 1},
+		{[]uint64{1, 2, 1}, 0},
+		{[]uint64{1, 2, 1, 1}, 1},
+		{[]uint64{2, 1, 2, 1, 2}, 2},
+		{[]uint64{3, 2, 1, 1}, 0},
+		{[]uint64{3, 2, 1, 1, 1}, 1},
+	}
+	convey.Convey("Of five members", t, func() {
+		for _, testCase := range cases {
+			answers := round{view: replicaset.View{Version: 1, Members: []string{"a", "b", "c", "d", "e"}}}
+			for _, counter := range testCase.accepted {
+				answers.count(answer{reply: reply{Outcome: granted, Accepted: number(counter)}})
+			}
+			common, agreed := answers.agreed()
+			convey.So(agreed, convey.ShouldEqual, testCase.agreed > 0)
+			if agreed {
+				convey.So(common.Accepted, convey.ShouldResemble, number(testCase.agreed))
+			}
+		}
+	})
+}
+
 func TestLateAnswerDoesNotCount(t *testing.T) {
 	var err error
 	var took time.Duration
