--- a/internal/controlplane/register/valuetransfer_test.go
+++ b/internal/controlplane/register/valuetransfer_test.go
@@ -254,3 +254,69 @@
 	})
 	convey.Convey("All changes succeed", t, func() { convey.So(succeeded, convey.ShouldEqual, 18) })
 }
+
+// transferDelay is that of each message of a change, so that a fault begins in the middle of its transfer.
+const transferDelay = 200 * time.Millisecond
+
+// changeUnderFault lets a member change a large value that all have, in messages that take a while, and begins a fault after some of
+// them. It returns the change's error, and what each member reads once the fault has ended.
+func changeUnderFault(t *testing.T, after time.Duration, begin, end func(c *cluster)) (changeErr error, values []string) {
+	t.Helper()
+	runInCluster(t, func(c *cluster) {
+		changing := c.process("member-0").register
+		if _, err := changing.Change(c.ctx, replaceBy(randomText(largeText, 1))); err != nil {
+			t.Error(err)
+		}
+		synctest.Wait()
+		c.network.AddRule(networktest.Rule{From: "member-0", Delay: transferDelay})
+		changed := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
+			defer cancel()
+			_, err := changing.Change(ctx, replaceBy(randomText(largeText, 2)))
+			changed <- err
+		}()
+		<-time.After(after)
+		begin(c)
+		changeErr = <-changed
+		end(c)
+		c.network.ClearRules()
+		<-time.After(RoundLimit)
+		for _, member := range c.view.Members {
+			value, err := c.process(member).register.Read(c.ctx)
+			if err != nil {
+				t.Error(err)
+			}
+			values = append(values, string(value))
+		}
+	})
+	return changeErr, values
+}
+
+// A peer stands still, or is cut off, in the middle of a transfer: at its first message, between its rounds, and in the last one.
+func TestFaultsInTheMiddleOfATransfer(t *testing.T) {
+	before, after := randomText(largeText, 1), randomText(largeText, 2)
+	for _, at := range []time.Duration{transferDelay / 2, 3 * transferDelay / 2, 5 * transferDelay / 2} {
+		frozenErr, frozen := changeUnderFault(t, at,
+			func(c *cluster) { c.network.Delay("member-1", 4*time.Second) },
+			func(*cluster) { <-time.After(4 * time.Second) })
+		convey.Convey("A member stands still for 4 s: the change is stored by the others, and read by all", t, func() {
+			convey.So(frozenErr, convey.ShouldBeNil)
+			for _, value := range frozen {
+				convey.So(value == after, convey.ShouldBeTrue)
+			}
+		})
+		cutErr, cut := changeUnderFault(t, at,
+			func(c *cluster) { c.network.Partition("member-0", true) },
+			func(c *cluster) { c.network.Partition("member-0", false) })
+		convey.Convey("The member that changes it is cut off: afterwards all read one whole value, the new one if that was confirmed", t, func() {
+			for _, value := range cut {
+				convey.So(value == before || value == after, convey.ShouldBeTrue)
+				convey.So(value == cut[0], convey.ShouldBeTrue)
+			}
+			if cutErr == nil {
+				convey.So(cut[0] == after, convey.ShouldBeTrue)
+			}
+		})
+	}
+}
