A quarter of the nodes' connections is reserved for core peers

Cause: agents and proxies shared their connections to a coordinator with the other core machines; in a crowd, with calls under way on all of them, a peer that connects anew waited in the listener's queue, and its heartbeats and votes with it. Tests: a full listener answers the reserved hosts, turns others away at once, and closes idle connections of others first.

--- a/internal/controlplane/coordinator/connections.go
+++ b/internal/controlplane/coordinator/connections.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"puffinlink.example/puffinlink/internal/jobs/workerclient"
@@ -26,14 +28,29 @@
 	}
 }
 
-// boundListeners limits the servers to their shares of the connections.
-func boundListeners(listeners Listeners, budget nodesettings.ConnectionBudget, internal, operator *http.Server) Listeners {
+// boundListeners limits the servers to their shares of the connections. Of the nodes' share a part is reserved for the other core
+// nodes, so that agents and proxies, however many, never keep heartbeats and votes out.
+func (c *Coordinator) boundListeners(listeners Listeners, budget nodesettings.ConnectionBudget, internal, operator *http.Server) Listeners {
 	nodes := transport.NewBoundedListener(listeners.Internal, budget.Nodes)
+	nodes.Reserve(budget.CorePeers, c.isCorePeer)
 	operators := transport.NewBoundedListener(listeners.Control, budget.Operators)
 	internal.ConnState, operator.ConnState = nodes.ConnState, operators.ConnState
 	return Listeners{Internal: nodes, Control: operators}
 }
 
+// isCorePeer tells whether a host is that of a member of the current view, or of a seed, which may become one.
+func (c *Coordinator) isCorePeer(host string) bool {
+	return hasHost(c.replicas.View().Members, host) || hasHost(c.settings.SeedInternalAddresses(), host)
+}
+
+// hasHost tells whether one of some addresses, host:port, is on a host.
+func hasHost(addresses []string, host string) bool {
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		known, _, err := net.SplitHostPort(address)
+		return err == nil && known == host
+	})
+}
+
 // newPlatformClient makes the client for the platform's list of workers. Its connections are not of the workers' share.
 func newPlatformClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/controlplane/coordinator/run.go
+++ b/internal/controlplane/coordinator/run.go
@@ -26,7 +26,7 @@
 	internal := &http.Server{Handler: c.mux, ErrorLog: zap.NewStdLog(c.log), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: idleTimeout}
 	operator := control.NewServer(c.operations(control.New(lifetime, c.configurator, c.log)), c.log)
 	budget := c.settings.Limits.ConnectionBudget()
-	bounded := boundListeners(listeners, budget, internal, operator)
+	bounded := c.boundListeners(listeners, budget, internal, operator)
 	failures := make(chan error, 1)
 	report := func(part string, err error) {
 		if err != nil && lifetime.Err() == nil {
--- a/internal/nodesettings/connectionbudget.go
+++ b/internal/nodesettings/connectionbudget.go
@@ -14,6 +14,8 @@
 	operatorsPercent = 3
 	outboundPercent  = 5 // to other nodes and the platform
 	allPercent       = 100
+
+	corePeersPercentOfNodes = 25 // of the nodes' share, which agents and proxies never fill
 	minConnections   = 4 // of each share
 )
 
@@ -28,6 +30,7 @@
 type ConnectionBudget struct {
 	Workers   int // to workers
 	Nodes     int // from other nodes
+	CorePeers int // of these, reserved for other core nodes
 	Operators int // from operators and the platform
 	Outbound  int // to other nodes and the platform
 }
@@ -36,8 +39,9 @@
 func (l *Limits) ConnectionBudget() ConnectionBudget {
 	all := l.FileDescriptors - reservedForFiles - reservedForProcess
 	connections := func(percent int) int { return max(minConnections, all*percent/allPercent) }
+	nodes := connections(nodesPercent)
 	return ConnectionBudget{
-		Workers: connections(workersPercent), Nodes: connections(nodesPercent),
+		Workers: connections(workersPercent), Nodes: nodes, CorePeers: nodes * corePeersPercentOfNodes / allPercent,
 		Operators: connections(operatorsPercent), Outbound: connections(outboundPercent),
 	}
 }
--- a/internal/transport/boundedlistener.go
+++ b/internal/transport/boundedlistener.go
@@ -9,34 +9,78 @@
 
 // BoundedListener limits how many connections a server has open. At the limit, a new connection closes the one that has been
 // idle for longest; while none is idle, new ones wait in the listen queue of the system.
+//
+// A part of the limit may be reserved for some callers, see Reserve.
 type BoundedListener struct {
 	net.Listener
-	limit int
+	limit      int
+	reserved   int
+	isReserved func(host string) bool // nil where nothing is reserved
 
 	mu           sync.Mutex
 	stateChanged sync.Cond
-	open         map[net.Conn]*list.Element // of idle, while the connection is idle; else nil
-	idle         list.List                  // of net.Conn, least recently used first
+	open         map[net.Conn]*boundedConnection
+	unreserved   int       // open connections of callers for whom nothing is reserved
+	idle         list.List // of net.Conn, least recently used first
 	closed       bool
 }
 
+// boundedConnection is what is known of an open connection.
+type boundedConnection struct {
+	idle     *list.Element // nil while it is not idle
+	reserved bool          // of a caller for whom a part is reserved
+}
+
 // NewBoundedListener makes a BoundedListener. The http.Server that accepts from it must have its ConnState as ConnState hook.
 func NewBoundedListener(listener net.Listener, limit int) *BoundedListener {
-	l := &BoundedListener{Listener: listener, limit: limit, open: make(map[net.Conn]*list.Element)}
+	l := &BoundedListener{Listener: listener, limit: limit, open: make(map[net.Conn]*boundedConnection)}
 	l.stateChanged.L = &l.mu
 	return l
 }
 
+// Reserve keeps a number of connections for callers on some hosts. Other callers never fill them: beyond the rest of the limit a new
+// one of theirs closes the one of theirs that has been idle for longest, or is closed itself while none is idle. It is to be called
+// before the first Accept.
+func (l *BoundedListener) Reserve(connections int, isReserved func(host string) bool) {
+	l.reserved, l.isReserved = connections, isReserved
+}
+
 // Accept implements net.Listener.
 func (l *BoundedListener) Accept() (net.Conn, error) {
-	l.waitBelowLimit()
-	connection, err := l.Listener.Accept()
-	if err == nil {
-		l.mu.Lock()
-		l.open[connection] = nil
-		l.mu.Unlock()
+	for {
+		l.waitBelowLimit()
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.admit(connection) {
+			return connection, nil
+		}
+		connection.Close()
+	}
+}
+
+// admit counts a new connection, unless its caller would fill what is reserved for others.
+func (l *BoundedListener) admit(connection net.Conn) bool {
+	reserved := l.isReserved == nil || l.isReserved(hostOf(connection.RemoteAddr()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !reserved && l.unreserved >= l.limit-l.reserved && !l.closeIdle(l.oldestIdle(false)) {
+		return false
+	}
+	l.open[connection] = &boundedConnection{reserved: reserved}
+	if !reserved {
+		l.unreserved++
 	}
-	return connection, err
+	return true
+}
+
+func hostOf(address net.Addr) string {
+	host, _, err := net.SplitHostPort(address.String())
+	if err != nil {
+		return address.String()
+	}
+	return host
 }
 
 // Close implements net.Listener.
@@ -53,32 +97,49 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.open) >= l.limit && !l.closed {
-		oldest := l.idle.Front()
-		if oldest == nil {
+		if !l.closeIdle(l.oldestIdle(false)) && !l.closeIdle(l.oldestIdle(true)) {
 			l.stateChanged.Wait()
-			continue
 		}
-		connection := oldest.Value.(net.Conn) //nolint:forcetypeassert // the list has nothing else
-		l.remove(connection)
-		connection.Close()
 	}
 }
 
+// oldestIdle is the connection that has been idle for longest, of callers for whom a part is reserved or of the others; nil where
+// none is idle. It needs the mutex.
+func (l *BoundedListener) oldestIdle(reserved bool) net.Conn {
+	for element := l.idle.Front(); element != nil; element = element.Next() {
+		connection := element.Value.(net.Conn) //nolint:forcetypeassert // the list has nothing else
+		if l.open[connection].reserved == reserved {
+			return connection
+		}
+	}
+	return nil
+}
+
+// closeIdle closes an idle connection, if there is one. It needs the mutex.
+func (l *BoundedListener) closeIdle(connection net.Conn) bool {
+	if connection == nil {
+		return false
+	}
+	l.remove(connection)
+	connection.Close()
+	return true
+}
+
 // ConnState notes which connections are idle or closed. It is for http.Server.ConnState.
 func (l *BoundedListener) ConnState(connection net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	element, known := l.open[connection]
-	if !known {
-		return // closed by waitBelowLimit
+	known := l.open[connection]
+	if known == nil {
+		return // closed by closeIdle
 	}
-	if element != nil {
-		l.idle.Remove(element)
-		l.open[connection] = nil
+	if known.idle != nil {
+		l.idle.Remove(known.idle)
+		known.idle = nil
 	}
 	switch state {
 	case http.StateIdle:
-		l.open[connection] = l.idle.PushBack(connection)
+		known.idle = l.idle.PushBack(connection)
 	case http.StateClosed, http.StateHijacked:
 		l.remove(connection)
 	default:
@@ -87,10 +148,14 @@
 	l.stateChanged.Signal()
 }
 
-// remove takes a connection off the count. It needs the mutex.
+// remove takes a connection off the counts. It needs the mutex.
 func (l *BoundedListener) remove(connection net.Conn) {
-	if element := l.open[connection]; element != nil {
-		l.idle.Remove(element)
+	known := l.open[connection]
+	if known.idle != nil {
+		l.idle.Remove(known.idle)
+	}
+	if !known.reserved {
+		l.unreserved--
 	}
 	delete(l.open, connection)
 }
--- a/internal/transport/boundedlistener_test.go
+++ b/internal/transport/boundedlistener_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 const listenerTimeout = 20 * time.Second
 
 // boundedServer serves on a loopback address; calls of /wait are answered once the channel is closed.
-func boundedServer(t *testing.T, most int) (inbound *transport.BoundedListener, waiting chan struct{}, letGo chan struct{}) {
+func boundedServer(t *testing.T, most int, reserved ...string) (inbound *transport.BoundedListener, waiting chan struct{}, letGo chan struct{}) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -25,6 +26,7 @@
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/wait", func(http.ResponseWriter, *http.Request) { waiting <- struct{}{}; <-letGo })
 	inbound = transport.NewBoundedListener(listener, most)
+	inbound.Reserve(len(reserved), func(host string) bool { return slices.Contains(reserved, host) })
 	server := &http.Server{Handler: mux, ConnState: inbound.ConnState}
 	served := make(chan struct{})
 	go func() { server.Serve(inbound); close(served) }()
@@ -47,7 +49,14 @@
 // dialOne opens a connection.
 func dialOne(t *testing.T, address string) net.Conn {
 	t.Helper()
-	connection, err := net.DialTimeout("tcp", address, listenerTimeout)
+	return dialFrom(t, "127.0.0.1", address)
+}
+
+// dialFrom opens a connection from a host.
+func dialFrom(t *testing.T, host, address string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Timeout: listenerTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	connection, err := dialer.DialContext(t.Context(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,3 +99,54 @@
 		})
 	})
 }
+
+// Callers for whom nothing is reserved fill the rest with calls that last: those for whom a part is reserved are answered all the same.
+func TestReservedConnections(t *testing.T) {
+	const peer, otherPeer = "127.0.0.2", "127.0.0.3"
+	convey.Convey("A server of four connections, of which two are reserved for two hosts", t, func() {
+		inbound, waiting, letGo := boundedServer(t, 4, peer, otherPeer)
+		address := inbound.Addr().String()
+		answered := make(chan error, 2)
+		for range cap(answered) {
+			connection := dialOne(t, address)
+			go func() { answered <- callOn(t, connection, "/wait") }()
+			<-waiting
+		}
+		convey.Convey("a further caller of the others is turned away", func() {
+			convey.So(callOn(t, dialOne(t, address), "/"), convey.ShouldNotBeNil)
+			convey.So(inbound.Open(), convey.ShouldEqual, 2)
+			close(letGo)
+		})
+		convey.Convey("the hosts are answered, also once others were turned away", func() {
+			for range 3 {
+				dialOne(t, address)
+				convey.So(callOn(t, dialFrom(t, peer, address), "/"), convey.ShouldBeNil)
+				convey.So(callOn(t, dialFrom(t, otherPeer, address), "/"), convey.ShouldBeNil)
+			}
+			convey.So(inbound.Open(), convey.ShouldBeLessThanOrEqualTo, 4)
+			close(letGo)
+		})
+		convey.Convey("once calls have ended, their idle connections make room for others, and the hosts' stay", func() {
+			kept := dialFrom(t, peer, address)
+			convey.So(callOn(t, kept, "/"), convey.ShouldBeNil)
+			close(letGo)
+			for range cap(answered) {
+				convey.So(<-answered, convey.ShouldBeNil)
+			}
+			for range 4 {
+				callUntilAnswered(t, address)
+			}
+			convey.So(callOn(t, kept, "/"), convey.ShouldBeNil)
+		})
+	})
+}
+
+// callUntilAnswered opens connections until a call is answered: a connection counts as idle a little after its last answer.
+func callUntilAnswered(t *testing.T, address string) {
+	t.Helper()
+	for limit := time.Now().Add(listenerTimeout); callOn(t, dialOne(t, address), "/") != nil; {
+		if time.Now().After(limit) {
+			t.Fatal("no call is answered")
+		}
+	}
+}
