--- a/internal/nodesettings/connectionbudget.go
+++ b/internal/nodesettings/connectionbudget.go
@@ -16,7 +16,7 @@
 	allPercent       = 100
 
 	corePeersPercentOfNodes = 25 // of the nodes' share, which agents and proxies never fill
-	minConnections   = 4 // of each share
+	minConnections          = 4  // of each share
 )
 
 // Rates of new connections to workers and of polls of idle workers, for a whole processor core. A new connection takes about
