--- a/internal/controlplane/register/valuetransfer_test.go
+++ b/internal/controlplane/register/valuetransfer_test.go
@@ -260,7 +260,7 @@
 
 // changeUnderFault lets a member change a large value that all have, in messages that take a while, and begins a fault after some of
 // them. It returns the change's error, and what each member reads once the fault has ended.
-func changeUnderFault(t *testing.T, after time.Duration, begin, end func(c *cluster)) (changeErr error, values []string) {
+func changeUnderFault(t *testing.T, after time.Duration, begin, end func(c *cluster)) (values []string, changeErr error) {
 	t.Helper()
 	runInCluster(t, func(c *cluster) {
 		changing := c.process("member-0").register
@@ -290,14 +290,14 @@
 			values = append(values, string(value))
 		}
 	})
-	return changeErr, values
+	return values, changeErr
 }
 
 // A peer stands still, or is cut off, in the middle of a transfer: at its first message, between its rounds, and in the last one.
 func TestFaultsInTheMiddleOfATransfer(t *testing.T) {
 	before, after := randomText(largeText, 1), randomText(largeText, 2)
 	for _, at := range []time.Duration{transferDelay / 2, 3 * transferDelay / 2, 5 * transferDelay / 2} {
-		frozenErr, frozen := changeUnderFault(t, at,
+		frozen, frozenErr := changeUnderFault(t, at,
 			func(c *cluster) { c.network.Delay("member-1", 4*time.Second) },
 			func(*cluster) { <-time.After(4 * time.Second) })
 		convey.Convey("A member stands still for 4 s: the change is stored by the others, and read by all", t, func() {
@@ -306,7 +306,7 @@
 				convey.So(value == after, convey.ShouldBeTrue)
 			}
 		})
-		cutErr, cut := changeUnderFault(t, at,
+		cut, cutErr := changeUnderFault(t, at,
 			func(c *cluster) { c.network.Partition("member-0", true) },
 			func(c *cluster) { c.network.Partition("member-0", false) })
 		convey.Convey("The member that changes it is cut off: afterwards all read one whole value, the new one if that was confirmed", t, func() {
--- a/internal/jobs/scheduler/workerends_test.go
+++ b/internal/jobs/scheduler/workerends_test.go
@@ -84,7 +84,7 @@
 		w.steps(100)
 		of := func(kind string, processors int64) job.Stage {
 			stage := smallStage(1)
-			stage.Requirements, stage.Resources.Processors = job.Labels{kind}, processors
+			stage.Requirements, stage.Processors = job.Labels{kind}, processors
 			return stage
 		}
 		first, second, large := w.submitStages(1, of("a", 1000)), w.submitStages(2, of("b", 1000)), w.submitStages(3, of("b", 4000))
