Attempts that do not end no longer bar their worker from starts

Cause: the window limited all attempts of a worker, but only confirmed starts and short successes widen it. Attempts that do not end fill it for good once it is narrowed below them, as by a failure, a stall, or the initial window of a new leader. A gang could start only within the windows of all workers together, which nothing widened while it waited.

Change: an attempt that its worker has listed 1 s after its assignment, or that was inherited, is proven and no longer counts towards the window. As a window is at least 1, a worker with capacity takes a start again as soon as its unproven attempts are proven or have ended. A gang that fits the capacity but not the windows extends them by the smallest common factor.

TestExplanationAgreesWithDispatch compares the same decisions as before; for gangs the window is no longer one of them.

--- a/internal/jobs/jobreport/explanation.go
+++ b/internal/jobs/jobreport/explanation.go
@@ -16,7 +16,7 @@
 	CauseNotFenced        Cause = "notFenced"        // the worker has not confirmed this leader's fencing token yet
 	CauseOrphans          Cause = "unwantedRuns"     // attempts that belong to no job are being stopped at the worker
 	CauseBackoff          Cause = "resting"          // the worker gets no starts for a short time, because it rejected a start or an attempt stalled there
-	CauseWindow           Cause = "window"           // the worker has as many attempts as its window allows
+	CauseWindow           Cause = "window"           // the worker has as many unproven attempts as its window allows
 	CauseFreeCapacity     Cause = "room"             // the task requests more than the worker's free capacity
 	CauseAntiAffinity     Cause = "antiAffinity"     // the worker has as many tasks of the stage as the job allows
 	CauseOther            Cause = "other"
--- a/internal/jobs/jobreport/jobreport.go
+++ b/internal/jobs/jobreport/jobreport.go
@@ -59,7 +59,7 @@
 	Draining          bool          `msgpack:"d" json:"draining"`
 	OperatorDraining  bool          `msgpack:"o" json:"operatorDraining"`
 	DrainVersion      uint64        `msgpack:"q" json:"drainVersion"`   // number of operators' changes to the worker's drain that were applied
-	Window            int           `msgpack:"w" json:"window"`         // limit on the worker's attempts at the same time
+	Window            int           `msgpack:"w" json:"window"`         // limit on the worker's unproven attempts at the same time
 	LatencyMS         float64       `msgpack:"m" json:"latencyMs"`      // smoothed duration of the worker's attempts; 0 before the first
 	FailureRate       float64       `msgpack:"f" json:"faultShare"`     // smoothed share of the worker's attempts that fail, 0 to 1
 	Attempts          int           `msgpack:"r" json:"runs"`           // number of attempts that may be under way at the worker
--- a/internal/jobs/scheduler/admission.go
+++ b/internal/jobs/scheduler/admission.go
@@ -23,16 +23,13 @@
 	return worker.inInventory && !worker.Draining && !s.operatorDrains.isDraining(worker.ID)
 }
 
-// acceptsStarts reports whether tasks may be started on a worker at present, apart from the capacity that they request.
-// No task is started on a worker while an orphaned attempt is being stopped there: the worker's free capacity is unknown
-// until the orphan has ended.
+// acceptsStarts reports whether tasks may be started on a worker at present, apart from its window and the capacity that they
+// request. No task is started on a worker while an orphaned attempt is being stopped there: the worker's free capacity is
+// unknown until the orphan has ended.
 func (s *Scheduler) acceptsStarts(now Now, worker *workerState) bool {
 	if !worker.reachable || !s.isSchedulable(worker) || worker.fencedAt.IsZero() || len(worker.orphans) > 0 {
 		return false
 	}
-	if float64(len(worker.attempts)) >= worker.window {
-		return false
-	}
 	return !worker.isBackingOff(now)
 }
 
@@ -42,13 +39,22 @@
 	return now.Monotonic.Before(worker.backoffUntil) || now.Monotonic.Before(worker.capacityBackoffUntil)
 }
 
-// admits reports whether a worker that accepts starts can run one more task of a stage, in addition to plannedTasks tasks of
-// that stage that are already planned there. It checks the worker's attempt window, its free capacity, its eligibility and
-// the stage's anti-affinity limit.
-func (s *Scheduler) admits(stage *stageState, worker *workerState, plannedTasks int) bool {
-	if float64(len(worker.attempts)+plannedTasks) >= worker.window {
-		return false
-	}
+// windowAdmits reports whether a worker's window, multiplied by a factor, admits one more attempt in addition to plannedTasks
+// planned ones. Only unproven attempts count, so that attempts that do not end never bar a worker from further starts: the
+// window limits what is at stake on a worker that is untried or fails.
+func (worker *workerState) windowAdmits(plannedTasks int, factor float64) bool {
+	return float64(len(worker.attempts)-worker.provenAttempts+plannedTasks) < worker.window*factor
+}
+
+// admits reports whether a worker that accepts starts can run one more task of a stage: its window admits an attempt, and it
+// has room for the task.
+func (s *Scheduler) admits(stage *stageState, worker *workerState) bool {
+	return worker.windowAdmits(0, 1) && s.hasRoom(stage, worker, 0)
+}
+
+// hasRoom reports whether a worker can run one more task of a stage, in addition to plannedTasks tasks of that stage that are
+// already planned there. It checks the worker's free capacity, its eligibility and the stage's anti-affinity limit.
+func (s *Scheduler) hasRoom(stage *stageState, worker *workerState, plannedTasks int) bool {
 	free := worker.freeCapacity()
 	if plannedTasks > 0 {
 		free = free.Subtract(stage.Times(int64(plannedTasks)))
@@ -85,6 +91,14 @@
 	return count
 }
 
+// markProven excludes an attempt from those that count towards its worker's window.
+func (attempt *attemptState) markProven() {
+	if !attempt.proven {
+		attempt.proven = true
+		attempt.worker.provenAttempts++
+	}
+}
+
 // freeCapacity returns the worker's capacity minus the requests of the attempts assigned to it. It is negative if these
 // requests exceed the capacity that the platform reports.
 func (worker *workerState) freeCapacity() job.Resources { return worker.Capacity.Subtract(worker.used) }
--- a/internal/jobs/scheduler/completion.go
+++ b/internal/jobs/scheduler/completion.go
@@ -177,6 +177,9 @@
 		return
 	}
 	delete(worker.attempts, attempt.task.id)
+	if attempt.proven {
+		worker.provenAttempts--
+	}
 	worker.used = worker.used.Subtract(attempt.task.stage.Resources)
 	attempt.task.attempts = slices.DeleteFunc(attempt.task.attempts, func(other *attemptState) bool { return other == attempt })
 	s.orderStale = true
--- a/internal/jobs/scheduler/dispatch.go
+++ b/internal/jobs/scheduler/dispatch.go
@@ -75,7 +75,7 @@
 	if localOnly && s.remoteFactor(task.stage, worker) > 1 {
 		return false
 	}
-	return s.admits(task.stage, worker, 0) && worker.attempts[task.id] == nil
+	return s.admits(task.stage, worker) && worker.attempts[task.id] == nil
 }
 
 // assign creates an attempt of a task on a worker, with a new attempt number. The number is durably recorded before the start
--- a/internal/jobs/scheduler/explain.go
+++ b/internal/jobs/scheduler/explain.go
@@ -70,33 +70,32 @@
 		Repetition: stage.repetition.number, Stage: stage.number, Tasks: len(stage.waiting), Request: stage.Resources,
 		WaitMS: now.Monotonic.Sub(stage.waitingSince).Milliseconds(), StagesAhead: max(0, slices.Index(s.waitingStages, stage)),
 	}
-	acceptingCount := 0
+	var accepting []*workerState
 	for _, worker := range s.sortedWorkers {
 		cause := s.exclusionCause(now, stage, worker)
 		if cause != "" {
 			waiting.Exclusions = addExclusion(waiting.Exclusions, cause, string(worker.ID))
 			continue
 		}
-		acceptingCount++
+		accepting = append(accepting, worker)
 		if len(waiting.AcceptingWorkers) < maxNamedWorkers {
 			waiting.AcceptingWorkers = append(waiting.AcceptingWorkers, string(worker.ID))
 		}
 	}
-	waiting.Reason = s.waitingReason(now, stage, acceptingCount)
+	waiting.Reason = s.waitingReason(now, stage, accepting)
 	return waiting
 }
 
-// waitingReason returns the first reason that applies to a stage. acceptingCount is the number of workers that could take a
-// task of it.
-func (s *Scheduler) waitingReason(now Now, stage *stageState, acceptingCount int) jobreport.Reason {
+// waitingReason returns the first reason that applies to a stage. The accepting workers could take a task of it.
+func (s *Scheduler) waitingReason(now Now, stage *stageState, accepting []*workerState) jobreport.Reason {
 	switch {
 	case stage.GangScheduled && len(stage.waiting) < max(stage.incompleteTasks, stage.Count):
 		return jobreport.ReasonGangActive
 	case isStageBackingOff(now, stage):
 		return jobreport.ReasonBackoff
-	case acceptingCount == 0:
+	case len(accepting) == 0:
 		return jobreport.ReasonNoWorker
-	case stage.GangScheduled && s.placeableMembers(now, stage) < stage.Count:
+	case stage.GangScheduled && s.membersWithRoom(stage, accepting) < stage.Count:
 		return jobreport.ReasonGangCapacity
 	}
 	return jobreport.ReasonQueueOrder
@@ -114,24 +113,11 @@
 	return backingOff == len(stage.waiting) || stage.GangScheduled && backingOff > 0
 }
 
-// placeableMembers returns the number of gang members that could start at present, regardless of racks.
-func (s *Scheduler) placeableMembers(now Now, stage *stageState) int {
-	members := 0
-	for _, worker := range s.sortedWorkers {
-		if !s.acceptsStarts(now, worker) {
-			continue
-		}
-		for planned := 0; members < stage.Count && s.admits(stage, worker, planned); planned++ {
-			members++
-		}
-	}
-	return members
-}
-
 // exclusionCause returns the first cause that prevents a worker from taking a task of a stage at present. It returns an
-// empty cause if the worker could take one.
+// empty cause if the worker could take one. Windows do not exclude workers from gangs, which may exceed them.
 func (s *Scheduler) exclusionCause(now Now, stage *stageState, worker *workerState) jobreport.Cause {
-	if s.acceptsStarts(now, worker) && s.admits(stage, worker, 0) {
+	windowAdmits := stage.GangScheduled || worker.windowAdmits(0, 1)
+	if s.acceptsStarts(now, worker) && windowAdmits && s.hasRoom(stage, worker, 0) {
 		return ""
 	}
 	if cause := s.ineligibilityCause(stage, worker); cause != "" {
@@ -148,7 +134,7 @@
 		return jobreport.CauseOrphans
 	case worker.isBackingOff(now):
 		return jobreport.CauseBackoff
-	case float64(len(worker.attempts)) >= worker.window:
+	case !windowAdmits:
 		return jobreport.CauseWindow
 	case !worker.freeCapacity().Fits(stage.Resources):
 		return jobreport.CauseFreeCapacity
--- a/internal/jobs/scheduler/explain_test.go
+++ b/internal/jobs/scheduler/explain_test.go
@@ -185,7 +185,8 @@
 		for _, stage := range w.scheduler.waitingStages {
 			for _, worker := range w.scheduler.sortedWorkers {
 				cause := w.scheduler.exclusionCause(w.clock(), stage, worker)
-				accepts := w.scheduler.acceptsStarts(w.clock(), worker) && w.scheduler.admits(stage, worker, 0)
+				accepts := w.scheduler.acceptsStarts(w.clock(), worker) && w.scheduler.hasRoom(stage, worker, 0)
+				accepts = accepts && (stage.GangScheduled || worker.windowAdmits(0, 1))
 				if accepts != (cause == "") {
 					t.Fatalf("step %d: worker %s accepts a task: %t, but the exclusion cause is %q", step, worker.ID, accepts, cause)
 				}
--- a/internal/jobs/scheduler/gangs.go
+++ b/internal/jobs/scheduler/gangs.go
@@ -33,18 +33,54 @@
 // planGang chooses a worker for each member. If the stage requests a single rack, it tries each rack first, and falls back to
 // any workers. It returns nil if the capacity does not suffice for all members. It also returns nil while the gang should
 // still wait for capacity on a single rack.
+//
+// A gang cannot start with a few members to widen the windows. If it does not fit into them, they are all extended by the same
+// factor, the smallest that suffices, so that workers with a narrow window still get the fewest members.
 func (s *Scheduler) planGang(now Now, stage *stageState) []*workerState {
-	if stage.SameRack {
-		for _, rack := range s.racksAcceptingStarts(now) {
-			if placement := s.planGangOnRack(now, stage, rack); placement != nil {
-				return placement
-			}
+	if s.membersWithRoom(stage, s.workersAcceptingStarts(now)) < stage.Count {
+		return nil
+	}
+	for windowFactor := 1.0; ; windowFactor *= 2 {
+		if placement := s.planGangOnOneRack(now, stage, windowFactor); placement != nil {
+			return placement
 		}
-		if now.Monotonic.Sub(stage.waitingSince) < s.localityWait(stage) && s.gangFitsOneRack(stage) {
+		if s.waitsForOneRack(now, stage) {
 			return nil
 		}
+		if placement := s.planGangOnRack(now, stage, "", windowFactor); placement != nil {
+			return placement
+		}
+	}
+}
+
+// membersWithRoom returns the number of a gang's members for which workers that accept starts have room, at most all.
+func (s *Scheduler) membersWithRoom(stage *stageState, workers []*workerState) int {
+	members := 0
+	for _, worker := range workers {
+		for planned := 0; members < stage.Count && s.hasRoom(stage, worker, planned); planned++ {
+			members++
+		}
+	}
+	return members
+}
+
+// planGangOnOneRack chooses a worker for each member on the first rack that suffices, if the stage requests a single rack.
+// Otherwise, or if no rack suffices, it returns nil.
+func (s *Scheduler) planGangOnOneRack(now Now, stage *stageState, windowFactor float64) []*workerState {
+	if !stage.SameRack {
+		return nil
+	}
+	for _, rack := range s.racksAcceptingStarts(now) {
+		if placement := s.planGangOnRack(now, stage, rack, windowFactor); placement != nil {
+			return placement
+		}
 	}
-	return s.planGangOnRack(now, stage, "")
+	return nil
+}
+
+// waitsForOneRack reports whether a gang should still wait for capacity on a single rack.
+func (s *Scheduler) waitsForOneRack(now Now, stage *stageState) bool {
+	return stage.SameRack && now.Monotonic.Sub(stage.waitingSince) < s.localityWait(stage) && s.gangFitsOneRack(stage)
 }
 
 // gangFitsOneRack reports whether the complete gang would fit on one rack if that rack were idle.
@@ -75,18 +111,21 @@
 }
 
 // planGangOnRack chooses a worker on the given rack for each member of a gang. An empty rack permits all workers. Workers of
-// least cost are filled first. It returns nil if not all members fit.
-func (s *Scheduler) planGangOnRack(now Now, stage *stageState, rack string) []*workerState {
+// least cost are filled first, each up to its window times the factor. It returns nil if not all members fit.
+func (s *Scheduler) planGangOnRack(now Now, stage *stageState, rack string, windowFactor float64) []*workerState {
+	admitsMember := func(worker *workerState, planned int) bool {
+		return worker.windowAdmits(planned, windowFactor) && s.hasRoom(stage, worker, planned)
+	}
 	var candidates []*workerState
 	for _, worker := range s.workersAcceptingStarts(now) {
-		if (rack == "" || worker.rack == rack) && s.admits(stage, worker, 0) {
+		if (rack == "" || worker.rack == rack) && admitsMember(worker, 0) {
 			candidates = append(candidates, worker)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *workerState) int { return cmp.Compare(s.stageCost(stage, a), s.stageCost(stage, b)) })
 	var placement []*workerState
 	for _, worker := range candidates {
-		for planned := 0; len(placement) < stage.Count && s.admits(stage, worker, planned); planned++ {
+		for planned := 0; len(placement) < stage.Count && admitsMember(worker, planned); planned++ {
 			placement = append(placement, worker)
 		}
 	}
--- a/internal/jobs/scheduler/health.go
+++ b/internal/jobs/scheduler/health.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	initialWindow        = 4.0   // attempt window of a new worker: the number of attempts that it may have at a time
+	initialWindow        = 4.0   // attempt window of a new worker: the number of unproven attempts that it may have at a time
 	maxWindow            = 256.0 // above this, only the worker's capacity limits its attempts
 	minWindow            = 1.0
-	latencyWeight        = 0.2  // weight of a new duration in a worker's smoothed latency
-	failureWeight        = 0.25 // weight of a new completion in a worker's failure rate
-	normalDurationFactor = 3.0  // a success widens the window if it took at most this multiple of the expected duration
+	proofTime            = time.Second // an attempt that its worker lists this long after the assignment is proven
+	latencyWeight        = 0.2         // weight of a new duration in a worker's smoothed latency
+	failureWeight        = 0.25        // weight of a new completion in a worker's failure rate
+	normalDurationFactor = 3.0         // a success widens the window if it took at most this multiple of the expected duration
 
 	minStallTimeout      = 800 * time.Millisecond // shortest time without progress after which an attempt counts as stalled
 	gangStartAllowance   = 2 * time.Second        // added for a gang without progress, as its other members may not have started
--- a/internal/jobs/scheduler/load.go
+++ b/internal/jobs/scheduler/load.go
@@ -53,10 +53,10 @@
 	}
 	load.Capacity = load.Capacity.Add(worker.Capacity)
 	load.Used = load.Used.Add(worker.used)
-	if s.acceptsStarts(now, worker) {
-		load.AcceptingWorkers++
-	}
-	if float64(len(worker.attempts)) >= worker.window {
+	switch {
+	case !worker.windowAdmits(0, 1):
 		load.FullWindows++
+	case s.acceptsStarts(now, worker):
+		load.AcceptingWorkers++
 	}
 }
--- a/internal/jobs/scheduler/state.go
+++ b/internal/jobs/scheduler/state.go
@@ -72,6 +72,7 @@
 	stopping          bool      // a stop command has been issued
 	stopConfirmedAt   time.Time // when the worker answered the stop command; zero before
 	taskReleased      bool      // the task waits for another start although this attempt may be under way (at-least-once stages)
+	proven            bool      // the worker has run the attempt for a while, so it no longer counts towards the worker's window
 
 	// From the worker's reports.
 	reported             bool      // a report has listed the attempt
@@ -88,6 +89,7 @@
 	workerclient.Instance
 	rack                 string
 	attempts             map[job.TaskID]*attemptState // attempts of this scheduler that may be under way at the worker
+	provenAttempts       int                          // number of attempts that are proven
 	orphans              map[orphanAttempt]bool       // reported attempts that belong to no task; they are being stopped
 	used                 job.Resources                // resources requested by attempts
 	boundTasks           int                          // number of waiting tasks that are bound to the worker
@@ -96,7 +98,7 @@
 	inInventory          bool      // the platform has listed the worker during this leadership
 	missedInventories    int       // number of consecutive complete inventories that do not list the worker
 	lastCompletion       uint64    // highest completion number that has been processed
-	window               float64   // limit on the attempts of this scheduler at the worker, adapted to their outcomes
+	window               float64   // limit on the unproven attempts of this scheduler at the worker, adapted to the outcomes of attempts
 	latencyMS            float64   // smoothed duration of the worker's attempts; 0 before the first
 	failureRate          float64   // smoothed share of the worker's attempts that fail, 0 to 1
 	paceRatio            float64   // smoothed ratio of actual to expected duration, derived from the progress of attempts; 0 if unknown
--- a/internal/jobs/scheduler/workerreports.go
+++ b/internal/jobs/scheduler/workerreports.go
@@ -66,7 +66,8 @@
 	return listed
 }
 
-// recordProgress updates an attempt's progress, pace and checkpoint from a report.
+// recordProgress updates an attempt's progress, pace and checkpoint from a report. It marks the attempt as proven if the worker
+// has run it for proofTime. An inherited attempt is proven at once, as it has run since an earlier leadership.
 func (s *Scheduler) recordProgress(now Now, attempt *attemptState, entry *workerclient.RunningTask) {
 	if !attempt.reported {
 		attempt.reported = true
@@ -80,6 +81,9 @@
 	if entry.Checkpoint != "" {
 		attempt.checkpoint = entry.Checkpoint
 	}
+	if attempt.inherited || now.Monotonic.Sub(attempt.assignedAt) >= proofTime {
+		attempt.markProven()
+	}
 	s.observePace(attempt)
 }
 
