A stop command that is dropped is issued again

Cause: the scheduler marked an attempt as being stopped when it issued the command, and never issued it again. The manager dropped commands whose worker has no link, which a new leader has only once it has read the platform's list, and told nobody. Every reason to stop an attempt was on this path, and orphans too, which in addition keep all starts from their worker.

Change: the mark says that the attempt is to be stopped. The manager reports a command that it cannot send, and a link one that it gives up, as not answered; the next report that lists the attempt or orphan issues it again. A report needs a link, so the command is delivered then. Dropped starts are reported as not sent. The debug log says "stop dropped" and "start dropped", which distinguishes this case from a command that a link lost.

--- a/internal/jobs/manager/debuglog.go
+++ b/internal/jobs/manager/debuglog.go
@@ -22,17 +22,25 @@
 	}
 }
 
-// traceCommand logs a command that is about to be sent.
-func (l *leadership) traceCommand(command *scheduler.Command) {
+// commandFate is what becomes of a command, as the log names it.
+type commandFate string
+
+const (
+	commandSent    commandFate = "sent"    // passed to the worker's link
+	commandDropped commandFate = "dropped" // there is no link to the worker
+)
+
+// traceCommand logs what becomes of a command.
+func (l *leadership) traceCommand(command *scheduler.Command, fate commandFate) {
 	if !l.debugEnabled() {
 		return
 	}
 	if command.Stop != nil {
-		l.config.Log.Debug("stop sent", zap.Stringer("task", command.Stop.Task), zap.Uint64("attempt", command.Stop.AttemptNumber),
+		l.config.Log.Debug("stop "+string(fate), zap.Stringer("task", command.Stop.Task), zap.Uint64("attempt", command.Stop.AttemptNumber),
 			zap.String("worker_id", string(command.Worker)))
 		return
 	}
-	l.config.Log.Debug("start sent", zap.Stringer("task", command.Start.Task), zap.Uint64("attempt", command.Start.AttemptNumber),
+	l.config.Log.Debug("start "+string(fate), zap.Stringer("task", command.Start.Task), zap.Uint64("attempt", command.Start.AttemptNumber),
 		zap.String("worker_id", string(command.Worker)), zap.Uint64("term", l.term.Number()))
 }
 
--- a/internal/jobs/manager/debuglog_test.go
+++ b/internal/jobs/manager/debuglog_test.go
@@ -22,8 +22,10 @@
 	id := job.ID("00000000000000aa")
 	task := job.TaskID{Job: id, Stage: 1, Index: 2}
 	l.traceSubmit(&jobapi.SubmitRequest{ID: id})
-	l.traceCommand(&scheduler.Command{Worker: "i-1", Start: &workerclient.StartCommand{Task: task, AttemptNumber: 1}})
-	l.traceCommand(&scheduler.Command{Worker: "i-1", Stop: &workerclient.StopCommand{Task: task, AttemptNumber: 1}})
+	for _, fate := range []commandFate{commandSent, commandDropped} {
+		l.traceCommand(&scheduler.Command{Worker: "i-1", Start: &workerclient.StartCommand{Task: task, AttemptNumber: 1}}, fate)
+		l.traceCommand(&scheduler.Command{Worker: "i-1", Stop: &workerclient.StopCommand{Task: task, AttemptNumber: 1}}, fate)
+	}
 	l.traceCompletions(&workerclient.Listing{Worker: "i-1", Finished: []workerclient.FinishedTask{{Task: task, AttemptNumber: 1, Outcome: job.OutcomeDone}}})
 	groupScheduler, err := scheduler.New(scheduler.Settings{}, scheduler.Now{}, nil)
 	So(err, ShouldBeNil)
@@ -49,6 +51,8 @@
 			"job submitted 00000000000000aa",
 			"start sent 00000000000000aa.0.1.2",
 			"stop sent 00000000000000aa.0.1.2",
+			"start dropped 00000000000000aa.0.1.2",
+			"stop dropped 00000000000000aa.0.1.2",
 			"attempt completed 00000000000000aa.0.1.2",
 			"job ended 00000000000000aa",
 		})
--- a/internal/jobs/manager/proposals.go
+++ b/internal/jobs/manager/proposals.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
+	"puffinlink.example/puffinlink/internal/jobs/workerclient"
 	"puffinlink.example/puffinlink/internal/rpcerror"
 )
 
@@ -107,15 +108,29 @@
 func (l *leadership) send(command *scheduler.Command) {
 	link := l.links[command.Worker]
 	if link == nil {
+		l.dropCommand(command)
 		return
 	}
 	if command.Stop != nil {
-		l.traceCommand(command)
+		l.traceCommand(command, commandSent)
 		link.Stop(*command.Stop)
 		return
 	}
 	if l.scheduler.ShouldSendStart(command.Worker, command.Start) {
-		l.traceCommand(command)
+		l.traceCommand(command, commandSent)
 		link.Start(*command.Start)
 	}
 }
+
+// dropCommand tells the scheduler that a command was not sent, as there is no link to its worker: the worker has not been listed
+// during this leadership, or its incarnation has ended. The caller must hold l.mu.
+func (l *leadership) dropCommand(command *scheduler.Command) {
+	now := currentTime()
+	l.traceCommand(command, commandDropped)
+	if command.Stop != nil {
+		l.scheduler.HandleStopResult(&workerclient.StopResult{Worker: command.Worker, Command: *command.Stop, At: now.Monotonic})
+		return
+	}
+	result := workerclient.StartResult{Worker: command.Worker, Command: *command.Start, Outcome: workerclient.NotSent, At: now.Monotonic}
+	l.scheduler.HandleStartResult(now, &result)
+}
--- a/internal/jobs/scheduler/commandresults.go
+++ b/internal/jobs/scheduler/commandresults.go
@@ -50,13 +50,28 @@
 }
 
 // HandleStopResult processes the result of a stop command. A response confirms that the attempt has ended, is ending or will
-// never start.
+// never start. Without a response, the command was dropped and must be issued again.
 func (s *Scheduler) HandleStopResult(result *workerclient.StopResult) {
 	worker := s.workers[result.Worker]
-	if worker == nil || !result.Answered {
+	if worker == nil {
+		return
+	}
+	attempt := worker.attempts[result.Command.Task]
+	if attempt == nil || attempt.number != result.Command.AttemptNumber {
+		worker.handleOrphanStopResult(result)
 		return
 	}
-	if attempt := worker.attempts[result.Command.Task]; attempt != nil && attempt.number == result.Command.AttemptNumber {
+	if result.Answered {
 		attempt.stopConfirmedAt = result.At
+		return
+	}
+	attempt.stopDropped = true
+}
+
+// handleOrphanStopResult processes the result of a stop command for an orphan.
+func (worker *workerState) handleOrphanStopResult(result *workerclient.StopResult) {
+	orphan := orphanAttempt{result.Command.Task, result.Command.AttemptNumber}
+	if _, listed := worker.orphans[orphan]; listed {
+		worker.orphans[orphan] = result.Answered
 	}
 }
--- a/internal/jobs/scheduler/effects.go
+++ b/internal/jobs/scheduler/effects.go
@@ -63,12 +63,13 @@
 	s.effects.Acknowledgements = append(s.effects.Acknowledgements, Acknowledgement{Worker: worker.ID, CompletionNumber: worker.lastCompletion})
 }
 
-// stopAttempt adds a stop command for an attempt, unless the attempt is already being stopped.
+// stopAttempt adds a stop command for an attempt, unless the attempt is already being stopped. A command that was dropped is
+// issued again as soon as a report shows that the worker can be reached (see matchRunningAttempts).
 func (s *Scheduler) stopAttempt(attempt *attemptState) {
-	if attempt.stopping {
+	if attempt.stopping && !attempt.stopDropped {
 		return
 	}
-	attempt.stopping = true
+	attempt.stopping, attempt.stopDropped = true, false
 	s.addStopCommand(attempt.worker, attempt.task.id, attempt.number)
 }
 
--- a/internal/jobs/scheduler/state.go
+++ b/internal/jobs/scheduler/state.go
@@ -69,7 +69,8 @@
 	assignedAt        time.Time // time of the assignment; for an inherited attempt, when this leadership began
 	confirmedAt       time.Time // when the worker confirmed the start; zero before
 	startUnansweredAt time.Time // when the start command failed without an answer; zero otherwise
-	stopping          bool      // a stop command has been issued
+	stopping          bool      // the attempt is to be stopped
+	stopDropped       bool      // the stop command was dropped before the worker answered it, so it must be issued again
 	stopConfirmedAt   time.Time // when the worker answered the stop command; zero before
 	taskReleased      bool      // the task waits for another start although this attempt may be under way (at-least-once stages)
 	proven            bool      // the worker has run the attempt for a while, so it no longer counts towards the worker's window
@@ -90,7 +91,7 @@
 	rack                 string
 	attempts             map[job.TaskID]*attemptState // attempts of this scheduler that may be under way at the worker
 	provenAttempts       int                          // number of attempts that are proven
-	orphans              map[orphanAttempt]bool       // reported attempts that belong to no task; they are being stopped
+	orphans              map[orphanAttempt]bool       // reported attempts that belong to no task; true unless their stop command was dropped
 	used                 job.Resources                // resources requested by attempts
 	boundTasks           int                          // number of waiting tasks that are bound to the worker
 	reachable            bool
--- a/internal/jobs/scheduler/workerreports.go
+++ b/internal/jobs/scheduler/workerreports.go
@@ -37,7 +37,7 @@
 }
 
 // matchRunningAttempts matches the reported attempts with those of the scheduler, and returns the tasks of the matching ones.
-// The other reported attempts are orphans, which it stops.
+// The other reported attempts are orphans, which it stops. It issues stop commands again that were dropped.
 func (s *Scheduler) matchRunningAttempts(now Now, worker *workerState, report *workerclient.Listing) map[job.TaskID]bool {
 	if len(report.Running) == 0 {
 		worker.orphans = nil
@@ -51,6 +51,9 @@
 		if attempt != nil && attempt.number == entry.AttemptNumber {
 			listed[entry.Task] = true
 			s.recordProgress(now, attempt, entry)
+			if attempt.stopDropped {
+				s.stopAttempt(attempt)
+			}
 			continue
 		}
 		key := orphanAttempt{entry.Task, entry.AttemptNumber}
