A gang has one checkpoint, in memory and on disk

Cause: a checkpoint that a member's completion brings applied to all members in memory, but was written to the record of that member alone. A new leader gave each member the checkpoint of its own record.

Change: the checkpoint of a gang is a field of its stage and is stored in the record of the first member, in the same batch as the completion that brought it. A new leader reads it from there, or from the first member that has one, so that records of earlier builds, whose members differ, give one checkpoint too (TestGangWithDifferentCheckpointsInItsRecordsResumesFromOne). No stored form changes; the golden files are as they were.

--- a/internal/jobs/scheduler/completion.go
+++ b/internal/jobs/scheduler/completion.go
@@ -31,9 +31,7 @@
 	if task == nil || task.done {
 		return
 	}
-	if completion.Checkpoint != "" {
-		task.recordCheckpoint(completion.Checkpoint)
-	}
+	s.recordCheckpoint(task, completion.Checkpoint)
 	switch {
 	case task.stage.LongRunning:
 		s.retry(now, task, completion.AttemptNumber) // a long-running task restarts after any outcome
@@ -117,20 +115,6 @@
 	}
 }
 
-// recordCheckpoint stores a task's newest checkpoint. A checkpoint of a gang member applies to all members.
-func (task *taskState) recordCheckpoint(checkpoint string) {
-	if !task.stage.Checkpoints {
-		return
-	}
-	if !task.stage.GangScheduled {
-		task.checkpoint = checkpoint
-		return
-	}
-	for _, member := range task.stage.tasks {
-		member.checkpoint = checkpoint
-	}
-}
-
 // retry queues a task for another attempt, unless an attempt that has not been released may still be running. It also writes
 // the task's record and abandons the attempt of a gang.
 func (s *Scheduler) retry(now Now, task *taskState, number uint64) {
@@ -156,9 +140,7 @@
 	if task.done || task.stage.job.ended {
 		return
 	}
-	if attempt.checkpoint != "" {
-		task.recordCheckpoint(attempt.checkpoint)
-	}
+	s.recordCheckpoint(task, attempt.checkpoint)
 	s.retry(now, task, attempt.number)
 }
 
--- a/internal/jobs/scheduler/dispatch.go
+++ b/internal/jobs/scheduler/dispatch.go
@@ -87,6 +87,6 @@
 	s.addAttempt(attempt)
 	task.stage.job.started = true
 	s.writeTaskRecord(task)
-	command := &workerclient.StartCommand{Task: task.id, AttemptNumber: number, Specification: task.stage.job.Specification.Text, Checkpoint: task.checkpoint}
+	command := &workerclient.StartCommand{Task: task.id, AttemptNumber: number, Specification: task.stage.job.Specification.Text, Checkpoint: task.resumeCheckpoint()}
 	s.effects.Commands = append(s.effects.Commands, Command{Worker: worker.ID, Start: command})
 }
--- a/internal/jobs/scheduler/doc.go
+++ b/internal/jobs/scheduler/doc.go
@@ -31,7 +31,8 @@
 //   - Priorities and deadlines (deadlines.go): SWAG's order applies within a level. A job that can still meet its target
 //     precedes a late one. A job that is so late that its result is worthless comes last.
 //   - Data locality (locality.go): a task waits for a limited time for capacity on the rack that holds its data.
-//   - Gangs (gangs.go): all members start at once or none does, on a single rack if the gang requests it.
+//   - Gangs (gangs.go, checkpoints.go): all members start at once or none does, from the same checkpoint, on a single rack if the
+//     gang requests it.
 //   - Worker health (health.go): an adaptive limit on concurrent attempts (the window), failure rates and stall detection.
 //   - Stragglers (stragglers.go): detection of slow workers, and migration of tasks away from them.
 //   - Draining, by the platform (inventory.go) and by operators (operatordrain.go).
--- a/internal/jobs/scheduler/records.go
+++ b/internal/jobs/scheduler/records.go
@@ -40,7 +40,7 @@
 	AttemptNumber  uint64                `msgpack:"x"`           // highest attempt number that was ever assigned
 	Worker         workerclient.WorkerID `msgpack:"s,omitempty"` // worker of that attempt; empty once the attempt has ended
 	FailedAttempts []uint64              `msgpack:"f,omitempty"` // attempt numbers that ended as failed, without duplicates
-	Checkpoint     string                `msgpack:"c,omitempty"`
+	Checkpoint     string                `msgpack:"c,omitempty"` // that of a gang is read from its first member's record, see checkpoints.go
 	Done           bool                  `msgpack:"d,omitempty"`
 }
 
@@ -79,7 +79,7 @@
 
 // writeTaskRecord writes a task's record with its current state.
 func (s *Scheduler) writeTaskRecord(task *taskState) {
-	record := taskRecord{AttemptNumber: task.attemptNumber, FailedAttempts: task.failedAttempts, Checkpoint: task.checkpoint, Done: task.done}
+	record := taskRecord{AttemptNumber: task.attemptNumber, FailedAttempts: task.failedAttempts, Checkpoint: task.resumeCheckpoint(), Done: task.done}
 	for _, attempt := range task.attempts {
 		if attempt.number == task.attemptNumber {
 			record.Worker = attempt.worker.ID
--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -152,7 +152,7 @@
 		return fmt.Errorf("%w: task %v: its stage has no such task", ErrCorruptState, id)
 	}
 	task := stage.tasks[id.Index]
-	task.attemptNumber, task.failedAttempts, task.checkpoint, task.hasRecord = record.AttemptNumber, record.FailedAttempts, record.Checkpoint, true
+	task.attemptNumber, task.failedAttempts, task.ownCheckpoint, task.hasRecord = record.AttemptNumber, record.FailedAttempts, record.Checkpoint, true
 	j.started = true
 	if record.Done {
 		task.done = true
@@ -176,6 +176,7 @@
 // requeueTasks queues the tasks that have no attempt under way, in each stage whose dependencies are complete.
 func (s *Scheduler) requeueTasks(now Now, repetition *repetitionState) {
 	for _, stage := range repetition.stages {
+		stage.restoreGangCheckpoint()
 		if !repetition.stagesComplete(stage.DependsOn) {
 			continue
 		}
--- a/internal/jobs/scheduler/simulatedjobs_test.go
+++ b/internal/jobs/scheduler/simulatedjobs_test.go
@@ -90,6 +90,7 @@
 		case 4:
 			stage.Affinity = "rack1"
 		}
+		stage.Checkpoints = random.IntN(2) == 0
 		request.Specification.Stages = append(request.Specification.Stages, stage)
 	}
 	created.request = request
--- a/internal/jobs/scheduler/simulatedworkers_test.go
+++ b/internal/jobs/scheduler/simulatedworkers_test.go
@@ -28,14 +28,18 @@
 	reportedEpoch     uint64 // epoch of the leader that received the last report
 }
 
+// checkpointInterval is the time between two checkpoints of a simulated attempt.
+const checkpointInterval = 200 * time.Millisecond
+
 // simulatedAttempt is an attempt that runs on a simulated worker.
 type simulatedAttempt struct {
-	number    uint64
-	endsAt    time.Duration
-	outcome   job.Outcome
-	startedAt time.Duration
-	duration  time.Duration
-	stalled   bool
+	resumedFrom string // checkpoint in the start command
+	number      uint64
+	endsAt      time.Duration
+	outcome     job.Outcome
+	startedAt   time.Duration
+	duration    time.Duration
+	stalled     bool
 }
 
 func (sim *simulation) addWorker(id string, number int) {
@@ -114,7 +118,7 @@
 	}
 	sim.checkStart(worker, command, submitted, stage, late)
 	duration := submitted.taskDurations[command.Task]
-	attempt := &simulatedAttempt{number: command.AttemptNumber, outcome: job.OutcomeDone, startedAt: sim.elapsed, duration: duration, endsAt: sim.elapsed + duration}
+	attempt := &simulatedAttempt{resumedFrom: command.Checkpoint, number: command.AttemptNumber, outcome: job.OutcomeDone, startedAt: sim.elapsed, duration: duration, endsAt: sim.elapsed + duration}
 	if submitted.alwaysFails || worker.failsAllAttempts {
 		attempt.outcome, attempt.endsAt = job.OutcomeFailed, sim.elapsed+duration/2
 	}
@@ -163,7 +167,8 @@
 	if len(worker.completions) > 0 {
 		number = worker.completions[len(worker.completions)-1].CompletionNumber + 1
 	}
-	worker.completions = append(worker.completions, workerclient.FinishedTask{CompletionNumber: number, Task: id, AttemptNumber: attempt.number, Outcome: outcome})
+	worker.completions = append(worker.completions, workerclient.FinishedTask{CompletionNumber: number, Task: id, AttemptNumber: attempt.number, Outcome: outcome,
+		Checkpoint: sim.checkpoint(id, attempt)})
 	stage := &sim.jobs[id.Job].request.Specification.Stages[id.Stage]
 	if outcome == job.OutcomeDone {
 		sim.taskHistory(id).completed = true
@@ -184,6 +189,17 @@
 	}
 }
 
+// checkpoint returns the newest checkpoint of an attempt and records that the task has saved it.
+func (sim *simulation) checkpoint(id job.TaskID, attempt *simulatedAttempt) string {
+	saves := int64((sim.elapsed - attempt.startedAt) / checkpointInterval)
+	if !sim.jobs[id.Job].request.Specification.Stages[id.Stage].Checkpoints || saves == 0 {
+		return attempt.resumedFrom
+	}
+	text := fmt.Sprintf("%v attempt %d save %d", id, attempt.number, saves)
+	sim.savedCheckpoints[text] = id
+	return text
+}
+
 func sortedTasks(running map[job.TaskID]*simulatedAttempt) []job.TaskID {
 	return slices.SortedFunc(maps.Keys(running), compareTaskIDs)
 }
@@ -249,7 +265,8 @@
 		if attempt.stalled {
 			percent = 0
 		}
-		listing.Running = append(listing.Running, workerclient.RunningTask{Task: id, AttemptNumber: attempt.number, Percent: min(percent, 99)})
+		listing.Running = append(listing.Running, workerclient.RunningTask{Task: id, AttemptNumber: attempt.number, Percent: min(percent, 99),
+			Checkpoint: sim.checkpoint(id, attempt)})
 	}
 	sim.scheduler.HandleReport(sim.clock(), &listing)
 	sim.propose()
--- a/internal/jobs/scheduler/simulation_test.go
+++ b/internal/jobs/scheduler/simulation_test.go
@@ -29,6 +29,9 @@
 	jobs          map[job.ID]*simulatedJob
 	violations    []string
 
+	savedCheckpoints map[string]job.TaskID  // tasks by the checkpoints that they have saved
+	gangCheckpoints  map[gangAttempt]string // checkpoint in the first start of each gang attempt
+
 	lateStartProbability float64 // fraction of starts that get no response and are executed late
 	dropRecords          bool    // discards all records, to test that the checks detect it
 
@@ -61,6 +64,7 @@
 	sim := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), startTime: time.Unix(1_700_000_000, 0), durable: map[string][]byte{},
 		taskHistories: map[job.TaskID]*taskHistory{}, jobs: map[job.ID]*simulatedJob{}, epoch: 1,
+		savedCheckpoints: map[string]job.TaskID{}, gangCheckpoints: map[gangAttempt]string{},
 		settings: Settings{RemoteSlowdown: 2, MaxStopDuration: 400 * time.Millisecond, RestoreDuration: 200 * time.Millisecond,
 			MaxLease: 6 * time.Second, MinDrainDuration: 3 * time.Second, StatusRetention: time.Hour},
 	}
@@ -236,6 +240,32 @@
 	sim.violations = append(sim.violations, fmt.Sprintf("at %v: ", sim.elapsed)+fmt.Sprintf(format, values...))
 }
 
+// gangAttempt identifies an attempt of a gang by its first member and the attempt number.
+type gangAttempt struct {
+	firstMember job.TaskID
+	number      uint64
+}
+
+// checkCheckpoint checks the checkpoint of a start: a task resumes from one of its own, and the members of a gang all resume from
+// the same one of any member.
+func (sim *simulation) checkCheckpoint(command workerclient.StartCommand, stage *job.Stage) {
+	saver, firstMember := sim.savedCheckpoints[command.Checkpoint], command.Task
+	if stage.GangScheduled {
+		saver.Index, firstMember.Index = 0, 0
+	}
+	if command.Checkpoint != "" && saver != firstMember {
+		sim.recordViolation("%v resumes from %q, which is not its checkpoint", command.Task, command.Checkpoint)
+	}
+	if !stage.GangScheduled {
+		return
+	}
+	attempt := gangAttempt{firstMember, command.AttemptNumber}
+	if other, started := sim.gangCheckpoints[attempt]; started && other != command.Checkpoint {
+		sim.recordViolation("members of attempt %d of %v resume from %q and %q", attempt.number, firstMember, other, command.Checkpoint)
+	}
+	sim.gangCheckpoints[attempt] = command.Checkpoint
+}
+
 // checkStart checks one start. Guarantees with a time limit do not apply to starts that a worker executed late.
 func (sim *simulation) checkStart(worker *simulatedWorker, command workerclient.StartCommand, submitted *simulatedJob, stage *job.Stage, late bool) {
 	id := command.Task
@@ -268,6 +298,7 @@
 			sim.recordViolation("%v starts on %s, which lacks a required label", id, worker.ID)
 		}
 	}
+	sim.checkCheckpoint(command, stage)
 	siblings := 0
 	for other := range worker.running {
 		if other.Job == id.Job && other.Repetition == id.Repetition && other.Stage == id.Stage {
--- a/internal/jobs/scheduler/state.go
+++ b/internal/jobs/scheduler/state.go
@@ -40,6 +40,7 @@
 	waiting          []*taskState // tasks to be started
 	waitingSince     time.Time    // when waiting last changed from empty to non-empty
 	queued           bool         // the stage is listed in Scheduler.waitingStages
+	gangCheckpoint   string       // for a gang: checkpoint from which the next attempt of all members resumes; empty to start from the beginning
 	abandonedAttempt uint64       // for a gang: highest attempt number that was abandoned; 0 for none
 	abandonedAt      time.Time    // when abandonedAttempt was abandoned
 }
@@ -50,7 +51,7 @@
 	stage          *stageState
 	attemptNumber  uint64   // highest attempt number assigned so far; 0 before the first
 	failedAttempts []uint64 // attempt numbers that ended as failed, without duplicates; a gang keeps them at its first member
-	checkpoint     string   // checkpoint from which the next attempt resumes; empty to start from the beginning
+	ownCheckpoint  string   // checkpoint from which the next attempt resumes; empty to start from the beginning and for a gang's member
 	done           bool
 	hasRecord      bool                    // the task has a durable record
 	attempts       []*attemptState         // attempts that may be under way; more than one only in at-least-once stages
--- a/internal/jobs/scheduler/stored_test.go
+++ b/internal/jobs/scheduler/stored_test.go
@@ -225,7 +225,7 @@
 	for _, stage := range repetition.stages {
 		writeLine("    stage %d: tasks left %d, waiting %d", stage.number, stage.incompleteTasks, len(stage.waiting))
 		for _, task := range stage.tasks {
-			writeLine("      task %s: execution %d, failed %v, checkpoint %q, done %v", task.id, task.attemptNumber, task.failedAttempts, task.checkpoint, task.done)
+			writeLine("      task %s: execution %d, failed %v, checkpoint %q, done %v", task.id, task.attemptNumber, task.failedAttempts, task.resumeCheckpoint(), task.done)
 			for _, attempt := range slices.SortedFunc(slices.Values(task.attempts), func(a, b *attemptState) int { return cmp.Compare(a.number, b.number) }) {
 				writeLine("        run %d at %s, inherited %v", attempt.number, attempt.worker.ID, attempt.inherited)
 			}
