A new leader stops the members of a broken gang

Members that run on by themselves were stopped 0.7 s later by that leader only; under a new one the gang waited for them for as long as they made progress.

--- a/internal/jobs/scheduler/gangs.go
+++ b/internal/jobs/scheduler/gangs.go
@@ -144,3 +144,19 @@
 	stage.abandonedAttempt = number
 	stage.abandonedAt = now.Monotonic
 }
+
+// abandonInheritedGangAttempt abandons the attempt of a gang that was restored if it is under way at some members only. As the
+// records of all members are written at once when a gang is started or completed, the attempt was broken under an earlier
+// leadership.
+func (s *Scheduler) abandonInheritedGangAttempt(now Now, stage *stageState) {
+	membersUnderWay, number := 0, uint64(0)
+	for _, task := range stage.tasks {
+		for _, attempt := range task.attempts {
+			membersUnderWay++
+			number = max(number, attempt.number)
+		}
+	}
+	if membersUnderWay < stage.Count {
+		s.abandonGangAttempt(now, stage, number)
+	}
+}
--- a/internal/jobs/scheduler/manualcluster_test.go
+++ b/internal/jobs/scheduler/manualcluster_test.go
@@ -18,6 +18,7 @@
 	now       Now
 	instances []workerclient.Instance
 	durable   map[string][]byte
+	percent   int // progress of the attempts that run, which only rises
 }
 
 const manualJob = job.ID("00000000000000aa")
--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -183,6 +183,9 @@
 		if stage.tasks == nil {
 			stage.createTasks()
 		}
+		if stage.GangScheduled {
+			s.abandonInheritedGangAttempt(now, stage)
+		}
 		for _, task := range stage.tasks {
 			if len(task.attempts) == 0 {
 				s.enqueueAndBind(now, task)
