--- a/internal/jobs/scheduler/simulation_test.go
+++ b/internal/jobs/scheduler/simulation_test.go
@@ -34,6 +34,7 @@
 
 	lateStartProbability float64 // fraction of starts that get no response and are executed late
 	dropRecords          bool    // discards all records, to test that the checks detect it
+	comparisons          int     // number of steps in which the restored state was compared
 
 	maxInventoryDelay time.Duration                  // longest time until a new leader has read the list of workers, page by page
 	inventoryReadAt   time.Duration                  // when the current leader has read it
