A restored repetition's remaining time leaves out its complete stages

Cause: the length of the critical path is computed when a repetition is created, and again when a stage completes. A new leader creates it with all stages incomplete and then restores those that are complete. So until the next stage ended, a job with complete stages counted as having all its work ahead of it; under overload it could be ordered as late, behind jobs that it should precede.

Change: the remaining time is computed again once the tasks are restored.

--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -125,6 +125,7 @@
 	for _, j := range s.jobsByArrival() {
 		for _, repetition := range j.repetitions {
 			if repetition != nil {
+				repetition.remainingMS = repetition.criticalPathMS()
 				s.requeueTasks(now, repetition)
 			}
 		}
--- a/internal/jobs/scheduler/restoredstate_test.go
+++ b/internal/jobs/scheduler/restoredstate_test.go
@@ -64,6 +64,9 @@
 			continue
 		}
 		compare(fmt.Sprintf("%s repetition %d incomplete stages", name, number), other.incompleteStages, repetition.incompleteStages)
+		compare(fmt.Sprintf("%s repetition %d remaining time", name, number), other.remainingMS, repetition.remainingMS)
+		compare(fmt.Sprintf("%s repetition %d deadlines", name, number), []float64{other.targetMS, other.worthlessAfterMS},
+			[]float64{repetition.targetMS, repetition.worthlessAfterMS})
 		for i, stage := range repetition.stages {
 			compareStages(compare, fmt.Sprintf("%s repetition %d stage %d", name, number, i), other.stages[i], stage)
 		}
