The remaining time of an inherited attempt is the client's estimate

Seen by reading: when the platform drains a worker, attempts that cannot end in the time left are stopped and move. A new leader extrapolated the remaining time from the attempt's whole progress over the time since its own election, so an attempt of 60 s at 50% seemed to end 1 s after it. It was left on the worker and died with it.

TestDrainingWorkerStopsInheritedAttemptBeyondItsRemainingTime failed before (no stop for an attempt that needs 30 s on a worker that has 5 s left).

Change: for an inherited attempt with progress, the remaining time is the client's estimate for the rest. Others are extrapolated as before.

--- a/internal/jobs/scheduler/health.go
+++ b/internal/jobs/scheduler/health.go
@@ -69,14 +69,18 @@
 }
 
 // remainingMS estimates the remaining duration of an attempt in milliseconds. It extrapolates from the attempt's progress, or
-// uses the client's estimate if no progress is known.
+// uses the client's estimate if no progress is known. It also uses the estimate for an inherited attempt, whose start is not known.
 func (s *Scheduler) remainingMS(now Now, attempt *attemptState) float64 {
 	expectedMS := s.expectedDurationMS(attempt.task.stage, attempt.worker)
 	elapsedMS := float64(now.Monotonic.Sub(attempt.assignedAt).Milliseconds())
-	if attempt.percent > 0 && attempt.percent < 100 {
-		return elapsedMS * float64(100-attempt.percent) / float64(attempt.percent)
+	remainingPercent := float64(100 - attempt.percent)
+	switch {
+	case attempt.percent == 0 || attempt.percent >= 100:
+		return max(0, expectedMS-elapsedMS)
+	case attempt.inherited:
+		return expectedMS * remainingPercent / 100
 	}
-	return max(0, expectedMS-elapsedMS)
+	return elapsedMS * remainingPercent / float64(attempt.percent)
 }
 
 // inspectAttempts stops attempts that have stalled, that should migrate off a slow worker, or that belong to an abandoned gang
--- a/internal/jobs/scheduler/workerends_test.go
+++ b/internal/jobs/scheduler/workerends_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,6 +104,30 @@
 	})
 }
 
+// A new leader does not know when an inherited attempt started. It must not take the progress since then for the progress since its own
+// election: guards against attempts that are left on a draining worker and die with it.
+func TestDrainingWorkerStopsInheritedAttemptBeyondItsRemainingTime(t *testing.T) {
+	for _, c := range []struct {
+		percent int
+		stopped int
+	}{{50, 1}, {98, 0}} {
+		Convey(fmt.Sprintf("An inherited attempt of 60 s at %d%% on a worker that is drained for 5 s", c.percent), t, func() {
+			stage := smallStage(2)
+			stage.EstimatedDurationMS = 60_000
+			cluster := newManualCluster(stage)
+			cluster.restore()
+			cluster.scheduler.SetInventory(cluster.now, cluster.instances)
+			running := workerclient.RunningTask{Task: job.TaskID{Job: manualJob}, AttemptNumber: 1, Percent: c.percent}
+			cluster.report("s0", running)
+			cluster.advance(time.Second)
+			cluster.report("s0", running)
+			cluster.instances[0].Draining, cluster.instances[0].RemainingMS = true, 5000
+			cluster.scheduler.SetInventory(cluster.now, cluster.instances)
+			So(cluster.stops(), ShouldHaveLength, c.stopped)
+		})
+	}
+}
+
 // The platform reports the minimum time that a draining worker will still run. Attempts that are not expected to end within this time are
 // stopped, and the others continue.
 func TestDrainingWorkerStopsOnlyAttemptsBeyondItsRemainingTime(t *testing.T) {
