A list of workers from an earlier leadership is not taken for complete

An operator who drained a newer worker got 404 until the first reading, and the first list without a worker counted twice towards its removal.

TestListOfAnEarlierLeadershipIsNotTakenForComplete failed before (the drain was answered as for an unknown worker, where it should be tried again).

Change: once a node leads no group, its list counts as pages of a list that is still being read. Links to its workers are opened at once as before, so that attempts keep their leases even if the platform does not answer.

--- a/internal/jobs/manager/lateinventory_test.go
+++ b/internal/jobs/manager/lateinventory_test.go
@@ -11,7 +11,9 @@
 	"puffinlink.example/puffinlink/internal/fakes/cluster"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 	"puffinlink.example/puffinlink/internal/jobs/workerclient"
+	"puffinlink.example/puffinlink/internal/rpcerror"
 )
 
 const (
@@ -108,3 +110,46 @@
 		})
 	}
 }
+
+// A list from an earlier leadership of this node is outdated: guards against operators who are told that a worker does not exist
+// because it is newer than that list.
+func TestListOfAnEarlierLeadershipIsNotTakenForComplete(t *testing.T) {
+	withCluster(t, func(t *testing.T, nodes *testCluster, leader *testNode) {
+		Convey("Given a node that led, was replaced, and leads again", t, func() {
+			fleet := newWorkerFleet(nodes, leader)
+			defer fleet.cluster.Close()
+			old, added := fleet.instances[:workerCount-1], fleet.instances[workerCount-1]
+			leader.manager.SetInventory(old)
+			nodes.network.Partition(leader.address, true)
+			time.Sleep(takeoverTime)
+			next := nodes.awaitLeader()
+			nodes.network.Partition(leader.address, false)
+			for next != leader {
+				nodes.network.Partition(next.address, true)
+				time.Sleep(takeoverTime)
+				nodes.network.Partition(next.address, false)
+				next = nodes.awaitLeader()
+			}
+			drain := func() (jobreport.DrainReply, error) {
+				return leader.manager.drain(context.Background(), jobreport.DrainRequest{Group: testGroup, Worker: string(added.ID), Draining: true})
+			}
+			Convey("it calls the workers of the old list at once", func() {
+				leadership, err := leader.manager.leadershipOf(testGroup)
+				So(err, ShouldBeNil)
+				So(len(leadership.links), ShouldEqual, len(old))
+			})
+			Convey("a worker that is missing from the old list is unknown only once a new list has been read", func() {
+				_, err := drain()
+				So(rpcerror.RetryAfter(err), ShouldEqual, inventoryRetryDelay)
+				leader.manager.SetInventory(old)
+				reply, err := drain()
+				So(err, ShouldBeNil)
+				So(reply.Known, ShouldBeFalse)
+				leader.manager.SetInventory(fleet.instances)
+				reply, err = drain()
+				So(err, ShouldBeNil)
+				So(reply.Known, ShouldBeTrue)
+			})
+		})
+	})
+}
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -39,10 +39,10 @@
 type Manager struct {
 	config             Config
 	mu                 sync.Mutex
-	leaderships        map[string]*leadership // by group
-	inventory          []workerclient.Instance
-	inventoryComplete  bool                                            // whether a complete list has been read
-	inventoryPages     map[workerclient.WorkerID]workerclient.Instance // from the pages read before the first complete list
+	leaderships        map[string]*leadership                          // by group
+	inventory          []workerclient.Instance                         // the newest complete list
+	inventoryComplete  bool                                            // whether a complete list has been read since this node last began to lead
+	inventoryPages     map[workerclient.WorkerID]workerclient.Instance // from the pages read before that list, and from an earlier list
 	leadershipsChanged chan struct{}                                   // closed at the next change of leaderships
 }
 
@@ -87,12 +87,28 @@
 		return
 	}
 	delete(m.leaderships, term.Group())
+	if len(m.leaderships) == 0 {
+		m.markInventoryIncomplete()
+	}
 	m.notifyLeadershipsChanged()
 	m.mu.Unlock()
 	leadership.close()
 	m.config.Log.Info("no longer leading", zap.String("group", term.Group()), zap.Uint64("term", term.Number()))
 }
 
+// markInventoryIncomplete turns the list of workers into pages of a list that has not been read completely, as the list is read only
+// while this node leads a group. The caller must hold m.mu.
+func (m *Manager) markInventoryIncomplete() {
+	if !m.inventoryComplete {
+		return
+	}
+	m.inventoryPages = make(map[workerclient.WorkerID]workerclient.Instance, len(m.inventory))
+	for _, instance := range m.inventory {
+		m.inventoryPages[instance.ID] = instance
+	}
+	m.inventory, m.inventoryComplete = nil, false
+}
+
 // notifyLeadershipsChanged wakes the callers of Leading that wait for a change. The caller must hold m.mu.
 func (m *Manager) notifyLeadershipsChanged() {
 	close(m.leadershipsChanged)
