The test of the bounded listener waits until a connection is noted as idle

The server notes that a connection is idle after its client has the response, so on a starved machine the oldest connection was not the least recently used one. The test waits for the note of each connection now, and still demands that the oldest one is closed.

--- a/internal/transport/boundedlistener_test.go
+++ b/internal/transport/boundedlistener_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,26 +16,59 @@
 
 const listenerTimeout = 20 * time.Second
 
-// startBoundedServer starts a server with a BoundedListener on a loopback address. Each request to /wait sends to started and
-// blocks until release is closed.
-func startBoundedServer(t *testing.T, limit int, reserved ...string) (bounded *transport.BoundedListener, started chan struct{}, release chan struct{}) {
+// boundedServer is a server with a BoundedListener on a loopback address.
+type boundedServer struct {
+	*transport.BoundedListener
+	started chan struct{} // receives each request to /wait, which then blocks
+	release chan struct{} // closed to answer the requests to /wait
+	idle    chan struct{} // receives each time that the listener has noted a connection as idle
+}
+
+const idleNotices = 100 // more than any test causes
+
+func startBoundedServer(t *testing.T, limit int, reserved ...string) *boundedServer {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	started, release = make(chan struct{}, limit), make(chan struct{})
+	bounded := &boundedServer{
+		BoundedListener: transport.NewBoundedListener(listener, limit),
+		started:         make(chan struct{}, limit), release: make(chan struct{}), idle: make(chan struct{}, idleNotices),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("/wait", func(http.ResponseWriter, *http.Request) { started <- struct{}{}; <-release })
-	bounded = transport.NewBoundedListener(listener, limit)
+	mux.HandleFunc("/wait", func(http.ResponseWriter, *http.Request) { bounded.started <- struct{}{}; <-bounded.release })
 	bounded.Reserve(len(reserved), func(host string) bool { return slices.Contains(reserved, host) })
-	server := &http.Server{Handler: mux, ConnState: bounded.ConnState}
+	server := &http.Server{Handler: mux, ConnState: func(connection net.Conn, state http.ConnState) {
+		bounded.ConnState(connection, state)
+		if state == http.StateIdle {
+			bounded.idle <- struct{}{}
+		}
+	}}
 	served := make(chan struct{})
 	go func() { server.Serve(bounded); close(served) }()
 	t.Cleanup(func() { server.Close(); <-served })
-	return bounded, started, release
+	return bounded
 }
 
+// requestAndBecomeIdle sends a request on a connection, and waits for the response and until the listener has noted the connection as
+// idle, which it does after the response has been sent.
+func (s *boundedServer) requestAndBecomeIdle(t *testing.T, connection net.Conn) error {
+	t.Helper()
+	if err := sendRequestOn(t, connection, "/"); err != nil {
+		return err
+	}
+	select {
+	case <-s.idle:
+		return nil
+	case <-time.After(listenerTimeout):
+		return errNotIdle
+	}
+}
+
+var errNotIdle = errors.New("the connection did not become idle")
+
 // sendRequestOn sends a request on a connection. It returns an error if there is no response.
 func sendRequestOn(t *testing.T, connection net.Conn, path string) error {
 	t.Helper()
@@ -67,13 +101,13 @@
 
 func TestBoundedListenerLimitsOpenConnections(t *testing.T) {
 	convey.Convey("A server with a limit of three connections", t, func() {
-		bounded, started, release := startBoundedServer(t, 3)
+		bounded := startBoundedServer(t, 3)
 		address := bounded.Addr().String()
 		convey.Convey("closes the least recently used idle connection for a new one", func() {
 			oldest := dialFromLoopback(t, address)
-			convey.So(sendRequestOn(t, oldest, "/"), convey.ShouldBeNil)
+			convey.So(bounded.requestAndBecomeIdle(t, oldest), convey.ShouldBeNil)
 			for range 5 {
-				convey.So(sendRequestOn(t, dialFromLoopback(t, address), "/"), convey.ShouldBeNil)
+				convey.So(bounded.requestAndBecomeIdle(t, dialFromLoopback(t, address)), convey.ShouldBeNil)
 				convey.So(bounded.OpenConnections(), convey.ShouldBeLessThanOrEqualTo, 3)
 			}
 			oldest.SetDeadline(time.Now().Add(listenerTimeout))
@@ -85,13 +119,13 @@
 			for range 3 {
 				connection := dialFromLoopback(t, address)
 				go func() { results <- sendRequestOn(t, connection, "/wait") }()
-				<-started
+				<-bounded.started
 			}
 			waitingResult := make(chan error, 1)
 			connection := dialFromLoopback(t, address) // waits in the listen queue
 			go func() { waitingResult <- sendRequestOn(t, connection, "/") }()
 			convey.So(bounded.OpenConnections(), convey.ShouldEqual, 3)
-			close(release)
+			close(bounded.release)
 			for range 3 {
 				convey.So(<-results, convey.ShouldBeNil)
 			}
@@ -109,18 +143,18 @@
 		otherPeer = "127.0.0.3"
 	)
 	convey.Convey("A server with a limit of four connections, two of which are reserved for two hosts", t, func() {
-		bounded, started, release := startBoundedServer(t, 4, peer, otherPeer)
+		bounded := startBoundedServer(t, 4, peer, otherPeer)
 		address := bounded.Addr().String()
 		results := make(chan error, 2)
 		for range cap(results) {
 			connection := dialFromLoopback(t, address)
 			go func() { results <- sendRequestOn(t, connection, "/wait") }()
-			<-started
+			<-bounded.started
 		}
 		convey.Convey("closes a further connection from another host", func() {
 			convey.So(sendRequestOn(t, dialFromLoopback(t, address), "/"), convey.ShouldNotBeNil)
 			convey.So(bounded.OpenConnections(), convey.ShouldEqual, 2)
-			close(release)
+			close(bounded.release)
 		})
 		convey.Convey("serves the two hosts, also after it closed connections from other hosts", func() {
 			for range 3 {
@@ -129,12 +163,12 @@
 				convey.So(sendRequestOn(t, dialFrom(t, otherPeer, address), "/"), convey.ShouldBeNil)
 			}
 			convey.So(bounded.OpenConnections(), convey.ShouldBeLessThanOrEqualTo, 4)
-			close(release)
+			close(bounded.release)
 		})
 		convey.Convey("closes idle connections of other hosts, but not of the two hosts, for new ones from other hosts", func() {
 			reserved := dialFrom(t, peer, address)
 			convey.So(sendRequestOn(t, reserved, "/"), convey.ShouldBeNil)
-			close(release)
+			close(bounded.release)
 			for range cap(results) {
 				convey.So(<-results, convey.ShouldBeNil)
 			}
