--- a/internal/jobs/scheduler/simulatedworkers_test.go
+++ b/internal/jobs/scheduler/simulatedworkers_test.go
@@ -22,12 +22,16 @@
 	partitioned       bool
 	up                bool
 	reportedAt        time.Duration
+	reportsFrom       time.Duration // no report is delivered before
 	leaseGrantedUntil time.Duration // when all leases that the leader has granted expire
 	failsAllAttempts  bool
 	reachabilityKnown bool   // the current leader has been told whether the worker is reachable
 	reportedEpoch     uint64 // epoch of the leader that received the last report
 }
 
+// maxFirstReportDelay is the longest time from the opening of a link until the first report, where inventories are late.
+const maxFirstReportDelay = time.Second
+
 // checkpointInterval is the time between two checkpoints of a simulated attempt.
 const checkpointInterval = 200 * time.Millisecond
 
@@ -242,7 +246,7 @@
 
 // sendReportIfDue delivers a worker's report to the scheduler every 300 ms, or reports that the worker is unreachable.
 func (sim *simulation) sendReportIfDue(worker *simulatedWorker) {
-	if !sim.linked[worker.ID] || sim.elapsed-worker.reportedAt < 300*time.Millisecond && worker.reachabilityKnown {
+	if !sim.linked[worker.ID] || sim.elapsed < worker.reportsFrom || sim.elapsed-worker.reportedAt < 300*time.Millisecond && worker.reachabilityKnown {
 		return
 	}
 	worker.reportedAt = sim.elapsed
--- a/internal/jobs/scheduler/simulation_test.go
+++ b/internal/jobs/scheduler/simulation_test.go
@@ -111,7 +111,7 @@
 		worker := sim.workers[index]
 		sim.schedule(time.Duration(sim.random.Int64N(int64(sim.inventoryReadAt-sim.elapsed+1))), func() {
 			if reader == sim.scheduler && worker.up {
-				sim.linked[worker.ID] = true
+				sim.openLink(worker)
 				reader.AddInventoryPage(sim.clock(), []workerclient.Instance{worker.Instance})
 				sim.propose()
 			}
@@ -124,6 +124,17 @@
 	})
 }
 
+// openLink opens a link to a worker. With a late inventory, the worker's first report is late as well.
+func (sim *simulation) openLink(worker *simulatedWorker) {
+	if sim.linked[worker.ID] {
+		return
+	}
+	sim.linked[worker.ID] = true
+	if sim.maxInventoryDelay > 0 {
+		worker.reportsFrom = sim.elapsed + time.Duration(sim.random.Int64N(int64(maxFirstReportDelay)))
+	}
+}
+
 // sendInventory delivers the complete list of workers, unless the leader is still reading it.
 func (sim *simulation) sendInventory() {
 	if sim.elapsed < sim.inventoryReadAt {
@@ -133,7 +144,7 @@
 	for _, worker := range sim.workers {
 		if worker.up {
 			instances = append(instances, worker.Instance)
-			sim.linked[worker.ID] = true
+			sim.openLink(worker)
 		}
 	}
 	sim.scheduler.SetInventory(sim.clock(), instances)
