--- a/review/harness2/cases.go
+++ b/review/harness2/cases.go
@@ -12,9 +12,10 @@
 	"puffinlink.example/puffinlink/internal/jobs/job"
 )
 
-// playMovedQueue moves a queue to another service, and sends jobs that were accepted before once more after it.
+// playMovedQueue removes a queue and adds one at the same place for another service, and sends jobs that were accepted before once
+// more after it.
 //
-// Without the disruption the configuration adds an idle queue instead.
+// Without the disruption the two changes add and remove an idle queue instead.
 func playMovedQueue(s *system) ([]string, error) {
 	kept := route{"r-check", "/check/", "beta"}
 	if err := s.put(0, s.configuration(1, route{"r-plan", "/plan/", "alpha"}, kept)); err != nil {
@@ -34,21 +35,26 @@
 	if _, err := s.clientUntil(http.MethodPost, 0, "/plan/"+string(short), shortText); err != nil {
 		return nil, err
 	}
-	if err := until(startLimit, "start of the long job", func() bool { return len(s.attemptsOf(long, "alpha")) == 2 }); err != nil {
+	if err := until("start of the long job", func() bool { return len(s.attemptsOf(long, "alpha")) == 2 }); err != nil {
 		return nil, err
 	}
-	if err := until(startLimit, "end of the short job", func() bool {
+	if err := until("end of the short job", func() bool {
 		return strings.Contains(s.client(http.MethodGet, 0, "/plan/"+string(short), "", clientLimit).body, "completed")
 	}); err != nil {
 		return nil, err
 	}
 	shownCompleted := time.Now()
 	time.Sleep(2 * time.Second) // the ends are taken note of meanwhile
-	next := s.configuration(3, route{"r-plan", "/plan/", "alpha"}, kept, route{"r-idle", "/idle/", "beta"})
+	plan := route{"r-plan", "/plan/", "alpha"}
+	removal, addition := s.configuration(3, plan, kept, route{"r-idle", "/idle/", "beta"}), s.configuration(5, plan, kept)
 	if s.trouble {
-		next = s.configuration(3, route{"r-plan-2", "/plan/", "beta"}, kept)
+		removal, addition = s.configuration(3, kept), s.configuration(5, kept, route{"r-plan-2", "/plan/", "beta"})
 	}
-	if err := s.put(1, next); err != nil {
+	if err := s.put(1, removal); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	if err := s.put(3, addition); err != nil {
 		return nil, err
 	}
 	time.Sleep(configurationApply + 500*time.Millisecond)
@@ -163,7 +169,7 @@
 	if _, err := s.clientUntil(http.MethodPost, 0, path, jobText("urgent", 2, work)); err != nil {
 		return nil, err
 	}
-	if err := until(startLimit, "start of the job", func() bool { return len(s.attemptsOf(id, "")) == 2 }); err != nil {
+	if err := until("start of the job", func() bool { return len(s.attemptsOf(id, "")) == 2 }); err != nil {
 		return nil, err
 	}
 	next := s.configuration(3, outer, inner, route{"r-idle", "/idle/", "alpha"})
--- a/review/harness2/system.go
+++ b/review/harness2/system.go
@@ -394,9 +394,9 @@
 	})
 }
 
-// until waits until a condition holds.
-func until(limit time.Duration, what string, condition func() bool) error {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+// until waits until a condition holds, for startLimit at most.
+func until(what string, condition func() bool) error {
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if condition() {
 			return nil
 		}
@@ -484,7 +484,7 @@
 
 // awaitReady waits until both fronts say that they are ready.
 func (s *system) awaitReady() error {
-	return until(startLimit, "readiness of the fronts", func() bool {
+	return until("readiness of the fronts", func() bool {
 		for number := range frontMachines {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			result := s.send(ctx, http.MethodGet, "http://"+s.readiness(number)+"/-/readiness", nil, "")
