--- a/review/harness2/system.go
+++ b/review/harness2/system.go
@@ -207,12 +207,21 @@
 }
 
 func portsAreFree(first int) bool {
+	hosts := []string{"127.0.0.1"} // of the agents' ports for their proxies
+	for number := range coreMachines {
+		hosts = append(hosts, coreHost(number))
+	}
+	for number := range frontMachines {
+		hosts = append(hosts, frontHost(number))
+	}
 	for port := first; port < first+(frontMachines+1)*rangePorts; port++ {
-		listener, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
-		if err != nil {
-			return false
+		for _, host := range hosts {
+			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", host, port))
+			if err != nil {
+				return false
+			}
+			listener.Close()
 		}
-		listener.Close()
 	}
 	return true
 }
