A coordinator that shuts down survives calls of other members meanwhile

Seen: a test of several groups on one node ended with "panic: sync: WaitGroup is reused before previous Wait has returned", in each of seven runs under the race detector.

Cause: Node.shutdown waits for the node's tasks with a sync.WaitGroup, while calls of other members go on arriving and begin further tasks. A WaitGroup must not be used again while its Wait returns; where the count reached zero and rose again at that moment, the process panicked at the end of its graceful shutdown.

Change: tasks are counted by a type of its own, which permits tasks to begin while a shutdown waits. It waits for the first moment without any, as before.

--- a/internal/controlplane/replication/node.go
+++ b/internal/controlplane/replication/node.go
@@ -45,7 +45,7 @@
 	log    *zap.Logger
 	ctx    context.Context // context of all calls
 	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	tasks  taskGroup
 	wakeUp wakeup.Signal
 
 	mu   sync.Mutex
--- a/internal/controlplane/replication/noderun.go
+++ b/internal/controlplane/replication/noderun.go
@@ -17,7 +17,7 @@
 		n.wake()
 	}
 	taken := n.core.takeEffects()
-	n.tasks.Add(len(taken.writes) + len(taken.calls))
+	n.tasks.add(len(taken.writes) + len(taken.calls))
 	return taken
 }
 
@@ -43,16 +43,16 @@
 	}
 }
 
-func (n *Node) spawn(task func()) { n.tasks.Go(task) }
+func (n *Node) spawn(task func()) { n.tasks.run(task) }
 
 func (n *Node) write(write storeWrite) effects {
-	defer n.tasks.Done()
+	defer n.tasks.done()
 	err := n.config.Store.Write(write.changes...)
 	return n.step(func() { write.done(err) })
 }
 
 func (n *Node) send(call rpc) effects {
-	defer n.tasks.Done()
+	defer n.tasks.done()
 	ctx, cancel := context.WithTimeout(n.ctx, call.timeout)
 	defer cancel()
 	err := n.config.Caller.Call(ctx, call.address, call.route, call.request, call.reply)
@@ -82,8 +82,7 @@
 // remaining calls.
 func (n *Node) shutdown() {
 	n.runStep(n.core.stop)
-	ended := make(chan struct{})
-	go func() { n.tasks.Wait(); close(ended) }()
+	ended := n.tasks.idleSignal()
 	timer := time.NewTimer(n.config.Timing.HeartbeatInterval)
 	defer timer.Stop()
 	select {
