--- a/cmd/puffinlink/proxy.go
+++ b/cmd/puffinlink/proxy.go
@@ -101,13 +101,11 @@
 		Extension:        found.Extension,
 		TargetLatencyMS:  found.TargetLatency().Milliseconds(),
 		EnforcesCapacity: service.EnforcesCapacity,
+		Key:              found.QueueKey(),
 	}
 	return proxy.Route{Queue: queue, Timeout: found.Timeout()}, rest, true
 }
 
-// Services implements proxy.Router.
-func (r configurationRouter) Services() []string { return r.table.Services() }
-
 // Limits implements proxy.Router.
 func (r configurationRouter) Limits() proxy.Limits {
 	limits := r.table.Limits()
--- a/internal/controlplane/configuration/announce.go
+++ b/internal/controlplane/configuration/announce.go
@@ -37,14 +37,14 @@
 		}
 		cachedVersion := c.cached().Version
 		if announcement.Version > cachedVersion {
-			c.triggerRead()
+			c.Refresh()
 		}
 		return AnnouncementReply{Version: cachedVersion}, nil
 	})
 }
 
-// triggerRead makes Run read immediately, or once more if a read is in progress.
-func (c *Configurator) triggerRead() { c.newerAnnounced.Notify() }
+// Refresh makes Run read immediately, or once more if a read is in progress.
+func (c *Configurator) Refresh() { c.newerAnnounced.Notify() }
 
 // announceToMembers announces a committed version to all other members. It does not wait for the calls.
 func (c *Configurator) announceToMembers(version uint64) {
--- a/internal/controlplane/configuration/configurator.go
+++ b/internal/controlplane/configuration/configurator.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/wakeup"
@@ -32,6 +33,8 @@
 	Caller transport.Caller
 	// Members returns the current view of the replica set.
 	Members func() replicaset.View
+	// Retired reports whether an ended tenure of a queue need not be kept. Nil keeps all.
+	Retired RetiredFunc
 	// Address is the internal address of this node.
 	Address string
 	Logger  *zap.Logger
@@ -47,8 +50,9 @@
 	newerAnnounced wakeup.Signal
 
 	mutex        sync.Mutex
-	encodedState []byte // the register's value from which state was decoded
-	state        State  // newest state known to be committed
+	encodedState []byte          // the register's value from which state was decoded
+	state        State           // newest state known to be committed
+	queues       *QueueDirectory // of state
 	changed      chan struct{}
 	lastRead     time.Time // start of the latest read or change that reached a majority; zero if there was none
 	closed       bool      // set when no more announcements may be sent
@@ -56,10 +60,14 @@
 
 // New returns a Configurator without a cached configuration. Run, Read and Put fill the cache.
 func New(options Options) *Configurator {
+	if options.Retired == nil {
+		options.Retired = func(queuekey.Key, Tenure) bool { return false }
+	}
 	return &Configurator{
 		options:    options,
 		changeSlot: make(chan struct{}, 1),
 		changed:    make(chan struct{}),
+		queues:     &QueueDirectory{},
 
 		newerAnnounced: wakeup.New(),
 	}
@@ -72,6 +80,21 @@
 	return state.Version, state.Body
 }
 
+// Queues returns the directory of queues of the version that Current returns.
+func (c *Configurator) Queues() *QueueDirectory {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.queues
+}
+
+// directoryOf returns the directory of queues of a committed state.
+func (c *Configurator) directoryOf(state State) (*QueueDirectory, error) {
+	if cached := c.Queues(); cached.version == state.Version {
+		return cached, nil
+	}
+	return NewQueueDirectory(state)
+}
+
 // Changed returns a channel that is closed when the result of Current changes. To miss no change, get the channel before calling
 // Current.
 func (c *Configurator) Changed() <-chan struct{} {
@@ -131,12 +154,20 @@
 
 // adopt caches a committed state, unless a state at least as new is cached.
 func (c *Configurator) adopt(value []byte, state State) {
+	if state.Version <= c.cached().Version {
+		return
+	}
+	queues, err := NewQueueDirectory(state)
+	if err != nil { // does not happen: the configuration was validated before it was applied
+		c.options.Logger.Error("committed configuration not readable; its queues are unknown", zap.Error(err))
+		queues = &QueueDirectory{}
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if state.Version <= c.state.Version {
 		return
 	}
-	c.encodedState, c.state = value, state
+	c.encodedState, c.state, c.queues = value, state, queues
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.options.Logger.Info("configuration in force", zap.Uint64("version", state.Version))
--- a/internal/controlplane/configuration/put.go
+++ b/internal/controlplane/configuration/put.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return invalidOutcome(err)
 	}
-	request.version = parsed.Version
+	request.version, request.parsed = parsed.Version, parsed
 	if request.version <= ifMatch {
 		return invalidOutcome(versionNotAboveError(request.version, ifMatch))
 	}
@@ -59,7 +59,11 @@
 		if state.evaluate(request).Kind != Undecided {
 			return current, nil
 		}
-		return state.apply(request).Encode()
+		directory, err := c.directoryOf(state)
+		if err != nil {
+			return nil, err
+		}
+		return state.apply(request, directory.HistoriesAfter(request.parsed, c.options.Retired)).Encode()
 	})
 	if err != nil {
 		return registerFailureOutcome(err)
--- a/internal/controlplane/configuration/put_test.go
+++ b/internal/controlplane/configuration/put_test.go
@@ -205,7 +205,7 @@
 		for version := range maxAppliedHistory + 10 {
 			request := newUpdateRequest(uint64(version), fmt.Appendf(nil, "body %d", version))
 			request.version = uint64(version) + 1
-			state = state.apply(request)
+			state = state.apply(request, nil)
 		}
 		So(len(state.Applied), ShouldEqual, maxAppliedHistory)
 		So(state.Applied[0].Version, ShouldEqual, 11)
--- a/internal/controlplane/configuration/registerstate.go
+++ b/internal/controlplane/configuration/registerstate.go
@@ -18,12 +18,13 @@
 	Sum     [sumBytes]byte `msgpack:"s"` // checksum of the body
 }
 
-// State is the register's value: the configuration in force and the history of applied updates. Its methods evaluate updates and
-// do no input or output.
+// State is the register's value: the configuration in force, the history of applied updates, and which services its queues belonged to
+// before. Its methods evaluate updates and do no input or output.
 type State struct {
 	Version uint64          `msgpack:"v"` // 0 before the first configuration
 	Body    []byte          `msgpack:"b"` // as the operator sent it
 	Applied []AppliedUpdate `msgpack:"t"` // oldest first
+	Queues  []QueueHistory  `msgpack:"q,omitempty"`
 }
 
 // DecodeState decodes the register's value. An empty value is the state before the first configuration.
@@ -79,11 +80,11 @@
 	return len(s.Applied) > 0 && request.ifMatch < s.Applied[0].IfMatch
 }
 
-// apply returns the state after an update.
-func (s State) apply(request updateRequest) State {
+// apply returns the state after an update, with the given histories of queues.
+func (s State) apply(request updateRequest, queues []QueueHistory) State {
 	history := append(slices.Clip(s.Applied), AppliedUpdate{Version: request.version, IfMatch: request.ifMatch, Sum: request.bodySum})
 	if excess := len(history) - maxAppliedHistory; excess > 0 {
 		history = history[excess:]
 	}
-	return State{Version: request.version, Body: request.body, Applied: history}
+	return State{Version: request.version, Body: request.body, Applied: history, Queues: queues}
 }
--- a/internal/controlplane/configuration/resentupdate_test.go
+++ b/internal/controlplane/configuration/resentupdate_test.go
@@ -14,7 +14,7 @@
 	for version := range uint64(count) {
 		request := newUpdateRequest(version, bodyOf(int(version)+1, 1000))
 		request.version = version + 1
-		state = state.apply(request)
+		state = state.apply(request, nil)
 	}
 	return state
 }
@@ -61,7 +61,7 @@
 	ctx := context.Background()
 	// An earlier release may have applied a body that this release rejects. Both run at the same time during a rolling update.
 	memberWithApplied := func(request updateRequest) *Configurator {
-		value, err := State{}.apply(request).Encode()
+		value, err := State{}.apply(request, nil).Encode()
 		So(err, ShouldBeNil)
 		member := newConfigurator(&fakeRegister{value: value})
 		_, _, err = member.Read(ctx)
--- a/internal/controlplane/configuration/routingtable.go
+++ b/internal/controlplane/configuration/routingtable.go
@@ -2,7 +2,8 @@
 
 import (
 	"slices"
-	"strings"
+
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 )
 
 // RoutingTable finds the route of a request. It is immutable and safe for concurrent use.
@@ -40,7 +41,7 @@
 }
 
 func (t *RoutingTable) addRoute(route Route) {
-	name := normalizeHost(route.Host)
+	name := queuekey.NormalizeHost(route.Host)
 	host, known := t.hosts[name]
 	if !known {
 		host.byPrefix = make(map[string]Route)
@@ -60,7 +61,7 @@
 // Match returns the host's route with the longest matching prefix of path, and the remainder of path after that prefix. It ignores
 // the port and the case of the host. ok is false if no route matches.
 func (t *RoutingTable) Match(host, path string) (route Route, remainder string, ok bool) {
-	routes, known := t.hosts[normalizeHost(host)]
+	routes, known := t.hosts[queuekey.NormalizeHost(host)]
 	if !known {
 		return Route{}, "", false
 	}
@@ -96,11 +97,3 @@
 
 // Limits returns the limits for requests of clients.
 func (t *RoutingTable) Limits() Limits { return t.limits }
-
-// normalizeHost removes the port and converts the host to lower case. A colon inside brackets belongs to an IPv6 address.
-func normalizeHost(host string) string {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.Contains(host[colon:], "]") {
-		host = host[:colon]
-	}
-	return strings.ToLower(host)
-}
--- a/internal/controlplane/configuration/routingtable_test.go
+++ b/internal/controlplane/configuration/routingtable_test.go
@@ -42,8 +42,4 @@
 		_, known = table.Service("none")
 		So(known, ShouldBeFalse)
 	})
-	Convey("An IPv6 address keeps its colons and loses its port", t, func() {
-		So(normalizeHost("[fe80::1]"), ShouldEqual, "[fe80::1]")
-		So(normalizeHost("[FE80::1]:80"), ShouldEqual, "[fe80::1]")
-	})
 }
--- a/internal/controlplane/configuration/types.go
+++ b/internal/controlplane/configuration/types.go
@@ -1,6 +1,10 @@
 package configuration
 
-import "time"
+import (
+	"time"
+
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
+)
 
 // MaxBodyBytes is the maximum length of a configuration's body.
 const MaxBodyBytes = 4 << 20
@@ -33,6 +37,9 @@
 // TargetLatency returns the latency target of the route's requests.
 func (r Route) TargetLatency() time.Duration { return fromMilliseconds(r.TargetLatencyMS) }
 
+// QueueKey returns the key of the route's queue.
+func (r Route) QueueKey() queuekey.Key { return queuekey.Of(r.Host, r.PathPrefix) }
+
 // Service is a kind of worker that runs the tasks of routes.
 type Service struct {
 	Name              string `json:"name" validate:"required"`
--- a/internal/controlplane/configuration/updaterequest.go
+++ b/internal/controlplane/configuration/updaterequest.go
@@ -7,7 +7,8 @@
 
 // updateRequest is an operator's request to replace version ifMatch of the configuration by body.
 type updateRequest struct {
-	version uint64 // version of the body; 0 until the body is parsed
+	version uint64         // version of the body; 0 until the body is parsed
+	parsed  *Configuration // nil until the body is parsed
 	ifMatch uint64
 	body    []byte
 	bodySum [sumBytes]byte
--- a/internal/controlplane/configuration/validate.go
+++ b/internal/controlplane/configuration/validate.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 )
 
 // maxProblems is the maximum number of problems that one error lists.
@@ -107,7 +109,7 @@
 			report("name", "repeats %q; give each route its own name", route.Name)
 		}
 		names[route.Name] = true
-		key := routeKey{host: normalizeHost(route.Host), pathPrefix: route.PathPrefix}
+		key := routeKey{host: queuekey.NormalizeHost(route.Host), pathPrefix: route.PathPrefix}
 		if other, taken := routesByKey[key]; taken {
 			report("pathPrefix", "route %q has the same host and prefix; change one of them", other)
 		}
--- a/internal/controlplane/coordinator/assemble.go
+++ b/internal/controlplane/coordinator/assemble.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/configuration"
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/controlplane/feedserver"
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/controlplane/rebuild"
 	"puffinlink.example/puffinlink/internal/controlplane/register"
 	"puffinlink.example/puffinlink/internal/controlplane/replicaset"
@@ -87,6 +89,7 @@
 	})
 	c.configurator = configuration.New(configuration.Options{
 		Register: configurationStore, Caller: c.caller, Members: c.replicaSet.View, Address: self, Logger: c.log,
+		Retired: func(queue queuekey.Key, ended configuration.Tenure) bool { return c.jobManager.IsVacant(queue, ended) },
 	})
 	c.configurator.Mount(c.mux)
 }
@@ -95,6 +98,7 @@
 	bounds := &c.settings.Bounds
 	c.jobManager = manager.New(manager.Config{
 		HTTP: c.workerHTTP, Connections: c.workerConnections, Log: c.log,
+		Queues: c.configurator, Caller: c.caller, Leaders: func() map[string]feed.Leader { return c.replicationNode.Leaders() },
 		Settings: scheduler.Settings{
 			RemoteSlowdown: bounds.RemoteSlowdownFactor, MaxStopDuration: bounds.MaxStopDuration, RestoreDuration: bounds.RestoreDuration,
 			MaxLease: bounds.MaxLease, MinDrainDuration: bounds.DrainDuration, StatusRetention: bounds.StatusRetention + endedJobRetentionMargin,
--- a/internal/controlplane/coordinator/run.go
+++ b/internal/controlplane/coordinator/run.go
@@ -45,6 +45,7 @@
 	go func() { reportFailure("configuration", c.configurator.Run(lifetimeCtx)) }()
 	go func() { reportFailure("feed", c.feedServer.Run(lifetimeCtx)) }()
 	go c.ensureGroups(lifetimeCtx)
+	go c.jobManager.ReleaseMovedQueues(lifetimeCtx)
 	go c.pollInventory(lifetimeCtx)
 	replicationCtx, stopReplication := context.WithCancel(lifetimeCtx)
 	replicationStopped := make(chan struct{})
@@ -62,12 +63,13 @@
 	return errors.Join(err, c.store.Close())
 }
 
-// ensureGroups creates a replication group for each service of the current configuration, and follows its changes.
+// ensureGroups creates a replication group for each service of the current configuration and for each one that had a queue before, and
+// follows changes.
 func (c *Coordinator) ensureGroups(ctx context.Context) {
 	for {
 		changed := c.configurator.Changed()
-		if _, body := c.configurator.Current(); len(body) > 0 {
-			c.ensureServiceGroups(body) //nolint:contextcheck // a group lasts until the node ends
+		for _, service := range c.configurator.Queues().Services() {
+			c.replicationNode.Ensure(feed.GroupOf(service)) //nolint:contextcheck // a group lasts until the node ends
 		}
 		select {
 		case <-ctx.Done():
@@ -77,17 +79,6 @@
 	}
 }
 
-func (c *Coordinator) ensureServiceGroups(body []byte) {
-	parsed, err := configuration.Parse(body)
-	if err != nil {
-		c.log.Error("committed configuration cannot be parsed", zap.Error(err))
-		return
-	}
-	for _, service := range parsed.Services {
-		c.replicationNode.Ensure(feed.GroupOf(service.Name))
-	}
-}
-
 // isCurrent reports whether this node may report its state as current. This requires that a majority recently replied to its
 // pings and recently confirmed the configuration. Pings alone are not sufficient: they may succeed while quorum reads fail,
 // for example while members are being rebuilt or know a different view.
--- a/internal/controlplane/feed/messages.go
+++ b/internal/controlplane/feed/messages.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"strings"
+
 	"puffinlink.example/puffinlink/internal/controlplane/chunks"
 	"puffinlink.example/puffinlink/internal/transport"
 )
@@ -102,5 +104,11 @@
 	Agents []AgentContact `msgpack:"a"`
 }
 
+// groupPrefix is the prefix of the names of groups that schedule jobs.
+const groupPrefix = "jobs/"
+
 // GroupOf returns the name of the replication group that schedules a service's jobs.
-func GroupOf(service string) string { return "jobs/" + service }
+func GroupOf(service string) string { return groupPrefix + service }
+
+// ServiceOf returns the service whose jobs a replication group schedules. It is the inverse of GroupOf.
+func ServiceOf(group string) string { return strings.TrimPrefix(group, groupPrefix) }
--- a/internal/controlplane/operations/jobs.go
+++ b/internal/controlplane/operations/jobs.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/control"
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
@@ -58,7 +59,7 @@
 		for _, result := range replies {
 			if position < len(result.reply.Jobs) && len(list.Jobs) < limit {
 				entry := result.reply.Jobs[position]
-				entry.Service = serviceOf(result.group)
+				entry.Service = feed.ServiceOf(result.group)
 				list.Jobs = append(list.Jobs, entry)
 			}
 		}
@@ -117,7 +118,7 @@
 			failure = result.err
 		case result.reply.Known:
 			detail := result.reply.Job
-			detail.Service = serviceOf(result.group)
+			detail.Service = feed.ServiceOf(result.group)
 			matches = append(matches, locatedJob{group: result.group, detail: detail})
 		}
 	}
--- a/internal/controlplane/operations/leadercalls.go
+++ b/internal/controlplane/operations/leadercalls.go
@@ -24,8 +24,6 @@
 
 var errNoLeader = errors.New("no leader is known at the moment")
 
-func serviceOf(group string) string { return strings.TrimPrefix(group, feed.GroupOf("")) }
-
 // requestedGroups returns the group of the service that a request names, or all groups if it names none.
 func (h *Handler) requestedGroups(query url.Values) ([]string, error) {
 	known := h.options.Sources.Groups()
@@ -38,10 +36,10 @@
 	}
 	names := make([]string, 0, len(known))
 	for _, group := range known {
-		if serviceOf(group) == service {
+		if feed.ServiceOf(group) == service {
 			return []string{group}, nil
 		}
-		names = append(names, serviceOf(group))
+		names = append(names, feed.ServiceOf(group))
 	}
 	return nil, newStatusError(http.StatusNotFound, fmt.Sprintf("no service %q; the services are: %s", service, strings.Join(names, ", ")))
 }
@@ -62,7 +60,7 @@
 			failure = leastCertainError(failure, err)
 		}
 		if err := waitForLeader(ctx, changed); err != nil {
-			return fmt.Errorf("jobs of service %s: %w", serviceOf(group), failure)
+			return fmt.Errorf("jobs of service %s: %w", feed.ServiceOf(group), failure)
 		}
 	}
 }
@@ -121,7 +119,7 @@
 	var failures []error
 	for _, result := range replies {
 		if result.err != nil {
-			withoutReply = append(withoutReply, UnansweredService{Service: serviceOf(result.group), Error: result.err.Error()})
+			withoutReply = append(withoutReply, UnansweredService{Service: feed.ServiceOf(result.group), Error: result.err.Error()})
 			failures = append(failures, result.err)
 		}
 	}
--- a/internal/controlplane/operations/status.go
+++ b/internal/controlplane/operations/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/control"
+	"puffinlink.example/puffinlink/internal/controlplane/feed"
 	"puffinlink.example/puffinlink/internal/jobs/jobreport"
 )
 
@@ -48,7 +49,7 @@
 	var calls sync.WaitGroup
 	for i, name := range names {
 		leader := leaders[name]
-		groups[i] = Group{Service: serviceOf(name), Leader: leader.Address, Term: leader.Term}
+		groups[i] = Group{Service: feed.ServiceOf(name), Leader: leader.Address, Term: leader.Term}
 		if leader.Address == "" {
 			groups[i].Error = errNoLeader.Error()
 			continue
--- a/internal/dataplane/proxy/call_test.go
+++ b/internal/dataplane/proxy/call_test.go
@@ -36,7 +36,10 @@
 }
 
 func newSubmitCall(allowed time.Duration) leaderCall {
-	return leaderCall{kind: submitOperation, group: testGroup, route: jobapi.SubmitCall.Route(), timeout: allowed}
+	locate := func(*view) (locatedCall, bool) {
+		return locatedCall{group: testGroup, route: jobapi.SubmitCall.Route()}, true
+	}
+	return leaderCall{kind: submitOperation, timeout: allowed, locate: locate}
 }
 
 func TestAttemptsRespectTimeoutsAndNewLeaders(t *testing.T) {
--- a/internal/dataplane/proxy/client_test.go
+++ b/internal/dataplane/proxy/client_test.go
@@ -36,6 +36,8 @@
 		So(submit.ID, ShouldEqual, job.ID(testID))
 		So(submit.Group, ShouldEqual, testGroup)
 		So(submit.Queue.Service, ShouldEqual, testService)
+		So(submit.Queue.Key, ShouldEqual, testQueue)
+		So(submit.Version, ShouldEqual, 1)
 		So(submit.Specification.Stages[0].Processors, ShouldEqual, 500)
 	})
 	Convey("An overload is answered with 429 and Retry-After in whole seconds", t, func() {
@@ -169,8 +171,76 @@
 	})
 }
 
-func TestReadsAndCancellationsSearchAllGroups(t *testing.T) {
+// A request whose queue goes to another service while it waits must be sent to that service's leader. Guards against requests that are
+// refused, or accepted by the earlier service, because a proxy stays with the group that it chose first.
+func TestRequestFollowsItsQueueToAnotherService(t *testing.T) {
 	other := feed.GroupOf("risk")
+	methods := map[string]string{http.MethodPost: testJob, http.MethodGet: "", http.MethodDelete: ""}
+	for method, body := range methods {
+		Convey("A leader that had the queue before refuses, and the leader that has it now is called: "+method, t, func() {
+			earlier, present := newFakeLeader(t), newFakeLeader(t).acceptSubmissions().answerJobQueries(true, "queued")
+			refused := make(chan struct{}, 100)
+			refuse := func() error {
+				refused <- struct{}{}
+				return notExecutedError("the queue belongs to another service", 0)
+			}
+			earlier.submit = func(context.Context, jobapi.SubmitRequest) (jobapi.SubmitReply, error) {
+				return jobapi.SubmitReply{}, refuse()
+			}
+			earlier.status = func(context.Context, jobapi.StatusRequest) (jobapi.StatusReply, error) {
+				return jobapi.StatusReply{}, refuse()
+			}
+			earlier.cancel = func(context.Context, jobapi.CancelRequest) (jobapi.CancelReply, error) {
+				return jobapi.CancelReply{}, refuse()
+			}
+			snapshot := snapshotOf(configurationOf(60_000), earlier.address(), 1)
+			snapshot.Leaders[other] = feed.Leader{Address: present.address(), Term: 1}
+			f := newFixture(t, snapshot)
+			replies := f.sendAsync(method, testPrefix+testID, body)
+			<-refused
+			moved := configurationOf(60_000)
+			moved.Service = "risk"
+			f.agent.change(func(s *feed.Snapshot) { s.ConfigurationVersion, s.Configuration = 2, moved.raw() })
+			So((<-replies).status, ShouldEqual, http.StatusOK)
+			So(present.callCount(), ShouldEqual, 1)
+		})
+		Convey("A queue that is removed meanwhile is answered with 404: "+method, t, func() {
+			leader := newFakeLeader(t)
+			f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
+			replies := f.sendAsync(method, testPrefix+testID, body)
+			for leader.callCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			removed := configurationOf(60_000)
+			removed.Prefix = "/elsewhere/"
+			f.agent.change(func(s *feed.Snapshot) { s.ConfigurationVersion, s.Configuration = 2, removed.raw() })
+			So((<-replies).status, ShouldEqual, http.StatusNotFound)
+		})
+	}
+	Convey("A request that may have been executed is not answered with 404 when its queue is removed", t, func() {
+		leader := newFakeLeader(t)
+		leader.abortsLeft = 1000
+		f := newFixture(t, snapshotOf(configurationOf(60_000), leader.address(), 1))
+		replies := f.sendAsync(http.MethodPost, testPrefix+testID, testJob)
+		for leader.callCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		removed := configurationOf(60_000)
+		removed.Prefix = "/elsewhere/"
+		f.agent.change(func(s *feed.Snapshot) { s.ConfigurationVersion, s.Configuration = 2, removed.raw() })
+		So((<-replies).status, ShouldEqual, http.StatusGatewayTimeout)
+	})
+	Convey("A job whose ID a job of another queue has is refused with 409", t, func() {
+		leader := newFakeLeader(t)
+		leader.submit = func(context.Context, jobapi.SubmitRequest) (jobapi.SubmitReply, error) {
+			return jobapi.SubmitReply{IDTaken: true}, nil
+		}
+		f := newFixture(t, snapshotOf(configurationOf(3000), leader.address(), 1))
+		So(f.post().status, ShouldEqual, http.StatusConflict)
+	})
+}
+
+func TestReadsAndCancellationsFollowLeaderReplies(t *testing.T) {
 	Convey("A state is read from the leader, and a final state is cached", t, func() {
 		leader := newFakeLeader(t).answerJobQueries(true, "running")
 		f := newFixture(t, snapshotOf(configurationOf(3000), leader.address(), 1))
@@ -186,37 +256,36 @@
 		}
 		So(leader.callCount(), ShouldEqual, 3)
 	})
-	Convey("A job of another group is found", t, func() {
-		own, second := newFakeLeader(t).answerJobQueries(false, ""), newFakeLeader(t).answerJobQueries(true, "queued")
-		snapshot := snapshotOf(configurationOf(3000), own.address(), 1)
-		snapshot.Leaders[other] = feed.Leader{Address: second.address(), Term: 4}
-		f := newFixture(t, snapshot)
-		So(f.send(http.MethodGet, testPrefix+testID, "").text, ShouldEqual, `{"state":"queued"}`)
-		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusOK)
-	})
-	Convey("A job is reported as gone only if no group knows it", t, func() {
-		own, second := newFakeLeader(t).answerJobQueries(false, ""), newFakeLeader(t)
-		snapshot := snapshotOf(configurationOf(600), own.address(), 1)
-		snapshot.Leaders[other] = feed.Leader{Address: second.address(), Term: 4}
-		f := newFixture(t, snapshot)
-		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
-		second.mutex.Lock()
-		second.abortsLeft = 1000
-		second.mutex.Unlock()
-		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusGatewayTimeout)
-		second.mutex.Lock()
-		second.abortsLeft = 0
-		second.answerJobQueries(false, "")
-		second.mutex.Unlock()
-		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
-		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
+	Convey("A job is reported as gone only if the leader says that no group knows it", t, func() {
+		leader := newFakeLeader(t).answerJobQueries(false, "")
+		f := newFixture(t, snapshotOf(configurationOf(600), leader.address(), 1))
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			So(f.send(method, testPrefix+testID, "").status, ShouldEqual, http.StatusGone)
+		}
+		leader.mutex.Lock() // a leader of an older build, which answers for its own group alone
+		leader.status = func(context.Context, jobapi.StatusRequest) (jobapi.StatusReply, error) {
+			return jobapi.StatusReply{}, nil
+		}
+		leader.cancel = func(context.Context, jobapi.CancelRequest) (jobapi.CancelReply, error) {
+			return jobapi.CancelReply{}, nil
+		}
+		leader.mutex.Unlock()
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			So(f.send(method, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
+		}
 	})
-	Convey("A job is not reported as gone while another service's leader is unknown", t, func() {
-		configuration := configurationOf(400)
-		configuration.Others = []string{"without-leader"}
-		f := newFixture(t, snapshotOf(configuration, newFakeLeader(t).answerJobQueries(false, "").address(), 1))
-		So(f.send(http.MethodGet, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
-		So(f.send(http.MethodDelete, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
+	Convey("A job is not reported as gone while the leader can't tell, or does not answer", t, func() {
+		leader := newFakeLeader(t)
+		f := newFixture(t, snapshotOf(configurationOf(600), leader.address(), 1))
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			So(f.send(method, testPrefix+testID, "").status, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		leader.mutex.Lock()
+		leader.abortsLeft = 1000
+		leader.mutex.Unlock()
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			So(f.send(method, testPrefix+testID, "").status, ShouldEqual, http.StatusGatewayTimeout)
+		}
 	})
 	Convey("A status request and a cancellation whose calls break are retried", t, func() {
 		leader := newFakeLeader(t).answerJobQueries(true, "running")
@@ -241,7 +310,7 @@
 		So(f.send(http.MethodGet, testPrefix, "").status, ShouldEqual, http.StatusServiceUnavailable) // the number is unknown: 0 would be wrong
 		leader.mutex.Lock()
 		leader.count = func(_ context.Context, p jobapi.PendingRequest) (jobapi.PendingReply, error) {
-			if p.Route != "r-1" || p.Group != testGroup {
+			if p.Route != "r-1" || p.Group != testGroup || p.Queue != testQueue {
 				return jobapi.PendingReply{}, errors.New("another route")
 			}
 			return jobapi.PendingReply{Count: 12}, nil
--- a/internal/dataplane/proxy/feed_test.go
+++ b/internal/dataplane/proxy/feed_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/transport"
 	"puffinlink.example/puffinlink/internal/virtualtime"
@@ -190,41 +191,43 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		Convey("Only final states are cached, up to a maximum age and number", t, func() {
 			f := newFinalStates(time.Now)
-			f.add("a", job.Running)
-			_, found := f.get("a")
+			f.add(testQueue, "a", job.Running)
+			_, found := f.get(testQueue, "a")
 			So(found, ShouldBeFalse)
-			f.add("a", job.Completed)
-			state, found := f.get("a")
+			f.add(testQueue, "a", job.Completed)
+			state, found := f.get(testQueue, "a")
 			So(found, ShouldBeTrue)
 			So(state, ShouldEqual, job.Completed)
+			_, found = f.get(testQueue+1, "a")
+			So(found, ShouldBeFalse) // another queue's job with the same ID
 			time.Sleep(maxFinalStateAge)
-			_, found = f.get("a")
+			_, found = f.get(testQueue, "a")
 			So(found, ShouldBeFalse)
 			for i := range 5 * maxFinalStates {
-				f.add(job.ID(fmt.Sprint(i)), job.Failed)
+				f.add(testQueue, job.ID(fmt.Sprint(i)), job.Failed)
 			}
 			So(len(f.newer)+len(f.older), ShouldBeLessThanOrEqualTo, maxFinalStates)
-			_, found = f.get(job.ID(fmt.Sprint(5*maxFinalStates - 1)))
+			_, found = f.get(testQueue, job.ID(fmt.Sprint(5*maxFinalStates-1)))
 			So(found, ShouldBeTrue)
 		})
 	})
-	Convey("Numbers of pending jobs are cached up to a maximum age and number of routes", t, func() {
+	Convey("Numbers of pending jobs are cached up to a maximum age and number of queues", t, func() {
 		begin := time.Now()
 		now := begin
 		p := newPendingCounts(func() time.Time { return now })
-		for i := range 3 * maxPendingRoutes {
-			p.put(fmt.Sprint(i), i, begin)
+		for i := range 3 * maxPendingQueues {
+			p.put(queuekey.Key(i), i, begin)
 		}
-		So(len(p.counts), ShouldBeLessThanOrEqualTo, maxPendingRoutes)
-		last := fmt.Sprint(3*maxPendingRoutes - 1)
+		So(len(p.counts), ShouldBeLessThanOrEqualTo, maxPendingQueues)
+		last := queuekey.Key(3*maxPendingQueues - 1)
 		now = begin.Add(maxPendingCountAge)
 		count, found := p.get(last)
 		So(found, ShouldBeTrue)
-		So(count, ShouldEqual, 3*maxPendingRoutes-1)
+		So(count, ShouldEqual, 3*maxPendingQueues-1)
 		now = now.Add(1)
 		_, found = p.get(last)
 		So(found, ShouldBeFalse)
-		_, found = p.get("none")
+		_, found = p.get(3 * maxPendingQueues)
 		So(found, ShouldBeFalse)
 	})
 }
--- a/internal/dataplane/proxy/follower.go
+++ b/internal/dataplane/proxy/follower.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,22 +35,6 @@
 	changed         chan struct{} // closed when a newer view replaces this one
 }
 
-// groupsExcept returns all known groups except one, in any order: the groups of the configured services and the groups
-// that have a leader.
-func (v *view) groupsExcept(own string) []string {
-	groups := make(map[string]struct{}, len(v.leaders))
-	for group := range v.leaders {
-		groups[group] = struct{}{}
-	}
-	if v.router != nil {
-		for _, service := range v.router.Services() {
-			groups[feed.GroupOf(service)] = struct{}{}
-		}
-	}
-	delete(groups, own)
-	return slices.Collect(maps.Keys(groups))
-}
-
 // feedFollower keeps the view up to date by polling the agent on the same machine.
 type feedFollower struct {
 	agent       string // address, host:port
@@ -156,6 +138,14 @@
 	return !f.isCurrent()
 }
 
+// confirms reports whether a view is the current one and no updates may be missing from it. It must be asked after the answer that rests
+// on the view was found.
+func (f *feedFollower) confirms(v *view) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view == v && f.isCurrent()
+}
+
 // startAttempt registers an attempt to call the leader of a group. The returned context is canceled with the cause
 // errNewerLeader when a newer leader becomes known. The caller must call end after the attempt. If no leader is known,
 // ok is false.
@@ -180,14 +170,14 @@
 	attempt.cancel(nil)
 }
 
-// awaitNewerLeader waits until the group's leader has a later term than the given one. It returns after maxWait, or when
-// the context ends, at the latest.
-func (f *feedFollower) awaitNewerLeader(ctx context.Context, group string, term uint64, maxWait time.Duration) {
+// awaitNewerLeader waits until the group's leader has a later term than the given one, or the configuration is newer than that of a view.
+// It returns after maxWait, or when the context ends, at the latest.
+func (f *feedFollower) awaitNewerLeader(ctx context.Context, attempted *view, group string, term uint64, maxWait time.Duration) {
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	for {
 		view := f.currentView()
-		if view.leaders[group].Term > term {
+		if view.leaders[group].Term > term || view.version > attempted.version {
 			return
 		}
 		select {
--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -45,20 +45,39 @@
 func (h *handler) ServeHTTP(response http.ResponseWriter, r *http.Request) {
 	received := h.now()
 	w := closingWriter{response, &h.closeConnections, h.statusObserver(r, received)}
-	router := h.feed.currentView().router
-	if router == nil {
+	target, view, found := h.findTarget(r)
+	switch {
+	case view.router == nil:
 		writeUnavailable(w, "no configuration yet")
-		return
+	case !found:
+		h.writeNoQueue(w, view)
+	default:
+		// A request continues after its client has disconnected, because the leader may already execute it. Therefore
+		// r.Context() is not used.
+		request := jobRequest{
+			received: received, timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path, queue: target.route.Queue, id: target.id,
+		}
+		h.serve(w, r, request, view.router)
 	}
-	route, rest, found := router.Match(r.Host, r.URL.Path)
-	if !found {
-		h.writeNoRoute(w)
-		return
+}
+
+// findTarget finds what a request addresses, and returns the view in which it was found or not. If it is not found, the view is the
+// current one.
+func (h *handler) findTarget(r *http.Request) (target target, v *view, found bool) {
+	for {
+		v = h.feed.currentView()
+		if v.router == nil {
+			return target, v, false
+		}
+		target, found = locateTarget(v, r.Host, r.URL.Path)
+		if found || h.feed.currentView() == v {
+			return target, v, found
+		}
 	}
-	request := jobRequest{received: received, timeout: answerTimeout(r, route), queue: route.Queue, id: job.ID(rest)}
-	// A request continues after its client has disconnected, because the leader may already execute it. Therefore
-	// r.Context() is not used.
-	if rest == "" {
+}
+
+func (h *handler) serve(w http.ResponseWriter, r *http.Request, request jobRequest, router Router) {
+	if request.id == "" {
 		h.serveQueue(w, r, request)
 		return
 	}
@@ -93,13 +112,14 @@
 	return func(status int) { h.requests.observe(r.Method, status, h.now().Sub(received)) }
 }
 
-// writeNoRoute answers 404 if the feed is current. A stale feed may lack the route, so the answer then is 503.
-func (h *handler) writeNoRoute(w http.ResponseWriter) {
-	if h.feed.stale() {
+// writeNoQueue answers a request that addresses no queue in a view: 404 if the view is confirmed as current. An older one may lack the
+// queue, so the answer is 503 then.
+func (h *handler) writeNoQueue(w http.ResponseWriter, v *view) {
+	if !h.feed.confirms(v) {
 		writeUnavailable(w, "no such queue in a configuration that may be old")
 		return
 	}
-	writeError(w, http.StatusNotFound, "no such queue")
+	writeError(w, http.StatusNotFound, errorText(http.StatusNotFound))
 }
 
 func (h *handler) serveQueue(w http.ResponseWriter, r *http.Request, request jobRequest) {
@@ -202,6 +222,10 @@
 
 func errorText(status int) string {
 	switch status {
+	case http.StatusNotFound:
+		return "no such queue"
+	case http.StatusConflict:
+		return "a job of another queue has this ID, nothing was taken"
 	case http.StatusGone:
 		return "no such job"
 	case http.StatusTooManyRequests:
--- a/internal/dataplane/proxy/retry.go
+++ b/internal/dataplane/proxy/retry.go
@@ -132,6 +132,15 @@
 	return refusal(http.StatusServiceUnavailable, unavailableRetryAfter)
 }
 
+// noQueue returns the answer to a request for which there is no queue. The configuration that says so must be confirmed as the current one,
+// since an older one may lack the queue.
+func (r *retrier) noQueue(confirmed bool) decision {
+	if confirmed && !r.mayHaveExecuted {
+		return decision{finished: true, status: http.StatusNotFound}
+	}
+	return r.fail()
+}
+
 // afterPossibleExecution decides how to continue once any attempt may have been executed. It retries while there is
 // time. That is safe because submissions with the same ID create only one job.
 func (r *retrier) afterPossibleExecution(last attemptResult, elapsed time.Duration) decision {
--- a/internal/dataplane/proxy/route.go
+++ b/internal/dataplane/proxy/route.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 )
 
@@ -25,12 +26,22 @@
 	// Match returns the route of a request by its Host header and the longest matching prefix of its path. Rest is the
 	// part of the path after the prefix.
 	Match(host, path string) (route Route, rest string, ok bool)
-	// Services returns the names of all services.
-	Services() []string
 	// Limits returns the limits for clients.
 	Limits() Limits
 }
 
+// target is what a request addresses: a queue, or a job of a queue.
+type target struct {
+	route Route
+	id    job.ID // empty for a queue
+}
+
+// locateTarget finds what a host and a path address. Found is false if no queue has the path.
+func locateTarget(v *view, host, path string) (found target, ok bool) {
+	route, rest, ok := v.router.Match(host, path)
+	return target{route, job.ID(rest)}, ok
+}
+
 // BuildRouter parses a configuration in the form in which the operator sent it.
 type BuildRouter func(raw []byte) (Router, error)
 
--- a/internal/dataplane/proxy/standin_test.go
+++ b/internal/dataplane/proxy/standin_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 	"puffinlink.example/puffinlink/internal/transport"
 )
@@ -26,14 +27,16 @@
 	testJob     = `{"specification":"x","stages":[{"count":1,"processors":500}]}`
 )
 
-var testGroup = feed.GroupOf(testService)
+var (
+	testGroup = feed.GroupOf(testService)
+	testQueue = queuekey.Of("", testPrefix)
+)
 
 // testConfiguration is the format of configurations in these tests. It has one route, which matches any host.
 type testConfiguration struct {
 	Prefix    string
 	Service   string
 	TimeoutMS int
-	Others    []string // further services
 	Bounds    testLimits
 }
 
@@ -46,13 +49,10 @@
 // Match implements Router.
 func (c testConfiguration) Match(_, path string) (Route, string, bool) {
 	rest, ok := strings.CutPrefix(path, c.Prefix)
-	route := Route{Queue: jobapi.Queue{Route: "r-1", Service: c.Service}, Timeout: time.Duration(c.TimeoutMS) * time.Millisecond}
+	route := Route{Queue: jobapi.Queue{Route: "r-1", Service: c.Service, Key: queuekey.Of("", c.Prefix)}, Timeout: time.Duration(c.TimeoutMS) * time.Millisecond}
 	return route, rest, ok
 }
 
-// Services implements Router.
-func (c testConfiguration) Services() []string { return append([]string{c.Service}, c.Others...) }
-
 // Limits implements Router.
 func (c testConfiguration) Limits() Limits {
 	return Limits{HeaderBytes: c.Bounds.HeaderBytes, BodyBytes: c.Bounds.BodyBytes, IdleTimeout: time.Duration(c.Bounds.IdleMS) * time.Millisecond}
@@ -186,10 +186,10 @@
 // answerJobQueries makes the leader answer status requests and cancellations.
 func (l *fakeLeader) answerJobQueries(known bool, state string) *fakeLeader {
 	l.status = func(context.Context, jobapi.StatusRequest) (jobapi.StatusReply, error) {
-		return jobapi.StatusReply{Known: known, State: jobState(state)}, nil
+		return jobapi.StatusReply{Known: known, State: jobState(state), NoSuchJob: !known}, nil
 	}
 	l.cancel = func(context.Context, jobapi.CancelRequest) (jobapi.CancelReply, error) {
-		return jobapi.CancelReply{Known: known}, nil
+		return jobapi.CancelReply{Known: known, NoSuchJob: !known}, nil
 	}
 	return l
 }
--- a/internal/jobs/jobapi/wire_test.go
+++ b/internal/jobs/jobapi/wire_test.go
@@ -18,6 +18,10 @@
 		goldentest.Form{Name: "pending", Value: new(PendingRequest)},
 		goldentest.Form{Name: "pending reply", Value: new(PendingReply)},
 		goldentest.Form{Name: "submitted", Value: new(SubmitReply)},
+		goldentest.Form{Name: "handed over", Value: new(HandedOverRequest)},
+		goldentest.Form{Name: "handed over reply", Value: new(HandedOverReply)},
+		goldentest.Form{Name: "release", Value: new(ReleaseRequest)},
+		goldentest.Form{Name: "release reply", Value: new(ReleaseReply)},
 	)
 }
 
@@ -28,5 +32,7 @@
 		goldentest.Constant{Have: StatusCall.Path(), Want: "/jobs/status"},
 		goldentest.Constant{Have: CancelCall.Path(), Want: "/jobs/cancel"},
 		goldentest.Constant{Have: PendingCall.Path(), Want: "/jobs/pending"},
+		goldentest.Constant{Have: HandedOverCall.Path(), Want: "/jobs/handed-over"},
+		goldentest.Constant{Have: ReleaseCall.Path(), Want: "/jobs/release"},
 	)
 }
--- a/internal/jobs/manager/cluster_test.go
+++ b/internal/jobs/manager/cluster_test.go
@@ -49,16 +49,30 @@
 
 // testCluster is a set of coordinators on an in-memory network, in virtual time.
 type testCluster struct {
-	network *networktest.Network
-	nodes   []*testNode
-	running sync.WaitGroup
-	cancel  context.CancelFunc
+	network   *networktest.Network
+	retention time.Duration
+	groups    []string
+	nodes     []*testNode
+	running   sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // withCluster runs a test in virtual time with three coordinators, one of which leads the group.
 func withCluster(t *testing.T, test func(t *testing.T, c *testCluster, leader *testNode)) {
+	withGroups(t, time.Hour, []string{testGroup}, func(t *testing.T, c *testCluster) {
+		leader := c.awaitLeader()
+		if leader == nil {
+			t.Fatal("no leader was elected")
+		}
+		test(t, c, leader)
+	})
+}
+
+// withGroups runs a test in virtual time with three coordinators, which elect leaders of several groups and keep ended jobs for the
+// retention time.
+func withGroups(t *testing.T, retention time.Duration, groups []string, test func(t *testing.T, c *testCluster)) {
 	virtualtime.Test(t, func(t *testing.T) {
-		c := &testCluster{network: networktest.New(1)}
+		c := &testCluster{network: networktest.New(1), retention: retention, groups: groups}
 		ctx, cancel := context.WithCancel(context.Background())
 		c.cancel = cancel
 		view := replicaset.View{Version: 1}
@@ -69,18 +83,14 @@
 			c.addNode(ctx, t, address, view)
 		}
 		defer c.stop()
-		leader := c.awaitLeader()
-		if leader == nil {
-			t.Fatal("no leader was elected")
-		}
-		test(t, c, leader)
+		test(t, c)
 	})
 }
 
 func (c *testCluster) addNode(ctx context.Context, t *testing.T, address string, view replicaset.View) {
 	t.Helper()
 	n := &testNode{address: address, clock: &pausableClock{begin: time.Now()}}
-	n.manager = New(Config{Settings: scheduler.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Hour}, Log: zap.NewNop()})
+	n.manager = New(Config{Settings: scheduler.Settings{MaxLease: 6 * time.Second, StatusRetention: c.retention}, Log: zap.NewNop()})
 	n.manager.SetInventory(nil) // the platform's list has been read and is empty
 	node, err := replication.NewNode(replication.Config{
 		Self: address, Store: storage.NewMemory(), Caller: c.network.Caller(address), Handler: n.manager, Clock: n.clock,
@@ -95,16 +105,21 @@
 	mux := transport.NewMux()
 	node.Serve(mux)
 	c.network.Serve(address, mux)
-	node.Ensure(testGroup)
+	for _, group := range c.groups {
+		node.Ensure(group)
+	}
 	c.running.Go(func() { node.Run(ctx) })
 	c.nodes = append(c.nodes, n)
 }
 
-// awaitLeader waits for a node whose manager leads the group. It returns nil if there is none within electionTimeout.
-func (c *testCluster) awaitLeader() *testNode {
+// awaitLeader waits for a node whose manager leads the test group. It returns nil if there is none within electionTimeout.
+func (c *testCluster) awaitLeader() *testNode { return c.awaitLeaderOf(testGroup) }
+
+// awaitLeaderOf waits for a node whose manager leads a group. It returns nil if there is none within electionTimeout.
+func (c *testCluster) awaitLeaderOf(group string) *testNode {
 	for limit := time.Now().Add(electionTimeout); time.Now().Before(limit); <-time.After(10 * time.Millisecond) {
 		for _, n := range c.nodes {
-			if _, err := n.manager.leadershipOf(testGroup); err == nil {
+			if _, err := n.manager.leadershipOf(group); err == nil {
 				return n
 			}
 		}
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -11,9 +11,12 @@
 
 	"go.uber.org/zap"
 
+	"puffinlink.example/puffinlink/internal/controlplane/configuration"
 	"puffinlink.example/puffinlink/internal/controlplane/feed"
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/jobs/queueowner"
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/jobs/workerclient"
 	"puffinlink.example/puffinlink/internal/rpcerror"
@@ -33,6 +36,11 @@
 	// Connections limits the connections that HTTP opens. Nil means no limit.
 	Connections *workerclient.Connections
 	Log         *zap.Logger
+	// Queues tells which service each queue belongs to. Nil means that each group may act for any queue.
+	Queues QueueSource
+	// Caller calls the leaders of other groups, which Leaders returns by group. Both are needed only with Queues.
+	Caller  transport.Caller
+	Leaders func() map[string]feed.Leader
 }
 
 // Manager implements replication.Handler. It runs a scheduler for each group that this node leads.
@@ -44,6 +52,7 @@
 	inventoryComplete  bool                                            // whether a complete list has been read since this node last began to lead
 	inventoryPages     map[workerclient.WorkerID]workerclient.Instance // from the pages read before that list, and from an earlier list
 	leadershipsChanged chan struct{}                                   // closed at the next change of leaderships
+	vacancies          queueowner.Vacancies
 }
 
 // New creates a Manager that leads no group.
@@ -168,6 +177,8 @@
 	transport.Handle(mux, jobapi.StatusCall, m.status)
 	transport.Handle(mux, jobapi.CancelCall, m.cancel)
 	transport.Handle(mux, jobapi.PendingCall, m.pending)
+	transport.Handle(mux, jobapi.HandedOverCall, m.handedOver)
+	transport.Handle(mux, jobapi.ReleaseCall, m.releaseQueues)
 }
 
 // leadershipOf returns the leadership of a group. If this node does not hold a valid leader lease, the error says that the
@@ -182,44 +193,67 @@
 	return leadership, nil
 }
 
-func (m *Manager) submit(ctx context.Context, request jobapi.SubmitRequest) (jobapi.SubmitReply, error) {
+func (m *Manager) submit(ctx context.Context, request jobapi.SubmitRequest) (reply jobapi.SubmitReply, err error) {
 	if !request.ID.Valid() {
-		return jobapi.SubmitReply{}, rpcerror.WrapNotExecuted(errInvalidJobID, 0)
+		return reply, rpcerror.WrapNotExecuted(errInvalidJobID, 0)
 	}
 	if err := request.Specification.Validate(); err != nil {
-		return jobapi.SubmitReply{}, rpcerror.WrapNotExecuted(err, 0)
+		return reply, rpcerror.WrapNotExecuted(err, 0)
 	}
-	leadership, err := m.leadershipOf(request.Group)
-	if err != nil {
-		return jobapi.SubmitReply{}, err
-	}
-	leadership.traceSubmit(&request)
-	return jobapi.SubmitReply{}, leadership.commit(ctx, func(now scheduler.Now) { leadership.scheduler.Submit(now, &request) })
+	call := jobCall{group: request.Group, queue: request.Queue.Key, id: request.ID, version: request.Version, operation: jobapi.SubmitOperation}
+	_, err = m.execute(ctx, call, func(now scheduler.Now, l *leadership) {
+		l.traceSubmit(&request)
+		reply.IDTaken = !l.scheduler.Submit(now, &request)
+	})
+	return reply, err
 }
 
 func (m *Manager) cancel(ctx context.Context, request jobapi.CancelRequest) (reply jobapi.CancelReply, err error) {
-	leadership, err := m.leadershipOf(request.Group)
-	if err != nil {
-		return reply, err
-	}
-	err = leadership.commit(ctx, func(now scheduler.Now) {
-		reply.Known = leadership.scheduler.Cancel(now, request.ID)
-		reply.State, _ = leadership.scheduler.Status(request.ID)
+	call := jobCall{group: request.Group, queue: request.Queue, id: request.ID, version: request.Version, operation: jobapi.CancelOperation}
+	elsewhere, err := m.execute(ctx, call, func(now scheduler.Now, l *leadership) {
+		if l.scheduler.Knows(request.Queue, request.ID) {
+			reply.Known = l.scheduler.Cancel(now, request.ID)
+			reply.State, _ = l.scheduler.Status(request.ID)
+		}
 	})
+	if elsewhere != nil {
+		reply.Known, reply.State = elsewhere.Known, elsewhere.State
+	}
+	reply.NoSuchJob = err == nil && !reply.Known && request.Queue != queuekey.Unknown
 	return reply, err
 }
 
 func (m *Manager) status(ctx context.Context, request jobapi.StatusRequest) (reply jobapi.StatusReply, err error) {
-	leadership, err := m.leadershipOf(request.Group)
-	if err != nil {
-		return reply, err
+	call := jobCall{group: request.Group, queue: request.Queue, id: request.ID, version: request.Version, operation: jobapi.ReadOperation}
+	elsewhere, err := m.execute(ctx, call, func(_ scheduler.Now, l *leadership) {
+		if l.scheduler.Knows(request.Queue, request.ID) {
+			reply.State, reply.Known = l.scheduler.Status(request.ID)
+		}
+	})
+	if elsewhere != nil {
+		reply.Known, reply.State = elsewhere.Known, elsewhere.State
 	}
-	err = leadership.commit(ctx, func(scheduler.Now) { reply.State, reply.Known = leadership.scheduler.Status(request.ID) })
+	reply.NoSuchJob = err == nil && !reply.Known && request.Queue != queuekey.Unknown
 	return reply, err
 }
 
-func (m *Manager) pending(_ context.Context, request jobapi.PendingRequest) (reply jobapi.PendingReply, err error) {
-	err = m.readUncommitted(request.Group, func(_ scheduler.Now, s *scheduler.Scheduler) { reply.Count = s.PendingJobs(request.Route) })
+// pending returns the number of pending jobs of a queue, also of those in groups that had the queue before.
+func (m *Manager) pending(ctx context.Context, request jobapi.PendingRequest) (reply jobapi.PendingReply, err error) {
+	var others []configuration.Tenure
+	var since uint64
+	err = m.readUncommitted(request.Group, func(_ scheduler.Now, s *scheduler.Scheduler) {
+		reply.Count = s.PendingJobs(request.Queue, request.Route)
+		if m.config.Queues != nil && request.Queue != queuekey.Unknown {
+			queues, service := m.config.Queues.Queues(), feed.ServiceOf(request.Group)
+			latest, _ := queues.Latest(request.Queue, service)
+			others, since = m.withoutVacant(request.Queue, queues.Others(request.Queue, service)), latest.Since
+		}
+	})
+	if err != nil || len(others) == 0 {
+		return reply, err
+	}
+	elsewhere, err := m.askOthers(ctx, jobCall{group: request.Group, queue: request.Queue}, since, others)
+	reply.Count += elsewhere.Pending
 	return reply, err
 }
 
--- a/internal/jobs/manager/proposals.go
+++ b/internal/jobs/manager/proposals.go
@@ -29,28 +29,41 @@
 // commit handles an event. It returns once this event and all earlier ones are durable, and it is certain that no other
 // leader had been elected when the event was handled. The error says whether the event may still take effect.
 func (l *leadership) commit(ctx context.Context, event func(scheduler.Now)) error {
+	_, err := l.commitIf(ctx, func(now scheduler.Now) bool {
+		event(now)
+		return true
+	})
+	return err
+}
+
+// commitIf is like commit for an event that may decide to do nothing. If it returns false, it must not have changed or read anything
+// that the caller relies on. Acted is false then, and nothing is waited for.
+func (l *leadership) commitIf(ctx context.Context, event func(scheduler.Now) bool) (acted bool, err error) {
 	done := make(chan struct{})
 	l.mu.Lock()
 	if l.ctx.Err() != nil {
 		l.mu.Unlock()
-		return rpcerror.WrapNotExecuted(errNotLeader, 0)
+		return false, rpcerror.WrapNotExecuted(errNotLeader, 0)
+	}
+	if !event(currentTime()) {
+		l.mu.Unlock()
+		return false, nil
 	}
-	event(currentTime())
 	l.dispatch()
 	l.propose()
 	if l.lastCommitted == l.lastProposed && l.term.Valid() {
 		l.mu.Unlock()
-		return nil
+		return true, nil
 	}
 	l.term.Propose(nil, func() { close(done) })
 	l.mu.Unlock()
 	select {
 	case <-done:
-		return nil
+		return true, nil
 	case <-l.term.Ended():
-		return rpcerror.WrapMayHaveExecuted(errLeadershipEnded)
+		return true, rpcerror.WrapMayHaveExecuted(errLeadershipEnded)
 	case <-ctx.Done():
-		return rpcerror.WrapMayHaveExecuted(ctx.Err())
+		return true, rpcerror.WrapMayHaveExecuted(ctx.Err())
 	}
 }
 
--- a/internal/jobs/scheduler/jobs.go
+++ b/internal/jobs/scheduler/jobs.go
@@ -1,14 +1,16 @@
 package scheduler
 
 import (
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 )
 
-// Submit adds a job. It is idempotent: submitting an ID that is already known, even that of an ended job, has no effect.
-func (s *Scheduler) Submit(now Now, request *jobapi.SubmitRequest) {
-	if s.isKnown(request.ID) {
-		return
+// Submit adds a job. It is idempotent: submitting an ID that is already known, even that of an ended job, has no effect. It returns
+// false if the ID belongs to a job of another queue. The job is not added then, because tasks are named by the ID alone.
+func (s *Scheduler) Submit(now Now, request *jobapi.SubmitRequest) (accepted bool) {
+	if known, found := s.queueOf(request.ID); found {
+		return known.Matches(request.Queue.Key)
 	}
 	s.lastArrival++
 	j := newJob(request.ID, jobRecord{Queue: request.Queue, Specification: request.Specification, Arrival: s.lastArrival, ArrivedMS: now.WallMS})
@@ -16,6 +18,7 @@
 	s.writeRecord(jobKey(j.id), j.jobRecord)
 	s.startDueRepetitions(now, j)
 	s.dispatchNeeded = true
+	return true
 }
 
 // Status returns a job's state and reports whether the job is known.
@@ -41,18 +44,19 @@
 	return known
 }
 
-// PendingJobs returns the number of a route's jobs that have not ended.
-func (s *Scheduler) PendingJobs(route string) int { return s.pendingByRoute[route] }
-
-func (s *Scheduler) isKnown(id job.ID) bool {
-	_, active := s.jobs[id]
-	_, ended := s.endedJobs[id]
-	return active || ended
+// queueOf returns the queue of a known job.
+func (s *Scheduler) queueOf(id job.ID) (queue queuekey.Key, found bool) {
+	if j, active := s.jobs[id]; active {
+		return j.Queue.Key, true
+	}
+	record, ended := s.endedJobs[id]
+	return record.Queue, ended
 }
 
 func (s *Scheduler) addJob(j *jobState) {
 	s.jobs[j.id] = j
 	s.pendingByRoute[j.Queue.Route]++
+	s.countJobs(j.Queue.Key, 1, 1)
 }
 
 // endJob ends a job permanently. It stops the job's attempts and replaces the job's records by a record of its final
@@ -71,11 +75,12 @@
 		}
 	}
 	s.eraseRecord(jobKey(j.id))
-	record := endedRecord{State: state, EndedMS: now.WallMS}
+	record := endedRecord{State: state, EndedMS: now.WallMS, Queue: j.Queue.Key}
 	s.writeRecord(endedKey(j.id), record)
 	record.endedAt = now.Monotonic
 	s.endedJobs[j.id] = record
 	delete(s.jobs, j.id)
+	s.countJobs(j.Queue.Key, 0, -1)
 	if s.pendingByRoute[j.Queue.Route]--; s.pendingByRoute[j.Queue.Route] <= 0 {
 		delete(s.pendingByRoute, j.Queue.Route)
 	}
@@ -107,6 +112,7 @@
 		}
 		if record.EndedMS < oldestMS || record.EndedMS > now.WallMS {
 			delete(s.endedJobs, id)
+			s.countJobs(record.Queue, -1, 0)
 			s.eraseRecord(endedKey(id))
 		}
 	}
--- a/internal/jobs/scheduler/records.go
+++ b/internal/jobs/scheduler/records.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
@@ -20,6 +21,7 @@
 //	k/ID/K        repetitionRecord     a complete repetition; the records of its tasks are erased
 //	e/ID          endedRecord          a job that has ended; its other records are erased
 //	d/WORKER      operatorDrainRecord  see operatordrain.go
+//	c/            handoverRecord       see queuehandover.go
 //
 // ID is the ID of a job. K, S and I are the repetition, stage and index of a task.
 const (
@@ -27,6 +29,7 @@
 	taskPrefix       = "t/"
 	repetitionPrefix = "k/"
 	endedPrefix      = "e/"
+	handoverKey      = "c/"
 )
 
 type jobRecord struct {
@@ -49,9 +52,10 @@
 }
 
 type endedRecord struct {
-	State   job.State `msgpack:"s"`
-	EndedMS int64     `msgpack:"t"` // milliseconds since 1970
-	endedAt time.Time // monotonic time at which this leadership ended the job, or began if the job had ended before; not stored
+	State   job.State    `msgpack:"s"`
+	EndedMS int64        `msgpack:"t"`           // milliseconds since 1970
+	Queue   queuekey.Key `msgpack:"q,omitempty"` // unknown in records of older builds
+	endedAt time.Time    // monotonic time at which this leadership ended the job, or began if the job had ended before; not stored
 }
 
 func jobKey(id job.ID) string   { return jobPrefix + string(id) }
--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -50,6 +50,13 @@
 			}
 			record.endedAt = now.Monotonic
 			s.endedJobs[job.ID(key[len(endedPrefix):])] = record
+			s.countJobs(record.Queue, 1, 0)
+		case key == handoverKey:
+			var record handoverRecord
+			if err := decodeRecord(key, value, &record); err != nil {
+				return err
+			}
+			s.minConfigurationVersion = record.MinConfigurationVersion
 		}
 	}
 	return nil
--- a/internal/jobs/scheduler/restoredstate_test.go
+++ b/internal/jobs/scheduler/restoredstate_test.go
@@ -21,6 +21,8 @@
 	}
 	compare("active jobs", slices.Sorted(maps.Keys(restored.jobs)), slices.Sorted(maps.Keys(continued.jobs)))
 	compare("pending jobs", restored.pendingByRoute, continued.pendingByRoute)
+	compare("jobs by queue", restored.jobCounts, continued.jobCounts)
+	compare("released version", restored.minConfigurationVersion, continued.minConfigurationVersion)
 	compare("ended jobs", endedStates(restored), endedStates(continued))
 	compare("operators' drains", drainRecords(restored), drainRecords(continued))
 	for _, id := range slices.Sorted(maps.Keys(continued.jobs)) {
@@ -34,7 +36,7 @@
 func endedStates(s *Scheduler) map[job.ID]endedRecord {
 	states := map[job.ID]endedRecord{}
 	for id, record := range s.endedJobs {
-		states[id] = endedRecord{State: record.State, EndedMS: record.EndedMS}
+		states[id] = endedRecord{State: record.State, EndedMS: record.EndedMS, Queue: record.Queue}
 	}
 	return states
 }
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/workerclient"
 )
@@ -30,13 +31,15 @@
 	effects   Effects   // collected since the last TakeEffects
 
 	// Jobs.
-	jobs                   map[job.ID]*jobState   // jobs that have not ended
-	endedJobs              map[job.ID]endedRecord // jobs that ended less than StatusRetention ago
-	pendingByRoute         map[string]int         // number of jobs that have not ended; routes without such jobs are absent
-	lastArrival            uint64                 // arrival number of the newest job
-	jobsAwaitingRepetition map[*jobState]bool     // jobs with a repetition that has not started
-	nextDueMS              int64                  // earliest due time among jobsAwaitingRepetition, milliseconds since 1970; 0 for none
-	nextDueStale           bool                   // nextDueMS must be recomputed
+	jobs                    map[job.ID]*jobState       // jobs that have not ended
+	endedJobs               map[job.ID]endedRecord     // jobs that ended less than StatusRetention ago
+	pendingByRoute          map[string]int             // number of jobs that have not ended; routes without such jobs are absent
+	jobCounts               map[queuekey.Key]jobCounts // of the queues with known jobs
+	minConfigurationVersion uint64                     // the group acts by no older version of the configuration; see queuehandover.go
+	lastArrival             uint64                     // arrival number of the newest job
+	jobsAwaitingRepetition  map[*jobState]bool         // jobs with a repetition that has not started
+	nextDueMS               int64                      // earliest due time among jobsAwaitingRepetition, milliseconds since 1970; 0 for none
+	nextDueStale            bool                       // nextDueMS must be recomputed
 
 	// Workers.
 	workers         map[workerclient.WorkerID]*workerState
@@ -71,6 +74,7 @@
 		endedJobs:              map[job.ID]endedRecord{},
 		workers:                map[workerclient.WorkerID]*workerState{},
 		pendingByRoute:         map[string]int{},
+		jobCounts:              map[queuekey.Key]jobCounts{},
 		removedWorkers:         map[workerclient.WorkerID]bool{},
 		jobsAwaitingRepetition: map[*jobState]bool{},
 	}
--- a/internal/jobs/scheduler/simulatedjobs_test.go
+++ b/internal/jobs/scheduler/simulatedjobs_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
 )
@@ -66,7 +67,7 @@
 	random := sim.random
 	created := &simulatedJob{alwaysFails: random.IntN(12) == 0}
 	request := jobapi.SubmitRequest{Group: "jobs/x", ID: job.ID(fmt.Sprintf("%016x", number)),
-		Queue: jobapi.Queue{Route: "r", Service: "x", Priority: random.IntN(3), MaxAttempts: 2 + random.IntN(3), TargetLatencyMS: 500}}
+		Queue: jobapi.Queue{Route: "r", Service: "x", Priority: random.IntN(3), MaxAttempts: 2 + random.IntN(3), TargetLatencyMS: 500, Key: queuekey.Key(number % 3)}}
 	if random.IntN(8) == 0 {
 		request.Specification.Repetitions = 1 + random.IntN(3)
 		request.Specification.FirstRunMS = sim.clock().WallMS + int64(random.IntN(3000))
--- a/internal/jobs/scheduler/stored_test.go
+++ b/internal/jobs/scheduler/stored_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
@@ -186,7 +187,7 @@
 	writeLine := func(format string, values ...any) { fmt.Fprintf(&text, format+"\n", values...) }
 	writeLine("arrivals %d, next due %d", s.lastArrival, s.NextDueMS())
 	for _, route := range slices.Sorted(maps.Keys(s.pendingByRoute)) {
-		writeLine("route %s: %d jobs", route, s.PendingJobs(route))
+		writeLine("route %s: %d jobs", route, s.PendingJobs(queuekey.Unknown, route))
 	}
 	for _, j := range s.jobsByArrival() {
 		specification, err := json.Marshal(j.Specification)
@@ -268,7 +269,7 @@
 func reencode(key string, value []byte) []byte {
 	record := map[string]any{
 		jobPrefix: &jobRecord{}, taskPrefix: &taskRecord{}, repetitionPrefix: &repetitionRecord{},
-		endedPrefix: &endedRecord{}, operatorDrainPrefix: &operatorDrainRecord{},
+		endedPrefix: &endedRecord{}, operatorDrainPrefix: &operatorDrainRecord{}, handoverKey: &handoverRecord{},
 	}[key[:2]]
 	if err := decodeRecord(key, value, record); err != nil {
 		panic(err) // cannot fail: a scheduler has already decoded this record
--- a/internal/jobs/scheduler/wire_test.go
+++ b/internal/jobs/scheduler/wire_test.go
@@ -14,6 +14,7 @@
 		goldentest.Form{Name: "task record", Value: new(taskRecord)},
 		goldentest.Form{Name: "repetition record", Value: new(repetitionRecord)},
 		goldentest.Form{Name: "ended record", Value: new(endedRecord)},
+		goldentest.Form{Name: "handover record", Value: new(handoverRecord)},
 	)
 	goldentest.Check(t, goldentest.JSON,
 		goldentest.Form{Name: "summary", Value: new(Load)},
@@ -28,5 +29,6 @@
 		goldentest.Constant{Have: taskPrefix, Want: "t/"},
 		goldentest.Constant{Have: repetitionPrefix, Want: "k/"},
 		goldentest.Constant{Have: endedPrefix, Want: "e/"},
+		goldentest.Constant{Have: handoverKey, Want: "c/"},
 	)
 }
--- a/internal/systemtest/childprocess_test.go
+++ b/internal/systemtest/childprocess_test.go
@@ -155,13 +155,11 @@
 	queue := jobapi.Queue{
 		Route: found.Name, Service: found.Service, Priority: found.Priority, MaxAttempts: found.MaxAttempts,
 		Extension: found.Extension, TargetLatencyMS: found.TargetLatency().Milliseconds(), EnforcesCapacity: service.EnforcesCapacity,
+		Key: found.QueueKey(),
 	}
 	return proxy.Route{Queue: queue, Timeout: found.Timeout()}, rest, true
 }
 
-// Services implements proxy.Router.
-func (r router) Services() []string { return r.table.Services() }
-
 // Limits implements proxy.Router.
 func (r router) Limits() proxy.Limits {
 	limits := r.table.Limits()
