A cancellation that comes before its job is remembered before it is answered

Cause: the cancellation of an ID that no leader knew left no trace, so the submission that it had overtaken counted as a new job. Beside it, a front counted a request's time from when it read it, and went on with one whose client had left.

Change: the group records the cancellation of a job that no group knows before it is answered with 410, for as long as ended jobs are remembered and at most 10,000 of them; beyond that it is refused with 503. The submission that arrives later is accepted as cancelled, under any leader, and at the group to which the queue has moved. A front does not send on a submission whose client has left, and counts what it reads right after a pause of its process as arrived when the pause began. The system tests' checker takes 410 for an acknowledged cancellation.

Why it works: one group may act for the ID, and commits one of the two first; the other one finds it on a majority of disks.

--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -23,6 +23,7 @@
 	requestsCtx      context.Context // canceled at the end of a drain, to end the requests in progress
 	now              func() time.Time
 	bodies           bodyMemory
+	pauses           pauseDetector
 	closeConnections atomic.Bool     // whether to close each connection after its answer; set during a drain
 	requests         *RequestMetrics // nil if requests are not counted
 }
@@ -43,8 +44,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(response http.ResponseWriter, r *http.Request) {
-	received := h.now()
-	w := closingWriter{response, &h.closeConnections, h.statusObserver(r, received)}
+	read := h.now()
+	w := closingWriter{response, &h.closeConnections, h.statusObserver(r, read)}
 	target, view, found := h.findTarget(r)
 	switch {
 	case view.router == nil:
@@ -52,10 +53,10 @@
 	case !found:
 		h.writeNoQueue(w, view)
 	default:
-		// A request continues after its client has disconnected, because the leader may already execute it. Therefore
-		// r.Context() is not used.
+		// A request that was sent to a leader continues after its client has disconnected, because the leader may already execute it.
+		// Therefore r.Context() is not used for calls.
 		request := jobRequest{
-			received: received, timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path, queue: target.route.Queue, id: target.id,
+			received: h.pauses.earliestArrival(read), timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path, queue: target.route.Queue, id: target.id,
 		}
 		h.serve(w, r, request, view.router)
 	}
@@ -171,7 +172,11 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	writeOutcome(w, h.jobs.submit(h.requestsCtx, request, specification), emptyResponse{})
+	if r.Context().Err() != nil {
+		writeUnavailable(w, "the client has left") // it may submit the job elsewhere, or cancel it
+		return
+	}
+	writeOutcome(w, h.jobs.submit(h.requestsCtx, request, specification), emptyResponse{}) //nolint:contextcheck // a call continues after its client has disconnected
 }
 
 func writeBodyError(w http.ResponseWriter, err error) {
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -75,6 +75,7 @@
 	readinessServer := &http.Server{Handler: newReadinessHandler(p.Ready), ReadTimeout: defaultHeaderTimeout}
 	defer readinessServer.Close()
 	go p.feed.run(followCtx)
+	go p.handler.pauses.run(followCtx)
 	go func() { _ = readinessServer.Serve(readinessListener) }() // returns after Close
 	go server.accept()
 	p.config.Log.Info("proxy serves", zap.Stringer("clients", clientListener.Addr()), zap.Stringer("readiness", readinessListener.Addr()))
--- a/internal/jobs/manager/handover.go
+++ b/internal/jobs/manager/handover.go
@@ -205,7 +205,13 @@
 func (m *Manager) handedOver(ctx context.Context, request jobapi.HandedOverRequest) (reply jobapi.HandedOverReply, err error) {
 	err = m.release(ctx, request.Group, request.Version, func(now scheduler.Now, s *scheduler.Scheduler) {
 		reply.Pending, reply.Vacant = s.PendingJobs(request.Queue, ""), s.IsVacant(request.Queue)
-		if request.ID == "" || !s.Knows(request.Queue, request.ID) {
+		if request.ID == "" {
+			return
+		}
+		if request.Operation == jobapi.SubmitOperation {
+			s.SubmitCancelled(now, request.Queue, request.ID)
+		}
+		if !s.Knows(request.Queue, request.ID) {
 			return
 		}
 		if request.Operation == jobapi.CancelOperation {
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -27,6 +27,7 @@
 	errNotLeader       = errors.New("this mixer does not lead the group")
 	errInvalidJobID    = errors.New("job ID: want 16 hexadecimal digits")
 	errLeadershipEnded = errors.New("the leadership ended before the request was durable")
+	errTooManyUnknown  = errors.New("too many cancellations of unknown jobs are remembered")
 )
 
 // Config configures a Manager.
@@ -208,14 +209,23 @@
 	return reply, err
 }
 
+// cancel cancels a job. The cancellation of a job that no group knows is remembered before it is answered, because the job's submission may
+// still be on its way. The exception are calls of older builds and of operators, which do not name a queue.
 func (m *Manager) cancel(ctx context.Context, request jobapi.CancelRequest) (reply jobapi.CancelReply, err error) {
+	tooMany := false
 	call := jobCall{group: request.Group, queue: request.Queue, id: request.ID, version: request.Version, operation: jobapi.CancelOperation}
 	elsewhere, err := m.execute(ctx, call, func(now scheduler.Now, l *leadership) {
-		if l.scheduler.Knows(request.Queue, request.ID) {
+		switch {
+		case l.scheduler.Knows(request.Queue, request.ID):
 			reply.Known = l.scheduler.Cancel(now, request.ID)
 			reply.State, _ = l.scheduler.Status(request.ID)
+		case request.Queue != queuekey.Unknown:
+			tooMany = !l.scheduler.CancelEarly(now, request.Queue, request.ID)
 		}
 	})
+	if err == nil && tooMany {
+		return reply, rpcerror.WrapNotExecuted(errTooManyUnknown, 0)
+	}
 	if elsewhere != nil {
 		reply.Known, reply.State = elsewhere.Known, elsewhere.State
 	}
--- a/internal/jobs/scheduler/jobs.go
+++ b/internal/jobs/scheduler/jobs.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"puffinlink.example/puffinlink/internal/controlplane/queuekey"
 	"puffinlink.example/puffinlink/internal/jobs/job"
 	"puffinlink.example/puffinlink/internal/jobs/jobapi"
@@ -12,6 +14,9 @@
 	if known, found := s.queueOf(request.ID); found {
 		return known.Matches(request.Queue.Key)
 	}
+	if s.SubmitCancelled(now, request.Queue.Key, request.ID) {
+		return true
+	}
 	s.lastArrival++
 	j := newJob(request.ID, jobRecord{Queue: request.Queue, Specification: request.Specification, Arrival: s.lastArrival, ArrivedMS: now.WallMS})
 	s.addJob(j)
@@ -75,10 +80,7 @@
 		}
 	}
 	s.eraseRecord(jobKey(j.id))
-	record := endedRecord{State: state, EndedMS: now.WallMS, Queue: j.Queue.Key}
-	s.writeRecord(endedKey(j.id), record)
-	record.endedAt = now.Monotonic
-	s.endedJobs[j.id] = record
+	s.addEndedJob(now, j.id, endedRecord{State: state, EndedMS: now.WallMS, Queue: j.Queue.Key})
 	delete(s.jobs, j.id)
 	s.countJobs(j.Queue.Key, 0, -1)
 	if s.pendingByRoute[j.Queue.Route]--; s.pendingByRoute[j.Queue.Route] <= 0 {
@@ -86,6 +88,13 @@
 	}
 }
 
+// addEndedJob records the end of a job.
+func (s *Scheduler) addEndedJob(now Now, id job.ID, record endedRecord) {
+	s.writeRecord(endedKey(id), record)
+	record.endedAt = now.Monotonic
+	s.endedJobs[id] = record
+}
+
 // abandonStage dequeues a stage's waiting tasks and stops its attempts. Attempts of completed gang members are not
 // stopped, because the members of a gang end together.
 func (s *Scheduler) abandonStage(stage *stageState) {
@@ -105,15 +114,19 @@
 // it may be set. The monotonic clock must confirm that the retention time has passed: a job that is removed too early
 // would run a second time if a client submitted it again.
 func (s *Scheduler) pruneEndedJobs(now Now) {
-	oldestMS := now.WallMS - s.settings.StatusRetention.Milliseconds()
 	for id, record := range s.endedJobs {
-		if now.Monotonic.Sub(record.endedAt) < s.settings.StatusRetention {
-			continue
-		}
-		if record.EndedMS < oldestMS || record.EndedMS > now.WallMS {
+		if s.retentionIsOver(now, record.endedAt, record.EndedMS) {
 			delete(s.endedJobs, id)
 			s.countJobs(record.Queue, -1, 0)
 			s.eraseRecord(endedKey(id))
 		}
 	}
 }
+
+// retentionIsOver reports whether StatusRetention has passed since a moment, by both clocks.
+func (s *Scheduler) retentionIsOver(now Now, since time.Time, sinceMS int64) bool {
+	if now.Monotonic.Sub(since) < s.settings.StatusRetention {
+		return false
+	}
+	return sinceMS < now.WallMS-s.settings.StatusRetention.Milliseconds() || sinceMS > now.WallMS
+}
--- a/internal/jobs/scheduler/records.go
+++ b/internal/jobs/scheduler/records.go
@@ -22,14 +22,16 @@
 //	e/ID          endedRecord          a job that has ended; its other records are erased
 //	d/WORKER      operatorDrainRecord  see operatordrain.go
 //	c/            handoverRecord       see queuehandover.go
+//	x/QUEUE/ID    earlyCancellationRecord  see earlycancellations.go
 //
-// ID is the ID of a job. K, S and I are the repetition, stage and index of a task.
+// ID is the ID of a job and QUEUE the key of its queue. K, S and I are the repetition, stage and index of a task.
 const (
-	jobPrefix        = "j/"
-	taskPrefix       = "t/"
-	repetitionPrefix = "k/"
-	endedPrefix      = "e/"
-	handoverKey      = "c/"
+	jobPrefix               = "j/"
+	taskPrefix              = "t/"
+	repetitionPrefix        = "k/"
+	endedPrefix             = "e/"
+	handoverKey             = "c/"
+	earlyCancellationPrefix = "x/"
 )
 
 type jobRecord struct {
--- a/internal/jobs/scheduler/restore.go
+++ b/internal/jobs/scheduler/restore.go
@@ -57,11 +57,29 @@
 				return err
 			}
 			s.minConfigurationVersion = record.MinConfigurationVersion
+		case strings.HasPrefix(key, earlyCancellationPrefix):
+			if err := s.restoreEarlyCancellation(now, key, value); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+func (s *Scheduler) restoreEarlyCancellation(now Now, key string, value []byte) error {
+	cancellation, err := parseEarlyCancellationKey(key)
+	if err != nil {
+		return err
+	}
+	var record earlyCancellationRecord
+	if err := decodeRecord(key, value, &record); err != nil {
+		return err
+	}
+	record.cancelledAt = now.Monotonic
+	s.addEarlyCancellation(cancellation, record)
+	return nil
+}
+
 // readCompleteRepetitions returns the numbers of each job's complete repetitions.
 func readCompleteRepetitions(state map[string][]byte) (map[job.ID][]int, error) {
 	complete := map[job.ID][]int{}
--- a/internal/jobs/scheduler/restoredstate_test.go
+++ b/internal/jobs/scheduler/restoredstate_test.go
@@ -22,6 +22,7 @@
 	compare("active jobs", slices.Sorted(maps.Keys(restored.jobs)), slices.Sorted(maps.Keys(continued.jobs)))
 	compare("pending jobs", restored.pendingByRoute, continued.pendingByRoute)
 	compare("jobs by queue", restored.jobCounts, continued.jobCounts)
+	compare("early cancellations", earlyCancellationTimes(restored), earlyCancellationTimes(continued))
 	compare("released version", restored.minConfigurationVersion, continued.minConfigurationVersion)
 	compare("ended jobs", endedStates(restored), endedStates(continued))
 	compare("operators' drains", drainRecords(restored), drainRecords(continued))
@@ -41,6 +42,14 @@
 	return states
 }
 
+func earlyCancellationTimes(s *Scheduler) map[string]int64 {
+	times := map[string]int64{}
+	for cancellation, record := range s.earlyCancellations {
+		times[cancellation.key()] = record.CancelledMS
+	}
+	return times
+}
+
 func drainRecords(s *Scheduler) map[string]operatorDrainRecord {
 	records := map[string]operatorDrainRecord{}
 	for id, drain := range s.operatorDrains {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -31,15 +31,16 @@
 	effects   Effects   // collected since the last TakeEffects
 
 	// Jobs.
-	jobs                    map[job.ID]*jobState       // jobs that have not ended
-	endedJobs               map[job.ID]endedRecord     // jobs that ended less than StatusRetention ago
-	pendingByRoute          map[string]int             // number of jobs that have not ended; routes without such jobs are absent
-	jobCounts               map[queuekey.Key]jobCounts // of the queues with known jobs
-	minConfigurationVersion uint64                     // the group acts by no older version of the configuration; see queuehandover.go
-	lastArrival             uint64                     // arrival number of the newest job
-	jobsAwaitingRepetition  map[*jobState]bool         // jobs with a repetition that has not started
-	nextDueMS               int64                      // earliest due time among jobsAwaitingRepetition, milliseconds since 1970; 0 for none
-	nextDueStale            bool                       // nextDueMS must be recomputed
+	jobs                    map[job.ID]*jobState                          // jobs that have not ended
+	endedJobs               map[job.ID]endedRecord                        // jobs that ended less than StatusRetention ago
+	pendingByRoute          map[string]int                                // number of jobs that have not ended; routes without such jobs are absent
+	earlyCancellations      map[earlyCancellation]earlyCancellationRecord // of jobs that have not been submitted yet
+	jobCounts               map[queuekey.Key]jobCounts                    // of the queues with known jobs
+	minConfigurationVersion uint64                                        // the group acts by no older version of the configuration; see queuehandover.go
+	lastArrival             uint64                                        // arrival number of the newest job
+	jobsAwaitingRepetition  map[*jobState]bool                            // jobs with a repetition that has not started
+	nextDueMS               int64                                         // earliest due time among jobsAwaitingRepetition, milliseconds since 1970; 0 for none
+	nextDueStale            bool                                          // nextDueMS must be recomputed
 
 	// Workers.
 	workers         map[workerclient.WorkerID]*workerState
@@ -75,6 +76,7 @@
 		workers:                map[workerclient.WorkerID]*workerState{},
 		pendingByRoute:         map[string]int{},
 		jobCounts:              map[queuekey.Key]jobCounts{},
+		earlyCancellations:     map[earlyCancellation]earlyCancellationRecord{},
 		removedWorkers:         map[workerclient.WorkerID]bool{},
 		jobsAwaitingRepetition: map[*jobState]bool{},
 	}
@@ -95,6 +97,7 @@
 // under way for stalls and slow workers.
 func (s *Scheduler) Tick(now Now) {
 	s.pruneEndedJobs(now)
+	s.pruneEarlyCancellations(now)
 	for _, j := range s.dueJobs(now) {
 		s.startDueRepetitions(now, j)
 	}
--- a/internal/jobs/scheduler/stored_test.go
+++ b/internal/jobs/scheduler/stored_test.go
@@ -269,7 +269,7 @@
 func reencode(key string, value []byte) []byte {
 	record := map[string]any{
 		jobPrefix: &jobRecord{}, taskPrefix: &taskRecord{}, repetitionPrefix: &repetitionRecord{},
-		endedPrefix: &endedRecord{}, operatorDrainPrefix: &operatorDrainRecord{}, handoverKey: &handoverRecord{},
+		endedPrefix: &endedRecord{}, operatorDrainPrefix: &operatorDrainRecord{}, handoverKey: &handoverRecord{}, earlyCancellationPrefix: &earlyCancellationRecord{},
 	}[key[:2]]
 	if err := decodeRecord(key, value, record); err != nil {
 		panic(err) // cannot fail: a scheduler has already decoded this record
--- a/internal/jobs/scheduler/wire_test.go
+++ b/internal/jobs/scheduler/wire_test.go
@@ -15,6 +15,7 @@
 		goldentest.Form{Name: "repetition record", Value: new(repetitionRecord)},
 		goldentest.Form{Name: "ended record", Value: new(endedRecord)},
 		goldentest.Form{Name: "handover record", Value: new(handoverRecord)},
+		goldentest.Form{Name: "early cancellation record", Value: new(earlyCancellationRecord)},
 	)
 	goldentest.Check(t, goldentest.JSON,
 		goldentest.Form{Name: "summary", Value: new(Load)},
@@ -30,5 +31,6 @@
 		goldentest.Constant{Have: repetitionPrefix, Want: "k/"},
 		goldentest.Constant{Have: endedPrefix, Want: "e/"},
 		goldentest.Constant{Have: handoverKey, Want: "c/"},
+		goldentest.Constant{Have: earlyCancellation{0x5b, "00000000000000a1"}.key(), Want: "x/000000000000005b/00000000000000a1"},
 	)
 }
--- a/internal/systemtest/checker/jobs.go
+++ b/internal/systemtest/checker/jobs.go
@@ -138,7 +138,7 @@
 		j.addSubmission(request)
 	case http.MethodDelete:
 		j.cancelSentAt = earlierOf(j.cancelSentAt, request.SentAt)
-		if succeeded(request.Status) {
+		if succeeded(request.Status) || request.Status == statusGone { // 410: no such job, so none may run later
 			j.cancelledAt = earlierOf(j.cancelledAt, request.AnsweredAt)
 		}
 	case http.MethodGet:
--- a/internal/systemtest/queuemoves_test.go
+++ b/internal/systemtest/queuemoves_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"puffinlink.example/puffinlink/internal/fakes/cluster"
+	"puffinlink.example/puffinlink/internal/systemtest/checker"
 )
 
 const (
@@ -200,6 +201,11 @@
 		return nil, err
 	}
 	body := plan.encode()
+	sent := checker.Request{Machine: front.name, Incarnation: front.incarnation(), Method: http.MethodPost, Host: routeHost, Path: plan.path(), Body: body, SentAt: time.Now()}
+	sent.AnsweredAt = sent.SentAt // without an answer
+	m.mu.Lock()
+	m.requests = append(m.requests, sent)
+	m.mu.Unlock()
 	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", plan.path(), routeHost, len(body), body)
 	return connection, err
 }
