A path that addresses no job is answered 404, not 410

Cause: a path was read by the routes of the moment. Without its own route it matches the shorter prefix, and what is left, urgent/ID, is no ID. The proxy took that for an ID that nobody knows, and answered without asking a leader.

Change: a path addresses a queue, a job of it if exactly an ID follows the longest prefix, or nothing. Nothing is answered as a path without a route, 404 or, where the configuration may be old, 503, for all methods and in one place. This holds for prefixes that begin like IDs, for dots, slashes and escapes as well.

--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -152,10 +152,6 @@
 }
 
 func (h *handler) submit(w http.ResponseWriter, r *http.Request, request jobRequest, maxBodyBytes int64) {
-	if !request.id.Valid() {
-		writeError(w, http.StatusBadRequest, "the job's ID must be 16 hexadecimal digits")
-		return
-	}
 	release, ok := h.bodies.reserve(r.ContentLength, maxBodyBytes)
 	if !ok {
 		writeUnavailable(w, "too many requests under way")
@@ -189,19 +185,11 @@
 }
 
 func (h *handler) status(w http.ResponseWriter, request jobRequest) {
-	if !request.id.Valid() {
-		writeError(w, http.StatusGone, "no such job")
-		return
-	}
 	result := h.jobs.status(h.requestsCtx, request)
 	writeOutcome(w, result, stateResponse{result.state})
 }
 
 func (h *handler) cancel(w http.ResponseWriter, request jobRequest) {
-	if !request.id.Valid() {
-		writeError(w, http.StatusGone, "no such job")
-		return
-	}
 	writeOutcome(w, h.jobs.cancel(h.requestsCtx, request), emptyResponse{})
 }
 
--- a/internal/dataplane/proxy/route.go
+++ b/internal/dataplane/proxy/route.go
@@ -36,10 +36,15 @@
 	id    job.ID // empty for a queue
 }
 
-// locateTarget finds what a host and a path address. Found is false if no queue has the path.
-func locateTarget(v *view, host, path string) (found target, ok bool) {
-	route, rest, ok := v.router.Match(host, path)
-	return target{route, job.ID(rest)}, ok
+// locateTarget finds what a host and a path address. It returns false if no queue has the path. That is also so if what follows the longest
+// prefix is no job's ID: such a path may be that of a job whose queue was removed and lay beneath another one, or is hidden by another one.
+func locateTarget(v *view, host, path string) (located target, found bool) {
+	route, rest, found := v.router.Match(host, path)
+	id := job.ID(rest)
+	if !found || rest != "" && !id.Valid() {
+		return target{}, false
+	}
+	return target{route, id}, true
 }
 
 // BuildRouter parses a configuration in the form in which the operator sent it.
--- a/internal/systemtest/checker/configurations.go
+++ b/internal/systemtest/checker/configurations.go
@@ -34,7 +34,16 @@
 	rejected       bool      // definitely rejected and never acknowledged
 }
 
-// matchRoute returns the route of a path, which is the one with the longest matching prefix.
+// idLength is the number of hexadecimal digits of a job's ID.
+const idLength = 16
+
+// addressesQueueOrJob reports whether the rest of a path, after the prefix of a queue, addresses the queue or one of its jobs.
+func addressesQueueOrJob(rest string) bool {
+	return rest == "" || len(rest) == idLength && strings.Trim(rest, "0123456789abcdefABCDEF") == ""
+}
+
+// matchRoute returns the route of a path, which is the one with the longest matching prefix. It finds none for a path that addresses neither
+// the route's queue nor a job, as that of a job whose queue was removed and lay beneath another one.
 func (c *configuration) matchRoute(host, path string) (route, bool) {
 	var best route
 	found := false
@@ -43,7 +52,7 @@
 			best, found = attempt, true
 		}
 	}
-	return best, found
+	return best, found && addressesQueueOrJob(strings.TrimPrefix(path, best.PathPrefix))
 }
 
 // parseConfiguration parses a configuration. It sets valid if the configuration is valid on top of version builtOn.
