--- a/internal/systemtest/soakqueues_test.go
+++ b/internal/systemtest/soakqueues_test.go
@@ -20,23 +20,18 @@
 	maxSubmissionTries = 8                      // tries to submit a job whose queue may be missing for long
 )
 
-// movingQueue is a queue of a soak whose route changes. Others may lie beneath it.
-type movingQueue struct {
-	prefix  string
-	service string // empty while the configuration has no route for the queue
-}
-
-// movingQueues are the queues of a soak whose routes change.
+// movingQueues are the queues of a soak whose routes change. Some lie beneath others. The service is empty while the configuration has no
+// route for a queue.
 type movingQueues struct {
 	mu     sync.Mutex
-	queues []movingQueue
+	queues []routePlan
 }
 
 func newMovingQueues() *movingQueues {
 	m := &movingQueues{}
 	for number := range soakQueueCount {
 		prefix := fmt.Sprintf("/moving-%d/", number)
-		m.queues = append(m.queues, movingQueue{prefix: prefix, service: guardedService}, movingQueue{prefix: prefix + "nested/", service: unguardedService})
+		m.queues = append(m.queues, routePlan{prefix, guardedService}, routePlan{prefix + "nested/", unguardedService})
 	}
 	return m
 }
@@ -48,7 +43,7 @@
 	var routes []routePlan
 	for _, queue := range m.queues {
 		if queue.service != "" {
-			routes = append(routes, routePlan{queue.prefix, queue.service})
+			routes = append(routes, queue)
 		}
 	}
 	return routes
@@ -75,7 +70,7 @@
 	}
 }
 
-func (m *movingQueues) choose(random *rand.Rand) movingQueue {
+func (m *movingQueues) choose(random *rand.Rand) routePlan {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.queues[random.IntN(len(m.queues))]
@@ -122,7 +117,7 @@
 // playJob sends a job and does something more with it.
 func (q *queueClients) playJob(ctx context.Context, random *rand.Rand) {
 	queue := q.queues.choose(random)
-	plan := newJobPlan(random, []jobKind{plainJob, plainJob, gangJob, longRunningJob}[random.IntN(4)], routePlan{queue.prefix, queue.service})
+	plan := newJobPlan(random, []jobKind{plainJob, plainJob, gangJob, longRunningJob}[random.IntN(4)], queue)
 	stage := &plan.body.Stages[0]
 	stage.Affinity, stage.Resources, stage.Count = "", job.Resources{Processors: lastingTaskProcessors, MemoryMB: 10}, 1+random.IntN(2)
 	if plan.kind != gangJob {
