The proxy's routing by the configuration stands once

The adapter from a configuration to the proxy's router stood in the command and again in the system tests (docs/ROADMAP.md had it as to come). It is a package of its own; a proxy's handler and feed can be used without sockets.

--- a/cmd/puffinlink/proxy.go
+++ b/cmd/puffinlink/proxy.go
@@ -4,9 +4,8 @@
 	"context"
 	"fmt"
 
-	"puffinlink.example/puffinlink/internal/controlplane/configuration"
 	"puffinlink.example/puffinlink/internal/dataplane/proxy"
-	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/dataplane/proxy/routing"
 	"puffinlink.example/puffinlink/internal/nodesettings"
 	"puffinlink.example/puffinlink/internal/transport"
 )
@@ -43,7 +42,7 @@
 		Requests:       requests,
 		AgentAddress:   env.localAddress(),
 		Caller:         caller,
-		BuildRouter:    buildRouter,
+		BuildRouter:    routing.Build,
 		GracePeriod:    settings.Bounds.GracePeriod,
 		MaxConnections: maxConnections(settings.Limits),
 		MaxBodyBytes:   settings.Limits.MemoryMB * bytesPerMegabyte / bodyMemoryDivisor,
@@ -73,46 +72,3 @@
 	byMemory := int(limits.MemoryMB * bytesPerMegabyte / connectionMemoryBytes)
 	return max(minConnections, min(byDescriptors, byMemory))
 }
-
-// configurationRouter adapts the routing table of a configuration to proxy.Router.
-type configurationRouter struct{ table *configuration.RoutingTable }
-
-// buildRouter parses a configuration, in the form in which the operator sent it, and returns its router.
-func buildRouter(raw []byte) (proxy.Router, error) {
-	parsed, err := configuration.Parse(raw)
-	if err != nil {
-		return nil, err
-	}
-	return configurationRouter{configuration.NewRoutingTable(parsed)}, nil
-}
-
-// Match implements proxy.Router.
-func (r configurationRouter) Match(host, path string) (route proxy.Route, rest string, ok bool) {
-	found, rest, ok := r.table.Match(host, path)
-	if !ok {
-		return proxy.Route{}, "", false
-	}
-	service, _ := r.table.Service(found.Service) // always found: Parse rejects routes to unknown services
-	queue := jobapi.Queue{
-		Route:            found.Name,
-		Service:          found.Service,
-		Priority:         found.Priority,
-		MaxAttempts:      found.MaxAttempts,
-		Extension:        found.Extension,
-		TargetLatencyMS:  found.TargetLatency().Milliseconds(),
-		EnforcesCapacity: service.EnforcesCapacity,
-		Key:              found.QueueKey(),
-	}
-	return proxy.Route{Queue: queue, Timeout: found.Timeout()}, rest, true
-}
-
-// Limits implements proxy.Router.
-func (r configurationRouter) Limits() proxy.Limits {
-	limits := r.table.Limits()
-	return proxy.Limits{
-		HeaderBytes:   limits.MaxHeaderBytes,
-		BodyBytes:     int64(limits.MaxBodyBytes),
-		HeaderTimeout: limits.HeaderTimeout(),
-		IdleTimeout:   limits.IdleTimeout(),
-	}
-}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -65,6 +65,15 @@
 // Ready reports whether the proxy should receive new connections.
 func (p *Proxy) Ready() bool { return !p.stopping.Load() && p.feed.ready() }
 
+// Handler returns the handler of clients' requests. Serve uses it. A caller that serves clients by other means must call Follow as well.
+func (p *Proxy) Handler() http.Handler { return p.handler }
+
+// Follow follows the agent's feed, and notices pauses of the process, until the context ends. Serve calls it.
+func (p *Proxy) Follow(ctx context.Context) {
+	go p.handler.pauses.run(ctx)
+	p.feed.run(ctx)
+}
+
 // Serve serves clients on one listener and the platform's readiness checks on the other, until the context ends. Then it
 // drains and returns within the grace period. It closes both listeners.
 func (p *Proxy) Serve(ctx context.Context, clientListener, readinessListener net.Listener) {
@@ -74,8 +83,7 @@
 	p.feed.onLimits = server.setLimits
 	readinessServer := &http.Server{Handler: newReadinessHandler(p.Ready), ReadTimeout: defaultHeaderTimeout}
 	defer readinessServer.Close()
-	go p.feed.run(followCtx)
-	go p.handler.pauses.run(followCtx)
+	go p.Follow(followCtx)
 	go func() { _ = readinessServer.Serve(readinessListener) }() // returns after Close
 	go server.accept()
 	p.config.Log.Info("proxy serves", zap.Stringer("clients", clientListener.Addr()), zap.Stringer("readiness", readinessListener.Addr()))
--- a/internal/systemtest/childprocess_test.go
+++ b/internal/systemtest/childprocess_test.go
@@ -14,11 +14,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"puffinlink.example/puffinlink/internal/controlplane/configuration"
 	"puffinlink.example/puffinlink/internal/controlplane/coordinator"
 	"puffinlink.example/puffinlink/internal/dataplane/agent"
 	"puffinlink.example/puffinlink/internal/dataplane/proxy"
-	"puffinlink.example/puffinlink/internal/jobs/jobapi"
+	"puffinlink.example/puffinlink/internal/dataplane/proxy/routing"
 	"puffinlink.example/puffinlink/internal/nodesettings"
 	"puffinlink.example/puffinlink/internal/transport"
 )
@@ -126,45 +125,10 @@
 func runProxy(ctx context.Context, spec childSpec, settings nodesettings.Settings, log *zap.Logger, front, readiness net.Listener) error {
 	const maxConnections, maxBodyBytes = 500, 16 << 20
 	server := proxy.New(proxy.Config{
-		AgentAddress: spec.Agent, Caller: transport.NewClientFor(settings.Cluster), BuildRouter: buildRouter, GracePeriod: settings.Bounds.GracePeriod,
+		AgentAddress: spec.Agent, Caller: transport.NewClientFor(settings.Cluster), BuildRouter: routing.Build, GracePeriod: settings.Bounds.GracePeriod,
 		MaxConnections: maxConnections, MaxBodyBytes: maxBodyBytes, Log: log,
 	})
 	fmt.Println(readyLine)
 	server.Serve(ctx, front, readiness)
 	return nil
 }
-
-// router adapts a routing table to proxy.Router, in the same way as the production program.
-type router struct{ table *configuration.RoutingTable }
-
-func buildRouter(raw []byte) (proxy.Router, error) {
-	parsed, err := configuration.Parse(raw)
-	if err != nil {
-		return nil, err
-	}
-	return router{configuration.NewRoutingTable(parsed)}, nil
-}
-
-// Match implements proxy.Router.
-func (r router) Match(host, path string) (route proxy.Route, rest string, ok bool) {
-	found, rest, ok := r.table.Match(host, path)
-	if !ok {
-		return proxy.Route{}, "", false
-	}
-	service, _ := r.table.Service(found.Service)
-	queue := jobapi.Queue{
-		Route: found.Name, Service: found.Service, Priority: found.Priority, MaxAttempts: found.MaxAttempts,
-		Extension: found.Extension, TargetLatencyMS: found.TargetLatency().Milliseconds(), EnforcesCapacity: service.EnforcesCapacity,
-		Key: found.QueueKey(),
-	}
-	return proxy.Route{Queue: queue, Timeout: found.Timeout()}, rest, true
-}
-
-// Limits implements proxy.Router.
-func (r router) Limits() proxy.Limits {
-	limits := r.table.Limits()
-	return proxy.Limits{
-		HeaderBytes: limits.MaxHeaderBytes, BodyBytes: int64(limits.MaxBodyBytes),
-		HeaderTimeout: limits.HeaderTimeout(), IdleTimeout: limits.IdleTimeout(),
-	}
-}
