Pending jobs are counted by no older configuration than the caller's

What callers saw: GET PREFIX of a queue right after it was given to another service is answered {"pending":0} while its jobs run in the group of the earlier service, and for up to 10 s more where the front reaches no leader.

Cause: the call for the number carried no version of the configuration, though it has a field for it, and the new leader counted by whatever it knew: a configuration in which the queue had never moved names no other group.

Change: the front sends its version; the leader learns it, and the one up to which its group has released queues, before it counts, and refuses otherwise.

Why it works: it is the rule by which submissions, reads and cancellations choose their groups; a directory of that version names all groups that have or had the queue.

--- a/internal/dataplane/proxy/client_test.go
+++ b/internal/dataplane/proxy/client_test.go
@@ -310,8 +310,8 @@
 		So(f.send(http.MethodGet, testPrefix, "").status, ShouldEqual, http.StatusServiceUnavailable) // the number is unknown: 0 would be wrong
 		leader.mutex.Lock()
 		leader.count = func(_ context.Context, p jobapi.PendingRequest) (jobapi.PendingReply, error) {
-			if p.Route != "r-1" || p.Group != testGroup || p.Queue != testQueue {
-				return jobapi.PendingReply{}, errors.New("another route")
+			if p.Route != "r-1" || p.Group != testGroup || p.Queue != testQueue || p.Version != 1 {
+				return jobapi.PendingReply{}, errors.New("another route, or by no configuration")
 			}
 			return jobapi.PendingReply{Count: 12}, nil
 		}
--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -56,7 +56,8 @@
 		// A request that was sent to a leader continues after its client has disconnected, because the leader may already execute it.
 		// Therefore r.Context() is not used for calls.
 		request := jobRequest{
-			received: h.pauses.earliestArrival(read), timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path, queue: target.route.Queue, id: target.id,
+			received: h.pauses.earliestArrival(read), timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path,
+			queue: target.route.Queue, version: view.version, id: target.id,
 		}
 		h.serve(w, r, request, view.router)
 	}
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -23,6 +23,7 @@
 	timeout    time.Duration // the shorter of the client's and the route's
 	host, path string
 	queue      jobapi.Queue // by the view at the time of the request's arrival
+	version    uint64       // of the configuration in that view
 	id         job.ID       // empty for a request about a queue
 }
 
@@ -106,7 +107,7 @@
 // recent answer, if there is one.
 func (s *jobService) count(ctx context.Context, r jobRequest) (count int, known bool) {
 	group := feed.GroupOf(r.queue.Service)
-	request := jobapi.PendingRequest{Group: group, Route: r.queue.Route, Queue: r.queue.Key}
+	request := jobapi.PendingRequest{Group: group, Route: r.queue.Route, Queue: r.queue.Key, Version: r.version}
 	var reply jobapi.PendingReply
 	call := locatedCall{route: jobapi.PendingCall.Route(), group: group, request: request}
 	if _, err := s.leaders.attempt(ctx, call, pendingAttemptTimeout, &reply); err != nil {
--- a/internal/jobs/manager/handover_test.go
+++ b/internal/jobs/manager/handover_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// setReadable says whether the node can read the newest configuration.
+func (f *fakeQueues) setReadable(readable bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.canRead = readable
+}
+
 // handoverCluster is a cluster with the groups of all planners, whose nodes get to know configurations as a test says.
 type handoverCluster struct {
 	*testCluster
@@ -518,3 +525,28 @@
 		So(vacancies.Contains(planQueue, ended), ShouldBeFalse)
 	})
 }
+
+// A queue's pending jobs must be counted by no older configuration than that of the caller: guards against a count of 0 for a queue whose jobs
+// run in the group that had it before.
+func TestPendingJobsAreCountedByTheCallersConfiguration(t *testing.T) {
+	withHandoverCluster(t, func(t *testing.T, c *handoverCluster) {
+		Convey("Given a job of alpha, whose queue goes to beta, and a leader of beta that has not heard of it", t, func() {
+			_, err := c.submit("alpha", knownJob, movedBefore)
+			So(err, ShouldBeNil)
+			c.move(movedToBeta())
+			leader := c.leaderOf("beta")
+			count := func() (jobapi.PendingReply, error) {
+				return leader.manager.pending(context.Background(), jobapi.PendingRequest{Group: feed.GroupOf("beta"), Queue: planQueue, Version: movedSince})
+			}
+			Convey("it refuses to count while it cannot read it, and then counts alpha's job", func() {
+				c.queues[leader].setReadable(false)
+				_, err := count()
+				So(err, shouldNotBeExecuted)
+				c.queues[leader].setReadable(true)
+				reply, err := count()
+				So(err, ShouldBeNil)
+				So(reply.Count, ShouldEqual, 1)
+			})
+		})
+	})
+}
--- a/internal/jobs/manager/manager.go
+++ b/internal/jobs/manager/manager.go
@@ -247,8 +247,17 @@
 	return reply, err
 }
 
-// pending returns the number of pending jobs of a queue, also of those in groups that had the queue before.
+// pending returns the number of pending jobs of a queue, also of those in groups that had the queue before. An older configuration than that
+// of the caller, or than what the group has released, may lack some of these groups.
 func (m *Manager) pending(ctx context.Context, request jobapi.PendingRequest) (reply jobapi.PendingReply, err error) {
+	needed := request.Version
+	err = m.readUncommitted(request.Group, func(_ scheduler.Now, s *scheduler.Scheduler) { needed = max(needed, s.MinConfigurationVersion()) })
+	if err != nil {
+		return reply, err
+	}
+	if err := m.awaitConfiguration(ctx, needed); err != nil {
+		return reply, err
+	}
 	var others []configuration.Tenure
 	var since uint64
 	err = m.readUncommitted(request.Group, func(_ scheduler.Now, s *scheduler.Scheduler) {
