A group counts as vacant only for what it has released

Cause: a group that has released a queue and knows no job of it need not be asked any more. Its reply "no job of that queue" was kept for any ended tenure of it, also one that ended after the version for which it was asked, so that it had not released it. A leader that had not heard yet of the queue's removal then accepted jobs of which the next service's group never asked it.

Evidence: trace of the schedule. The leader of y counted the queue's jobs and asked x as of version 0; x, whose tenure lasted from 11 to 12 and whose leader knew 11, replied that it was vacant, and accepted two jobs 0.6 s later.

Change: Vacancies.Add takes the version that was released with the reply and ignores tenures that ended later. One place, for counts, jobs and releases.

Why it works: a tenure that ended in the group's minimum version or earlier accepts no job under any leader.

Measured: the new test (both questions, real groups) fails before and passes.

--- a/internal/jobs/manager/handover.go
+++ b/internal/jobs/manager/handover.go
@@ -175,7 +175,7 @@
 		}
 		sum.Pending += reply.Pending
 		if errs[i] == nil && reply.Vacant {
-			m.vacancies.Add(call.queue, others[i])
+			m.vacancies.Add(call.queue, others[i], since)
 		}
 	}
 	err := errors.Join(errs...)
@@ -308,7 +308,7 @@
 	}
 	reply, err := jobapi.ReleaseCall.Call(ctx, m.config.Caller, leader.Address, request)
 	for _, queue := range reply.Vacant {
-		m.vacancies.Add(queue, ended[queue])
+		m.vacancies.Add(queue, ended[queue], request.Version)
 	}
 	return err
 }
--- a/internal/jobs/manager/handover_test.go
+++ b/internal/jobs/manager/handover_test.go
@@ -289,6 +289,18 @@
 	panic("the node does not become the leader")
 }
 
+// separateLeaders makes different nodes lead the groups of alpha and beta.
+func (c *handoverCluster) separateLeaders() {
+	for _, n := range c.nodes {
+		if c.leaderOf("alpha") != c.leaderOf("beta") {
+			return
+		}
+		if n != c.leaderOf("beta") {
+			c.lead(n, "alpha")
+		}
+	}
+}
+
 // Another group that does not answer must not count as one that does not know the job: guards against second runs and wrong "no such job"
 // while the earlier group has no leader.
 func TestSilentGroupIsNotTakenForOneWithoutTheJob(t *testing.T) {
@@ -321,14 +333,7 @@
 	}
 	for name, inject := range faults {
 		withHandoverCluster(t, func(t *testing.T, c *handoverCluster) {
-			if c.leaderOf("alpha") == c.leaderOf("beta") {
-				for _, n := range c.nodes {
-					if n != c.leaderOf("beta") {
-						c.lead(n, "alpha")
-						break
-					}
-				}
-			}
+			c.separateLeaders()
 			Convey("Given a job of alpha and a queue that went to beta. While "+name, t, func() {
 				_, err := c.submit("alpha", knownJob, movedBefore)
 				So(err, ShouldBeNil)
@@ -512,11 +517,13 @@
 }
 
 func TestVacanciesAreKeptForEndedTenuresOnly(t *testing.T) {
-	Convey("A present tenure is never vacant, and one that is in no history is dropped", t, func() {
+	Convey("A tenure is vacant once it has ended and its group has released the queue, and is dropped once no history has it", t, func() {
 		var vacancies queueowner.Vacancies
 		ended, present := configuration.Tenure{Service: "alpha", Until: movedSince}, configuration.Tenure{Service: "beta", Since: movedSince}
-		vacancies.Add(planQueue, ended)
-		vacancies.Add(planQueue, present)
+		vacancies.Add(planQueue, ended, movedSince-1) // its group has not released the queue yet
+		So(vacancies.Contains(planQueue, ended), ShouldBeFalse)
+		vacancies.Add(planQueue, ended, movedSince)
+		vacancies.Add(planQueue, present, movedSince)
 		So(vacancies.Contains(planQueue, ended), ShouldBeTrue)
 		So(vacancies.Contains(planQueue, present), ShouldBeFalse)
 		vacancies.Retain(movedToBeta())
@@ -550,3 +557,40 @@
 		})
 	})
 }
+
+// A group that has not released a queue must not count as one without its jobs: guards against a job that is denied with 410, and that runs after its
+// cancellation was answered so, because it was accepted by a leader that had not heard yet that its queue had been removed.
+func TestGroupThatHasNotReleasedAQueueIsNotVacant(t *testing.T) {
+	const removedIn, addedIn = movedSince + 2, movedSince + 3
+	alphaBefore := configuration.Tenure{Service: "alpha", Until: movedSince}
+	betaBefore := configuration.Tenure{Service: "beta", Since: movedSince, Until: removedIn}
+	questions := map[string]func(c *handoverCluster) error{
+		"for a job": func(c *handoverCluster) error {
+			_, err := c.status("alpha", unknownJob)
+			return err
+		},
+		"for the number of pending jobs": func(c *handoverCluster) error {
+			_, err := c.leaderOf("alpha").manager.pending(context.Background(), jobapi.PendingRequest{Group: feed.GroupOf("alpha"), Queue: planQueue})
+			return err
+		},
+	}
+	for name, ask := range questions {
+		withHandoverCluster(t, func(t *testing.T, c *handoverCluster) {
+			c.separateLeaders()
+			Convey("Given a queue that was removed, of which beta's leader has not heard, and alpha's leader has, which was asked "+name, t, func() {
+				c.move(movedToBeta(), c.nodes...)
+				removed := directory(removedIn, "", alphaBefore, betaBefore)
+				c.move(removed, c.leaderOf("alpha"))
+				So(ask(c), ShouldBeNil)
+				_, err := c.submit("beta", knownJob, movedSince)
+				So(err, ShouldBeNil)
+				Convey("a job that beta accepts is found once alpha has the queue", func() {
+					c.move(directory(addedIn, "alpha", betaBefore), c.nodes...)
+					reply, err := c.status("alpha", knownJob)
+					So(err, ShouldBeNil)
+					So(reply.Known, ShouldBeTrue)
+				})
+			})
+		})
+	}
+}
--- a/internal/jobs/queueowner/protocol_test.go
+++ b/internal/jobs/queueowner/protocol_test.go
@@ -38,6 +38,7 @@
 	checksOnce        violatedRule = "a group accepts an ID after asking, without deciding once more"
 	endedTenureServes violatedRule = "a group accepts jobs for a tenure that it has released"
 	vacantTooEarly    violatedRule = "a group counts as vacant before it has released the queue"
+	vacantUnreleased  violatedRule = "a group that was asked for an earlier tenure counts as vacant"
 )
 
 // modelGroup is the replication group of a service. Its records survive a change of its leader, the view does not.
@@ -163,7 +164,7 @@
 			p.release(g, ended.Until)
 		}
 		if len(g.known) == 0 {
-			p.vacancies.Add(queue, ended)
+			p.vacancies.Add(queue, ended, ended.Until)
 		}
 	})
 }
@@ -195,7 +196,7 @@
 // advance plays the next step of a call: it asks one other group, or decides and acts.
 func (p *protocol) advance(number int) {
 	call := p.calls[number]
-	if next := p.nextToAsk(call); call.decided && next != "" {
+	if next, found := p.nextToAsk(call); call.decided && found {
 		p.ask(number, next)
 		return
 	}
@@ -204,23 +205,23 @@
 	}
 }
 
-// nextToAsk returns a service that the call's last decision names and that was not asked yet.
-func (p *protocol) nextToAsk(call *modelCall) string {
+// nextToAsk returns a tenure that the call's last decision names, and whose group was not asked yet.
+func (p *protocol) nextToAsk(call *modelCall) (next configuration.Tenure, found bool) {
 	if p.violated == asksNobody || p.violated == asksLatestOnly && len(call.asked) > 0 {
-		return ""
+		return next, false
 	}
 	for _, other := range call.decision.Others {
 		asked := call.askedFrom == call.decision.Since && slices.Contains(call.asked, other.Service)
 		if !asked && !p.vacancies.Contains(protocolQueue, other) {
-			return other.Service
+			return other, true
 		}
 	}
-	return ""
+	return next, false
 }
 
 // ask delivers a call's question to another group. The question or the reply may be lost.
-func (p *protocol) ask(number int, service string) {
-	call, other := p.calls[number], p.group(service)
+func (p *protocol) ask(number int, tenure configuration.Tenure) {
+	call, other := p.calls[number], p.group(tenure.Service)
 	lost := p.random.IntN(8)
 	if lost == 0 {
 		p.calls = slices.Delete(p.calls, number, number+1)
@@ -235,7 +236,15 @@
 	if call.askedFrom != call.decision.Since {
 		call.asked, call.askedFrom = nil, call.decision.Since
 	}
-	call.asked = append(call.asked, service)
+	call.asked = append(call.asked, tenure.Service)
+	if len(other.known) > 0 {
+		return
+	}
+	released := call.decision.Since
+	if p.violated == vacantUnreleased {
+		released = tenure.Until
+	}
+	p.vacancies.Add(protocolQueue, tenure, released)
 }
 
 // decideAndAct decides about a call and acts if all others were asked. It returns false if others must be asked first.
@@ -249,7 +258,7 @@
 		if call.decision.Verdict != MayAct {
 			return true
 		}
-		if p.nextToAsk(call) != "" {
+		if _, found := p.nextToAsk(call); found {
 			return false
 		}
 	}
@@ -314,7 +323,7 @@
 
 // Each rule of the protocol is needed: a run that violates it is noticed.
 func TestEachViolatedRuleIsNoticed(t *testing.T) {
-	rules := []violatedRule{asksNobody, asksLatestOnly, releasesNothing, forgetsRelease, decidesByOldView, checksOnce, endedTenureServes, vacantTooEarly}
+	rules := []violatedRule{asksNobody, asksLatestOnly, releasesNothing, forgetsRelease, decidesByOldView, checksOnce, endedTenureServes, vacantTooEarly, vacantUnreleased}
 	for _, violated := range rules {
 		if seed, violation := firstViolation(violated); violation != "" {
 			t.Logf("%s: noticed with seed %d: %s", violated, seed, violation)
--- a/internal/jobs/queueowner/vacancies.go
+++ b/internal/jobs/queueowner/vacancies.go
@@ -20,9 +20,10 @@
 	known map[vacancy]struct{}
 }
 
-// Add adds an ended tenure. It ignores the present tenure of a service.
-func (v *Vacancies) Add(queue queuekey.Key, tenure configuration.Tenure) {
-	if !tenure.Ended() {
+// Add adds a tenure whose group knows no job of the queue. Released is the version up to which the group has released its queues. A tenure that
+// ended later, or has not ended, is ignored: the group may accept jobs in it as long as it has not heard of its end.
+func (v *Vacancies) Add(queue queuekey.Key, tenure configuration.Tenure, released uint64) {
+	if !tenure.Ended() || tenure.Until > released {
 		return
 	}
 	v.mutex.Lock()
