The offer of a newer configuration begins no contact

Cause: while a newer configuration is downloaded, an agent counted as in contact up to the time at which it was offered, as the one in force was the newest until then. For an agent that was cut off it was not: the offer comes late. The time of the offer became a confirmation all the same.

Change: the time of an offer extends contact that there is, and begins none.

Why it works: each chain of contact goes back to a confirmation of the configuration in force.

--- a/internal/dataplane/agent/contact.go
+++ b/internal/dataplane/agent/contact.go
@@ -32,6 +32,15 @@
 	c.lastConfirmed = at
 }
 
+// extend extends contact to a time at which there was contact. Otherwise it has no effect.
+func (c *contactTracker) extend(to time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if to.After(c.lastConfirmed) && c.remainingLocked(to) > 0 {
+		c.lastConfirmed = to
+	}
+}
+
 // remaining returns the time until contact ends without another confirmation. It is 0 or less if there is no contact.
 func (c *contactTracker) remaining(now time.Time) time.Duration {
 	c.mutex.Lock()
--- a/internal/dataplane/agent/download.go
+++ b/internal/dataplane/agent/download.go
@@ -59,15 +59,11 @@
 	return d.version
 }
 
-// currentUntil returns the latest time at which the configuration in force is known to have been the newest, given a confirmation
-// by a coordinator now.
-func (d *download) currentUntil(now time.Time) time.Time {
+// newerKnownSince returns since when a newer configuration than the one in force is known. Outdated is false if none is.
+func (d *download) newerKnownSince() (since time.Time, outdated bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.outdatedSince.IsZero() {
-		return now
-	}
-	return d.outdatedSince
+	return d.outdatedSince, !d.outdatedSince.IsZero()
 }
 
 // addOffer adds a source and the chunks of its offer. An offer of an older version than the one in progress is ignored. A newer
--- a/internal/dataplane/agent/follow.go
+++ b/internal/dataplane/agent/follow.go
@@ -154,10 +154,14 @@
 	return a.snapshots.Merge(reply.Snapshot) || offered, nil
 }
 
-// confirm records a current reply of a coordinator. While a newer configuration is being downloaded, contact is confirmed only up
-// to the time of its first offer, because the configuration in force here is known to have been the newest until then.
+// confirm records a current reply of a coordinator. While a newer configuration is being downloaded, contact lasts only up to the time at
+// which that one became known, and only if there was contact then: an agent that was cut off has an older configuration for longer than that.
 func (a *Agent) confirm(now time.Time) {
-	a.contact.confirm(a.download.currentUntil(now))
+	if since, outdated := a.download.newerKnownSince(); outdated {
+		a.contact.extend(since)
+	} else {
+		a.contact.confirm(now)
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.membersConfirmed = now
--- a/internal/dataplane/agent/transfer_test.go
+++ b/internal/dataplane/agent/transfer_test.go
@@ -250,19 +250,26 @@
 	n.corrupt = corrupt
 }
 
+// withoutChunks removes the chunks of a configuration from a reply.
+func withoutChunks(_ string, reply any) {
+	var update *feed.Snapshot
+	switch typedReply := reply.(type) {
+	case *feed.ChunksReply:
+		typedReply.Chunks = nil
+	case *feed.WatchReply:
+		update = typedReply.Snapshot
+	case *feed.Exchange:
+		update = typedReply.Snapshot
+	}
+	if update != nil && update.Offer != nil {
+		update.Offer.Chunks = nil
+	}
+}
+
 func TestContactEndsWhileNewerConfigurationCannotBeDownloaded(t *testing.T) {
 	withSlowLinks(t, 3, 2, func(cluster *testCluster) {
 		Convey("An agent that cannot download a newer configuration loses contact, although coordinators reply", t, func() {
-			cluster.network.setCorruption(func(_ string, reply any) {
-				switch typedReply := reply.(type) {
-				case *feed.ChunksReply:
-					typedReply.Chunks = nil
-				case *feed.WatchReply:
-					if typedReply.Snapshot != nil && typedReply.Snapshot.Offer != nil {
-						typedReply.Snapshot.Offer.Chunks = nil
-					}
-				}
-			})
+			cluster.network.setCorruption(withoutChunks)
 			cluster.publishVersion(2)
 			<-time.After(contactTimeout + 500*time.Millisecond)
 			So(len(cluster.agentsNotAtVersion(2)), ShouldEqual, 2)
@@ -278,3 +285,27 @@
 		})
 	})
 }
+
+// An agent that was cut off must not count as in contact before it has the newest configuration: guards against a 404 for a queue that was added
+// long before, from the moment at which the agent hears of it until it has it.
+func TestContactIsNotRegainedByTheOfferOfANewerConfiguration(t *testing.T) {
+	withSlowLinks(t, 3, 2, func(cluster *testCluster) {
+		Convey("An agent that was cut off while the configuration changed is in contact only once the newest one is in force", t, func() {
+			cluster.network.setPartition(partitionBetween("agent-0", func(string) bool { return true }))
+			cluster.publishVersion(2)
+			<-time.After(2 * contactTimeout)
+			cut := cluster.agents["agent-0"]
+			So(cut.InContact(), ShouldBeFalse)
+			cluster.network.setCorruption(withoutChunks)
+			cluster.network.setPartition(func(string, string) bool { return false })
+			for range 30 {
+				<-time.After(contactTimeout / 10)
+				So(cut.InContact() && cut.Snapshot().ConfigurationVersion < 2, ShouldBeFalse)
+			}
+			cluster.network.setCorruption(func(string, any) {})
+			<-time.After(2 * time.Second)
+			So(cut.Snapshot().ConfigurationVersion, ShouldEqual, 2)
+			So(cut.InContact(), ShouldBeTrue)
+		})
+	})
+}
