Simulation: queues move, leave, return and nest beneath running jobs

controlmodel gets fronts (agent and proxy), two services, four queues that nest, an operator that moves, removes and adds them, clients that send jobs of five kinds again, leave early, cancel before, during and after, read and count, and eleven faults of fronts, leaders, core, network and disk. The judge sees what clients, workers and the operator see and shares no code with the product: one service a job, nothing starts after its cancellation was answered 2xx or 410, nor runs on in the calm, 404 and 410 are true, counts hold.

--- a/internal/systemtest/controlmodel/machine_test.go
+++ b/internal/systemtest/controlmodel/machine_test.go
@@ -17,6 +17,8 @@
 	"puffinlink.example/puffinlink/internal/controlplane/replication"
 	"puffinlink.example/puffinlink/internal/controlplane/storage"
 	"puffinlink.example/puffinlink/internal/dataplane/agent"
+	"puffinlink.example/puffinlink/internal/dataplane/proxy"
+	"puffinlink.example/puffinlink/internal/dataplane/proxy/routing"
 	"puffinlink.example/puffinlink/internal/jobs/manager"
 	"puffinlink.example/puffinlink/internal/jobs/scheduler"
 	"puffinlink.example/puffinlink/internal/transport"
@@ -53,6 +55,7 @@
 	node            *replication.Node
 	jobs            *manager.Manager
 	agent           *agent.Agent
+	front           http.Handler // of clients' requests; nil on machines without a proxy
 }
 
 func (m *machine) currentAgent() *agent.Agent {
@@ -166,7 +169,9 @@
 		Register: proposer, Caller: caller, Members: view, Address: m.address, Logger: zap.NewNop(),
 	})
 	configurator.Mount(mux)
+	var node *replication.Node
 	jobs := manager.New(manager.Config{
+		Queues: configurator, Caller: caller, Leaders: func() map[string]feed.Leader { return node.Leaders() },
 		HTTP: &http.Client{Transport: &workerTransport{s, m, incarnation}}, Log: zap.NewNop(),
 		Settings: scheduler.Settings{
 			RemoteSlowdown: 2, MaxStopDuration: 400 * time.Millisecond, RestoreDuration: 200 * time.Millisecond,
@@ -174,7 +179,8 @@
 		},
 	})
 	jobs.SetInventory(s.workerInstances)
-	node, err := replication.NewNode(replication.Config{
+	var err error
+	node, err = replication.NewNode(replication.Config{
 		Self: m.address, Store: disk, Caller: caller, View: view, Ready: ready, Handler: &electionObserver{jobs, s.checker, m.address}, Clock: m,
 	})
 	if err != nil {
@@ -195,6 +201,8 @@
 	tasks.Go(func() { configurator.Run(ctx) })
 	tasks.Go(func() { server.Run(ctx) })
 	tasks.Go(func() { node.Run(ctx) })
+	tasks.Go(func() { jobs.ReleaseMovedQueues(ctx) })
+	tasks.Go(func() { ensureGroups(ctx, configurator, node) })
 	node.Ensure(group)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -202,14 +210,28 @@
 	m.register, m.node, m.jobs, m.isUp, m.stop, m.tasks = proposer, node, jobs, true, end, tasks
 }
 
+// ensureGroups creates a replication group for each service of the configuration, and for each one that had a queue before.
+func ensureGroups(ctx context.Context, configurator *configuration.Configurator, node *replication.Node) {
+	for {
+		changed := configurator.Changed()
+		for _, service := range configurator.Queues().Services() {
+			node.Ensure(feed.GroupOf(service))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 func (m *machine) startAgent() {
 	ctx, end := context.WithCancel(context.Background())
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.incarnation++
-	m.agent = agent.New(agent.Config{
-		Address: m.address, Seeds: m.simulation.membership.Members, Caller: endpoint{m.simulation.network, m, m.incarnation}, Logger: zap.NewNop(),
-	})
+	caller := endpoint{m.simulation.network, m, m.incarnation}
+	m.agent = agent.New(agent.Config{Address: m.address, Seeds: m.simulation.membership.Members, Caller: caller, Logger: zap.NewNop()})
 	mux := transport.NewMux()
 	m.agent.Mount(mux)
 	m.agent.MountLocal(mux)
@@ -217,6 +239,22 @@
 	m.tasks.Go(func() { m.agent.Run(ctx) })
 }
 
+// startFront starts an agent and the proxy beside it.
+func (m *machine) startFront() {
+	m.startAgent()
+	ctx, end := context.WithCancel(context.Background())
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	front := proxy.New(proxy.Config{
+		AgentAddress: m.address, Caller: endpoint{m.simulation.network, m, m.incarnation}, BuildRouter: routing.Build,
+		GracePeriod: time.Second, MaxBodyBytes: 1 << 20, MaxConnections: 100, Log: zap.NewNop(),
+	})
+	m.front = front.Handler()
+	m.tasks.Go(func() { front.Follow(ctx) })
+	stopAgent := m.stop
+	m.stop = func() { stopAgent(); end() }
+}
+
 // kill ends the process at once. After that it sends no messages and writes nothing to its disk.
 func (m *machine) kill() {
 	m.mutex.Lock()
--- a/internal/systemtest/controlmodel/simulation_test.go
+++ b/internal/systemtest/controlmodel/simulation_test.go
@@ -44,6 +44,15 @@
 	actors          sync.WaitGroup
 	pendingFaults   sync.WaitGroup
 	schedule        []string // description of the fault schedule
+
+	// Only in simulations of moving queues.
+	judge             *identityJudge
+	queueOperator     *queueOperator
+	pairs             *pairCounts
+	workerServices    map[string]string // by worker ID
+	frontCalls        sync.WaitGroup    // clients' requests at fronts
+	disruptionMutex   sync.Mutex
+	activeDisruptions map[disruption]int
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -53,10 +62,8 @@
 	}
 	s.workers = cluster.New(cluster.RealClock{}, cluster.Settings{
 		InMemory: true, MaxLease: maxLease, StopDuration: 200 * time.Millisecond,
-		TaskProfile: func(task job.TaskID, _ string) cluster.Profile {
-			duration := time.Duration(100+100*(len(task.Job)+task.Index)%1200) * time.Millisecond
-			return cluster.Profile{Resources: job.Resources{Processors: 500}, Duration: duration}
-		},
+		GangTimeout: gangTimeout,
+		TaskProfile: taskProfile,
 	})
 	for i := range workerCount {
 		worker := s.workers.AddWorker(cluster.WorkerConfig{
@@ -79,6 +86,20 @@
 	return s
 }
 
+// taskProfile returns how a task of a specification behaves.
+func taskProfile(task job.TaskID, specification string) cluster.Profile {
+	profile := cluster.Profile{
+		Resources: job.Resources{Processors: 500}, Duration: time.Duration(100+100*(len(task.Job)+task.Index)%1200) * time.Millisecond,
+	}
+	switch specification {
+	case lastingSpecification:
+		profile.Duration = 0
+	case gangSpecification:
+		profile.GangSize = gangSize
+	}
+	return profile
+}
+
 // run runs the simulation to its end and returns the violations.
 func (s *simulation) run() []string {
 	s.startAll()
