--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -88,7 +88,11 @@
 		request := jobapi.CancelRequest{Group: group, ID: r.id, Queue: queue.Key, Version: v.version}
 		return locatedCall{group: group, route: jobapi.CancelCall.Route(), request: request}, found
 	}}, &reply))
-	return s.unlessUnknown(result, reply.Known, reply.NoSuchJob)
+	result = s.unlessUnknown(result, reply.Known, reply.NoSuchJob)
+	if reply.NoSuchJob && result.status == http.StatusServiceUnavailable {
+		return outcome{status: http.StatusGatewayTimeout} // the leader has remembered the cancellation, so it is not refused
+	}
+	return result
 }
 
 // unlessUnknown replaces the status 200 if the leader does not know the job. The only answer that there is no such job is given here: if
