Simulation: faults of fronts overlap with those of the core

In half of the schedules fronts are paused, cut off and restarted while leaders change, the core loses its power, or answers are lost.

--- a/internal/systemtest/controlmodel/identityactors_test.go
+++ b/internal/systemtest/controlmodel/identityactors_test.go
@@ -32,6 +32,7 @@
 	identityLeaveShare   = 2 // one call in so many is noticed to have been left
 	identityOperatorSalt = 300
 	identityClientSalt   = 400
+	identityFaultSalt    = 500
 )
 
 // identityServices are the services between which queues move.
--- a/internal/systemtest/controlmodel/identitysimulation_test.go
+++ b/internal/systemtest/controlmodel/identitysimulation_test.go
@@ -155,44 +155,50 @@
 // identityFault is a fault of a schedule of moving queues. Its run lasts as long as the fault.
 type identityFault struct {
 	disruption disruption
-	run        func(s *simulation, length time.Duration)
+	run        func(s *simulation, random *rand.Rand, length time.Duration)
 }
 
-// identityFaults are drawn at random. What lasts shortly or concerns few calls is listed twice.
-var identityFaults = []identityFault{
-	{frontPaused, (*simulation).pauseFront}, {frontPaused, (*simulation).pauseFront},
-	{frontCutOff, (*simulation).cutOffFront},
-	{frontRestarted, (*simulation).restartFront}, {frontRestarted, (*simulation).restartFront},
-	{leaderPaused, (*simulation).pauseLeader},
-	{leaderReplaced, (*simulation).replaceLeader},
-	{coreCutOff, (*simulation).cutOffCore},
-	{coreWithoutPower, (*simulation).restartCore},
-	{answersLost, (*simulation).loseAnswers}, {answersLost, (*simulation).loseAnswers},
-	{slowDiskOfMachine, (*simulation).slowDisk},
-}
+// Faults are drawn at random. What lasts shortly or concerns few calls is listed twice.
+var (
+	frontFaults = []identityFault{
+		{frontPaused, (*simulation).pauseFront}, {frontPaused, (*simulation).pauseFront},
+		{frontCutOff, (*simulation).cutOffFront},
+		{frontRestarted, (*simulation).restartFront}, {frontRestarted, (*simulation).restartFront},
+	}
+	otherFaults = []identityFault{
+		{leaderPaused, (*simulation).pauseLeader},
+		{leaderReplaced, (*simulation).replaceLeader},
+		{coreCutOff, (*simulation).cutOffCore},
+		{coreWithoutPower, (*simulation).restartCore},
+		{answersLost, (*simulation).loseAnswers}, {answersLost, (*simulation).loseAnswers},
+		{slowDiskOfMachine, (*simulation).slowDisk},
+	}
+)
 
-func (s *simulation) pauseFront(length time.Duration) { s.pauseFor(s.randomFront(), length) }
+func (s *simulation) pauseFront(random *rand.Rand, length time.Duration) {
+	s.pauseFor(s.randomFront(random), length)
+}
 
 // cutOffFront cuts a front off from all other machines, in one direction or both, for longer than a configuration counts as current.
-func (s *simulation) cutOffFront(length time.Duration) {
-	defer s.partition(s.randomFront(), append(slices.Clone(s.cores), s.agents...), true, s.random.IntN(2) == 0)()
+func (s *simulation) cutOffFront(random *rand.Rand, length time.Duration) {
+	defer s.partition(s.randomFront(random), append(slices.Clone(s.cores), s.agents...), true, random.IntN(2) == 0)()
 	<-time.After(feedAge + length)
 }
 
-func (s *simulation) restartFront(length time.Duration) {
-	front := s.randomFront()
+func (s *simulation) restartFront(random *rand.Rand, length time.Duration) {
+	front := s.randomFront(random)
 	front.kill()
 	<-time.After(min(length, outageOfAllMachines))
 	front.startFront()
 	<-time.After(length)
 }
 
-func (s *simulation) pauseLeader(length time.Duration) {
-	s.pauseFor(s.leaderOf(s.randomService()), length)
+func (s *simulation) pauseLeader(random *rand.Rand, length time.Duration) {
+	s.pauseFor(s.leaderOf(randomService(random)), length)
 }
 
-func (s *simulation) replaceLeader(length time.Duration) {
-	leader := s.leaderOf(s.randomService())
+func (s *simulation) replaceLeader(random *rand.Rand, length time.Duration) {
+	leader := s.leaderOf(randomService(random))
 	if leader == nil {
 		return
 	}
@@ -202,14 +208,14 @@
 	<-time.After(leaderReplacedTime)
 }
 
-func (s *simulation) cutOffCore(length time.Duration) {
-	core := s.cores[s.random.IntN(len(s.cores))]
-	defer s.partition(core, s.cores, true, s.random.IntN(2) == 0)()
+func (s *simulation) cutOffCore(random *rand.Rand, length time.Duration) {
+	core := s.cores[random.IntN(len(s.cores))]
+	defer s.partition(core, s.cores, true, random.IntN(2) == 0)()
 	<-time.After(length)
 }
 
 // restartCore takes the power from all coordinators at once.
-func (s *simulation) restartCore(time.Duration) {
+func (s *simulation) restartCore(*rand.Rand, time.Duration) {
 	for _, m := range s.cores {
 		m.kill()
 	}
@@ -220,7 +226,7 @@
 	<-time.After(leaderReplacedTime)
 }
 
-func (s *simulation) loseAnswers(length time.Duration) {
+func (s *simulation) loseAnswers(_ *rand.Rand, length time.Duration) {
 	s.network.update(func(n *network) {
 		n.lossRate, n.delayRate = disturbedMessageRate, disturbedMessageRate
 		if s.judge.networkDuplicates {
@@ -231,17 +237,19 @@
 	s.network.update(func(n *network) { n.lossRate, n.duplicationRate, n.delayRate = 0, 0, 0 })
 }
 
-func (s *simulation) slowDisk(length time.Duration) {
-	core := s.cores[s.random.IntN(len(s.cores))]
+func (s *simulation) slowDisk(random *rand.Rand, length time.Duration) {
+	core := s.cores[random.IntN(len(s.cores))]
 	core.setWriteDelay(length / 8)
 	<-time.After(length)
 	core.setWriteDelay(0)
 }
 
-func (s *simulation) randomFront() *machine { return s.agents[s.random.IntN(len(s.agents))] }
+func (s *simulation) randomFront(random *rand.Rand) *machine {
+	return s.agents[random.IntN(len(s.agents))]
+}
 
-func (s *simulation) randomService() string {
-	return identityServices[s.random.IntN(len(identityServices))]
+func randomService(random *rand.Rand) string {
+	return identityServices[random.IntN(len(identityServices))]
 }
 
 // leaderOf returns the coordinator that leads a service according to a running coordinator; nil if there is none.
@@ -262,26 +270,40 @@
 	<-time.After(length)
 }
 
-// scheduleDisruptions schedules random faults, one after another, so that each kills or pauses machines that run.
+// scheduleDisruptions schedules random faults: one after another, or in one schedule of two those of fronts beside all others. No two faults of a
+// machine overlap, so that each kills or pauses a machine that runs.
 func (s *simulation) scheduleDisruptions() {
-	s.pendingFaults.Go(func() {
-		end := time.Now().Add(identityFaultPhase)
-		for number := 0; number < maxIdentityFaults && time.Now().Before(end); number++ {
-			<-time.After(time.Duration(s.random.Int64N(int64(shortestPause))))
-			fault := identityFaults[s.random.IntN(len(identityFaults))]
-			length := shortestPause + time.Duration(s.random.Int64N(int64(longestPause-shortestPause)))
-			s.schedule = append(s.schedule, fmt.Sprintf("at %v %s for %v", time.Since(s.startedAt), fault.disruption, length))
-			s.setDisruption(fault.disruption, 1)
-			fault.run(s, length)
-			s.setDisruption(fault.disruption, -1)
-		}
-	})
+	if s.seed/duplicatingSeedStep%2 == 0 {
+		s.pendingFaults.Go(func() { s.runFaults(s.random, append(slices.Clone(frontFaults), otherFaults...)) })
+		return
+	}
+	for number, faults := range [][]identityFault{frontFaults, otherFaults} {
+		random := rand.New(rand.NewPCG(s.seed, uint64(identityFaultSalt+number)))
+		s.pendingFaults.Go(func() { s.runFaults(random, faults) })
+	}
 }
 
-func (s *simulation) setDisruption(kind disruption, change int) {
+// runFaults runs random faults one after another.
+func (s *simulation) runFaults(random *rand.Rand, faults []identityFault) {
+	end := time.Now().Add(identityFaultPhase)
+	for number := 0; number < maxIdentityFaults && time.Now().Before(end); number++ {
+		<-time.After(time.Duration(random.Int64N(int64(shortestPause))))
+		fault := faults[random.IntN(len(faults))]
+		length := shortestPause + time.Duration(random.Int64N(int64(longestPause-shortestPause)))
+		s.setDisruption(fault.disruption, 1, fmt.Sprintf("at %v %s for %v", time.Since(s.startedAt), fault.disruption, length))
+		fault.run(s, random, length)
+		s.setDisruption(fault.disruption, -1, "")
+	}
+}
+
+// setDisruption records that a disruption begins or ends, with its description for the schedule.
+func (s *simulation) setDisruption(kind disruption, change int, description string) {
 	s.disruptionMutex.Lock()
 	defer s.disruptionMutex.Unlock()
 	s.activeDisruptions[kind] += change
+	if description != "" {
+		s.schedule = append(s.schedule, description)
+	}
 }
 
 // disruptions returns what goes wrong at the moment.
