A departing member reports no check that the end of its time cut short

What operators saw: a core machine that is stopped and whose successor is still being rebuilt wrote "shutting down although no quorum of other replicas is known to stay", and the page warns against erasing its disk, though all others may vote and stay.

Cause: the grace period ended during a check; its calls ended without replies, and "nobody replied" was the result.

Change: a check during which the time ends counts only if it permits the stop; otherwise the result of the one before stands.

Why it works: replies are proof, missing ones only if there was time for them.

--- a/internal/controlplane/rebuild/handover.go
+++ b/internal/controlplane/rebuild/handover.go
@@ -29,19 +29,28 @@
 
 // HandOver waits until this departing member may stop (replicaset.Departure.MayStop) or the context ends. Meanwhile, it calls
 // leave repeatedly. That function must send leave requests, so that a joining member replaces this one. HandOver returns the
-// result of the last check. If that result permits the member to stop, no state exists on this process alone.
+// result of the last check that ended before the context, because the replies that such an end cuts off say nothing about their
+// members. If the result permits the member to stop, no state exists on this process alone.
 func (r *Rebuilder) HandOver(ctx context.Context, leave func(ctx context.Context)) replicaset.Departure {
 	initialView := r.config.Views.View()
 	joined := joinedMembers{view: initialView, unconfirmed: make(map[string]bool)}
-	for {
+	var last replicaset.Departure
+	for checks := 0; ; checks++ {
 		var leaving sync.WaitGroup
 		leaving.Go(func() { leave(ctx) })
 		departure := r.checkDeparture(ctx, &joined)
 		departure.WasMember = initialView.Has(r.config.Self)
 		leaving.Wait()
-		if departure.MayStop() || !timer.Sleep(ctx, departureCheckInterval) {
+		if departure.MayStop() {
 			return departure
 		}
+		if ctx.Err() != nil && checks > 0 {
+			return last
+		}
+		last = departure
+		if !timer.Sleep(ctx, departureCheckInterval) {
+			return last
+		}
 	}
 }
 
--- a/internal/controlplane/rebuild/handover_test.go
+++ b/internal/controlplane/rebuild/handover_test.go
@@ -25,8 +25,9 @@
 
 // handOverResult is the result of a hand-over.
 type handOverResult struct {
-	mayStop  bool
-	duration time.Duration
+	mayStop     bool
+	keepsQuorum bool
+	duration    time.Duration
 }
 
 // runHandOver starts three members, calls prepare to set up the case, and runs the hand-over of the second member.
@@ -45,8 +46,8 @@
 		limited, cancel := context.WithTimeout(c.ctx, handOverLimit)
 		defer cancel()
 		begin := time.Now()
-		result.mayStop = m.departing.HandOver(limited, func(context.Context) {}).MayStop()
-		result.duration = time.Since(begin)
+		departure := m.departing.HandOver(limited, func(context.Context) {})
+		result = handOverResult{departure.MayStop(), departure.KeepsQuorum(), time.Since(begin)}
 	})
 	return result
 }
@@ -107,6 +108,24 @@
 	}
 }
 
+// A hand-over whose time ends during a check must say what the check before has found: guards against the report that no quorum stays, and that
+// the disk must not be erased, while all others may vote.
+func TestHandOverThatEndsDuringACheckReportsTheCheckBefore(t *testing.T) {
+	const lastCheck = 150 * time.Millisecond // before the end of the time, longer than the interval of checks
+	result := runHandOver(t, func(m *threeMembers) {
+		m.views[1].joining = true
+		time.AfterFunc(handOverLimit-lastCheck, func() { m.network.Delay("member-0", 2*lastCheck) })
+	})
+	convey.Convey("A member departs beside a joining member, and its time ends before the replies to the last check", t, func() {
+		convey.So(result.mayStop, convey.ShouldBeFalse)
+		convey.So(result.keepsQuorum, convey.ShouldBeTrue)
+		convey.So(result.duration, convey.ShouldBeLessThanOrEqualTo, handOverLimit+departureCheckTime)
+	})
+}
+
+// departureCheckTime is the maximum duration of one check of a departing member.
+const departureCheckTime = 400 * time.Millisecond
+
 // viewAfterDeparture is the view in which a joining member has replaced the departing member.
 var viewAfterDeparture = replicaset.View{
 	Version: 2, Members: []string{"member-0", "member-2", "new"}, Replaced: "member-1", JoinedIncarnation: 7,
