Tests: plays on queues, seeded schedules and parsed files stand once

Run: the layout tests, 200 schedules of each simulation of controlmodel, and both tests of plays on queues.

--- a/internal/systemtest/controlmodel/identityschedules_test.go
+++ b/internal/systemtest/controlmodel/identityschedules_test.go
@@ -3,14 +3,10 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"runtime"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 
-	"puffinlink.example/puffinlink/internal/raceflag"
 	"puffinlink.example/puffinlink/internal/virtualtime"
 )
 
@@ -129,29 +125,9 @@
 // submit again, leave and cancel at any moment, and fronts, leaders and links fail meanwhile. Guards against the class of faults of the
 // second review. Set the environment variable identitySeedVariable to run one schedule.
 func TestJobsKeepTheirIdentityInSeededSchedules(t *testing.T) {
-	first, count := uint64(1), uint64(defaultIdentitySchedules)
-	if raceflag.Enabled {
-		count = identitySchedulesUnderRaceDetector
-	}
-	if text := os.Getenv(identitySchedulesVariable); text != "" {
-		count, _ = strconv.ParseUint(text, 10, 64)
-	}
-	if text := os.Getenv(identitySeedVariable); text != "" {
-		first, _ = strconv.ParseUint(text, 10, 64)
-		count = 1
-	}
 	total, answers := newPairCounts(), &checkCounts{counts: map[string]int{}}
-	t.Run("seeds", func(t *testing.T) {
-		shards := uint64(runtime.GOMAXPROCS(0))
-		for shard := range shards {
-			t.Run(fmt.Sprint(shard), func(t *testing.T) {
-				t.Parallel()
-				for seed := first + shard; seed < first+count && !t.Failed(); seed += shards {
-					runIdentitySchedule(t, seed, total, answers)
-				}
-			})
-		}
-	})
+	seeds := scheduleSet{defaultIdentitySchedules, identitySchedulesUnderRaceDetector, identitySchedulesVariable, identitySeedVariable}
+	count := seeds.play(t, func(t *testing.T, seed uint64) { runIdentitySchedule(t, seed, total, answers) })
 	t.Logf("%d schedules, answers %v\n%s", count, answers.counts, total.table())
 	if missing := total.missing(); count >= defaultIdentitySchedules && len(missing) > 0 {
 		t.Errorf("%d pairs did not occur: %v", len(missing), missing)
--- a/internal/systemtest/controlmodel/schedules_test.go
+++ b/internal/systemtest/controlmodel/schedules_test.go
@@ -22,30 +22,44 @@
 // TestSeededFaultSchedulesCauseNoViolation runs simulations with seeded fault schedules. A failure message contains the seed. Set
 // the environment variable seedVariable to run only that schedule.
 func TestSeededFaultSchedulesCauseNoViolation(t *testing.T) {
-	first, count := uint64(1), uint64(defaultSchedules)
+	totals := &checkCounts{counts: map[string]int{}}
+	seeds := scheduleSet{defaultSchedules, schedulesUnderRaceDetector, schedulesVariable, seedVariable}
+	count := seeds.play(t, func(t *testing.T, seed uint64) { runSchedule(t, seed, totals) })
+	t.Logf("%d schedules: %v", count, totals.counts)
+}
+
+// scheduleSet says how many schedules a test plays, and the environment variables that override it.
+type scheduleSet struct {
+	usual, underRaceDetector    uint64
+	countVariable, seedVariable string
+}
+
+// play plays the schedules, several at a time, and returns their number.
+func (s scheduleSet) play(t *testing.T, play func(t *testing.T, seed uint64)) (count uint64) {
+	t.Helper()
+	first, count := uint64(1), s.usual
 	if raceflag.Enabled {
-		count = schedulesUnderRaceDetector
+		count = s.underRaceDetector
 	}
-	if text := os.Getenv(schedulesVariable); text != "" {
+	if text := os.Getenv(s.countVariable); text != "" {
 		count, _ = strconv.ParseUint(text, 10, 64)
 	}
-	if text := os.Getenv(seedVariable); text != "" {
+	if text := os.Getenv(s.seedVariable); text != "" {
 		first, _ = strconv.ParseUint(text, 10, 64)
 		count = 1
 	}
-	totals := &checkCounts{counts: map[string]int{}}
 	t.Run("seeds", func(t *testing.T) {
 		shards := uint64(runtime.GOMAXPROCS(0))
 		for shard := range shards {
 			t.Run(fmt.Sprint(shard), func(t *testing.T) {
 				t.Parallel()
 				for seed := first + shard; seed < first+count && !t.Failed(); seed += shards {
-					runSchedule(t, seed, totals)
+					play(t, seed)
 				}
 			})
 		}
 	})
-	t.Logf("%d schedules: %v", count, totals.counts)
+	return count
 }
 
 func runSchedule(t *testing.T, seed uint64, totals *checkCounts) {
--- a/internal/systemtest/earlycancellations_test.go
+++ b/internal/systemtest/earlycancellations_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -26,10 +25,7 @@
 var errNotGone = errors.New("a cancellation was not answered with 410")
 
 // earlyCancelPlays are the plays. Each returns jobs whose cancellation was answered before they arrived anywhere, of which nothing may run.
-var earlyCancelPlays = []struct {
-	name string
-	play func(m *queueMove, ctx context.Context) ([]jobPlan, error)
-}{
+var earlyCancelPlays = []queuePlay{
 	{"a front is paused, its clients leave, and cancel at another one", func(m *queueMove, ctx context.Context) ([]jobPlan, error) {
 		return m.cancelAtOtherFront(ctx, frontPause, func(context.Context) error { return nil })
 	}},
@@ -185,37 +181,14 @@
 // against jobs that nobody asks for any more (review case 5 and what was found beside it).
 func TestJobsCancelledBeforeTheyArriveNeverRun(t *testing.T) {
 	t.Parallel()
-	ctx, s := startSystem(t, "early-cancellations", defaultSize, earlyCancelTimeout)
 	ran := map[string][]string{}
-	func() {
-		defer s.stop()
-		if err := s.bringUp(ctx); err != nil {
-			s.recordFailure(err)
-			return
-		}
-		routes := []routePlan{renderRoute, mailRoute}
-		for number, play := range earlyCancelPlays {
-			m := &queueMove{system: s, random: rand.New(rand.NewPCG(uint64(number), 9)), queue: fmt.Sprintf("/early-%d/", number), others: routes}
-			if err := m.beginQueue(ctx); err != nil {
-				s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
-				return
-			}
-			jobs, err := play.play(m, ctx)
-			if err != nil {
-				s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
+	s := playOnQueues(t, "early-cancellations", earlyCancelTimeout, earlyCancelPlays, func(m *queueMove, play string, jobs []jobPlan) {
+		for _, plan := range jobs {
+			if attempts := m.attemptsOf(plan); len(attempts) > 0 {
+				ran[play] = append(ran[play], fmt.Sprintf("%+v", attempts))
 			}
-			for _, plan := range jobs {
-				if attempts := m.attemptsOf(plan); len(attempts) > 0 {
-					ran[play.name] = append(ran[play.name], fmt.Sprintf("%+v", attempts))
-				}
-			}
-			routes = m.configurations.routes
 		}
-		s.endedAt = time.Now()
-		s.awaitStateAnswers(ctx, rand.New(rand.NewPCG(0, 9)))
-		s.awaitConfigurationRead(ctx)
-		s.awaitNoRunningTasks(ctx)
-	}()
+	})
 	result := s.checkHistory(outcome{})
 	Convey("Nothing of them runs, and no rule is broken", t, func() {
 		So(result.failures, ShouldBeEmpty)
--- a/internal/systemtest/queuemoves_test.go
+++ b/internal/systemtest/queuemoves_test.go
@@ -25,6 +25,7 @@
 	otherFrontApplyTime = 2 * time.Second // of frontPause; after it, the other front serves a change, and the paused one does not know it
 	runOnTime           = 2 * time.Second // in which a job that wrongly runs again starts
 	movedWork           = 12 * time.Second
+	queuePlaySalt       = 8
 )
 
 // queueMove is a play about one queue that goes from the guarded service to the unguarded one.
@@ -35,11 +36,14 @@
 	others []routePlan // routes beside that of the queue
 }
 
-// queueMovePlays are the plays. Each returns the jobs of which every task must have had exactly one attempt.
-var queueMovePlays = []struct {
+// queuePlay is a play on a queue of its own. It returns the jobs that the test judges.
+type queuePlay struct {
 	name string
 	play func(m *queueMove, ctx context.Context) ([]jobPlan, error)
-}{
+}
+
+// queueMovePlays are the plays. Each returns the jobs of which every task must have had exactly one attempt.
+var queueMovePlays = []queuePlay{
 	{"a queue moves in one change, and its jobs are sent again", func(m *queueMove, ctx context.Context) ([]jobPlan, error) {
 		return m.sendAgain(ctx, m.moveAtOnce)
 	}},
@@ -291,41 +295,49 @@
 	return attempts
 }
 
+// playOnQueues plays each play on a queue of its own, one after another, calls judge with the jobs that it returns, and ends in the calm after
+// all of them. The name is that of the test's folder and of the queues.
+func playOnQueues(t *testing.T, name string, timeout time.Duration, plays []queuePlay, judge func(m *queueMove, play string, jobs []jobPlan)) *system {
+	t.Helper()
+	ctx, s := startSystem(t, name, defaultSize, timeout)
+	defer s.stop()
+	if err := s.bringUp(ctx); err != nil {
+		s.recordFailure(err)
+		return s
+	}
+	routes := []routePlan{renderRoute, mailRoute}
+	for number, play := range plays {
+		m := &queueMove{system: s, random: rand.New(rand.NewPCG(uint64(number), queuePlaySalt)), queue: fmt.Sprintf("/%s-%d/", name, number), others: routes}
+		if err := m.beginQueue(ctx); err != nil {
+			s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
+			return s
+		}
+		jobs, err := play.play(m, ctx)
+		if err != nil {
+			s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
+		}
+		judge(m, play.name, jobs)
+		routes = m.configurations.routes
+	}
+	s.endedAt = time.Now()
+	s.awaitStateAnswers(ctx, rand.New(rand.NewPCG(0, queuePlaySalt)))
+	s.awaitConfigurationRead(ctx)
+	s.awaitNoRunningTasks(ctx)
+	return s
+}
+
 // A job stays one job when its queue goes to another service: guards against jobs that run in both, and against cancellations that leave
 // the first run (review case 4 and what was found beside it).
 func TestJobsStayOneJobWhenTheirQueueMoves(t *testing.T) {
 	t.Parallel()
-	ctx, s := startSystem(t, "queue-moves", defaultSize, queueMovesTimeout)
 	repeated := map[string][]string{}
-	func() {
-		defer s.stop()
-		if err := s.bringUp(ctx); err != nil {
-			s.recordFailure(err)
-			return
-		}
-		routes := []routePlan{renderRoute, mailRoute}
-		for number, play := range queueMovePlays {
-			m := &queueMove{system: s, random: rand.New(rand.NewPCG(uint64(number), 8)), queue: fmt.Sprintf("/queue-%d/", number), others: routes}
-			if err := m.beginQueue(ctx); err != nil {
-				s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
-				return
-			}
-			jobs, err := play.play(m, ctx)
-			if err != nil {
-				s.recordFailure(fmt.Errorf("%s: %w", play.name, err))
-			}
-			routes = m.configurations.routes
-			for _, plan := range jobs {
-				if attempts := m.attemptsOf(plan); len(attempts) != plan.body.Stages[0].Count {
-					repeated[play.name] = append(repeated[play.name], fmt.Sprintf("%+v", attempts))
-				}
+	s := playOnQueues(t, "queue-moves", queueMovesTimeout, queueMovePlays, func(m *queueMove, play string, jobs []jobPlan) {
+		for _, plan := range jobs {
+			if attempts := m.attemptsOf(plan); len(attempts) != plan.body.Stages[0].Count {
+				repeated[play] = append(repeated[play], fmt.Sprintf("%+v", attempts))
 			}
 		}
-		s.endedAt = time.Now()
-		s.awaitStateAnswers(ctx, rand.New(rand.NewPCG(0, 8)))
-		s.awaitConfigurationRead(ctx)
-		s.awaitNoRunningTasks(ctx)
-	}()
+	})
 	result := s.checkHistory(outcome{})
 	Convey("Every task has one attempt, and no rule is broken", t, func() {
 		So(result.failures, ShouldBeEmpty)
--- a/internal/tools/layout/answers_test.go
+++ b/internal/tools/layout/answers_test.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"go/ast"
-	"go/parser"
 	"go/token"
 	"maps"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -25,12 +22,8 @@
 // giversOnPage returns the functions that the page lists for each status, sorted.
 func giversOnPage(t *testing.T) map[string][]string {
 	t.Helper()
-	content, err := os.ReadFile(filepath.Join(repositoryRoot, jobIdentityPage))
-	if err != nil {
-		t.Fatal(err)
-	}
 	listed := map[string][]string{}
-	for line := range strings.Lines(string(content)) {
+	for _, line := range pageLines(t, jobIdentityPage) {
 		row := statusRow.FindStringSubmatch(line)
 		if row == nil {
 			continue
@@ -47,19 +40,8 @@
 // statement's cases do not count, as they give no answer.
 func giversInCode(t *testing.T, folder string) map[string][]string {
 	t.Helper()
-	paths, err := filepath.Glob(filepath.Join(repositoryRoot, folder, "*.go"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	givers := map[string]map[string]bool{}
-	for _, path := range paths {
-		if strings.HasSuffix(path, "_test.go") {
-			continue
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
+	for _, file := range parsedFiles(t, folder) {
 		for _, declaration := range file.Decls {
 			function, isFunction := declaration.(*ast.FuncDecl)
 			if !isFunction {
--- a/internal/tools/layout/leaderstate_test.go
+++ b/internal/tools/layout/leaderstate_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"go/ast"
-	"go/parser"
-	"go/token"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -54,14 +50,9 @@
 // name no field or no known kind.
 func fieldsOnPage(t *testing.T) map[structType][]string {
 	t.Helper()
-	content, err := os.ReadFile(filepath.Join(repositoryRoot, leaderStatePage))
-	if err != nil {
-		t.Fatal(err)
-	}
 	listed := map[structType][]string{}
 	var current structType
-	for line := range strings.Lines(string(content)) {
-		line = strings.TrimSuffix(line, "\n")
+	for _, line := range pageLines(t, leaderStatePage) {
 		switch {
 		case strings.HasPrefix(line, "#"):
 			current = structType{}
@@ -85,19 +76,8 @@
 // fieldsInCode returns the names of a struct type's fields. An embedded field has the name of its type.
 func fieldsInCode(t *testing.T, wanted structType) []string {
 	t.Helper()
-	paths, err := filepath.Glob(filepath.Join(repositoryRoot, wanted.folder, "*.go"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var names []string
-	for _, path := range paths {
-		if strings.HasSuffix(path, "_test.go") {
-			continue
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
+	for _, file := range parsedFiles(t, wanted.folder) {
 		ast.Inspect(file, func(node ast.Node) bool {
 			if declared, isType := node.(*ast.TypeSpec); isType && declared.Name.Name == wanted.name {
 				if structure, isStruct := declared.Type.(*ast.StructType); isStruct {
