--- a/internal/tools/layout/files_test.go
+++ b/internal/tools/layout/files_test.go
@@ -21,14 +21,26 @@
 }
 
 // parsedFiles returns the parsed Go files of a folder, without tests.
-func parsedFiles(t *testing.T, folder string) (files []*ast.File) {
+func parsedFiles(t *testing.T, folder string) []*ast.File {
+	t.Helper()
+	return parse(t, folder, func(path string) bool { return !strings.HasSuffix(path, "_test.go") })
+}
+
+// parsedTests returns the parsed test files of a folder.
+func parsedTests(t *testing.T, folder string) []*ast.File {
+	t.Helper()
+	return parse(t, folder, func(path string) bool { return strings.HasSuffix(path, "_test.go") })
+}
+
+// parse returns the parsed Go files of a folder that are wanted.
+func parse(t *testing.T, folder string, wanted func(path string) bool) (files []*ast.File) {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join(repositoryRoot, folder, "*.go"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, path := range paths {
-		if strings.HasSuffix(path, "_test.go") {
+		if !wanted(path) {
 			continue
 		}
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
