System tests: a machine is paused once no thread of it runs

Cause: SIGSTOP was sent and the submissions followed at once. On busy cores a thread of the front goes on for a moment, reads the submission, and sends it on; the job is then known when it is cancelled, and 200 is right. Such a run shows nothing.

Change: machine.pause returns when /proc shows each thread of the processes as stopped, 2 s at most. The check is as it was: each cancellation must be answered with 410.

--- a/internal/systemtest/machine_test.go
+++ b/internal/systemtest/machine_test.go
@@ -180,12 +180,16 @@
 	return os.Mkdir(m.dataDirectory, 0o755)
 }
 
-// pause suspends the machine's processes until resume is called.
+// pause suspends the machine's processes until resume is called. When it returns they are suspended: what is sent to them afterwards waits in
+// their sockets.
 func (m *machine) pause() {
 	m.system.recordFaultStart(m.name)
 	for _, p := range m.processes {
 		p.signal(syscall.SIGSTOP)
 	}
+	for _, p := range m.processes {
+		p.awaitSuspended()
+	}
 }
 
 func (m *machine) resume() {
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// startTimeout is how long a process may take until it listens.
-const startTimeout = time.Minute
+const (
+	startTimeout        = time.Minute      // until a process listens
+	maxSuspendTime      = 2 * time.Second  // until a process is suspended
+	suspendPollInterval = time.Millisecond // between two looks at its threads
+)
 
 // process is one process of the system, which can be ended and started again.
 type process struct {
@@ -110,6 +115,36 @@
 	}
 }
 
+// awaitSuspended waits until no thread of the process runs, after a SIGSTOP. A thread that was running on a processor, or waits for one, goes on
+// for a moment after the signal was sent. It gives up after maxSuspendTime, and returns at once if the process has ended.
+func (p *process) awaitSuspended() {
+	p.mu.Lock()
+	command := p.command
+	p.mu.Unlock()
+	if command == nil {
+		return
+	}
+	for deadline := time.Now().Add(maxSuspendTime); time.Now().Before(deadline) && !isSuspended(command.Process.Pid); {
+		time.Sleep(suspendPollInterval)
+	}
+}
+
+// isSuspended reports whether each thread of a process has stopped or ended. The state follows the name in parentheses in a thread's stat file.
+func isSuspended(processID int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", processID)) // the pattern is valid
+	for _, path := range threads {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		_, state, _ := strings.Cut(string(content[bytes.LastIndexByte(content, ')')+1:]), " ")
+		if !strings.HasPrefix(state, "T") && !strings.HasPrefix(state, "Z") && !strings.HasPrefix(state, "X") {
+			return false
+		}
+	}
+	return true
+}
+
 // end sends the process a signal that ends it, and waits until it has exited.
 func (p *process) end(signal syscall.Signal) {
 	p.mu.Lock()
