A front takes only 2 s without a tick for a pause of its process

Cause of a part of it: a front that got no processor for 0.6 s counted as paused, so that requests read right after it counted as that old and were refused untried.

--- a/internal/dataplane/proxy/pausedetector.go
+++ b/internal/dataplane/proxy/pausedetector.go
@@ -8,7 +8,7 @@
 
 const (
 	pauseTickInterval = 250 * time.Millisecond // time between two ticks of a process that runs
-	minDetectedPause  = 600 * time.Millisecond // a longer time without a tick was a pause of the process
+	minDetectedPause  = 2 * time.Second        // a longer time without a tick was a pause of the process, and no lack of processors
 	wakeUpTime        = 200 * time.Millisecond // time after a pause in which requests are read that arrived during it
 )
 
