A front matches a request's path once for each view

The request keeps its view in place of the view's version, and is located anew only in a later one. The same answer comes from the same view, so nothing else changes.

Run: the proxy's, layout's and mutants' tests, and the simulation of moving queues (200 schedules): passed.

--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -57,7 +57,7 @@
 		// Therefore r.Context() is not used for calls.
 		request := jobRequest{
 			received: h.pauses.earliestArrival(read), timeout: answerTimeout(r, target.route), host: r.Host, path: r.URL.Path,
-			queue: target.route.Queue, version: view.version, id: target.id,
+			view: view, queue: target.route.Queue, id: target.id,
 		}
 		h.serve(w, r, request, view.router)
 	}
--- a/internal/dataplane/proxy/jobs.go
+++ b/internal/dataplane/proxy/jobs.go
@@ -22,14 +22,17 @@
 	received   time.Time
 	timeout    time.Duration // the shorter of the client's and the route's
 	host, path string
-	queue      jobapi.Queue // by the view at the time of the request's arrival
-	version    uint64       // of the configuration in that view
+	view       *view        // in which the queue was found
+	queue      jobapi.Queue // by that view
 	id         job.ID       // empty for a request about a queue
 }
 
 // locate returns the request's queue in a view. The configuration may have changed since the request's arrival. Found is false if no queue
 // has the path now.
 func (r *jobRequest) locate(v *view) (queue jobapi.Queue, found bool) {
+	if v == r.view {
+		return r.queue, true
+	}
 	target, found := locateTarget(v, r.host, r.path)
 	return target.route.Queue, found && target.id == r.id
 }
@@ -111,7 +114,7 @@
 // recent answer, if there is one.
 func (s *jobService) count(ctx context.Context, r jobRequest) (count int, known bool) {
 	group := feed.GroupOf(r.queue.Service)
-	request := jobapi.PendingRequest{Group: group, Route: r.queue.Route, Queue: r.queue.Key, Version: r.version}
+	request := jobapi.PendingRequest{Group: group, Route: r.queue.Route, Queue: r.queue.Key, Version: r.view.version}
 	var reply jobapi.PendingReply
 	call := locatedCall{route: jobapi.PendingCall.Route(), group: group, request: request}
 	if _, err := s.leaders.attempt(ctx, call, pendingAttemptTimeout, &reply); err != nil {
